Lay out the layers, shared types, ports and the peer protocol

Cause: nothing exists yet; the parts are to be written side by side and need one contract. Ruled out: one package per part (slower installs and builds, no gain at this size). Measured: lint, types and format pass; there is no behaviour yet.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,13 @@
+export default {
+  files: [
+    'src/**/test.ts',
+    'standins/**/test.ts',
+    'tools/**/test.ts',
+    'client/**/test.ts',
+    'tests/**/*.test.ts',
+  ],
+  extensions: { ts: 'module' },
+  nodeArguments: ['--import=tsx'],
+  workerThreads: false,
+  timeout: '120s',
+};
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,23 @@
+// Bundles each binary and the published client into dist/.
+import { existsSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const entryPoints = Object.entries({
+  'jackdaw-entry': 'src/programs/entry/main.ts',
+  'jackdaw-keeper': 'src/programs/keeper/main.ts',
+  jackdaw: 'src/programs/jackdaw/main.ts',
+  'jackdaw-demo': 'tools/demo/main.ts',
+  client: 'client/index.ts',
+}).filter(([, file]) => existsSync(file));
+
+await build({
+  entryPoints: Object.fromEntries(entryPoints),
+  outdir: 'dist',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  packages: 'external',
+  sourcemap: true,
+});
+console.log(`built ${entryPoints.map(([name]) => name).join(', ')}`);
--- /dev/null
+++ b/src/application/ports/EngineClient.ts
@@ -0,0 +1,53 @@
+import type { Result } from 'neverthrow';
+import type {
+  BackendServer,
+  CacheEvent,
+  EngineOrder,
+  GenerationRequest,
+  LoadReport,
+  TokenBatch,
+} from '../../domain/types';
+import type { EngineError } from './EngineError';
+
+/** One attempt as sent to an engine. */
+export interface AttemptStart {
+  readonly request: GenerationRequest;
+  /** Model and adapter names as the engine knows them. */
+  readonly model: string;
+  readonly streamId: string;
+  /** Tokens already held: the engine goes on after exactly these. */
+  readonly prefixTokenIds: readonly number[];
+  /** Higher is served first. */
+  readonly priority: number;
+}
+
+/** A running stream of an engine. */
+export interface EngineStream {
+  /** Yields batches in order; ends after a batch with a finish reason, or with one error. */
+  readonly batches: AsyncIterable<Result<TokenBatch, EngineError>>;
+  /** Stops reading; the engine keeps the stream for a while, so that it can be resumed. */
+  detach(): void;
+}
+
+/** Calls to model engines. */
+export interface EngineClient {
+  startAttempt(
+    server: BackendServer,
+    start: AttemptStart,
+  ): Promise<Result<EngineStream, EngineError>>;
+  /** Reads an existing stream from `offset` (counted from the start of the generation). */
+  resumeStream(
+    server: BackendServer,
+    streamId: string,
+    offset: number,
+  ): Promise<Result<EngineStream, EngineError>>;
+  cancelStream(server: BackendServer, streamId: string): Promise<Result<void, EngineError>>;
+  readLoad(server: BackendServer): Promise<Result<LoadReport, EngineError>>;
+  listCacheEvents(
+    server: BackendServer,
+    afterSequence: number,
+  ): Promise<Result<readonly CacheEvent[], EngineError>>;
+  sendOrder(server: BackendServer, order: EngineOrder): Promise<Result<void, EngineError>>;
+  /** Asks whether it answers at all. */
+  probe(server: BackendServer): Promise<Result<void, EngineError>>;
+}
--- /dev/null
+++ b/src/application/ports/index.ts
@@ -0,0 +1,14 @@
+export type { Clock } from './Clock';
+export type { ConfigurationView } from './ConfigurationView';
+export type { DecisionLog } from './DecisionLog';
+export type { AttemptStart, EngineStream, EngineClient } from './EngineClient';
+export type { EngineError } from './EngineError';
+export type { EventFields, EventLog } from './EventLog';
+export type { HealthRegistry } from './HealthRegistry';
+export type { ObjectStore } from './ObjectStore';
+export type { Randomness } from './Randomness';
+export type { SlotOutcome, Slot, Router } from './Router';
+export type { StoreError } from './StoreError';
+export type { TableItem, WriteCondition } from './TableItem';
+export type { TableStore } from './TableStore';
+export type { VmList } from './VmList';
--- /dev/null
+++ b/src/domain/types/BackendHealth.ts
@@ -0,0 +1,10 @@
+/** Health of a backend server as this VM sees it. */
+export const BackendHealth = {
+  Serving: 'serving',
+  Suspected: 'suspected',
+  Dead: 'dead',
+  Leaving: 'leaving',
+} as const;
+
+/** One of the health states. */
+export type BackendHealth = (typeof BackendHealth)[keyof typeof BackendHealth];
--- /dev/null
+++ b/src/domain/types/TokenBatch.ts
@@ -0,0 +1,9 @@
+/** Tokens as one engine event carried them. */
+export interface TokenBatch {
+  /** Offset of the first token, counted from the start of the generation. */
+  readonly offset: number;
+  readonly tokenIds: readonly number[];
+  readonly text: string;
+  /** Set on the last batch, else null. */
+  readonly finishReason: string | null;
+}
--- /dev/null
+++ b/src/domain/types/WorkClass.ts
@@ -0,0 +1,5 @@
+/** Classes of work: each has its own limits, priority and detection handler. */
+export const WorkClass = { Lookup: 'lookup', Long: 'long', Plain: 'plain' } as const;
+
+/** One of the classes of work. */
+export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
