Add the ports of claims, generations, load and peers

Cause: the data path, the store and the peers are written side by side. Ruled out: letting each part define its own view of the others. Change: ports and the claim and answer types.

--- /dev/null
+++ b/src/application/ports/PeerGenerations.ts
@@ -0,0 +1,21 @@
+import type { Result } from 'neverthrow';
+import type { GenerationFeed } from './Generations';
+
+/** Generations held by other VMs, reached over connect. */
+export interface PeerGenerations {
+  /** Attaches to a generation at the VM, or fails soon if the VM is dead or does not hold it. */
+  attachGeneration(
+    target: { readonly vm: string; readonly peerAddress: string },
+    generation: {
+      readonly generationId: string;
+      readonly workspace: string;
+      readonly offset: number;
+    },
+  ): Promise<Result<GenerationFeed, { readonly kind: 'unreachable' | 'not-held' }>>;
+  cancelGeneration(
+    target: { readonly vm: string; readonly peerAddress: string },
+    generation: { readonly generationId: string; readonly workspace: string },
+  ): Promise<boolean>;
+  /** Peer address of a VM that was heard lately, or null. */
+  findPeerAddress(vm: string): string | null;
+}
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -1,11 +1,21 @@
+export type { ClaimRequest, ClaimOutcome, ClaimError, Claims } from './Claims';
 export type { Clock } from './Clock';
 export type { ConfigurationView } from './ConfigurationView';
 export type { DecisionLog } from './DecisionLog';
 export type { AttemptStart, EngineStream, EngineClient } from './EngineClient';
 export type { EngineError } from './EngineError';
 export type { EventFields, EventLog } from './EventLog';
+export type {
+  GenerationError,
+  GenerationEvent,
+  GenerationFeed,
+  ResumeRequest,
+  Generations,
+} from './Generations';
 export type { HealthRegistry } from './HealthRegistry';
+export type { PeerSends, LoadView } from './LoadView';
 export type { ObjectStore } from './ObjectStore';
+export type { PeerGenerations } from './PeerGenerations';
 export type { Randomness } from './Randomness';
 export type { SlotOutcome, Slot, Router } from './Router';
 export type { StoreError } from './StoreError';
--- a/src/domain/types/index.ts
+++ b/src/domain/types/index.ts
@@ -1,6 +1,8 @@
 export { BackendHealth } from './BackendHealth';
 export type { BackendServer } from './BackendServer';
 export type { CacheEvent } from './CacheEvent';
+export { ClaimState } from './ClaimRow';
+export type { ClaimRow } from './ClaimRow';
 export type { Configuration } from './Configuration';
 export type { Cursor } from './Cursor';
 export { DemandPurpose } from './Demand';
@@ -19,6 +21,7 @@
 export { RunState } from './RunState';
 export type { Service } from './Service';
 export { ServiceKind } from './ServiceKind';
+export type { StoredAnswer } from './StoredAnswer';
 export { SurvivalMode } from './SurvivalMode';
 export { SuspicionCause } from './Suspicion';
 export type { Suspicion } from './Suspicion';
