Add the published client: one generation, each token once, at any entry

Cause: a caller whose entry dies had to know cursors, prefixes and idempotency keys to go on; OpenAI clients know none of these. Ruled out: counting tokens by repeating the request from 0 (pays the generation again once the key's claim is gone); yielding a "lost" event (a loop that ignores it takes a cut answer for a finished one). Change: client/ on fetch only. Until a token has come, the same POST under one Idempotency-Key; after that POST /v1/generations/{id}/events with Last-Event-ID and {"prefix_token_ids","request"}. Events without their closing blank line are dropped; silence ends a connection. Not yet run against an entry.

--- /dev/null
+++ b/client/_lib/convertResponseFailure/index.ts
@@ -0,0 +1,30 @@
+import type { StreamFailure } from '../../types';
+
+const RETRYABLE_STATUSES: readonly number[] = [408, 425, 429, 500, 502, 503, 504];
+const MS_PER_S = 1000;
+
+interface ErrorBody {
+  readonly error?: { readonly code?: string; readonly message?: string };
+}
+
+const readErrorBody = async (response: Response): Promise<ErrorBody> => {
+  try {
+    return (await response.json()) as ErrorBody;
+  } catch {
+    return {};
+  }
+};
+
+/** Converts an answer that is no stream into a failure; `Retry-After` is taken in seconds. */
+export async function convertResponseFailure(response: Response): Promise<StreamFailure> {
+  const { error } = await readErrorBody(response);
+  const retryAfterS = Number(response.headers.get('retry-after') ?? 0);
+  return {
+    code: error?.code ?? `http_${response.status}`,
+    message: error?.message ?? `the system answered ${response.status}`,
+    runState: response.headers.get('jackdaw-run-state') ?? 'unknown',
+    requestId: response.headers.get('jackdaw-request-id') ?? '',
+    retryable: RETRYABLE_STATUSES.includes(response.status),
+    retryAfterMs: Number.isFinite(retryAfterS) ? retryAfterS * MS_PER_S : 0,
+  };
+}
--- /dev/null
+++ b/client/index.ts
@@ -0,0 +1,3 @@
+export { streamGeneration } from './streamGeneration';
+export { GenerationLostError } from './types';
+export type { GenerationBatch, StreamGenerationOptions } from './types';
