Add the hard filter, the load view, a least-loaded router and the load poller

Cause: the entry's wiring needs the router and load ports filled before anything can be served. Ruled out: taking a report as the whole truth (it lags; a send since would be forgotten). Change: prefix digests; fail-closed filter in a static part (configuration) and a part by health and reports; load view whose estimate is the newest report corrected by sends since; router that takes the least loaded server with a free slot; poller of load and cache events by rendezvous hashing.

--- /dev/null
+++ b/src/application/routing/createLoadView/test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+import type { LoadReport } from '../../../domain/types';
+import { createLoadView, PEER_SENDS_TTL_MS } from '.';
+
+const buildReport = (sequence: number, running: number, receivedAtMs: number): LoadReport => ({
+  backendServer: 'review-1',
+  sequence,
+  running,
+  waiting: 0,
+  slots: 8,
+  cacheUse: 0,
+  tokensPerSecond: 0,
+  models: [],
+  role: 'serve',
+  leaving: false,
+  fencingToken: 0,
+  ageMs: 400,
+  receivedAtMs,
+});
+const createView = () => {
+  let nowMs = 1000;
+  const clock = {
+    readWallMs: () => nowMs,
+    readMonotonicMs: () => nowMs,
+    startTimer: () => () => {},
+  };
+  return {
+    view: createLoadView({ clock }),
+    setTime: (ms: number) => {
+      nowMs = ms;
+    },
+  };
+};
+
+test('a report counts only the sends made before it was sampled', (t) => {
+  // Symptom: bursts pile up on the server that looked idle in the last report.
+  // Sequence: send at 1000; report sampled at 1100 with 1 running; send at 1300; report arrives.
+  // Cause: the arrival of the report, 400 ms late, wiped out the send that it had not seen.
+  const { view, setTime } = createView();
+  view.recordSend('review-1');
+  setTime(1300);
+  view.recordSend('review-1');
+  setTime(1500);
+  view.recordReport(buildReport(1, 5, 1500));
+  t.is(view.estimateRunning('review-1'), 6);
+  view.recordEnd('review-1');
+  t.is(view.estimateRunning('review-1'), 5);
+  view.recordReport(buildReport(1, 0, 1600));
+  t.is(view.estimateRunning('review-1'), 5);
+});
+
+test('peers sends count at once, replace the last ones, and are dropped when the peer is silent', (t) => {
+  const { view, setTime } = createView();
+  const noticed: string[] = [];
+  const stop = view.addListener((name) => noticed.push(name));
+  view.recordPeerSends('vm-2', [{ backendServer: 'review-1', running: 3 }]);
+  view.recordPeerSends('vm-3', [{ backendServer: 'review-1', running: 2 }]);
+  t.is(view.estimateRunning('review-1'), 5);
+  view.recordPeerSends('vm-2', []);
+  t.is(view.estimateRunning('review-1'), 2);
+  stop();
+  setTime(1000 + PEER_SENDS_TTL_MS + 1);
+  t.is(view.estimateRunning('review-1'), 0);
+  t.is(noticed.length, 3);
+});
+
+test('own sends are listed for peers until they end; an end too many changes nothing', (t) => {
+  const { view } = createView();
+  view.recordSend('review-1');
+  t.deepEqual(view.listOwnSends(), [{ backendServer: 'review-1', running: 1 }]);
+  view.recordEnd('review-1');
+  view.recordEnd('review-1');
+  t.deepEqual(view.listOwnSends(), []);
+  view.recordSend('review-1');
+  t.is(view.estimateRunning('review-1'), 1);
+});
--- /dev/null
+++ b/src/application/routing/types/index.ts
@@ -0,0 +1,1 @@
+export type { RoutingLoad } from './RoutingLoad';
--- /dev/null
+++ b/src/domain/routing/index.ts
@@ -0,0 +1,5 @@
+export { computePrefixDigests, MAX_PREFIXES, PREFIX_CUT_CHARACTERS } from './computePrefixDigests';
+export { filterAllowedServers } from './filterAllowedServers';
+export { filterBackendServers } from './filterBackendServers';
+export type { ServerKnowledge } from './filterBackendServers';
+export type { AllowedServers, ReadyServers } from './types';
--- /dev/null
+++ b/src/domain/routing/types/index.ts
@@ -0,0 +1,2 @@
+export type { AllowedServers } from './AllowedServers';
+export type { ReadyServers } from './ReadyServers';
