Add signed cursors, the engine client over HTTP and the health registry

The attempt names the adapter apart from the model (port EngineClient), as the engine protocol has both. Not measured yet: costs of signing and linking.

--- /dev/null
+++ b/src/adapters/engine/_lib/openStream/index.ts
@@ -0,0 +1,48 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { Dispatcher } from 'undici';
+import type { EngineError, EngineStream } from '../../../../application/ports';
+import { callEngine, type EngineCall } from '../callEngine';
+import { convertStatus } from '../convertStatus';
+import { readBatches } from '../readBatches';
+
+/** How a stream is opened. */
+export interface StreamOpening {
+  readonly purpose: 'start' | 'resume';
+  readonly call: Omit<EngineCall, 'signal' | 'headersTimeoutMs'>;
+  readonly firstOffset: number;
+}
+
+/**
+ * Longest wait for the head of a stream's answer. The generations' own detection acts far sooner;
+ * this only ends calls that nobody waits for any more, so that sockets do not pile up.
+ */
+const HEADERS_TIMEOUT_MS = 120_000;
+
+/**
+ * Opens a stream of an engine and reads it as batches.
+ *
+ * @param dispatcher - Connections to use.
+ * @param opening - Call and offset to begin at.
+ * @returns The stream, or why there is none.
+ */
+export const openStream = async (
+  dispatcher: Dispatcher,
+  opening: StreamOpening,
+): Promise<Result<EngineStream, EngineError>> => {
+  const abort = new AbortController();
+  const response = await callEngine(dispatcher, {
+    ...opening.call,
+    headersTimeoutMs: HEADERS_TIMEOUT_MS,
+    signal: abort.signal,
+  });
+  if (response.isErr()) return err(response.error);
+  if (response.value.statusCode !== 200) {
+    return err(await convertStatus(opening.purpose, response.value));
+  }
+  // Without a listener an abort between two reads would surface as an unhandled error event.
+  response.value.body.on('error', () => undefined);
+  return ok({
+    batches: readBatches(response.value.body, opening.firstOffset, abort.signal),
+    detach: () => abort.abort(),
+  });
+};
--- /dev/null
+++ b/src/adapters/engine/_lib/parseLoadReport/index.ts
@@ -0,0 +1,55 @@
+import { z } from 'zod';
+import type { LoadReport } from '../../../../domain/types';
+
+const loadBody = z.object({
+  sequence: z.number(),
+  running: z.number(),
+  waiting: z.number(),
+  slots: z.number(),
+  cache_use: z.number(),
+  tokens_per_second: z.number(),
+  models: z.array(
+    z.object({
+      model: z.string(),
+      version: z.string().default(''),
+      adapter: z.string().default(''),
+    }),
+  ),
+  role: z.string().default(''),
+  leaving: z.boolean().default(false),
+  fencing_token: z.number().default(0),
+  age_ms: z.number().default(0),
+});
+
+/**
+ * Parses an engine's answer to `GET /load`.
+ *
+ * @param body - Parsed JSON.
+ * @param backendServer - Server that answered.
+ * @param receivedAtMs - Monotonic time of the answer, in milliseconds.
+ * @returns The report, or null if the body is malformed.
+ */
+export const parseLoadReport = (
+  body: unknown,
+  backendServer: string,
+  receivedAtMs: number,
+): LoadReport | null => {
+  const parsed = loadBody.safeParse(body);
+  if (!parsed.success) return null;
+  const { data } = parsed;
+  return {
+    backendServer,
+    sequence: data.sequence,
+    running: data.running,
+    waiting: data.waiting,
+    slots: data.slots,
+    cacheUse: data.cache_use,
+    tokensPerSecond: data.tokens_per_second,
+    models: data.models,
+    role: data.role,
+    leaving: data.leaving,
+    fencingToken: data.fencing_token,
+    ageMs: data.age_ms,
+    receivedAtMs,
+  };
+};
--- /dev/null
+++ b/src/adapters/engine/index.ts
@@ -0,0 +1,5 @@
+export {
+  createHttpEngineClient,
+  type HttpEngineClient,
+  type HttpEngineClientDependencies,
+} from './createHttpEngineClient';
--- /dev/null
+++ b/src/application/health/createHealthRegistry/test.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import { BackendHealth, SuspicionCause } from '../../../domain/types';
+import { createHealthRegistry } from '..';
+
+const suspicion = {
+  backendServer: 'engine-1',
+  cause: SuspicionCause.Silence,
+  confirmed: false,
+  vm: 'entry-1',
+  epoch: 0,
+};
+
+// Symptom: an engine that recovered gets no work again.
+// Sequence: entry-1 suspects it, its probe recovers it, a peer's older suspicion arrives late.
+// Cause: a registry that takes news in the order of arrival.
+test('a late suspicion of a peer does not undo a recovery', (t) => {
+  const registry = createHealthRegistry({ vm: 'entry-1' });
+  const seen: string[] = [];
+  registry.addListener((server, health) => seen.push(`${server} ${health}`));
+  registry.recordSuspicion(suspicion);
+  registry.recordSuspicion({ ...suspicion, confirmed: true });
+  registry.recordSuspicion(suspicion);
+  t.is(registry.readHealth('engine-1'), BackendHealth.Dead);
+  const held = registry.listSuspicions();
+  registry.recordRecovery('engine-1');
+  held.forEach((late) => registry.recordSuspicion({ ...late, vm: 'entry-2' }));
+  t.is(registry.readHealth('engine-1'), BackendHealth.Serving);
+  registry.recordLeaving('engine-1', true);
+  registry.recordSuspicion({ ...suspicion, vm: 'entry-2', epoch: 9, confirmed: true });
+  t.deepEqual(seen, [
+    'engine-1 suspected',
+    'engine-1 dead',
+    'engine-1 serving',
+    'engine-1 leaving',
+    'engine-1 dead',
+  ]);
+});
--- /dev/null
+++ b/src/application/health/index.ts
@@ -0,0 +1,1 @@
+export { createHealthRegistry, type HealthRegistryDependencies } from './createHealthRegistry';
--- a/src/application/ports/EngineClient.ts
+++ b/src/application/ports/EngineClient.ts
@@ -12,8 +12,9 @@
 /** One attempt as sent to an engine. */
 export interface AttemptStart {
   readonly request: GenerationRequest;
-  /** Model and adapter names as the engine knows them. */
+  /** Model and adapter names as the engine knows them; no adapter is the empty string. */
   readonly model: string;
+  readonly adapter: string;
   readonly streamId: string;
   /** Tokens already held: the engine goes on after exactly these. */
   readonly prefixTokenIds: readonly number[];
--- /dev/null
+++ b/src/domain/cursor/verifyCursor/index.ts
@@ -0,0 +1,72 @@
+import { timingSafeEqual } from 'node:crypto';
+import { err, ok, Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Cursor } from '../../types';
+import { computeSignature } from '../_lib/computeSignature';
+
+/** Why a cursor was not accepted. */
+export type CursorError = { readonly kind: 'malformed' } | { readonly kind: 'bad-signature' };
+
+/** Longest accepted cursor; own ones stay far below, as all their names are bounded. */
+const MAX_CURSOR_CHARACTERS = 2048;
+
+const cursorFields = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.int().nonnegative(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.int().nonnegative(),
+  z.string(),
+]);
+
+const parseJson = Result.fromThrowable(
+  (text: string): unknown => JSON.parse(text),
+  (): CursorError => ({ kind: 'malformed' }),
+);
+
+const isSignedBy = (payload: string, signature: Buffer, key: string): boolean => {
+  const expected = computeSignature(payload, key);
+  return expected.length === signature.length && timingSafeEqual(expected, signature);
+};
+
+const decodeFields = (value: unknown): Result<Cursor, CursorError> => {
+  const parsed = cursorFields.safeParse(value);
+  if (!parsed.success) return err({ kind: 'malformed' });
+  const [generationId, workspace, service, attempt, streamId, backendServer, vm, offset, chain] =
+    parsed.data;
+  return ok({
+    generationId,
+    workspace,
+    service,
+    attempt,
+    streamId,
+    backendServer,
+    vm,
+    offset,
+    chain,
+  });
+};
+
+/**
+ * Checks a cursor's signature and decodes it.
+ *
+ * @param text - Cursor as the caller gave it back; any text is safe.
+ * @param keys - Deployment's cursor keys; any of them may have signed.
+ * @returns The cursor, or `bad-signature` (also for an altered one) or `malformed`.
+ */
+export const verifyCursor = (
+  text: string,
+  keys: readonly string[],
+): Result<Cursor, CursorError> => {
+  if (text.length > MAX_CURSOR_CHARACTERS) return err({ kind: 'malformed' });
+  const [payload, signatureText, ...rest] = text.split('.');
+  if (!payload || !signatureText || rest.length > 0) return err({ kind: 'malformed' });
+  const signature = Buffer.from(signatureText, 'base64url');
+  if (!keys.some((key) => isSignedBy(payload, signature, key))) {
+    return err({ kind: 'bad-signature' });
+  }
+  return parseJson(Buffer.from(payload, 'base64url').toString()).andThen(decodeFields);
+};
