--- a/src/application/health/createHealthRegistry/index.ts
+++ b/src/application/health/createHealthRegistry/index.ts
@@ -33,7 +33,7 @@
  * @returns Registry, in which unknown servers are serving.
  */
 export const createHealthRegistry = ({ vm }: HealthRegistryDependencies): HealthRegistry => {
-  const records = new Map<string, Record>();
+  const records = new Map<string, ServerRecord>();
   const listeners = new Set<Listener>();
 
   const readRecord = (backendServer: string): ServerRecord => records.get(backendServer) ?? UNKNOWN;
