Read configuration folders of TOML and check them with jackdaw check

Cause: nothing could be configured. Change: a folder of TOML files merged in name order, strict zod schema, cross checks in domain, a line finder (smol-toml gives lines for syntax errors only), readSettingsFile for the processes, the clipanion skeleton with check, and both example deployments. Ruled out: showing smol-toml's whole message, since it quotes source lines that may hold secrets.

--- /dev/null
+++ b/src/adapters/toml/index.ts
@@ -0,0 +1,10 @@
+export { formatProblem } from './formatProblem';
+export { listTomlKeyLines } from './listTomlKeyLines';
+export type { KeyLine } from './listTomlKeyLines';
+export { mergeTomlSources } from './mergeTomlSources';
+export type { MergedToml } from './mergeTomlSources';
+export { readConfigurationFolder } from './readConfigurationFolder';
+export { readSettingsFile } from './readSettingsFile';
+export { readTomlSource } from './readTomlSource';
+export { ProblemKind } from './types';
+export type { ConfigurationProblem, KeyOrigin, TomlSource, TomlTable } from './types';
--- /dev/null
+++ b/src/adapters/toml/mergeTomlSources/index.ts
@@ -0,0 +1,99 @@
+import { findOrigin } from '../_lib/findOrigin';
+import { isTomlTable } from '../_lib/isTomlTable';
+import {
+  ProblemKind,
+  type ConfigurationProblem,
+  type KeyOrigin,
+  type TomlSource,
+  type TomlTable,
+} from '../types';
+
+const OVERRIDE_KEY = 'override';
+
+/** Several files as one table. */
+export interface MergedToml {
+  readonly table: TomlTable;
+  readonly origins: readonly KeyOrigin[];
+  readonly problems: readonly ConfigurationProblem[];
+}
+
+const EMPTY: MergedToml = { table: {}, origins: [], problems: [] };
+
+/** Lists keys that both tables set, where at least one side is not a table. */
+function listConflicts(
+  before: TomlTable,
+  after: TomlTable,
+  path: readonly string[],
+): readonly (readonly string[])[] {
+  return Object.entries(after).flatMap(([key, value]) => {
+    if (!Object.hasOwn(before, key)) {
+      return [];
+    }
+    const earlier = before[key];
+    if (isTomlTable(earlier) && isTomlTable(value)) {
+      return listConflicts(earlier, value, [...path, key]);
+    }
+    return [[...path, key]];
+  });
+}
+
+/** Merges tables deeply; of two other values the later one stays. */
+function mergeTables(before: TomlTable, after: TomlTable): TomlTable {
+  const merged = Object.entries(after).map(([key, value]) => {
+    const earlier = Object.hasOwn(before, key) ? before[key] : undefined;
+    const isDeep = isTomlTable(earlier) && isTomlTable(value);
+    return [key, isDeep ? mergeTables(earlier, value) : value] as const;
+  });
+  // fromEntries defines own properties, so that a key named `__proto__` changes no prototype.
+  return Object.fromEntries([...Object.entries(before), ...merged]);
+}
+
+function buildConflictProblem(
+  merged: MergedToml,
+  source: TomlSource,
+  path: readonly string[],
+): ConfigurationProblem {
+  const first = findOrigin(merged.origins, path);
+  const second = findOrigin(source.origins, path);
+  return {
+    kind: ProblemKind.SetTwice,
+    file: source.file,
+    line: second?.line ?? 0,
+    key: path.join('.'),
+    reason:
+      `is already set in ${first?.file ?? 'an earlier file'}:${first?.line ?? 0}; ` +
+      'remove one, or put "override = true" at the top of this file',
+  };
+}
+
+function checkOverride(source: TomlSource): readonly ConfigurationProblem[] {
+  const value = source.table[OVERRIDE_KEY];
+  if (value === undefined || typeof value === 'boolean') {
+    return [];
+  }
+  const line = findOrigin(source.origins, [OVERRIDE_KEY])?.line ?? 0;
+  const reason = 'must be true or false';
+  return [{ kind: ProblemKind.Invalid, file: source.file, line, key: OVERRIDE_KEY, reason }];
+}
+
+function addSource(merged: MergedToml, source: TomlSource): MergedToml {
+  const { [OVERRIDE_KEY]: override, ...table } = source.table;
+  const conflicts = override === true ? [] : listConflicts(merged.table, table, []);
+  const problems = conflicts.map((path) => buildConflictProblem(merged, source, path));
+  return {
+    table: mergeTables(merged.table, table),
+    origins: [...merged.origins, ...source.origins],
+    problems: [...merged.problems, ...checkOverride(source), ...problems],
+  };
+}
+
+/**
+ * Merges files in the given order: tables deeply, and no key may be set by two files.
+ *
+ * A file with `override = true` at its top may set keys again; its values then stand.
+ *
+ * @returns the merged table, and a problem for each key that is set twice, naming both places
+ */
+export function mergeTomlSources(sources: readonly TomlSource[]): MergedToml {
+  return sources.reduce(addSource, EMPTY);
+}
--- /dev/null
+++ b/src/adapters/toml/types/TomlSource.ts
@@ -0,0 +1,9 @@
+import type { KeyOrigin } from './KeyOrigin';
+import type { TomlTable } from './TomlTable';
+
+/** One parsed TOML file, with the places of its keys. */
+export interface TomlSource {
+  readonly file: string;
+  readonly table: TomlTable;
+  readonly origins: readonly KeyOrigin[];
+}
--- /dev/null
+++ b/src/adapters/toml/types/TomlTable.ts
@@ -0,0 +1,2 @@
+/** A parsed TOML table. */
+export type TomlTable = Readonly<Record<string, unknown>>;
--- /dev/null
+++ b/src/domain/configuration/_lib/listUnknownNames/index.ts
@@ -0,0 +1,23 @@
+import type { ConfigurationFault } from '../../types';
+
+/**
+ * Lists a fault for each name that is not known.
+ *
+ * @param path - key that holds the names
+ * @param noun - what is named, for the message
+ */
+export function listUnknownNames(
+  path: readonly string[],
+  noun: string,
+  names: readonly string[],
+  known: ReadonlySet<string>,
+): readonly ConfigurationFault[] {
+  return names
+    .filter((name) => !known.has(name))
+    .map((name) => ({ path, reason: `names the unknown ${noun} "${name}"` }));
+}
+
+/** Collects names for look-up. */
+export function buildNameSet(items: readonly { readonly name: string }[]): ReadonlySet<string> {
+  return new Set(items.map(({ name }) => name));
+}
--- /dev/null
+++ b/src/domain/configuration/types/index.ts
@@ -0,0 +1,2 @@
+export type { ConfigurationChange } from './ConfigurationChange';
+export type { ConfigurationFault } from './ConfigurationFault';
--- /dev/null
+++ b/src/programs/jackdaw/main.ts
@@ -0,0 +1,4 @@
+import { runOperatorCli } from './runOperatorCli';
+import { wireOperatorTools } from './wireOperatorTools';
+
+process.exitCode = await runOperatorCli(process.argv.slice(2), wireOperatorTools());
--- /dev/null
+++ b/src/programs/jackdaw/types/index.ts
@@ -0,0 +1,3 @@
+export { ExitCode } from './ExitCode';
+export type { OperatorContext } from './OperatorContext';
+export type { OperatorTools } from './OperatorTools';
--- /dev/null
+++ b/src/programs/jackdaw/wireOperatorTools/index.ts
@@ -0,0 +1,7 @@
+import { readConfigurationFolder } from '../../../adapters/toml';
+import type { OperatorTools } from '../types';
+
+/** Wires the parts that the commands use. Opens no connection by itself. */
+export function wireOperatorTools(): OperatorTools {
+  return { readConfigurationFolder };
+}
