Add the platform's stand-ins, its clients and the fakes for tests

Cause: nothing could be kept: claims, configuration and leases need the table, answers the object store, membership the VM list.

Ruled out: undici's `request` with an abort signal. It heeds the signal only once connected, and a request still queued at its deadline is sent when a connection frees up, after its caller was told that it had no effect.

Change: stand-ins of table, object store and VM list with switchable faults and a control interface; clients signed by aws4fetch over undici, one deadline a call; `unavailable` only if no byte left, else `ambiguous` for writes; fake clock, seeded randomness, stores in memory with the same faults. ESLint lets tests beside the code import the stand-ins, and allows neverthrow's accessors for tests and DynamoDB's `__type`.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,8 +45,15 @@
         { selector: 'WithStatement', message: 'with is not allowed.' },
       ],
       'no-continue': 'off',
+      // neverthrow's accessors for tests, and DynamoDB's own field name.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr', '__type'] }],
       'max-lines': ['error', { max: 250, skipBlankLines: false, skipComments: false }],
     },
   },
+  {
+    // Tests stand beside the code they test, and may use the stand-ins.
+    files: ['src/**/test.ts'],
+    rules: { 'import-x/no-restricted-paths': ['error', { zones: layerZones }] },
+  },
   prettier,
 ];
--- /dev/null
+++ b/src/adapters/objects/createS3ObjectStore/test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import { createS3ObjectStore } from '..';
+import { createStandInObjects } from '../../../../standins/objects';
+import { createPlatformDispatcher } from '../../platform-http';
+import { createSystemClock } from '../../system';
+
+test('writes once, reads back, and tells lost answers', async (t) => {
+  const objects = await createStandInObjects();
+  const dispatcher = createPlatformDispatcher();
+  t.teardown(async () => {
+    await dispatcher.destroy();
+    await objects.close();
+  });
+  const store = createS3ObjectStore(
+    {
+      endpoint: objects.url,
+      bucket: 'jackdaw',
+      accessKeyId: 'key',
+      secretAccessKey: 'secret',
+      region: 'local',
+      deadlineMs: 20_000,
+    },
+    { clock: createSystemClock(), dispatcher },
+  );
+  const content = new TextEncoder().encode('answer');
+  const key = 'answers/sello/a b+ñ';
+  const onlyIfAbsent = { onlyIfAbsent: true };
+  t.is((await store.readObject(key))._unsafeUnwrap(), null);
+  await objects.setFaults({ loseAnswers: 1 });
+  t.is((await store.writeObject(key, content, onlyIfAbsent))._unsafeUnwrapErr().kind, 'ambiguous');
+  t.is(
+    (await store.writeObject(key, content, onlyIfAbsent))._unsafeUnwrapErr().kind,
+    'condition-failed',
+  );
+  t.true((await store.writeObject(key, content, { onlyIfAbsent: false })).isOk());
+  t.deepEqual((await store.readObject(key))._unsafeUnwrap(), content);
+  await objects.setFaults({ outage: 'refuse' });
+  t.is(
+    (await store.writeObject(key, content, onlyIfAbsent))._unsafeUnwrapErr().kind,
+    'unavailable',
+  );
+});
--- /dev/null
+++ b/src/adapters/platform-http/createPlatformClient/index.ts
@@ -0,0 +1,86 @@
+import { AwsV4Signer } from 'aws4fetch';
+import { err, ok, type Result } from 'neverthrow';
+import type { StoreError } from '../../../application/ports';
+import { createAnswerCollector, type PlatformAnswer } from '../_lib/createAnswerCollector';
+import { DEFAULT_DEADLINE_MS, DEFAULT_RETRY_AFTER_MS } from '../constants';
+import type { PlatformDependencies, PlatformSettings } from '../types';
+
+/** A request to one of the platform's services. */
+export interface PlatformRequest {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Uint8Array<ArrayBuffer>;
+  /** Service that the signature names; null for an unsigned request. */
+  readonly service: 'dynamodb' | 's3' | null;
+  /** A lost answer of a write is `ambiguous`, of a read merely `unavailable`. */
+  readonly write: boolean;
+}
+
+/** Sends requests to one of the platform's services. */
+export interface PlatformClient {
+  /**
+   * Sends one request, signed, with a deadline over the whole call. Never repeats it.
+   *
+   * @returns the answer of any status, or an error: `ambiguous` for a write whose bytes may have
+   * left, else `unavailable`
+   */
+  sendRequest(sent: PlatformRequest): Promise<Result<PlatformAnswer, StoreError>>;
+}
+
+type SignedHeaders = Readonly<Record<string, string>>;
+
+async function signHeaders(
+  settings: PlatformSettings,
+  cache: Map<string, ArrayBuffer>,
+  sent: PlatformRequest,
+): Promise<SignedHeaders> {
+  if (sent.service === null) return sent.headers ?? {};
+  const signer = new AwsV4Signer({
+    method: sent.method,
+    url: settings.endpoint + sent.path,
+    headers: { ...sent.headers },
+    body: sent.body,
+    service: sent.service,
+    region: settings.region,
+    accessKeyId: settings.accessKeyId,
+    secretAccessKey: settings.secretAccessKey,
+    cache,
+  });
+  const signed = await signer.sign();
+  return Object.fromEntries([...signed.headers].filter(([name]) => name !== 'host'));
+}
+
+/** Creates a client of one of the platform's services. */
+export function createPlatformClient(
+  settings: PlatformSettings,
+  dependencies: PlatformDependencies,
+): PlatformClient {
+  const { clock, dispatcher } = dependencies;
+  // The signing key changes once a day; aws4fetch keeps it here.
+  const signingKeys = new Map<string, ArrayBuffer>();
+  return {
+    sendRequest: async (sent) => {
+      const collector = createAnswerCollector();
+      const cancelTimer = clock.startTimer(settings.deadlineMs ?? DEFAULT_DEADLINE_MS, () => {
+        collector.abort(new Error('deadline passed'));
+      });
+      try {
+        const headers = await signHeaders(settings, signingKeys, sent);
+        const { path, method, body } = sent;
+        dispatcher.dispatch(
+          { origin: settings.endpoint, path, method, headers, body },
+          collector.handler,
+        );
+        return ok(await collector.answer);
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : 'the call failed';
+        return collector.isStarted() && sent.write
+          ? err({ kind: 'ambiguous', reason })
+          : err({ kind: 'unavailable', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS });
+      } finally {
+        cancelTimer();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/adapters/system/index.ts
@@ -0,0 +1,2 @@
+export { createSystemClock } from './createSystemClock';
+export { createSystemRandomness } from './createSystemRandomness';
--- /dev/null
+++ b/src/adapters/table/_lib/convertCondition/index.ts
@@ -0,0 +1,33 @@
+import type { WriteCondition } from '../../../../application/ports';
+
+/** Parts of a request that state a condition. */
+export interface ConditionParts {
+  readonly ConditionExpression?: string;
+  readonly ExpressionAttributeValues?: Readonly<Record<string, { readonly N: string }>>;
+  readonly ReturnValuesOnConditionCheckFailure?: 'ALL_OLD';
+}
+
+type Converters = {
+  readonly [K in WriteCondition['kind']]: (
+    condition: Extract<WriteCondition, { kind: K }>,
+  ) => ConditionParts;
+};
+
+const CONVERTERS: Converters = {
+  any: () => ({}),
+  absent: () => ({
+    ConditionExpression: 'attribute_not_exists(pk)',
+    ReturnValuesOnConditionCheckFailure: 'ALL_OLD',
+  }),
+  revision: ({ revision }) => ({
+    ConditionExpression: 'rev = :rev',
+    ExpressionAttributeValues: { ':rev': { N: String(revision) } },
+    ReturnValuesOnConditionCheckFailure: 'ALL_OLD',
+  }),
+};
+
+/** Converts a condition to the parts of a request; a failed one gives the current row back. */
+export function convertCondition(condition: WriteCondition): ConditionParts {
+  const convert = CONVERTERS[condition.kind] as (given: WriteCondition) => ConditionParts;
+  return convert(condition);
+}
--- /dev/null
+++ b/src/adapters/table/index.ts
@@ -0,0 +1,2 @@
+export { createDynamoTableStore } from './createDynamoTableStore';
+export type { DynamoTableSettings } from './createDynamoTableStore';
--- /dev/null
+++ b/src/adapters/vm-list/index.ts
@@ -0,0 +1,2 @@
+export { createHttpVmList } from './createHttpVmList';
+export type { VmListSettings } from './createHttpVmList';
--- /dev/null
+++ b/standins/fakes/createFakeClock/index.ts
@@ -0,0 +1,85 @@
+import type { Clock } from '../../../src/application/ports';
+
+/** A clock that a test moves by hand. */
+export interface FakeClock extends Clock {
+  /** Moves both times on and calls the timers that are due, in their order. */
+  advance(durationMs: number): void;
+  /** As `advance`, but lets pending promises settle after each timer. */
+  advanceAsync(durationMs: number): Promise<void>;
+  /** Sets the wall time only: it jumps, monotonic time does not. */
+  jumpWall(wallMs: number): void;
+  countTimers(): number;
+}
+
+interface Timer {
+  readonly dueMs: number;
+  readonly sequence: number;
+  readonly callback: () => void;
+}
+
+/** Lets everything run that waits on already settled promises or on the loop's next turn. */
+async function runPending(): Promise<void> {
+  for (let turn = 0; turn < 3; turn += 1) {
+    await new Promise<void>((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/**
+ * Creates a clock that stands still until it is advanced.
+ *
+ * @param wallMs wall time at the start, milliseconds since the epoch
+ *
+ * @example
+ * const clock = createFakeClock();
+ * clock.startTimer(50, onDue);
+ * clock.advance(50); // calls onDue
+ */
+export function createFakeClock(wallMs = 1_700_000_000_000): FakeClock {
+  let monotonicMs = 0;
+  let wallOffsetMs = wallMs;
+  let sequence = 0;
+  const timers = new Set<Timer>();
+
+  const takeDue = (untilMs: number): Timer | undefined => {
+    const [first] = [...timers]
+      .filter((timer) => timer.dueMs <= untilMs)
+      .sort((a, b) => a.dueMs - b.dueMs || a.sequence - b.sequence);
+    if (first === undefined) return undefined;
+    timers.delete(first);
+    monotonicMs = Math.max(monotonicMs, first.dueMs);
+    return first;
+  };
+
+  return {
+    readWallMs: () => wallOffsetMs + monotonicMs,
+    readMonotonicMs: () => monotonicMs,
+    startTimer: (delayMs, callback) => {
+      sequence += 1;
+      const timer = { dueMs: monotonicMs + Math.max(0, delayMs), sequence, callback };
+      timers.add(timer);
+      return () => {
+        timers.delete(timer);
+      };
+    },
+    advance: (durationMs) => {
+      const untilMs = monotonicMs + durationMs;
+      for (let due = takeDue(untilMs); due !== undefined; due = takeDue(untilMs)) due.callback();
+      monotonicMs = untilMs;
+    },
+    advanceAsync: async (durationMs) => {
+      const untilMs = monotonicMs + durationMs;
+      await runPending();
+      for (let due = takeDue(untilMs); due !== undefined; due = takeDue(untilMs)) {
+        due.callback();
+        await runPending();
+      }
+      monotonicMs = untilMs;
+    },
+    jumpWall: (nextWallMs) => {
+      wallOffsetMs = nextWallMs - monotonicMs;
+    },
+    countTimers: () => timers.size,
+  };
+}
--- /dev/null
+++ b/standins/http/index.ts
@@ -0,0 +1,2 @@
+export { createFaultyServer } from './createFaultyServer';
+export type { FaultyServer, ServerCounts, ServerEnv, ServerFaults } from './createFaultyServer';
--- /dev/null
+++ b/standins/objects/index.ts
@@ -0,0 +1,2 @@
+export { createStandInObjects } from './createStandInObjects';
+export type { StandInObjects } from './createStandInObjects';
--- /dev/null
+++ b/standins/platform/index.ts
@@ -0,0 +1,2 @@
+export { createStandInPlatform } from './createStandInPlatform';
+export type { StandInPlatform } from './createStandInPlatform';
--- /dev/null
+++ b/standins/table/index.ts
@@ -0,0 +1,2 @@
+export { createStandInTable } from './createStandInTable';
+export type { StandInTable } from './createStandInTable';
--- /dev/null
+++ b/standins/vm-list/index.ts
@@ -0,0 +1,2 @@
+export { createStandInVmList } from './createStandInVmList';
+export type { StandInVmList } from './createStandInVmList';
