Add the callers' interface, plain services, shutdown, logs and metrics

Cause: nothing took callers' requests. Streams are written straight to node's response, so that write() gives backpressure; error status by one table from tagged unions; a feed that ends without a finish reason is an error, never a finished answer. Ruled out: hono's web streams for SSE (no drain signal to node's socket).

--- /dev/null
+++ b/src/adapters/http/_lib/handleCancel/index.ts
@@ -0,0 +1,23 @@
+import { RunState } from '../../../../domain/types';
+import { checkCaller } from '../../../../application/access';
+import type { CallerContext, CallerDependencies } from '../../types';
+import { sendError } from '../sendError';
+
+/** Handles `DELETE /v1/generations/{id}`, also while this entry shuts down. */
+export const handleCancel = async (
+  context: CallerContext,
+  { configuration, generations }: CallerDependencies,
+): Promise<Response> => {
+  const caller = checkCaller(configuration, context.req.header('Authorization'));
+  if (caller.isErr()) return sendError(context, caller.error);
+  const id = context.req.param('id') ?? '';
+  const found = await generations.cancelGeneration(caller.value.workspace.name, id);
+  if (!found) return sendError(context, { kind: 'unknown-generation' });
+  return new Response(null, {
+    status: 204,
+    headers: {
+      'Jackdaw-Request-Id': context.get('requestId'),
+      'Jackdaw-Run-State': RunState.Ran,
+    },
+  });
+};
--- /dev/null
+++ b/src/adapters/http/_lib/parseJson/index.ts
@@ -0,0 +1,9 @@
+import { Result } from 'neverthrow';
+import type { CallerError } from '../../types';
+
+/** Parses a body; the error never quotes it, since it may hold a dossier. */
+export const parseJson = Result.fromThrowable(
+  (bytes: Uint8Array): unknown =>
+    JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(bytes)),
+  (): CallerError => ({ kind: 'malformed-json', message: 'The body is not JSON in UTF-8.' }),
+);
--- /dev/null
+++ b/src/adapters/http/_lib/sendError/index.ts
@@ -0,0 +1,72 @@
+import { RunState } from '../../../../domain/types';
+import type { GenerationError } from '../../../../application/ports';
+import type { CallerContext, CallerError } from '../../types';
+import { convertErrorToAnswer } from '../convertErrorToAnswer';
+
+const MS_PER_S = 1000;
+
+/** How a generation that breaks off without a reason is reported: never as a finished answer. */
+export const INCOMPLETE: GenerationError = {
+  code: 'stream_incomplete',
+  message: 'The stream ended before the generation did.',
+  status: 502,
+  runState: RunState.Ran,
+  retryAfterMs: 0,
+};
+
+/** OpenAI's `type` by the hundred of the status. */
+const TYPE_BY_HUNDRED: Readonly<Record<number, string>> = { 4: 'invalid_request_error' };
+
+/** Builds the OpenAI-shaped body of an error. */
+export const buildErrorBody = (error: GenerationError, requestId: string) => ({
+  error: {
+    message: error.message,
+    type: TYPE_BY_HUNDRED[Math.floor(error.status / 100)] ?? 'server_error',
+    param: null,
+    code: error.code,
+    run_state: error.runState,
+    retry_after_ms: error.retryAfterMs,
+    request_id: requestId,
+  },
+});
+
+const buildRetryHeaders = (error: GenerationError): Record<string, string> => {
+  const isLoad = error.status === 429 || error.status === 503;
+  if (!isLoad && error.retryAfterMs === 0) return {};
+  const retryAfterMs = Math.max(error.retryAfterMs, 1);
+  return {
+    'Retry-After': String(Math.ceil(retryAfterMs / MS_PER_S)),
+    'Retry-After-Ms': String(Math.ceil(retryAfterMs)),
+  };
+};
+
+/**
+ * Answers with an error.
+ *
+ * OpenAI's clients repeat a 409, 429 or 5xx by themselves unless `x-should-retry` says otherwise.
+ * Without it such a client would repeat a call that may have run, so it is sent with each error:
+ * `true` only where the error itself asks to come back.
+ *
+ * @param extra - further members of the body, for example the cursor of a hand-over
+ */
+export const sendError = (
+  context: CallerContext,
+  source: CallerError,
+  extra: Readonly<Record<string, unknown>> = {},
+): Response => {
+  const error = convertErrorToAnswer(source);
+  const requestId = context.get('requestId');
+  const mayRepeat = error.retryAfterMs > 0;
+  return new Response(JSON.stringify({ ...buildErrorBody(error, requestId), ...extra }), {
+    status: error.status,
+    headers: {
+      'Content-Type': 'application/json',
+      'Jackdaw-Request-Id': requestId,
+      'Jackdaw-Run-State': error.runState,
+      'x-should-retry': String(mayRepeat),
+      ...(error.status === 401 ? { 'WWW-Authenticate': 'Bearer' } : {}),
+      ...(error.status === 413 ? { Connection: 'close' } : {}),
+      ...buildRetryHeaders(error),
+    },
+  });
+};
--- /dev/null
+++ b/src/adapters/http/_lib/sendWholeAnswer/index.ts
@@ -0,0 +1,115 @@
+import { Endpoint, RunState, type Cursor } from '../../../../domain/types';
+import type { GenerationError, GenerationEvent } from '../../../../application/ports';
+import type { AnswerShape, CallerContext, CallerDependencies, Delivery } from '../../types';
+import { computeUsage } from '../formatChunk';
+import { INCOMPLETE, sendError } from '../sendError';
+
+interface CollectedAnswer {
+  readonly text: string;
+  readonly tokenIds: readonly number[];
+  /** Null while the generation has not finished. */
+  readonly finishReason: string | null;
+  /** Position after the last token held; null before the first. */
+  readonly cursor: Cursor | null;
+}
+
+/** Collects the batches of one answer; what it holds can be read at any time. */
+const createCollector = () => {
+  const texts: string[] = [];
+  const tokenIds: number[] = [];
+  let cursor: Cursor | null = null;
+  let finishReason: string | null = null;
+  return {
+    addEvent: (event: Extract<GenerationEvent, { kind: 'tokens' }>): void => {
+      texts.push(event.batch.text);
+      event.batch.tokenIds.forEach((id) => tokenIds.push(id));
+      cursor = event.cursor;
+      finishReason = event.batch.finishReason;
+    },
+    readAnswer: (): CollectedAnswer => ({ text: texts.join(''), tokenIds, finishReason, cursor }),
+  };
+};
+
+type Collector = ReturnType<typeof createCollector>;
+
+/** Follows the generation to its end; gives its error, or null. */
+const collectEvents = async (
+  iterator: Delivery['iterator'],
+  collector: Collector,
+): Promise<GenerationError | null> => {
+  for (let step = await iterator.next(); !step.done; step = await iterator.next()) {
+    if (step.value.kind === 'failed') return step.value.error;
+    collector.addEvent(step.value);
+  }
+  return collector.readAnswer().finishReason === null ? INCOMPLETE : null;
+};
+
+const CHOICE_BY_ENDPOINT = {
+  [Endpoint.Chat]: (text: string) => ({ message: { role: 'assistant', content: text } }),
+  [Endpoint.Completion]: (text: string) => ({ text }),
+} as const;
+
+const OBJECT_BY_ENDPOINT = {
+  [Endpoint.Chat]: 'chat.completion',
+  [Endpoint.Completion]: 'text_completion',
+} as const;
+
+const buildAnswerBody = (shape: AnswerShape, answer: CollectedAnswer) => ({
+  id: shape.generationId,
+  object: OBJECT_BY_ENDPOINT[shape.endpoint],
+  created: shape.createdS,
+  model: shape.model,
+  choices: [
+    {
+      index: 0,
+      ...CHOICE_BY_ENDPOINT[shape.endpoint](answer.text),
+      token_ids: answer.tokenIds,
+      logprobs: null,
+      finish_reason: answer.finishReason,
+    },
+  ],
+  usage: computeUsage(shape, answer.tokenIds.length),
+});
+
+/**
+ * Members of an error's body with which a caller can go on: the answer so far and its cursor, to
+ * be sent to `/v1/generations/{id}/events`.
+ */
+const buildResumePoint = ({ cursors }: CallerDependencies, answer: CollectedAnswer) => {
+  if (answer.cursor === null) return {};
+  const { cursor, text, tokenIds } = answer;
+  const { generationId } = cursor;
+  return {
+    jackdaw: {
+      generation_id: generationId,
+      cursor: cursors.sign(cursor),
+      text,
+      token_ids: tokenIds,
+    },
+  };
+};
+
+/** Delivers a generation as one JSON answer, once it has ended. */
+export const sendWholeAnswer = async (
+  context: CallerContext,
+  dependencies: CallerDependencies,
+  delivery: Delivery,
+): Promise<Response> => {
+  const collector = createCollector();
+  const ended = collectEvents(delivery.iterator, collector);
+  const error = await Promise.race([ended, delivery.stopped.then(() => null)]);
+  const answer = collector.readAnswer();
+  if (delivery.stop.aborted) {
+    return sendError(context, delivery.buildStopError(), buildResumePoint(dependencies, answer));
+  }
+  if (error !== null) return sendError(context, { kind: 'failed', error });
+  dependencies.metrics.recordTokens(answer.tokenIds.length);
+  return new Response(JSON.stringify(buildAnswerBody(delivery.shape, answer)), {
+    headers: {
+      'Content-Type': 'application/json',
+      'Jackdaw-Request-Id': context.get('requestId'),
+      'Jackdaw-Generation-Id': delivery.shape.generationId,
+      'Jackdaw-Run-State': RunState.Ran,
+    },
+  });
+};
--- /dev/null
+++ b/src/adapters/http/index.ts
@@ -0,0 +1,6 @@
+export { createCallerApp } from './createCallerApp';
+export { createHttpPlainClient } from './createHttpPlainClient';
+export type { HttpPlainClient } from './createHttpPlainClient';
+export { startCallerServer } from './startCallerServer';
+export type { CallerServer, ListenError } from './startCallerServer';
+export type { CallerDependencies, CursorCodec } from './types';
--- /dev/null
+++ b/src/adapters/http/types/CallerDependencies.ts
@@ -0,0 +1,34 @@
+import type { Result } from 'neverthrow';
+import type { CursorError } from '../../../domain/cursor';
+import type { Cursor } from '../../../domain/types';
+import type {
+  Clock,
+  ConfigurationView,
+  EventLog,
+  Generations,
+  Randomness,
+} from '../../../application/ports';
+import type { PlainServices } from '../../../application/services';
+import type { Shutdown } from '../../../application/shutdown';
+import type { EntryMetrics } from '../../metrics';
+
+/** Signs and verifies cursors with the deployment's keys. */
+export interface CursorCodec {
+  sign(cursor: Cursor): string;
+  verify(text: string): Result<Cursor, CursorError>;
+}
+
+/** What the callers' interface needs. */
+export interface CallerDependencies {
+  readonly configuration: ConfigurationView;
+  readonly generations: Generations;
+  readonly services: PlainServices;
+  readonly cursors: CursorCodec;
+  readonly shutdown: Shutdown;
+  readonly metrics: EntryMetrics;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly log: EventLog;
+  /** True: this VM may hold an outdated configuration and takes no new work. */
+  readonly isCutOff: () => boolean;
+}
--- /dev/null
+++ b/src/adapters/http/types/CallerError.ts
@@ -0,0 +1,21 @@
+import type { AccessError } from '../../../domain/access';
+import type { RequestError } from '../../../domain/request';
+import type { CallerRefusal } from '../../../application/access';
+import type { GenerationError } from '../../../application/ports';
+
+/** Everything that a caller can be refused with. */
+export type CallerError =
+  | RequestError
+  | AccessError
+  | CallerRefusal
+  | { readonly kind: 'body-too-large'; readonly maxBytes: number }
+  | { readonly kind: 'bad-cursor'; readonly message: string }
+  | { readonly kind: 'foreign-cursor' }
+  | { readonly kind: 'unknown-generation' }
+  | { readonly kind: 'unknown-path' }
+  | { readonly kind: 'shutting-down' }
+  | { readonly kind: 'cut-off' }
+  | { readonly kind: 'caller-gone' }
+  /** `known` is the run state if one is known whatever failed. */
+  | { readonly kind: 'internal' }
+  | { readonly kind: 'failed'; readonly error: GenerationError };
--- /dev/null
+++ b/src/adapters/http/types/index.ts
@@ -0,0 +1,5 @@
+export type { AnswerShape } from './AnswerShape';
+export type { CallerContext, CallerEnvironment } from './CallerContext';
+export type { CallerDependencies, CursorCodec } from './CallerDependencies';
+export type { CallerError } from './CallerError';
+export type { Delivery } from './Delivery';
--- /dev/null
+++ b/src/adapters/log/index.ts
@@ -0,0 +1,5 @@
+export { createDecisionLog } from './createDecisionLog';
+export type { DecisionLogDependencies, DecisionLogOptions } from './createDecisionLog';
+export { createEventLog } from './createEventLog';
+export type { LineLogger } from './createEventLog';
+export { createRoarrLogger } from './createRoarrLogger';
--- /dev/null
+++ b/src/adapters/metrics/index.ts
@@ -0,0 +1,2 @@
+export { createEntryMetrics } from './createEntryMetrics';
+export type { EntryGauges, EntryMetrics } from './createEntryMetrics';
--- /dev/null
+++ b/src/application/access/index.ts
@@ -0,0 +1,2 @@
+export { checkCaller } from './checkCaller';
+export type { Caller, CallerRefusal } from './checkCaller';
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -16,6 +16,7 @@
 export type { PeerSends, LoadView } from './LoadView';
 export type { ObjectStore } from './ObjectStore';
 export type { PeerGenerations } from './PeerGenerations';
+export type { PlainCall, PlainResponse, PlainError, PlainClient } from './PlainClient';
 export type { Randomness } from './Randomness';
 export type { SlotOutcome, Slot, Router } from './Router';
 export type { StoreError } from './StoreError';
--- /dev/null
+++ b/src/application/services/_lib/acquireCallClaim/index.ts
@@ -0,0 +1,56 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import { ClaimState, RunState, type ClaimRow } from '../../../../domain/types';
+import type { Claims, GenerationError } from '../../../ports';
+import type { ServiceCall } from '../../types';
+import { buildKeyReusedError, buildTakenError, convertClaimError } from '../callErrors';
+
+const computeDigest = (parts: readonly (string | Uint8Array)[]): string => {
+  const hash = createHash('sha256');
+  // A length before each part keeps two calls apart whose parts join to the same text.
+  parts.forEach((part) => hash.update(`${part.length}:`).update(part));
+  return hash.digest('hex');
+};
+
+const RUN_STATE_BY_CLAIM: Readonly<Record<ClaimState, RunState>> = {
+  [ClaimState.Running]: RunState.Unknown,
+  [ClaimState.Finished]: RunState.Ran,
+  [ClaimState.Failed]: RunState.NotRun,
+};
+
+/** Takes over the row of a call that surely was not sent, so that its repeat may run. */
+const acquireFailedClaim = async (
+  claims: Claims,
+  row: ClaimRow,
+): Promise<Result<ClaimRow, GenerationError>> => {
+  const taken = await claims.takeOverClaim(row);
+  if (taken.isErr()) return err(convertClaimError(taken.error));
+  const running = await claims.updateClaim(taken.value, { state: ClaimState.Running });
+  return running.mapErr(convertClaimError);
+};
+
+/**
+ * Claims a call that may run only once, before a byte of it is sent.
+ *
+ * @returns the row of this call; an error if another one has the key, or the store is down
+ */
+export const acquireCallClaim = async (
+  claims: Claims,
+  source: ServiceCall,
+): Promise<Result<ClaimRow, GenerationError>> => {
+  const { call, idempotencyKey, service, workspace } = source;
+  const requestDigest = computeDigest([service.name, call.method, call.path, call.body]);
+  const claimed = await claims.acquireClaim({
+    workspace,
+    keyDigest: computeDigest([idempotencyKey === '' ? call.requestId : idempotencyKey]),
+    generationId: call.requestId,
+    requestDigest,
+    idempotent: false,
+  });
+  if (claimed.isErr()) return err(convertClaimError(claimed.error));
+  const { kind, row } = claimed.value;
+  if (kind === 'granted') return ok(row);
+  if (row.requestDigest !== requestDigest) return err(buildKeyReusedError());
+  if (row.state === ClaimState.Failed) return acquireFailedClaim(claims, row);
+  return err(buildTakenError(RUN_STATE_BY_CLAIM[row.state]));
+};
--- /dev/null
+++ b/src/application/services/createPlainServices/index.ts
@@ -0,0 +1,89 @@
+import { err, ok, type Result } from 'neverthrow';
+import { isRepeatableCall } from '../../../domain/request';
+import { ClaimState, RunState, type ClaimRow } from '../../../domain/types';
+import type { GenerationError } from '../../ports';
+import type { PlainDependencies, ServiceAnswer, ServiceCall } from '../types';
+import { acquireCallClaim } from '../_lib/acquireCallClaim';
+import { computeRunState } from '../_lib/computeRunState';
+import { runAttempts, type AnsweredAttempt } from '../_lib/runAttempts';
+
+/** Calls to plain services. */
+export interface PlainServices {
+  /** Routes a call and gives the answer as soon as its headers are there. */
+  callService(
+    source: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, GenerationError>>;
+}
+
+/** Gives the bytes on and holds the slot until the last one. */
+async function* followBody({ firstByteMs, response, slot }: AnsweredAttempt) {
+  let outcome: 'failed' | 'finished' = 'failed';
+  try {
+    yield* response.body;
+    outcome = 'finished';
+  } finally {
+    slot.release({ outcome, firstTokenMs: firstByteMs, outputTokens: 0 });
+  }
+}
+
+const STATE_BY_RUN_STATE: Readonly<Record<RunState, ClaimState>> = {
+  [RunState.NotRun]: ClaimState.Failed,
+  [RunState.Ran]: ClaimState.Finished,
+  [RunState.Unknown]: ClaimState.Running,
+};
+
+/**
+ * Creates the calls to plain services.
+ *
+ * A call that may run only once is claimed in the platform's table before its first byte is sent,
+ * and is never sent again after that byte, whatever the error.
+ */
+export const createPlainServices = (dependencies: PlainDependencies): PlainServices => {
+  const { claims, clock, log } = dependencies;
+
+  /** The row stays `running`, and a repeat is told `unknown`, if this write fails. */
+  const recordEnd = async (row: ClaimRow | null, runState: RunState): Promise<void> => {
+    if (row === null || runState === RunState.Unknown) return;
+    const updated = await claims.updateClaim(row, { state: STATE_BY_RUN_STATE[runState] });
+    if (updated.isErr()) log.warn('claim not updated', { requestId: row.generationId, runState });
+  };
+
+  const callService: PlainServices['callService'] = async (source, callerSignal) => {
+    const deadline = new AbortController();
+    const cancelTimer = clock.startTimer(source.timeoutMs, () => deadline.abort());
+    let row: ClaimRow | null = null;
+    const repeatable = isRepeatableCall({
+      method: source.call.method,
+      serviceIdempotent: source.service.idempotent,
+      callerIdempotent: source.idempotent,
+      idempotencyKey: source.idempotencyKey,
+    });
+    const answered = await runAttempts(dependencies, {
+      source,
+      repeatable,
+      deadlineMs: clock.readMonotonicMs() + source.timeoutMs,
+      signal: AbortSignal.any([callerSignal, deadline.signal]),
+      acquireClaim: async () => {
+        if (repeatable || row !== null) return ok(undefined);
+        const claimed = await acquireCallClaim(claims, source);
+        if (claimed.isErr()) return err(claimed.error);
+        row = claimed.value;
+        return ok(undefined);
+      },
+    });
+    cancelTimer();
+    if (answered.isErr()) {
+      await recordEnd(row, answered.error.runState);
+      return err(answered.error);
+    }
+    const runState = computeRunState(answered.value.response);
+    const ended = recordEnd(row, runState);
+    // A caller told `not-run` repeats at once, so the row must say so before the answer goes out.
+    if (runState === RunState.NotRun) await ended;
+    const body = followBody(answered.value);
+    return ok({ response: { ...answered.value.response, body }, runState });
+  };
+
+  return { callService };
+};
--- /dev/null
+++ b/src/application/services/types/index.ts
@@ -0,0 +1,2 @@
+export type { ServiceAnswer, ServiceCall } from './ServiceCall';
+export type { PlainDependencies } from './PlainDependencies';
--- /dev/null
+++ b/src/application/shutdown/index.ts
@@ -0,0 +1,2 @@
+export { createShutdown } from './createShutdown';
+export type { DrainOutcome, Shutdown, Work } from './createShutdown';
--- /dev/null
+++ b/src/domain/request/buildGenerationRequest/index.ts
@@ -0,0 +1,36 @@
+import type { Endpoint, GenerationRequest, Service } from '../../types';
+import { computePrefixDigests } from '../../routing';
+import { computePromptText } from '../computePromptText';
+import { computeRequestDigest } from '../computeRequestDigest';
+import type { ChatBody, CompletionBody, RequestOptions } from '../types';
+
+/** What a generation request is built from; all parts are checked. */
+export interface GenerationSource {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly service: Service;
+  readonly endpoint: Endpoint;
+  readonly body: ChatBody | CompletionBody;
+  readonly options: RequestOptions;
+}
+
+/** Builds the request that the generations run, with its digest, prefixes and defaults. */
+export const buildGenerationRequest = (source: GenerationSource): GenerationRequest => {
+  const { body, endpoint, options, service, workspace } = source;
+  const prompt = computePromptText(endpoint, body);
+  return {
+    requestId: source.requestId,
+    workspace,
+    service: service.name,
+    endpoint,
+    stream: body.stream === true,
+    idempotent: service.idempotent && options.idempotent,
+    idempotencyKey: options.idempotencyKey,
+    maxOutputTokens: body.max_completion_tokens ?? body.max_tokens ?? service.maxOutputTokens,
+    timeoutMs: options.timeoutMs ?? service.timeoutMs,
+    body,
+    digest: computeRequestDigest({ workspace, endpoint, body }),
+    promptCharacters: prompt.length,
+    prefixes: computePrefixDigests(prompt),
+  };
+};
--- /dev/null
+++ b/src/domain/request/computePromptText/index.ts
@@ -0,0 +1,21 @@
+import { Endpoint } from '../../types';
+import type { ChatBody, CompletionBody } from '../types';
+
+type Message = ChatBody['messages'][number];
+
+const readContent = (content: Message['content']): string => {
+  if (typeof content === 'string') return content;
+  return (content ?? []).map((part) => part.text ?? '').join('');
+};
+
+/**
+ * Gives the text of a prompt as prefix digests and estimates count it.
+ *
+ * @returns the prompt of a completion; the messages of a chat, each as `role\ncontent\n`
+ */
+export const computePromptText = (endpoint: Endpoint, body: ChatBody | CompletionBody): string => {
+  if (endpoint === Endpoint.Completion) return (body as CompletionBody).prompt;
+  return (body as ChatBody).messages
+    .map((message) => `${message.role}\n${readContent(message.content)}\n`)
+    .join('');
+};
