Add the peer server, the peer client and the exchange of news

Cause: entries must tell each other versions, health, load and signs of life; wiring waits for it. Ruled out: HTTP/1.1 between processes (uncompressed headers on each small message; to be measured); all-to-all heartbeats; trusting ages in messages, which a paused receiver reads late. Change: connect over HTTP/2; news as facts with change counters, so that only what the partner lacks is sent; evidence of time counts from an echoed clock value; suspicions pushed to the region at once.

--- /dev/null
+++ b/src/adapters/connect/createPeerClient/index.ts
@@ -0,0 +1,117 @@
+import { create } from '@bufbuild/protobuf';
+import { createClient } from '@connectrpc/connect';
+import type { Client } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { ResultAsync, err, ok } from 'neverthrow';
+import type { OperatorCalls, PeerCalls, PeerError } from '../../../application/peers';
+import type { Clock, PeerGenerations } from '../../../application/ports';
+import { convertNewsFromMessage } from '../convertNewsFromMessage';
+import { convertNewsToMessage } from '../convertNewsToMessage';
+import { ExchangeRequestSchema, PeerService } from '../gen/peer_pb';
+import { convertConnectError } from './_lib/convertConnectError';
+import { openGeneration } from './_lib/openGeneration';
+
+/** A ping finds out whether a connection that was idle this long still lives. */
+const PING_INTERVAL_MS = 5_000;
+const PING_TIMEOUT_MS = 500;
+const IDLE_CONNECTION_TIMEOUT_MS = 30_000;
+/** An operator waits this long for one VM. */
+const OPERATOR_TIMEOUT_MS = 2_000;
+/** A VM that holds the generation says so within this time, or is taken as unreachable. */
+const ATTACH_TIMEOUT_MS = 400;
+
+/** What the peer client needs. */
+export interface PeerClientDependencies {
+  readonly clock: Clock;
+  /** Peer address of a VM that was heard lately, or null. */
+  findPeerAddress(vm: string): string | null;
+}
+
+/** Calls to peers over connect. */
+export interface PeerClient extends PeerCalls, OperatorCalls, PeerGenerations {
+  /** Closes every connection. */
+  close(): void;
+}
+
+interface Connection {
+  readonly calls: Client<typeof PeerService>;
+  readonly manager: Http2SessionManager;
+}
+
+const openConnection = (peerAddress: string): Connection => {
+  const baseUrl = `http://${peerAddress}`;
+  const manager = new Http2SessionManager(baseUrl, {
+    pingIntervalMs: PING_INTERVAL_MS,
+    pingTimeoutMs: PING_TIMEOUT_MS,
+    idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
+  });
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: '2',
+    sessionManager: manager,
+    acceptCompression: [],
+  });
+  return { calls: createClient(PeerService, transport), manager };
+};
+
+/**
+ * Creates the client of peers: one HTTP/2 connection an address, opened on the first call and
+ * closed when idle.
+ */
+export const createPeerClient = (deps: PeerClientDependencies): PeerClient => {
+  const connections = new Map<string, Connection>();
+  const findConnection = (peerAddress: string): Connection => {
+    const known = connections.get(peerAddress);
+    if (known !== undefined) return known;
+    const opened = openConnection(peerAddress);
+    connections.set(peerAddress, opened);
+    return opened;
+  };
+  const send = <T>(peerAddress: string, call: (calls: Client<typeof PeerService>) => Promise<T>) =>
+    ResultAsync.fromPromise(call(findConnection(peerAddress).calls), convertConnectError);
+  const operatorOptions = { timeoutMs: OPERATOR_TIMEOUT_MS };
+
+  return {
+    sendNews: async (peerAddress, news, { timeoutMs }) => {
+      const request = create(ExchangeRequestSchema, { news: convertNewsToMessage(news) });
+      const response = await send(peerAddress, (calls) => calls.exchange(request, { timeoutMs }));
+      return response.andThen((message) => {
+        const answer = convertNewsFromMessage(message.news);
+        const missing: PeerError = { kind: 'refused', reason: 'answer without a sender' };
+        return answer === null ? err(missing) : ok(answer);
+      });
+    },
+    readStatus: async (peerAddress) => {
+      const response = await send(peerAddress, (calls) => calls.readStatus({}, operatorOptions));
+      return response.map(({ json }): unknown => JSON.parse(json));
+    },
+    listDecisions: async (peerAddress, requestId) => {
+      const response = await send(peerAddress, (calls) =>
+        calls.explainRequest({ requestId }, operatorOptions),
+      );
+      return response.map(({ decisions }) =>
+        decisions.map((decision): unknown => JSON.parse(decision)),
+      );
+    },
+    drainVm: async (peerAddress) => {
+      const response = await send(peerAddress, (calls) => calls.drain({}, operatorOptions));
+      return response.map(({ running }) => running);
+    },
+    attachGeneration: (target, generation) =>
+      openGeneration(findConnection(target.peerAddress).calls, generation, {
+        clock: deps.clock,
+        timeoutMs: ATTACH_TIMEOUT_MS,
+      }),
+    cancelGeneration: async (target, { generationId, workspace }) => {
+      const response = await send(target.peerAddress, (calls) =>
+        calls.cancelGeneration({ generationId, workspace }, { timeoutMs: ATTACH_TIMEOUT_MS }),
+      );
+      return response.map(({ found }) => found).unwrapOr(false);
+    },
+    findPeerAddress: deps.findPeerAddress,
+    close: () => {
+      connections.forEach(({ manager }) => manager.abort());
+      connections.clear();
+    },
+  };
+};
--- /dev/null
+++ b/src/adapters/connect/startPeerServer/_lib/createPeerHandlers/index.ts
@@ -0,0 +1,41 @@
+import { create } from '@bufbuild/protobuf';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { PeerServices } from '../../../../../application/peers';
+import { convertNewsFromMessage } from '../../../convertNewsFromMessage';
+import { convertNewsToMessage } from '../../../convertNewsToMessage';
+import {
+  CancelGenerationResponseSchema,
+  DrainResponseSchema,
+  ExchangeResponseSchema,
+  ExplainRequestResponseSchema,
+  PeerService,
+  ReadStatusResponseSchema,
+} from '../../../gen/peer_pb';
+import { streamGeneration } from '../streamGeneration';
+
+/** Creates the handlers of the peer service's calls. */
+export const createPeerHandlers = (services: PeerServices) => (router: ConnectRouter) =>
+  router.service(PeerService, {
+    exchange(request) {
+      const news = convertNewsFromMessage(request.news);
+      if (news === null) throw new ConnectError('news without a sender', Code.InvalidArgument);
+      const answer = convertNewsToMessage(services.handleNews(news));
+      return create(ExchangeResponseSchema, { news: answer });
+    },
+    attachGeneration: (request, context) =>
+      streamGeneration(services.generations, request, context.signal),
+    async cancelGeneration({ workspace, generationId }) {
+      const found = await services.generations?.cancelGeneration(workspace, generationId);
+      return create(CancelGenerationResponseSchema, { found: found ?? false });
+    },
+    readStatus: () =>
+      create(ReadStatusResponseSchema, { json: JSON.stringify(services.readStatus()) }),
+    explainRequest: ({ requestId }) =>
+      create(ExplainRequestResponseSchema, {
+        decisions: services.decisions
+          .listDecisions(requestId)
+          .map((decision) => JSON.stringify(decision)),
+      }),
+    drain: () => create(DrainResponseSchema, { running: services.drain() }),
+  });
--- /dev/null
+++ b/src/application/peers/_lib/createNewsTaker/index.ts
@@ -0,0 +1,160 @@
+import {
+  computeIncarnationTag,
+  computeNameId,
+  convertFactsToReport,
+} from '../../../../domain/membership';
+import type { Fact, LoadFact, ServerStateFact } from '../../../../domain/membership';
+import { isNewerReport } from '../../../../domain/load';
+import type { HealthRegistry, LoadView } from '../../../ports';
+import type { FactBoard } from '../createFactBoard';
+import type { MemberTable } from '../createMemberTable';
+
+/** What the taker needs. */
+export interface NewsTakerDependencies {
+  readonly self: string;
+  readonly board: FactBoard;
+  readonly members: MemberTable;
+  readonly health: HealthRegistry | null;
+  readonly load: LoadView | null;
+  readonly readNowMs: () => number;
+}
+
+/** Where facts came from, and since when they surely hold. */
+export interface FactOrigin {
+  readonly vm: string;
+  /** Monotonic time after which the news was surely written, or null if that is not known. */
+  readonly writtenAfterMs: number | null;
+}
+
+/** Takes facts that a peer told. */
+export interface NewsTaker {
+  takeFacts(facts: readonly Fact[], origin: FactOrigin): void;
+  /** The held state of a server's report by its name id. */
+  findServerName(id: number): string | null;
+  /** Remembers a server's name, so that facts with its id are understood. */
+  addServerName(backendServer: string): void;
+}
+
+type Handlers = {
+  readonly [Kind in Fact['kind']]: (
+    fact: Extract<Fact, { kind: Kind }>,
+    origin: FactOrigin,
+  ) => void;
+};
+
+/**
+ * Creates the taker of peers' facts: what is new goes to the ports and on the board, from which it
+ * is passed on; what is old changes nothing.
+ */
+export function createNewsTaker(deps: NewsTakerDependencies): NewsTaker {
+  const { board, members, health, load, readNowMs } = deps;
+  const serverNames = new Map<number, string | null>();
+
+  const addServerName = (backendServer: string): void => {
+    const id = computeNameId(backendServer);
+    const holder = serverNames.get(id);
+    serverNames.set(id, holder === undefined || holder === backendServer ? backendServer : null);
+  };
+  const findServerName = (id: number): string | null => serverNames.get(id) ?? null;
+
+  const takeLoad = (fact: LoadFact, origin: FactOrigin): void => {
+    const name = findServerName(fact.id);
+    const state = name === null ? null : board.find(`state:${name}`);
+    const held = board.find(`load:${name}`);
+    if (state?.kind !== 'server-state') return;
+    const report = convertFactsToReport(state, fact, readNowMs());
+    const known = held?.kind === 'load' ? convertFactsToReport(state, held, readNowMs()) : null;
+    if (!isNewerReport(report, known)) return;
+    board.put(`load:${name}`, fact, origin.vm);
+    load?.recordReport(report);
+  };
+
+  const takeServerState = (fact: ServerStateFact, origin: FactOrigin): void => {
+    addServerName(fact.backendServer);
+    const key = `state:${fact.backendServer}`;
+    if (JSON.stringify(board.find(key)) === JSON.stringify(fact)) return;
+    board.put(key, fact, origin.vm);
+    if (fact.leaving) health?.recordLeaving(fact.backendServer, true);
+  };
+
+  const sends = new Map<string, Map<number, number>>();
+
+  const handlers: Handlers = {
+    peer: ({ record }, origin) => {
+      if (record.vm === deps.self || !members.mergeRecord(record)) return;
+      board.put(`peer:${record.vm}`, { kind: 'peer', record }, origin.vm);
+    },
+    pulse: (fact, origin) => {
+      const member = members.findById(fact.id);
+      if (member === null) return;
+      // A pulse of another incarnation than the one held is late or early: it proves nothing.
+      if (fact.incarnationTag !== computeIncarnationTag(member.record.incarnation)) return;
+      const isFirst = member.incarnationTag !== fact.incarnationTag;
+      if (!isFirst && fact.beats <= member.beats) return;
+      member.incarnationTag = fact.incarnationTag;
+      member.beats = fact.beats;
+      // The first pulse seen may be a dead VM's last: only a rise proves that it lives.
+      if (!isFirst && origin.writtenAfterMs !== null) member.heardAtMs = origin.writtenAfterMs;
+      board.put(`pulse:${member.record.vm}`, fact, origin.vm);
+    },
+    region: (fact, origin) => {
+      const key = `region:${fact.region}`;
+      const held = board.find(key);
+      if (origin.writtenAfterMs === null) return;
+      if (held?.kind === 'region' && held.ageMs <= fact.ageMs) return;
+      board.put(key, fact, origin.vm);
+    },
+    suspicion: ({ suspicion }, origin) => {
+      const key = `suspicion:${suspicion.backendServer}`;
+      const held = board.find(key);
+      const isKnown =
+        held?.kind === 'suspicion' && JSON.stringify(held.suspicion) === JSON.stringify(suspicion);
+      if (isKnown) return;
+      board.put(key, { kind: 'suspicion', suspicion }, origin.vm);
+      health?.recordSuspicion(suspicion);
+    },
+    leaving: (fact, origin) => {
+      const key = `leaving:${fact.backendServer}`;
+      if (board.find(key) !== null) return;
+      board.put(key, fact, origin.vm);
+      health?.recordLeaving(fact.backendServer, true);
+    },
+    recovery: ({ backendServer }) => {
+      board.remove(`suspicion:${backendServer}`);
+      health?.recordRecovery(backendServer);
+    },
+    send: ({ id, running }, origin) => {
+      const held = sends.get(origin.vm) ?? new Map<number, number>();
+      held.set(id, running);
+      sends.set(origin.vm, held);
+    },
+    'server-state': takeServerState,
+    load: takeLoad,
+  };
+
+  const takeFact = <Kind extends Fact['kind']>(
+    fact: Extract<Fact, { kind: Kind }>,
+    origin: FactOrigin,
+  ): void => {
+    const {kind} = fact;
+    handlers[kind](fact, origin);
+  };
+
+  const recordSends = (vm: string): void => {
+    const held = [...(sends.get(vm) ?? [])].flatMap(([id, running]) => {
+      const backendServer = findServerName(id);
+      return backendServer === null || running === 0 ? [] : [{ backendServer, running }];
+    });
+    load?.recordPeerSends(vm, held);
+  };
+
+  return {
+    takeFacts: (facts, origin) => {
+      facts.forEach((fact) => takeFact(fact, origin));
+      // Also without change: the view drops the sends of a peer that says nothing.
+      if (sends.has(origin.vm)) recordSends(origin.vm);
+    },
+    findServerName,
+    addServerName,
+  };
+}
--- /dev/null
+++ b/src/application/peers/_lib/createOwnFacts/index.ts
@@ -0,0 +1,83 @@
+import {
+  computeIncarnationTag,
+  computeNameId,
+  convertReportToFacts,
+  isLoadChanged,
+} from '../../../../domain/membership';
+import type { PeerRecord } from '../../../../domain/membership';
+import type { LoadReport } from '../../../../domain/types';
+import type { LoadView } from '../../../ports';
+import type { FactBoard } from '../createFactBoard';
+
+/** A load report is passed on at least this often, however little it changes. */
+export const LOAD_REFRESH_MS = 2_000;
+
+/** What the own facts need. */
+export interface OwnFactsDependencies {
+  readonly board: FactBoard;
+  readonly load: LoadView | null;
+  readonly readSelf: () => PeerRecord;
+  readonly readNowMs: () => number;
+}
+
+/** Keeps this VM's own facts on the board. */
+export interface OwnFacts {
+  /** Puts what changed since the last call on the board. */
+  refresh(beats: number): void;
+}
+
+/** Creates the keeper of own facts. */
+export function createOwnFacts(deps: OwnFactsDependencies): OwnFacts {
+  const { board, load, readSelf, readNowMs } = deps;
+  const sends = new Map<string, number>();
+  let pulsed = -1;
+
+  const refreshReport = (report: LoadReport): void => {
+    const nowMs = readNowMs();
+    const name = report.backendServer;
+    const { state, load: fact } = convertReportToFacts(report, nowMs);
+    const onBoard = board.find(`load:${name}`);
+    const sent =
+      onBoard?.kind === 'load'
+        ? { fact: onBoard, sentAtMs: board.readPutAtMs(`load:${name}`) ?? nowMs }
+        : null;
+    if (!isLoadChanged(sent, fact, { slots: report.slots, nowMs, refreshMs: LOAD_REFRESH_MS })) {
+      return;
+    }
+    if (JSON.stringify(board.find(`state:${name}`)) !== JSON.stringify(state)) {
+      board.put(`state:${name}`, state, readSelf().vm);
+    }
+    board.put(`load:${name}`, fact, readSelf().vm);
+  };
+
+  const refreshSends = (): void => {
+    const current = new Map(
+      (load?.listOwnSends() ?? []).map(({ backendServer, running }) => [backendServer, running]),
+    );
+    new Set([...sends.keys(), ...current.keys()]).forEach((name) => {
+      const running = current.get(name) ?? 0;
+      if (running === (sends.get(name) ?? 0)) return;
+      sends.set(name, running);
+      board.put(`send:${name}`, { kind: 'send', id: computeNameId(name), running }, '');
+    });
+  };
+
+  return {
+    refresh: (beats) => {
+      const record = readSelf();
+      const held = board.find(`peer:${record.vm}`);
+      if (held?.kind !== 'peer' || JSON.stringify(held.record) !== JSON.stringify(record)) {
+        board.put(`peer:${record.vm}`, { kind: 'peer', record }, record.vm);
+      }
+      if (beats !== pulsed) {
+        pulsed = beats;
+        const incarnationTag = computeIncarnationTag(record.incarnation);
+        const id = computeNameId(record.vm);
+        const pulse = { kind: 'pulse', id, incarnationTag, beats } as const;
+        board.put(`pulse:${record.vm}`, pulse, record.vm);
+      }
+      load?.listReports().forEach(refreshReport);
+      refreshSends();
+    },
+  };
+}
--- /dev/null
+++ b/src/application/peers/index.ts
@@ -0,0 +1,11 @@
+export { createPeerExchange } from './createPeerExchange';
+export type { PeerExchange, PeerExchangeDependencies } from './createPeerExchange';
+export type {
+  OperatorCalls,
+  PeerCalls,
+  PeerError,
+  PeerFreshness,
+  PeerServices,
+  PeerView,
+  VersionSource,
+} from './types';
--- /dev/null
+++ b/src/domain/membership/index.ts
@@ -0,0 +1,25 @@
+export { chooseOwners } from './chooseOwners';
+export { choosePartners } from './choosePartners';
+export type { PartnerCandidate } from './choosePartners';
+export { computeIncarnationTag } from './computeIncarnationTag';
+export { computeNameId } from './computeNameId';
+export { computeRank } from './computeRank';
+export { convertFactsToReport } from './convertFactsToReport';
+export { convertReportToFacts } from './convertReportToFacts';
+export { isLoadChanged } from './isLoadChanged';
+export type { SentLoad } from './isLoadChanged';
+export { mergePeerRecord } from './mergePeerRecord';
+export type {
+  Fact,
+  LeavingFact,
+  LoadFact,
+  News,
+  PeerFact,
+  PeerRecord,
+  PulseFact,
+  RecoveryFact,
+  RegionFact,
+  SendFact,
+  ServerStateFact,
+  SuspicionFact,
+} from './types';
