--- a/src/adapters/connect/createPeerClient/index.ts
+++ b/src/adapters/connect/createPeerClient/index.ts
@@ -3,6 +3,7 @@
 import type { Client } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import { ResultAsync, err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { OperatorCalls, PeerCalls, PeerError } from '../../../application/peers';
 import type { Clock, PeerGenerations } from '../../../application/ports';
 import { convertNewsFromMessage } from '../convertNewsFromMessage';
@@ -29,6 +30,16 @@
 
 /** Calls to peers over connect. */
 export interface PeerClient extends PeerCalls, OperatorCalls, PeerGenerations {
+  /** Reads the peer's configuration; null if it holds none above `newerThan`. */
+  readConfiguration(
+    peerAddress: string,
+    newerThan: number,
+  ): Promise<
+    Result<
+      { readonly version: number; readonly body: string } | null,
+      { readonly kind: 'unreachable'; readonly reason: string }
+    >
+  >;
   /** Closes every connection. */
   close(): void;
 }
@@ -97,6 +108,15 @@
       const response = await send(peerAddress, (calls) => calls.drain({}, operatorOptions));
       return response.map(({ running }) => running);
     },
+    readConfiguration: async (peerAddress, newerThan) => {
+      const request = { newerThan: BigInt(newerThan) };
+      const response = await send(peerAddress, (calls) =>
+        calls.readConfiguration(request, operatorOptions),
+      );
+      return response
+        .map(({ version, body }) => (body === '' ? null : { version: Number(version), body }))
+        .mapErr(({ reason }) => ({ kind: 'unreachable', reason }));
+    },
     attachGeneration: (target, generation) =>
       openGeneration(findConnection(target.peerAddress).calls, generation, {
         clock: deps.clock,
--- a/src/adapters/connect/startPeerServer/_lib/createPeerHandlers/index.ts
+++ b/src/adapters/connect/startPeerServer/_lib/createPeerHandlers/index.ts
@@ -10,6 +10,7 @@
   ExchangeResponseSchema,
   ExplainRequestResponseSchema,
   PeerService,
+  ReadConfigurationResponseSchema,
   ReadStatusResponseSchema,
 } from '../../../gen/peer_pb';
 import { streamGeneration } from '../streamGeneration';
@@ -29,6 +30,13 @@
       const found = await services.generations?.cancelGeneration(workspace, generationId);
       return create(CancelGenerationResponseSchema, { found: found ?? false });
     },
+    readConfiguration: ({ newerThan }) => {
+      const encoded = services.readEncoded(Number(newerThan));
+      return create(ReadConfigurationResponseSchema, {
+        version: BigInt(encoded?.version ?? 0),
+        body: encoded?.body ?? '',
+      });
+    },
     readStatus: () =>
       create(ReadStatusResponseSchema, { json: JSON.stringify(services.readStatus()) }),
     explainRequest: ({ requestId }) =>
--- a/src/application/peers/_lib/createNewsTaker/index.ts
+++ b/src/application/peers/_lib/createNewsTaker/index.ts
@@ -136,7 +136,7 @@
     fact: Extract<Fact, { kind: Kind }>,
     origin: FactOrigin,
   ): void => {
-    const {kind} = fact;
+    const { kind } = fact;
     handlers[kind](fact, origin);
   };
 
--- a/src/application/peers/createPeerExchange/index.ts
+++ b/src/application/peers/createPeerExchange/index.ts
@@ -132,7 +132,7 @@
     },
     start: () => {
       if (health !== null) {
-        const {push} = pusher;
+        const { push } = pusher;
         stopHealthSource = createHealthSource({
           self: self.vm,
           board,
--- a/tests/peers/connect.test.ts
+++ b/tests/peers/connect.test.ts
@@ -107,6 +107,7 @@
     cancelGeneration: async (_workspace, generationId) => generationId === 'gen_1',
   },
   decisions: { listDecisions: () => [] },
+  readEncoded: (newerThan) => (newerThan < 3 ? { version: 3, body: '{}' } : null),
   readStatus: () => ({ vm: 'vm-1' }),
   drain: () => 2,
 });
@@ -150,9 +151,11 @@
   t.true(await client.cancelGeneration(target, generation));
 });
 
-test('operators read the status and drain; a dead address is unreachable', async (t) => {
+test('status, configuration and drain are served; a dead address is unreachable', async (t) => {
   const { client, address } = await startPair(t);
   t.deepEqual(readOk(await client.readStatus(address)), { vm: 'vm-1' });
+  t.deepEqual(readOk(await client.readConfiguration(address, 2)), { version: 3, body: '{}' });
+  t.is(readOk(await client.readConfiguration(address, 3)), null);
   t.is(readOk(await client.drainVm(address)), 2);
   const dead = await client.readStatus('127.0.0.1:1');
   t.is(
