--- /dev/null
+++ b/src/programs/entry/types/index.ts
@@ -0,0 +1,2 @@
+export { EntrySettingsSchema } from './EntrySettings';
+export type { EntrySettings } from './EntrySettings';
--- a/tests/_lib/startTestCallerServer/index.ts
+++ b/tests/_lib/startTestCallerServer/index.ts
@@ -4,7 +4,7 @@
 import { createShutdown } from '../../../src/application/shutdown';
 import { signCursor, verifyCursor } from '../../../src/domain/cursor';
 import { buildTestConfiguration, TEST_KEYS } from '../buildTestConfiguration';
-import { createFakeClock } from '../createFakeClock';
+import { createFakeClock } from '../../../standins/fakes';
 import { createScriptedGenerations } from '../createScriptedGenerations';
 
 /** Key under which the test server signs. */
