Apply configurations as conditional version rows and follow them

Cause: nothing carried a configuration from the operator to the VMs. Change: applyConfiguration creates the row of version N+1 under the condition that it is absent; createConfigurationFollower polls for the row of the next version; checkFreshness judges by read age, peers heard and versions known. Ruled out: a head row, since a crash between row and head would leave a version of which appliers and followers disagree; polling the newest row, which moves the whole body each second; "at least half" in the freshness rule, since in an even split the other half may read the table (tested over all splits of up to nine VMs). Conclusion: the row's existence is the acceptance; nothing is left undone by a crash.

--- /dev/null
+++ b/src/application/configuration/types/index.ts
@@ -0,0 +1,3 @@
+export type { ApplyError } from './ApplyError';
+export type { ApplyRequest } from './ApplyRequest';
+export type { ConfigurationStoreError } from './ConfigurationStoreError';
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -15,6 +15,7 @@
 export type { HealthRegistry } from './HealthRegistry';
 export type { PeerSends, LoadView } from './LoadView';
 export type { ObjectStore } from './ObjectStore';
+export type { EncodedConfiguration, PeerConfigurations } from './PeerConfigurations';
 export type { PeerGenerations } from './PeerGenerations';
 export type { PlainCall, PlainResponse, PlainError, PlainClient } from './PlainClient';
 export type { Randomness } from './Randomness';
--- /dev/null
+++ b/src/domain/configuration/decodeConfigurationRow/index.ts
@@ -0,0 +1,60 @@
+import { inflateRawSync } from 'node:zlib';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { decodeConfiguration, type ConfigurationDecodeError } from '../decodeConfiguration';
+import type { ConfigurationRow } from '../types';
+
+/** Bound on the inflated size, so that a corrupt row cannot fill the memory of every VM. */
+const MAX_INFLATED_BYTES = 16 * 1024 * 1024;
+
+const schema = z.object({
+  apply_id: z.string(),
+  applied_at_ms: z.number(),
+  applied_by: z.string(),
+  comment: z.string(),
+  deflated_configuration: z.string(),
+});
+
+function inflate(text: string): string | null {
+  try {
+    const deflated = Buffer.from(text, 'base64');
+    return inflateRawSync(deflated, { maxOutputLength: MAX_INFLATED_BYTES }).toString('utf8');
+  } catch {
+    return null;
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Decodes the body of a version's row.
+ *
+ * @param version - taken from the row's sort key or from the peer's answer
+ */
+export function decodeConfigurationRow(
+  version: number,
+  body: string,
+): Result<ConfigurationRow, ConfigurationDecodeError> {
+  const parsed = schema.safeParse(parseJson(body));
+  const json = parsed.success ? inflate(parsed.data.deflated_configuration) : null;
+  if (!parsed.success || json === null) {
+    return err({ kind: 'bad-configuration', reason: `row of version ${version} is malformed` });
+  }
+  const { data } = parsed;
+  return decodeConfiguration(json).andThen((configuration) =>
+    ok({
+      version,
+      configuration,
+      applyId: data.apply_id,
+      appliedAtMs: data.applied_at_ms,
+      appliedBy: data.applied_by,
+      comment: data.comment,
+    }),
+  );
+}
--- a/src/domain/configuration/index.ts
+++ b/src/domain/configuration/index.ts
@@ -1,8 +1,18 @@
 export { checkConfiguration } from './checkConfiguration';
+export { checkFreshness, FRESHNESS_LIMIT_MS } from './checkFreshness';
+export type { CutOff, Freshness } from './checkFreshness';
 export { compareConfigurations } from './compareConfigurations';
 export { decodeConfiguration } from './decodeConfiguration';
 export type { ConfigurationDecodeError } from './decodeConfiguration';
+export { decodeConfigurationRow } from './decodeConfigurationRow';
 export { DEFAULT_LIMITS } from './defaultLimits';
 export { encodeConfiguration } from './encodeConfiguration';
+export { encodeConfigurationRow } from './encodeConfigurationRow';
+export { formatVersionKey } from './formatVersionKey';
 export { sortByName } from './sortByName';
-export type { ConfigurationChange, ConfigurationFault } from './types';
+export type {
+  ConfigurationChange,
+  ConfigurationFault,
+  ConfigurationRow,
+  FreshnessEvidence,
+} from './types';
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,3 +1,4 @@
+export { buildSampleConfiguration } from './buildSampleConfiguration';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
 export { createMemoryObjectStore } from './createMemoryObjectStore';
