--- /dev/null
+++ b/standins/chain/index.ts
@@ -0,0 +1,10 @@
+export { addTokenToChain } from './addTokenToChain';
+export { checkChain } from './checkChain';
+export { createChainChecker } from './createChainChecker';
+export type { ChainChecker } from './createChainChecker';
+export { computeChainStart } from './computeChainStart';
+export { computeTokenId } from './computeTokenId';
+export { formatToken } from './formatToken';
+export { parseTokens } from './parseTokens';
+export { renderPrompt } from './renderPrompt';
+export type { ChainReport, ChainToken } from './types';
--- /dev/null
+++ b/standins/chain/types/index.ts
@@ -0,0 +1,2 @@
+export type { ChainReport } from './ChainReport';
+export type { ChainToken } from './ChainToken';
--- /dev/null
+++ b/standins/plain/types/index.ts
@@ -0,0 +1,3 @@
+export { PlainFault } from './PlainFault';
+export type { ExecutedCall } from './ExecutedCall';
+export type { StandInPlainService } from './StandInPlainService';
--- /dev/null
+++ b/standins/weights/index.ts
@@ -0,0 +1,2 @@
+export { createStandInWeightStore } from './createStandInWeightStore';
+export type { StandInWeightStore, StandInWeightStoreOptions } from './createStandInWeightStore';
