Admit by class with reserves, fair shares, bounded queues and a retry budget

Cause: the thin router refused whatever found no free slot and knew nothing of workspaces, caches, distance or slow servers. Ruled out: pushing waiters out of a full queue (their refusal would come late); refusing resumes by the retry budget (it would lose a generation); cache_use as a hard limit (a prefix cache fills up).

--- a/src/application/routing/createLoadPoller/index.ts
+++ b/src/application/routing/createLoadPoller/index.ts
@@ -1,21 +1,33 @@
 import { choosePollers, POLLERS_PER_SERVER } from '../../../domain/load';
 import { ServiceKind } from '../../../domain/types';
 import type { BackendServer, Configuration } from '../../../domain/types';
-import type { Clock, ConfigurationView, EngineClient, LoadView } from '../../ports';
+import type { Clock, ConfigurationView, EngineClient } from '../../ports';
+import type { RoutingLoad } from '../types';
 
 /** Time between two polls of a server; engines' reports lag by about as much. */
 export const POLL_INTERVAL_MS = 500;
 
+/** Time between two polls of a server's cache events. */
+export const CACHE_POLL_INTERVAL_MS = 2000;
+
+/**
+ * Up to this many engines, each VM polls the cache events of all: peers pass on loads, but not what
+ * is cached. Beyond it the requests would grow with engines times VMs.
+ */
+const MAX_CACHE_POLLED = 100;
+
 /** What the load poller needs. */
 export interface LoadPollerDependencies {
   readonly engines: EngineClient;
   readonly configuration: ConfigurationView;
-  readonly load: LoadView;
+  readonly load: RoutingLoad;
   readonly clock: Clock;
   readonly vm: string;
   readonly region: string;
   /** Live entry VMs of this region with this one; just this one means that it polls all servers. */
   readonly listLiveVms: () => readonly string[];
+  /** Factor on the poll intervals; 1 unless time is scaled. */
+  readonly intervalFactor?: number;
 }
 
 /** Polls back ends' load until stopped. */
@@ -35,52 +47,68 @@
 /**
  * Creates the poller of load reports and cache events of the model engines of this region.
  *
- * Each server is polled by two VMs, chosen by rendezvous hashing; the others hear of it in peers'
- * news. A server is asked again only after its answer came, so that a slow one is not piled upon.
+ * Each server's load is polled by two VMs, chosen by rendezvous hashing; the others hear of it in
+ * peers' news. A server is asked again only after its answer came, so that a slow one is not piled
+ * upon.
  */
 export function createLoadPoller(dependencies: LoadPollerDependencies): LoadPoller {
-  const { engines, load, clock, vm } = dependencies;
-  const busy = new Set<string>();
-  const sequences = new Map<string, number>();
+  const { engines, load, clock, vm, intervalFactor = 1 } = dependencies;
+  const cancels = new Map<string, () => void>();
   let stopped = false;
-  let cancelTimer = (): void => {};
 
-  const pollEvents = async (server: BackendServer): Promise<void> => {
-    const after = sequences.get(server.name) ?? 0;
-    const events = await engines.listCacheEvents(server, after);
-    if (stopped || events.isErr() || events.value.length === 0) return;
-    sequences.set(server.name, events.value.at(-1)?.sequence ?? after);
-    load.recordCacheEvents(server.name, events.value);
-  };
-  const pollServer = async (server: BackendServer): Promise<void> => {
-    if (busy.has(server.name)) return;
-    busy.add(server.name);
+  const pollLoad = async (server: BackendServer): Promise<void> => {
     const report = await engines.readLoad(server);
-    if (!stopped && report.isOk()) {
-      load.recordReport(report.value);
-      await pollEvents(server);
-    }
-    busy.delete(server.name);
+    if (!stopped && report.isOk()) load.recordReport(report.value);
+  };
+  const pollCache = async (server: BackendServer): Promise<void> => {
+    const startedMs = clock.readMonotonicMs();
+    const events = await engines.listCacheEvents(server, load.readCacheSequence(server.name));
+    if (stopped || events.isErr()) return;
+    load.recordZoneMs(server.availabilityZone, clock.readMonotonicMs() - startedMs);
+    load.recordCacheEvents(server.name, events.value);
   };
-  const pollAll = (): void => {
-    if (stopped) return;
-    const current = dependencies.configuration.readCurrent();
-    if (current !== null) {
-      const vms = dependencies.listLiveVms();
-      listEngines(current.configuration, dependencies.region)
-        .filter(({ name }) => choosePollers(name, vms, POLLERS_PER_SERVER).includes(vm))
+  /** Calls `poll` for each server of `list`, again and again, but never twice at once for one. */
+  const startPolling = (
+    name: string,
+    intervalMs: number,
+    list: (all: readonly BackendServer[]) => readonly BackendServer[],
+    poll: (server: BackendServer) => Promise<void>,
+  ): void => {
+    const busy = new Set<string>();
+    const pollOnce = async (server: BackendServer): Promise<void> => {
+      busy.add(server.name);
+      await poll(server);
+      busy.delete(server.name);
+    };
+    const pollAll = (): void => {
+      const current = dependencies.configuration.readCurrent();
+      const all = current ? listEngines(current.configuration, dependencies.region) : [];
+      list(all)
+        .filter((server) => !busy.has(server.name))
         .forEach((server) => {
-          pollServer(server);
+          pollOnce(server);
         });
-    }
-    cancelTimer = clock.startTimer(POLL_INTERVAL_MS, pollAll);
+      cancels.set(name, clock.startTimer(intervalMs * intervalFactor, pollAll));
+    };
+    pollAll();
+  };
+  const listOwn = (all: readonly BackendServer[]): readonly BackendServer[] => {
+    const vms = dependencies.listLiveVms();
+    if (vms.length <= POLLERS_PER_SERVER) return all;
+    return all.filter(({ name }) => choosePollers(name, vms, POLLERS_PER_SERVER).includes(vm));
   };
 
-  pollAll();
+  startPolling('load', POLL_INTERVAL_MS, listOwn, pollLoad);
+  startPolling(
+    'cache',
+    CACHE_POLL_INTERVAL_MS,
+    (all) => (all.length <= MAX_CACHE_POLLED ? all : listOwn(all)),
+    pollCache,
+  );
   return {
     stop: () => {
       stopped = true;
-      cancelTimer();
+      cancels.forEach((cancel) => cancel());
     },
   };
 }
--- a/src/application/routing/createLoadView/index.ts
+++ b/src/application/routing/createLoadView/index.ts
@@ -1,6 +1,7 @@
-import { estimateRunning, isNewerReport } from '../../../domain/load';
+import { addToAverage, estimateRunning, isNewerReport } from '../../../domain/load';
 import type { LoadReport } from '../../../domain/types';
 import type { Clock } from '../../ports';
+import { createPrefixIndex } from '../createPrefixIndex';
 import type { RoutingLoad } from '../types';
 
 /** Peers' sends are dropped after this long without news: ten missed exchanges of about 1 s. */
@@ -9,23 +10,26 @@
 /** Changes kept for a server that never reports; only the newest matter once it does. */
 const MAX_CHANGES = 1024;
 
+/** Weight of a new round trip in the mean of its zone. */
+const ZONE_WEIGHT = 0.2;
+
 interface LoadChange {
   readonly atMs: number;
   readonly amount: number;
 }
 
-interface PeerCount {
-  readonly running: number;
-  readonly atMs: number;
-}
-
 /** Mutable on purpose: it is read for every server in every decision. */
 interface ServerLoad {
   report: LoadReport | null;
   changes: LoadChange[];
   changeSince: number;
   own: number;
-  peers: Map<string, PeerCount>;
+  peers: number;
+}
+
+interface PeerNews {
+  readonly running: ReadonlyMap<string, number>;
+  readonly atMs: number;
 }
 
 /** What the load view needs. */
@@ -33,13 +37,15 @@
   readonly clock: Clock;
 }
 
-function countPeers(load: ServerLoad, nowMs: number): number {
-  let count = 0;
-  // A peer that died sends no more news: without the limit its requests would count for ever.
-  load.peers.forEach(({ running, atMs }) => {
-    if (nowMs - atMs <= PEER_SENDS_TTL_MS) count += running;
-  });
-  return count;
+/** Tells whether two reports of a server differ in which work it can take. */
+function hasReadinessChanged(before: LoadReport | null, after: LoadReport): boolean {
+  return (
+    before === null ||
+    before.leaving !== after.leaving ||
+    before.role !== after.role ||
+    before.slots !== after.slots ||
+    JSON.stringify(before.models) !== JSON.stringify(after.models)
+  );
 }
 
 /**
@@ -50,12 +56,16 @@
  */
 export function createLoadView({ clock }: LoadViewDependencies): RoutingLoad {
   const loads = new Map<string, ServerLoad>();
+  const peers = new Map<string, PeerNews>();
+  const zones = new Map<string, number>();
   const listeners = new Set<(backendServer: string) => void>();
+  const prefixIndex = createPrefixIndex({ clock });
+  let readinessEpoch = 0;
 
   const readLoad = (name: string): ServerLoad => {
     const held = loads.get(name);
     if (held !== undefined) return held;
-    const created = { report: null, changes: [], changeSince: 0, own: 0, peers: new Map() };
+    const created = { report: null, changes: [], changeSince: 0, own: 0, peers: 0 };
     loads.set(name, created);
     return created;
   };
@@ -72,30 +82,56 @@
     load.own = Math.max(0, load.own + amount);
     recordChange(name, amount);
   };
+  const applyPeerNews = (vm: string, running: ReadonlyMap<string, number>): readonly string[] => {
+    const before = peers.get(vm)?.running ?? new Map<string, number>();
+    const names = [...new Set([...before.keys(), ...running.keys()])];
+    const changed = names.filter((name) => before.get(name) !== running.get(name));
+    changed.forEach((name) => {
+      const amount = (running.get(name) ?? 0) - (before.get(name) ?? 0);
+      readLoad(name).peers += amount;
+      recordChange(name, amount);
+    });
+    return changed;
+  };
+  const dropSilentPeers = (nowMs: number): void =>
+    peers.forEach(({ atMs }, vm) => {
+      // A peer that died sends no more news: its requests would count for ever.
+      if (nowMs - atMs <= PEER_SENDS_TTL_MS) return;
+      applyPeerNews(vm, new Map());
+      peers.delete(vm);
+    });
+  const readEstimate = ({ report, changeSince, own, peers: others }: ServerLoad): number =>
+    estimateRunning({
+      reported: report === null ? null : report.running + report.waiting,
+      changeSince,
+      own,
+      peers: others,
+    });
 
   return {
     recordReport: (report) => {
-      const load = readLoad(report.backendServer);
+      const name = report.backendServer;
+      const load = readLoad(name);
       if (!isNewerReport(report, load.report)) return;
+      if (load.report !== null && report.sequence < load.report.sequence) {
+        prefixIndex.removeServer(name);
+      }
+      if (hasReadinessChanged(load.report, report)) readinessEpoch += 1;
       const sampledMs = report.receivedAtMs - report.ageMs;
       load.report = report;
       load.changes = load.changes.filter(({ atMs }) => atMs > sampledMs);
       load.changeSince = load.changes.reduce((sum, { amount }) => sum + amount, 0);
-      sendNotice(report.backendServer);
+      sendNotice(name);
     },
-    recordCacheEvents: () => {},
+    recordCacheEvents: prefixIndex.recordEvents,
     recordPeerSends: (vm, sends) => {
-      const nowMs = clock.readMonotonicMs();
-      const news = new Map(sends.map(({ backendServer, running }) => [backendServer, running]));
-      const changed = [...new Set([...news.keys(), ...loads.keys()])].filter((name) => {
-        const load = readLoad(name);
-        const before = load.peers.get(vm)?.running ?? 0;
-        const running = news.get(name) ?? 0;
-        if (running === 0) load.peers.delete(vm);
-        else load.peers.set(vm, { running, atMs: nowMs });
-        recordChange(name, running - before);
-        return running !== before;
-      });
+      const running = new Map(
+        sends
+          .filter((send) => send.running > 0)
+          .map((send) => [send.backendServer, send.running] as const),
+      );
+      const changed = applyPeerNews(vm, running);
+      peers.set(vm, { running, atMs: clock.readMonotonicMs() });
       changed.forEach(sendNotice);
     },
     listReports: () =>
@@ -108,16 +144,28 @@
     estimateRunning: (name) => {
       const load = loads.get(name);
       if (load === undefined) return 0;
-      const { report } = load;
-      return estimateRunning({
-        reported: report === null ? null : report.running + report.waiting,
-        changeSince: load.changeSince,
-        own: load.own,
-        peers: countPeers(load, clock.readMonotonicMs()),
-      });
+      if (load.peers > 0) dropSilentPeers(clock.readMonotonicMs());
+      return readEstimate(load);
+    },
+    findCachedTokens: prefixIndex.findCachedTokens,
+    readCacheSequence: prefixIndex.readSequence,
+    readZoneMs: (zone) => zones.get(zone) ?? 0,
+    recordZoneMs: (zone, roundTripMs) => {
+      zones.set(zone, addToAverage(zones.get(zone) ?? 0, roundTripMs, ZONE_WEIGHT));
+    },
+    recordSend: (name, prefixes) => {
+      recordOwn(name, 1);
+      prefixIndex.recordSent(name, prefixes);
+    },
+    recordEnd: (name) => {
+      recordOwn(name, -1);
+      sendNotice(name);
+    },
+    recordFull: (name, slots) => {
+      const load = readLoad(name);
+      if (load.report !== null) recordChange(name, Math.max(0, slots - readEstimate(load)));
     },
-    recordSend: (name) => recordOwn(name, 1),
-    recordEnd: (name) => recordOwn(name, -1),
+    readReadinessEpoch: () => readinessEpoch,
     addListener: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/src/application/routing/createLoadView/test.ts
+++ b/src/application/routing/createLoadView/test.ts
@@ -37,9 +37,9 @@
   // Sequence: send at 1000; report sampled at 1100 with 1 running; send at 1300; report arrives.
   // Cause: the arrival of the report, 400 ms late, wiped out the send that it had not seen.
   const { view, setTime } = createView();
-  view.recordSend('review-1');
+  view.recordSend('review-1', []);
   setTime(1300);
-  view.recordSend('review-1');
+  view.recordSend('review-1', []);
   setTime(1500);
   view.recordReport(buildReport(1, 5, 1500));
   t.is(view.estimateRunning('review-1'), 6);
@@ -66,11 +66,11 @@
 
 test('own sends are listed for peers until they end; an end too many changes nothing', (t) => {
   const { view } = createView();
-  view.recordSend('review-1');
+  view.recordSend('review-1', []);
   t.deepEqual(view.listOwnSends(), [{ backendServer: 'review-1', running: 1 }]);
   view.recordEnd('review-1');
   view.recordEnd('review-1');
   t.deepEqual(view.listOwnSends(), []);
-  view.recordSend('review-1');
+  view.recordSend('review-1', []);
   t.is(view.estimateRunning('review-1'), 1);
 });
--- a/src/application/routing/createRouter/index.ts
+++ b/src/application/routing/createRouter/index.ts
@@ -1,25 +1,30 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { filterAllowedServers, filterBackendServers } from '../../../domain/routing';
-import type { AllowedServers, ReadyServers } from '../../../domain/routing';
-import { RefusalCode, WorkClass } from '../../../domain/types';
-import type {
-  BackendServer,
-  Demand,
-  Refusal,
-  RoutingDecision,
-  VersionedConfiguration,
-} from '../../../domain/types';
+import {
+  acquireRetryCredit,
+  addRetryCredit,
+  findClassPolicy,
+  RETRY_BURST,
+} from '../../../domain/admission';
+import { DemandPurpose, RefusalCode } from '../../../domain/types';
+import type { Demand, Refusal } from '../../../domain/types';
 import type {
   Clock,
   ConfigurationView,
   DecisionLog,
   HealthRegistry,
   Randomness,
-  Router,
   Slot,
 } from '../../ports';
-import type { RoutingLoad } from '../types';
+import { createDecisionRecorder } from '../createDecisionRecorder';
+import { createPlacement } from '../createPlacement';
+import type { Placed } from '../createPlacement';
+import { createQualityTracker } from '../createQualityTracker';
+import { createServerPools } from '../createServerPools';
+import { createServiceMeter } from '../createServiceMeter';
+import type { QueuedDemand } from '../createWaitQueue';
+import { createWaitQueues } from '../createWaitQueues';
+import type { RoutingLoad, ServerPool, ServingRouter } from '../types';
 
 /** What the router needs. */
 export interface RouterDependencies {
@@ -29,97 +34,162 @@
   readonly decisions: DecisionLog;
   readonly clock: Clock;
   readonly randomness: Randomness;
-  /** Availability zone of this VM. */
-  readonly availabilityZone: string;
 }
 
-/** Priority of each class of work at the engines; higher first. */
-const ENGINE_PRIORITIES: Readonly<Record<WorkClass, number>> = {
-  [WorkClass.Lookup]: 100,
-  [WorkClass.Plain]: 50,
-  [WorkClass.Long]: 10,
-};
+/** When to come back if no server is ready: about the time in which one is replaced or probed. */
+const NOT_READY_RETRY_MS = 2000;
 
-const NOT_READY_RETRY_MS = 1000;
+/** Weight of a prompt token in the cost of a demand: a prefill is far quicker than a decode. */
+const PROMPT_COST = 0.1;
 
-function createSlot(server: BackendServer, priority: number, load: RoutingLoad): Slot {
-  let released = false;
-  load.recordSend(server.name);
-  return {
-    server,
-    priority,
-    release: () => {
-      if (released) return;
-      released = true;
-      load.recordEnd(server.name);
-    },
-  };
+/** Builds a refusal. */
+function buildRefusal(code: RefusalCode, message: string, retryAfterMs: number): Refusal {
+  return { code, message, retryAfterMs };
 }
 
-/** Creates the router of this VM. */
-export function createRouter(dependencies: RouterDependencies): Router {
-  const { configuration, load, decisions, health } = dependencies;
-  const knowledge = { readHealth: health.readHealth, findReport: load.findReport };
+/** Describes a choice for the decision log. */
+function renderChoice({ firstTokenMs, running, cachedTokens }: Placed): string {
+  const figures = `first token in ${firstTokenMs.toFixed(1)} ms, ${running} running`;
+  return cachedTokens > 0 ? `${figures}, ${Math.round(cachedTokens)} tokens cached` : figures;
+}
 
-  const record = (
-    demand: Demand,
-    version: number,
-    servers: { readonly allowed: AllowedServers | null; readonly ready: ReadyServers | null },
-    outcome: Pick<RoutingDecision, 'kind' | 'choice' | 'reason'>,
-  ): void =>
-    decisions.record({
-      ...outcome,
-      requestId: demand.requestId,
-      workspace: demand.workspace,
-      service: demand.service,
-      candidates: servers.ready?.ready.map(({ name }) => name) ?? [],
-      filtered: [...(servers.allowed?.filtered ?? []), ...(servers.ready?.filtered ?? [])],
-      configurationVersion: version,
-    });
+/**
+ * Creates the router of this VM: hard filter, admission, then choice by score.
+ *
+ * A queue is served when a slot is given back, a report or peers' news comes, or a server's health
+ * changes; never by polling.
+ */
+export function createRouter(dependencies: RouterDependencies): ServingRouter {
+  const { configuration, load, clock, health } = dependencies;
+  const meter = createServiceMeter();
+  const quality = createQualityTracker({ configuration, load, clock });
+  const pools = createServerPools({ health, load, isEjected: quality.isEjected });
+  const placement = createPlacement({ ...dependencies, meter, quality });
+  const queues = createWaitQueues({ clock });
+  const recorder = createDecisionRecorder(dependencies.decisions);
+  let budget = { credits: RETRY_BURST };
 
-  const decide = (
+  const refuse = (demand: Demand, pool: ServerPool, refusal: Refusal): Result<never, Refusal> => {
+    const outcome = { kind: 'refuse', choice: '', reason: refusal.code } as const;
+    recorder.record(demand, pool.version, pools.listReady(pool), outcome);
+    return err(refusal);
+  };
+  const trySend = ({ demand, pool }: QueuedDemand): Slot | null => {
+    const ready = pools.listReady(pool);
+    const placed = placement.findServer(demand, ready);
+    if (placed === null) return null;
+    const outcome = {
+      kind: demand.purpose === DemandPurpose.Resume ? 'resume' : 'route',
+      choice: placed.ready.server.name,
+      reason: renderChoice(placed),
+    } as const;
+    recorder.record(demand, pool.version, ready, outcome);
+    return placement.acquirePlaced(demand, placed);
+  };
+  /** A waiter may only go where the configuration in force now allows it. */
+  const trySendWaiting = (queued: QueuedDemand): Result<Slot, Refusal> | null => {
+    const { workspace, service } = queued.demand;
+    const current = configuration.readCurrent();
+    if (current === null) return null;
+    const pool = pools.findPool(current, workspace, service);
+    if (pool.isErr()) return err(pool.error);
+    const slot = trySend({ ...queued, pool: pool.value });
+    return slot === null ? null : ok(slot);
+  };
+  const serveQueues = (): void => {
+    if (queues.countWaiting() > 0) queues.serve(trySendWaiting);
+  };
+  const buildQueued = (demand: Demand, pool: ServerPool): QueuedDemand => {
+    const { computeLimit } = findClassPolicy(demand.workClass);
+    const ready = pools.listReady(pool);
+    const room = ready.servers.reduce((sum, server) => sum + computeLimit(server.room), 0);
+    const { service, workspace, maxOutputTokens } = demand;
+    const output = meter.predictTokens(service, workspace, maxOutputTokens);
+    return {
+      demand,
+      pool,
+      cost: output + demand.promptTokens * PROMPT_COST,
+      assumedIntervalMs: meter.readHoldMs(service) / Math.max(1, room),
+    };
+  };
+  /** Counts a first attempt, or takes a credit for an extra one; tells whether it may be made. */
+  const drawBudget = ({ purpose, excludedServers }: Demand, pool: ServerPool): boolean => {
+    const isFirst = purpose === DemandPurpose.Start && excludedServers.length === 0;
+    const drawn = isFirst
+      ? addRetryCredit(budget, pool.limits.retryBudget)
+      : acquireRetryCredit(budget, purpose);
+    budget = drawn ?? budget;
+    return drawn !== null;
+  };
+  const admit = async (
     demand: Demand,
-    { version, configuration: current }: VersionedConfiguration,
-  ): Result<Slot, Refusal> => {
-    const allowed = filterAllowedServers(current, demand.workspace, demand.service);
-    if (allowed.isErr()) {
-      const { code: reason } = allowed.error;
-      record(
-        demand,
-        version,
-        { allowed: null, ready: null },
-        { kind: 'refuse', choice: '', reason },
-      );
-      return err(allowed.error);
+    pool: ServerPool,
+    signal: AbortSignal,
+  ): Promise<Result<Slot, Refusal>> => {
+    if (!drawBudget(demand, pool)) {
+      const message = 'the budget of extra attempts is spent';
+      const waitMs = meter.readHoldMs(demand.service);
+      return refuse(demand, pool, buildRefusal(RefusalCode.RetryBudgetSpent, message, waitMs));
+    }
+    const ready = pools.listReady(pool);
+    const canServe = ready.candidates.some((name) => !demand.excludedServers.includes(name));
+    if (!canServe) {
+      const message = `no backend server is ready for service "${demand.service}"`;
+      const refusal = buildRefusal(RefusalCode.NoReadyServer, message, NOT_READY_RETRY_MS);
+      return refuse(demand, pool, refusal);
     }
-    const { servers, service } = allowed.value;
-    const ready = filterBackendServers(servers, service, demand.excludedServers, knowledge);
-    const known = { allowed: allowed.value, ready };
-    const chosen = ready.ready.reduce<BackendServer | null>((best, server) => {
-      const running = load.estimateRunning(server.name);
-      if (running >= server.slots) return best;
-      return best !== null && load.estimateRunning(best.name) <= running ? best : server;
-    }, null);
-    if (chosen === null) {
-      const code = ready.ready.length === 0 ? RefusalCode.NoReadyServer : RefusalCode.QueueFull;
-      record(demand, version, known, { kind: 'refuse', choice: '', reason: code });
-      const message = `no backend server can take service "${service.name}" now`;
-      return err({ code, message, retryAfterMs: NOT_READY_RETRY_MS });
+    const queue = queues.findQueue(pool, demand.workClass);
+    const queued = buildQueued(demand, pool);
+    if (queue.countWaiting() === 0 || demand.purpose !== DemandPurpose.Start) {
+      const slot = trySend(queued);
+      if (slot !== null) {
+        queue.recordSent(queued);
+        return ok(slot);
+      }
     }
-    const outcome = { kind: 'route', choice: chosen.name, reason: 'least-loaded' } as const;
-    record(demand, version, known, outcome);
-    return ok(createSlot(chosen, ENGINE_PRIORITIES[demand.workClass], load));
+    if (demand.purpose === DemandPurpose.Hedge) {
+      const message = 'there is no room for a hedge';
+      return refuse(demand, pool, buildRefusal(RefusalCode.QueueFull, message, 0));
+    }
+    const room = queue.checkRoom(queued);
+    if (room.isErr()) return refuse(demand, pool, room.error);
+    recorder.record(demand, pool.version, ready, {
+      kind: 'queue',
+      choice: '',
+      reason: `${queue.countWaiting()} waiting`,
+    });
+    const waiting = queue.waitForSlot(queued, signal);
+    serveQueues();
+    const slot = await waiting;
+    return slot.isErr() ? refuse(demand, pool, slot.error) : slot;
+  };
+
+  load.addListener(() => {
+    quality.updateSpeeds();
+    serveQueues();
+  });
+  const handleChange = (): void => {
+    pools.recordChange();
+    serveQueues();
   };
+  health.addListener(handleChange);
+  quality.addListener(handleChange);
+  configuration.addListener(serveQueues);
 
   return {
-    acquireSlot: async (demand) => {
+    acquireSlot: async (demand, signal) => {
       const current = configuration.readCurrent();
-      if (current !== null) return decide(demand, current);
-      return err({
-        code: RefusalCode.NoReadyServer,
-        message: 'no configuration has been read yet',
-        retryAfterMs: NOT_READY_RETRY_MS,
-      });
+      if (current === null) {
+        const message = 'no configuration has been read yet';
+        return err(buildRefusal(RefusalCode.NoReadyServer, message, NOT_READY_RETRY_MS));
+      }
+      const pool = pools.findPool(current, demand.workspace, demand.service);
+      if (pool.isOk()) return admit(demand, pool.value, signal);
+      const outcome = { kind: 'refuse', choice: '', reason: pool.error.code } as const;
+      recorder.record(demand, current.version, null, outcome);
+      return err(pool.error);
     },
+    estimateHedgeDelayMs: meter.estimateHedgeDelayMs,
+    countWaiting: queues.countWaiting,
   };
 }
--- /dev/null
+++ b/src/application/routing/createServerPools/index.ts
@@ -0,0 +1,128 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { ServerRoom } from '../../../domain/admission';
+import { filterAllowedServers, filterBackendServers } from '../../../domain/routing';
+import { WorkClass } from '../../../domain/types';
+import type { BackendServer, Refusal, VersionedConfiguration } from '../../../domain/types';
+import type { HealthRegistry } from '../../ports';
+import type { ReadyPool, RoutingLoad, ServerPool } from '../types';
+
+/** What the server pools need. */
+export interface ServerPoolsDependencies {
+  readonly health: HealthRegistry;
+  readonly load: RoutingLoad;
+  readonly isEjected: (backendServer: string) => boolean;
+}
+
+/** Servers by workspace and service, worked out once and kept until something changes. */
+export interface ServerPools {
+  /** The allowed servers, worked out once for each configuration version. */
+  findPool(
+    current: VersionedConfiguration,
+    workspace: string,
+    service: string,
+  ): Result<ServerPool, Refusal>;
+  /** The ready ones of a pool, worked out once until a health, report or ejection changes. */
+  listReady(pool: ServerPool): ReadyPool;
+  /** Notes that health or ejections have changed. */
+  recordChange(): void;
+}
+
+interface CachedReady {
+  readonly epoch: number;
+  readonly ready: ReadyPool;
+}
+
+/** Builds the room of a server; without lookups to serve, no slot is kept for them. */
+function buildRoom(
+  server: BackendServer,
+  reportedSlots: number,
+  lookupServices: ReadonlySet<string>,
+  lookupReserve: number,
+): ServerRoom {
+  const slots = reportedSlots > 0 ? Math.min(server.slots, reportedSlots) : server.slots;
+  const servesLookups = server.services.some((service) => lookupServices.has(service));
+  return { slots, reservedSlots: servesLookups ? Math.ceil(slots * lookupReserve) : 0 };
+}
+
+/** Creates the pools; a decision then only looks at the servers that are left. */
+export function createServerPools(dependencies: ServerPoolsDependencies): ServerPools {
+  const { health, load, isEjected } = dependencies;
+  const knowledge = { readHealth: health.readHealth, findReport: load.findReport };
+  let version = 0;
+  let changes = 0;
+  let lookupServices: ReadonlySet<string> = new Set();
+  const pools = new Map<string, Result<ServerPool, Refusal>>();
+  const readies = new Map<ServerPool, CachedReady>();
+
+  const applyVersion = (current: VersionedConfiguration): void => {
+    version = current.version;
+    pools.clear();
+    readies.clear();
+    lookupServices = new Set(
+      current.configuration.services
+        .filter(({ workClass }) => workClass === WorkClass.Lookup)
+        .map(({ name }) => name),
+    );
+  };
+  const buildPool = (
+    { configuration }: VersionedConfiguration,
+    workspace: string,
+    service: string,
+  ): Result<ServerPool, Refusal> => {
+    const allowed = filterAllowedServers(configuration, workspace, service);
+    if (allowed.isErr()) return err(allowed.error);
+    const weights = configuration.workspaces.map(({ weight }) => weight);
+    const mean = weights.reduce((sum, weight) => sum + weight, 0) / weights.length;
+    const weight = configuration.workspaces.find(({ name }) => name === workspace)?.weight ?? mean;
+    return ok({
+      version,
+      limits: configuration.limits,
+      allowed: allowed.value,
+      placesKey: allowed.value.places.join('\n'),
+      weight,
+      relativeWeight: weight / mean,
+    });
+  };
+  const buildReady = ({ allowed, limits }: ServerPool): ReadyPool => {
+    const hard = filterBackendServers(allowed.servers, allowed.service, [], knowledge);
+    const good = hard.ready.filter(({ name }) => !isEjected(name));
+    // Ejection is a preference: with nothing else left, a bad server beats a refusal.
+    const servers = good.length > 0 ? good : hard.ready;
+    const ejected = hard.ready.filter((server) => !servers.includes(server));
+    return {
+      servers: servers.map((server) => {
+        const reported = load.findReport(server.name)?.slots ?? 0;
+        return { server, room: buildRoom(server, reported, lookupServices, limits.lookupReserve) };
+      }),
+      candidates: servers.map(({ name }) => name),
+      filtered: [
+        ...allowed.filtered,
+        ...hard.filtered,
+        ...ejected.map(({ name }) => ({ backendServer: name, reason: 'ejected-as-outlier' })),
+      ],
+    };
+  };
+
+  return {
+    findPool: (current, workspace, service) => {
+      if (current.version !== version) applyVersion(current);
+      const key = `${workspace}\n${service}`;
+      const pool = pools.get(key) ?? buildPool(current, workspace, service);
+      // Refusals are not kept: callers could fill the memory with names that do not exist.
+      if (pool.isOk()) pools.set(key, pool);
+      return pool;
+    },
+    listReady: (pool) => {
+      const epoch = changes + load.readReadinessEpoch();
+      const cached = readies.get(pool);
+      if (cached?.epoch === epoch) return cached.ready;
+      const ready = buildReady(pool);
+      if (pool.version === version) readies.set(pool, { epoch, ready });
+      return ready;
+    },
+    recordChange: () => {
+      changes += 1;
+    },
+  };
+}
--- a/src/application/routing/index.ts
+++ b/src/application/routing/index.ts
@@ -4,4 +4,12 @@
 export type { LoadViewDependencies } from './createLoadView';
 export { createRouter } from './createRouter';
 export type { RouterDependencies } from './createRouter';
-export type { RoutingLoad } from './types';
+export type { RoutingLoad, ServingRouter } from './types';
+export { runHedged } from './runHedged';
+export type {
+  HedgeDependencies,
+  HedgedRequest,
+  HedgeError,
+  HedgeLeg,
+  HedgeWinner,
+} from './runHedged';
--- a/src/application/routing/types/RoutingLoad.ts
+++ b/src/application/routing/types/RoutingLoad.ts
@@ -1,15 +1,26 @@
 import type { LoadReport } from '../../../domain/types';
 import type { LoadView } from '../../ports';
 
-/** The load view with what only the router asks of it. */
+/** The load view with what only the router and the poller ask of it. */
 export interface RoutingLoad extends LoadView {
   findReport(backendServer: string): LoadReport | null;
   /** Requests at the server, running and waiting: the report corrected by sends since. */
   estimateRunning(backendServer: string): number;
+  /** Tokens of the prompt expected in each server's cache; servers without any are left out. */
+  findCachedTokens(prefixes: readonly string[]): ReadonlyMap<string, number>;
+  /** Newest cache event taken of a server; 0 if none. */
+  readCacheSequence(backendServer: string): number;
+  /** Round trip to an availability zone from this VM, in milliseconds; 0 before any measure. */
+  readZoneMs(availabilityZone: string): number;
+  recordZoneMs(availabilityZone: string, roundTripMs: number): void;
   /** Notes that this VM begins an attempt there. */
-  recordSend(backendServer: string): void;
+  recordSend(backendServer: string, prefixes: readonly string[]): void;
   /** Notes that an attempt of this VM there ended. */
   recordEnd(backendServer: string): void;
-  /** Calls `listener` after each newer report or news of peers' sends; the result stops that. */
+  /** Notes that the server refused an attempt: it counts as full until a newer report. */
+  recordFull(backendServer: string, slots: number): void;
+  /** Grows whenever a report changes which work its server can take. */
+  readReadinessEpoch(): number;
+  /** Calls `listener` after each newer report, own end or news of peers' sends; the result stops that. */
   addListener(listener: (backendServer: string) => void): () => void;
 }
--- /dev/null
+++ b/src/domain/admission/types/FairShares.ts
@@ -0,0 +1,7 @@
+/** State of weighted fair queueing within a place. */
+export interface FairShares {
+  /** Start tag of the newest served waiter. */
+  readonly virtualTime: number;
+  /** Virtual time at which each workspace's queued work ends. */
+  readonly finishTags: ReadonlyMap<string, number>;
+}
--- a/src/domain/load/index.ts
+++ b/src/domain/load/index.ts
@@ -1,4 +1,6 @@
+export { addToAverage } from './addToAverage';
 export { choosePollers, POLLERS_PER_SERVER } from './choosePollers';
+export { computeTrust, LOWEST_TRUST } from './computeTrust';
 export { estimateRunning } from './estimateRunning';
 export type { RunningKnowledge } from './estimateRunning';
 export { isNewerReport } from './isNewerReport';
--- /dev/null
+++ b/src/domain/outlier/types/index.ts
@@ -0,0 +1,2 @@
+export { GOOD_QUALITY } from './ServerQuality';
+export type { ServerQuality } from './ServerQuality';
--- /dev/null
+++ b/src/domain/prediction/predictOutputTokens/index.ts
@@ -0,0 +1,21 @@
+import type { OutputSamples } from '../types';
+
+/** Part of generations that the prediction should cover; see docs/decisions on prediction. */
+export const COVERED_PART = 0.9;
+
+/** Samples below which the limit of the request is all there is to go by. */
+const LEAST_SAMPLES = 8;
+
+/**
+ * Predicts the output length of a generation from finished ones of its service and workspace.
+ *
+ * @param samples - lengths of finished generations
+ * @param maxOutputTokens - the most that the request allows
+ * @returns tokens, never more than the request allows
+ */
+export function predictOutputTokens(samples: OutputSamples, maxOutputTokens: number): number {
+  if (samples.tokens.length < LEAST_SAMPLES) return maxOutputTokens;
+  const sorted = [...samples.tokens].sort((left, right) => left - right);
+  const index = Math.min(sorted.length - 1, Math.floor(sorted.length * COVERED_PART));
+  return Math.min(maxOutputTokens, sorted[index] ?? maxOutputTokens);
+}
--- /dev/null
+++ b/src/domain/prediction/predictOutputTokens/test.ts
@@ -0,0 +1,19 @@
+import test from 'ava';
+import type { OutputSamples } from '../types';
+import { addOutputSample, MAX_SAMPLES } from '../addOutputSample';
+import { predictOutputTokens } from '.';
+
+const ONE_TO_HUNDRED = { tokens: Array.from({ length: 100 }, (_, index) => index + 1) };
+
+test('covers nine of ten generations, within what the request allows', (t) => {
+  t.is(predictOutputTokens(ONE_TO_HUNDRED, 1000), 91);
+  t.is(predictOutputTokens(ONE_TO_HUNDRED, 50), 50);
+  t.is(predictOutputTokens({ tokens: [1, 2, 3] }, 1000), 1000);
+});
+
+test('old samples are dropped, so that a change is followed', (t) => {
+  let samples: OutputSamples = ONE_TO_HUNDRED;
+  for (let index = 0; index < MAX_SAMPLES; index += 1) samples = addOutputSample(samples, 500);
+  t.is(samples.tokens.length, MAX_SAMPLES);
+  t.is(predictOutputTokens(samples, 1000), 500);
+});
--- /dev/null
+++ b/src/domain/prediction/types/index.ts
@@ -0,0 +1,1 @@
+export type { OutputSamples } from './OutputSamples';
--- /dev/null
+++ b/src/domain/routing/estimateFirstTokenMs/test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import { estimateFirstTokenMs } from '.';
+
+const IDLE = {
+  running: 0,
+  slots: 4,
+  holdMs: 4000,
+  overtakes: false,
+  promptTokens: 1000,
+  cachedTokens: 0,
+  prefillMsPerToken: 0.1,
+  zoneMs: 1,
+  speed: 1,
+};
+
+test('grows with the queue, the batch and the distance, and falls with the cached prefix', (t) => {
+  t.is(estimateFirstTokenMs(IDLE), 101);
+  t.is(estimateFirstTokenMs({ ...IDLE, cachedTokens: 900 }), 11);
+  t.is(estimateFirstTokenMs({ ...IDLE, running: 4 }), 1201);
+  t.is(estimateFirstTokenMs({ ...IDLE, running: 7 }), 4201);
+  t.is(estimateFirstTokenMs({ ...IDLE, running: 7, overtakes: true }), 1201);
+  t.is(estimateFirstTokenMs({ ...IDLE, speed: 0.5 }), 201);
+});
+
+test('stays finite for a server that is stuck and a prompt that is cached whole', (t) => {
+  t.true(Number.isFinite(estimateFirstTokenMs({ ...IDLE, speed: 0, cachedTokens: 2000 })));
+});
--- a/src/domain/routing/index.ts
+++ b/src/domain/routing/index.ts
@@ -3,3 +3,7 @@
 export { filterBackendServers } from './filterBackendServers';
 export type { ServerKnowledge } from './filterBackendServers';
 export type { AllowedServers, ReadyServers } from './types';
+export { chooseServer } from './chooseServer';
+export type { ScoredServer } from './chooseServer';
+export { estimateFirstTokenMs } from './estimateFirstTokenMs';
+export type { FirstTokenInputs } from './estimateFirstTokenMs';
