--- /dev/null
+++ b/src/application/store/_lib/waitForResult/index.ts
@@ -0,0 +1,21 @@
+import { err, type Result } from 'neverthrow';
+import type { Clock, StoreError } from '../../../ports';
+
+/** Waits for an operation's result, or for the deadline; a late result is dropped. */
+export async function waitForResult<T>(
+  operation: () => Promise<Result<T, StoreError>>,
+  clock: Clock,
+  deadlineMs: number,
+  write: boolean,
+): Promise<Result<T, StoreError>> {
+  const late: StoreError = write
+    ? { kind: 'ambiguous', reason: 'deadline passed' }
+    : { kind: 'unavailable', reason: 'deadline passed', retryAfterMs: deadlineMs };
+  let cancelTimer = (): void => {};
+  const deadline = new Promise<Result<T, StoreError>>((resolve) => {
+    cancelTimer = clock.startTimer(deadlineMs, () => resolve(err(late)));
+  });
+  const result = await Promise.race([operation(), deadline]);
+  cancelTimer();
+  return result;
+}
