Add the claims: at most one holder under lost answers, pauses and takeovers

Cause: keyed and non-idempotent work needs one holder before anything is sent, while the table's answers get lost after they took effect.

Ruled out: first revision 1 (a paused holder meets its old revision again once the row was removed and claimed anew); answers under the key alone (a paused holder's late answer replaces its successor's); giving up when the read back finds nothing (the lost write may still arrive: it is written again under the same claim id); judging running or non-idempotent rows expired by a VM's own wall clock.

Change: pure steps in domain/claim, one loop that runs them within 1 s, claims given up without a verdict are removed when the store is back, concurrent updates of one claim share a write.

Ten updates at once, the first one's answer lost: 2 writes.

--- /dev/null
+++ b/src/application/claims/createClaims/test.ts
@@ -0,0 +1,182 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { createClaims } from '..';
+import {
+  createFakeClock,
+  createMemoryObjectStore,
+  createMemoryTableStore,
+  createSeededRandomness,
+} from '../../../../standins/fakes';
+import type { ClaimRow } from '../../../domain/types';
+import type { TableStore } from '../../ports';
+import { createGuardedTableStore, TABLE_POLICY } from '../../store';
+
+const REQUEST = {
+  workspace: 'sello',
+  keyDigest: 'key',
+  generationId: 'gen_1',
+  requestDigest: 'digest',
+  idempotent: true,
+};
+
+const ANSWER = {
+  generationId: 'gen_1',
+  requestDigest: 'digest',
+  tokenIds: [7, 8],
+  texts: ['review'],
+  tokenCounts: [2],
+  finishReason: 'stop',
+};
+
+function startPlatform() {
+  const clock = createFakeClock();
+  const table = createMemoryTableStore();
+  const objects = createMemoryObjectStore();
+  const buildVm = (vm: string, seed: number, tableStore: TableStore = table) =>
+    createClaims({
+      tableStore,
+      objectStore: objects,
+      clock,
+      randomness: createSeededRandomness(seed),
+      vm,
+      peerAddress: `${vm}:1`,
+      readAnswerTtlMs: () => 1000,
+    });
+  return { clock, table, objects, buildVm };
+}
+
+async function acquire(claims: ReturnType<typeof createClaims>): Promise<ClaimRow> {
+  const outcome = (await claims.acquireClaim(REQUEST))._unsafeUnwrap();
+  if (outcome.kind !== 'granted') throw new Error('the claim was taken');
+  return outcome.row;
+}
+
+test('a claim whose answer was lost is granted, and to the next one it is taken', async (t) => {
+  // Symptom: a caller is refused, and its key stays blocked. Sequence: the row is written, the
+  // answer is lost. Cause: the loss is taken for a failure, or for another one's claim.
+  const { table, buildVm } = startPlatform();
+  table.loseNextAnswers(1);
+  const row = await acquire(buildVm('entry-1', 1));
+  t.is(row.vm, 'entry-1');
+  const second = (await buildVm('entry-2', 2).acquireClaim(REQUEST))._unsafeUnwrap();
+  t.deepEqual(second, { kind: 'taken', row });
+  // A write dropped on its way looks the same to the client, and is sent again.
+  table.dropNextWrites(1);
+  t.true((await buildVm('entry-1', 3).acquireClaim({ ...REQUEST, keyDigest: 'k2' })).isOk());
+});
+
+test('of two claimants exactly one is granted, in any order and with any loss', async (t) => {
+  // Symptom: two generations run under one key. Sequence: two entries claim it at once, writes
+  // and answers are lost or late. Cause: a lost answer is resolved in favour of both.
+  const loss = fc.constantFrom('none' as const, 'answer' as const, 'late' as const);
+  const property = fc.asyncProperty(
+    fc.scheduler(),
+    fc.array(loss, { minLength: 6, maxLength: 6 }),
+    async (scheduler, losses) => {
+      const { table, buildVm } = startPlatform();
+      let writes = 0;
+      const scheduled: TableStore = {
+        ...table,
+        readItem: async (...row) => {
+          await scheduler.schedule(Promise.resolve(), 'read');
+          return table.readItem(...row);
+        },
+        writeItem: async (...write) => {
+          await scheduler.schedule(Promise.resolve(), 'write');
+          const fate = losses[writes] ?? 'none';
+          writes += 1;
+          if (fate === 'answer') table.loseNextAnswers(1);
+          if (fate !== 'late') return table.writeItem(...write);
+          // It takes effect only after its sender has given it up.
+          scheduler.schedule(Promise.resolve(), 'late write').then(() => table.writeItem(...write));
+          const lost = createMemoryTableStore();
+          lost.dropNextWrites(1);
+          return lost.writeItem(...write);
+        },
+      };
+      const claims = [1, 2].map((n) => buildVm(`entry-${n}`, n, scheduled).acquireClaim(REQUEST));
+      const outcomes = await scheduler.waitFor(Promise.all(claims));
+      const kinds = outcomes.map((outcome) => outcome._unsafeUnwrap().kind).sort();
+      t.deepEqual(kinds, ['granted', 'taken']);
+    },
+  );
+  await fc.assert(property, { seed: 5, numRuns: 1000 });
+});
+
+test('a paused claimant that was taken over changes nothing any more', async (t) => {
+  // Symptom: an answer of an abandoned attempt replaces the right one. Sequence: the holder is
+  // paused, another VM takes over and finishes, the holder wakes and writes its own answer.
+  const { table, buildVm } = startPlatform();
+  const [first, second] = [buildVm('entry-1', 1), buildVm('entry-2', 2)];
+  const paused = await acquire(first);
+  table.loseNextAnswers(1);
+  const taken = (await second.takeOverClaim(paused))._unsafeUnwrap();
+  const late = await buildVm('entry-3', 3).takeOverClaim(paused);
+  t.deepEqual(late._unsafeUnwrapErr(), { kind: 'lost', row: taken });
+  const finished = (await second.writeAnswer(taken, ANSWER))._unsafeUnwrap();
+  const wrong = await first.writeAnswer(paused, { ...ANSWER, texts: ['other'] });
+  t.deepEqual(wrong._unsafeUnwrapErr(), { kind: 'lost', row: finished });
+  const replayed = (await first.readClaim('sello', 'key'))._unsafeUnwrap();
+  t.is(replayed?.state, 'finished');
+  t.deepEqual((await first.readAnswer(finished))._unsafeUnwrap(), ANSWER);
+});
+
+test('a paused claimant does not meet its old revision again', async (t) => {
+  // Sequence: the holder is paused, the platform removes the row, another VM claims the key anew.
+  const { table, buildVm } = startPlatform();
+  const first = buildVm('entry-1', 1);
+  const paused = await acquire(first);
+  await table.removeItem('claim#sello', 'key', { kind: 'any' });
+  const anew = await acquire(buildVm('entry-2', 2));
+  const late = await first.updateClaim(paused, { attempt: 1 });
+  t.deepEqual(late._unsafeUnwrapErr(), { kind: 'lost', row: anew });
+});
+
+test('updates at the same time share a write, and a lost answer is made up for', async (t) => {
+  const { table, buildVm } = startPlatform();
+  const claims = buildVm('entry-1', 1);
+  const row = await acquire(claims);
+  table.resetCounts();
+  table.loseNextAnswers(1);
+  const changes = Array.from({ length: 10 }, (_, n) => claims.updateClaim(row, { attempt: n + 1 }));
+  const rows = (await Promise.all(changes)).map((result) => result._unsafeUnwrap());
+  t.is(rows.at(-1)?.attempt, 10);
+  t.is(table.countWrites(), 2);
+});
+
+test('in an outage a claim fails soon, and what it left behind goes away', async (t) => {
+  // Symptom: a key whose caller was told `not-run` is blocked after an outage. Sequence: the row
+  // is written, the answer is lost, the table goes down before the read back.
+  const { clock, table, buildVm } = startPlatform();
+  const guarded = createGuardedTableStore(table, TABLE_POLICY, {
+    clock,
+    randomness: createSeededRandomness(9),
+  });
+  const claims = buildVm('entry-1', 1, guarded);
+  table.hangNextAnswers(1);
+  const first = claims.acquireClaim(REQUEST);
+  await new Promise(setImmediate);
+  table.setOutage('hang');
+  const startMs = clock.readMonotonicMs();
+  const ended = first.then(() => clock.readMonotonicMs() - startMs);
+  await clock.advanceAsync(5000);
+  t.is((await first)._unsafeUnwrapErr().kind, 'store-unavailable');
+  t.true((await ended) <= 1000, `${await ended} ms`);
+  table.setOutage('none');
+  // Any later claim of this VM clears it away; one of the same key takes its place.
+  t.true((await claims.acquireClaim({ ...REQUEST, keyDigest: 'other' })).isOk());
+  await new Promise(setImmediate);
+  t.is((await claims.readClaim('sello', 'key'))._unsafeUnwrap(), null);
+});
+
+test('an answer that has served its time gives way, a running claim never', async (t) => {
+  const { clock, buildVm } = startPlatform();
+  const claims = buildVm('entry-1', 1);
+  const row = await acquire(claims);
+  clock.advance(10 * 86_400_000);
+  t.is((await claims.acquireClaim(REQUEST))._unsafeUnwrap().kind, 'taken');
+  await claims.writeAnswer(row, ANSWER);
+  t.is((await claims.acquireClaim(REQUEST))._unsafeUnwrap().kind, 'taken');
+  clock.advance(400_000);
+  t.is((await claims.acquireClaim(REQUEST))._unsafeUnwrap().kind, 'granted');
+});
--- /dev/null
+++ b/src/application/claims/index.ts
@@ -0,0 +1,2 @@
+export { createClaims } from './createClaims';
+export type { ClaimsDependencies } from './createClaims';
--- /dev/null
+++ b/src/domain/claim/chooseTakeOverStep/index.ts
@@ -0,0 +1,20 @@
+import type { ClaimRow } from '../../types';
+import type { ClaimReply, ClaimStep } from '../types';
+
+/**
+ * Chooses the next step of a takeover after a reply. It succeeds only on the revision that was
+ * seen: a holder that has written since is not dead.
+ *
+ * @param seen the row of the VM held for dead
+ * @param sent the row that takes its place, with a claim id of its own
+ */
+export function chooseTakeOverStep(seen: ClaimRow, sent: ClaimRow, reply: ClaimReply): ClaimStep {
+  if (reply.kind === 'written') return { kind: 'done', row: sent };
+  if (reply.kind === 'unknown') return { kind: 'read' };
+  const row = reply.row?.row ?? null;
+  if (row?.claimId === sent.claimId) return { kind: 'done', row };
+  if (row?.claimId === seen.claimId && row.revision === seen.revision) {
+    return { kind: 'write', row: sent, expectedRevision: seen.revision };
+  }
+  return { kind: 'lost', row };
+}
--- /dev/null
+++ b/src/domain/claim/index.ts
@@ -0,0 +1,15 @@
+export { buildClaim } from './buildClaim';
+export type { ClaimedRequest } from './buildClaim';
+export { chooseAcquireStep } from './chooseAcquireStep';
+export { chooseTakeOverStep } from './chooseTakeOverStep';
+export { chooseUpdateStep } from './chooseUpdateStep';
+export type { ClaimChange } from './chooseUpdateStep';
+export { computeClaimExpiryS } from './computeClaimExpiryS';
+export { decodeAnswer } from './decodeAnswer';
+export type { MalformedAnswer } from './decodeAnswer';
+export { decodeClaim } from './decodeClaim';
+export type { MalformedClaim } from './decodeClaim';
+export { encodeAnswer } from './encodeAnswer';
+export { encodeClaim } from './encodeClaim';
+export { CLOCK_SKEW_S, isReplaceable } from './isReplaceable';
+export type * from './types';
--- /dev/null
+++ b/src/domain/claim/types/index.ts
@@ -0,0 +1,3 @@
+export type { ClaimReply, StoredClaim } from './ClaimReply';
+export type { ClaimSeed } from './ClaimSeed';
+export type { ClaimStep } from './ClaimStep';
