Add diff, apply, history and rollback to the operator's tool

Cause: configurations could be checked but not put into force. Ruled out: taking the newest version as the expected one, by which an operator whose folder is older than another's accepted change would undo it unseen (test).

--- a/src/application/configuration/index.ts
+++ b/src/application/configuration/index.ts
@@ -9,3 +9,10 @@
 export { readNewestRow } from './readNewestRow';
 export { readVersionRow } from './readVersionRow';
 export type { ApplyError, ApplyRequest, ConfigurationStoreError } from './types';
+export { waitForVersion } from './waitForVersion';
+export type {
+  AwaitedVm,
+  LaggingVm,
+  VersionProgress,
+  WaitForVersionDependencies,
+} from './waitForVersion';
--- /dev/null
+++ b/src/programs/jackdaw/commands/WritingCommand.ts
@@ -0,0 +1,77 @@
+import { Option } from 'clipanion';
+import { waitForVersion, type VersionProgress } from '../../../application/configuration';
+import type { ConfigurationRow } from '../../../domain/configuration';
+import { readVersionAt } from '../readVersionAt';
+import { ExitCode, type OperatorPlatform } from '../types';
+import { PlatformCommand } from './PlatformCommand';
+
+const MS_PER_S = 1_000;
+/** Lagging VMs named on the progress line; the rest is counted. */
+const MAX_NAMED_VMS = 5;
+
+function renderProgress({ version, vmsTotal, lagging, elapsedMs }: VersionProgress): string {
+  const inForce = vmsTotal - lagging.length;
+  const named = lagging
+    .slice(0, MAX_NAMED_VMS)
+    .map((held) => `${held.vm} (${held.version === null ? 'no answer' : `at ${held.version}`})`);
+  const more = lagging.length - named.length;
+  const names = [...named, ...(more > 0 ? [`${more} more`] : [])].join(', ');
+  const seconds = (elapsedMs / MS_PER_S).toFixed(1);
+  return `version ${version}: in force at ${inForce} of ${vmsTotal} VMs after ${seconds} s${
+    names === '' ? '' : `; waiting for ${names}`
+  }`;
+}
+
+/** Base of the commands that write a version. */
+export abstract class WritingCommand extends PlatformCommand {
+  comment = Option.String('--comment', '', { description: 'Kept in the history.' });
+
+  wait = Option.Boolean('--wait', false, {
+    description: 'Wait until the version is in force on every VM.',
+  });
+
+  waitSeconds = Option.String('--wait-seconds', '30', {
+    description: 'Bound on the wait; exit code 5 if VMs lag by then.',
+  });
+
+  json = Option.Boolean('--json', false, { description: 'Print one JSON object.' });
+
+  /** Gives the bound on the wait in milliseconds; null, with a note, if the option is bad. */
+  protected readWaitMs(): number | null {
+    const seconds = this.parseWholeNumber('--wait-seconds', this.waitSeconds, 1);
+    return seconds === null ? null : seconds * MS_PER_S;
+  }
+
+  /** Reports the accepted version and, if asked for, waits until it is in force. */
+  protected async finish(platform: OperatorPlatform, row: ConfigurationRow): Promise<ExitCode> {
+    if (!this.json) {
+      this.writeLine(`applied version ${row.version} (apply id ${row.applyId})`);
+    }
+    const lagging = this.wait ? await this.waitUntilInForce(platform, row.version) : null;
+    if (this.json) {
+      const { version, applyId } = row;
+      this.writeJson({ version, applyId, ...(lagging === null ? {} : { lagging }) });
+    }
+    return lagging === null || lagging.length === 0 ? ExitCode.Ok : ExitCode.Lagging;
+  }
+
+  private async waitUntilInForce(
+    platform: OperatorPlatform,
+    version: number,
+  ): Promise<readonly string[]> {
+    const { clock, calls, listEntryVms } = platform;
+    const waited = await waitForVersion(
+      { clock, listVms: listEntryVms, readVersionAt: (address) => readVersionAt(calls, address) },
+      version,
+      {
+        timeoutMs: this.readWaitMs() ?? 0,
+        onProgress: (progress) => this.writeProgress(renderProgress(progress)),
+      },
+    );
+    this.endProgress();
+    return waited.match(
+      () => [],
+      ({ lagging, vmsTotal }) => (vmsTotal === 0 ? ['(no VM known)'] : lagging.map(({ vm }) => vm)),
+    );
+  }
+}
--- a/src/programs/jackdaw/commands/index.ts
+++ b/src/programs/jackdaw/commands/index.ts
@@ -1,4 +1,14 @@
+import { ApplyCommand } from './ApplyCommand';
 import { CheckCommand } from './CheckCommand';
+import { DiffCommand } from './DiffCommand';
+import { HistoryCommand } from './HistoryCommand';
+import { RollbackCommand } from './RollbackCommand';
 
 /** Every command of `jackdaw`, in the order in which `--help` lists them. */
-export const COMMANDS = [CheckCommand] as const;
+export const COMMANDS = [
+  CheckCommand,
+  DiffCommand,
+  ApplyCommand,
+  HistoryCommand,
+  RollbackCommand,
+] as const;
--- /dev/null
+++ b/src/programs/jackdaw/readOperatorSettings/index.ts
@@ -0,0 +1,56 @@
+import { err, ok, type Result } from 'neverthrow';
+import { ProblemKind, readSettingsFile, type ConfigurationProblem } from '../../../adapters/toml';
+import { OperatorSettingsSchema, type OperatorSettings } from '../types';
+
+type Environment = Readonly<Record<string, string | undefined>>;
+
+/** Builds what a settings file would hold from the environment's variables. */
+function buildDocument(environment: Environment): unknown {
+  const vmListEndpoint = environment.JACKDAW_VM_LIST_ENDPOINT;
+  const peers = environment.JACKDAW_PEERS;
+  return {
+    table: {
+      endpoint: environment.JACKDAW_TABLE_ENDPOINT,
+      name: environment.JACKDAW_TABLE_NAME ?? 'jackdaw',
+      region: environment.JACKDAW_REGION,
+      access_key_id: environment.JACKDAW_ACCESS_KEY_ID,
+      secret_access_key: environment.JACKDAW_SECRET_ACCESS_KEY,
+    },
+    vm_list: vmListEndpoint === undefined ? undefined : { endpoint: vmListEndpoint },
+    peers: peers === undefined ? undefined : { addresses: peers.split(',') },
+  };
+}
+
+function readEnvironment(
+  environment: Environment,
+): Result<OperatorSettings, readonly ConfigurationProblem[]> {
+  const parsed = OperatorSettingsSchema.safeParse(buildDocument(environment));
+  return parsed.success
+    ? ok(parsed.data)
+    : err(
+        parsed.error.issues.map(({ path, message }) => ({
+          kind: ProblemKind.Invalid,
+          file: 'environment (no --settings FILE, no JACKDAW_SETTINGS)',
+          line: 0,
+          key: path.map(String).join('.'),
+          reason: message,
+        })),
+      );
+}
+
+/**
+ * Reads the operator's settings.
+ *
+ * @param file - settings file; empty: the one that `JACKDAW_SETTINGS` names, or else the variables
+ *   `JACKDAW_TABLE_ENDPOINT`, `JACKDAW_TABLE_NAME`, `JACKDAW_REGION`, `JACKDAW_ACCESS_KEY_ID`,
+ *   `JACKDAW_SECRET_ACCESS_KEY`, `JACKDAW_VM_LIST_ENDPOINT`, `JACKDAW_PEERS`
+ */
+export async function readOperatorSettings(
+  file: string,
+  environment: Environment,
+): Promise<Result<OperatorSettings, readonly ConfigurationProblem[]>> {
+  const named = file === '' ? (environment.JACKDAW_SETTINGS ?? '') : file;
+  return named === ''
+    ? readEnvironment(environment)
+    : readSettingsFile(named, OperatorSettingsSchema);
+}
