Add the scenario language, its runner, and pages around it

Cause: nothing ran the real binaries together or showed a promise kept. Ruled out: steps by time (a verdict that depends on the machine); a cluster simulator (the users ask for none). Change: tools/scenario reads TOML with smol-toml and zod, starts binaries and stand-ins as processes on 127.0.0.1, waits for events, signals by process handle; handlers of steps and expectations are tables. scripts/build.mjs bundles the stand-ins.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,6 +8,9 @@
   jackdaw: 'src/programs/jackdaw/main.ts',
   'jackdaw-demo': 'tools/demo/main.ts',
   client: 'client/index.ts',
+  'standin-engine': 'standins/engine/main.ts',
+  'standin-plain': 'standins/plain/main.ts',
+  'standin-platform': 'standins/platform/main.ts',
 }).filter(([, file]) => existsSync(file));
 
 await build({
--- /dev/null
+++ b/tools/scenario/main.ts
@@ -0,0 +1,58 @@
+// Runs the scenarios of tests/scenarios, or those whose names contain an argument.
+import { readdir } from 'node:fs/promises';
+import { join } from 'node:path';
+import { readKnownRed } from './readKnownRed';
+import { readScenarioFile } from './readScenarioFile';
+import { runScenario } from './runScenario';
+import type { Verdict } from './types';
+
+const FOLDER = 'tests/scenarios';
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const PARALLEL = 4;
+
+const runFile = async (file: string): Promise<Verdict> => {
+  const read = await readScenarioFile(join(FOLDER, file));
+  return read.isOk()
+    ? runScenario(read.value)
+    : { name: file, faults: [read.error], tookMs: 0, logs: '' };
+};
+
+const print = (line: string): void => {
+  process.stdout.write(`${line}\n`);
+};
+
+const filters = process.argv.slice(2);
+const knownRed = await readKnownRed(KNOWN_RED_FILE);
+const files = (await readdir(FOLDER).catch(() => []))
+  .filter((file) => file.endsWith('.scenario.toml'))
+  .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
+  .sort();
+
+let passed = 0;
+let failed = 0;
+const printVerdict = ({ name, faults, tookMs, logs }: Verdict): void => {
+  const took = `${Math.round(tookMs)} ms`;
+  if (faults.length === 0) {
+    passed += 1;
+    print(`ok     ${name} (${took})`);
+    return;
+  }
+  const red = knownRed.find((known) => known.name === name);
+  if (red !== undefined) {
+    print(`known  ${red.line} (${took}): ${faults.join('; ')}`);
+    return;
+  }
+  failed += 1;
+  print(`FAILED ${name} (${took}): ${faults.join('; ')}`);
+  print(logs);
+};
+
+const pending = [...files];
+const runPending = async (): Promise<void> => {
+  for (let file = pending.shift(); file !== undefined; file = pending.shift()) {
+    printVerdict(await runFile(file));
+  }
+};
+await Promise.all(Array.from({ length: PARALLEL }, runPending));
+print(`${passed} passed, ${failed} failed`);
+process.exitCode = failed > 0 || files.length === 0 ? 1 : 0;
--- /dev/null
+++ b/tools/scenario/parseCondition/index.ts
@@ -0,0 +1,44 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { Condition } from '../types';
+
+type Groups = Readonly<Record<string, string>>;
+
+const named = (kind: 'end' | 'route' | 'exit' | 'ready' | 'unready') => ({
+  pattern: new RegExp(`^${kind} of (?<name>\\S+)$`, 'u'),
+  build: ({ name = '' }: Groups): Condition => ({ kind, name }),
+});
+
+const FORMS = [
+  {
+    pattern: /^token (?<count>\d+) of (?<name>\S+)$/u,
+    build: ({ count, name = '' }: Groups): Condition => ({
+      kind: 'token',
+      count: Number(count),
+      name,
+    }),
+  },
+  {
+    pattern: /^log "(?<text>[^"]+)" of (?<name>\S+)$/u,
+    build: ({ text = '', name = '' }: Groups): Condition => ({ kind: 'log', text, name }),
+  },
+  named('end'),
+  named('route'),
+  named('exit'),
+  named('ready'),
+  named('unready'),
+];
+
+/**
+ * Parses the event that a step waits for.
+ *
+ * @example
+ * parseCondition('token 40 of review-1');
+ */
+export function parseCondition(text: string): Result<Condition, string> {
+  const found = FORMS.flatMap(({ pattern, build }) => {
+    const groups = pattern.exec(text)?.groups;
+    return groups === undefined ? [] : [build(groups)];
+  });
+  const [condition] = found;
+  return condition === undefined ? err(`no such event: "${text}"`) : ok(condition);
+}
--- /dev/null
+++ b/tools/scenario/runScenario/index.ts
@@ -0,0 +1,87 @@
+import { createEventBoard } from '../createEventBoard';
+import { createExpectationHandlers } from '../createExpectationHandlers';
+import { createStepHandlers } from '../createStepHandlers';
+import { readDecisions } from '../readDecisions';
+import { createDeployment } from '../createDeployment';
+import { waitForCondition } from '../_lib/waitForCondition';
+import type { Deployment, Expectation, RunContext, ScenarioFile, Step, Verdict } from '../types';
+
+const LOG_LINES_SHOWN = 40;
+
+const runSteps = async (context: RunContext): Promise<void> => {
+  const handlers = createStepHandlers();
+  for (const step of context.scenario.step) {
+    await waitForCondition(context, step.when);
+    if (context.stopped()) return;
+    const run = handlers[step.do] as (step: Step, context: RunContext) => Promise<void> | void;
+    await run(step, context);
+  }
+  await Promise.all(context.running);
+};
+
+const checkExpectations = async (context: RunContext): Promise<readonly string[]> => {
+  const handlers = createExpectationHandlers();
+  const faults: string[] = [];
+  for (const expectation of context.scenario.expect) {
+    const check = handlers[expectation.that] as (
+      expectation: Expectation,
+      context: RunContext,
+    ) => Promise<readonly string[]> | readonly string[];
+    faults.push(...(await check(expectation, context)));
+  }
+  return faults;
+};
+
+const renderLogs = (deployment: Deployment): string =>
+  deployment.started
+    .flatMap((child) => [
+      `--- ${child.name} (${child.exit() ?? 'running'})`,
+      ...child.lines.slice(-LOG_LINES_SHOWN),
+    ])
+    .join('\n');
+
+/** Rejects after the scenario's own limit: only to fail, never to go on. */
+const startLimit = (timeoutMs: number): { readonly over: Promise<never>; stop: () => void } => {
+  let timer: NodeJS.Timeout;
+  const over = new Promise<never>((_resolve, reject) => {
+    timer = setTimeout(() => reject(new Error(`not over after ${timeoutMs} ms`)), timeoutMs);
+  });
+  return { over, stop: () => clearTimeout(timer) };
+};
+
+/** Runs one scenario on real processes and ends them all. */
+export async function runScenario({ name, scenario }: ScenarioFile): Promise<Verdict> {
+  const startedMs = performance.now();
+  const board = createEventBoard();
+  const limit = startLimit(scenario.timeout_ms);
+  const deployment = createDeployment(scenario, board);
+  let stopped = false;
+  let step = 'start';
+  const run = async (): Promise<readonly string[]> => {
+    await deployment.start();
+    const context: RunContext = {
+      scenario,
+      deployment,
+      board,
+      callers: new Map(),
+      running: [],
+      stopped: () => stopped,
+      listDecisions: () => deployment.started.flatMap(readDecisions),
+    };
+    step = 'steps';
+    await runSteps(context);
+    step = 'expectations';
+    return checkExpectations(context);
+  };
+  let faults: readonly string[];
+  try {
+    faults = await Promise.race([run(), limit.over]);
+  } catch (error) {
+    faults = [`${step}: ${error instanceof Error ? error.message : String(error)}`];
+  }
+  stopped = true;
+  limit.stop();
+  const logs = faults.length > 0 ? renderLogs(deployment) : '';
+  await deployment.stop();
+  return { name, faults, tookMs: performance.now() - startedMs, logs };
+}
--- /dev/null
+++ b/tools/scenario/sendGeneration/index.ts
@@ -0,0 +1,86 @@
+import { GenerationLostError, streamGeneration } from '../../../client';
+import { followEvents } from '../_lib/followEvents';
+import { CUT, readAnswer } from '../_lib/readAnswer';
+import type { Caller, CallerConnection } from '../types';
+
+/** Bearer key of the workspace that scenarios use. */
+export const SCENARIO_KEY = 'scenario-key';
+
+interface WireRequest {
+  readonly url: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Null: a GET. */
+  readonly body: unknown;
+}
+
+const sendRequest = async (
+  { url, headers, body }: WireRequest,
+  connection: CallerConnection,
+): Promise<void> => {
+  try {
+    const response = await fetch(url, {
+      method: body === null ? 'GET' : 'POST',
+      headers: { ...headers, 'Content-Type': 'application/json' },
+      body: body === null ? null : JSON.stringify(body),
+      signal: connection.abort.signal,
+    });
+    const type = response.headers.get('content-type') ?? '';
+    const isStream = response.ok && type.startsWith('text/event-stream');
+    connection.recordEnd(
+      isStream ? await followEvents(response, connection) : await readAnswer(response),
+    );
+  } catch {
+    connection.recordEnd(CUT);
+  }
+};
+
+/** Sends the caller's request to one entry as a plain HTTP client does, and follows the answer. */
+export function sendGeneration(caller: Caller, baseUrl: string): Promise<void> {
+  const { path, headers, body } = caller.request;
+  return sendRequest({ url: `${baseUrl}${path}`, headers, body }, caller.startConnection());
+}
+
+/**
+ * Comes back to an entry with the last cursor.
+ *
+ * @param options.prefix - true: gives the received tokens and the request too
+ */
+export function resumeGeneration(
+  caller: Caller,
+  baseUrl: string,
+  options: { readonly prefix: boolean },
+): Promise<void> {
+  const { batches, tokenIds } = caller.readState();
+  const last = batches.at(-1);
+  const request = {
+    url: `${baseUrl}/v1/generations/${last?.generationId ?? 'none'}/events`,
+    headers: { ...caller.request.headers, 'Last-Event-ID': last?.cursor ?? '' },
+    body: options.prefix ? { prefix_token_ids: tokenIds, request: caller.request.body } : null,
+  };
+  return sendRequest(request, caller.startConnection());
+}
+
+/** Streams the caller's request with the published client over all entries given. */
+export async function streamWithClient(caller: Caller, baseUrls: readonly string[]): Promise<void> {
+  const { headers, body } = caller.request;
+  const connection = caller.startConnection();
+  try {
+    const batches = streamGeneration({
+      baseUrls,
+      apiKey: SCENARIO_KEY,
+      body,
+      headers,
+      idleTimeoutMs: 2000,
+      idempotencyKey: caller.request.name,
+      signal: connection.abort.signal,
+    });
+    for await (const batch of batches) {
+      connection.recordBatch({ ...batch, finishReason: batch.finishReason ?? '' });
+    }
+    connection.recordEnd({ ...CUT, kind: 'finished' });
+  } catch (error) {
+    const lost = error instanceof GenerationLostError ? error : null;
+    const runState = lost?.runState ?? '';
+    connection.recordEnd({ ...CUT, kind: 'failed', code: lost?.code ?? 'client_error', runState });
+  }
+}
--- /dev/null
+++ b/tools/scenario/types/Condition.ts
@@ -0,0 +1,13 @@
+/** Event that a step waits for. */
+export type Condition =
+  /** The caller has received so many tokens. */
+  | { readonly kind: 'token'; readonly count: number; readonly name: string }
+  /** The caller's work has ended, whole or not. */
+  | { readonly kind: 'end'; readonly name: string }
+  /** An entry has logged the choice of a backend server for the caller's request. */
+  | { readonly kind: 'route'; readonly name: string }
+  | { readonly kind: 'exit'; readonly name: string }
+  | { readonly kind: 'ready'; readonly name: string }
+  | { readonly kind: 'unready'; readonly name: string }
+  /** The process has logged a line that contains the text. */
+  | { readonly kind: 'log'; readonly text: string; readonly name: string };
--- /dev/null
+++ b/tools/scenario/types/index.ts
@@ -0,0 +1,17 @@
+export type { Condition } from './Condition';
+export type {
+  Caller,
+  CallerBatch,
+  CallerConnection,
+  CallerEnd,
+  CallerRequest,
+  CallerState,
+} from './Caller';
+export type { Child } from './Child';
+export type { Decision } from './Decision';
+export type { Deployment } from './Deployment';
+export type { EventBoard } from './EventBoard';
+export type { RunContext } from './RunContext';
+export type { Expectation, Scenario, ScenarioFile, Step } from './Scenario';
+export { scenarioSchema } from './Scenario';
+export type { Verdict } from './Verdict';
