Run generations that survive the loss of engines, connections and entries

Run generations that survive the loss of engines, callers' connections and entries

A pure transition (updateGeneration) decides each step; the application runs its effects: same stream first, then another engine from the tokens held. Attempts are numbered; what a late attempt or an old connection sends is dropped. Keyed and non-idempotent requests claim first; repeats attach, replay or take over. Silence is found by limits from the stream's own gaps, looked at by one shared timer. Latency mode starts the replacement on suspicion, thrift on confirmation. Ruled out: DELETE of an engine's stream when a generation expires or its claim is lost, as another VM may be reading it (a paused entry would cut its successor). Tests: kill, cut, freeze in both modes with engines in memory. Not measured yet.

--- /dev/null
+++ b/src/application/generations/_lib/buildClaimedRun/index.ts
@@ -0,0 +1,31 @@
+import type { ClaimedRequest, GenerationRun, GenerationsContext } from '../../types';
+import { buildInitialChain } from '../buildInitialChain';
+import { buildRun, type TakenStream } from '../buildRun';
+
+/**
+ * Builds the run of a claimed request from its first token on.
+ *
+ * @param context - Generations of this VM.
+ * @param claimed - Request.
+ * @param start - Id, and the engine's stream that is taken over if there is one.
+ * @returns Run; the caller holds it in the store.
+ */
+export const buildClaimedRun = (
+  context: GenerationsContext,
+  { request }: ClaimedRequest,
+  start: {
+    readonly generationId: string;
+    readonly taken: TakenStream | null;
+    readonly newestAttempt: number;
+  },
+): GenerationRun =>
+  buildRun(context, {
+    ...start,
+    workspace: request.workspace,
+    service: request.service,
+    request,
+    chain: buildInitialChain(request, start.generationId),
+    missing: 0,
+    prefixTokenIds: [],
+    keyed: true,
+  });
--- /dev/null
+++ b/src/application/generations/_lib/buildError/index.ts
@@ -0,0 +1,58 @@
+import { RunState } from '../../../../domain/types';
+import type { GenerationError } from '../../../ports';
+
+/** Errors that callers get before any run is attached to. */
+const ERRORS = {
+  unknown_service: { status: 404, runState: RunState.NotRun, message: 'no such service' },
+  store_unavailable: {
+    status: 503,
+    runState: RunState.NotRun,
+    message: 'the claim store is not available, so nothing was sent',
+  },
+  idempotency_key_reused: {
+    status: 422,
+    runState: RunState.NotRun,
+    message: 'the idempotency key was used for another request',
+  },
+  run_state_unknown: {
+    status: 409,
+    runState: RunState.Unknown,
+    message: 'the request was claimed before and may have run; it is not run again',
+  },
+  answer_unavailable: {
+    status: 503,
+    runState: RunState.Ran,
+    message: 'the request has run, but its stored answer cannot be read now',
+  },
+  answer_expired: {
+    status: 410,
+    runState: RunState.Ran,
+    message: 'the request has run, and its answer is no longer kept',
+  },
+  prefix_mismatch: {
+    status: 409,
+    runState: RunState.Ran,
+    message: 'request and prefix are not those of the cursor',
+  },
+  generation_lost: {
+    status: 410,
+    runState: RunState.Ran,
+    message: 'no copy of the generation is left: send the request and the tokens received',
+  },
+  caller_gone: { status: 499, runState: RunState.Unknown, message: 'the caller went away' },
+} as const;
+
+/** Codes of these errors. */
+export type ErrorCode = keyof typeof ERRORS;
+
+/**
+ * Builds the error of a code.
+ *
+ * @param code - Code as the caller gets it.
+ * @param options.retryAfterMs - When to come back, in milliseconds; 0 if that cannot help.
+ * @returns Error.
+ */
+export const buildError = (
+  code: ErrorCode,
+  options: { readonly retryAfterMs?: number } = {},
+): GenerationError => ({ code, ...ERRORS[code], retryAfterMs: options.retryAfterMs ?? 0 });
--- /dev/null
+++ b/src/application/generations/_lib/computeAttemptLimits/index.ts
@@ -0,0 +1,52 @@
+import {
+  computePrefillLimitMs,
+  computeSilenceLimitMs,
+  type FirstTokenSample,
+  type SilenceLimits,
+} from '../../../../domain/detection';
+import { AttemptPhase } from '../../../../domain/generation';
+import type { AttemptHandle } from '../../types';
+
+/** What the limits of one attempt follow from. */
+export interface LimitOptions {
+  readonly firstTokens: readonly FirstTokenSample[];
+  readonly promptCharacters: number;
+  readonly serverDead: boolean;
+}
+
+/** Kept tokens come at once when a stream is read again, so a connection's limits are enough. */
+const RESUME_LIMITS: SilenceLimits = { suspectMs: 250, confirmMs: 500 };
+
+const NO_LIMITS: SilenceLimits = { suspectMs: Infinity, confirmMs: Infinity };
+
+type Compute = (handle: AttemptHandle, options: LimitOptions) => SilenceLimits;
+
+const LIMITS: Readonly<Record<AttemptPhase, Compute>> = {
+  [AttemptPhase.Opening]: () => NO_LIMITS,
+  [AttemptPhase.Prefill]: (_handle, { firstTokens, promptCharacters, serverDead }) =>
+    computePrefillLimitMs(firstTokens, promptCharacters, { serverDead }),
+  [AttemptPhase.Streaming]: (handle, { serverDead }) =>
+    computeSilenceLimitMs(handle.gaps, { serverDead }),
+  [AttemptPhase.Resuming]: (handle) => {
+    if (handle.gaps.count === 0) return RESUME_LIMITS;
+    const own = computeSilenceLimitMs(handle.gaps, { serverDead: false });
+    return {
+      suspectMs: Math.max(RESUME_LIMITS.suspectMs, own.suspectMs),
+      confirmMs: Math.max(RESUME_LIMITS.confirmMs, own.confirmMs),
+    };
+  },
+};
+
+/**
+ * Computes how long an attempt may be silent in its phase.
+ *
+ * @param phase - Phase of the attempt.
+ * @param handle - Its figures.
+ * @param options - Figures of its service and evidence against its server.
+ * @returns Limits in milliseconds.
+ */
+export const computeAttemptLimits = (
+  phase: AttemptPhase,
+  handle: AttemptHandle,
+  options: LimitOptions,
+): SilenceLimits => LIMITS[phase](handle, options);
--- /dev/null
+++ b/src/application/generations/_lib/convertEngineError/index.ts
@@ -0,0 +1,40 @@
+import type { GenerationInput, Reader } from '../../../../domain/generation';
+import type { EngineError } from '../../../ports';
+
+/** Reasons of the engine client that mean that no connection could be made. */
+const STATUS_PREFIX = 'status ';
+
+type Converters = {
+  readonly [Kind in EngineError['kind']]: (
+    error: Extract<EngineError, { kind: Kind }>,
+    reader: Reader,
+  ) => GenerationInput;
+};
+
+const CONVERTERS: Converters = {
+  'not-started': (error, reader) => ({
+    kind: 'not-started',
+    reader,
+    refused: !error.reason.startsWith(STATUS_PREFIX),
+  }),
+  broken: (_error, reader) => ({ kind: 'broken', reader }),
+  'stream-gone': (_error, reader) => ({ kind: 'stream-gone', reader }),
+  rejected: ({ status, message }, reader) => ({ kind: 'rejected', reader, status, message }),
+  'stale-order': (_error, reader) => ({ kind: 'broken', reader }),
+  cancelled: (_error, reader) => ({ kind: 'broken', reader }),
+};
+
+/**
+ * Converts an error of the engine client to what happened to the generation.
+ *
+ * @param error - Error of a call or a stream.
+ * @param reader - Attempt and connection that it came from.
+ * @returns Input of the generation.
+ */
+export const convertEngineError = (error: EngineError, reader: Reader): GenerationInput => {
+  const convert = CONVERTERS[error.kind] as (
+    converted: EngineError,
+    from: Reader,
+  ) => GenerationInput;
+  return convert(error, reader);
+};
--- /dev/null
+++ b/src/application/generations/_lib/createClaimedStart/index.ts
@@ -0,0 +1,72 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import type { GenerationRequest } from '../../../../domain/types';
+import type { GenerationError, GenerationFeed } from '../../../ports';
+import type { ClaimedGeneration, GenerationsContext } from '../../types';
+import { buildError } from '../buildError';
+import { buildInitialChain } from '../buildInitialChain';
+import { claimGeneration } from '../claimGeneration';
+import { openFeed } from '../openFeed';
+import { relayGeneration } from '../relayGeneration';
+import { resumeHeld } from '../resumeHeld';
+
+type Feed = Result<GenerationFeed, GenerationError>;
+type Claimed = Result<ClaimedGeneration, GenerationError>;
+
+const computeKeyDigest = ({ idempotencyKey, requestId }: GenerationRequest): string =>
+  createHash('sha256')
+    .update(idempotencyKey || requestId)
+    .digest('hex');
+
+/**
+ * Creates the start of requests that need a claim: keyed or non-idempotent ones.
+ *
+ * @param context - Generations of this VM.
+ * @returns Function that starts such a request or attaches to the generation it already has.
+ */
+export const createClaimedStart = (
+  context: GenerationsContext,
+): ((request: GenerationRequest, signal: AbortSignal) => Promise<Feed>) => {
+  const claiming = new Map<string, Promise<Claimed>>();
+
+  const claim = async (request: GenerationRequest, keyDigest: string): Promise<Claimed> => {
+    const name = `${request.workspace}#${keyDigest}`;
+    // Two POSTs of one key at this VM: the second waits for the first one's claim, and is looked
+    // at again after it, as its body may be another one.
+    await claiming.get(name);
+    const held = context.store.findByKey(request.workspace, keyDigest);
+    if (held && !held.readFailure()) {
+      return held.request?.digest === request.digest
+        ? ok({ kind: 'run', run: held })
+        : err(buildError('idempotency_key_reused'));
+    }
+    const claimed = claimGeneration(context, { request, keyDigest });
+    claiming.set(name, claimed);
+    const outcome = await claimed;
+    if (claiming.get(name) === claimed) claiming.delete(name);
+    return outcome;
+  };
+
+  const start = async (request: GenerationRequest, signal: AbortSignal): Promise<Feed> => {
+    const claimed = await claim(request, computeKeyDigest(request));
+    if (claimed.isErr()) return err(claimed.error);
+    if (claimed.value.kind === 'run') return openFeed(claimed.value.run, 0, signal);
+    const { feed, row } = claimed.value;
+    const relayed = relayGeneration(feed, {
+      clock: context.dependencies.clock,
+      offset: 0,
+      chain: buildInitialChain(request, row.generationId),
+      resumeElsewhere: (cursor, prefixTokenIds) =>
+        cursor
+          ? resumeHeld(
+              context,
+              { requestId: request.requestId, cursor, prefixTokenIds, request },
+              signal,
+            )
+          : start(request, signal),
+    });
+    return ok(relayed);
+  };
+
+  return start;
+};
--- /dev/null
+++ b/src/application/generations/_lib/createRun/index.ts
@@ -0,0 +1,125 @@
+import {
+  updateGeneration,
+  type GenerationEffect,
+  type GenerationInput,
+  type GenerationState,
+} from '../../../../domain/generation';
+import { RunState } from '../../../../domain/types';
+import type { GenerationError } from '../../../ports';
+import type { AttemptHandle, GenerationRun, RunContext } from '../../types';
+import { buildAnswer } from '../buildAnswer';
+import { closeAttempt } from '../closeAttempt';
+import { createFeed } from '../createFeed';
+import { createInputQueue } from '../createInputQueue';
+import { createNotifier } from '../createNotifier';
+import { runEffect, type AttemptEffect } from '../runEffect';
+
+/** A run's part of the context, without what the run itself provides. */
+export type RunOptions = Omit<RunContext, 'handles' | 'readState' | 'dispatch'>;
+
+/**
+ * Creates a run: the one place where a generation's state lives. Each input goes through the pure
+ * transition, and its effects are run in order before the next input is looked at.
+ *
+ * @param options - What the run works with.
+ * @param firstState - State to begin with.
+ * @param taken - Handle of an engine's stream that is taken over, if any.
+ * @returns Run that waits for its `started` input.
+ */
+export const createRun = (
+  options: RunOptions,
+  firstState: GenerationState,
+  taken: AttemptHandle | null = null,
+): GenerationRun => {
+  const { clock } = options.dependencies;
+  const { log } = options;
+  const notifier = createNotifier();
+  const handles = new Map<number, AttemptHandle>(taken ? [[taken.attempt, taken]] : []);
+  const queue = createInputQueue<GenerationInput>();
+  let state = firstState;
+  let failure: GenerationError | null = null;
+  let leader: AttemptHandle | null = taken;
+  let idleSinceMs: number | null = clock.readMonotonicMs();
+  let retryAtMs: number | null = null;
+  let hasStarted = false;
+
+  const context: RunContext = {
+    ...options,
+    handles,
+    readState: () => state,
+    dispatch: queue.push,
+  };
+
+  const isEnded = (): boolean => state.phase === 'finished' || state.phase === 'failed';
+
+  const deliver = (effect: Extract<GenerationEffect, { kind: 'deliver' }>): void => {
+    log.append(effect.batch);
+    leader = handles.get(effect.attempt) ?? leader;
+    if (effect.batch.finishReason !== null) {
+      closeAttempt(context, effect.attempt, 'finished', { cancel: false });
+    }
+  };
+
+  const finish = (finishReason: string): void => {
+    const offset = log.readEndOffset();
+    const isMarked = log.readFinishReason() !== null;
+    if (!isMarked) log.append({ offset, tokenIds: [], text: '', finishReason });
+    options.claim.keeper?.recordEnd(buildAnswer(context), { ran: true });
+  };
+
+  const fail = (error: GenerationError): void => {
+    failure = error;
+    options.claim.keeper?.recordEnd(null, { ran: error.runState !== RunState.NotRun });
+  };
+
+  const runOne = (effect: GenerationEffect): void => {
+    if (effect.kind === 'deliver') deliver(effect);
+    else if (effect.kind === 'finish') finish(effect.finishReason);
+    else if (effect.kind === 'fail') fail(effect.failure);
+    else if (effect.kind === 'retry-later') retryAtMs = clock.readMonotonicMs() + effect.delayMs;
+    else runEffect(context, effect satisfies AttemptEffect);
+  };
+
+  const takeInput = (input: GenerationInput): void => {
+    if (input.kind === 'retry-due') retryAtMs = null;
+    const next = updateGeneration(state, input);
+    state = next.state;
+    next.effects.forEach(runOne);
+    const isFollowed = state.callers > 0 && !isEnded();
+    if (isFollowed) idleSinceMs = null;
+    else idleSinceMs ??= clock.readMonotonicMs();
+    if (next.effects.length > 0 || input.kind === 'caller-left') notifier.notify();
+  };
+
+  queue.setHandler(takeInput);
+
+  const run: GenerationRun = {
+    generationId: options.generationId,
+    workspace: options.workspace,
+    service: options.service,
+    request: options.request,
+    deadlineMs: options.deadlineMs,
+    log,
+    attempts: handles,
+    readState: () => state,
+    readFailure: () => failure,
+    readLeader: () => leader,
+    setClaimKeeper: (keeper) => Object.assign(options.claim, { keeper }),
+    isEnded,
+    readIdleSinceMs: () => idleSinceMs,
+    readRetryAtMs: () => retryAtMs,
+    start: () => {
+      if (!hasStarted) queue.push({ kind: 'started' });
+      hasStarted = true;
+    },
+    dispatch: queue.push,
+    waitForChange: notifier.wait,
+    attach: (offset) => {
+      const batchIndex = log.findBatch(offset);
+      const chain = log.computeChainAt(offset);
+      if (batchIndex === null || chain === null) return null;
+      return createFeed(run, { vm: options.dependencies.vm, batchIndex, offset, chain });
+    },
+  };
+  return run;
+};
--- /dev/null
+++ b/src/application/generations/_lib/holdClaim/index.ts
@@ -0,0 +1,16 @@
+import type { ClaimRow } from '../../../../domain/types';
+import type { GenerationRun, GenerationsContext } from '../../types';
+import { createClaimKeeper } from '../createClaimKeeper';
+
+/**
+ * Gives a run the claim under which it may be sent.
+ *
+ * @param context - Generations of this VM.
+ * @param run - Run of the claimed request.
+ * @param row - Claim as granted to this VM.
+ */
+export const holdClaim = (context: GenerationsContext, run: GenerationRun, row: ClaimRow): void => {
+  const { claims, clock } = context.dependencies;
+  const handleLost = (): void => run.dispatch({ kind: 'abandoned', reason: 'claim-lost' });
+  run.setClaimKeeper(createClaimKeeper({ claims, clock, handleLost }, row));
+};
--- /dev/null
+++ b/src/application/generations/_lib/readEnginePrefix/index.ts
@@ -0,0 +1,49 @@
+import type { GenerationsContext } from '../../types';
+import type { TakenStream } from '../buildRun';
+
+/** Kept tokens come at once; an engine that takes longer is better left to the silence limits. */
+const READ_TIMEOUT_MS = 400;
+
+const readTokens = async (
+  context: GenerationsContext,
+  { server, streamId }: TakenStream,
+  count: number,
+  signal: AbortSignal,
+): Promise<readonly number[] | null> => {
+  const opened = await context.dependencies.engineClient.resumeStream(server, streamId, 0);
+  if (opened.isErr()) return null;
+  const stream = opened.value;
+  signal.addEventListener('abort', () => stream.detach(), { once: true });
+  const tokenIds: number[] = [];
+  for await (const batch of stream.batches) {
+    if (batch.isErr() || signal.aborted) break;
+    tokenIds.push(...batch.value.tokenIds);
+    if (tokenIds.length >= count) break;
+  }
+  stream.detach();
+  return tokenIds;
+};
+
+/**
+ * Reads the first tokens of an engine's stream, as its new reader does not have them.
+ *
+ * @param context - Generations of this VM.
+ * @param taken - Stream to read.
+ * @param count - Tokens wanted.
+ * @returns At least so many tokens, fewer if the stream broke, or null if it cannot be read soon.
+ */
+export const readEnginePrefix = async (
+  context: GenerationsContext,
+  taken: TakenStream,
+  count: number,
+): Promise<readonly number[] | null> => {
+  const abort = new AbortController();
+  let stopTimer = (): void => undefined;
+  const timeout = new Promise<null>((resolve) => {
+    stopTimer = context.dependencies.clock.startTimer(READ_TIMEOUT_MS, () => resolve(null));
+  });
+  const tokens = await Promise.race([readTokens(context, taken, count, abort.signal), timeout]);
+  stopTimer();
+  abort.abort();
+  return tokens;
+};
--- /dev/null
+++ b/src/application/generations/_lib/readStream/index.ts
@@ -0,0 +1,62 @@
+import { updateGapStatistics } from '../../../../domain/detection';
+import type { Reader } from '../../../../domain/generation';
+import { BackendHealth, type TokenBatch } from '../../../../domain/types';
+import type { EngineStream } from '../../../ports';
+import type { AttemptHandle, RunContext } from '../../types';
+import { convertEngineError } from '../convertEngineError';
+
+const recordFirstToken = (context: RunContext, handle: AttemptHandle, nowMs: number): void => {
+  if (handle.firstTokenMs > 0 || !handle.slot || !context.request) return;
+  const firstTokenMs = Math.max(1, nowMs - handle.sentAtMs);
+  Object.assign(handle, { firstTokenMs });
+  const { promptCharacters } = context.request;
+  context.firstTokens.record(context.service, { promptCharacters, firstTokenMs });
+};
+
+const recordActivity = (context: RunContext, handle: AttemptHandle, batch: TokenBatch): void => {
+  const { clock, health } = context.dependencies;
+  const nowMs = clock.readMonotonicMs();
+  if (batch.tokenIds.length > 0) {
+    recordFirstToken(context, handle, nowMs);
+    // The first gap is the prefill, and would make the stream's limit far too long.
+    const gaps =
+      handle.deliveredTokens > 0
+        ? updateGapStatistics(handle.gaps, nowMs - handle.lastActivityMs)
+        : handle.gaps;
+    const deliveredTokens = handle.deliveredTokens + batch.tokenIds.length;
+    Object.assign(handle, { gaps, deliveredTokens });
+  }
+  Object.assign(handle, { lastActivityMs: nowMs });
+  const server = handle.server?.name ?? '';
+  const state = health.readHealth(server);
+  // Tokens are better evidence than any peer's suspicion: it may be the peer that is cut off.
+  if (state === BackendHealth.Suspected || state === BackendHealth.Dead) {
+    health.recordRecovery(server);
+  }
+};
+
+/**
+ * Reads a stream until it ends and passes on what arrives.
+ *
+ * @param context - Run that the stream belongs to.
+ * @param handle - Attempt that the stream belongs to.
+ * @param reader - Connection over which it is read.
+ * @param stream - Stream to read.
+ */
+export const readStream = async (
+  context: RunContext,
+  handle: AttemptHandle,
+  reader: Reader,
+  stream: EngineStream,
+): Promise<void> => {
+  for await (const result of stream.batches) {
+    if (result.isErr()) {
+      context.dispatch(convertEngineError(result.error, reader));
+      return;
+    }
+    if (context.handles.get(reader.attempt) === handle && handle.stream === stream) {
+      recordActivity(context, handle, result.value);
+    }
+    context.dispatch({ kind: 'batch', reader, batch: result.value });
+  }
+};
--- /dev/null
+++ b/src/application/generations/index.ts
@@ -0,0 +1,2 @@
+export { createGenerations, type WatchedGenerations } from './createGenerations';
+export type { GenerationsDependencies } from './types';
--- /dev/null
+++ b/src/application/generations/types/GenerationsContext.ts
@@ -0,0 +1,15 @@
+import type { CancelQueue } from '../_lib/createCancelQueue';
+import type { FirstTokenHistory } from '../_lib/createFirstTokenHistory';
+import type { RunStore } from '../_lib/createRunStore';
+import type { GenerationsDependencies } from './GenerationsDependencies';
+import type { GenerationRun } from './GenerationRun';
+
+/** What the parts of the generations share. */
+export interface GenerationsContext {
+  readonly dependencies: GenerationsDependencies;
+  readonly cancelQueue: CancelQueue;
+  readonly firstTokens: FirstTokenHistory;
+  readonly store: RunStore;
+  /** Holds a run and keeps it under watch. */
+  addRun(run: GenerationRun, keyDigest?: string): void;
+}
--- /dev/null
+++ b/src/domain/detection/updateGapStatistics/index.ts
@@ -0,0 +1,26 @@
+import type { GapStatistics } from '../types';
+
+/** Weights of a new gap in mean and deviation, as TCP's retransmission timer has them (RFC 6298). */
+const MEAN_WEIGHT = 1 / 8;
+const DEVIATION_WEIGHT = 1 / 4;
+
+/** Figures of a stream without a gap so far. */
+export const NO_GAPS: GapStatistics = { count: 0, meanMs: 0, deviationMs: 0 };
+
+/**
+ * Updates a stream's figures with one more gap.
+ *
+ * @param statistics - Figures so far.
+ * @param gapMs - Time between two batches, in milliseconds.
+ * @returns New figures.
+ */
+export const updateGapStatistics = (statistics: GapStatistics, gapMs: number): GapStatistics => {
+  if (statistics.count === 0) return { count: 1, meanMs: gapMs, deviationMs: gapMs / 2 };
+  const difference = gapMs - statistics.meanMs;
+  return {
+    count: statistics.count + 1,
+    meanMs: statistics.meanMs + difference * MEAN_WEIGHT,
+    deviationMs:
+      statistics.deviationMs + (Math.abs(difference) - statistics.deviationMs) * DEVIATION_WEIGHT,
+  };
+};
--- /dev/null
+++ b/src/domain/generation/_lib/handleBatch/index.ts
@@ -0,0 +1,63 @@
+import type { TokenBatch } from '../../../types';
+import {
+  AttemptPhase,
+  type Attempt,
+  type GenerationInput,
+  type GenerationState,
+  type Transition,
+} from '../../types';
+import { findAttempt } from '../findAttempt';
+import { handleBreak } from '../handleBreak';
+
+const buildDelivered = (
+  state: GenerationState,
+  attempt: Attempt,
+  batch: TokenBatch,
+): GenerationState => ({
+  ...state,
+  phase: batch.finishReason === null ? state.phase : 'finished',
+  offset: state.offset + batch.tokenIds.length,
+  attempts:
+    batch.finishReason === null
+      ? [{ ...attempt, phase: AttemptPhase.Streaming, silence: 'none', fruitlessReads: 0 }]
+      : [],
+  excludedServers: [],
+  fruitlessAttempts: 0,
+  sent: true,
+});
+
+/**
+ * Takes a batch: the first attempt to deliver the next token goes on, all others are cancelled.
+ *
+ * @param state - Generation.
+ * @param input - Batch and where it came from.
+ * @returns The delivery; or the cancellation of a late attempt; or the break of one that skips.
+ */
+export const handleBatch = (
+  state: GenerationState,
+  input: Extract<GenerationInput, { kind: 'batch' }>,
+): Transition => {
+  const { reader, batch } = input;
+  const attempt = findAttempt(state, reader);
+  if (!attempt) {
+    const isGone = state.attempts.every((other) => other.attempt !== reader.attempt);
+    return {
+      state,
+      effects: isGone ? [{ kind: 'cancel-attempt', attempt: reader.attempt }] : [],
+    };
+  }
+  if (batch.offset !== state.offset) return handleBreak(state, { kind: 'broken', reader });
+  // An engine opens a stream with an event without tokens; it is a sign of life only.
+  if (batch.tokenIds.length === 0 && batch.finishReason === null) return { state, effects: [] };
+  const others = state.attempts.filter((other) => other !== attempt);
+  return {
+    state: buildDelivered(state, attempt, batch),
+    effects: [
+      ...others.map((other) => ({ kind: 'cancel-attempt', attempt: other.attempt }) as const),
+      { kind: 'deliver', attempt: attempt.attempt, batch },
+      ...(batch.finishReason === null
+        ? []
+        : [{ kind: 'finish', finishReason: batch.finishReason } as const]),
+    ],
+  };
+};
--- /dev/null
+++ b/src/domain/generation/_lib/handleNotStarted/index.ts
@@ -0,0 +1,28 @@
+import { SuspicionCause } from '../../../types';
+import type { GenerationEffect, GenerationInput, GenerationState, Transition } from '../../types';
+import { findAttempt } from '../findAttempt';
+import { replaceAttempt } from '../replaceAttempt';
+
+/**
+ * Handles an engine that refused before it began, or that cannot be connected to.
+ *
+ * @param state - Generation.
+ * @param input - Which attempt, and whether the connection itself was refused.
+ * @returns The next step; evidence against the server if it cannot be connected to.
+ */
+export const handleNotStarted = (
+  state: GenerationState,
+  input: Extract<GenerationInput, { kind: 'not-started' }>,
+): Transition => {
+  const attempt = findAttempt(state, input.reader);
+  if (!attempt) return { state, effects: [] };
+  const next = replaceAttempt(state, attempt);
+  if (!input.refused) return next;
+  const evidence: GenerationEffect = {
+    kind: 'suspect-server',
+    backendServer: attempt.backendServer,
+    cause: SuspicionCause.Refused,
+    confirmed: true,
+  };
+  return { state: next.state, effects: [evidence, ...next.effects] };
+};
--- /dev/null
+++ b/src/domain/generation/_lib/openAttempt/index.ts
@@ -0,0 +1,27 @@
+import { AttemptPhase, type Attempt, type GenerationState, type Transition } from '../../types';
+
+/**
+ * Opens the next attempt, under a higher number than any before it.
+ *
+ * @param state - Generation.
+ * @param purpose - What the slot is asked for.
+ * @returns State with the attempt, and the effect that opens it.
+ */
+export const openAttempt = (state: GenerationState, purpose: Attempt['purpose']): Transition => {
+  const attempt = state.newestAttempt + 1;
+  const reader = { attempt, connection: 0 };
+  const opened: Attempt = {
+    ...reader,
+    purpose,
+    phase: AttemptPhase.Opening,
+    backendServer: '',
+    silence: 'none',
+    fruitlessReads: 0,
+  };
+  const silent = state.attempts.map(({ backendServer }) => backendServer).filter(Boolean);
+  const excludedServers = [...new Set([...state.excludedServers, ...silent])];
+  return {
+    state: { ...state, newestAttempt: attempt, attempts: [...state.attempts, opened] },
+    effects: [{ kind: 'open-attempt', reader, purpose, excludedServers }],
+  };
+};
--- /dev/null
+++ b/src/domain/generation/types/GenerationState.ts
@@ -0,0 +1,33 @@
+import type { SurvivalMode } from '../../types';
+import type { Attempt } from './Attempt';
+
+/** What decides how a generation may be continued; fixed for its life. */
+export interface GenerationPolicy {
+  readonly mode: SurvivalMode;
+  /** False: once an engine may have begun, no other attempt is ever sent. */
+  readonly idempotent: boolean;
+  /** True: its answer is kept under a key, so it goes on without a caller. */
+  readonly keyed: boolean;
+  /** True: the request and every token from 0 are held here, so another engine can go on. */
+  readonly continuable: boolean;
+  readonly maxOutputTokens: number;
+}
+
+/** Everything that decides the next step of a generation; its tokens are held elsewhere. */
+export interface GenerationState {
+  readonly policy: GenerationPolicy;
+  readonly phase: 'running' | 'parked' | 'finished' | 'failed';
+  /** Tokens delivered, counted from the start of the generation. */
+  readonly offset: number;
+  /** Attempts that may deliver the next token; the oldest first. */
+  readonly attempts: readonly Attempt[];
+  /** Number of the newest attempt; numbers only grow. */
+  readonly newestAttempt: number;
+  /** Servers that failed since the last token. */
+  readonly excludedServers: readonly string[];
+  /** Attempts in a row that brought no token. */
+  readonly fruitlessAttempts: number;
+  /** True: an engine may have begun to run it. */
+  readonly sent: boolean;
+  readonly callers: number;
+}
--- /dev/null
+++ b/src/domain/generation/updateGeneration/index.ts
@@ -0,0 +1,111 @@
+import type { GenerationInput, GenerationState, Transition } from '../types';
+import { failGeneration } from '../_lib/failGeneration';
+import { handleAbandoned } from '../_lib/handleAbandoned';
+import { handleBatch } from '../_lib/handleBatch';
+import { handleBreak } from '../_lib/handleBreak';
+import { handleCallerAttached } from '../_lib/handleCallerAttached';
+import { handleCancelled } from '../_lib/handleCancelled';
+import { handleNotStarted } from '../_lib/handleNotStarted';
+import { handleRejected } from '../_lib/handleRejected';
+import { handleSending } from '../_lib/handleSending';
+import { handleSilence } from '../_lib/handleSilence';
+import { handleSlotRefused } from '../_lib/handleSlotRefused';
+import { handleStreamGone } from '../_lib/handleStreamGone';
+import { openAttempt } from '../_lib/openAttempt';
+import { recoverGeneration } from '../_lib/recoverGeneration';
+
+type Handlers = {
+  readonly [Kind in GenerationInput['kind']]: (
+    state: GenerationState,
+    input: Extract<GenerationInput, { kind: Kind }>,
+  ) => Transition;
+};
+
+const retryAttempt = (state: GenerationState): Transition =>
+  state.attempts.length > 0
+    ? { state, effects: [] }
+    : openAttempt(state, state.sent || state.offset > 0 ? 'resume' : 'start');
+
+// A generation that is taken over begins with a stream of an engine, which is read on.
+const startAttempts = (state: GenerationState): Transition =>
+  state.attempts.length === 0
+    ? recoverGeneration(state)
+    : {
+        state,
+        effects: state.attempts.map(({ attempt, connection }) => ({
+          kind: 'resume-stream',
+          reader: { attempt, connection },
+          offset: state.offset,
+        })),
+      };
+
+const refuseClaim = (
+  state: GenerationState,
+  { retryAfterMs }: Extract<GenerationInput, { kind: 'claim-refused' }>,
+): Transition =>
+  failGeneration(state, {
+    code: 'store_unavailable',
+    message: 'the claim could not be written, so nothing was sent',
+    status: 503,
+    retryAfterMs,
+  });
+
+const passDeadline = (state: GenerationState): Transition =>
+  state.offset > 0
+    ? { state, effects: [] }
+    : failGeneration(state, {
+        code: 'deadline_exceeded',
+        message: 'no token came before the deadline',
+        status: 504,
+        retryAfterMs: 0,
+      });
+
+const HANDLERS: Handlers = {
+  started: startAttempts,
+  sending: handleSending,
+  'slot-refused': handleSlotRefused,
+  'claim-refused': refuseClaim,
+  'not-started': handleNotStarted,
+  rejected: handleRejected,
+  broken: handleBreak,
+  'stream-gone': handleStreamGone,
+  batch: handleBatch,
+  silent: handleSilence,
+  'retry-due': retryAttempt,
+  'deadline-passed': passDeadline,
+  'caller-attached': handleCallerAttached,
+  'caller-left': (state) => ({
+    state: { ...state, callers: Math.max(0, state.callers - 1) },
+    effects: [],
+  }),
+  cancelled: handleCancelled,
+  abandoned: handleAbandoned,
+};
+
+/** Inputs that a generation which has ended, or waits for a caller, still takes. */
+const HEARD_WHEN_IDLE: Readonly<Record<string, readonly GenerationInput['kind'][]>> = {
+  parked: ['batch', 'sending', 'caller-attached', 'caller-left', 'cancelled', 'abandoned'],
+  finished: ['batch', 'sending', 'caller-attached', 'caller-left'],
+  failed: ['batch', 'sending', 'caller-attached', 'caller-left'],
+};
+
+/**
+ * Decides the next step of a generation.
+ *
+ * Guarantees, whatever the order of inputs: batches are delivered with strictly continuous offsets;
+ * after a token of one attempt nothing of an older or parallel attempt is delivered; a
+ * non-idempotent generation gets no second attempt once an engine may have begun.
+ *
+ * @param state - Generation; not changed.
+ * @param input - What happened.
+ * @returns The new state and the effects to run, in order.
+ */
+export const updateGeneration = (state: GenerationState, input: GenerationInput): Transition => {
+  const heard = HEARD_WHEN_IDLE[state.phase];
+  if (heard && !heard.includes(input.kind)) return { state, effects: [] };
+  const handle = HANDLERS[input.kind] as (
+    current: GenerationState,
+    happened: GenerationInput,
+  ) => Transition;
+  return handle(state, input);
+};
