Wire the entry: callers, routing, generations, claims, peers, shutdown

Cause: the parts stood side by side. startEntry puts them together in one place, for the binary as for the demo, tests and benches; main reads the settings file and drains on SIGTERM. Peer services are deferred, since a VM on a free port knows its address only once it listens. Change beside it: plain calls that may run once get a connection of their own, since a kept one that closes fails without a sign of whether the call ran.

--- a/src/adapters/http/createHttpPlainClient/index.ts
+++ b/src/adapters/http/createHttpPlainClient/index.ts
@@ -43,18 +43,21 @@
  * it again on a new connection.
  */
 export const createHttpPlainClient = (): HttpPlainClient => {
-  const agent = new Agent({
+  const options = {
     connections: MAX_CONNECTIONS,
-    pipelining: 1,
     connect: { timeout: CONNECT_TIMEOUT_MS },
     headersTimeout: 0,
     bodyTimeout: BODY_TIMEOUT_MS,
-  });
+  };
+  const pooled = new Agent({ ...options, pipelining: 1 });
+  // A kept connection that the server closes at that moment fails without a sign of whether the
+  // call ran. On one of its own, a failure to connect surely means that nothing was sent.
+  const fresh = new Agent({ ...options, pipelining: 0 });
 
   const sendCall: PlainClient['sendCall'] = async (server, call, signal) => {
     if (signal.aborted) return err({ kind: 'cancelled', sent: false });
     try {
-      const { body, headers, statusCode } = await agent.request({
+      const { body, headers, statusCode } = await (call.repeatable ? pooled : fresh).request({
         origin: server.url,
         path: call.path,
         method: call.method,
@@ -71,5 +74,10 @@
     }
   };
 
-  return { sendCall, stop: () => agent.destroy() };
+  return {
+    sendCall,
+    stop: async () => {
+      await Promise.all([pooled.destroy(), fresh.destroy()]);
+    },
+  };
 };
--- a/src/adapters/log/createEventLog/index.ts
+++ b/src/adapters/log/createEventLog/index.ts
@@ -1,8 +1,14 @@
-import type { Logger } from 'roarr';
+import type { MessageContext } from 'roarr';
 import type { EventFields, EventLog } from '../../../application/ports';
 
-/** What is needed of a logger; tests pass their own. */
-export type LineLogger = Pick<Logger, 'error' | 'info' | 'warn'>;
+type WriteLine = (context: MessageContext, message: string) => void;
+
+/** What is needed of a logger; roarr's has it, tests pass their own. */
+export interface LineLogger {
+  readonly info: WriteLine;
+  readonly warn: WriteLine;
+  readonly error: WriteLine;
+}
 
 /** Creates the log of events that are not routing decisions. */
 export const createEventLog = (logger: LineLogger): EventLog => ({
--- a/src/application/ports/PlainClient.ts
+++ b/src/application/ports/PlainClient.ts
@@ -9,6 +9,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** False: it must not be sent on a kept connection, whose end would not tell whether it ran. */
+  readonly repeatable: boolean;
 }
 
 /** Answer of a plain service; the body is still arriving. */
--- a/src/application/services/_lib/runAttempts/index.ts
+++ b/src/application/services/_lib/runAttempts/index.ts
@@ -85,6 +85,7 @@
   attempts: Attempts,
 ): Promise<Result<AnsweredAttempt, GenerationError>> => {
   const { client, clock, router } = dependencies;
+  const call = { ...attempts.source.call, repeatable: attempts.repeatable };
   const excluded: string[] = [];
   let runState: RunState = RunState.NotRun;
   let reason = '';
@@ -98,7 +99,7 @@
       return err(claimed.isErr() ? claimed.error : buildTimeoutError(runState));
     }
     const sentAtMs = clock.readMonotonicMs();
-    const sent = await client.sendCall(slot.server, attempts.source.call, attempts.signal);
+    const sent = await client.sendCall(slot.server, call, attempts.signal);
     const firstByteMs = clock.readMonotonicMs() - sentAtMs;
     if (sent.isOk()) return ok({ response: sent.value, slot, firstByteMs });
     const outcome = { broken: 'failed', cancelled: 'cancelled', 'not-started': 'not-started' };
--- a/src/application/services/types/ServiceCall.ts
+++ b/src/application/services/types/ServiceCall.ts
@@ -5,7 +5,7 @@
 export interface ServiceCall {
   readonly workspace: string;
   readonly service: Service;
-  readonly call: PlainCall;
+  readonly call: Omit<PlainCall, 'repeatable'>;
   /** Value of `Idempotency-Key`, or empty. */
   readonly idempotencyKey: string;
   /** False if the caller sent `Jackdaw-Idempotent: false`. */
--- /dev/null
+++ b/src/programs/entry/_lib/wireParts/index.ts
@@ -0,0 +1,104 @@
+import { createPeerClient } from '../../../../adapters/connect';
+import { createHttpEngineClient } from '../../../../adapters/engine';
+import { createHttpPlainClient } from '../../../../adapters/http';
+import { createClaims } from '../../../../application/claims';
+import { createConfigurationFollower } from '../../../../application/configuration';
+import { createGenerations } from '../../../../application/generations';
+import { createPeerExchange, type PeerExchange } from '../../../../application/peers';
+import { createRouter } from '../../../../application/routing';
+import { createPlainServices } from '../../../../application/services';
+import { checkFreshness } from '../../../../domain/configuration';
+import type { EntrySettings } from '../../types';
+import type { EntryBase } from '../wireBase';
+
+/** How long answers are kept before a configuration says. */
+const DEFAULT_ANSWER_TTL_MS = 3_600_000;
+
+const MS_PER_S = 1000;
+
+/** Wires the parts of an entry that peers reach at an address. */
+export const wireParts = (base: EntryBase, settings: EntrySettings, peerAddress: string) => {
+  const { clock, decisions, health, load, log, randomness, stores } = base;
+  const { availabilityZone, name: vm, region } = settings.vm;
+  // The client asks the exchange for addresses, and the exchange sends through the client.
+  let exchange: PeerExchange | null = null;
+  const peers = createPeerClient({
+    clock,
+    findPeerAddress: (name) => exchange?.findPeerAddress(name) ?? null,
+  });
+  const configuration = createConfigurationFollower({
+    table: stores.tableStore,
+    peers,
+    clock,
+    randomness,
+    log,
+  });
+  const readConfiguration = () => configuration.readCurrent()?.configuration;
+  const startedExchange = createPeerExchange({
+    self: {
+      vm,
+      peerAddress,
+      region,
+      availabilityZone,
+      incarnation: Math.floor(clock.readWallMs() / MS_PER_S),
+    },
+    seeds: settings.peers.seeds,
+    clock,
+    randomness,
+    calls: peers,
+    versions: configuration,
+    health,
+    load,
+    listServerNames: () => (readConfiguration()?.backendServers ?? []).map(({ name }) => name),
+  });
+  exchange = startedExchange;
+  const claims = createClaims({
+    tableStore: stores.tableStore,
+    objectStore: stores.objectStore,
+    clock,
+    randomness,
+    vm,
+    peerAddress,
+    readAnswerTtlMs: () => readConfiguration()?.limits.answerTtlMs ?? DEFAULT_ANSWER_TTL_MS,
+  });
+  const engineClient = createHttpEngineClient({ clock });
+  const router = createRouter({
+    configuration,
+    health,
+    load,
+    decisions,
+    clock,
+    randomness,
+  });
+  const generations = createGenerations({
+    vm,
+    clock,
+    randomness,
+    engineClient,
+    router,
+    health,
+    claims,
+    peers,
+    configuration,
+    decisionLog: decisions,
+    eventLog: log,
+  });
+  const plainClient = createHttpPlainClient();
+  return {
+    peers,
+    configuration,
+    exchange: startedExchange,
+    engineClient,
+    generations,
+    plainClient,
+    services: createPlainServices({ router, claims, client: plainClient, clock, log }),
+    isCutOff: (): boolean =>
+      checkFreshness({
+        ...startedExchange.readFreshness(),
+        behindMs: configuration.readBehindMs(),
+      }).isErr(),
+  };
+};
+
+/** The parts of an entry that peers reach at an address. */
+export type EntryParts = ReturnType<typeof wireParts>;
--- /dev/null
+++ b/src/programs/entry/main.ts
@@ -0,0 +1,3 @@
+import { runEntryCli } from './runEntryCli';
+
+process.exit(await runEntryCli(process.argv.slice(2)));
--- /dev/null
+++ b/src/programs/entry/startEntry/index.ts
@@ -0,0 +1,156 @@
+import { err, ok, type Result } from 'neverthrow';
+import { startPeerServer } from '../../../adapters/connect';
+import { createCallerApp, startCallerServer, type CursorCodec } from '../../../adapters/http';
+import { createLoadPoller } from '../../../application/routing';
+import type { DrainOutcome } from '../../../application/shutdown';
+import { signCursor, verifyCursor } from '../../../domain/cursor';
+import { buildStatus } from '../_lib/buildStatus';
+import { createDeferredPeerServices } from '../_lib/createDeferredPeerServices';
+import { createVmListFollower } from '../_lib/createVmListFollower';
+import { wireBase, type EntryBase } from '../_lib/wireBase';
+import { wireParts, type EntryParts } from '../_lib/wireParts';
+import type { Entry, EntryOverrides, EntrySettings, StartError } from '../types';
+
+/** Bound of a drain before a configuration names one. */
+const DEFAULT_DRAIN_MS = 30_000;
+
+const createCursorCodec = (keys: EntrySettings['cursorKeys']): CursorCodec => ({
+  sign: (cursor) => signCursor(cursor, keys),
+  verify: (text) => verifyCursor(text, keys),
+});
+
+/** Starts what an entry does by itself; the returned function stops it. */
+const startLoops = (base: EntryBase, parts: EntryParts, settings: EntrySettings): (() => void) => {
+  const { clock, health, load, stores } = base;
+  parts.configuration.start();
+  parts.exchange.start();
+  const poller = createLoadPoller({
+    engines: parts.engineClient,
+    configuration: parts.configuration,
+    load,
+    clock,
+    vm: settings.vm.name,
+    region: settings.vm.region,
+    listLiveVms: parts.exchange.listLiveVms,
+  });
+  const vms = createVmListFollower({
+    vmList: stores.vmList,
+    health,
+    clock,
+    recordVms: (records) => parts.exchange.recordMembers('list', records),
+  });
+  return () => {
+    vms.stop();
+    poller.stop();
+    parts.exchange.stop();
+    parts.configuration.stop();
+  };
+};
+
+const addGauges = ({ metrics, shutdown }: EntryBase, parts: EntryParts): void =>
+  metrics.addGauges({
+    countRunningGenerations: parts.generations.countRunning,
+    countRunningWork: shutdown.countRunning,
+    readConfigurationVersion: parts.configuration.readVersion,
+    isReady: () =>
+      !shutdown.isDraining() && parts.configuration.readCurrent() !== null && !parts.isCutOff(),
+  });
+
+/**
+ * Starts an entry: wires its parts and listens.
+ *
+ * @param settings - as read from the settings file; port 0 takes a free one
+ * @param overrides - for tests, the demo and benches, which run several in one process
+ * @returns the entry, listening; it takes new work once it has read a configuration
+ */
+export const startEntry = async (
+  settings: EntrySettings,
+  overrides: EntryOverrides = {},
+): Promise<Result<Entry, StartError>> => {
+  const base = await wireBase(settings, overrides);
+  const { decisions, health, load, log, shutdown, stores } = base;
+  const deferred = createDeferredPeerServices();
+  const peerServer = await startPeerServer({ ...settings.peers, services: deferred.services });
+  if (peerServer.isErr()) {
+    await stores.stop();
+    return err({ kind: 'cannot-listen', reason: peerServer.error.reason });
+  }
+  const { address: peerAddress } = peerServer.value;
+  const parts = wireParts(base, settings, peerAddress);
+  const { configuration, exchange, generations, isCutOff } = parts;
+
+  const drain = (): Promise<DrainOutcome> => {
+    exchange.recordOwnLeaving(true);
+    const limits = configuration.readCurrent()?.configuration.limits;
+    return shutdown.drain(limits?.drainMs ?? DEFAULT_DRAIN_MS);
+  };
+  deferred.setTarget({
+    handleNews: exchange.handleNews,
+    generations,
+    decisions,
+    readEncoded: configuration.readEncoded,
+    readStatus: () =>
+      buildStatus({
+        vm: settings.vm.name,
+        configuration,
+        exchange,
+        health,
+        load,
+        readState: () => ({
+          draining: shutdown.isDraining(),
+          cutOff: isCutOff(),
+          running: shutdown.countRunning(),
+          generations: generations.countRunning(),
+        }),
+      }),
+    drain: () => {
+      drain();
+      return shutdown.countRunning();
+    },
+  });
+  addGauges(base, parts);
+  const app = createCallerApp({
+    ...base,
+    ...parts,
+    cursors: createCursorCodec(settings.cursorKeys),
+  });
+  const stopConnections = async (): Promise<void> => {
+    generations.stop();
+    parts.peers.close();
+    await Promise.all([
+      peerServer.value.stop(),
+      parts.engineClient.close(),
+      parts.plainClient.stop(),
+      stores.stop(),
+    ]);
+  };
+  const callers = await startCallerServer(app, settings.callers);
+  if (callers.isErr()) {
+    await stopConnections();
+    return err({ kind: 'cannot-listen', reason: callers.error.reason });
+  }
+  const stopLoops = startLoops(base, parts, settings);
+  log.info('entry started', { vm: settings.vm.name, callers: callers.value.url, peerAddress });
+
+  return ok({
+    callerUrl: callers.value.url,
+    peerAddress,
+    waitForConfiguration: () =>
+      new Promise((resolve) => {
+        configuration.addListener(() => resolve());
+        if (configuration.readCurrent() !== null) resolve();
+      }),
+    drain,
+    waitForDrain: () =>
+      new Promise((resolve) => {
+        shutdown.addListener(() => resolve(drain()));
+      }),
+    stop: async () => {
+      stopLoops();
+      await callers.value.stop();
+      await stopConnections();
+    },
+    listDecisions: decisions.listDecisions,
+    readConfigurationVersion: configuration.readVersion,
+  });
+};
--- /dev/null
+++ b/tests/entry/wholePath.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+import OpenAI from 'openai';
+import { checkChain, renderPrompt } from '../../standins/chain';
+import { TEST_KEYS } from '../_lib/buildTestConfiguration';
+import { startTestSystem } from '../_lib/startTestSystem';
+
+const MESSAGES = [{ role: 'user' as const, content: 'Check the seal.' }];
+const PROMPT = `review\n${renderPrompt({ messages: MESSAGES })}`;
+
+test('a chat goes through entry and engine, streamed and whole, each token once', async (t) => {
+  const lines: string[] = [];
+  const system = await startTestSystem({
+    onLogLine: (context, message) => lines.push(JSON.stringify({ context, message })),
+  });
+  const baseURL = `${system.entries[0]!.callerUrl}/v1`;
+  const client = new OpenAI({ apiKey: TEST_KEYS.counter, baseURL });
+  const request = { model: 'review', messages: MESSAGES, max_tokens: 20 };
+  const stream = await client.chat.completions.create({ ...request, stream: true });
+  const texts: string[] = [];
+  for await (const chunk of stream) texts.push(chunk.choices[0]?.delta.content ?? '');
+  t.true(checkChain(PROMPT, texts, { expectedTokens: 20 }).ok);
+  const whole = await client.chat.completions.create(request);
+  const text = whole.choices[0]?.message.content ?? '';
+  t.true(checkChain(PROMPT, [text], { expectedTokens: 20 }).ok);
+  t.is(whole.usage?.completion_tokens, 20);
+
+  const routed = lines.filter((line) => line.includes('"kind":"route"'));
+  t.is(routed.length, 2);
+  t.regex(routed[0] ?? '', /"choice":"engine-1"/);
+  t.false(lines.some((line) => line.includes('seal') || line.includes(TEST_KEYS.counter)));
+  await system.stop();
+});
+
+test('a plain call goes to its service, and carries its request id', async (t) => {
+  const system = await startTestSystem();
+  const answer = await fetch(`${system.entries[0]!.callerUrl}/services/billing/bill?x=1`, {
+    method: 'POST',
+    headers: { Authorization: `Bearer ${TEST_KEYS.counter}`, 'Jackdaw-Request-Id': 'abc' },
+    body: '{"amount":1}',
+  });
+  t.deepEqual([answer.status, answer.headers.get('jackdaw-run-state')], [200, 'ran']);
+  t.is(answer.headers.get('jackdaw-request-id'), 'abc');
+  t.like(system.plain.listCalls()[0], { requestId: 'abc', method: 'POST', body: '{"amount":1}' });
+  await system.stop();
+});
+
+// Symptom: a review breaks off, starts again from the first word, or repeats some.
+// Sequence: the engine dies after 12 tokens; the entry goes on at the other engine.
+// Cause: the caller's connection was tied to one engine's.
+test('an unmodified OpenAI client gets one whole generation while its engine dies', async (t) => {
+  const system = await startTestSystem({ engines: [{}, {}] });
+  const running = Promise.race(
+    system.engines.map((engine) => engine.waitForTokens(12).then(() => engine)),
+  );
+  const killed = running.then((engine) => engine.applyFault('kill'));
+  const client = new OpenAI({
+    apiKey: TEST_KEYS.counter,
+    baseURL: `${system.entries[0]!.callerUrl}/v1`,
+  });
+  const stream = await client.chat.completions.create({
+    model: 'review',
+    messages: MESSAGES,
+    max_tokens: 30,
+    stream: true,
+  });
+  const texts: string[] = [];
+  for await (const chunk of stream) texts.push(chunk.choices[0]?.delta.content ?? '');
+  t.true(checkChain(PROMPT, texts, { expectedTokens: 30 }).ok);
+  await killed;
+  t.deepEqual(system.engines.map((engine) => engine.listAttempts().length).sort(), [1, 1]);
+  await system.stop();
+});
