Follow the platform's VM list and the registrations, and test the exchange

Cause: a VM must find its peers while the list lags or the table is down, and a leaving server must get no new work on any VM soon after one VM learns of it. Change: poller of the list with about three polls a round and region, registration rows, in-process regions for tests with a cut network. Shown to fail without the mechanism: late news taken as fresh, no push, first heartbeat counted.

--- /dev/null
+++ b/src/application/membership/index.ts
@@ -0,0 +1,5 @@
+export { createMembershipFollower } from './createMembershipFollower';
+export type {
+  MembershipFollower,
+  MembershipFollowerDependencies,
+} from './createMembershipFollower';
--- a/src/application/peers/index.ts
+++ b/src/application/peers/index.ts
@@ -1,3 +1,4 @@
+export type { MemberSource, MemberSources, NamedVm } from './_lib/createMemberSources';
 export { createPeerExchange } from './createPeerExchange';
 export type { PeerExchange, PeerExchangeDependencies } from './createPeerExchange';
 export type {
--- /dev/null
+++ b/src/domain/membership/decodeRegistration/index.ts
@@ -0,0 +1,42 @@
+import { z } from 'zod';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { PeerRecord } from '../types';
+
+const schema = z.object({
+  vm: z.string().min(1),
+  peer_address: z.string().min(1),
+  region: z.string(),
+  availability_zone: z.string(),
+  leaving: z.boolean(),
+  incarnation: z.number().int().nonnegative(),
+});
+
+/** A registration row that can't be read. */
+export interface RegistrationError {
+  readonly kind: 'malformed-registration';
+  readonly reason: string;
+}
+
+function parseJson(body: string): unknown {
+  try {
+    return JSON.parse(body);
+  } catch {
+    return null;
+  }
+}
+
+/**
+ * Decodes a VM's registration from the body of its row.
+ *
+ * @param body - as `encodeRegistration` writes it
+ * @returns the record, or `malformed-registration` with the reason
+ */
+export function decodeRegistration(body: string): Result<PeerRecord, RegistrationError> {
+  const parsed = schema.safeParse(parseJson(body));
+  if (!parsed.success) {
+    return err({ kind: 'malformed-registration', reason: z.prettifyError(parsed.error) });
+  }
+  const { peer_address: peerAddress, availability_zone: availabilityZone, ...rest } = parsed.data;
+  return ok({ ...rest, peerAddress, availabilityZone });
+}
--- /dev/null
+++ b/tests/peers/exchange.test.ts
@@ -0,0 +1,190 @@
+import test from 'ava';
+import type { LoadReport } from '../../src/domain/types';
+import { createTestRegion } from './_lib/createTestRegion';
+import type { TestRegion } from './_lib/createTestRegion';
+
+const startRegion = async (count: number, region = 'gt', seed = 1): Promise<TestRegion> => {
+  const started = createTestRegion(seed);
+  Array.from({ length: count }, (_, index) => `vm-${index + 1}`).forEach((name) =>
+    started.startVm(name, { region, seeds: [] }),
+  );
+  started.listAll();
+  await started.clock.advanceAsync(6_000);
+  return started;
+};
+
+const REPORT: LoadReport = {
+  backendServer: 'engine-1',
+  sequence: 5,
+  running: 3,
+  waiting: 0,
+  slots: 8,
+  cacheUse: 0.5,
+  tokensPerSecond: 100,
+  models: [{ model: 'review', version: '1', adapter: '' }],
+  role: 'serve',
+  leaving: false,
+  fencingToken: 4,
+  ageMs: 200,
+  receivedAtMs: 0,
+};
+
+for (const count of [3, 9, 40]) {
+  test(`${count} VMs hear each other, and news reaches all of them`, async (t) => {
+    const { vms, clock, stop } = await startRegion(count);
+    vms.forEach(({ exchange }) => {
+      t.deepEqual(exchange.readFreshness(), {
+        newestReadAgeMs: null,
+        vmsHeard: count,
+        vmsRegistered: count,
+      });
+    });
+    const [first, ...others] = vms;
+    if (first === undefined) return;
+    first.held.version = 7;
+    first.held.tableReadAtMs = clock.readMonotonicMs();
+    first.load.recordReport({ ...REPORT, receivedAtMs: clock.readMonotonicMs() });
+    await clock.advanceAsync(3_000);
+    others.forEach(({ held, load, exchange }) => {
+      t.is(held.version, 7);
+      t.like(load.findReport('engine-1'), { running: 3, slots: 8, fencingToken: 4 });
+      const { newestReadAgeMs } = exchange.readFreshness();
+      t.true(newestReadAgeMs !== null && newestReadAgeMs >= 3_000 && newestReadAgeMs < 5_500);
+    });
+    stop();
+  });
+}
+
+test('a suspicion, its recovery and leaving reach the whole region at once', async (t) => {
+  // Symptom: generations on a dead engine hang at other entries until each sees the silence.
+  // Events: one entry sees a reset; the others must hear of it now, not in the next round.
+  // Cause: without the push, news waits for the next round (500 ms).
+  const { vms, clock, stop } = await startRegion(9);
+  const [first, second] = vms;
+  const readHealth = () =>
+    new Set(vms.map(({ health }) => `${health.readHealth('e-1')} ${health.readHealth('e-2')}`));
+  const suspicion = { backendServer: 'e-1', cause: 'reset', confirmed: true, epoch: 0 } as const;
+  first?.health.recordSuspicion({ ...suspicion, vm: 'vm-1' });
+  second?.health.recordLeaving('e-2', true);
+  await clock.advanceAsync(10);
+  t.deepEqual([...readHealth()], ['dead leaving']);
+  first?.health.recordRecovery('e-1');
+  await clock.advanceAsync(10);
+  t.deepEqual([...readHealth()], ['serving leaving']);
+  await clock.advanceAsync(3_000);
+  t.deepEqual([...readHealth()], ['serving leaving']);
+  stop();
+});
+
+test('sends of a VM are known to the others until they end', async (t) => {
+  const { vms, clock, stop } = await startRegion(9);
+  vms[0]?.load.recordSend('engine-2', []);
+  await clock.advanceAsync(1_500);
+  t.deepEqual(
+    vms.map(({ load }) => load.estimateRunning('engine-2')),
+    vms.map(() => 1),
+  );
+  vms[0]?.load.recordEnd('engine-2');
+  await clock.advanceAsync(1_500);
+  t.true(vms.every(({ load }) => load.estimateRunning('engine-2') === 0));
+  stop();
+});
+
+test('a split is seen on both sides, and heals', async (t) => {
+  // Symptom: a cut-off VM would take work under an old configuration.
+  // Events: 9 VMs are cut 4 to 5, later joined again.
+  // Cause: only news that is proved to be fresh counts as hearing.
+  const { vms, clock, cutNetwork, stop } = await startRegion(9);
+  const names = vms.map(({ name }) => name);
+  cutNetwork([names.slice(0, 4), names.slice(4)]);
+  await clock.advanceAsync(8_000);
+  const countHeard = () => vms.map(({ exchange }) => exchange.readFreshness().vmsHeard);
+  t.deepEqual(countHeard(), [4, 4, 4, 4, 5, 5, 5, 5, 5]);
+  t.deepEqual(vms[0]?.exchange.listLiveVms().length, 4);
+  t.is(vms[0]?.exchange.readFreshness().vmsRegistered, 9);
+  cutNetwork(null);
+  await clock.advanceAsync(8_000);
+  t.deepEqual(new Set(countHeard()), new Set([9]));
+  stop();
+});
+
+test('a VM that boots during an outage finds its peers by a seed', async (t) => {
+  // Symptom: a new VM sees nobody and takes no work. Cause: list and table are out of reach.
+  const region = await startRegion(3);
+  const booted = region.startVm('vm-4', { region: 'gt', seeds: ['vm-2:1'] });
+  await region.clock.advanceAsync(6_000);
+  t.is(booted.exchange.readFreshness().vmsHeard, 4);
+  t.is(region.vms[2]?.exchange.findPeerAddress('vm-4'), 'vm-4:1');
+  region.stop();
+});
+
+test('a replaced process is told from the one before it', async (t) => {
+  // Symptom: peers ignore a restarted VM for as long as the old one had lived, or bring back its
+  // leaving. Cause: heartbeats and counters of the new process start again.
+  const region = await startRegion(14);
+  const [old] = region.vms;
+  await region.clock.advanceAsync(30_000);
+  old?.exchange.recordOwnLeaving(true);
+  await region.clock.advanceAsync(1_000);
+  t.false(region.vms[1]?.exchange.listLiveVms().includes('vm-1'));
+  old?.exchange.stop();
+  await region.clock.advanceAsync(10_000);
+  const next = region.startVm('vm-1', { region: 'gt', seeds: ['vm-2:1'] });
+  await region.clock.advanceAsync(8_000);
+  region.vms.slice(1).forEach(({ exchange }) => t.is(exchange.listLiveVms().length, 14));
+  t.is(next.exchange.readFreshness().vmsHeard, 14);
+  region.stop();
+});
+
+test('a VM that boots does not count dead ones by what is told of their past', async (t) => {
+  // Symptom: a VM that boots on the small side of a split takes itself to be with the majority.
+  // Events: 14 VMs lose 8; a new one boots and is told all heartbeats ever passed on.
+  // Cause: the first heartbeat seen may be a dead VM's last; only a rise proves that it lives.
+  const region = await startRegion(14);
+  const names = region.vms.map(({ name }) => name);
+  region.cutNetwork([[...names.slice(0, 6), 'vm-15'], names.slice(6)]);
+  await region.clock.advanceAsync(8_000);
+  const { exchange } = region.startVm('vm-15', { region: 'gt', seeds: ['vm-1:1'] });
+  const heard: number[] = [];
+  for (let second = 0; second < 8; second += 1) {
+    await region.clock.advanceAsync(1_000);
+    heard.push(exchange.readFreshness().vmsHeard);
+  }
+  t.is(Math.max(...heard), 7, heard.join(' '));
+  region.stop();
+});
+
+test('news read late does not pass for fresh', async (t) => {
+  // Symptom: a VM that was paused takes buffered news as a sign that it is not cut off.
+  // Events: a peer's news is written, the receiver is paused for a minute, then reads it.
+  // Cause: an age in a message says nothing of the time that the message lay in a buffer.
+  const { vms, clock, cutNetwork, readLastNews, stop } = await startRegion(2);
+  const [reader, writer] = vms;
+  if (reader === undefined || writer === undefined) return;
+  writer.held.tableReadAtMs = clock.readMonotonicMs();
+  await clock.advanceAsync(2_000);
+  const buffered = readLastNews('vm-1');
+  cutNetwork([]);
+  await clock.advanceAsync(60_000);
+  if (buffered !== null) reader.exchange.handleNews(buffered);
+  const { newestReadAgeMs, vmsHeard } = reader.exchange.readFreshness();
+  t.true(newestReadAgeMs === null || newestReadAgeMs >= 60_000);
+  t.is(vmsHeard, 1);
+  stop();
+});
+
+test('regions count each other, and hear versions', async (t) => {
+  const region = createTestRegion(4);
+  const names = ['a-1', 'a-2', 'a-3', 'b-1', 'b-2'];
+  names.forEach((name) => region.startVm(name, { region: name.slice(0, 1), seeds: [] }));
+  region.listAll();
+  await region.clock.advanceAsync(10_000);
+  region.vms.forEach(({ exchange }) => {
+    t.like(exchange.readFreshness(), { vmsHeard: 5, vmsRegistered: 5 });
+  });
+  region.cutNetwork([names.slice(0, 3), names.slice(3)]);
+  await region.clock.advanceAsync(10_000);
+  t.is(region.vms[0]?.exchange.readFreshness().vmsHeard, 3);
+  t.is(region.vms[4]?.exchange.readFreshness().vmsHeard, 2);
+  region.stop();
+});
