--- a/src/application/generations/_lib/handleTakenClaim/index.ts
+++ b/src/application/generations/_lib/handleTakenClaim/index.ts
@@ -60,7 +60,9 @@
 const handleFailed: RowHandler = async (context, claimed, row) => {
   const canRunAgain = claimed.request.idempotent || row.streamId === '';
   if (!canRunAgain) return err(buildError('run_state_unknown'));
-  return takeOver(context, claimed, { ...row, streamId: '', backendServer: '' });
+  // The row as taken over says that it runs again, from nothing.
+  const emptied = { ...row, streamId: '', backendServer: '', state: ClaimState.Running };
+  return takeOver(context, claimed, emptied);
 };
 
 const ROW_HANDLERS: Readonly<Record<ClaimState, RowHandler>> = {
--- /dev/null
+++ b/src/application/health/createProber/test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+import { buildSampleConfiguration, createFakeClock } from '../../../../standins/fakes';
+import { createScriptedEngines } from '../../../../tests/support/createScriptedEngines';
+import { SuspicionCause } from '../../../domain/types';
+import { createHealthRegistry, createProber } from '..';
+
+const SUSPICION = {
+  backendServer: 'engine',
+  cause: SuspicionCause.Silence,
+  confirmed: true,
+  vm: 'entry-1',
+  epoch: 0,
+};
+
+// Symptom: an engine that answers probes but not its streams is lost and brought back twice a second.
+// Sequence: suspected, probed, recovered, given work, suspected again.
+// Cause: a probe interval that takes no note of earlier suspicions.
+test('a server comes back once it answers, and later each time it fails again', async (t) => {
+  const clock = createFakeClock();
+  const engines = createScriptedEngines();
+  const health = createHealthRegistry({ vm: 'entry-1' });
+  const current = {
+    version: 1,
+    configuration: buildSampleConfiguration(),
+    appliedAtMs: 0,
+    appliedBy: '',
+    comment: '',
+  };
+  const prober = createProber({
+    clock,
+    engineClient: engines.client,
+    health,
+    configuration: { readCurrent: () => current, addListener: () => () => undefined },
+  });
+  prober.start();
+  engines.freeze('engine');
+  health.recordSuspicion(SUSPICION);
+  await clock.advanceAsync(5_000);
+  t.is(health.readHealth('engine'), 'dead');
+  engines.thaw('engine');
+  await clock.advanceAsync(0);
+  t.is(health.readHealth('engine'), 'serving');
+  health.recordSuspicion(SUSPICION);
+  await clock.advanceAsync(999);
+  t.is(health.readHealth('engine'), 'dead');
+  await clock.advanceAsync(1);
+  t.is(health.readHealth('engine'), 'serving');
+  prober.stop();
+  t.is(clock.countTimers(), 0);
+});
