Let the clock of the tool's test move on until the command ends

Cause: the test moved the clock ten steps and then waited; under load the folder was still being read, so that the wait began after the last step and never ended (seen once in landing). The test is as strict as before.

--- a/src/programs/jackdaw/runOperatorCli/test.ts
+++ b/src/programs/jackdaw/runOperatorCli/test.ts
@@ -43,9 +43,13 @@
     const stdout = new PassThrough();
     const stderr = new PassThrough();
     const tools = { readConfigurationFolder, openPlatform: async () => ok(platform) };
-    const ended = runOperatorCli(args, tools, { stdout, stderr });
-    for (let round = 0; round < 10; round += 1) await clock.advanceAsync(250);
-    const exitCode = await ended;
+    let exitCode: number | null = null;
+    const ended = runOperatorCli(args, tools, { stdout, stderr }).then((code) => {
+      exitCode = code;
+    });
+    // Files are read in real time: the clock moves on until the command ends, however long it takes.
+    while (exitCode === null) await clock.advanceAsync(250);
+    await ended;
     const text = `${stdout.read() ?? ''}${stderr.read() ?? ''}`;
     return { exitCode, text };
   };
