--- a/src/programs/jackdaw/runOperatorCli/test.ts
+++ b/src/programs/jackdaw/runOperatorCli/test.ts
@@ -43,13 +43,13 @@
     const stdout = new PassThrough();
     const stderr = new PassThrough();
     const tools = { readConfigurationFolder, openPlatform: async () => ok(platform) };
-    let exitCode: number | null = null;
-    const ended = runOperatorCli(args, tools, { stdout, stderr }).then((code) => {
-      exitCode = code;
+    let isRunning = true;
+    const ended = runOperatorCli(args, tools, { stdout, stderr }).finally(() => {
+      isRunning = false;
     });
     // Files are read in real time: the clock moves on until the command ends, however long it takes.
-    while (exitCode === null) await clock.advanceAsync(250);
-    await ended;
+    while (isRunning) await clock.advanceAsync(250);
+    const exitCode = await ended;
     const text = `${stdout.read() ?? ''}${stderr.read() ?? ''}`;
     return { exitCode, text };
   };
