Run each promise as a scenario on the real binaries

Cause: what must always hold was not shown on processes. Ruled out: bounds on the number of resumes (a loaded machine brings a false suspicion, which costs an attempt and breaks no promise). What each fails without is not shown yet for most: their headings say so.

--- a/tools/scenario/_lib/renderConfiguration/index.ts
+++ b/tools/scenario/_lib/renderConfiguration/index.ts
@@ -41,13 +41,19 @@
       checks_fencing: deployment.checks_fencing,
     },
   ]);
+  const hosted = servers.flatMap((server) => server.services);
+  const services = Object.entries(SERVICES).filter(([name]) => hosted.includes(name));
   return {
     deployment: { name: 'scenario', survival: deployment.survival },
     places: Object.fromEntries(places),
-    services: SERVICES,
+    services: Object.fromEntries(services),
     backend_servers: Object.fromEntries(backendServers),
     workspaces: {
-      clerks: { key_digests: [digest], services: Object.keys(SERVICES), places: deployment.zones },
+      clerks: {
+        key_digests: [digest],
+        services: services.map(([name]) => name),
+        places: deployment.zones,
+      },
     },
   };
 }
--- a/tools/scenario/_lib/waitForCondition/index.ts
+++ b/tools/scenario/_lib/waitForCondition/index.ts
@@ -1,4 +1,6 @@
 import { parseCondition } from '../../parseCondition';
+import { renderState } from '../renderState';
+import { readVersion } from '../readVersion';
 import type { Condition, RunContext } from '../../types';
 
 const PROBE_INTERVAL_MS = 20;
@@ -14,13 +16,9 @@
   }
 };
 
-/** Asks until the answer is as wanted; the scenario's own limit ends it. */
-const waitForReadiness = async (
-  context: RunContext,
-  name: string,
-  wanted: boolean,
-): Promise<void> => {
-  while (!context.stopped() && (await probeReadiness(context, name)) !== wanted) {
+/** Asks until the answer is yes; the scenario's own limit ends it. */
+const probeUntil = async (context: RunContext, probe: () => Promise<boolean>): Promise<void> => {
+  while (!context.stopped() && !(await probe())) {
     await new Promise((resolve) => {
       setTimeout(resolve, PROBE_INTERVAL_MS);
     });
@@ -38,11 +36,14 @@
 };
 
 const HANDLERS: Handlers = {
-  token: ({ name, count }, { board, callers }) =>
-    board.waitFor(() => {
-      const received = callers.get(name)?.readState().tokenIds.length ?? 0;
-      return received >= count || null;
-    }),
+  token: async ({ name, count }, { board, callers }) => {
+    const state = await board.waitFor(() => {
+      const now = callers.get(name)?.readState();
+      return now && (now.tokenIds.length >= count || now.end !== null) ? now : null;
+    });
+    if (state.tokenIds.length >= count) return;
+    throw new Error(`${name}: ${renderState(state)} before token ${count}`);
+  },
   end: ({ name }, { board, callers }) =>
     board.waitFor(() => callers.get(name)?.readState().end ?? null),
   route: ({ name }, context) =>
@@ -54,8 +55,13 @@
     ),
   exit: ({ name }, { board, deployment }) =>
     board.waitFor(() => deployment.children.get(name)?.exit() ?? null),
-  ready: ({ name }, context) => waitForReadiness(context, name, true),
-  unready: ({ name }, context) => waitForReadiness(context, name, false),
+  ready: ({ name }, context) => probeUntil(context, () => probeReadiness(context, name)),
+  unready: ({ name }, context) =>
+    probeUntil(context, async () => !(await probeReadiness(context, name))),
+  version: ({ name, count }, context) =>
+    probeUntil(context, async () => (await readVersion(context, name)) >= count),
+  calls: ({ name, count }, { deployment }) =>
+    deployment.readControl(name, `wait-for-calls?count=${count}`),
   log: ({ name, text }, context) => context.board.waitFor(() => findLine(context, name, text)),
 };
 
--- a/tools/scenario/createExpectationHandlers/index.ts
+++ b/tools/scenario/createExpectationHandlers/index.ts
@@ -1,4 +1,6 @@
 import { checkChain, renderPrompt } from '../../../standins/chain';
+import { renderState } from '../_lib/renderState';
+import { readVersion } from '../_lib/readVersion';
 import type { Caller, CallerState, Expectation, RunContext } from '../types';
 
 /** Handlers of the expectations by name; each gives what did not hold, or nothing. */
@@ -44,9 +46,6 @@
   }
 };
 
-const renderEnd = ({ end, tokenIds }: CallerState): string =>
-  `${tokenIds.length} tokens, ${end === null ? 'still running' : `${end.kind} ${end.status} ${end.code}`}`;
-
 const checkWhole = (caller: Caller, tokens: number): readonly string[] => {
   const { request } = caller;
   const state = caller.readState();
@@ -54,7 +53,7 @@
   const report = checkChain(prompt, [readGeneratedText(state)], { expectedTokens: tokens });
   const { missing, repeated, mixed } = report;
   return [
-    ...checkThat(state.end?.kind === 'finished', `${request.name}: ${renderEnd(state)}`),
+    ...checkThat(state.end?.kind === 'finished', `${request.name}: ${renderState(state)}`),
     ...checkThat(
       report.ok && report.tokens === tokens,
       `${request.name}: ${report.tokens} tokens of ${tokens}, missing ${missing}, repeated ${repeated}, mixed ${mixed}`,
@@ -83,13 +82,6 @@
   return logs.flatMap((log) => log.calls).filter((call) => call.requestId === work).length;
 };
 
-/** Reads an entry's configuration version from its metrics. */
-const readVersion = async ({ deployment }: RunContext, name: string): Promise<number> => {
-  const response = await fetch(`${deployment.readUrl(name)}/metrics`);
-  const [, version] = /^jackdaw_configuration_version (\d+)$/mu.exec(await response.text()) ?? [];
-  return Number(version ?? 0);
-};
-
 /** Creates the table of expectation handlers. */
 export function createExpectationHandlers(): ExpectationHandlers {
   return {
@@ -104,7 +96,7 @@
       const tookMs = state.endedMs - state.startedMs;
       const { of, code, run_state: runState, within_ms: withinMs } = expectation;
       return [
-        ...checkThat(end?.kind === 'failed', `${of}: ${renderEnd(state)}`),
+        ...checkThat(end?.kind === 'failed', `${of}: ${renderState(state)}`),
         ...checkThat(code === '' || end?.code === code, `${of}: code ${end?.code}, not ${code}`),
         ...checkThat(
           runState === '' || end?.runState === runState,
@@ -120,7 +112,7 @@
     answered: ({ of, run_state: runState }, context) => {
       const state = findCaller(context, of).readState();
       return [
-        ...checkThat(state.end?.kind === 'finished', `${of}: ${renderEnd(state)}`),
+        ...checkThat(state.end?.kind === 'finished', `${of}: ${renderState(state)}`),
         ...checkThat(
           runState === '' || state.end?.runState === runState,
           `${of}: run state ${state.end?.runState}, not ${runState}`,
--- a/tools/scenario/createStepHandlers/index.ts
+++ b/tools/scenario/createStepHandlers/index.ts
@@ -139,7 +139,8 @@
         name: step.name,
         path: `/services/${step.service}/run`,
         headers: buildHeaders(step),
-        body: { work: step.name },
+        // The same key stands for the same work, whoever sends it.
+        body: { work: step.key || step.name },
       };
       const caller = createCaller(request, context.board);
       addCaller(context, caller);
--- a/tools/scenario/parseCondition/index.ts
+++ b/tools/scenario/parseCondition/index.ts
@@ -8,15 +8,15 @@
   build: ({ name = '' }: Groups): Condition => ({ kind, name }),
 });
 
+const counted = (kind: 'token' | 'calls' | 'version', pattern: RegExp) => ({
+  pattern,
+  build: ({ count, name = '' }: Groups): Condition => ({ kind, count: Number(count), name }),
+});
+
 const FORMS = [
-  {
-    pattern: /^token (?<count>\d+) of (?<name>\S+)$/u,
-    build: ({ count, name = '' }: Groups): Condition => ({
-      kind: 'token',
-      count: Number(count),
-      name,
-    }),
-  },
+  counted('token', /^token (?<count>\d+) of (?<name>\S+)$/u),
+  counted('calls', /^(?<count>\d+) calls? at (?<name>\S+)$/u),
+  counted('version', /^version (?<count>\d+) at (?<name>\S+)$/u),
   {
     pattern: /^log "(?<text>[^"]+)" of (?<name>\S+)$/u,
     build: ({ text = '', name = '' }: Groups): Condition => ({ kind: 'log', text, name }),
--- a/tools/scenario/runScenario/index.ts
+++ b/tools/scenario/runScenario/index.ts
@@ -68,6 +68,9 @@
       stopped: () => stopped,
       listDecisions: () => deployment.started.flatMap(readDecisions),
     };
+    step = 'readiness';
+    const entries = [...deployment.children.keys()].filter((child) => child.startsWith('entry-'));
+    await Promise.all(entries.map((entry) => waitForCondition(context, `ready of ${entry}`)));
     step = 'steps';
     await runSteps(context);
     step = 'expectations';
--- a/tools/scenario/types/Condition.ts
+++ b/tools/scenario/types/Condition.ts
@@ -7,6 +7,10 @@
   /** An entry has logged the choice of a backend server for the caller's request. */
   | { readonly kind: 'route'; readonly name: string }
   | { readonly kind: 'exit'; readonly name: string }
+  /** A host of a plain service has executed so many calls. */
+  | { readonly kind: 'calls'; readonly count: number; readonly name: string }
+  /** The configuration version in force at an entry. */
+  | { readonly kind: 'version'; readonly count: number; readonly name: string }
   | { readonly kind: 'ready'; readonly name: string }
   | { readonly kind: 'unready'; readonly name: string }
   /** The process has logged a line that contains the text. */
--- a/tools/scenario/types/Deployment.ts
+++ b/tools/scenario/types/Deployment.ts
@@ -2,7 +2,7 @@
 
 /** A deployment of real processes on 127.0.0.1. */
 export interface Deployment {
-  /** Starts all processes, applies the configuration and waits until every entry is ready. */
+  /** Starts all processes, applies the configuration and resolves once each says that it listens. */
   start(): Promise<void>;
   /** Running or last process of each name: `entry-1`, `engine-1`, `keeper-1`, `platform`. */
   readonly children: Map<string, Child>;
