Add leases with fencing tokens

Cause: engine orders need one sender a region, also when it is paused, cut off, or loses an answer. Ruled out: wall-clock expiry in the row (clocks of VMs jump); a token apart from the revision (two numbers that must agree).

--- /dev/null
+++ b/src/application/lease/index.ts
@@ -0,0 +1,2 @@
+export { createLeaseHolder, LEASE_PARTITION } from './createLeaseHolder';
+export type { LeaseHolder, LeaseHolderDependencies, LeaseTimes } from './createLeaseHolder';
