--- a/src/domain/generation/_lib/handleBreak/index.ts
+++ b/src/domain/generation/_lib/handleBreak/index.ts
@@ -22,9 +22,8 @@
 ): Transition => {
   const attempt = findAttempt(state, input.reader);
   if (!attempt) return { state, effects: [] };
-  const sent = { ...state, sent: true };
   const isReplaced = attempt.silence !== 'none' && state.attempts.length > 1;
   return isReplaced || attempt.fruitlessReads >= MAX_FRUITLESS_READS
-    ? replaceAttempt(sent, attempt)
-    : resumeAttempt(sent, attempt);
+    ? replaceAttempt(state, attempt)
+    : resumeAttempt(state, attempt);
 };
--- a/src/domain/generation/_lib/handleNotStarted/index.ts
+++ b/src/domain/generation/_lib/handleNotStarted/index.ts
@@ -1,5 +1,11 @@
 import { SuspicionCause } from '../../../types';
-import type { GenerationEffect, GenerationInput, GenerationState, Transition } from '../../types';
+import {
+  AttemptPhase,
+  type GenerationEffect,
+  type GenerationInput,
+  type GenerationState,
+  type Transition,
+} from '../../types';
 import { findAttempt } from '../findAttempt';
 import { replaceAttempt } from '../replaceAttempt';
 
@@ -16,7 +22,9 @@
 ): Transition => {
   const attempt = findAttempt(state, input.reader);
   if (!attempt) return { state, effects: [] };
-  const next = replaceAttempt(state, attempt);
+  const wasNeverSent = attempt.phase === AttemptPhase.Prefill && state.offset === 0;
+  const sent = wasNeverSent ? attempt.sentBefore : state.sent;
+  const next = replaceAttempt({ ...state, sent }, attempt);
   if (!input.refused) return next;
   const evidence: GenerationEffect = {
     kind: 'suspect-server',
--- a/src/domain/generation/_lib/handleSending/index.ts
+++ b/src/domain/generation/_lib/handleSending/index.ts
@@ -27,5 +27,6 @@
     phase: AttemptPhase.Prefill,
     backendServer: input.backendServer,
   };
-  return { state: updateAttempt(state, sending), effects: [] };
+  // Noted before the send: whatever comes back but a refusal, it may have run.
+  return { state: { ...updateAttempt(state, sending), sent: true }, effects: [] };
 };
--- a/src/domain/generation/_lib/handleSilence/index.ts
+++ b/src/domain/generation/_lib/handleSilence/index.ts
@@ -95,8 +95,8 @@
   const decide = (): Transition => {
     if (isHopeless) return replaceAttempt(marked, attempt);
     return input.confirmed
-      ? handleConfirmed({ ...marked, sent: true }, { ...attempt, silence: level })
-      : handleSuspected({ ...marked, sent: true });
+      ? handleConfirmed(marked, { ...attempt, silence: level })
+      : handleSuspected(marked);
   };
   const next = decide();
   return { state: next.state, effects: [evidence, ...next.effects] };
--- a/src/domain/generation/_lib/openAttempt/index.ts
+++ b/src/domain/generation/_lib/openAttempt/index.ts
@@ -16,6 +16,7 @@
     phase: AttemptPhase.Opening,
     backendServer: '',
     silence: 'none',
+    sentBefore: state.sent,
     fruitlessReads: 0,
   };
   const silent = state.attempts.map(({ backendServer }) => backendServer).filter(Boolean);
--- a/src/domain/generation/createGenerationState/index.ts
+++ b/src/domain/generation/createGenerationState/index.ts
@@ -18,6 +18,7 @@
   phase: AttemptPhase.Resuming,
   backendServer,
   silence: 'none',
+  sentBefore: true,
   fruitlessReads: 0,
 });
 
--- a/src/domain/generation/types/Attempt.ts
+++ b/src/domain/generation/types/Attempt.ts
@@ -26,6 +26,8 @@
   /** Empty while it waits for a slot. */
   readonly backendServer: string;
   readonly silence: 'none' | 'suspected' | 'confirmed';
+  /** Whether an engine may have begun to run the generation before this attempt was sent. */
+  readonly sentBefore: boolean;
   /** Times in a row that its stream was read again without a token. */
   readonly fruitlessReads: number;
 }
