--- a/standins/chain/renderPrompt/index.ts
+++ b/standins/chain/renderPrompt/index.ts
@@ -1,10 +1,7 @@
-type Body = Readonly<Record<string, unknown>>;
-
-const renderContent = (content: unknown): string =>
-  typeof content === 'string' ? content : JSON.stringify(content ?? '');
+import { computePromptText } from '../../../src/domain/request';
+import { Endpoint } from '../../../src/domain/types';
 
-const renderMessage = (message: { role?: unknown; content?: unknown }): string =>
-  `${String(message.role)}\n${renderContent(message.content)}\n`;
+type Body = Readonly<Record<string, unknown>>;
 
 /**
  * Renders the prompt of a request as the text from which digests are computed.
@@ -13,6 +10,6 @@
  * @returns chat: the messages joined as `role\ncontent\n`; completion: the prompt
  */
 export function renderPrompt(body: Body): string {
-  if (Array.isArray(body.messages)) return body.messages.map(renderMessage).join('');
-  return renderContent(body.prompt);
+  const endpoint = Array.isArray(body.messages) ? Endpoint.Chat : Endpoint.Completion;
+  return computePromptText(endpoint, body as unknown as Parameters<typeof computePromptText>[1]);
 }
--- a/standins/engine/_lib/createPrefixCache/index.ts
+++ b/standins/engine/_lib/createPrefixCache/index.ts
@@ -1,12 +1,8 @@
-import { createHash } from 'node:crypto';
 import type { Clock } from '../../../../src/application/ports';
+import { computePrefixDigests } from '../../../../src/domain/routing';
 import type { CacheEvent } from '../../../../src/domain/types';
 import type { EngineSettings } from '../../types';
 
-const PREFIX_CHARACTERS = 256;
-const MAX_PREFIXES = 64;
-const DIGEST_HEX_DIGITS = 16;
-
 /** The engine's cache of prompt prefixes. */
 export interface PrefixCache {
   /** Takes a prompt in; gives the part of it that was there already, 0 to 1. */
@@ -18,16 +14,6 @@
   clear(): void;
 }
 
-function listDigests(promptText: string): readonly string[] {
-  const count = Math.min(MAX_PREFIXES, Math.ceil(promptText.length / PREFIX_CHARACTERS));
-  return Array.from({ length: count }, (_, index) =>
-    createHash('sha256')
-      .update(promptText.slice(0, (index + 1) * PREFIX_CHARACTERS))
-      .digest('hex')
-      .slice(0, DIGEST_HEX_DIGITS),
-  );
-}
-
 /** Creates a cache that drops the prefixes used longest ago, and publishes late and with gaps. */
 export function createPrefixCache(
   settings: Pick<EngineSettings, 'cacheEntries' | 'cacheLagMs' | 'cacheGapEvery'>,
@@ -52,7 +38,7 @@
 
   return {
     addPrompt: (promptText) => {
-      const digests = listDigests(promptText);
+      const digests = computePrefixDigests(promptText);
       const added = digests.filter((digest) => !entries.has(digest));
       digests.forEach((digest) => {
         entries.delete(digest);
--- a/standins/engine/createStandInEngine/test.ts
+++ b/standins/engine/createStandInEngine/test.ts
@@ -145,7 +145,7 @@
 
 test('a prompt is cached, published, and found gone with the process', async (t) => {
   const { engine, start } = await startEngine(t, { cacheEntries: 1 });
-  await start('f.1');
+  await start('f.1', { messages: [{ role: 'user', content: 'y'.repeat(300) }] });
   await start('f.2', { messages: [{ role: 'user', content: 'x'.repeat(300) }] });
   const readKinds = async () => {
     const answer = await request(`${engine.url}/cache-events?after=0`);
--- a/standins/weights/createStandInWeightStore/index.ts
+++ b/standins/weights/createStandInWeightStore/index.ts
@@ -1,7 +1,7 @@
 import { Hono } from 'hono';
 import type { Clock } from '../../../src/application/ports';
 import { createLoopbackServer } from '../../_lib/createLoopbackServer';
-import { createSystemClock } from '../../_lib/createSystemClock';
+import { createSystemClock } from '../../../src/adapters/system';
 
 /** Options of a stand-in weight store. */
 export interface StandInWeightStoreOptions {
