--- a/standins/engine/_lib/createFaultSwitch/index.ts
+++ b/standins/engine/_lib/createFaultSwitch/index.ts
@@ -30,19 +30,20 @@
   let plan: readonly PlannedFault[] = [];
   let droppedAnswers = 0;
   let cutsNextEvent = false;
-  let thawed = Promise.resolve();
+  let thawed: Promise<void> | null = null;
   let resolveThawed: () => void = () => undefined;
 
   const handlers: Readonly<Record<FaultKind, () => void>> = {
     freeze: () => {
       targets.readCore().scheduler.pause();
-      thawed = new Promise((resolve) => {
+      // A second freeze must leave the requests held by the first to the same thaw.
+      thawed ??= new Promise((resolve) => {
         resolveThawed = resolve;
       });
     },
     unfreeze: () => {
       resolveThawed();
-      thawed = Promise.resolve();
+      thawed = null;
       targets.readCore().scheduler.resume();
     },
     'freeze-streams': () => targets.readCore().scheduler.pause(),
@@ -76,7 +77,9 @@
     handleSent: (stream) => {
       takeReached(stream, false).forEach(({ fault }) => handlers[fault]());
     },
-    waitUntilThawed: () => thawed,
+    waitUntilThawed: async () => {
+      await thawed;
+    },
     dropAnswers: (count) => {
       droppedAnswers = count;
     },
--- a/standins/engine/createStandInEngine/test.ts
+++ b/standins/engine/createStandInEngine/test.ts
@@ -94,6 +94,8 @@
   const health = request(`${engine.url}/health`);
   const log = await request(`${engine.url}/control/log`);
   t.like(await log.body.json(), { attempts: [{ generatedTokens: 3, state: 'decoding' }] });
+  // A second freeze while requests are held: they end with the one thaw all the same.
+  engine.applyFault('freeze');
   await request(`${engine.url}/control/fault/unfreeze`, { method: 'POST' });
   t.is((await health).statusCode, 200);
   t.true(checkChain(PROMPT, (await running).texts, { expectedTokens: 12 }).ok);
