Add the demo: a whole system in one process, its engine killed in mid-generation

tools/embedded stands up platform, a stand-in for each backend server of a configuration folder, and entries.

resume_ms counts to the first token of another attempt: tokens under way at the kill do not flatter it.

--- a/src/programs/jackdaw/commands/index.ts
+++ b/src/programs/jackdaw/commands/index.ts
@@ -1,5 +1,6 @@
 import { ApplyCommand } from './ApplyCommand';
 import { CheckCommand } from './CheckCommand';
+import { DemoCommand } from './DemoCommand';
 import { DiffCommand } from './DiffCommand';
 import { HistoryCommand } from './HistoryCommand';
 import { RollbackCommand } from './RollbackCommand';
@@ -11,4 +12,5 @@
   ApplyCommand,
   HistoryCommand,
   RollbackCommand,
+  DemoCommand,
 ] as const;
--- /dev/null
+++ b/tools/bench/resume/index.ts
@@ -0,0 +1,1 @@
+export { ResumeCommand } from './ResumeCommand';
--- /dev/null
+++ b/tools/bench/resume/types/ResumeReport.ts
@@ -0,0 +1,45 @@
+import type { BreakKind } from './BreakKind';
+
+/** Percentiles in milliseconds. */
+export interface LatencySummary {
+  readonly p50: number;
+  readonly p99: number;
+  readonly max: number;
+}
+
+/** Figures of one scenario. */
+export interface ScenarioReport {
+  readonly scenario: BreakKind;
+  /** Survival mode, or `baseline`. */
+  readonly mode: string;
+  /** Generations that were broken at least once. */
+  readonly generations: number;
+  /** All generations, broken or not. */
+  readonly started: number;
+  readonly lost: number;
+  readonly missing: number;
+  readonly repeated: number;
+  readonly mixed: number;
+  readonly resumeMs: LatencySummary;
+  /** Tokens that engines generated beyond those delivered, of the broken generations. */
+  readonly extraTokensRatio: number;
+  /** Reasons of lost generations, with their numbers. */
+  readonly reasons: Readonly<Record<string, number>>;
+}
+
+/** The bench's last line. */
+export interface ResumeReport {
+  readonly generations: number;
+  readonly started: number;
+  readonly lost: number;
+  readonly missing: number;
+  readonly repeated: number;
+  readonly mixed: number;
+  readonly resumeMs: LatencySummary;
+  readonly extraTokensRatio: number;
+  readonly baseline: {
+    readonly resumeMs: LatencySummary;
+    readonly extraTokensRatio: number;
+  };
+  readonly scenarios: readonly ScenarioReport[];
+}
--- /dev/null
+++ b/tools/bench/resume/types/index.ts
@@ -0,0 +1,3 @@
+export { BreakKind } from './BreakKind';
+export type { BenchCaller, CallerRequest, CallerResult } from './BenchCaller';
+export type { LatencySummary, ResumeReport, ScenarioReport } from './ResumeReport';
--- /dev/null
+++ b/tools/demo/types/index.ts
@@ -0,0 +1,1 @@
+export type { DemoOptions, DemoOutput, DemoReport } from './Demo';
--- /dev/null
+++ b/tools/embedded/index.ts
@@ -0,0 +1,11 @@
+export { applyToPlatform } from './applyToPlatform';
+export { buildEntrySettings } from './buildEntrySettings';
+export { createStreamMeter } from './createStreamMeter';
+export type { StreamMeter } from './createStreamMeter';
+export { startBackends } from './startBackends';
+export { startEmbeddedSystem } from './startEmbeddedSystem';
+export type { EmbeddedSystemOptions } from './startEmbeddedSystem';
+export { startEntryProcess } from './startEntryProcess';
+export type { EntryProcess } from './startEntryProcess';
+export type { Backends, EmbeddedEntry, EmbeddedSystem } from './types';
+export { waitUntilReady } from './waitUntilReady';
--- /dev/null
+++ b/tools/embedded/types/index.ts
@@ -0,0 +1,1 @@
+export type { Backends, EmbeddedEntry, EmbeddedSystem } from './EmbeddedSystem';
