Count work as ended when its answer has left, and bound stuck callers

Cause: a drain ended while the last words of an answer still waited in the socket, and the process then closed the connection; a caller that read nothing held a drain for ever. Change: work ends with the response's close; handed-over answers get 2 s; a caller that takes nothing for 60 s is given up.

--- a/src/adapters/http/_lib/handleService/index.ts
+++ b/src/adapters/http/_lib/handleService/index.ts
@@ -10,7 +10,7 @@
 import { checkNewWork } from '../checkNewWork';
 import { readBody } from '../readBody';
 import { sendError } from '../sendError';
-import { startResponseWatch } from '../startResponseWatch';
+import { endWorkWithAnswer, startResponseWatch, startStallLimit } from '../startResponseWatch';
 
 /** Headers of one connection, RFC 9110 7.6.1, and those that the entry sets or keeps to itself. */
 const DROPPED_HEADERS: readonly string[] = [
@@ -72,6 +72,7 @@
     'Jackdaw-Request-Id': context.get('requestId'),
     'Jackdaw-Run-State': runState,
   });
+  startStallLimit(outgoing);
   // An answer that breaks off destroys the connection: a caller must not take it for a whole one.
   await pipeline(Readable.from(response.body, { objectMode: false }), outgoing).catch(
     () => undefined,
@@ -130,6 +131,6 @@
   try {
     return await runCall(context, dependencies);
   } finally {
-    work.end();
+    endWorkWithAnswer(context.env.outgoing, work);
   }
 };
--- a/src/adapters/http/_lib/runDelivery/index.ts
+++ b/src/adapters/http/_lib/runDelivery/index.ts
@@ -5,7 +5,7 @@
 import { sendError } from '../sendError';
 import { sendEventStream } from '../sendEventStream';
 import { sendWholeAnswer } from '../sendWholeAnswer';
-import { startResponseWatch } from '../startResponseWatch';
+import { endWorkWithAnswer, startResponseWatch } from '../startResponseWatch';
 
 /** What is to be delivered. */
 export interface DeliverySource {
@@ -73,6 +73,6 @@
       feed.detach();
     }
   } finally {
-    work.end();
+    endWorkWithAnswer(context.env.outgoing, work);
   }
 };
--- a/src/adapters/http/_lib/sendEventStream/index.ts
+++ b/src/adapters/http/_lib/sendEventStream/index.ts
@@ -5,6 +5,7 @@
 import type { CallerContext, CallerDependencies, Delivery } from '../../types';
 import { createChunkFormatter } from '../formatChunk';
 import { buildErrorBody, INCOMPLETE, sendError } from '../sendError';
+import { startStallLimit } from '../startResponseWatch';
 
 /**
  * How long an answer's status waits for the first token, so that an early failure has a status of
@@ -116,6 +117,7 @@
   if (step !== null && step.done) return sendError(context, { kind: 'failed', error: INCOMPLETE });
   writeHead(context, delivery, step === null ? RunState.Unknown : RunState.Ran);
   if (step === null) outgoing.flushHeaders();
+  startStallLimit(outgoing);
   const stopHeartbeat = startHeartbeat(outgoing, dependencies.clock);
   try {
     await Promise.race([sendEvents(context, dependencies, delivery, first), delivery.stopped]);
--- a/src/adapters/http/_lib/startResponseWatch/index.ts
+++ b/src/adapters/http/_lib/startResponseWatch/index.ts
@@ -1,4 +1,16 @@
 import type { ServerResponse } from 'node:http';
+import type { Work } from '../../../../application/shutdown';
+
+/** Time for which a caller may take nothing of an answer that is being sent. */
+const STALLED_MS = 60_000;
+
+/**
+ * Gives up a caller that takes nothing for a minute: its connection would hold the answer in
+ * memory for ever. The generation goes on, and the caller can come back with its cursor.
+ */
+export const startStallLimit = (outgoing: ServerResponse): void => {
+  outgoing.setTimeout(STALLED_MS, () => outgoing.destroy());
+};
 
 /** Tells whether the caller of one request is still there. */
 export interface ResponseWatch {
@@ -14,3 +26,18 @@
   });
   return { signal: controller.signal };
 };
+
+/**
+ * Ends a piece of work when its answer has left, or its caller has gone.
+ *
+ * An answer that was handed to the socket may still wait there for a slow caller; a process that
+ * took the work as ended would cut it off.
+ */
+export const endWorkWithAnswer = (outgoing: ServerResponse, work: Work): void => {
+  if (outgoing.closed) {
+    work.end();
+    return;
+  }
+  startStallLimit(outgoing);
+  outgoing.once('close', () => work.end());
+};
--- a/src/application/shutdown/createShutdown/index.ts
+++ b/src/application/shutdown/createShutdown/index.ts
@@ -32,6 +32,9 @@
   drain(boundMs: number): Promise<DrainOutcome>;
 }
 
+/** Time that handed-over answers get to reach their callers before they are given up. */
+const HAND_OVER_GRACE_MS = 2000;
+
 interface RunningWork {
   readonly handOver: (() => void) | null;
 }
@@ -50,18 +53,23 @@
     finished += draining === null ? 0 : 1;
     if (running.size === 0) resolveIdle?.();
   };
-  const handOverWork = (work: RunningWork): void => {
-    if (work.handOver === null) return;
-    handedOver += 1;
-    work.handOver();
+  const listHandedOver = (): RunningWork[] =>
+    [...running].filter(({ handOver }) => handOver !== null);
+  // A caller that reads nothing would hold the drain for ever; it has its cursor all the same.
+  const dropStuckWork = (): void => listHandedOver().forEach(endWork);
+  const handOverWork = (): (() => void) => {
+    const work = listHandedOver();
+    handedOver = work.length;
+    work.forEach(({ handOver }) => handOver?.());
+    return dependencies.clock.startTimer(HAND_OVER_GRACE_MS, dropStuckWork);
   };
   const waitForIdle = async (boundMs: number): Promise<DrainOutcome> => {
     const idle = new Promise<void>((resolve) => {
       resolveIdle = resolve;
     });
     if (running.size === 0) resolveIdle?.();
-    const cancelTimer = dependencies.clock.startTimer(boundMs, () => {
-      [...running].forEach(handOverWork);
+    let cancelTimer = dependencies.clock.startTimer(boundMs, () => {
+      cancelTimer = handOverWork();
     });
     await idle;
     cancelTimer();
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -1,3 +1,5 @@
 import { runEntryCli } from './runEntryCli';
 
-process.exit(await runEntryCli(process.argv.slice(2)));
+const exitCode = await runEntryCli(process.argv.slice(2));
+// An exit at once would drop log lines that still wait for a slow reader of standard output.
+process.stdout.write('', () => process.exit(exitCode));
--- a/tests/callers/shutdown.test.ts
+++ b/tests/callers/shutdown.test.ts
@@ -130,3 +130,32 @@
   t.deepEqual(await drained, { finished: 1, handedOver: 0 });
   await server.stop();
 });
+
+// Symptom: the last words of an answer are missing after a restart of the entry.
+// Sequence: the answer is complete and still on its way to a slow caller; the drain ends; the
+// process closes its connections.
+// Cause: work was counted as ended when the answer was handed to the socket, not when it was sent.
+test('a drain waits until a slow caller has been sent the whole answer', async (t) => {
+  const server = await startTestCallerServer();
+  const length = 32_000_000;
+  server.generations.pushText(['x'.repeat(length)]);
+  server.generations.end();
+  for (const stream of [true, false]) {
+    const answer = await server.post('/v1/chat/completions', { ...BODY, stream });
+    t.is(server.shutdown.countRunning(), 1);
+    t.true((await answer.text()).length > length);
+  }
+  t.is((await server.shutdown.drain(1000)).handedOver, 0);
+  await server.stop();
+});
+
+test('a caller that reads nothing does not hold a drain past the bound', async (t) => {
+  const server = await startTestCallerServer();
+  server.generations.pushText(['x'.repeat(32_000_000)]);
+  await server.post('/v1/chat/completions', BODY);
+  const drained = server.shutdown.drain(1000);
+  server.clock.advance(1000);
+  server.clock.advance(2000);
+  t.is((await drained).handedOver, 1);
+  await server.stop();
+});
