--- a/src/programs/entry/_lib/wireParts/index.ts
+++ b/src/programs/entry/_lib/wireParts/index.ts
@@ -34,14 +34,15 @@
     log,
   });
   const readConfiguration = () => configuration.readCurrent()?.configuration;
+  const self = {
+    vm,
+    peerAddress,
+    region,
+    availabilityZone,
+    incarnation: Math.floor(clock.readWallMs() / MS_PER_S),
+  };
   const startedExchange = createPeerExchange({
-    self: {
-      vm,
-      peerAddress,
-      region,
-      availabilityZone,
-      incarnation: Math.floor(clock.readWallMs() / MS_PER_S),
-    },
+    self,
     seeds: settings.peers.seeds,
     clock,
     randomness,
@@ -85,6 +86,7 @@
   });
   const plainClient = createHttpPlainClient();
   return {
+    self,
     peers,
     configuration,
     exchange: startedExchange,
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -2,12 +2,12 @@
 import { startPeerServer } from '../../../adapters/connect';
 import { createCallerApp, startCallerServer, type CursorCodec } from '../../../adapters/http';
 import { createProber } from '../../../application/health';
+import { createMembershipFollower } from '../../../application/membership';
 import { createLoadPoller } from '../../../application/routing';
 import type { DrainOutcome } from '../../../application/shutdown';
 import { signCursor, verifyCursor } from '../../../domain/cursor';
 import { buildStatus } from '../_lib/buildStatus';
 import { createDeferredPeerServices } from '../_lib/createDeferredPeerServices';
-import { createVmListFollower } from '../_lib/createVmListFollower';
 import { wireBase, type EntryBase } from '../_lib/wireBase';
 import { wireParts, type EntryParts } from '../_lib/wireParts';
 import type { Entry, EntryOverrides, EntrySettings, StartError } from '../types';
@@ -21,35 +21,45 @@
 });
 
 /** Starts what an entry does by itself; the returned function stops it. */
-const startLoops = (base: EntryBase, parts: EntryParts, settings: EntrySettings): (() => void) => {
-  const { clock, health, load, stores } = base;
-  const { configuration, engineClient } = parts;
-  // A server that died stays out of service, however long it has been back, until a probe tells.
+const startLoops = (
+  base: EntryBase,
+  parts: EntryParts,
+  settings: EntrySettings,
+  handleOwnLeaving: () => void,
+): (() => Promise<void>) => {
+  const { clock, health, load, log, randomness, shutdown, stores } = base;
+  const { configuration, engineClient, exchange, self } = parts;
+  const membership = createMembershipFollower({
+    readSelf: () => ({ ...self, leaving: shutdown.isDraining() }),
+    exchange,
+    vmList: stores.vmList,
+    table: stores.tableStore,
+    health,
+    clock,
+    randomness,
+    log,
+    handleOwnLeaving,
+  });
   const prober = createProber({ clock, engineClient, health, configuration });
+  configuration.start();
+  exchange.start();
+  membership.start();
   prober.start();
-  parts.configuration.start();
-  parts.exchange.start();
   const poller = createLoadPoller({
-    engines: parts.engineClient,
-    configuration: parts.configuration,
+    engines: engineClient,
+    configuration,
     load,
     clock,
     vm: settings.vm.name,
     region: settings.vm.region,
-    listLiveVms: parts.exchange.listLiveVms,
-  });
-  const vms = createVmListFollower({
-    vmList: stores.vmList,
-    health,
-    clock,
-    recordVms: (records) => parts.exchange.recordMembers('list', records),
+    listLiveVms: exchange.listLiveVms,
   });
-  return () => {
-    prober.stop();
-    vms.stop();
+  return async () => {
     poller.stop();
-    parts.exchange.stop();
-    parts.configuration.stop();
+    prober.stop();
+    exchange.stop();
+    configuration.stop();
+    await membership.stop();
   };
 };
 
@@ -135,7 +145,9 @@
     await stopConnections();
     return err({ kind: 'cannot-listen', reason: callers.error.reason });
   }
-  const stopLoops = startLoops(base, parts, settings);
+  const stopLoops = startLoops(base, parts, settings, () => {
+    drain();
+  });
   log.info('entry started', { vm: settings.vm.name, callers: callers.value.url, peerAddress });
 
   return ok({
@@ -152,7 +164,7 @@
         shutdown.addListener(() => resolve(drain()));
       }),
     stop: async () => {
-      stopLoops();
+      await stopLoops();
       await callers.value.stop();
       await stopConnections();
     },
--- a/src/programs/entry/types/Entry.ts
+++ b/src/programs/entry/types/Entry.ts
@@ -13,7 +13,7 @@
   drain(): Promise<DrainOutcome>;
   /** Resolves when a drain, whoever asked for it, is over. */
   waitForDrain(): Promise<DrainOutcome>;
-  /** Stops at once; what runs breaks off, as if the process had died. */
+  /** Stops at once and removes the VM's registration; what still runs breaks off. */
   stop(): Promise<void>;
   /** Decisions of one request that are still held, oldest first. */
   listDecisions(requestId: string): readonly RoutingDecision[];
