--- a/src/adapters/http/_lib/runDelivery/index.ts
+++ b/src/adapters/http/_lib/runDelivery/index.ts
@@ -43,6 +43,7 @@
   source: DeliverySource,
 ): Promise<Response> => {
   const { clock, shutdown } = dependencies;
+  const startedMs = clock.readMonotonicMs();
   const watch = startResponseWatch(context.env.outgoing);
   const handOver = new AbortController();
   const work = shutdown.startWork(() => handOver.abort());
@@ -55,6 +56,7 @@
     const feed = opened.value;
     const createdS = Math.floor(clock.readWallMs() / 1000);
     const delivery: Delivery = {
+      startedMs,
       shape: { ...source.shape, generationId: feed.generationId, createdS },
       iterator: feed.events[Symbol.asyncIterator](),
       stop,
--- a/src/adapters/http/_lib/sendEventStream/index.ts
+++ b/src/adapters/http/_lib/sendEventStream/index.ts
@@ -75,7 +75,7 @@
 /** Writes event after event, as fast as the caller reads. */
 const sendEvents = async (
   context: CallerContext,
-  { cursors, metrics }: CallerDependencies,
+  { clock, cursors, metrics }: CallerDependencies,
   delivery: Delivery,
   first: Promise<Step>,
 ): Promise<void> => {
@@ -90,6 +90,7 @@
       return;
     }
     const { batch, cursor } = step.value;
+    if (tokens === 0) metrics.recordFirstToken(clock.readMonotonicMs() - delivery.startedMs);
     const isReady = outgoing.write(formatter.formatTokens(batch, cursors.sign(cursor)));
     metrics.recordTokens(batch.tokenIds.length);
     tokens = cursor.offset;
--- a/src/adapters/http/_lib/sendWholeAnswer/index.ts
+++ b/src/adapters/http/_lib/sendWholeAnswer/index.ts
@@ -34,10 +34,13 @@
 
 /** Follows the generation to its end; gives its error, or null. */
 const collectEvents = async (
-  iterator: Delivery['iterator'],
+  { clock, metrics }: CallerDependencies,
+  { iterator, startedMs }: Delivery,
   collector: Collector,
 ): Promise<GenerationError | null> => {
-  for (let step = await iterator.next(); !step.done; step = await iterator.next()) {
+  let step = await iterator.next();
+  metrics.recordFirstToken(clock.readMonotonicMs() - startedMs);
+  for (; !step.done; step = await iterator.next()) {
     if (step.value.kind === 'failed') return step.value.error;
     collector.addEvent(step.value);
   }
@@ -96,7 +99,7 @@
   delivery: Delivery,
 ): Promise<Response> => {
   const collector = createCollector();
-  const ended = collectEvents(delivery.iterator, collector);
+  const ended = collectEvents(dependencies, delivery, collector);
   const error = await Promise.race([ended, delivery.stopped.then(() => null)]);
   const answer = collector.readAnswer();
   if (delivery.stop.aborted) {
