Measure what an entry uses against the size of what is around it

Ruled out: the metrics library's default set (it starts timers and observers of its own); reading another process's figures from the system.

--- a/src/adapters/metrics/createEntryMetrics/index.ts
+++ b/src/adapters/metrics/createEntryMetrics/index.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { addProcessGauges } from '../_lib/addProcessGauges';
 
 /** What an entry tells of its state when metrics are read. */
 export interface EntryGauges {
@@ -45,6 +46,7 @@
 export const createEntryMetrics = (): EntryMetrics => {
   const registry = new Registry();
   const registers = [registry];
+  addProcessGauges(registry);
   const answers = new Counter({
     name: 'jackdaw_answers_total',
     help: 'Answers to callers, by route and HTTP status.',
--- a/tools/bench/commands.ts
+++ b/tools/bench/commands.ts
@@ -1,4 +1,5 @@
 import { ResumeCommand } from './resume';
+import { SlopesCommand } from './slopes';
 
 /** All benches. Each stands in its own folder and prints one JSON object as its last line. */
-export const BENCH_COMMANDS = [ResumeCommand];
+export const BENCH_COMMANDS = [ResumeCommand, SlopesCommand];
--- /dev/null
+++ b/tools/bench/slopes/_lib/runSlopePoint/index.ts
@@ -0,0 +1,59 @@
+import type { SlopeLoad, SlopePoint } from '../../types';
+import { readProcessUsage } from '../readProcessUsage';
+import { startKeyedRequests } from '../startKeyedRequests';
+import { startSlopeSystem, type SlopeSystem } from '../startSlopeSystem';
+import { startStreams } from '../startStreams';
+
+/** How long a point is measured. */
+export interface SlopeWindow {
+  /** Time for start-up work to settle before the measurement, in milliseconds. */
+  readonly settleMs: number;
+  readonly windowMs: number;
+}
+
+const MS_PER_S = 1000;
+const BYTES_PER_MB = 1024 * 1024;
+const PERCENT = 100;
+
+const waitMs = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+const readWindow = async (
+  { entryUrl, platform }: SlopeSystem,
+  { settleMs, windowMs }: SlopeWindow,
+): Promise<Omit<SlopePoint, 'size'>> => {
+  await waitMs(settleMs);
+  platform.table.resetCounts();
+  const before = await readProcessUsage(entryUrl);
+  const startedMs = performance.now();
+  await waitMs(windowMs);
+  const elapsedS = (performance.now() - startedMs) / MS_PER_S;
+  const after = await readProcessUsage(entryUrl);
+  const { reads, writes } = platform.table.readCounts();
+  return {
+    cpuPercent: ((after.cpuS - before.cpuS) / elapsedS) * PERCENT,
+    residentMb: after.residentBytes / BYTES_PER_MB,
+    heapMb: after.heapBytes / BYTES_PER_MB,
+    tableReadsPerS: reads / elapsedS,
+    tableWritesPerS: writes / elapsedS,
+  };
+};
+
+/** Runs one system of a given size and measures its first entry. */
+export async function runSlopePoint(
+  load: SlopeLoad,
+  window: SlopeWindow,
+): Promise<Omit<SlopePoint, 'size'>> {
+  const system = await startSlopeSystem(load);
+  const stopStreams = startStreams(system.entryUrl, load.streams);
+  const stopRequests = startKeyedRequests(system.entryUrl, load.keyedRequests);
+  try {
+    return await readWindow(system, window);
+  } finally {
+    await stopRequests();
+    await stopStreams();
+    await system.stop();
+  }
+}
--- /dev/null
+++ b/tools/bench/slopes/_lib/startSlopeSystem/index.ts
@@ -0,0 +1,106 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify } from 'smol-toml';
+import { createStandInEngine } from '../../../../../standins/engine';
+import { createStandInPlatform, type StandInPlatform } from '../../../../../standins/platform';
+import { readListening } from '../../../../scenario/_lib/readListening';
+import {
+  renderEntrySettings,
+  renderOperatorSettings,
+} from '../../../../scenario/_lib/renderSettings';
+import { runCommand } from '../../../../scenario/_lib/runCommand';
+import { createEventBoard } from '../../../../scenario/createEventBoard';
+import { startChild } from '../../../../scenario/startChild';
+import type { Child } from '../../../../scenario/types';
+import type { SlopeLoad } from '../../types';
+import { ENGINE_SLOTS, renderSlopeFolder, SLOPE_ZONE } from '../renderSlopeFolder';
+import { startFleet } from '../startFleet';
+
+/** A running system; the first entry is the one that is measured. */
+export interface SlopeSystem {
+  readonly entryUrl: string;
+  readonly platform: StandInPlatform;
+  stop(): Promise<void>;
+}
+
+/** Gap between tokens that the users ask for at the size of two years from now. */
+const TOKEN_GAP_MS = 28;
+
+const MODELS = ['review', 'status'].map((model) => ({ model, version: '1', adapter: '' }));
+
+const READY_POLL_MS = 50;
+
+/** An entry listens before it has read a configuration; a balancer asks `/readyz` too. */
+const waitUntilReady = async (url: string): Promise<void> => {
+  for (;;) {
+    const { ok } = await fetch(`${url}/readyz`);
+    if (ok) return;
+    await new Promise((resolve) => {
+      setTimeout(resolve, READY_POLL_MS);
+    });
+  }
+};
+
+const startEngine = () =>
+  createStandInEngine({
+    name: 'engine-0',
+    models: MODELS,
+    slots: ENGINE_SLOTS,
+    firstTokenMs: 50,
+    gapMs: TOKEN_GAP_MS,
+  });
+
+/** Starts platform, back ends, configuration and entries for one point. */
+export async function startSlopeSystem(load: SlopeLoad): Promise<SlopeSystem> {
+  const board = createEventBoard();
+  const children: Child[] = [];
+  const [folder, platform, fleet, engine] = await Promise.all([
+    mkdtemp(join(tmpdir(), 'jackdaw-slopes-')),
+    createStandInPlatform(),
+    startFleet(load.polledServers),
+    startEngine(),
+  ]);
+  const { objects, table, vmList } = platform;
+  const urls = { table: table.url, objects: objects.url, vmList: vmList.url };
+  const stop = async (): Promise<void> => {
+    children.forEach((child) => child.process.kill('SIGKILL'));
+    await Promise.all(children.map((child) => board.waitFor(() => child.exit())));
+    await Promise.all([engine.stop(), fleet.stop(), platform.close()]);
+    await rm(folder, { recursive: true, force: true });
+  };
+  const startEntry = async (name: string): Promise<string> => {
+    const settings = renderEntrySettings(
+      { name, kind: 'entry', availabilityZone: SLOPE_ZONE.availabilityZone },
+      urls,
+    );
+    const path = join(folder, `${name}.toml`);
+    await writeFile(path, stringify(settings));
+    const child = startChild({
+      name,
+      availabilityZone: SLOPE_ZONE.availabilityZone,
+      args: ['dist/jackdaw-entry.js', '--settings', path],
+      board,
+      restart: async () => {},
+      onStart: (started) => {
+        children.push(started);
+      },
+    });
+    const { url } = await readListening(child, board);
+    await waitUntilReady(url);
+    return url;
+  };
+
+  const operator = join(folder, 'jackdaw.toml');
+  await writeFile(operator, stringify(renderOperatorSettings(urls)));
+  const servers = { fleet: fleet.urls, engines: [engine.url] };
+  const path = await renderSlopeFolder(folder, load, servers);
+  const applied = await runCommand(['dist/jackdaw.js', 'apply', path, '--settings', operator]);
+  if (applied.code !== 0) {
+    await stop();
+    throw new Error(`apply failed: ${applied.output}`);
+  }
+  const names = Array.from({ length: load.peers + 1 }, (_value, index) => `entry-${index}`);
+  const [entryUrl = ''] = await Promise.all(names.map(startEntry));
+  return { entryUrl, platform, stop };
+}
--- /dev/null
+++ b/tools/bench/slopes/index.ts
@@ -0,0 +1,1 @@
+export { SlopesCommand } from './SlopesCommand';
