--- a/tools/scenario/main.ts
+++ b/tools/scenario/main.ts
@@ -21,11 +21,15 @@
   process.stdout.write(`${line}\n`);
 };
 
+/** A filter is a part of the name, or with `=` before it the whole name. */
+const isWanted = (file: string, filter: string): boolean =>
+  filter.startsWith('=') ? file === `${filter.slice(1)}.scenario.toml` : file.includes(filter);
+
 const filters = process.argv.slice(2);
 const knownRed = await readKnownRed(KNOWN_RED_FILE);
 const files = (await readdir(FOLDER).catch(() => []))
   .filter((file) => file.endsWith('.scenario.toml'))
-  .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
+  .filter((file) => filters.length === 0 || filters.some((filter) => isWanted(file, filter)))
   .sort();
 
 let passed = 0;
--- a/tools/scenario/sendGeneration/index.ts
+++ b/tools/scenario/sendGeneration/index.ts
@@ -44,13 +44,15 @@
  * Comes back to an entry with the last cursor.
  *
  * @param options.prefix - true: gives the received tokens and the request too
+ * @param options.forged - true: the last of those tokens is another one
  */
 export function resumeGeneration(
   caller: Caller,
   baseUrl: string,
-  options: { readonly prefix: boolean },
+  options: { readonly prefix: boolean; readonly forged: boolean },
 ): Promise<void> {
-  const { batches, tokenIds } = caller.readState();
+  const { batches, tokenIds: received } = caller.readState();
+  const tokenIds = options.forged ? [...received.slice(0, -1), 0] : received;
   const last = batches.at(-1);
   const request = {
     url: `${baseUrl}/v1/generations/${last?.generationId ?? 'none'}/events`,
--- a/tools/scenario/types/Scenario.ts
+++ b/tools/scenario/types/Scenario.ts
@@ -47,6 +47,8 @@
     entry,
     /** Gives the tokens received back to the system. */
     prefix: z.boolean().default(false),
+    /** Changes the last of those tokens. */
+    forged: z.boolean().default(false),
     /** A second connection of the same caller, recorded on its own. */
     as: z.string().default(''),
   }),
