Bench resume: measure the gaps of unbroken streams beside the resumes, after a warm-up round

The machine is shared: without a control in the same run a late resume cannot be told from a busy processor.

--- a/standins/engine/_lib/createStreamStore/index.ts
+++ b/standins/engine/_lib/createStreamStore/index.ts
@@ -27,6 +27,7 @@
     state: stream.readState(),
     prefixTokens: stream.start.prefixTokenIds.length,
     generatedTokens: stream.ids.length,
+    startedAtMs: stream.startedAtMs,
     readers: stream.readers.size,
   };
 }
@@ -69,7 +70,11 @@
   return {
     findStream: (streamId) => streams.get(streamId),
     addStream: (start) => {
-      const stream = createTokenStream(start, randomness.readHex(NONCE_BYTES));
+      const stream = createTokenStream(
+        start,
+        randomness.readHex(NONCE_BYTES),
+        clock.readMonotonicMs(),
+      );
       streams.set(start.streamId, stream);
       attempts.push(stream);
       return stream;
--- a/standins/engine/_lib/createTokenStream/index.ts
+++ b/standins/engine/_lib/createTokenStream/index.ts
@@ -10,8 +10,13 @@
  * Creates the stream of a request, its chain advanced over the prefix that came with it.
  *
  * @param nonce - random text of this attempt, lower-case hex
+ * @param startedAtMs - monotonic time of its arrival
  */
-export function createTokenStream(start: StreamStart, nonce: string): TokenStream {
+export function createTokenStream(
+  start: StreamStart,
+  nonce: string,
+  startedAtMs: number,
+): TokenStream {
   const chainStart = computeChainStart(`${start.model}\n${start.promptText}`);
   const ids: number[] = [];
   const texts: string[] = [];
@@ -29,6 +34,7 @@
   };
   return {
     start,
+    startedAtMs,
     texts,
     ids,
     readers: new Set(),
--- a/standins/engine/types/AttemptRecord.ts
+++ b/standins/engine/types/AttemptRecord.ts
@@ -22,6 +22,8 @@
   readonly prefixTokens: number;
   /** Tokens that this engine generated. */
   readonly generatedTokens: number;
+  /** When the request arrived, on the engine's monotonic clock. */
+  readonly startedAtMs: number;
   /** Readers of the stream at this moment. */
   readonly readers: number;
 }
--- a/standins/engine/types/TokenStream.ts
+++ b/standins/engine/types/TokenStream.ts
@@ -19,6 +19,8 @@
 /** A stream that the engine holds. */
 export interface TokenStream {
   readonly start: StreamStart;
+  /** When the request arrived, monotonic milliseconds. */
+  readonly startedAtMs: number;
   /** Tokens generated here; the first stands at offset `start.prefixTokenIds.length`. */
   readonly texts: readonly string[];
   readonly ids: readonly number[];
--- a/tools/bench/resume/_lib/buildScenarioReport/index.ts
+++ b/tools/bench/resume/_lib/buildScenarioReport/index.ts
@@ -55,6 +55,7 @@
     repeated: sum(chains.map(({ repeated }) => repeated)),
     mixed: sum(chains.map(({ mixed }) => mixed)),
     resumeMs: computeLatencySummary(broken.flatMap(({ result }) => result.resumeMs)),
+    gapMs: computeLatencySummary(ended.flatMap(({ result }) => result.gapsMs)),
     extraTokensRatio: computeExtraRatio(broken, engines),
     reasons: countReasons(ended),
   };
--- a/tools/bench/resume/_lib/createBreakMeter/index.ts
+++ b/tools/bench/resume/_lib/createBreakMeter/index.ts
@@ -13,6 +13,8 @@
   waitForTokens(count: number): Promise<boolean>;
   stop(): void;
   listResumeMs(): readonly number[];
+  /** Times between tokens while nothing was broken. */
+  listGapsMs(): readonly number[];
   buildReport(expectedTokens: number): ChainReport;
 }
 
@@ -32,6 +34,8 @@
   const meter = createStreamMeter(promptText, readMs);
   const resumeMs: number[] = [];
   let source = '';
+  const gapsMs: number[] = [];
+  let lastMs: number | null = null;
   let breaks = 0;
   let open: readonly { readonly atMs: number; readonly source: string }[] = [];
   let waiters: readonly Waiter[] = [];
@@ -44,6 +48,11 @@
     continued.forEach(({ atMs }) => resumeMs.push(nowMs - atMs));
     open = open.filter((one) => one.source === source);
   };
+  const recordGap = () => {
+    const nowMs = readMs();
+    if (lastMs !== null) gapsMs.push(nowMs - lastMs);
+    lastMs = open.length === 0 ? nowMs : null;
+  };
   const wake = () => {
     const reached = waiters.filter(({ count }) => isStopped || meter.countTokens() >= count);
     if (reached.length === 0) return;
@@ -55,10 +64,12 @@
       meter.recordText(text);
       source = `${meter.listNonces().at(-1)}/${connection}`;
       closeBreaks();
+      recordGap();
       wake();
     },
     recordBreak: () => {
       breaks += 1;
+      lastMs = null;
       open = [...open, { atMs: readMs(), source }];
     },
     countBreaks: () => breaks,
@@ -73,6 +84,7 @@
       wake();
     },
     listResumeMs: () => resumeMs,
+    listGapsMs: () => gapsMs,
     buildReport: meter.buildReport,
   };
 }
--- a/tools/bench/resume/_lib/runRounds/index.ts
+++ b/tools/bench/resume/_lib/runRounds/index.ts
@@ -51,9 +51,14 @@
   }));
 }
 
-/** Runs rounds of callers and breaks until enough generations were broken. */
+/**
+ * Runs rounds of callers and breaks until enough generations were broken.
+ *
+ * The first round is not measured: in it the processes compile the code that the others run.
+ */
 export async function runRounds(options: RoundsOptions): Promise<readonly EndedCaller[]> {
   const ended: EndedCaller[] = [];
+  await runRound(options);
   const countBroken = () => ended.filter(({ result }) => result.breaks > 0).length;
   for (let round = 0; round < MAX_ROUNDS && countBroken() < options.generations; round += 1) {
     ended.push(...(await runRound(options)));
--- a/tools/bench/resume/_lib/startCaller/index.ts
+++ b/tools/bench/resume/_lib/startCaller/index.ts
@@ -33,7 +33,14 @@
     const reason = await follow();
     const chain = meter.buildReport(request.tokens);
     const whole = reason === '' && chain.tokens === request.tokens;
-    return { whole, reason, chain, breaks: meter.countBreaks(), resumeMs: meter.listResumeMs() };
+    return {
+      whole,
+      reason,
+      chain,
+      breaks: meter.countBreaks(),
+      resumeMs: meter.listResumeMs(),
+      gapsMs: meter.listGapsMs(),
+    };
   };
   return {
     readStreamPrefix: () => (generationId === '' ? '' : `${generationId}.`),
--- a/tools/bench/resume/_lib/startScratchCaller/index.ts
+++ b/tools/bench/resume/_lib/startScratchCaller/index.ts
@@ -101,7 +101,14 @@
     const chain = checkChain(`${request.model}\n${renderPrompt(body)}`, texts, {
       expectedTokens: request.tokens,
     });
-    return { whole: isDone, reason: isDone ? '' : 'attempts used up', chain, breaks, resumeMs };
+    return {
+      whole: isDone,
+      reason: isDone ? '' : 'attempts used up',
+      chain,
+      breaks,
+      resumeMs,
+      gapsMs: [],
+    };
   };
   return {
     readStreamPrefix: () => `${name}.`,
--- a/tools/bench/resume/types/BenchCaller.ts
+++ b/tools/bench/resume/types/BenchCaller.ts
@@ -10,6 +10,8 @@
   readonly chain: ChainReport;
   /** Times from each break to the answer continuing, in milliseconds. */
   readonly resumeMs: readonly number[];
+  /** Times between tokens while nothing was broken, in milliseconds. */
+  readonly gapsMs: readonly number[];
 }
 
 /** A caller whose generation runs. */
--- a/tools/bench/resume/types/ResumeReport.ts
+++ b/tools/bench/resume/types/ResumeReport.ts
@@ -21,6 +21,8 @@
   readonly repeated: number;
   readonly mixed: number;
   readonly resumeMs: LatencySummary;
+  /** Gaps between tokens of streams that nothing had broken: how busy the machine was meanwhile. */
+  readonly gapMs: LatencySummary;
   /** Tokens that engines generated beyond those delivered, of the broken generations. */
   readonly extraTokensRatio: number;
   /** Reasons of lost generations, with their numbers. */
