--- /dev/null
+++ b/tests/generations/keyed.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import { buildRequest } from '../support/createTestEntry';
+import { createTestDeployment } from '../support/createTestDeployment';
+
+const KEYED = { idempotencyKey: 'key' };
+
+// Symptom: two generations of one key, and two letters.
+// Sequence: the same POST reaches two entries at once.
+// Cause: a claim that is looked at before it is written, or a holder that cannot be attached to yet.
+test('two simultaneous POSTs of one key give one generation', async (t) => {
+  const { engines, first, second, readFeed, signal } = createTestDeployment();
+  const openings = [first, second, first].map(({ generations }) =>
+    generations.startGeneration(buildRequest(KEYED), signal),
+  );
+  await engines.waitForStarts(1);
+  const [stream] = engines.starts;
+  engines.emit(stream!, 3, 'stop');
+  const answers = await Promise.all(
+    openings.map(async (opening) => readFeed((await opening)._unsafeUnwrap()).done),
+  );
+  answers.forEach((answer) => t.deepEqual(answer, stream!.tokenIds));
+  t.is(engines.starts.length, 1);
+});
+
+// Symptom: a repeat of a finished request generates again, or another body gets the first answer.
+// Sequence: the answer is stored; the key comes again at another entry.
+// Cause: keys that are kept only in the memory of one entry.
+test('a finished answer is replayed, and another request under its key is refused', async (t) => {
+  const { clock, engines, first, second, open, readFeed, signal } = createTestDeployment();
+  const { stream, reader } = await open(first, 2, KEYED);
+  engines.emit(stream, 1, 'stop');
+  await reader.done;
+  await clock.advanceAsync(0);
+  const repeat = await second.generations.startGeneration(buildRequest(KEYED), signal);
+  t.deepEqual(await readFeed(repeat._unsafeUnwrap()).done, stream.tokenIds);
+  const other = buildRequest({ ...KEYED, digest: 'd2' });
+  const refusals = await Promise.all(
+    [first, second].map(({ generations }) => generations.startGeneration(other, signal)),
+  );
+  refusals.forEach((refusal) => t.is(refusal._unsafeUnwrapErr().status, 422));
+  t.is(engines.starts.length, 1);
+});
+
+// Symptom: a paused entry goes on with work that another one has, and writes over its claim.
+// Sequence: entry-1 stands still; entry-22 takes the claim over; the engine dies; entry-1 wakes.
+// Cause: an entry that does not ask whether the claim is still its own.
+test('an entry that lost its claim starts nothing more', async (t) => {
+  const { clock, engines, network, first, second, open, readFeed, signal } = createTestDeployment();
+  const { stream, reader } = await open(first, 2, KEYED);
+  await clock.advanceAsync(0);
+  network.remove('entry-1');
+  const repeat = second.generations.startGeneration(buildRequest(KEYED), signal);
+  const taken = readFeed((await repeat)._unsafeUnwrap());
+  await taken.waitForTokens(2);
+  t.is(engines.starts.length, 1);
+  engines.kill('engine-1');
+  await engines.waitForStarts(3);
+  await clock.advanceAsync(0);
+  t.is(await reader.done, 'generation_moved');
+  const own = engines.starts.filter(({ readers }) => readers.size > 0);
+  t.is(own.length, 1);
+  engines.emit(own[0]!, 1, 'stop');
+  t.deepEqual(await taken.done, own[0]!.tokenIds);
+  t.deepEqual(own[0]!.tokenIds.slice(0, 2), stream.tokenIds);
+});
+
+// Symptom: work that bills runs twice, or a caller is told "not run" of work that ran.
+// Sequence: the engine dies before and after the first token; the store is down; the key repeats.
+// Cause: a retry of work that may have begun.
+test('non-idempotent work is sent once, and the caller is told what is known', async (t) => {
+  const { engines, first, second, open, signal, tableStore } = createTestDeployment();
+  const once = { idempotent: false, idempotencyKey: 'once' };
+  const { reader } = await open(first, 2, once);
+  engines.kill('engine-1');
+  t.is(await reader.done, 'generation_lost');
+  const again = await second.generations.startGeneration(buildRequest(once), signal);
+  t.is(again._unsafeUnwrapErr().runState, 'unknown');
+  tableStore.setOutage('unavailable');
+  const down = await first.generations.startGeneration(
+    buildRequest({ ...once, idempotencyKey: 'other' }),
+    signal,
+  );
+  t.is(down._unsafeUnwrapErr().runState, 'not-run');
+  t.is(down._unsafeUnwrapErr().status, 503);
+  t.is(engines.starts.length, 1);
+});
--- a/tests/support/startFeedReader/index.ts
+++ b/tests/support/startFeedReader/index.ts
@@ -8,6 +8,8 @@
   readonly cursors: Cursor[];
   /** Settles when so many tokens have come. */
   waitForTokens(count: number): Promise<void>;
+  /** Goes away, as a caller whose connection breaks. */
+  leave(): void;
   /** All tokens when the feed has ended; the code of the failure if it failed. */
   readonly done: Promise<readonly number[] | string>;
 }
@@ -36,6 +38,7 @@
         await arrived.wait();
       }
     },
+    leave: () => feed.detach(),
     done: readAll(),
   };
 };
