--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -198,3 +198,20 @@
   t.is(whole.status, 502);
   await server.stop();
 });
+
+test('an entry that is cut off or has no configuration is not ready and takes no work', async (t) => {
+  const view = { readCurrent: () => null, addListener: () => () => undefined };
+  const cases = [
+    { change: { isCutOff: () => true }, code: 'cut_off' },
+    { change: { configuration: view }, code: 'no_configuration' },
+  ];
+  for (const { change, code } of cases) {
+    const server = await startTestCallerServer(change);
+    t.is((await server.send('/readyz')).status, 503);
+    const answer = await server.post('/v1/chat/completions', BODY);
+    t.regex(await answer.text(), new RegExp(code));
+    t.is(answer.headers.get('jackdaw-run-state'), 'not-run');
+    t.truthy(answer.headers.get('retry-after'));
+    await server.stop();
+  }
+});
--- a/tests/entry/wholePath.test.ts
+++ b/tests/entry/wholePath.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import OpenAI from 'openai';
+import { streamGeneration } from '../../client';
 import { checkChain, renderPrompt } from '../../standins/chain';
-import { TEST_KEYS } from '../_lib/buildTestConfiguration';
+import { buildTestConfiguration, TEST_KEYS } from '../_lib/buildTestConfiguration';
 import { startTestSystem } from '../_lib/startTestSystem';
 
 const MESSAGES = [{ role: 'user' as const, content: 'Check the seal.' }];
@@ -70,3 +71,46 @@
   t.deepEqual(system.engines.map((engine) => engine.listAttempts().length).sort(), [1, 1]);
   await system.stop();
 });
+
+// Symptom: a review that is still running when its entry is replaced is cut off or begins again.
+// Sequence: 10 tokens have come, the entry drains with no time left, its process ends.
+// Cause: the caller's stream ended with the process, with nothing to go on with at another entry.
+test('a drained entry hands its stream over to another one, each token once', async (t) => {
+  const { limits } = buildTestConfiguration();
+  const system = await startTestSystem({
+    entries: 2,
+    configuration: { limits: { ...limits, drainMs: 0 } },
+  });
+  const [first, second] = system.entries;
+  const drained = system.engines[0]!.waitForTokens(10).then(() => first!.drain());
+  const texts: string[] = [];
+  const batches = streamGeneration({
+    baseUrls: [first!.callerUrl, second!.callerUrl],
+    apiKey: TEST_KEYS.counter,
+    body: { model: 'review', messages: MESSAGES, max_tokens: 200 },
+  });
+  for await (const batch of batches) texts.push(batch.text);
+  t.true(checkChain(PROMPT, texts, { expectedTokens: 200 }).ok);
+  t.is((await drained).handedOver, 1);
+  t.is(system.engines[0]!.listAttempts().length, 1);
+  await system.stop();
+});
+
+// Symptom: a dossier is read in a place where it may not be.
+// Sequence: no server of the allowed places serves; another place has a free one.
+// Cause: routing that prefers any answer to none.
+test('work without a server in its places is refused and reaches no engine elsewhere', async (t) => {
+  const system = await startTestSystem({
+    configuration: { places: [{ name: 'here', region: 'r1', availabilityZones: ['z2'] }] },
+  });
+  const answer = await fetch(`${system.entries[0]!.callerUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { Authorization: `Bearer ${TEST_KEYS.counter}` },
+    body: JSON.stringify({ model: 'review', messages: MESSAGES }),
+  });
+  const { error } = (await answer.json()) as { error: { code: string } };
+  t.deepEqual([answer.status, error.code], [503, 'no_ready_server']);
+  t.is(answer.headers.get('jackdaw-run-state'), 'not-run');
+  t.is(system.engines[0]!.listAttempts().length, 0);
+  await system.stop();
+});
