Refuse a change that most VMs could not learn of

Cause: more than half of the VMs without the table take it to be down and go on, while an operator who reaches it applies a change: they serve by the old configuration for the whole split. Ruled out: a rule at the VMs alone, since the evidence is on the other side.

--- a/src/domain/configuration/checkFreshness/index.ts
+++ b/src/domain/configuration/checkFreshness/index.ts
@@ -23,7 +23,8 @@
  * runs work where it is no longer allowed. It notices by the age of the newest table read that it
  * knows of. Old age alone may also mean that the table is down for all; then nothing can have been
  * accepted, and stopping would only lose requests. Hearing more than half of the VMs tells the two
- * apart. Exactly half is not enough: the other half may be the one that reads the table.
+ * apart, since no change is accepted while fewer than half read the table (`checkTableReaders`).
+ * Exactly half is not enough: the other half may be the one that reads the table.
  *
  * A VM that has known of a higher version for longer than the limit without getting it is cut off
  * as well, whatever it hears.
--- a/src/domain/configuration/index.ts
+++ b/src/domain/configuration/index.ts
@@ -1,6 +1,8 @@
 export { checkConfiguration } from './checkConfiguration';
 export { checkFreshness, FRESHNESS_LIMIT_MS } from './checkFreshness';
 export type { CutOff, Freshness } from './checkFreshness';
+export { checkTableReaders } from './checkTableReaders';
+export type { TooFewReaders } from './checkTableReaders';
 export { compareConfigurations } from './compareConfigurations';
 export { decodeConfiguration } from './decodeConfiguration';
 export type { ConfigurationDecodeError } from './decodeConfiguration';
@@ -15,4 +17,5 @@
   ConfigurationFault,
   ConfigurationRow,
   FreshnessEvidence,
+  TableReaders,
 } from './types';
--- a/src/programs/entry/_lib/buildStatus/index.ts
+++ b/src/programs/entry/_lib/buildStatus/index.ts
@@ -11,6 +11,8 @@
   readonly readState: () => {
     readonly draining: boolean;
     readonly cutOff: boolean;
+    /** Age of this VM's own newest read of the table, or null if it has read none. */
+    readonly tableReadAgeMs: number | null;
     readonly running: number;
     readonly generations: number;
   };
--- a/src/programs/entry/_lib/wireParts/index.ts
+++ b/src/programs/entry/_lib/wireParts/index.ts
@@ -94,6 +94,10 @@
     generations,
     plainClient,
     services: createPlainServices({ router, claims, client: plainClient, clock, log }),
+    readTableReadAgeMs: (): number | null => {
+      const readAtMs = configuration.readTableReadAtMs();
+      return readAtMs === null ? null : clock.readMonotonicMs() - readAtMs;
+    },
     isCutOff: (): boolean =>
       checkFreshness({
         ...startedExchange.readFreshness(),
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -115,6 +115,7 @@
         readState: () => ({
           draining: shutdown.isDraining(),
           cutOff: isCutOff(),
+          tableReadAgeMs: parts.readTableReadAgeMs(),
           running: shutdown.countRunning(),
           generations: generations.countRunning(),
         }),
--- a/src/programs/jackdaw/commands/ApplyCommand.ts
+++ b/src/programs/jackdaw/commands/ApplyCommand.ts
@@ -74,6 +74,10 @@
       );
       return ExitCode.Conflict;
     }
+    // Before the first version there is no old configuration to go on with.
+    if (newest !== null && !(await this.isReadEnough(platform))) {
+      return ExitCode.Unreachable;
+    }
     const applied = await applyConfiguration(platform, {
       configuration,
       expectedVersion: expected ?? 0,
--- a/src/programs/jackdaw/commands/RollbackCommand.ts
+++ b/src/programs/jackdaw/commands/RollbackCommand.ts
@@ -51,6 +51,9 @@
     }
     const changes = compareConfigurations(newest.value.configuration, configuration);
     renderChanges(changes).forEach((line) => this.writeNote(line));
+    if (!(await this.isReadEnough(platform))) {
+      return ExitCode.Unreachable;
+    }
     const applied = await applyConfiguration(platform, {
       configuration,
       expectedVersion: newest.value.version,
--- a/src/programs/jackdaw/commands/WritingCommand.ts
+++ b/src/programs/jackdaw/commands/WritingCommand.ts
@@ -1,7 +1,8 @@
 import { Option } from 'clipanion';
 import { waitForVersion, type VersionProgress } from '../../../application/configuration';
-import type { ConfigurationRow } from '../../../domain/configuration';
-import { readVersionAt } from '../readVersionAt';
+import { checkTableReaders, type ConfigurationRow } from '../../../domain/configuration';
+import { countTableReaders } from '../countTableReaders';
+import { readEntryStatus } from '../readEntryStatus';
 import { ExitCode, type OperatorPlatform } from '../types';
 import { PlatformCommand } from './PlatformCommand';
 
@@ -34,6 +35,10 @@
     description: 'Bound on the wait; exit code 5 if VMs lag by then.',
   });
 
+  force = Option.Boolean('--force', false, {
+    description: 'Apply although fewer than half of the entry VMs read the table.',
+  });
+
   json = Option.Boolean('--json', false, { description: 'Print one JSON object.' });
 
   /** Gives the bound on the wait in milliseconds; null, with a note, if the option is bad. */
@@ -42,6 +47,21 @@
     return seconds === null ? null : seconds * MS_PER_S;
   }
 
+  /** Tells whether enough VMs would learn of a change; writes a note if not. */
+  protected async isReadEnough(platform: OperatorPlatform): Promise<boolean> {
+    const checked = this.force ? null : checkTableReaders(await countTableReaders(platform));
+    if (checked?.isErr() !== true) {
+      return true;
+    }
+    const { vmsListed, vmsReading } = checked.error;
+    this.writeNote(
+      `only ${vmsReading} of ${vmsListed} entry VMs answer and read the table; the others may ` +
+        'take it to be down and go on with the old configuration. Nothing was written. ' +
+        'Apply with --force if you know that they serve nobody',
+    );
+    return false;
+  }
+
   /** Reports the accepted version and, if asked for, waits until it is in force. */
   protected async finish(platform: OperatorPlatform, row: ConfigurationRow): Promise<ExitCode> {
     if (!this.json) {
@@ -61,7 +81,11 @@
   ): Promise<readonly string[]> {
     const { clock, calls, listEntryVms } = platform;
     const waited = await waitForVersion(
-      { clock, listVms: listEntryVms, readVersionAt: (address) => readVersionAt(calls, address) },
+      {
+        clock,
+        listVms: listEntryVms,
+        readVersionAt: async (address) => (await readEntryStatus(calls, address))?.version ?? null,
+      },
       version,
       {
         timeoutMs: this.readWaitMs() ?? 0,
--- a/src/programs/jackdaw/runOperatorCli/test.ts
+++ b/src/programs/jackdaw/runOperatorCli/test.ts
@@ -23,6 +23,7 @@
     ['a', 1],
     ['b', 1],
   ]);
+  const readAgeMs: Record<string, number> = { a: 900, b: 900 };
   const platform: OperatorPlatform = {
     operator: 'alice',
     table: createMemoryTableStore(),
@@ -32,7 +33,10 @@
       readStatus: async (address) =>
         address === 'b' && versions.get('b') === 0
           ? err({ kind: 'unreachable', reason: 'refused' })
-          : ok({ configuration: { version: versions.get(address) ?? 0 } }),
+          : ok({
+              configuration: { version: versions.get(address) ?? 0 },
+              tableReadAgeMs: readAgeMs[address],
+            }),
       listDecisions: async () => ok([]),
       drainVm: async () => ok(0),
     },
@@ -59,7 +63,7 @@
       `override = true\n[workspaces.antigua]\nweight = ${weight}\n`,
     );
   await cp('examples/sello', folder, { recursive: true });
-  return { folder, platform, versions, run, writeWeight };
+  return { folder, platform, versions, readAgeMs, run, writeWeight };
 }
 
 test('a wrong command line ends with 2, --help and --version with 0', async (t) => {
@@ -129,3 +133,18 @@
   t.is(exitCode, ExitCode.Unreachable);
   t.regex(text, /nothing was written/);
 });
+
+// Symptom: a change is accepted, and most VMs go on with the old configuration for the whole split.
+// Sequence: the VMs lose the table and hear each other; the operator still reaches it and applies.
+// Cause: nothing asked how many VMs could learn of the change.
+test('a change that most VMs could not learn of is refused, unless forced', async (t) => {
+  const { folder, readAgeMs, run, writeWeight } = await setUp(t);
+  await run('apply', folder);
+  await writeWeight(5);
+  Object.assign(readAgeMs, { a: 60_000, b: 60_000 });
+  const refused = await run('apply', folder, '--expect-version', '1');
+  t.is(refused.exitCode, ExitCode.Unreachable);
+  t.regex(refused.text, /only 0 of 2 entry VMs answer and read the table/);
+  t.is((await run('rollback', '1')).exitCode, ExitCode.Unreachable);
+  t.is((await run('apply', folder, '--expect-version', '1', '--force')).exitCode, ExitCode.Ok);
+});
