--- a/tools/bench/commands.ts
+++ b/tools/bench/commands.ts
@@ -1,5 +1,6 @@
+import { ConfigCommand } from './config';
 import { ResumeCommand } from './resume';
 import { SlopesCommand } from './slopes';
 
 /** All benches. Each stands in its own folder and prints one JSON object as its last line. */
-export const BENCH_COMMANDS = [ResumeCommand, SlopesCommand];
+export const BENCH_COMMANDS = [ResumeCommand, SlopesCommand, ConfigCommand];
--- /dev/null
+++ b/tools/bench/config/_lib/runChanges/index.ts
@@ -0,0 +1,51 @@
+import type { StandInPlatform } from '../../../../../standins/platform';
+import type { Accepted, Operator } from '../createOperator';
+import type { VersionTracker } from '../createVersionTracker';
+import type { Fleet } from '../startFleet';
+
+/** Each so many rounds an answer of the table is lost after it took effect. */
+const LOSE_ANSWER_EVERY = 5;
+/** Each so many rounds an entry is restarted while the change spreads. */
+const RESTART_EVERY = 8;
+
+/** What the rounds need. */
+export interface ChangesDependencies {
+  readonly platform: StandInPlatform;
+  readonly fleet: Fleet;
+  readonly tracker: VersionTracker;
+  readonly operators: readonly Operator[];
+  readonly entries: number;
+}
+
+async function measureSpread(tracker: VersionTracker, accepted: Accepted): Promise<number> {
+  const doneAtMs = await tracker.waitForAll(accepted.row.version);
+  return Math.max(0, doneAtMs - accepted.atMs);
+}
+
+/**
+ * Runs rounds in which all operators apply a change of their own at the same moment; who loses
+ * applies again over the winner's.
+ *
+ * @returns time from each accepted apply until it was in force at every running entry
+ */
+export async function runChanges(
+  deps: ChangesDependencies,
+  rounds: number,
+): Promise<readonly number[]> {
+  const samples: number[] = [];
+  for (let round = 1; round <= rounds; round += 1) {
+    if (round % LOSE_ANSWER_EVERY === 0) {
+      await deps.platform.table.setFaults({ loseAnswers: 1 });
+    }
+    const restarted =
+      round % RESTART_EVERY === 0
+        ? deps.fleet.restartEntry((round / RESTART_EVERY) % deps.entries)
+        : Promise.resolve();
+    const spread = deps.operators.map(async (operator) =>
+      measureSpread(deps.tracker, await operator.applySurely()),
+    );
+    samples.push(...(await Promise.all(spread)));
+    await restarted;
+  }
+  return samples;
+}
--- /dev/null
+++ b/tools/bench/config/_lib/startFleet/index.ts
@@ -0,0 +1,81 @@
+import type { VmRecord } from '../../../../../src/domain/types';
+import type { LineLogger } from '../../../../../src/adapters/log';
+import { startEntry, type Entry } from '../../../../../src/programs/entry';
+import type { StandInPlatform } from '../../../../../standins/platform';
+import { buildEntrySettings } from '../../../../embedded';
+import { REGION, ZONES } from '../buildBenchConfiguration';
+import type { VersionTracker } from '../createVersionTracker';
+
+/** Entries that can be restarted one by one. */
+export interface Fleet {
+  /** Base URLs for callers of the entries that run; starting ones are among them. */
+  listUrls(): readonly string[];
+  /** Stops an entry as if its process had died, and starts another under its name. */
+  restartEntry(index: number): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Log line by which an entry tells of a version in force. */
+const IN_FORCE_MESSAGE = 'configuration in force';
+
+function createVersionLogger(vm: string, tracker: VersionTracker): LineLogger {
+  return {
+    info: (context, message) => {
+      if (message === IN_FORCE_MESSAGE) {
+        tracker.recordVersion(vm, Number(context.version));
+      }
+    },
+    warn: () => undefined,
+    error: () => undefined,
+  };
+}
+
+/** Starts entries on free ports, spread over the availability zones. */
+export async function startFleet(
+  platform: StandInPlatform,
+  count: number,
+  tracker: VersionTracker,
+): Promise<Fleet> {
+  const entries = new Map<number, Entry>();
+
+  const nameVm = (index: number): string => `entry-${index + 1}`;
+  const chooseZone = (index: number): string => ZONES[index % ZONES.length] ?? '';
+
+  const buildRecord = ([index, { peerAddress }]: readonly [number, Entry]): VmRecord => ({
+    vm: nameVm(index),
+    peerAddress,
+    region: REGION,
+    availabilityZone: chooseZone(index),
+    leaving: false,
+  });
+  const publishVms = (): void => platform.vmList.setVms([...entries].map(buildRecord));
+
+  const startOne = async (index: number): Promise<void> => {
+    const vm = nameVm(index);
+    tracker.recordStart(vm);
+    const place = { name: vm, region: REGION, availabilityZone: chooseZone(index) };
+    const started = await startEntry(buildEntrySettings(platform, place), {
+      logger: createVersionLogger(vm, tracker),
+    });
+    if (started.isErr()) {
+      throw new Error(`${vm}: ${started.error.reason}`);
+    }
+    entries.set(index, started.value);
+    publishVms();
+  };
+
+  await Promise.all(Array.from({ length: count }, (_, index) => startOne(index)));
+  return {
+    listUrls: () => [...entries.values()].map(({ callerUrl }) => callerUrl),
+    restartEntry: async (index) => {
+      const entry = entries.get(index);
+      entries.delete(index);
+      tracker.recordStop(nameVm(index));
+      await entry?.stop();
+      await startOne(index);
+    },
+    stop: async () => {
+      await Promise.all([...entries.values()].map((entry) => entry.stop()));
+    },
+  };
+}
--- /dev/null
+++ b/tools/bench/config/_lib/waitMs/index.ts
@@ -0,0 +1,6 @@
+/** Waits for a time. */
+export function waitMs(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
--- /dev/null
+++ b/tools/bench/config/index.ts
@@ -0,0 +1,1 @@
+export { ConfigCommand } from './ConfigCommand';
--- /dev/null
+++ b/tools/bench/config/types/index.ts
@@ -0,0 +1,1 @@
+export type { ConfigReport } from './ConfigReport';
