--- a/src/domain/configuration/decodeConfiguration/index.ts
+++ b/src/domain/configuration/decodeConfiguration/index.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import { ServiceKind, SurvivalMode, WorkClass, type Configuration } from '../../types';
+import { parseJson } from '../_lib/parseJson';
 import { DEFAULT_LIMITS } from '../defaultLimits';
 
 /** Failure of decoding a stored configuration. */
@@ -71,14 +72,6 @@
   }),
 });
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Decodes a configuration that `encodeConfiguration` wrote, also one of a newer release.
  *
--- a/src/domain/configuration/decodeConfigurationRow/index.ts
+++ b/src/domain/configuration/decodeConfigurationRow/index.ts
@@ -1,6 +1,7 @@
 import { inflateRawSync } from 'node:zlib';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
+import { parseJson } from '../_lib/parseJson';
 import { decodeConfiguration, type ConfigurationDecodeError } from '../decodeConfiguration';
 import type { ConfigurationRow } from '../types';
 
@@ -24,14 +25,6 @@
   }
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Decodes the body of a version's row.
  *
--- a/src/programs/jackdaw/readOperatorSettings/index.ts
+++ b/src/programs/jackdaw/readOperatorSettings/index.ts
@@ -2,6 +2,16 @@
 import { ProblemKind, readSettingsFile, type ConfigurationProblem } from '../../../adapters/toml';
 import { OperatorSettingsSchema, type OperatorSettings } from '../types';
 
+/** Variable that gives each key of the settings. */
+const VARIABLES: Readonly<Record<string, string>> = {
+  'table.endpoint': 'JACKDAW_TABLE_ENDPOINT',
+  'table.name': 'JACKDAW_TABLE_NAME',
+  'table.region': 'JACKDAW_REGION',
+  'table.access_key_id': 'JACKDAW_ACCESS_KEY_ID',
+  'table.secret_access_key': 'JACKDAW_SECRET_ACCESS_KEY',
+  'vm_list.endpoint': 'JACKDAW_VM_LIST_ENDPOINT',
+};
+
 type Environment = Readonly<Record<string, string | undefined>>;
 
 /** Builds what a settings file would hold from the environment's variables. */
@@ -28,13 +38,17 @@
   return parsed.success
     ? ok(parsed.data)
     : err(
-        parsed.error.issues.map(({ path, message }) => ({
-          kind: ProblemKind.Invalid,
-          file: 'environment (no --settings FILE, no JACKDAW_SETTINGS)',
-          line: 0,
-          key: path.map(String).join('.'),
-          reason: message,
-        })),
+        parsed.error.issues.map(({ path, message }) => {
+          const key = path.map(String).join('.');
+          const variable = VARIABLES[key] ?? key;
+          return {
+            kind: ProblemKind.Invalid,
+            file: 'environment (no --settings FILE, no JACKDAW_SETTINGS)',
+            line: 0,
+            key: variable,
+            reason: environment[variable] === undefined ? 'is not set' : message,
+          };
+        }),
       );
 }
 
