Search the claim rules in every order, and make takeovers count on by a random step

Cause: the search found a way in which a VM changes a row that is not its own: claim written, answer lost, taken over, row removed by the platform, the first VM reads nothing and writes its claim anew from its old first revision, updates it once, and so reaches the revision that the second VM's update expects (9 states long).

Change: a successor adds a random amount to the revision, as a new row begins at a random one. tests/model visits all states of two VMs that claim one key, take over and update, with three lost, dropped or late writes and one removal.

--- a/src/application/claims/createClaims/index.ts
+++ b/src/application/claims/createClaims/index.ts
@@ -1,12 +1,14 @@
 import { err, ok, type Result } from 'neverthrow';
 import {
   buildClaim,
+  buildSuccessor,
   chooseAcquireStep,
   chooseTakeOverStep,
   chooseUpdateStep,
   decodeAnswer,
   encodeAnswer,
   type ClaimChange,
+  type ClaimSeed,
   type ClaimStep,
 } from '../../../domain/claim';
 import { ClaimState, type ClaimRow } from '../../../domain/types';
@@ -32,8 +34,8 @@
 
 const CLAIM_ID_BYTES = 16;
 
-/** Leaves room to count on from a random first revision within safe integers. */
-const FIRST_REVISION_BYTES = 5;
+/** Leaves room for thousands of successors within safe integers. */
+const REVISION_BYTES = 4;
 
 /** The claim id keeps a paused holder's late answer apart from its successor's. */
 const buildAnswerKey = (row: ClaimRow): string =>
@@ -47,6 +49,12 @@
   const { objectStore, clock, randomness, vm, peerAddress } = dependencies;
   const table = createClaimTable(dependencies);
   const abandoned = createAbandonedClaims(table, clock);
+  const buildSeed = (): ClaimSeed => ({
+    claimId: randomness.readHex(CLAIM_ID_BYTES),
+    vm,
+    peerAddress,
+    revision: Number.parseInt(randomness.readHex(REVISION_BYTES), 16) + 1,
+  });
   const readNowS = (): number => Math.floor(clock.readWallMs() / 1000);
 
   const writeChange = async (
@@ -67,19 +75,14 @@
     step.kind === 'lost' && step.row !== null && abandoned.has(step.row)
       ? {
           kind: 'write',
-          row: { ...sent, revision: step.row.revision + 1 },
+          row: { ...sent, revision: step.row.revision + sent.revision },
           expectedRevision: step.row.revision,
         }
       : step;
 
   return {
     acquireClaim: async (request) => {
-      const row = buildClaim(request, {
-        claimId: randomness.readHex(CLAIM_ID_BYTES),
-        vm,
-        peerAddress,
-        revision: Number.parseInt(randomness.readHex(FIRST_REVISION_BYTES), 16),
-      });
+      const row = buildClaim(request, buildSeed());
       const ended = await runClaimSteps(table, clock, {
         row,
         expectedRevision: null,
@@ -104,13 +107,7 @@
     },
 
     takeOverClaim: async (seen) => {
-      const row = {
-        ...seen,
-        claimId: randomness.readHex(CLAIM_ID_BYTES),
-        vm,
-        peerAddress,
-        revision: seen.revision + 1,
-      };
+      const row = buildSuccessor(seen, buildSeed());
       const ended = await runClaimSteps(table, clock, {
         row,
         expectedRevision: seen.revision,
--- a/src/domain/claim/chooseAcquireStep/index.ts
+++ b/src/domain/claim/chooseAcquireStep/index.ts
@@ -7,7 +7,8 @@
   const { row } = current;
   if (row.claimId === sent.claimId) return { kind: 'done', row };
   if (!isReplaceable(current, nowS)) return { kind: 'lost', row };
-  const next = { ...sent, revision: row.revision + 1 };
+  // A random step up, as in `buildSuccessor`.
+  const next = { ...sent, revision: row.revision + sent.revision };
   return { kind: 'write', row: next, expectedRevision: row.revision };
 }
 
--- a/src/domain/claim/index.ts
+++ b/src/domain/claim/index.ts
@@ -1,5 +1,6 @@
 export { buildClaim } from './buildClaim';
 export type { ClaimedRequest } from './buildClaim';
+export { buildSuccessor } from './buildSuccessor';
 export { chooseAcquireStep } from './chooseAcquireStep';
 export { chooseTakeOverStep } from './chooseTakeOverStep';
 export { chooseUpdateStep } from './chooseUpdateStep';
--- a/src/domain/claim/types/ClaimSeed.ts
+++ b/src/domain/claim/types/ClaimSeed.ts
@@ -4,6 +4,6 @@
   readonly claimId: string;
   readonly vm: string;
   readonly peerAddress: string;
-  /** First revision of a new row: random, see `buildClaim`. */
+  /** Random, at least 1: first revision of a new row, or what a successor adds to the old one. */
   readonly revision: number;
 }
--- /dev/null
+++ b/tests/model/_lib/createClaimModel/index.ts
@@ -0,0 +1,208 @@
+import {
+  buildClaim,
+  buildSuccessor,
+  chooseAcquireStep,
+  chooseTakeOverStep,
+  chooseUpdateStep,
+  type ClaimReply,
+  type ClaimStep,
+} from '../../../../src/domain/claim';
+import type { ClaimRow } from '../../../../src/domain/types';
+import type { Model } from '../findViolation';
+
+/** What a VM draws for its revisions. */
+export interface ActorRevisions {
+  readonly claim: number;
+  readonly takeOver: number;
+}
+
+/** The rules under test; a test replaces one by a faulty one. */
+export interface ClaimRules {
+  readonly chooseAcquireStep: typeof chooseAcquireStep;
+  readonly chooseTakeOverStep: typeof chooseTakeOverStep;
+  readonly chooseUpdateStep: typeof chooseUpdateStep;
+  /** Random revisions of the two VMs: for a claim, and for a takeover. */
+  readonly revisions: readonly [ActorRevisions, ActorRevisions];
+}
+
+/** The product's rules. */
+export const CLAIM_RULES: ClaimRules = {
+  chooseAcquireStep,
+  chooseTakeOverStep,
+  chooseUpdateStep,
+  revisions: [
+    { claim: 100, takeOver: 1000 },
+    { claim: 200, takeOver: 2000 },
+  ],
+};
+
+type Write = Extract<ClaimStep, { kind: 'write' }>;
+type Phase = 'acquire' | 'take-over' | 'update' | 'ended';
+
+/** One VM: claims the key, takes over what it finds taken, then updates. */
+interface Actor {
+  readonly phase: Phase;
+  readonly claim: ClaimRow;
+  readonly takeOverRevision: number;
+  readonly seen: ClaimRow | null;
+  readonly holder: string | null;
+  readonly sent: ClaimRow;
+  readonly step: ClaimStep;
+}
+
+/** A write, and the claim id of the holder whose update it is, or null if it is no update. */
+interface SentWrite {
+  readonly write: Write;
+  readonly holder: string | null;
+}
+
+/** State of the model: the table, writes still on their way, and two VMs. */
+export interface ClaimWorld {
+  readonly row: ClaimRow | null;
+  readonly late: readonly SentWrite[];
+  readonly actors: readonly [Actor, Actor];
+  readonly granted: number;
+  readonly faultsLeft: number;
+  readonly removalsLeft: number;
+  readonly wrong: string | null;
+}
+
+const CHANGE = { attempt: 1 };
+
+const wrap = (row: ClaimRow | null): ClaimReply => ({
+  kind: 'current',
+  row: row === null ? null : { row, expiresAtS: 0 },
+});
+
+/** Lets a write reach the table. Whatever a holder changes must be its own row. */
+function applyWrite(world: ClaimWorld, { write, holder }: SentWrite): ClaimWorld {
+  const { row } = world;
+  if ((row?.revision ?? null) !== write.expectedRevision) return world;
+  const foreign = holder !== null && row?.claimId !== holder;
+  const wrong = foreign ? 'a holder that was replaced changed the row' : world.wrong;
+  return { ...world, row: write.row, wrong };
+}
+
+function startUpdate(actor: Actor, row: ClaimRow): Actor {
+  const sent = { ...row, ...CHANGE, revision: row.revision + 1 };
+  const step: ClaimStep = { kind: 'write', row: sent, expectedRevision: row.revision };
+  return { ...actor, phase: 'update', holder: row.claimId, sent, step };
+}
+
+function startTakeOver(actor: Actor, seen: ClaimRow): Actor {
+  const { claimId, vm, peerAddress } = actor.claim;
+  const seed = { claimId: `${claimId}-over`, vm, peerAddress, revision: actor.takeOverRevision };
+  const sent = buildSuccessor(seen, seed);
+  const step: ClaimStep = { kind: 'write', row: sent, expectedRevision: seen.revision };
+  return { ...actor, phase: 'take-over', seen, sent, step };
+}
+
+/** Moves an actor whose change came to its end on to its next one. */
+function startNext(actor: Actor, step: ClaimStep): Actor {
+  const ended: Actor = { ...actor, phase: 'ended', step };
+  if (step.kind === 'done') return actor.phase === 'update' ? ended : startUpdate(actor, step.row);
+  const isTaken = actor.phase === 'acquire' && step.kind === 'lost' && step.row !== null;
+  return isTaken ? startTakeOver(actor, step.row) : ended;
+}
+
+/** Creates the model of two VMs that claim one key. */
+export function createClaimModel(
+  rules: ClaimRules,
+  bounds: { readonly faults: number; readonly removals: number },
+): Model<ClaimWorld> {
+  const chooseStep: Record<Phase, (actor: Actor, reply: ClaimReply) => ClaimStep> = {
+    acquire: ({ sent }, reply) => rules.chooseAcquireStep(sent, reply, 0),
+    'take-over': ({ seen, sent }, reply) => rules.chooseTakeOverStep(seen ?? sent, sent, reply),
+    update: ({ sent }, reply) => rules.chooseUpdateStep(sent, CHANGE, reply),
+    ended: ({ step }) => step,
+  };
+
+  const handleReply = (world: ClaimWorld, index: number, reply: ClaimReply): ClaimWorld => {
+    const actor = world.actors[index] as Actor;
+    const step = chooseStep[actor.phase](actor, reply);
+    const sent = step.kind === 'write' ? step.row : actor.sent;
+    const ended = step.kind === 'done' || step.kind === 'lost';
+    const next = ended ? startNext(actor, step) : { ...actor, step, sent };
+    const isGrant = actor.phase === 'acquire' && step.kind === 'done';
+    return {
+      ...world,
+      actors: world.actors.map((other, n) => (n === index ? next : other)) as [Actor, Actor],
+      granted: world.granted + (isGrant ? 1 : 0),
+    };
+  };
+
+  const listWriteEnds = (world: ClaimWorld, index: number, write: Write): ClaimWorld[] => {
+    const { holder } = world.actors[index] as Actor;
+    const applied = applyWrite(world, { write, holder });
+    const reply: ClaimReply = applied === world ? wrap(world.row) : { kind: 'written' };
+    const answered = handleReply(applied, index, reply);
+    if (world.faultsLeft === 0) return [answered];
+    const faultsLeft = world.faultsLeft - 1;
+    const late = [...world.late, { write, holder }];
+    const unknown: ClaimReply = { kind: 'unknown' };
+    return [
+      answered,
+      handleReply({ ...applied, faultsLeft }, index, unknown),
+      // Lost on its way, unless it still arrives.
+      handleReply({ ...world, faultsLeft, late }, index, unknown),
+    ];
+  };
+
+  const listActorSteps = (world: ClaimWorld, index: number): ClaimWorld[] => {
+    const { step } = world.actors[index] as Actor;
+    if (step.kind === 'read') return [handleReply(world, index, wrap(world.row))];
+    return step.kind === 'write' ? listWriteEnds(world, index, step) : [];
+  };
+
+  const listNext = (world: ClaimWorld): ClaimWorld[] => [
+    ...listActorSteps(world, 0),
+    ...listActorSteps(world, 1),
+    ...world.late.map((sent, n) => ({
+      ...applyWrite(world, sent),
+      late: world.late.filter((_, other) => other !== n),
+    })),
+    ...(world.removalsLeft > 0 && world.row !== null
+      ? [{ ...world, row: null, removalsLeft: world.removalsLeft - 1 }]
+      : []),
+  ];
+
+  const buildActor = (index: 0 | 1): Actor => {
+    const id = `claim-${index}`;
+    const request = {
+      workspace: 'w',
+      keyDigest: 'k',
+      generationId: id,
+      requestDigest: '',
+      idempotent: true,
+    };
+    const { claim: revision, takeOver: takeOverRevision } = rules.revisions[index];
+    const claim = buildClaim(request, { claimId: id, vm: id, peerAddress: '', revision });
+    const step: ClaimStep = { kind: 'write', row: claim, expectedRevision: null };
+    return {
+      phase: 'acquire',
+      claim,
+      takeOverRevision,
+      seen: null,
+      holder: null,
+      sent: claim,
+      step,
+    };
+  };
+
+  return {
+    initial: {
+      row: null,
+      late: [],
+      actors: [buildActor(0), buildActor(1)],
+      granted: 0,
+      faultsLeft: bounds.faults,
+      removalsLeft: bounds.removals,
+      wrong: null,
+    },
+    listNext,
+    checkState: ({ wrong, granted, removalsLeft }) => {
+      const isDouble = granted > 1 && removalsLeft === bounds.removals;
+      return wrong ?? (isDouble ? 'both VMs were granted the claim' : null);
+    },
+  };
+}
