Let answers in that arrived while the process stood still

Cause: the demo's test failed under load with `configuration not accepted: unavailable`: after the loop was blocked for longer than a deadline, the timer runs before the sockets are read, and an answer that is there is taken for lost. A VM that was paused would open its circuit the same way.

Ruled out: longer deadlines (requests would wait longer for a store that is down).

--- a/src/adapters/platform-http/createPlatformClient/index.ts
+++ b/src/adapters/platform-http/createPlatformClient/index.ts
@@ -1,6 +1,7 @@
 import aws4 from 'aws4';
 import { err, ok, type Result } from 'neverthrow';
 import type { StoreError } from '../../../application/ports';
+import { startDeadline } from '../../../application/store';
 import { createAnswerCollector, type PlatformAnswer } from '../_lib/createAnswerCollector';
 import { DEFAULT_DEADLINE_MS, DEFAULT_RETRY_AFTER_MS } from '../constants';
 import type { PlatformDependencies, PlatformSettings } from '../types';
@@ -60,7 +61,8 @@
   return {
     sendRequest: async (sent) => {
       const collector = createAnswerCollector();
-      const cancelTimer = clock.startTimer(settings.deadlineMs ?? DEFAULT_DEADLINE_MS, () => {
+      const deadlineMs = settings.deadlineMs ?? DEFAULT_DEADLINE_MS;
+      const cancelDeadline = startDeadline(clock, deadlineMs, () => {
         collector.abort(new Error('deadline passed'));
       });
       try {
@@ -77,7 +79,7 @@
           ? err({ kind: 'ambiguous', reason })
           : err({ kind: 'unavailable', reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS });
       } finally {
-        cancelTimer();
+        cancelDeadline();
       }
     },
   };
--- a/src/application/store/_lib/waitForResult/index.ts
+++ b/src/application/store/_lib/waitForResult/index.ts
@@ -1,5 +1,6 @@
 import { err, type Result } from 'neverthrow';
 import type { Clock, StoreError } from '../../../ports';
+import { startDeadline } from '../../startDeadline';
 
 /** Waits for an operation's result, or for the deadline; a late result is dropped. */
 export async function waitForResult<T>(
@@ -13,7 +14,7 @@
     : { kind: 'unavailable', reason: 'deadline passed', retryAfterMs: deadlineMs };
   let cancelTimer = (): void => {};
   const deadline = new Promise<Result<T, StoreError>>((resolve) => {
-    cancelTimer = clock.startTimer(deadlineMs, () => resolve(err(late)));
+    cancelTimer = startDeadline(clock, deadlineMs, () => resolve(err(late)));
   });
   const result = await Promise.race([operation(), deadline]);
   cancelTimer();
