Begin a stream's silence limit with the pace of its service

Cause: the limit follows from a stream's own gaps, and counts from the fourth on; before that it is 5 s. Change: a new attempt begins with the mean and twice the deviation of the service's newest gaps at this VM, if 32 are known. The test failed before.

--- a/src/application/generations/_lib/buildRun/index.ts
+++ b/src/application/generations/_lib/buildRun/index.ts
@@ -38,7 +38,7 @@
  * @returns Run; the caller holds it in the store.
  */
 export const buildRun = (context: GenerationsContext, start: RunStart): GenerationRun => {
-  const { dependencies, cancelQueue, firstTokens } = context;
+  const { dependencies, cancelQueue, paces } = context;
   const { request, taken } = start;
   const nowMs = dependencies.clock.readMonotonicMs();
   const offset = start.missing + start.prefixTokenIds.length;
@@ -54,13 +54,17 @@
     { offset, newestAttempt: start.newestAttempt, backendServer: taken?.server.name },
   );
   const handle = taken
-    ? Object.assign(createAttemptHandle(start.newestAttempt, nowMs), taken, { isAtEngine: true })
+    ? Object.assign(
+        createAttemptHandle(start.newestAttempt, nowMs, paces.readInitialGaps(start.service)),
+        taken,
+        { isAtEngine: true },
+      )
     : null;
   return createRun(
     {
       dependencies,
       cancelQueue,
-      firstTokens,
+      paces,
       generationId: start.generationId,
       workspace: start.workspace,
       service: start.service,
--- a/src/application/generations/_lib/createAnswerRun/index.ts
+++ b/src/application/generations/_lib/createAnswerRun/index.ts
@@ -41,7 +41,7 @@
     {
       dependencies: context.dependencies,
       cancelQueue: context.cancelQueue,
-      firstTokens: context.firstTokens,
+      paces: context.paces,
       generationId,
       workspace: request.workspace,
       service: request.service,
--- a/src/application/generations/_lib/createAttemptHandle/index.ts
+++ b/src/application/generations/_lib/createAttemptHandle/index.ts
@@ -1,4 +1,4 @@
-import { NO_GAPS } from '../../../../domain/detection';
+import type { GapStatistics } from '../../../../domain/detection';
 import type { AttemptHandle } from '../../types';
 
 /**
@@ -6,9 +6,14 @@
  *
  * @param attempt - Number of the attempt.
  * @param nowMs - Monotonic time, in milliseconds.
+ * @param gaps - Figures until it has gaps of its own.
  * @returns Handle.
  */
-export const createAttemptHandle = (attempt: number, nowMs: number): AttemptHandle => ({
+export const createAttemptHandle = (
+  attempt: number,
+  nowMs: number,
+  gaps: GapStatistics,
+): AttemptHandle => ({
   attempt,
   abort: new AbortController(),
   streamId: '',
@@ -19,6 +24,6 @@
   sentAtMs: nowMs,
   firstTokenMs: 0,
   lastActivityMs: nowMs,
-  gaps: NO_GAPS,
+  gaps,
   deliveredTokens: 0,
 });
--- a/src/application/generations/_lib/readStream/index.ts
+++ b/src/application/generations/_lib/readStream/index.ts
@@ -10,7 +10,12 @@
   const firstTokenMs = Math.max(1, nowMs - handle.sentAtMs);
   Object.assign(handle, { firstTokenMs });
   const { promptCharacters } = context.request;
-  context.firstTokens.record(context.service, { promptCharacters, firstTokenMs });
+  context.paces.recordFirstToken(context.service, { promptCharacters, firstTokenMs });
+};
+
+const recordGap = (context: RunContext, handle: AttemptHandle, gapMs: number): void => {
+  Object.assign(handle, { gaps: updateGapStatistics(handle.gaps, gapMs) });
+  context.paces.recordGap(context.service, gapMs);
 };
 
 const recordActivity = (context: RunContext, handle: AttemptHandle, batch: TokenBatch): void => {
@@ -19,12 +24,9 @@
   if (batch.tokenIds.length > 0) {
     recordFirstToken(context, handle, nowMs);
     // The first gap is the prefill, and would make the stream's limit far too long.
-    const gaps =
-      handle.deliveredTokens > 0
-        ? updateGapStatistics(handle.gaps, nowMs - handle.lastActivityMs)
-        : handle.gaps;
+    if (handle.deliveredTokens > 0) recordGap(context, handle, nowMs - handle.lastActivityMs);
     const deliveredTokens = handle.deliveredTokens + batch.tokenIds.length;
-    Object.assign(handle, { gaps, deliveredTokens });
+    Object.assign(handle, { deliveredTokens });
   }
   Object.assign(handle, { lastActivityMs: nowMs });
   const server = handle.server?.name ?? '';
--- a/src/application/generations/_lib/startAttempt/index.ts
+++ b/src/application/generations/_lib/startAttempt/index.ts
@@ -90,7 +90,11 @@
   const { dependencies, request } = context;
   const { reader } = effect;
   const nowMs = dependencies.clock.readMonotonicMs();
-  const handle = createAttemptHandle(reader.attempt, nowMs);
+  const handle = createAttemptHandle(
+    reader.attempt,
+    nowMs,
+    context.paces.readInitialGaps(context.service),
+  );
   context.handles.set(reader.attempt, handle);
   const refuse = (refusal: Refusal): void =>
     context.dispatch({ kind: 'slot-refused', reader, refusal });
--- a/src/application/generations/_lib/sweepRun/index.ts
+++ b/src/application/generations/_lib/sweepRun/index.ts
@@ -2,12 +2,12 @@
 import { BackendHealth } from '../../../../domain/types';
 import type { GenerationRun, GenerationsDependencies } from '../../types';
 import { computeAttemptLimits } from '../computeAttemptLimits';
-import type { FirstTokenHistory } from '../createFirstTokenHistory';
+import type { PaceHistory } from '../createPaceHistory';
 
 /** What a sweep looks with. */
 export interface SweepOptions {
   readonly dependencies: GenerationsDependencies;
-  readonly firstTokens: FirstTokenHistory;
+  readonly paces: PaceHistory;
   readonly nowMs: number;
   /** Time that this process itself was stalled before the sweep, in milliseconds. */
   readonly stalledMs: number;
@@ -26,7 +26,7 @@
     return;
   }
   const limits = computeAttemptLimits(attempt.phase, handle, {
-    firstTokens: options.firstTokens.list(run.service),
+    firstTokens: options.paces.listFirstTokens(run.service),
     promptCharacters: run.request?.promptCharacters ?? 0,
     serverDead:
       options.dependencies.health.readHealth(attempt.backendServer) === BackendHealth.Dead,
--- a/src/application/generations/createGenerations/index.ts
+++ b/src/application/generations/createGenerations/index.ts
@@ -4,7 +4,7 @@
 import { buildRun } from '../_lib/buildRun';
 import { createCancelQueue } from '../_lib/createCancelQueue';
 import { createClaimedStart } from '../_lib/createClaimedStart';
-import { createFirstTokenHistory } from '../_lib/createFirstTokenHistory';
+import { createPaceHistory } from '../_lib/createPaceHistory';
 import { createRunStore } from '../_lib/createRunStore';
 import { createSweeper } from '../_lib/createSweeper';
 import { openFeed } from '../_lib/openFeed';
@@ -31,14 +31,14 @@
 export const createGenerations = (dependencies: GenerationsDependencies): WatchedGenerations => {
   const { clock, configuration, engineClient, health } = dependencies;
   const store = createRunStore();
-  const firstTokens = createFirstTokenHistory();
+  const paces = createPaceHistory();
 
   const sweep = (stalledMs: number): boolean => {
     const limits = configuration.readCurrent()?.configuration.limits;
     const detachedMs = limits?.detachedMs ?? DEFAULT_DETACHED_MS;
     const nowMs = clock.readMonotonicMs();
     store.list().forEach((run) => {
-      if (!sweepRun(run, { dependencies, firstTokens, nowMs, stalledMs, detachedMs })) {
+      if (!sweepRun(run, { dependencies, paces, nowMs, stalledMs, detachedMs })) {
         store.remove(run);
       }
     });
@@ -49,7 +49,7 @@
   const context: GenerationsContext = {
     dependencies,
     cancelQueue: createCancelQueue(engineClient, health),
-    firstTokens,
+    paces,
     store,
     addRun: (run, keyDigest) => {
       store.add(run, keyDigest);
--- a/src/application/generations/types/GenerationsContext.ts
+++ b/src/application/generations/types/GenerationsContext.ts
@@ -1,5 +1,5 @@
 import type { CancelQueue } from '../_lib/createCancelQueue';
-import type { FirstTokenHistory } from '../_lib/createFirstTokenHistory';
+import type { PaceHistory } from '../_lib/createPaceHistory';
 import type { RunStore } from '../_lib/createRunStore';
 import type { GenerationsDependencies } from './GenerationsDependencies';
 import type { GenerationRun } from './GenerationRun';
@@ -8,7 +8,7 @@
 export interface GenerationsContext {
   readonly dependencies: GenerationsDependencies;
   readonly cancelQueue: CancelQueue;
-  readonly firstTokens: FirstTokenHistory;
+  readonly paces: PaceHistory;
   readonly store: RunStore;
   /** Holds a run and keeps it under watch. */
   addRun(run: GenerationRun, keyDigest?: string): void;
--- a/src/application/generations/types/RunContext.ts
+++ b/src/application/generations/types/RunContext.ts
@@ -2,7 +2,7 @@
 import type { GenerationRequest } from '../../../domain/types';
 import type { CancelQueue } from '../_lib/createCancelQueue';
 import type { ClaimKeeper } from '../_lib/createClaimKeeper';
-import type { FirstTokenHistory } from '../_lib/createFirstTokenHistory';
+import type { PaceHistory } from '../_lib/createPaceHistory';
 import type { AttemptHandle } from './AttemptHandle';
 import type { GenerationsDependencies } from './GenerationsDependencies';
 import type { TokenLog } from './TokenLog';
@@ -16,7 +16,7 @@
 export interface RunContext {
   readonly dependencies: GenerationsDependencies;
   readonly cancelQueue: CancelQueue;
-  readonly firstTokens: FirstTokenHistory;
+  readonly paces: PaceHistory;
   readonly generationId: string;
   readonly workspace: string;
   readonly service: string;
--- a/src/domain/detection/computeSilenceLimitMs/index.ts
+++ b/src/domain/detection/computeSilenceLimitMs/index.ts
@@ -16,8 +16,8 @@
 /** A suspicion is confirmed after this many times its own limit. */
 const CONFIRM_FACTOR = 2;
 
-/** Gaps that must be known before the stream's own figures count. */
-const MIN_GAPS = 4;
+/** Gaps that must be known before a stream's figures count. */
+export const MIN_GAPS = 4;
 
 /**
  * Computes how long a stream may be silent, from its own gaps.
--- a/src/domain/detection/index.ts
+++ b/src/domain/detection/index.ts
@@ -1,3 +1,4 @@
+export { computeInitialGaps } from './computeInitialGaps';
 export { computePrefillLimitMs } from './computePrefillLimitMs';
 export { computeProbeDelayMs } from './computeProbeDelayMs';
 export { computeSilenceLimitMs } from './computeSilenceLimitMs';
--- a/tests/generations/engineLoss.test.ts
+++ b/tests/generations/engineLoss.test.ts
@@ -93,3 +93,27 @@
     t.true(engines.cancelled.includes(first.streamId));
   });
 }
+
+// Symptom: a caller waits five seconds for its next token, others half a second.
+// Sequence: a stream freezes after its first token, when others of the service have run steadily.
+// Cause: a limit that follows from the stream's own gaps only, of which it has none yet.
+test('a stream that freezes at its first token is given up at the pace of the service', async (t) => {
+  const { clock, engines, entry, signal, start } = setUp();
+  const { first, reader } = await start();
+  for (let index = 4; index < 40; index += 1) {
+    await clock.advanceAsync(10);
+    engines.emit(first, 1);
+    await reader.waitForTokens(index);
+  }
+  engines.emit(first, 1, 'stop');
+  await reader.done;
+  const opening = entry.generations.startGeneration(buildRequest({ requestId: 'req_2' }), signal);
+  await engines.waitForStarts(2);
+  engines.emit(engines.starts[1]!, 1);
+  const second = startFeedReader((await opening)._unsafeUnwrap());
+  await second.waitForTokens(1);
+  engines.freeze('engine-1');
+  await clock.advanceAsync(1000);
+  const replacement = engines.starts.find(({ prefixLength }) => prefixLength === 1);
+  t.truthy(replacement);
+});
