--- a/tools/scenario/_lib/waitForCondition/index.ts
+++ b/tools/scenario/_lib/waitForCondition/index.ts
@@ -60,6 +60,11 @@
     probeUntil(context, async () => !(await probeReadiness(context, name))),
   version: ({ name, count }, context) =>
     probeUntil(context, async () => (await readVersion(context, name)) >= count),
+  reads: ({ count }, context) =>
+    probeUntil(context, async () => {
+      const counts = await context.deployment.readControl('platform', 'vmList/counts');
+      return (counts as { readonly reads: number }).reads >= count;
+    }),
   calls: ({ name, count }, { deployment }) =>
     deployment.readControl(name, `wait-for-calls?count=${count}`),
   log: ({ name, text }, context) => context.board.waitFor(() => findLine(context, name, text)),
--- a/tools/scenario/createExpectationHandlers/index.ts
+++ b/tools/scenario/createExpectationHandlers/index.ts
@@ -109,7 +109,7 @@
         ...checkThat(withinMs === 0 || tookMs <= withinMs, `${of}: took ${Math.round(tookMs)} ms`),
       ];
     },
-    answered: ({ of, run_state: runState }, context) => {
+    answered: ({ of, run_state: runState, contains }, context) => {
       const state = findCaller(context, of).readState();
       return [
         ...checkThat(state.end?.kind === 'finished', `${of}: ${renderState(state)}`),
@@ -117,6 +117,7 @@
           runState === '' || state.end?.runState === runState,
           `${of}: run state ${state.end?.runState}, not ${runState}`,
         ),
+        ...checkThat(state.end?.text.includes(contains) ?? false, `${of}: no "${contains}" in it`),
       ];
     },
     decisions: (expectation, context) => {
--- a/tools/scenario/createStepHandlers/index.ts
+++ b/tools/scenario/createStepHandlers/index.ts
@@ -124,15 +124,14 @@
     return: (step, context) => {
       const first = findCaller(context, step.name);
       const baseUrl = context.deployment.readUrl(step.entry);
-      const { forged, prefix } = step;
       if (step.as === '') {
-        context.running.push(resumeGeneration(first, baseUrl, { prefix, forged }));
+        context.running.push(resumeGeneration(first, baseUrl, step.gives));
         return;
       }
       const request = { ...first.request, name: step.as };
       const second = createCaller(request, context.board, first.readState().batches);
       addCaller(context, second);
-      context.running.push(resumeGeneration(second, baseUrl, { prefix, forged }));
+      context.running.push(resumeGeneration(second, baseUrl, step.gives));
     },
     call: (step, context) => {
       const request: CallerRequest = {
--- a/tools/scenario/parseCondition/index.ts
+++ b/tools/scenario/parseCondition/index.ts
@@ -8,7 +8,7 @@
   build: ({ name = '' }: Groups): Condition => ({ kind, name }),
 });
 
-const counted = (kind: 'token' | 'calls' | 'version', pattern: RegExp) => ({
+const counted = (kind: Extract<Condition, { count: number }>['kind'], pattern: RegExp) => ({
   pattern,
   build: ({ count, name = '' }: Groups): Condition => ({ kind, count: Number(count), name }),
 });
@@ -16,6 +16,7 @@
 const FORMS = [
   counted('token', /^token (?<count>\d+) of (?<name>\S+)$/u),
   counted('calls', /^(?<count>\d+) calls? at (?<name>\S+)$/u),
+  counted('reads', /^(?<count>\d+) reads of the (?<name>list)$/u),
   counted('version', /^version (?<count>\d+) at (?<name>\S+)$/u),
   {
     pattern: /^log "(?<text>[^"]+)" of (?<name>\S+)$/u,
--- a/tools/scenario/sendGeneration/index.ts
+++ b/tools/scenario/sendGeneration/index.ts
@@ -1,7 +1,7 @@
 import { GenerationLostError, streamGeneration } from '../../../client';
 import { followEvents } from '../_lib/followEvents';
 import { CUT, readAnswer } from '../_lib/readAnswer';
-import type { Caller, CallerConnection } from '../types';
+import type { Caller, CallerConnection, Step } from '../types';
 
 /** Bearer key of the workspace that scenarios use. */
 export const SCENARIO_KEY = 'scenario-key';
@@ -40,24 +40,29 @@
   return sendRequest({ url: `${baseUrl}${path}`, headers, body }, caller.startConnection());
 }
 
-/**
- * Comes back to an entry with the last cursor.
- *
- * @param options.prefix - true: gives the received tokens and the request too
- * @param options.forged - true: the last of those tokens is another one
- */
-export function resumeGeneration(
-  caller: Caller,
-  baseUrl: string,
-  options: { readonly prefix: boolean; readonly forged: boolean },
-): Promise<void> {
-  const { batches, tokenIds: received } = caller.readState();
-  const tokenIds = options.forged ? [...received.slice(0, -1), 0] : received;
-  const last = batches.at(-1);
+/** What a returning caller gives beside its cursor. */
+export type Gives = Extract<Step, { do: 'return' }>['gives'];
+
+const BODIES: Readonly<Record<Gives, (caller: Caller) => unknown>> = {
+  nothing: () => null,
+  request: ({ request }) => ({ request: request.body }),
+  tokens: ({ readState, request }) => ({
+    prefix_token_ids: readState().tokenIds,
+    request: request.body,
+  }),
+  forged: ({ readState, request }) => ({
+    prefix_token_ids: [...readState().tokenIds.slice(0, -1), 0],
+    request: request.body,
+  }),
+};
+
+/** Comes back to an entry with the last cursor, and perhaps more. */
+export function resumeGeneration(caller: Caller, baseUrl: string, gives: Gives): Promise<void> {
+  const last = caller.readState().batches.at(-1);
   const request = {
     url: `${baseUrl}/v1/generations/${last?.generationId ?? 'none'}/events`,
     headers: { ...caller.request.headers, 'Last-Event-ID': last?.cursor ?? '' },
-    body: options.prefix ? { prefix_token_ids: tokenIds, request: caller.request.body } : null,
+    body: BODIES[gives](caller),
   };
   return sendRequest(request, caller.startConnection());
 }
--- a/tools/scenario/types/Condition.ts
+++ b/tools/scenario/types/Condition.ts
@@ -9,6 +9,8 @@
   | { readonly kind: 'exit'; readonly name: string }
   /** A host of a plain service has executed so many calls. */
   | { readonly kind: 'calls'; readonly count: number; readonly name: string }
+  /** The platform's VM list has been read so often since its counts were reset. */
+  | { readonly kind: 'reads'; readonly count: number; readonly name: string }
   /** The configuration version in force at an entry. */
   | { readonly kind: 'version'; readonly count: number; readonly name: string }
   | { readonly kind: 'ready'; readonly name: string }
--- a/tools/scenario/types/Scenario.ts
+++ b/tools/scenario/types/Scenario.ts
@@ -45,10 +45,8 @@
     when,
     name,
     entry,
-    /** Gives the tokens received back to the system. */
-    prefix: z.boolean().default(false),
-    /** Changes the last of those tokens. */
-    forged: z.boolean().default(false),
+    /** What the caller gives beside its cursor; `forged` changes the last token. */
+    gives: z.enum(['nothing', 'request', 'tokens', 'forged']).default('nothing'),
     /** A second connection of the same caller, recorded on its own. */
     as: z.string().default(''),
   }),
@@ -99,7 +97,13 @@
     retry_after: z.boolean().default(false),
     within_ms: count.default(0),
   }),
-  z.strictObject({ that: z.literal('answered'), of, run_state: z.string().default('') }),
+  z.strictObject({
+    that: z.literal('answered'),
+    of,
+    run_state: z.string().default(''),
+    /** Text that the answer must hold, for example the name of the call. */
+    contains: z.string().default(''),
+  }),
   z.strictObject({
     that: z.literal('decisions'),
     kind: name,
