--- a/tools/embedded/applyToPlatform/index.ts
+++ b/tools/embedded/applyToPlatform/index.ts
@@ -5,6 +5,9 @@
 import type { Configuration } from '../../../src/domain/types';
 import type { EntrySettings } from '../../../src/programs/entry/types';
 
+/** Generous: several systems start in one busy process. */
+const APPLY_DEADLINE_MS = 20_000;
+
 /**
  * Applies a configuration as `jackdaw apply` does.
  *
@@ -19,7 +22,10 @@
 ): Promise<number> {
   const clock = createSystemClock();
   const dispatcher = createPlatformDispatcher();
-  const table = createDynamoTableStore(settings.table, { clock, dispatcher });
+  const table = createDynamoTableStore(
+    { ...settings.table, deadlineMs: APPLY_DEADLINE_MS },
+    { clock, dispatcher },
+  );
   const applied = await applyConfiguration(
     { table, clock, randomness: createSystemRandomness() },
     { configuration, expectedVersion, appliedBy: 'embedded', comment: '' },
