Keep a process alive when a peer shuts down in the middle of a call

Cause: connect-node destroys an idle connection on GOAWAY with an error that Node emits only once the socket has closed; a call (or a close) in between takes the library's listener off, and the error without a listener ended the process: any entry, at any peer's shutdown, if it exchanged news in that moment. Change: a listener of our own on each connection, which stays. Ruled out: not closing connections on the peer's side, since a dead peer does it too; a process-wide handler, which would hide other faults.

--- a/src/adapters/connect/createPeerClient/index.ts
+++ b/src/adapters/connect/createPeerClient/index.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { OperatorCalls, PeerCalls, PeerError } from '../../../application/peers';
@@ -10,6 +10,7 @@
 import { convertNewsToMessage } from '../convertNewsToMessage';
 import { ExchangeRequestSchema, PeerService } from '../gen/peer_pb';
 import { convertConnectError } from './_lib/convertConnectError';
+import { createSessionManager, type SessionManager } from './_lib/createSessionManager';
 import { openGeneration } from './_lib/openGeneration';
 
 /** A ping finds out whether a connection that was idle this long still lives. */
@@ -46,12 +47,12 @@
 
 interface Connection {
   readonly calls: Client<typeof PeerService>;
-  readonly manager: Http2SessionManager;
+  readonly manager: SessionManager;
 }
 
 const openConnection = (peerAddress: string): Connection => {
   const baseUrl = `http://${peerAddress}`;
-  const manager = new Http2SessionManager(baseUrl, {
+  const manager = createSessionManager(baseUrl, {
     pingIntervalMs: PING_INTERVAL_MS,
     pingTimeoutMs: PING_TIMEOUT_MS,
     idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
--- /dev/null
+++ b/tests/peers/goaway.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import { createPeerClient, startPeerServer } from '../../src/adapters/connect';
+import type { PeerServices } from '../../src/application/peers';
+import { createSystemClock } from '../../src/adapters/system';
+import { readOk } from '../_lib/readOk';
+
+/** Turns of the loop between the peer's stop and what this VM does: the fault has a small window. */
+const MAX_TURNS = 8;
+const REPEATS = 6;
+
+const services: PeerServices = {
+  handleNews: (news) => news,
+  generations: null,
+  decisions: { listDecisions: () => [] },
+  readEncoded: () => null,
+  readStatus: () => ({}),
+  drain: () => 0,
+};
+
+// Symptom: an entry's process ends with "received GOAWAY without any open streams".
+// Sequence: a peer shuts down; its GOAWAY destroys the idle connection; before the connection's
+//   error is emitted, this VM calls the peer again, or closes its own client.
+// Cause: the library takes its error listener off a destroyed connection, so that nobody listens.
+test('a call or a close while a peer shuts down does not end the process', async (t) => {
+  for (let round = 0; round < MAX_TURNS * REPEATS; round += 1) {
+    const server = readOk(await startPeerServer({ host: '127.0.0.1', port: 0, services }));
+    const client = createPeerClient({ clock: createSystemClock(), findPeerAddress: () => null });
+    readOk(await client.readStatus(server.address));
+    const stopped = server.stop();
+    for (let turn = 0; turn < round % MAX_TURNS; turn += 1) await new Promise(setImmediate);
+    if (round < (MAX_TURNS * REPEATS) / 2) await client.readStatus(server.address);
+    client.close();
+    await stopped;
+  }
+  t.pass();
+});
