--- a/src/programs/jackdaw/commands/WritingCommand.ts
+++ b/src/programs/jackdaw/commands/WritingCommand.ts
@@ -18,6 +18,9 @@
   const more = lagging.length - named.length;
   const names = [...named, ...(more > 0 ? [`${more} more`] : [])].join(', ');
   const seconds = (elapsedMs / MS_PER_S).toFixed(1);
+  if (vmsTotal === 0) {
+    return `version ${version}: no entry VM is known; see [vm_list] and [peers] of the settings`;
+  }
   return `version ${version}: in force at ${inForce} of ${vmsTotal} VMs after ${seconds} s${
     names === '' ? '' : `; waiting for ${names}`
   }`;
