Draw others' requests to their mean as the report of them ages

Cause: lookups end within 130 ms, but reports are 500 ms old. A burst that was long over drove work away, and an idle moment drew all VMs to one server; lookups of an idle system had p99 463 ms. Change: own requests counted exactly; others' as mean + (newest - mean) * exp(-age / hold), the hold time measured at each server, weighted as a request met at a random moment. Tests changed with the interface: the end of an attempt now names its hold time.

--- a/src/application/routing/createLoadView/index.ts
+++ b/src/application/routing/createLoadView/index.ts
@@ -1,4 +1,9 @@
-import { addToAverage, estimateRunning, isNewerReport } from '../../../domain/load';
+import {
+  addToAverage,
+  computeFreshness,
+  estimateRunning,
+  isNewerReport,
+} from '../../../domain/load';
 import type { LoadReport } from '../../../domain/types';
 import type { Clock } from '../../ports';
 import { createPrefixIndex } from '../createPrefixIndex';
@@ -13,18 +18,36 @@
 /** Weight of a new round trip in the mean of its zone. */
 const ZONE_WEIGHT = 0.2;
 
+/** Weight of a new report in the mean of others' requests: about the last five count. */
+const OTHERS_WEIGHT = 0.2;
+
+/** Weight of a newly ended request in the mean hold time of its server. */
+const HOLD_WEIGHT = 0.1;
+
+/** Mean time for which a report is the newest one: half of the time between two. */
+const MEAN_USE_MS = 250;
+
 interface LoadChange {
   readonly atMs: number;
   readonly amount: number;
+  readonly isOwn: boolean;
 }
 
 /** Mutable on purpose: it is read for every server in every decision. */
 interface ServerLoad {
   report: LoadReport | null;
+  /** Changes since the newest report was sampled. */
   changes: LoadChange[];
-  changeSince: number;
+  ownSince: number;
+  peersSince: number;
   own: number;
   peers: number;
+  /** Others' requests in the newest report, and their mean over the last ones. */
+  others: number;
+  meanOthers: number;
+  /** Sums from which the hold time of a request met at a random moment follows. */
+  holdMs: number;
+  holdSquareMs: number;
   /** The estimate, worked out anew at each change of what is above. */
   running: number;
 }
@@ -39,6 +62,11 @@
   readonly clock: Clock;
 }
 
+/** Sums the own, or the peers', changes. */
+function sumChanges(changes: readonly LoadChange[], own: boolean): number {
+  return changes.reduce((sum, { amount, isOwn }) => (isOwn === own ? sum + amount : sum), 0);
+}
+
 /** Tells whether two reports of a server differ in which work it can take. */
 function hasReadinessChanged(before: LoadReport | null, after: LoadReport): boolean {
   return (
@@ -67,29 +95,50 @@
   const readLoad = (name: string): ServerLoad => {
     const held = loads.get(name);
     if (held !== undefined) return held;
-    const created = { report: null, changes: [], changeSince: 0, own: 0, peers: 0, running: 0 };
+    const created = {
+      report: null,
+      changes: [],
+      ownSince: 0,
+      peersSince: 0,
+      own: 0,
+      peers: 0,
+      others: 0,
+      meanOthers: 0,
+      holdMs: 0,
+      holdSquareMs: 0,
+      running: 0,
+    };
     loads.set(name, created);
     return created;
   };
   const sendNotice = (name: string): void => listeners.forEach((listener) => listener(name));
   const updateRunning = (name: string): void => {
     const load = readLoad(name);
-    const { report, changeSince, own, peers: others } = load;
-    const reported = report === null ? null : report.running + report.waiting;
-    load.running = estimateRunning({ reported, changeSince, own, peers: others });
+    const { report, own, peers: known, others, meanOthers, peersSince } = load;
+    // A request met at a random moment is more likely a long one: hence the squares.
+    const holdMs = load.holdMs > 0 ? load.holdSquareMs / load.holdMs : 0;
+    load.running = estimateRunning({
+      own,
+      peers: known,
+      others: report === null ? null : others + peersSince,
+      meanOthers,
+      freshness: computeFreshness((report?.ageMs ?? 0) + MEAN_USE_MS, holdMs),
+    });
   };
-  const recordChange = (name: string, amount: number): void => {
+  const recordChange = (name: string, amount: number, isOwn: boolean): void => {
     if (amount === 0) return;
     const load = readLoad(name);
-    load.changes.push({ atMs: clock.readMonotonicMs(), amount });
-    load.changeSince += amount;
-    if (load.changes.length > MAX_CHANGES) load.changeSince -= load.changes.shift()?.amount ?? 0;
+    load.changes.push({ atMs: clock.readMonotonicMs(), amount, isOwn });
+    if (load.changes.length > MAX_CHANGES) load.changes.shift();
+    if (isOwn) load.ownSince += amount;
+    else load.peersSince += amount;
     updateRunning(name);
   };
   const recordOwn = (name: string, amount: 1 | -1): void => {
     const load = readLoad(name);
-    load.own = Math.max(0, load.own + amount);
-    recordChange(name, amount);
+    if (load.own + amount < 0) return;
+    load.own += amount;
+    recordChange(name, amount, true);
   };
   const applyPeerNews = (vm: string, running: ReadonlyMap<string, number>): readonly string[] => {
     const before = peers.get(vm)?.running ?? new Map<string, number>();
@@ -98,7 +147,7 @@
     changed.forEach((name) => {
       const amount = (running.get(name) ?? 0) - (before.get(name) ?? 0);
       readLoad(name).peers += amount;
-      recordChange(name, amount);
+      recordChange(name, amount, false);
     });
     return changed;
   };
@@ -120,9 +169,14 @@
       }
       if (hasReadinessChanged(load.report, report)) readinessEpoch += 1;
       const sampledMs = report.receivedAtMs - report.ageMs;
+      const isFirst = load.report === null;
       load.report = report;
       load.changes = load.changes.filter(({ atMs }) => atMs > sampledMs);
-      load.changeSince = load.changes.reduce((sum, { amount }) => sum + amount, 0);
+      load.ownSince = sumChanges(load.changes, true);
+      load.peersSince = sumChanges(load.changes, false);
+      const ownThen = load.own - load.ownSince;
+      load.others = Math.max(0, report.running + report.waiting - ownThen);
+      load.meanOthers += (isFirst ? 1 : OTHERS_WEIGHT) * (load.others - load.meanOthers);
       updateRunning(name);
       dropSilentPeers(clock.readMonotonicMs());
       sendNotice(name);
@@ -157,13 +211,16 @@
       recordOwn(name, 1);
       prefixIndex.recordSent(name, prefixes);
     },
-    recordEnd: (name) => {
+    recordEnd: (name, holdMs) => {
+      const load = readLoad(name);
+      load.holdMs = addToAverage(load.holdMs, holdMs, HOLD_WEIGHT);
+      load.holdSquareMs = addToAverage(load.holdSquareMs, holdMs * holdMs, HOLD_WEIGHT);
       recordOwn(name, -1);
       sendNotice(name);
     },
     recordFull: (name, slots) => {
       const load = readLoad(name);
-      if (load.report !== null) recordChange(name, Math.max(0, slots - load.running));
+      if (load.report !== null) recordChange(name, Math.max(0, slots - load.running), false);
     },
     readReadinessEpoch: () => readinessEpoch,
     addListener: (listener) => {
--- a/src/application/routing/createLoadView/test.ts
+++ b/src/application/routing/createLoadView/test.ts
@@ -43,7 +43,7 @@
   setTime(1500);
   view.recordReport(buildReport(1, 5, 1500));
   t.is(view.readRunning('review-1').running, 6);
-  view.recordEnd('review-1');
+  view.recordEnd('review-1', 60_000);
   t.is(view.readRunning('review-1').running, 5);
   view.recordReport(buildReport(1, 0, 1600));
   t.is(view.readRunning('review-1').running, 5);
@@ -69,8 +69,8 @@
   const { view } = createView();
   view.recordSend('review-1', []);
   t.deepEqual(view.listOwnSends(), [{ backendServer: 'review-1', running: 1 }]);
-  view.recordEnd('review-1');
-  view.recordEnd('review-1');
+  view.recordEnd('review-1', 60_000);
+  view.recordEnd('review-1', 60_000);
   t.deepEqual(view.listOwnSends(), []);
   view.recordSend('review-1', []);
   t.is(view.readRunning('review-1').running, 1);
--- a/src/application/routing/createPlacement/index.ts
+++ b/src/application/routing/createPlacement/index.ts
@@ -81,14 +81,14 @@
       unqueued: running < room.slots,
     });
     // Last, because it wakes those who wait, and they are judged by the measures above.
-    load.recordEnd(server.name);
+    load.recordEnd(server.name, clock.readMonotonicMs() - sentMs);
   };
 
   return {
     findServer: (demand, pool) => {
       const { servers, groups, zones } = pool;
       const { workClass, excludedServers, promptTokens, prefixes } = demand;
-      const overtakes = findClassPolicy(workClass).mayHedge;
+      const { overtakes } = findClassPolicy(workClass);
       const cached = prefixes.length > 0 ? load.findCachedTokens(prefixes) : NO_CACHED_TOKENS;
       const holdMs = meter.readHoldMs(demand.service);
       const prefills = groups.map((group) => meter.readPrefillMsPerToken(demand.service, group));
--- a/src/application/routing/createRouter/index.ts
+++ b/src/application/routing/createRouter/index.ts
@@ -44,7 +44,7 @@
 
 /** Describes a choice for the decision log. */
 function renderChoice({ firstTokenMs, running, cachedTokens }: Placed): string {
-  const figures = `first token in ${firstTokenMs.toFixed(1)} ms, ${running} running`;
+  const figures = `first token in ${firstTokenMs.toFixed(1)} ms, ${running.toFixed(1)} running`;
   return cachedTokens > 0 ? `${figures}, ${Math.round(cachedTokens)} tokens cached` : figures;
 }
 
--- a/src/application/routing/types/RoutingLoad.ts
+++ b/src/application/routing/types/RoutingLoad.ts
@@ -21,8 +21,8 @@
   recordZoneMs(availabilityZone: string, roundTripMs: number): void;
   /** Notes that this VM begins an attempt there. */
   recordSend(backendServer: string, prefixes: readonly string[]): void;
-  /** Notes that an attempt of this VM there ended. */
-  recordEnd(backendServer: string): void;
+  /** Notes that an attempt of this VM there ended, which had the slot for `holdMs`. */
+  recordEnd(backendServer: string, holdMs: number): void;
   /** Notes that the server refused an attempt: it counts as full until a newer report. */
   recordFull(backendServer: string, slots: number): void;
   /** Grows whenever a report changes which work its server can take. */
--- a/src/domain/admission/findClassPolicy/index.ts
+++ b/src/domain/admission/findClassPolicy/index.ts
@@ -12,19 +12,19 @@
     enginePriority: 100,
     queueRank: 0,
     computeLimit: ({ slots }) => slots + Math.ceil(slots * LOOKUP_OVERFILL),
-    mayHedge: true,
+    overtakes: true,
   },
   [WorkClass.Plain]: {
     enginePriority: 50,
     queueRank: 1,
     computeLimit: ({ slots }) => slots,
-    mayHedge: false,
+    overtakes: false,
   },
   [WorkClass.Long]: {
     enginePriority: 10,
     queueRank: 2,
     computeLimit: ({ slots, reservedSlots }) => Math.max(1, slots - reservedSlots),
-    mayHedge: false,
+    overtakes: false,
   },
 };
 
--- a/src/domain/admission/types/ClassPolicy.ts
+++ b/src/domain/admission/types/ClassPolicy.ts
@@ -13,6 +13,6 @@
   readonly queueRank: number;
   /** Requests at a server, of all classes, below which one of this class may still be sent. */
   readonly computeLimit: (room: ServerRoom) => number;
-  /** True: a second attempt may run beside the first. */
-  readonly mayHedge: boolean;
+  /** True: engines serve it before the other classes that wait there. */
+  readonly overtakes: boolean;
 }
--- a/src/domain/load/estimateRunning/index.ts
+++ b/src/domain/load/estimateRunning/index.ts
@@ -1,25 +1,29 @@
 /** What is known of the requests at one backend server. */
 export interface RunningKnowledge {
-  /** Running and waiting requests of the newest report; null without a report. */
-  readonly reported: number | null;
-  /** Sends minus ends, own and peers', noticed since the report was sampled. */
-  readonly changeSince: number;
-  /** Requests that this VM has there. */
+  /** Requests that this VM has there now. */
   readonly own: number;
   /** Requests that peers last said they have there. */
   readonly peers: number;
+  /** Requests of others in the newest report, with peers' changes since; null without a report. */
+  readonly others: number | null;
+  /** Mean of the requests of others over the last reports. */
+  readonly meanOthers: number;
+  /** How far the newest figures still hold, 0 to 1 (see `computeFreshness`). */
+  readonly freshness: number;
 }
 
 /**
  * Estimates the requests at a backend server, running and waiting.
  *
- * The late report is corrected by what changed since. It cannot be fewer than this VM and its peers
- * know to be there.
+ * Own requests are known. Those of others are as last reported while the report is fresh; requests
+ * that end sooner than the next report comes are better told by their mean: taken from the newest
+ * report, a burst that is long over would drive work away, and an idle moment would draw all to it.
  *
  * @returns a number of requests, 0 or more
  */
 export function estimateRunning(knowledge: RunningKnowledge): number {
-  const known = knowledge.own + knowledge.peers;
-  if (knowledge.reported === null) return known;
-  return Math.max(known, knowledge.reported + knowledge.changeSince, 0);
+  const { own, peers, others, meanOthers, freshness } = knowledge;
+  if (others === null) return own + peers;
+  const expected = meanOthers + (Math.max(0, others) - meanOthers) * freshness;
+  return own + Math.max(expected, peers * freshness);
 }
--- a/tests/peers/exchange.test.ts
+++ b/tests/peers/exchange.test.ts
@@ -84,7 +84,7 @@
     vms.map(({ load }) => load.readRunning('engine-2').running),
     vms.map(() => 1),
   );
-  vms[0]?.load.recordEnd('engine-2');
+  vms[0]?.load.recordEnd('engine-2', 1000);
   await clock.advanceAsync(1_500);
   t.true(vms.every(({ load }) => load.readRunning('engine-2').running === 0));
   stop();
