Take no prefill that waits on a working engine as evidence against it

While a server delivers to other streams, the limit is four times as long; and only confirmed suspicions make the wait before a probe longer. The new test fails with the factor at 1. Also tests of the engine client: cut events, gaps, overlaps, what counts as not started. Tried and dropped: in latency mode, a second attempt beside the resume on each broken connection.

--- /dev/null
+++ b/src/adapters/engine/createHttpEngineClient/test.ts
@@ -0,0 +1,127 @@
+import { createServer, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import { buildSampleConfiguration, createFakeClock } from '../../../../standins/fakes';
+import { buildRequest } from '../../../../tests/support/createTestEntry';
+import type { EngineStream } from '../../../application/ports';
+import type { TokenBatch } from '../../../domain/types';
+import { createHttpEngineClient } from '..';
+
+const START = {
+  request: buildRequest({ body: { model: 'x', max_completion_tokens: 9 } }),
+  model: 'review',
+  adapter: '',
+  streamId: 'gen_1.1.ab',
+  prefixTokenIds: [7, 8],
+  priority: 1,
+};
+
+const formatEvent = (id: string, tokenIds: readonly number[], finish: string | null = null) =>
+  `id: ${id}\ndata: ${JSON.stringify({
+    choices: [{ delta: { content: 'é', token_ids: tokenIds }, finish_reason: finish }],
+  })}\n\n`;
+
+const readAll = async (stream: EngineStream) => {
+  const batches: TokenBatch[] = [];
+  for await (const result of stream.batches) {
+    if (result.isErr()) return { batches, end: result.error.kind };
+    batches.push(result.value);
+  }
+  return { batches, end: 'finished' };
+};
+
+/** Runs a client against a server that answers as the test says; closes both. */
+const withServer = async <T>(
+  answer: (response: ServerResponse) => void,
+  run: (
+    client: ReturnType<typeof createHttpEngineClient>,
+    server: ReturnType<typeof buildSampleConfiguration>['backendServers'][number],
+  ) => Promise<T>,
+): Promise<T> => {
+  const http = createServer((request, response) => {
+    request.resume().on('end', () => answer(response));
+  });
+  await new Promise<void>((resolve) => {
+    http.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = http.address() as AddressInfo;
+  const client = createHttpEngineClient({ clock: createFakeClock() });
+  const [sample] = buildSampleConfiguration().backendServers;
+  try {
+    return await run(client, { ...sample!, url: `http://127.0.0.1:${port}` });
+  } finally {
+    await client.close();
+    http.closeAllConnections();
+    await new Promise((resolve) => {
+      http.close(resolve);
+    });
+  }
+};
+
+const readStart = (write: (response: ServerResponse) => void) =>
+  withServer(
+    (response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream' });
+      write(response);
+    },
+    async (client, server) => readAll((await client.startAttempt(server, START))._unsafeUnwrap()),
+  );
+
+test('a stream is read on from its prefix, however its bytes are cut', async (t) => {
+  const bytes = Buffer.from(`${formatEvent('3', [1])}${formatEvent('5', [2, 3], 'stop')}`);
+  const { batches, end } = await readStart((response) => {
+    [...bytes].forEach((byte) => response.write(Buffer.from([byte])));
+    response.end();
+  });
+  t.is(end, 'finished');
+  t.deepEqual(
+    batches.map(({ offset, tokenIds, text }) => ({ offset, tokenIds, text })),
+    [
+      { offset: 2, tokenIds: [1], text: 'é' },
+      { offset: 3, tokenIds: [2, 3], text: 'é' },
+    ],
+  );
+});
+
+// Symptom: a token of the answer is cut short, missing or doubled.
+// Sequence: the connection breaks inside an event; an engine skips or repeats an offset.
+// Cause: events that are passed on before they are whole, or without a look at their offset.
+test('a cut event is dropped, and a gap, an overlap and bad JSON end the stream', async (t) => {
+  const cut = formatEvent('4', [2]);
+  const endings = [cut.slice(0, -4), formatEvent('5', [2]), formatEvent('3', [2]), 'data: {\n\n'];
+  for (const ending of endings) {
+    const { batches, end } = await readStart((response) => {
+      response.write(formatEvent('3', [1]) + ending, () => response.destroy());
+    });
+    t.is(end, 'broken', ending);
+    t.is(batches.length, 1, ending);
+  }
+});
+
+// Symptom: a caller is told "not run" of work that ran, or it runs twice.
+// Sequence: the engine refuses, is not there, or breaks the connection after the request.
+// Cause: failures after the send that are taken for failures before it.
+test('only what surely did not start counts as not started', async (t) => {
+  const statuses = { 429: 'not-started', 503: 'not-started', 400: 'rejected', 500: 'broken' };
+  for (const [status, kind] of Object.entries(statuses)) {
+    const answer = (response: ServerResponse) =>
+      response.writeHead(Number(status), { 'retry-after': '2' }).end('{}');
+    await withServer(answer, async (client, server) => {
+      const started = await client.startAttempt(server, START);
+      t.is(started._unsafeUnwrapErr().kind, kind as 'broken', status);
+      const resumed = await client.resumeStream(server, 'gone', 0);
+      t.true(resumed.isErr());
+    });
+  }
+  await withServer(
+    (response) => response.destroy(),
+    async (client, server) => {
+      const broken = await client.startAttempt(server, START);
+      t.is(broken._unsafeUnwrapErr().kind, 'broken');
+      const nowhere = { ...server, url: 'http://127.0.0.1:1' };
+      const refused = await client.startAttempt(nowhere, START);
+      t.is(refused._unsafeUnwrapErr().kind, 'not-started');
+      t.true((await client.probe(nowhere)).isErr());
+    },
+  );
+});
--- a/src/application/generations/_lib/buildRun/index.ts
+++ b/src/application/generations/_lib/buildRun/index.ts
@@ -38,7 +38,7 @@
  * @returns Run; the caller holds it in the store.
  */
 export const buildRun = (context: GenerationsContext, start: RunStart): GenerationRun => {
-  const { dependencies, cancelQueue, paces } = context;
+  const { dependencies, cancelQueue, paces, serverActivity } = context;
   const { request, taken } = start;
   const nowMs = dependencies.clock.readMonotonicMs();
   const offset = start.missing + start.prefixTokenIds.length;
@@ -65,6 +65,7 @@
       dependencies,
       cancelQueue,
       paces,
+      serverActivity,
       generationId: start.generationId,
       workspace: start.workspace,
       service: start.service,
--- a/src/application/generations/_lib/computeAttemptLimits/index.ts
+++ b/src/application/generations/_lib/computeAttemptLimits/index.ts
@@ -11,20 +11,34 @@
 export interface LimitOptions {
   readonly firstTokens: readonly FirstTokenSample[];
   readonly promptCharacters: number;
+  /** True if the server is delivering tokens to other streams. */
+  readonly serverActive: boolean;
   readonly serverDead: boolean;
 }
 
 /** Kept tokens come at once when a stream is read again, so a connection's limits are enough. */
 const RESUME_LIMITS: SilenceLimits = { suspectMs: 250, confirmMs: 500 };
 
+/**
+ * Room for a prefill on a server that is at work: it waits behind others there. Without it a burst
+ * of requests makes each engine look stuck, and all of them are taken out of service at once.
+ */
+const QUEUED_FACTOR = 4;
+
 const NO_LIMITS: SilenceLimits = { suspectMs: Infinity, confirmMs: Infinity };
 
 type Compute = (handle: AttemptHandle, options: LimitOptions) => SilenceLimits;
 
 const LIMITS: Readonly<Record<AttemptPhase, Compute>> = {
   [AttemptPhase.Opening]: () => NO_LIMITS,
-  [AttemptPhase.Prefill]: (_handle, { firstTokens, promptCharacters, serverDead }) =>
-    computePrefillLimitMs(firstTokens, promptCharacters, { serverDead }),
+  [AttemptPhase.Prefill]: (
+    _handle,
+    { firstTokens, promptCharacters, serverActive, serverDead },
+  ) => {
+    const limits = computePrefillLimitMs(firstTokens, promptCharacters, { serverDead });
+    const factor = serverActive ? QUEUED_FACTOR : 1;
+    return { suspectMs: limits.suspectMs * factor, confirmMs: limits.confirmMs * factor };
+  },
   [AttemptPhase.Streaming]: (handle, { serverDead }) =>
     computeSilenceLimitMs(handle.gaps, { serverDead }),
   [AttemptPhase.Resuming]: (handle) => {
--- a/src/application/generations/_lib/createAnswerRun/index.ts
+++ b/src/application/generations/_lib/createAnswerRun/index.ts
@@ -42,6 +42,7 @@
       dependencies: context.dependencies,
       cancelQueue: context.cancelQueue,
       paces: context.paces,
+      serverActivity: context.serverActivity,
       generationId,
       workspace: request.workspace,
       service: request.service,
--- /dev/null
+++ b/src/application/generations/_lib/createServerActivity/index.ts
@@ -0,0 +1,21 @@
+/** When each backend server last delivered a token to this VM, on any stream. */
+export interface ServerActivity {
+  record(backendServer: string, nowMs: number): void;
+  /** Monotonic time in milliseconds; -Infinity if it never has. */
+  readLastMs(backendServer: string): number;
+}
+
+/**
+ * Creates an empty record.
+ *
+ * @returns Record.
+ */
+export const createServerActivity = (): ServerActivity => {
+  const lastMs = new Map<string, number>();
+  return {
+    record: (backendServer, nowMs) => {
+      lastMs.set(backendServer, nowMs);
+    },
+    readLastMs: (backendServer) => lastMs.get(backendServer) ?? -Infinity,
+  };
+};
--- a/src/application/generations/_lib/readStream/index.ts
+++ b/src/application/generations/_lib/readStream/index.ts
@@ -23,6 +23,7 @@
   const nowMs = clock.readMonotonicMs();
   if (batch.tokenIds.length > 0) {
     recordFirstToken(context, handle, nowMs);
+    if (handle.server) context.serverActivity.record(handle.server.name, nowMs);
     // The first gap is the prefill, and would make the stream's limit far too long.
     if (handle.deliveredTokens > 0) recordGap(context, handle, nowMs - handle.lastActivityMs);
     const deliveredTokens = handle.deliveredTokens + batch.tokenIds.length;
--- a/src/application/generations/_lib/sweepRun/index.ts
+++ b/src/application/generations/_lib/sweepRun/index.ts
@@ -3,11 +3,13 @@
 import type { GenerationRun, GenerationsDependencies } from '../../types';
 import { computeAttemptLimits } from '../computeAttemptLimits';
 import type { PaceHistory } from '../createPaceHistory';
+import type { ServerActivity } from '../createServerActivity';
 
 /** What a sweep looks with. */
 export interface SweepOptions {
   readonly dependencies: GenerationsDependencies;
   readonly paces: PaceHistory;
+  readonly serverActivity: ServerActivity;
   readonly nowMs: number;
   /** Time that this process itself was stalled before the sweep, in milliseconds. */
   readonly stalledMs: number;
@@ -15,6 +17,9 @@
   readonly detachedMs: number;
 }
 
+/** A server that delivered a token to any stream so lately is at work. */
+const ACTIVE_MS = 200;
+
 const sweepAttempt = (run: GenerationRun, attempt: Attempt, options: SweepOptions): void => {
   const handle = run.attempts.get(attempt.attempt);
   if (!handle || attempt.phase === AttemptPhase.Opening) return;
@@ -28,6 +33,8 @@
   const limits = computeAttemptLimits(attempt.phase, handle, {
     firstTokens: options.paces.listFirstTokens(run.service),
     promptCharacters: run.request?.promptCharacters ?? 0,
+    serverActive:
+      options.nowMs - options.serverActivity.readLastMs(attempt.backendServer) < ACTIVE_MS,
     serverDead:
       options.dependencies.health.readHealth(attempt.backendServer) === BackendHealth.Dead,
   });
--- a/src/application/generations/createGenerations/index.ts
+++ b/src/application/generations/createGenerations/index.ts
@@ -6,6 +6,7 @@
 import { createClaimedStart } from '../_lib/createClaimedStart';
 import { createPaceHistory } from '../_lib/createPaceHistory';
 import { createRunStore } from '../_lib/createRunStore';
+import { createServerActivity } from '../_lib/createServerActivity';
 import { createSweeper } from '../_lib/createSweeper';
 import { openFeed } from '../_lib/openFeed';
 import { resumeHeld } from '../_lib/resumeHeld';
@@ -32,13 +33,15 @@
   const { clock, configuration, engineClient, health } = dependencies;
   const store = createRunStore();
   const paces = createPaceHistory();
+  const serverActivity = createServerActivity();
+  const watch = { dependencies, paces, serverActivity };
 
   const sweep = (stalledMs: number): boolean => {
     const limits = configuration.readCurrent()?.configuration.limits;
     const detachedMs = limits?.detachedMs ?? DEFAULT_DETACHED_MS;
     const nowMs = clock.readMonotonicMs();
     store.list().forEach((run) => {
-      if (!sweepRun(run, { dependencies, paces, nowMs, stalledMs, detachedMs })) {
+      if (!sweepRun(run, { ...watch, nowMs, stalledMs, detachedMs })) {
         store.remove(run);
       }
     });
@@ -47,9 +50,8 @@
   const sweeper = createSweeper(clock, sweep);
 
   const context: GenerationsContext = {
-    dependencies,
+    ...watch,
     cancelQueue: createCancelQueue(engineClient, health),
-    paces,
     store,
     addRun: (run, keyDigest) => {
       store.add(run, keyDigest);
--- a/src/application/generations/types/GenerationsContext.ts
+++ b/src/application/generations/types/GenerationsContext.ts
@@ -1,5 +1,6 @@
 import type { CancelQueue } from '../_lib/createCancelQueue';
 import type { PaceHistory } from '../_lib/createPaceHistory';
+import type { ServerActivity } from '../_lib/createServerActivity';
 import type { RunStore } from '../_lib/createRunStore';
 import type { GenerationsDependencies } from './GenerationsDependencies';
 import type { GenerationRun } from './GenerationRun';
@@ -9,6 +10,7 @@
   readonly dependencies: GenerationsDependencies;
   readonly cancelQueue: CancelQueue;
   readonly paces: PaceHistory;
+  readonly serverActivity: ServerActivity;
   readonly store: RunStore;
   /** Holds a run and keeps it under watch. */
   addRun(run: GenerationRun, keyDigest?: string): void;
--- a/src/application/generations/types/RunContext.ts
+++ b/src/application/generations/types/RunContext.ts
@@ -3,6 +3,7 @@
 import type { CancelQueue } from '../_lib/createCancelQueue';
 import type { ClaimKeeper } from '../_lib/createClaimKeeper';
 import type { PaceHistory } from '../_lib/createPaceHistory';
+import type { ServerActivity } from '../_lib/createServerActivity';
 import type { AttemptHandle } from './AttemptHandle';
 import type { GenerationsDependencies } from './GenerationsDependencies';
 import type { TokenLog } from './TokenLog';
@@ -17,6 +18,7 @@
   readonly dependencies: GenerationsDependencies;
   readonly cancelQueue: CancelQueue;
   readonly paces: PaceHistory;
+  readonly serverActivity: ServerActivity;
   readonly generationId: string;
   readonly workspace: string;
   readonly service: string;
--- a/src/application/health/createProber/index.ts
+++ b/src/application/health/createProber/index.ts
@@ -17,7 +17,7 @@
 }
 
 interface Watched {
-  /** Suspicions in a row. */
+  /** Confirmed suspicions in a row. */
   suspicions: number;
   recoveredAtMs: number;
   cancelTimer: (() => void) | null;
@@ -80,7 +80,9 @@
     const state = readWatched(name);
     if (state.cancelTimer) return;
     const isNewTrouble = clock.readMonotonicMs() - state.recoveredAtMs > TROUBLE_OVER_MS;
-    state.suspicions = isNewTrouble ? 1 : state.suspicions + 1;
+    if (isNewTrouble) state.suspicions = 0;
+    // A short stall under load only makes a server suspected: it is probed soon, however often.
+    if (health.readHealth(name) === BackendHealth.Dead) state.suspicions += 1;
     schedule(name, computeProbeDelayMs(state.suspicions));
   };
 
--- a/tests/generations/engineLoss.test.ts
+++ b/tests/generations/engineLoss.test.ts
@@ -117,3 +117,22 @@
   const replacement = engines.starts.find(({ prefixLength }) => prefixLength === 1);
   t.truthy(replacement);
 });
+
+// Symptom: a burst of requests takes every engine out of service, and lookups are refused.
+// Sequence: an engine delivers to one stream, while another waits there for its prefill.
+// Cause: a limit for the first token that knows nothing of the queue in an engine.
+test('a prefill that waits on an engine at work is no evidence against it', async (t) => {
+  const { clock, engines, entry, signal, start } = setUp(SurvivalMode.Latency);
+  const { first, reader } = await start();
+  const opening = entry.generations.startGeneration(buildRequest({ requestId: 'req_2' }), signal);
+  await engines.waitForStarts(2);
+  for (let index = 0; index < 70; index += 1) {
+    engines.emit(first, 1);
+    await clock.advanceAsync(10);
+  }
+  t.is(entry.health.readHealth('engine-1'), 'serving');
+  t.is(engines.starts.length, 2);
+  engines.emit(engines.starts[1]!, 1, 'stop');
+  t.true((await opening).isOk());
+  t.is(reader.tokenIds.length, 73);
+});
