--- a/src/application/generations/_lib/createTokenLog/index.ts
+++ b/src/application/generations/_lib/createTokenLog/index.ts
@@ -16,8 +16,9 @@
 const TEXT_ENCODING = 'utf16le';
 
 /**
- * Creates a log of tokens in packed arrays: about 16 bytes a token, where arrays of objects would
- * take several hundred, as a node holds some hundred thousand tokens at once.
+ * Creates a log of tokens in packed arrays: 34 bytes a token of five characters, spare room
+ * included (100 logs of 2000 tokens; docs/decisions/040-survival.md), as a node holds some hundred
+ * thousand tokens at once.
  *
  * @param start - What came before the first batch.
  * @returns Empty log after the prefix.
