--- a/src/domain/configuration/checkFreshness/test.ts
+++ b/src/domain/configuration/checkFreshness/test.ts
@@ -12,7 +12,7 @@
   );
 }
 
-// The cases of the table in docs/decisions on configuration.
+// The cases of the table in docs/decisions/010-configuration.md.
 const CASES = [
   ['a read of any VM in reach is enough', FRESHNESS_LIMIT_MS, 1, 9, 'fresh'],
   ['store down, all heard', STALE, 9, 9, 'store-down'],
--- a/src/domain/configuration/encodeConfigurationRow/index.ts
+++ b/src/domain/configuration/encodeConfigurationRow/index.ts
@@ -6,7 +6,7 @@
  * Encodes the body of a version's row, which peers also pass on.
  *
  * The configuration is deflated: at the largest planned size its JSON would pass the 400 KB that
- * the table takes for a row (see docs/decisions on configuration).
+ * the table takes for a row (see docs/decisions/010-configuration.md).
  */
 export function encodeConfigurationRow(row: ConfigurationRow): string {
   const deflated = deflateRawSync(encodeConfiguration(row.configuration));
