--- a/src/application/claims/_lib/createAbandonedClaims/index.ts
+++ b/src/application/claims/_lib/createAbandonedClaims/index.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../../ports';
 import type { ClaimTable } from '../createClaimTable';
 
-/** Claims given up without a verdict, whose write may yet take effect. */
+/** Claims of non-idempotent work given up without a verdict, whose write may yet take effect. */
 export interface AbandonedClaims {
   add(row: ClaimRow): void;
   /** Whether the row is one of these: nothing was ever sent under it. */
--- a/src/application/claims/createClaims/index.ts
+++ b/src/application/claims/createClaims/index.ts
@@ -90,7 +90,8 @@
           replaceAbandoned(chooseAcquireStep(sent, reply, readNowS()), sent),
       });
       if (ended.isErr()) {
-        if (ended.error.pendingWrite) abandoned.add(row);
+        // An idempotent generation runs without its claim; a late row leads its repeats to it.
+        if (ended.error.pendingWrite && !request.idempotent) abandoned.add(row);
         return err(convertStoreError(ended.error.error));
       }
       abandoned.removeStale();
--- a/src/application/claims/createClaims/test.ts
+++ b/src/application/claims/createClaims/test.ts
@@ -127,9 +127,8 @@
   t.is(table.countWrites(), 2);
 });
 
-test('in an outage a claim fails soon, and what it left behind goes away', async (t) => {
-  // Symptom: a key whose caller was told `not-run` is blocked after an outage. Sequence: the row
-  // is written, the answer is lost, the table goes down before the read back.
+/** Claims while the write's answer is lost and the table then goes down, and waits for the error. */
+async function claimIntoOutage(idempotent: boolean) {
   const { clock, table, buildVm } = startPlatform();
   const guarded = createGuardedTableStore(table, TABLE_POLICY, {
     clock,
@@ -137,21 +136,39 @@
   });
   const claims = buildVm('entry-1', 1, guarded);
   table.hangNextAnswers(1);
-  const first = claims.acquireClaim(REQUEST);
+  const first = claims.acquireClaim({ ...REQUEST, idempotent });
   await new Promise(setImmediate);
   table.setOutage('hang');
   const startMs = clock.readMonotonicMs();
   const ended = first.then(() => clock.readMonotonicMs() - startMs);
   await clock.advanceAsync(5000);
-  t.is((await first)._unsafeUnwrapErr().kind, 'store-unavailable');
-  t.true((await ended) <= 1000, `${await ended} ms`);
   table.setOutage('none');
-  // Any later claim of this VM clears it away; one of the same key takes its place.
+  return { claims, outcome: await first, waitedMs: await ended };
+}
+
+test('in an outage a claim fails soon, and what it left behind goes away', async (t) => {
+  // Symptom: a key whose caller was told `not-run` is blocked after an outage. Sequence: the row
+  // is written, the answer is lost, the table goes down before the read back.
+  const { claims, outcome, waitedMs } = await claimIntoOutage(false);
+  t.is(outcome._unsafeUnwrapErr().kind, 'store-unavailable');
+  t.true(waitedMs <= 1000, `${waitedMs} ms`);
+  // Any later claim of this VM clears it away.
   t.true((await claims.acquireClaim({ ...REQUEST, keyDigest: 'other' })).isOk());
   await new Promise(setImmediate);
   t.is((await claims.readClaim('sello', 'key'))._unsafeUnwrap(), null);
 });
 
+test('a late claim of a generation that runs without it stays', async (t) => {
+  // Symptom: a repeat of a key at another entry begins a second generation. Sequence: as above,
+  // but the generation is idempotent and runs all the same; its row, which would lead the repeat
+  // to it, is cleared away.
+  const { claims, outcome } = await claimIntoOutage(true);
+  t.is(outcome._unsafeUnwrapErr().kind, 'store-unavailable');
+  t.true((await claims.acquireClaim({ ...REQUEST, keyDigest: 'other' })).isOk());
+  await new Promise(setImmediate);
+  t.is((await claims.readClaim('sello', 'key'))._unsafeUnwrap()?.vm, 'entry-1');
+});
+
 test('an answer that has served its time gives way, a running claim never', async (t) => {
   const { clock, buildVm } = startPlatform();
   const claims = buildVm('entry-1', 1);
