--- a/src/application/generations/_lib/createClaimKeeper/index.ts
+++ b/src/application/generations/_lib/createClaimKeeper/index.ts
@@ -8,6 +8,8 @@
   readonly clock: Clock;
   /** Called once if another VM has taken the claim over. */
   readonly handleLost: () => void;
+  /** Takes the write of the end, which settles when the end is stored or given up. */
+  readonly handleEnd: (write: Promise<void>) => void;
 }
 
 /** Writes the progress of one claimed generation, one write at a time. */
@@ -71,9 +73,10 @@
     const written = await addWrite(write);
     if (written.isOk() || written.error.kind === 'lost' || tries >= MAX_END_TRIES) return;
     const delayMs = Math.max(MIN_END_RETRY_MS, written.error.retryAfterMs);
-    dependencies.clock.startTimer(delayMs, () => {
-      recordEnd(write, tries + 1).catch(() => undefined);
+    await new Promise<void>((resolve) => {
+      dependencies.clock.startTimer(delayMs, resolve);
     });
+    await recordEnd(write, tries + 1);
   };
 
   return {
@@ -88,7 +91,7 @@
         answer
           ? dependencies.claims.writeAnswer(current, answer)
           : dependencies.claims.updateClaim(current, failed);
-      recordEnd(write, 1).catch(() => undefined);
+      dependencies.handleEnd(recordEnd(write, 1));
     },
   };
 };
--- a/src/application/generations/_lib/holdClaim/index.ts
+++ b/src/application/generations/_lib/holdClaim/index.ts
@@ -12,5 +12,7 @@
 export const holdClaim = (context: GenerationsContext, run: GenerationRun, row: ClaimRow): void => {
   const { claims, clock } = context.dependencies;
   const handleLost = (): void => run.dispatch({ kind: 'abandoned', reason: 'claim-lost' });
-  run.setClaimKeeper(createClaimKeeper({ claims, clock, handleLost }, row));
+  run.setClaimKeeper(
+    createClaimKeeper({ claims, clock, handleLost, handleEnd: context.pendingEnds.add }, row),
+  );
 };
--- a/src/application/generations/createGenerations/index.ts
+++ b/src/application/generations/createGenerations/index.ts
@@ -5,6 +5,7 @@
 import { createCancelQueue } from '../_lib/createCancelQueue';
 import { createClaimedStart } from '../_lib/createClaimedStart';
 import { createPaceHistory } from '../_lib/createPaceHistory';
+import { createPendingEnds } from '../_lib/createPendingEnds';
 import { createRunStore } from '../_lib/createRunStore';
 import { createServerActivity } from '../_lib/createServerActivity';
 import { createSweeper } from '../_lib/createSweeper';
@@ -17,6 +18,8 @@
 export interface WatchedGenerations extends Generations {
   /** Stops the timer; streams that run are left to their engines. */
   stop(): void;
+  /** Resolves when the answers of all ended generations are stored, or after `boundMs`. */
+  waitForEnds(boundMs: number): Promise<void>;
 }
 
 /** How long a generation is kept without a caller until the first configuration says. */
@@ -32,6 +35,7 @@
 export const createGenerations = (dependencies: GenerationsDependencies): WatchedGenerations => {
   const { clock, configuration, engineClient, health } = dependencies;
   const store = createRunStore();
+  const pendingEnds = createPendingEnds(clock);
   const paces = createPaceHistory();
   const serverActivity = createServerActivity();
   const watch = { dependencies, paces, serverActivity };
@@ -53,6 +57,7 @@
     ...watch,
     cancelQueue: createCancelQueue(engineClient, health),
     store,
+    pendingEnds,
     addRun: (run, keyDigest) => {
       store.add(run, keyDigest);
       sweeper.start();
@@ -98,5 +103,6 @@
     },
     countRunning: () => store.list().filter((run) => !run.isEnded()).length,
     stop: sweeper.stop,
+    waitForEnds: pendingEnds.wait,
   };
 };
--- a/src/application/generations/types/GenerationsContext.ts
+++ b/src/application/generations/types/GenerationsContext.ts
@@ -1,6 +1,7 @@
 import type { CancelQueue } from '../_lib/createCancelQueue';
 import type { PaceHistory } from '../_lib/createPaceHistory';
 import type { ServerActivity } from '../_lib/createServerActivity';
+import type { PendingEnds } from '../_lib/createPendingEnds';
 import type { RunStore } from '../_lib/createRunStore';
 import type { GenerationsDependencies } from './GenerationsDependencies';
 import type { GenerationRun } from './GenerationRun';
@@ -12,6 +13,7 @@
   readonly paces: PaceHistory;
   readonly serverActivity: ServerActivity;
   readonly store: RunStore;
+  readonly pendingEnds: PendingEnds;
   /** Holds a run and keeps it under watch. */
   addRun(run: GenerationRun, keyDigest?: string): void;
 }
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -15,6 +15,9 @@
 /** Bound of a drain before a configuration names one. */
 const DEFAULT_DRAIN_MS = 30_000;
 
+/** Longest wait of a drain for the answers of ended generations to be stored. */
+const END_WRITE_MS = 5000;
+
 const createCursorCodec = (keys: EntrySettings['cursorKeys']): CursorCodec => ({
   sign: (cursor) => signCursor(cursor, keys),
   verify: (text) => verifyCursor(text, keys),
@@ -96,10 +99,12 @@
   const parts = wireParts(base, settings, peerAddress);
   const { configuration, exchange, generations, isCutOff } = parts;
 
-  const drain = (): Promise<DrainOutcome> => {
+  const drain = async (): Promise<DrainOutcome> => {
     exchange.recordOwnLeaving(true);
     const limits = configuration.readCurrent()?.configuration.limits;
-    return shutdown.drain(limits?.drainMs ?? DEFAULT_DRAIN_MS);
+    const outcome = await shutdown.drain(limits?.drainMs ?? DEFAULT_DRAIN_MS);
+    await generations.waitForEnds(END_WRITE_MS);
+    return outcome;
   };
   deferred.setTarget({
     handleNews: exchange.handleNews,
--- a/tests/generations/keyed.test.ts
+++ b/tests/generations/keyed.test.ts
@@ -41,6 +41,35 @@
   t.is(engines.starts.length, 1);
 });
 
+// Symptom: a repeat of a request that an entry finished in its shutdown finds no answer.
+// Sequence: the store is slow to come back; the last token leaves; the entry is drained and exits.
+// Cause: a drain that ends with the last token, while the answer is still being written.
+test('a drain waits until answers are stored, and not longer than its bound', async (t) => {
+  const { clock, engines, first, second, tableStore, open, readFeed, signal } =
+    createTestDeployment();
+  const { stream, reader } = await open(first, 2, KEYED);
+  await clock.advanceAsync(0);
+  tableStore.setOutage('unavailable');
+  engines.emit(stream, 1, 'stop');
+  await reader.done;
+  await clock.advanceAsync(0);
+  const bounded = first.generations.waitForEnds(1);
+  await clock.advanceAsync(1);
+  await bounded;
+  let isOver = false;
+  const ended = first.generations.waitForEnds(60_000).then(() => {
+    isOver = true;
+  });
+  await clock.advanceAsync(10);
+  t.false(isOver);
+  tableStore.setOutage('none');
+  await clock.advanceAsync(59_000);
+  await ended;
+  const repeat = await second.generations.startGeneration(buildRequest(KEYED), signal);
+  t.deepEqual(await readFeed(repeat._unsafeUnwrap()).done, stream.tokenIds);
+  t.is(engines.starts.length, 1);
+});
+
 // Symptom: a paused entry goes on with work that another one has, and writes over its claim.
 // Sequence: entry-1 stands still; entry-22 takes the claim over; the engine dies; entry-1 wakes.
 // Cause: an entry that does not ask whether the claim is still its own.
