--- a/src/adapters/toml/_lib/listSchemaProblems/index.ts
+++ b/src/adapters/toml/_lib/listSchemaProblems/index.ts
@@ -37,7 +37,7 @@
 }
 
 /** Gives each fault the file and line of its key. */
-export function locateFault(
+export function buildProblem(
   fault: Fault,
   origins: readonly KeyOrigin[],
   file: string,
@@ -65,5 +65,5 @@
 ): readonly ConfigurationProblem[] {
   return error.issues
     .flatMap((issue) => convertIssue(issue, table))
-    .map((fault) => locateFault(fault, origins, file));
+    .map((fault) => buildProblem(fault, origins, file));
 }
--- a/src/adapters/toml/readConfigurationFolder/index.ts
+++ b/src/adapters/toml/readConfigurationFolder/index.ts
@@ -5,7 +5,7 @@
 import type { Configuration } from '../../../domain/types';
 import { buildConfiguration } from '../_lib/buildConfiguration';
 import { configurationSchema, type ConfigurationDocument } from '../_lib/configurationSchema';
-import { listSchemaProblems, locateFault } from '../_lib/listSchemaProblems';
+import { listSchemaProblems, buildProblem } from '../_lib/listSchemaProblems';
 import { mergeTomlSources, type MergedToml } from '../mergeTomlSources';
 import { readTomlSource } from '../readTomlSource';
 import { ProblemKind, type ConfigurationProblem, type TomlSource } from '../types';
@@ -55,7 +55,9 @@
   const faults = checkConfiguration(configuration);
   const problems = [
     ...merged.problems,
-    ...faults.map((fault) => locateFault(convertFault(fault, parsed.data), merged.origins, folder)),
+    ...faults.map((fault) =>
+      buildProblem(convertFault(fault, parsed.data), merged.origins, folder),
+    ),
   ];
   return problems.length === 0 ? ok(configuration) : err(problems);
 }
--- a/src/domain/configuration/compareConfigurations/index.ts
+++ b/src/domain/configuration/compareConfigurations/index.ts
@@ -7,7 +7,7 @@
 }
 
 /** Names a list's items by their name, so that an added item does not shift the others. */
-function nameItem(item: unknown, index: number): string {
+function readItemName(item: unknown, index: number): string {
   const { name, backendServer } = (item ?? {}) as { name?: string; backendServer?: string };
   return name ?? backendServer ?? String(index);
 }
@@ -21,7 +21,7 @@
     return [{ key, json: JSON.stringify(value) }];
   }
   const entries: [string, unknown][] = Array.isArray(value)
-    ? value.map((item, index) => [nameItem(item, index), item])
+    ? value.map((item, index) => [readItemName(item, index), item])
     : Object.entries(value);
   return entries.flatMap(([name, inner]) =>
     listLeaves(inner, key === '' ? name : `${key}.${name}`),
--- a/src/domain/configuration/decodeConfigurationRow/index.ts
+++ b/src/domain/configuration/decodeConfigurationRow/index.ts
@@ -16,7 +16,7 @@
   deflated_configuration: z.string(),
 });
 
-function inflate(text: string): string | null {
+function decodeDeflated(text: string): string | null {
   try {
     const deflated = Buffer.from(text, 'base64');
     return inflateRawSync(deflated, { maxOutputLength: MAX_INFLATED_BYTES }).toString('utf8');
@@ -35,7 +35,7 @@
   body: string,
 ): Result<ConfigurationRow, ConfigurationDecodeError> {
   const parsed = schema.safeParse(parseJson(body));
-  const json = parsed.success ? inflate(parsed.data.deflated_configuration) : null;
+  const json = parsed.success ? decodeDeflated(parsed.data.deflated_configuration) : null;
   if (!parsed.success || json === null) {
     return err({ kind: 'bad-configuration', reason: `row of version ${version} is malformed` });
   }
--- a/src/programs/jackdaw/openPlatform/index.ts
+++ b/src/programs/jackdaw/openPlatform/index.ts
@@ -27,7 +27,7 @@
   return [...entries, ...others];
 }
 
-function connect(settings: OperatorSettings): OperatorPlatform {
+function buildPlatform(settings: OperatorSettings): OperatorPlatform {
   const clock = createSystemClock();
   const dispatcher = createPlatformDispatcher();
   const dependencies = { clock, dispatcher };
@@ -54,5 +54,5 @@
 export async function openPlatform(
   settingsFile: string,
 ): Promise<Result<OperatorPlatform, readonly ConfigurationProblem[]>> {
-  return (await readOperatorSettings(settingsFile, process.env)).map(connect);
+  return (await readOperatorSettings(settingsFile, process.env)).map(buildPlatform);
 }
--- a/tools/bench/config/_lib/startFleet/index.ts
+++ b/tools/bench/config/_lib/startFleet/index.ts
@@ -38,20 +38,20 @@
 ): Promise<Fleet> {
   const entries = new Map<number, Entry>();
 
-  const nameVm = (index: number): string => `entry-${index + 1}`;
+  const formatVmName = (index: number): string => `entry-${index + 1}`;
   const chooseZone = (index: number): string => ZONES[index % ZONES.length] ?? '';
 
   const buildRecord = ([index, { peerAddress }]: readonly [number, Entry]): VmRecord => ({
-    vm: nameVm(index),
+    vm: formatVmName(index),
     peerAddress,
     region: REGION,
     availabilityZone: chooseZone(index),
     leaving: false,
   });
-  const publishVms = (): void => platform.vmList.setVms([...entries].map(buildRecord));
+  const writeVmList = (): void => platform.vmList.setVms([...entries].map(buildRecord));
 
   const startOne = async (index: number): Promise<void> => {
-    const vm = nameVm(index);
+    const vm = formatVmName(index);
     tracker.recordStart(vm);
     const place = { name: vm, region: REGION, availabilityZone: chooseZone(index) };
     const started = await startEntry(buildEntrySettings(platform, place), {
@@ -61,7 +61,7 @@
       throw new Error(`${vm}: ${started.error.reason}`);
     }
     entries.set(index, started.value);
-    publishVms();
+    writeVmList();
   };
 
   await Promise.all(Array.from({ length: count }, (_, index) => startOne(index)));
@@ -70,7 +70,7 @@
     restartEntry: async (index) => {
       const entry = entries.get(index);
       entries.delete(index);
-      tracker.recordStop(nameVm(index));
+      tracker.recordStop(formatVmName(index));
       await entry?.stop();
       await startOne(index);
     },
--- a/tools/bench/config/runConfigBench/index.ts
+++ b/tools/bench/config/runConfigBench/index.ts
@@ -25,7 +25,7 @@
 const ENGINES = 3;
 const MS_PER_S = 1_000;
 
-function summarize(samples: readonly number[]): ConfigReport['inForceMs'] {
+function computeSummary(samples: readonly number[]): ConfigReport['inForceMs'] {
   const histogram = buildHistogram({ highestTrackableValue: 600_000 });
   samples.forEach((sample) => histogram.recordValue(Math.max(1, Math.round(sample))));
   return {
@@ -77,7 +77,7 @@
   await platform.close();
   return {
     applied: operators.flatMap((operator) => operator.listAccepted()).length,
-    inForceMs: summarize([...before, ...after]),
+    inForceMs: computeSummary([...before, ...after]),
     reverts: tracker.countReverts(),
     conflictsLost,
     outageSeconds: Math.round(outage.outageMs / MS_PER_S),
