Hedge late lookups of plain services, and measure what relaying costs

Cause: a lookup on a slow server waited for it; nothing said what an entry adds to a token. Change: attempts of plain calls run through the routing's hedging (repeatable lookups only); a leg that may have been sent makes the run state unknown even if the other leg's failure is the one seen.

--- a/src/application/services/createPlainServices/index.ts
+++ b/src/application/services/createPlainServices/index.ts
@@ -5,7 +5,8 @@
 import type { PlainDependencies, ServiceAnswer, ServiceCall } from '../types';
 import { acquireCallClaim } from '../_lib/acquireCallClaim';
 import { computeRunState } from '../_lib/computeRunState';
-import { runAttempts, type AnsweredAttempt } from '../_lib/runAttempts';
+import { runAttempts } from '../_lib/runAttempts';
+import type { AnsweredAttempt } from '../_lib/sendAttempt';
 
 /** Calls to plain services. */
 export interface PlainServices {
--- a/src/application/services/types/PlainDependencies.ts
+++ b/src/application/services/types/PlainDependencies.ts
@@ -1,8 +1,9 @@
-import type { Claims, Clock, EventLog, PlainClient, Router } from '../../ports';
+import type { Claims, Clock, EventLog, PlainClient } from '../../ports';
+import type { ServingRouter } from '../../routing';
 
 /** What calls to plain services need. */
 export interface PlainDependencies {
-  readonly router: Router;
+  readonly router: Pick<ServingRouter, 'acquireSlot' | 'estimateHedgeDelayMs'>;
   readonly claims: Claims;
   readonly client: PlainClient;
   readonly clock: Clock;
--- a/src/application/services/types/index.ts
+++ b/src/application/services/types/index.ts
@@ -1,2 +1,3 @@
+export type { Attempts } from './Attempts';
 export type { ServiceAnswer, ServiceCall } from './ServiceCall';
 export type { PlainDependencies } from './PlainDependencies';
--- a/tests/_lib/createFakeRouter/index.ts
+++ b/tests/_lib/createFakeRouter/index.ts
@@ -1,9 +1,10 @@
 import { err, ok } from 'neverthrow';
-import type { Router, SlotOutcome } from '../../../src/application/ports';
+import type { SlotOutcome } from '../../../src/application/ports';
+import type { ServingRouter } from '../../../src/application/routing';
 import type { BackendServer, Demand } from '../../../src/domain/types';
 
 /** A router that gives the first server that is not excluded, and notes what it was asked. */
-export interface FakeRouter extends Router {
+export interface FakeRouter extends Pick<ServingRouter, 'acquireSlot' | 'estimateHedgeDelayMs'> {
   readonly demands: Demand[];
   readonly outcomes: SlotOutcome['outcome'][];
 }
@@ -13,6 +14,7 @@
   const demands: Demand[] = [];
   const outcomes: SlotOutcome['outcome'][] = [];
   return {
+    estimateHedgeDelayMs: () => 50,
     demands,
     outcomes,
     acquireSlot: async (demand) => {
--- a/tests/services/plain.test.ts
+++ b/tests/services/plain.test.ts
@@ -149,3 +149,30 @@
   t.like((await pending)._unsafeUnwrapErr(), { code: 'timeout', status: 504, runState: 'unknown' });
   await bench.stop();
 });
+
+test('a late lookup goes to a second server too; the first answer counts, once', async (t) => {
+  const bench = await startBench();
+  bench.first.addFault('delay', 1);
+  const service = { ...findService('status'), workClass: 'lookup' as const };
+  const pending = bench.call(buildCall({ service }));
+  await bench.first.waitForCalls(1);
+  bench.clock.advance(50);
+  t.is((await pending)._unsafeUnwrap().runState, 'ran');
+  t.deepEqual(
+    bench.router.demands.map(({ purpose }) => purpose),
+    ['start', 'hedge'],
+  );
+  await bench.stop();
+});
+
+test('work that may run once is never hedged, however late', async (t) => {
+  const bench = await startBench();
+  bench.first.addFault('delay', 1);
+  const pending = bench.call(buildCall());
+  await bench.first.waitForCalls(1);
+  bench.clock.advance(4000);
+  bench.first.releaseAnswers();
+  t.is((await pending)._unsafeUnwrap().runState, 'ran');
+  t.is(bench.countCalls(), 1);
+  await bench.stop();
+});
--- a/tools/bench/commands.ts
+++ b/tools/bench/commands.ts
@@ -1,5 +1,6 @@
 import { ConfigCommand } from './config';
 import { LoadCommand, PredictionCommand } from './load';
+import { RelayCommand } from './relay';
 import { ResumeCommand } from './resume';
 import { SlopesCommand } from './slopes';
 
@@ -8,6 +9,7 @@
   ConfigCommand,
   LoadCommand,
   PredictionCommand,
+  RelayCommand,
   ResumeCommand,
   SlopesCommand,
 ];
--- /dev/null
+++ b/tools/bench/relay/index.ts
@@ -0,0 +1,1 @@
+export { RelayCommand } from './RelayCommand';
