Say of a repeat what became of the first call

Cause: a once-only call that ran, repeated while routing refused it, was told not-run; a caller coming back with a cursor to a leaving entry too. Either would send the work again under a new key. Ruled out: looking the claim up for every refusal by a draining entry (a table read for each request of a restart). Change: a refusal before the claim reads the claim; refused returns say unknown.

--- a/src/adapters/http/_lib/handleGeneration/index.ts
+++ b/src/adapters/http/_lib/handleGeneration/index.ts
@@ -5,7 +5,12 @@
   parseGenerationBody,
   parseRequestOptions,
 } from '../../../../domain/request';
-import { ServiceKind, type Endpoint, type GenerationRequest } from '../../../../domain/types';
+import {
+  RunState,
+  ServiceKind,
+  type Endpoint,
+  type GenerationRequest,
+} from '../../../../domain/types';
 import type { Caller } from '../../../../application/access';
 import type { CallerContext, CallerDependencies, CallerError } from '../../types';
 import { checkNewWork } from '../checkNewWork';
@@ -72,5 +77,6 @@
     shape: buildShape(request.value),
     stream: request.value.stream,
     idempotent: request.value.idempotent,
+    runStateIfRefused: RunState.NotRun,
   });
 };
--- a/src/adapters/http/_lib/handleResume/index.ts
+++ b/src/adapters/http/_lib/handleResume/index.ts
@@ -3,6 +3,7 @@
 import { checkServiceAccess } from '../../../../domain/access';
 import {
   Endpoint,
+  RunState,
   ServiceKind,
   type Cursor,
   type GenerationRequest,
@@ -98,17 +99,24 @@
   return { endpoint, model: cursor.service, includeUsage: false, promptCharacters: 0 };
 };
 
+/**
+ * Refuses a caller that comes back. Its generation may have run, whatever this entry says of the
+ * request: told `not-run`, the caller would begin it a second time.
+ */
+const refuse = (context: CallerContext, error: CallerError): Response =>
+  sendError(context, error, { runState: RunState.Unknown });
+
 /** Handles `GET` and `POST /v1/generations/{id}/events`: a caller that comes back. */
 export const handleResume = async (
   context: CallerContext,
   dependencies: CallerDependencies,
 ): Promise<Response> => {
   const caller = checkNewWork(context, dependencies);
-  if (caller.isErr()) return sendError(context, caller.error);
+  if (caller.isErr()) return refuse(context, caller.error);
   const cursor = checkResume(context, dependencies, caller.value);
-  if (cursor.isErr()) return sendError(context, cursor.error);
+  if (cursor.isErr()) return refuse(context, cursor.error);
   const content = await readContent(context, caller.value);
-  if (content.isErr()) return sendError(context, content.error);
+  if (content.isErr()) return refuse(context, content.error);
   const { prefixTokenIds, request } = content.value;
   const resume = {
     requestId: context.get('requestId'),
@@ -121,5 +129,6 @@
     shape: buildResumeShape(content.value, cursor.value),
     stream: true,
     idempotent: true,
+    runStateIfRefused: RunState.Unknown,
   });
 };
--- a/src/adapters/http/_lib/handleService/index.ts
+++ b/src/adapters/http/_lib/handleService/index.ts
@@ -35,6 +35,7 @@
 /** Headers of an answer that belong to the connection to the service. */
 const DROPPED_ANSWER_HEADERS: readonly string[] = [
   'connection',
+  'jackdaw-request-id',
   'jackdaw-run-state',
   'keep-alive',
   'proxy-authenticate',
--- a/src/adapters/http/_lib/runDelivery/index.ts
+++ b/src/adapters/http/_lib/runDelivery/index.ts
@@ -15,6 +15,8 @@
   readonly stream: boolean;
   /** False: coming back without a cursor must not start the work again. */
   readonly idempotent: boolean;
+  /** What a refusal by this entry says of the generation. */
+  readonly runStateIfRefused: RunState;
 }
 
 const HAND_OVER_ERROR: GenerationError = {
@@ -47,7 +49,10 @@
   const watch = startResponseWatch(context.env.outgoing);
   const handOver = new AbortController();
   const work = shutdown.startWork(() => handOver.abort());
-  if (work === null) return sendError(context, { kind: 'shutting-down' });
+  if (work === null) {
+    const runState = source.runStateIfRefused;
+    return sendError(context, { kind: 'shutting-down' }, { runState });
+  }
   const stop = AbortSignal.any([watch.signal, handOver.signal]);
   const handOverError = { ...HAND_OVER_ERROR, retryAfterMs: source.idempotent ? 1 : 0 };
   try {
--- a/src/adapters/http/_lib/sendError/index.ts
+++ b/src/adapters/http/_lib/sendError/index.ts
@@ -30,6 +30,14 @@
   },
 });
 
+/** What differs from an error's usual answer. */
+export interface ErrorAnswerOptions {
+  /** Further members of the body, for example the cursor of a hand-over. */
+  readonly extra?: Readonly<Record<string, unknown>>;
+  /** What is known of the work that the request is about, if it is not the request's own. */
+  readonly runState?: RunState;
+}
+
 const buildRetryHeaders = (error: GenerationError): Record<string, string> => {
   const isLoad = error.status === 429 || error.status === 503;
   if (!isLoad && error.retryAfterMs === 0) return {};
@@ -47,17 +55,18 @@
  * Without it such a client would repeat a call that may have run, so it is sent with each error:
  * `true` only where the error itself asks to come back.
  *
- * @param extra - further members of the body, for example the cursor of a hand-over
+ * @param options - what differs from the error's usual answer
  */
 export const sendError = (
   context: CallerContext,
   source: CallerError,
-  extra: Readonly<Record<string, unknown>> = {},
+  options: ErrorAnswerOptions = {},
 ): Response => {
-  const error = convertErrorToAnswer(source);
+  const usual = convertErrorToAnswer(source);
+  const error = { ...usual, runState: options.runState ?? usual.runState };
   const requestId = context.get('requestId');
   const mayRepeat = error.retryAfterMs > 0;
-  return new Response(JSON.stringify({ ...buildErrorBody(error, requestId), ...extra }), {
+  return new Response(JSON.stringify({ ...buildErrorBody(error, requestId), ...options.extra }), {
     status: error.status,
     headers: {
       'Content-Type': 'application/json',
--- a/src/adapters/http/_lib/sendWholeAnswer/index.ts
+++ b/src/adapters/http/_lib/sendWholeAnswer/index.ts
@@ -103,7 +103,9 @@
   const error = await Promise.race([ended, delivery.stopped.then(() => null)]);
   const answer = collector.readAnswer();
   if (delivery.stop.aborted) {
-    return sendError(context, delivery.buildStopError(), buildResumePoint(dependencies, answer));
+    return sendError(context, delivery.buildStopError(), {
+      extra: buildResumePoint(dependencies, answer),
+    });
   }
   if (error !== null) return sendError(context, { kind: 'failed', error });
   dependencies.metrics.recordTokens(answer.tokenIds.length);
--- a/src/application/services/_lib/acquireCallClaim/index.ts
+++ b/src/application/services/_lib/acquireCallClaim/index.ts
@@ -1,22 +1,10 @@
-import { createHash } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
-import { ClaimState, RunState, type ClaimRow } from '../../../../domain/types';
+import { ClaimState, type ClaimRow } from '../../../../domain/types';
 import type { Claims, GenerationError } from '../../../ports';
 import type { ServiceCall } from '../../types';
 import { buildKeyReusedError, buildTakenError, convertClaimError } from '../callErrors';
-
-const computeDigest = (parts: readonly (string | Uint8Array)[]): string => {
-  const hash = createHash('sha256');
-  // A length before each part keeps two calls apart whose parts join to the same text.
-  parts.forEach((part) => hash.update(`${part.length}:`).update(part));
-  return hash.digest('hex');
-};
-
-const RUN_STATE_BY_CLAIM: Readonly<Record<ClaimState, RunState>> = {
-  [ClaimState.Running]: RunState.Unknown,
-  [ClaimState.Finished]: RunState.Ran,
-  [ClaimState.Failed]: RunState.NotRun,
-};
+import { computeCallDigest, computeKeyDigest } from '../computeCallDigest';
+import { RUN_STATE_BY_CLAIM } from '../readEarlierRunState';
 
 /** Takes over the row of a call that surely was not sent, so that its repeat may run. */
 const acquireFailedClaim = async (
@@ -38,12 +26,11 @@
   claims: Claims,
   source: ServiceCall,
 ): Promise<Result<ClaimRow, GenerationError>> => {
-  const { call, idempotencyKey, service, workspace } = source;
-  const requestDigest = computeDigest([service.name, call.method, call.path, call.body]);
+  const requestDigest = computeCallDigest(source);
   const claimed = await claims.acquireClaim({
-    workspace,
-    keyDigest: computeDigest([idempotencyKey === '' ? call.requestId : idempotencyKey]),
-    generationId: call.requestId,
+    workspace: source.workspace,
+    keyDigest: computeKeyDigest(source),
+    generationId: source.call.requestId,
     requestDigest,
     idempotent: false,
   });
--- a/src/application/services/createPlainServices/index.ts
+++ b/src/application/services/createPlainServices/index.ts
@@ -5,6 +5,7 @@
 import type { PlainDependencies, ServiceAnswer, ServiceCall } from '../types';
 import { acquireCallClaim } from '../_lib/acquireCallClaim';
 import { computeRunState } from '../_lib/computeRunState';
+import { readEarlierRunState } from '../_lib/readEarlierRunState';
 import { runAttempts } from '../_lib/runAttempts';
 import type { AnsweredAttempt } from '../_lib/sendAttempt';
 
@@ -54,6 +55,7 @@
     const deadline = new AbortController();
     const cancelTimer = clock.startTimer(source.timeoutMs, () => deadline.abort());
     let row: ClaimRow | null = null;
+    let isClaimTried = false;
     const repeatable = isRepeatableCall({
       method: source.call.method,
       serviceIdempotent: source.service.idempotent,
@@ -67,6 +69,7 @@
       signal: AbortSignal.any([callerSignal, deadline.signal]),
       acquireClaim: async () => {
         if (repeatable || row !== null) return ok(undefined);
+        isClaimTried = true;
         const claimed = await acquireCallClaim(claims, source);
         if (claimed.isErr()) return err(claimed.error);
         row = claimed.value;
@@ -75,8 +78,10 @@
     });
     cancelTimer();
     if (answered.isErr()) {
-      await recordEnd(row, answered.error.runState);
-      return err(answered.error);
+      const { error } = answered;
+      await recordEnd(row, error.runState);
+      if (repeatable || isClaimTried) return err(error);
+      return err({ ...error, runState: await readEarlierRunState(claims, source) });
     }
     const runState = computeRunState(answered.value.response);
     const ended = recordEnd(row, runState);
--- a/tests/_lib/createFakeRouter/index.ts
+++ b/tests/_lib/createFakeRouter/index.ts
@@ -6,21 +6,29 @@
 /** A router that gives the first server that is not excluded, and notes what it was asked. */
 export interface FakeRouter extends Pick<ServingRouter, 'acquireSlot' | 'estimateHedgeDelayMs'> {
   readonly demands: Demand[];
+  /** The next demand is refused. */
+  refuseNext(): void;
   readonly outcomes: SlotOutcome['outcome'][];
 }
 
 /** Creates a router over a fixed list of servers. */
 export const createFakeRouter = (servers: readonly BackendServer[]): FakeRouter => {
   const demands: Demand[] = [];
+  let refusesNext = false;
   const outcomes: SlotOutcome['outcome'][] = [];
   return {
     estimateHedgeDelayMs: () => 50,
+    refuseNext: () => {
+      refusesNext = true;
+    },
     demands,
     outcomes,
     acquireSlot: async (demand) => {
       demands.push(demand);
       const server = servers.find(({ name }) => !demand.excludedServers.includes(name));
-      if (server === undefined) {
+      const isRefused = refusesNext || server === undefined;
+      refusesNext = false;
+      if (isRefused) {
         return err({ code: 'no_ready_server', message: 'none left', retryAfterMs: 1000 });
       }
       const release = ({ outcome }: SlotOutcome): void => {
--- a/tests/callers/shutdown.test.ts
+++ b/tests/callers/shutdown.test.ts
@@ -159,3 +159,17 @@
   t.is((await drained).handedOver, 1);
   await server.stop();
 });
+
+// Symptom: two generations of one dossier.
+// Sequence: a stream breaks; its caller comes back with the cursor to an entry that shuts down, is
+// told `not-run`, and sends the dossier anew.
+// Cause: the refusal spoke of the request to go on, not of the generation.
+test('a caller that comes back to a leaving entry is not told that nothing ran', async (t) => {
+  const server = await startTestCallerServer();
+  server.shutdown.drain(1000);
+  const answer = await server.send('/v1/generations/gen_1/events', {
+    headers: { 'Last-Event-ID': 'any' },
+  });
+  t.deepEqual([answer.status, answer.headers.get('jackdaw-run-state')], [503, 'unknown']);
+  await server.stop();
+});
--- a/tests/services/plain.test.ts
+++ b/tests/services/plain.test.ts
@@ -176,3 +176,21 @@
   t.is(bench.countCalls(), 1);
   await bench.stop();
 });
+
+// Symptom: a client is billed twice, the second time under another key.
+// Sequence: the call runs; its repeat finds no server and is told `not-run`.
+// Cause: a refusal before the claim spoke of the repeat only.
+test('a repeat that is refused before its claim is told what became of the first', async (t) => {
+  const bench = await startBench();
+  const twice = buildCall({}, 'req_2');
+  const refuse = (): void => bench.router.refuseNext();
+  refuse();
+  t.is((await bench.call(buildCall()))._unsafeUnwrapErr().runState, 'not-run');
+  await bench.call(buildCall());
+  refuse();
+  t.is((await bench.call(twice))._unsafeUnwrapErr().runState, 'ran');
+  refuse();
+  bench.tableStore.setOutage('unavailable');
+  t.is((await bench.call(twice))._unsafeUnwrapErr().runState, 'unknown');
+  await bench.stop();
+});
