--- a/src/adapters/http/_lib/sendError/index.ts
+++ b/src/adapters/http/_lib/sendError/index.ts
@@ -65,6 +65,7 @@
   const usual = convertErrorToAnswer(source);
   const error = { ...usual, runState: options.runState ?? usual.runState };
   const requestId = context.get('requestId');
+  context.set('errorCode', error.code);
   const mayRepeat = error.retryAfterMs > 0;
   return new Response(JSON.stringify({ ...buildErrorBody(error, requestId), ...options.extra }), {
     status: error.status,
--- a/src/adapters/http/_lib/sendEventStream/index.ts
+++ b/src/adapters/http/_lib/sendEventStream/index.ts
@@ -27,6 +27,7 @@
 };
 
 const sendErrorEvent = (context: CallerContext, error: GenerationError): void => {
+  context.set('errorCode', error.code);
   const body = JSON.stringify(buildErrorBody(error, context.get('requestId')));
   context.env.outgoing.end(`event: error\ndata: ${body}\n\n`);
 };
--- a/src/adapters/http/createCallerApp/index.ts
+++ b/src/adapters/http/createCallerApp/index.ts
@@ -32,15 +32,23 @@
   );
 };
 
-/** Counts each answer under its route's pattern once it has ended, however it ended. */
+/**
+ * Counts each answer under its route's pattern once it has ended, however it ended, and logs those
+ * that are errors: a refusal before routing has no decision that would explain it.
+ */
 const recordAnswerOf = (context: CallerContext, dependencies: CallerDependencies): void => {
-  const { clock, metrics } = dependencies;
+  const { clock, log, metrics } = dependencies;
   const startedMs = clock.readMonotonicMs();
   const { outgoing } = context.env;
   outgoing.once('close', () => {
     const route = context.req.routePath;
     const durationMs = clock.readMonotonicMs() - startedMs;
-    metrics.recordAnswer({ route, status: outgoing.statusCode, durationMs });
+    const status = outgoing.statusCode;
+    metrics.recordAnswer({ route, status, durationMs });
+    const errorCode = context.get('errorCode');
+    if (errorCode === undefined) return;
+    const requestId = context.get('requestId');
+    log.info('request answered with an error', { requestId, route, status, code: errorCode });
   });
 };
 
--- a/src/adapters/metrics/createEntryMetrics/index.ts
+++ b/src/adapters/metrics/createEntryMetrics/index.ts
@@ -5,6 +5,7 @@
 export interface EntryGauges {
   readonly countRunningGenerations: () => number;
   readonly countRunningWork: () => number;
+  readonly countWaiting: () => number;
   readonly readConfigurationVersion: () => number;
   readonly isReady: () => boolean;
 }
@@ -100,6 +101,7 @@
         'Requests that a shutdown would wait for.',
         gauges.countRunningWork,
       );
+      add('jackdaw_waiting_demands', 'Demands that wait for a slot.', gauges.countWaiting);
       add(
         'jackdaw_configuration_version',
         'Version of the configuration in force; 0 is none.',
--- a/src/programs/entry/_lib/wireParts/index.ts
+++ b/src/programs/entry/_lib/wireParts/index.ts
@@ -91,6 +91,7 @@
     configuration,
     exchange: startedExchange,
     engineClient,
+    router,
     generations,
     plainClient,
     services: createPlainServices({ router, claims, client: plainClient, clock, log }),
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -71,6 +71,7 @@
   metrics.addGauges({
     countRunningGenerations: parts.generations.countRunning,
     countRunningWork: shutdown.countRunning,
+    countWaiting: parts.router.countWaiting,
     readConfigurationVersion: parts.configuration.readVersion,
     isReady: () =>
       !shutdown.isDraining() && parts.configuration.readCurrent() !== null && !parts.isCutOff(),
--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import OpenAI from 'openai';
+import type { EventFields } from '../../src/application/ports';
 import { signCursor, verifyCursor } from '../../src/domain/cursor';
 import { TEST_KEYS } from '../_lib/buildTestConfiguration';
 import { startTestCallerServer, TEST_CURSOR_KEYS } from '../_lib/startTestCallerServer';
@@ -109,7 +110,11 @@
 ] as const;
 
 test('each bad request gets its code, was not run, and no generation starts', async (t) => {
-  const server = await startTestCallerServer();
+  const logged: string[] = [];
+  const info = (_message: string, fields: EventFields): void => {
+    logged.push(JSON.stringify(fields));
+  };
+  const server = await startTestCallerServer({ log: { info, warn: info, error: info } });
   for (const refusal of REFUSALS) {
     const { code, status, title } = refusal;
     const path = 'path' in refusal ? refusal.path : '/v1/chat/completions';
@@ -123,6 +128,8 @@
   }
   t.is(server.generations.requests.length, 0);
   await server.stop();
+  REFUSALS.forEach(({ code }) => t.true(logged.some((line) => line.includes(`"code":"${code}"`))));
+  t.false(logged.some((line) => line.includes('seal') || line.includes('nobody')));
 });
 
 test('a broken, forged or foreign cursor is refused and reaches no generation', async (t) => {
