Cancel a generation at whichever entry runs it

Cause: the balancer sends a caller's DELETE to any entry; only the one that ran the generation cancelled it, the others said 404. Change: VMs heard lately are asked over connect.

--- a/src/adapters/http/_lib/handleCancel/index.ts
+++ b/src/adapters/http/_lib/handleCancel/index.ts
@@ -6,12 +6,14 @@
 /** Handles `DELETE /v1/generations/{id}`, also while this entry shuts down. */
 export const handleCancel = async (
   context: CallerContext,
-  { configuration, generations }: CallerDependencies,
+  { cancelGeneration, configuration }: CallerDependencies,
 ): Promise<Response> => {
   const caller = checkCaller(configuration, context.req.header('Authorization'));
   if (caller.isErr()) return sendError(context, caller.error);
-  const id = context.req.param('id') ?? '';
-  const found = await generations.cancelGeneration(caller.value.workspace.name, id);
+  const found = await cancelGeneration({
+    workspace: caller.value.workspace.name,
+    generationId: context.req.param('id') ?? '',
+  });
   if (!found) return sendError(context, { kind: 'unknown-generation' });
   return new Response(null, {
     status: 204,
--- a/src/adapters/http/types/CallerDependencies.ts
+++ b/src/adapters/http/types/CallerDependencies.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 import type { CursorError } from '../../../domain/cursor';
 import type { Cursor } from '../../../domain/types';
+import type { CancelledGeneration } from '../../../application/cancellation';
 import type {
   Clock,
   ConfigurationView,
@@ -21,7 +22,9 @@
 /** What the callers' interface needs. */
 export interface CallerDependencies {
   readonly configuration: ConfigurationView;
-  readonly generations: Generations;
+  readonly generations: Pick<Generations, 'startGeneration' | 'resumeGeneration'>;
+  /** Cancels a generation wherever it runs; false if no VM runs it. */
+  readonly cancelGeneration: (generation: CancelledGeneration) => Promise<boolean>;
   readonly services: PlainServices;
   readonly cursors: CursorCodec;
   readonly shutdown: Shutdown;
--- /dev/null
+++ b/src/application/cancellation/index.ts
@@ -0,0 +1,2 @@
+export { cancelGenerationAnywhere } from './cancelGenerationAnywhere';
+export type { CancellationDependencies, CancelledGeneration } from './cancelGenerationAnywhere';
--- a/src/programs/entry/_lib/wireParts/index.ts
+++ b/src/programs/entry/_lib/wireParts/index.ts
@@ -1,6 +1,10 @@
 import { createPeerClient } from '../../../../adapters/connect';
 import { createHttpEngineClient } from '../../../../adapters/engine';
 import { createHttpPlainClient } from '../../../../adapters/http';
+import {
+  cancelGenerationAnywhere,
+  type CancelledGeneration,
+} from '../../../../application/cancellation';
 import { createClaims } from '../../../../application/claims';
 import { createConfigurationFollower } from '../../../../application/configuration';
 import { createGenerations } from '../../../../application/generations';
@@ -93,6 +97,11 @@
     engineClient,
     router,
     generations,
+    cancelGeneration: (generation: CancelledGeneration) =>
+      cancelGenerationAnywhere(
+        { generations, peers, listPeers: startedExchange.listPeers, vm },
+        generation,
+      ),
     plainClient,
     services: createPlainServices({ router, claims, client: plainClient, clock, log }),
     readTableReadAgeMs: (): number | null => {
--- a/tests/_lib/startTestCallerServer/index.ts
+++ b/tests/_lib/startTestCallerServer/index.ts
@@ -27,6 +27,8 @@
       addListener: () => () => undefined,
     },
     generations,
+    cancelGeneration: ({ workspace, generationId }) =>
+      generations.cancelGeneration(workspace, generationId),
     services: { callService: () => Promise.reject(new Error('no services in this test')) },
     cursors: {
       sign: (cursor) => signCursor(cursor, [...TEST_CURSOR_KEYS]),
--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -222,3 +222,17 @@
     await server.stop();
   }
 });
+
+test('a caller cancels its own running generation, and no other', async (t) => {
+  const server = await startTestCallerServer();
+  const cancel = async (id: string, key: string): Promise<number> => {
+    const headers = { Authorization: `Bearer ${key}` };
+    const answer = await server.send(`/v1/generations/${id}`, { method: 'DELETE', headers });
+    return answer.status;
+  };
+  t.is(await cancel('gen_1', TEST_KEYS.counter), 204);
+  t.is(await cancel('gen_1', TEST_KEYS.other), 404);
+  t.is(await cancel('gen_2', TEST_KEYS.counter), 404);
+  t.is(await cancel('gen_1', 'nobody'), 401);
+  await server.stop();
+});
