--- a/src/application/services/_lib/sendAttempt/index.ts
+++ b/src/application/services/_lib/sendAttempt/index.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import { findClassPolicy } from '../../../../domain/admission';
-import { DemandPurpose, RunState, type Demand } from '../../../../domain/types';
+import { DemandPurpose, RunState, WorkClass, type Demand } from '../../../../domain/types';
 import type { GenerationError, PlainError, PlainResponse, Slot } from '../../../ports';
 import { runHedged, type HedgeError } from '../../../routing';
 import type { Attempts, PlainDependencies } from '../../types';
@@ -87,7 +86,7 @@
     { router, clock },
     {
       demand: buildDemand(attempts, excludedServers),
-      mayHedge: attempts.repeatable && findClassPolicy(workClass).mayHedge && hedgeDelayMs !== null,
+      mayHedge: attempts.repeatable && workClass === WorkClass.Lookup && hedgeDelayMs !== null,
       hedgeDelayMs: hedgeDelayMs ?? 0,
       signal: attempts.signal,
       runLeg,
