End a process whose drain began before anybody waited for it

Cause: waitForDrain noticed only drains that began after it; the platform's list may call a VM leaving while it starts.

--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -169,7 +169,10 @@
     drain,
     waitForDrain: () =>
       new Promise((resolve) => {
-        shutdown.addListener(() => resolve(drain()));
+        const follow = (): void => resolve(drain());
+        shutdown.addListener(follow);
+        // The platform's list may have begun the drain before anybody waited for it.
+        if (shutdown.isDraining()) follow();
       }),
     stop: async () => {
       await stopLoops();
--- a/tests/entry/wholePath.test.ts
+++ b/tests/entry/wholePath.test.ts
@@ -114,3 +114,14 @@
   t.is(system.engines[0]!.listAttempts().length, 0);
   await system.stop();
 });
+
+// Symptom: a process that was asked to leave never ends.
+// Sequence: the platform's list calls the VM leaving while it starts; the drain ends; then the
+// program begins to wait for one.
+// Cause: only a drain that began later was noticed.
+test('waiting for a drain that has begun already ends with it', async (t) => {
+  const system = await startTestSystem();
+  await system.entries[0]!.drain();
+  t.deepEqual(await system.entries[0]!.waitForDrain(), { finished: 0, handedOver: 0 });
+  await system.stop();
+});
