Add the keeper: plans and sends engine orders under the lease

Cause: engines must be brought to the configuration's targets by one sender a region. Ruled out: unloading in place (no engine served the model while all loaded the new version: the test fails so); checking the lease once a turn (a keeper paused between two orders went on with its plan at engines that ignore fencing: the test fails so). Change: planOrders states whole sets, loads beside, unloads what is replaced, limits loads; the keeper asks the lease before each send. Shown to fail without: the check before the send, the lease's end, the replacement rule, the limit of loads.

--- /dev/null
+++ b/src/application/keeper/index.ts
@@ -0,0 +1,2 @@
+export { createKeeper } from './createKeeper';
+export type { Keeper, KeeperDependencies } from './createKeeper';
--- /dev/null
+++ b/src/domain/order/index.ts
@@ -0,0 +1,11 @@
+export { isReplaced } from './isReplaced';
+export { listMissingModels } from './listMissingModels';
+export { planOrders } from './planOrders';
+export type {
+  EngineState,
+  OrderOptions,
+  OrderPlan,
+  PendingOrder,
+  PlannedOrder,
+  WaitingEngine,
+} from './types';
--- /dev/null
+++ b/src/domain/order/planOrders/index.ts
@@ -0,0 +1,146 @@
+import type { EngineTarget, LoadedModel } from '../../types';
+import { isReplaced } from '../isReplaced';
+import { listMissingModels } from '../listMissingModels';
+import type { EngineState, OrderOptions, OrderPlan, PlannedOrder, WaitingEngine } from '../types';
+
+type Step =
+  | { readonly kind: 'order'; readonly planned: PlannedOrder; readonly loads: number }
+  | { readonly kind: 'wait'; readonly waiting: WaitingEngine }
+  | { readonly kind: 'done' };
+
+/** What an engine is to hold for now: the desired set, and what is not yet replaced. */
+interface InterimTarget {
+  readonly models: readonly LoadedModel[];
+  readonly role: string;
+  readonly isFinal: boolean;
+}
+
+function isSameSet(left: readonly LoadedModel[], right: readonly LoadedModel[]): boolean {
+  return listMissingModels(left, right).length === 0 && listMissingModels(right, left).length === 0;
+}
+
+/** The engine had time to load the new version beside the old one, and has not. */
+function isStuckBeside(engine: EngineState, { nowMs, besideMs }: OrderOptions): boolean {
+  const { pending } = engine;
+  return pending !== null && nowMs - pending.firstSentAtMs >= besideMs;
+}
+
+function isServedElsewhere(
+  model: string,
+  backendServer: string,
+  engines: ReadonlyMap<string, EngineState>,
+): boolean {
+  return [...engines.values()].some(
+    (other) =>
+      other.backendServer !== backendServer &&
+      other.serving &&
+      other.models.some((item) => item.model === model) &&
+      // Another engine in the midst of a change may be about to drop the model itself.
+      other.pending === null,
+  );
+}
+
+function buildInterimTarget(
+  target: EngineTarget,
+  engine: EngineState,
+  state: {
+    readonly targets: readonly EngineTarget[];
+    readonly engines: ReadonlyMap<string, EngineState>;
+    readonly options: OrderOptions;
+  },
+): InterimTarget {
+  const { targets, engines, options } = state;
+  const name = target.backendServer;
+  const surplus = listMissingModels(engine.models, target.models);
+  const kept = surplus.filter((item) => {
+    // Once its unloading was ordered it is not asked back, however late the engine's reports are.
+    if (engine.pending !== null && listMissingModels([item], engine.pending.models).length > 0) {
+      return false;
+    }
+    if (isReplaced(item, name, targets, engines)) return false;
+    return !(isStuckBeside(engine, options) && isServedElsewhere(item.model, name, engines));
+  });
+  // A role may end the serving of all that is loaded: it waits until nothing has to be kept.
+  const role = kept.length === 0 ? target.role : engine.role;
+  return { models: [...target.models, ...kept], role, isFinal: kept.length === 0 };
+}
+
+function buildReason(interim: InterimTarget, loads: number): string {
+  if (interim.isFinal) return loads > 0 ? `load ${loads}` : 'unload what is replaced';
+  return `load ${loads} beside what is not yet replaced`;
+}
+
+/** Models that engines were ordered to load and do not hold yet. */
+function countLoading(engines: ReadonlyMap<string, EngineState>, except: string): number {
+  return [...engines.values()]
+    .filter(({ backendServer }) => backendServer !== except)
+    .reduce(
+      (sum, { pending, models }) => sum + listMissingModels(pending?.models ?? [], models).length,
+      0,
+    );
+}
+
+function planEngine(
+  target: EngineTarget,
+  engine: EngineState | undefined,
+  state: {
+    readonly targets: readonly EngineTarget[];
+    readonly engines: ReadonlyMap<string, EngineState>;
+    readonly options: OrderOptions;
+    /** Loads of orders planned in this same turn. */
+    readonly plannedLoads: number;
+  },
+): Step {
+  const { engines, options } = state;
+  const { backendServer } = target;
+  const wait = (reason: string): Step => ({ kind: 'wait', waiting: { backendServer, reason } });
+  if (engine === undefined || !engine.serving) return wait('it does not answer, or is leaving');
+  const interim = buildInterimTarget(target, engine, state);
+  if (isSameSet(interim.models, engine.models) && interim.role === engine.role) {
+    return interim.isFinal ? { kind: 'done' } : wait('the replacement does not serve yet');
+  }
+  const { pending } = engine;
+  const isSent =
+    pending !== null && pending.role === interim.role && isSameSet(pending.models, interim.models);
+  if (isSent && options.nowMs - pending.sentAtMs < options.resendMs) return wait('order sent');
+  const loads = listMissingModels(interim.models, engine.models).length;
+  const loading = countLoading(engines, backendServer) + state.plannedLoads;
+  const isOverLimit = loading > 0 && loading + loads > options.maxLoads;
+  if (loads > 0 && options.loadsBlocked) return wait('the weight store asked to wait');
+  if (loads > 0 && isOverLimit) return wait(`${loading} loads are under way`);
+  const { models, role } = interim;
+  const order = { backendServer, fencingToken: options.fencingToken, models, role };
+  return { kind: 'order', planned: { order, reason: buildReason(interim, loads) }, loads };
+}
+
+/**
+ * Plans the orders that bring engines closer to the desired state.
+ *
+ * Each order states the whole set for its engine, so that repeating it is harmless. A new version
+ * is loaded beside the old one, which is unloaded only when its replacement serves. The number of
+ * models that load at once is limited. An engine without a target gets no order.
+ *
+ * @param targets - desired state, from the configuration
+ * @param engines - actual state
+ * @param options - token, time and limits
+ * @returns orders to send now, and engines that wait, with reasons
+ */
+export function planOrders(
+  targets: readonly EngineTarget[],
+  engines: readonly EngineState[],
+  options: OrderOptions,
+): OrderPlan {
+  const byName = new Map(engines.map((engine) => [engine.backendServer, engine]));
+  const orders: PlannedOrder[] = [];
+  const waiting: WaitingEngine[] = [];
+  let plannedLoads = 0;
+  targets.forEach((target) => {
+    const state = { targets, engines: byName, options, plannedLoads };
+    const step = planEngine(target, byName.get(target.backendServer), state);
+    if (step.kind === 'wait') waiting.push(step.waiting);
+    if (step.kind !== 'order') return;
+    orders.push(step.planned);
+    plannedLoads += step.loads;
+  });
+  return { orders, waiting };
+}
--- /dev/null
+++ b/src/domain/order/types/index.ts
@@ -0,0 +1,3 @@
+export type { EngineState, PendingOrder } from './EngineState';
+export type { OrderOptions } from './OrderOptions';
+export type { OrderPlan, PlannedOrder, WaitingEngine } from './OrderPlan';
--- /dev/null
+++ b/tests/_lib/createPausableClock/index.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../../../src/application/ports';
+
+/** The clock of one process, which can be paused as a whole. */
+export interface PausableClock extends Clock {
+  /** Time goes on while no timer of the process fires. */
+  pause(): void;
+  resume(): void;
+  isPaused(): boolean;
+  /** Fires the timers that came due during the pause. */
+  runDelayed(): void;
+}
+
+/** Creates the clock of one process over the clock of the test. */
+export function createPausableClock(clock: Clock): PausableClock {
+  let paused = false;
+  let delayed: (() => void)[] = [];
+  return {
+    ...clock,
+    startTimer: (delayMs, callback) => {
+      let cancelled = false;
+      const fire = (): void => {
+        if (!cancelled) callback();
+      };
+      const cancel = clock.startTimer(delayMs, () => {
+        if (paused) delayed.push(fire);
+        else fire();
+      });
+      return () => {
+        cancelled = true;
+        cancel();
+      };
+    },
+    pause: () => {
+      paused = true;
+    },
+    resume: () => {
+      paused = false;
+    },
+    isPaused: () => paused,
+    runDelayed: () => {
+      if (paused) return;
+      const callbacks = delayed;
+      delayed = [];
+      callbacks.forEach((callback) => callback());
+    },
+  };
+}
--- a/tests/lease/_lib/createLeasePair/index.ts
+++ b/tests/lease/_lib/createLeasePair/index.ts
@@ -1,26 +1,23 @@
 import { createLeaseHolder } from '../../../../src/application/lease';
 import type { LeaseHolder, LeaseTimes } from '../../../../src/application/lease';
-import type { Clock, TableStore } from '../../../../src/application/ports';
+import type { TableStore } from '../../../../src/application/ports';
 import {
   createFakeClock,
   createMemoryTableStore,
   createSeededRandomness,
 } from '../../../../standins/fakes';
 import type { FakeClock, MemoryTableStore } from '../../../../standins/fakes';
+import { createPausableClock } from '../../../_lib/createPausableClock';
+import type { PausableClock } from '../../../_lib/createPausableClock';
 
 /** Longest time that an order is under way. */
 export const ORDER_CALL_MS = 2_000;
 
 /** A process that may hold the lease, on a clock that can be paused. */
-export interface TestHolder {
+export interface TestHolder extends PausableClock {
   readonly holder: LeaseHolder;
-  /** Its clock goes on while nothing of it runs. */
-  pause(): void;
-  resume(): void;
   /** The token under which it would send an order now; null also while it is paused. */
   readToken(): number | null;
-  /** Runs what came due during the pause. */
-  runDelayed(): void;
 }
 
 /** Two processes over one table, and a watch over the orders that they may send. */
@@ -46,34 +43,15 @@
   vm: string,
   options: { readonly clock: FakeClock; readonly table: TableStore; readonly times?: LeaseTimes },
 ): TestHolder {
-  let isPaused = false;
-  let delayed: (() => void)[] = [];
-  const clock: Clock = {
-    ...options.clock,
-    startTimer: (delayMs, callback) =>
-      options.clock.startTimer(delayMs, () => {
-        if (isPaused) delayed.push(callback);
-        else callback();
-      }),
-  };
+  const clock = createPausableClock(options.clock);
   const log = { info: () => {}, warn: () => {}, error: () => {} };
   const randomness = createSeededRandomness(vm.charCodeAt(0));
   const deps = { region: 'gt', vm, table: options.table, clock, randomness, log };
   const holder = createLeaseHolder(deps, options.times);
   return {
+    ...clock,
     holder,
-    pause: () => {
-      isPaused = true;
-    },
-    resume: () => {
-      isPaused = false;
-    },
-    runDelayed: () => {
-      const callbacks = isPaused ? [] : delayed;
-      if (!isPaused) delayed = [];
-      callbacks.forEach((callback) => callback());
-    },
-    readToken: () => (isPaused ? null : holder.readOrderToken()),
+    readToken: () => (clock.isPaused() ? null : holder.readOrderToken()),
   };
 }
 
