Add jackdaw-keeper, and the commands status, explain and drain

Cause: the keeper had no process, and operators could not see what runs where. Ruled out: asking the keeper for status (the lease row and the entries' reports say the same).

--- a/src/adapters/http/startCallerServer/index.ts
+++ b/src/adapters/http/startCallerServer/index.ts
@@ -1,9 +1,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
-import type { Hono } from 'hono';
 import { err, ok, type Result } from 'neverthrow';
-import type { CallerEnvironment } from '../types';
 
 /** A listening server for callers. */
 export interface CallerServer {
@@ -31,7 +29,7 @@
  * @param listen - host and port; port 0 takes a free one
  */
 export const startCallerServer = (
-  app: Hono<CallerEnvironment>,
+  app: { readonly fetch: Parameters<typeof createAdaptorServer>[0]['fetch'] },
   listen: { readonly host: string; readonly port: number },
 ): Promise<Result<CallerServer, ListenError>> =>
   new Promise((resolve) => {
--- /dev/null
+++ b/src/adapters/metrics/createKeeperMetrics/index.ts
@@ -0,0 +1,57 @@
+import { Counter, Gauge, Registry } from 'prom-client';
+
+/** What a keeper tells of its state when metrics are read. */
+export interface KeeperGauges {
+  readonly isHolder: () => boolean;
+  readonly countWaitingEngines: () => number;
+  readonly readConfigurationVersion: () => number;
+}
+
+/** Metrics of one keeper, in a registry of its own. */
+export interface KeeperMetrics {
+  readonly contentType: string;
+  /** Counts one order that was sent. */
+  recordOrder(): void;
+  /** Sets where the gauges read from; until then they are absent. */
+  addGauges(gauges: KeeperGauges): void;
+  /** Gives all metrics in the Prometheus text format. */
+  render(): Promise<string>;
+}
+
+/** Creates the metrics of one keeper. */
+export function createKeeperMetrics(): KeeperMetrics {
+  const registry = new Registry();
+  const orders = new Counter({
+    name: 'jackdaw_keeper_orders_total',
+    help: 'Orders sent to engines.',
+    registers: [registry],
+  });
+  const addGauge = (name: string, help: string, read: () => number): void => {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect: () => gauge.set(read()),
+    });
+  };
+  return {
+    contentType: registry.contentType,
+    recordOrder: () => orders.inc(),
+    addGauges: (gauges) => {
+      addGauge('jackdaw_keeper_lease_held', '1 if this keeper may order engines.', () =>
+        Number(gauges.isHolder()),
+      );
+      addGauge(
+        'jackdaw_keeper_engines_waiting',
+        'Engines that are not as desired; 0 at a keeper without the lease.',
+        gauges.countWaitingEngines,
+      );
+      addGauge(
+        'jackdaw_configuration_version',
+        'Version of the configuration in force; 0 is none.',
+        gauges.readConfigurationVersion,
+      );
+    },
+    render: () => registry.metrics(),
+  };
+}
--- a/src/adapters/metrics/index.ts
+++ b/src/adapters/metrics/index.ts
@@ -1,2 +1,4 @@
 export { createEntryMetrics } from './createEntryMetrics';
 export type { EntryGauges, EntryMetrics } from './createEntryMetrics';
+export { createKeeperMetrics } from './createKeeperMetrics';
+export type { KeeperGauges, KeeperMetrics } from './createKeeperMetrics';
--- /dev/null
+++ b/src/programs/jackdaw/commands/StatusCommand.ts
@@ -0,0 +1,58 @@
+import { Command, Option } from 'clipanion';
+import { LEASE_PARTITION } from '../../../application/lease';
+import { decodeLeaseRow } from '../../../domain/lease';
+import { buildOverview, type OverviewLease } from '../buildOverview';
+import { readStatuses } from '../readStatuses';
+import { renderStatus } from '../renderStatus';
+import { ExitCode, type OperatorPlatform } from '../types';
+import { PlatformCommand } from './PlatformCommand';
+
+async function readLease(
+  { table }: OperatorPlatform,
+  region: string,
+): Promise<readonly OverviewLease[]> {
+  const read = await table.readItem(LEASE_PARTITION, region);
+  const item = read.unwrapOr(null);
+  if (item === null) return [];
+  return decodeLeaseRow(item.body, item.revision).match(
+    ({ holder, vm, revision }) => [{ region, vm: holder === '' ? '' : vm, fencingToken: revision }],
+    () => [],
+  );
+}
+
+/** `jackdaw status`: shows what runs where. */
+export class StatusCommand extends PlatformCommand {
+  static override paths = [['status']];
+
+  static override usage = Command.Usage({
+    description: 'Show places, services, VMs, backend servers and who orders the engines.',
+    details: `
+      Asks every entry VM of the platform's list and of the settings. A backend server that is not
+      as desired shows what it holds and what it should hold.
+      Exit code 0: at least one VM answered; 4: none did.
+    `,
+    examples: [
+      ['Show the deployment', 'jackdaw status --settings jackdaw.toml'],
+      ['Versions in force for a script', 'jackdaw status --json | jq ".vms[] | {vm, version}"'],
+    ],
+  });
+
+  json = Option.Boolean('--json', false, { description: 'Print one JSON object.' });
+
+  protected override async executeOn(platform: OperatorPlatform): Promise<ExitCode> {
+    const asked = await readStatuses(platform.calls, await platform.listEntryVms());
+    asked
+      .filter(({ status }) => status === null)
+      .forEach(({ vm, reason }) => this.writeNote(`${vm} did not answer: ${reason}`));
+    const places = asked.flatMap(({ status }) => status?.places ?? []);
+    const regions = [...new Set(places.map(({ region }) => region))];
+    const leases = await Promise.all(regions.map((region) => readLease(platform, region)));
+    const overview = buildOverview(asked, leases.flat());
+    if (this.json) {
+      this.writeJson(overview);
+    } else {
+      renderStatus(overview).forEach((line) => this.writeLine(line));
+    }
+    return asked.some(({ status }) => status !== null) ? ExitCode.Ok : ExitCode.Unreachable;
+  }
+}
--- a/src/programs/jackdaw/commands/index.ts
+++ b/src/programs/jackdaw/commands/index.ts
@@ -2,8 +2,11 @@
 import { CheckCommand } from './CheckCommand';
 import { DemoCommand } from './DemoCommand';
 import { DiffCommand } from './DiffCommand';
+import { DrainCommand } from './DrainCommand';
+import { ExplainCommand } from './ExplainCommand';
 import { HistoryCommand } from './HistoryCommand';
 import { RollbackCommand } from './RollbackCommand';
+import { StatusCommand } from './StatusCommand';
 
 /** Every command of `jackdaw`, in the order in which `--help` lists them. */
 export const COMMANDS = [
@@ -12,5 +15,8 @@
   ApplyCommand,
   HistoryCommand,
   RollbackCommand,
+  StatusCommand,
+  ExplainCommand,
+  DrainCommand,
   DemoCommand,
 ] as const;
