Read a taken-over stream on only where the work may still run

Cause: a cursor or claim row names an engine; the entry that took the generation over looked it up by name only, so a stream went on in a place that a newer configuration had taken away from the workspace. Ruled out: checking in the router alone (reading a stream on asks for no slot). Change: findServer passes the same hard filter as new work and fails closed; the caller goes on at an allowed engine from its prefix, or is told that the generation is lost.

--- a/src/application/generations/_lib/handleTakenClaim/index.ts
+++ b/src/application/generations/_lib/handleTakenClaim/index.ts
@@ -20,7 +20,11 @@
     const { retryAfterMs } = claim.error;
     return err({ ...buildError('run_state_unknown', { retryAfterMs }), status: 503 });
   }
-  const server = findServer(context, row.backendServer);
+  const server = findServer(context, {
+    workspace: row.workspace,
+    service: claimed.request.service,
+    backendServer: row.backendServer,
+  });
   const run = buildClaimedRun(context, claimed, {
     generationId: claim.value.generationId,
     taken: server && row.streamId ? { server, streamId: row.streamId } : null,
--- a/src/application/generations/_lib/takeOverGeneration/index.ts
+++ b/src/application/generations/_lib/takeOverGeneration/index.ts
@@ -58,7 +58,7 @@
   resume: ResumeRequest,
 ): Promise<Result<GenerationRun, GenerationError>> => {
   const { cursor } = resume;
-  const server = findServer(context, cursor.backendServer);
+  const server = findServer(context, cursor);
   const taken = server && cursor.streamId ? { server, streamId: cursor.streamId } : null;
   const found = await findPrefix(context, resume, taken);
   if (found.isErr()) return err(found.error);
