--- a/src/adapters/metrics/_lib/addProcessGauges/index.ts
+++ b/src/adapters/metrics/_lib/addProcessGauges/index.ts
@@ -1,4 +1,5 @@
-import { Gauge, type Registry } from 'prom-client';
+import type { Registry } from 'prom-client';
+import { addGauge } from '../addGauge';
 
 const MICROSECONDS_PER_S = 1e6;
 
@@ -9,14 +10,8 @@
  * since a node may spend little on control.
  */
 export const addProcessGauges = (registry: Registry): void => {
-  const add = (name: string, help: string, read: () => number): void => {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect: () => gauge.set(read()),
-    });
-  };
+  const add = (name: string, help: string, read: () => number): void =>
+    addGauge(registry, name, help, read);
   add('process_cpu_seconds_total', 'User and system processor time, in seconds.', () => {
     const { system, user } = process.cpuUsage();
     return (system + user) / MICROSECONDS_PER_S;
--- a/src/adapters/metrics/createEntryMetrics/index.ts
+++ b/src/adapters/metrics/createEntryMetrics/index.ts
@@ -1,4 +1,5 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Histogram, Registry } from 'prom-client';
+import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
 
 /** What an entry tells of its state when metrics are read. */
@@ -34,15 +35,6 @@
 /** From a lookup's milliseconds to a long review's minutes. */
 const DURATION_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 15, 60, 300, 1800];
 
-const addGauge = (registry: Registry, name: string, help: string, read: () => number): void => {
-  const gauge: Gauge = new Gauge({
-    name,
-    help,
-    registers: [registry],
-    collect: () => gauge.set(read()),
-  });
-};
-
 /** Creates the metrics of one entry; several entries may run in one process. */
 export const createEntryMetrics = (): EntryMetrics => {
   const registry = new Registry();
--- a/src/adapters/metrics/createKeeperMetrics/index.ts
+++ b/src/adapters/metrics/createKeeperMetrics/index.ts
@@ -1,4 +1,6 @@
-import { Counter, Gauge, Registry } from 'prom-client';
+import { Counter, Registry } from 'prom-client';
+import { addGauge } from '../_lib/addGauge';
+import { addProcessGauges } from '../_lib/addProcessGauges';
 
 /** What a keeper tells of its state when metrics are read. */
 export interface KeeperGauges {
@@ -21,32 +23,27 @@
 /** Creates the metrics of one keeper. */
 export function createKeeperMetrics(): KeeperMetrics {
   const registry = new Registry();
+  addProcessGauges(registry);
   const orders = new Counter({
     name: 'jackdaw_keeper_orders_total',
     help: 'Orders sent to engines.',
     registers: [registry],
   });
-  const addGauge = (name: string, help: string, read: () => number): void => {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect: () => gauge.set(read()),
-    });
-  };
   return {
     contentType: registry.contentType,
     recordOrder: () => orders.inc(),
     addGauges: (gauges) => {
-      addGauge('jackdaw_keeper_lease_held', '1 if this keeper may order engines.', () =>
+      addGauge(registry, 'jackdaw_keeper_lease_held', '1 if this keeper may order engines.', () =>
         Number(gauges.isHolder()),
       );
       addGauge(
+        registry,
         'jackdaw_keeper_engines_waiting',
         'Engines that are not as desired; 0 at a keeper without the lease.',
         gauges.countWaitingEngines,
       );
       addGauge(
+        registry,
         'jackdaw_configuration_version',
         'Version of the configuration in force; 0 is none.',
         gauges.readConfigurationVersion,
--- a/tools/bench/slopes/_lib/renderSlopeFolder/index.ts
+++ b/tools/bench/slopes/_lib/renderSlopeFolder/index.ts
@@ -32,6 +32,8 @@
   checks_fencing: true,
 });
 
+const MODELS = ['review', 'status'].map((model) => ({ model, version: '1', adapter: '' }));
+
 const renderWorkspace = (index: number): Readonly<Record<string, unknown>> => ({
   key_digests: [createHash('sha256').update(`slope-key-${index}`).digest('hex')],
   services: ['review', 'status'],
@@ -64,6 +66,7 @@
       status: { kind: 'model', work_class: 'lookup', max_output_tokens: 64 },
     },
     backend_servers: Object.fromEntries(servers),
+    engine_targets: { all: { backend_servers: servers.map(([name]) => name), models: MODELS } },
     workspaces: Object.fromEntries(workspaces),
   };
   await writeFile(join(path, '10-all.toml'), stringify(table));
--- a/tools/bench/slopes/_lib/runSlopePoint/index.ts
+++ b/tools/bench/slopes/_lib/runSlopePoint/index.ts
@@ -20,28 +20,36 @@
     setTimeout(resolve, delayMs);
   });
 
+const readUsage = async ({ entryUrl, keeperUrl }: SlopeSystem) => ({
+  entry: await readProcessUsage(entryUrl),
+  keeper: await readProcessUsage(keeperUrl),
+});
+
 const readWindow = async (
-  { entryUrl, platform }: SlopeSystem,
+  system: SlopeSystem,
   { settleMs, windowMs }: SlopeWindow,
 ): Promise<Omit<SlopePoint, 'size'>> => {
+  const { table } = system.platform;
   await waitMs(settleMs);
-  platform.table.resetCounts();
-  const before = await readProcessUsage(entryUrl);
+  table.resetCounts();
+  const before = await readUsage(system);
   const startedMs = performance.now();
   await waitMs(windowMs);
   const elapsedS = (performance.now() - startedMs) / MS_PER_S;
-  const after = await readProcessUsage(entryUrl);
-  const { reads, writes } = platform.table.readCounts();
+  const { entry, keeper } = await readUsage(system);
+  const { reads, writes } = table.readCounts();
   return {
-    cpuPercent: ((after.cpuS - before.cpuS) / elapsedS) * PERCENT,
-    residentMb: after.residentBytes / BYTES_PER_MB,
-    heapMb: after.heapBytes / BYTES_PER_MB,
+    cpuPercent: ((entry.cpuS - before.entry.cpuS) / elapsedS) * PERCENT,
+    residentMb: entry.residentBytes / BYTES_PER_MB,
+    heapMb: entry.heapBytes / BYTES_PER_MB,
+    keeperCpuPercent: ((keeper.cpuS - before.keeper.cpuS) / elapsedS) * PERCENT,
+    keeperResidentMb: keeper.residentBytes / BYTES_PER_MB,
     tableReadsPerS: reads / elapsedS,
     tableWritesPerS: writes / elapsedS,
   };
 };
 
-/** Runs one system of a given size and measures its first entry. */
+/** Runs one system of a given size and measures its first entry and keeper. */
 export async function runSlopePoint(
   load: SlopeLoad,
   window: SlopeWindow,
--- a/tools/bench/slopes/_lib/startSlopeSystem/index.ts
+++ b/tools/bench/slopes/_lib/startSlopeSystem/index.ts
@@ -7,6 +7,7 @@
 import { readListening } from '../../../../scenario/_lib/readListening';
 import {
   renderEntrySettings,
+  renderKeeperSettings,
   renderOperatorSettings,
 } from '../../../../scenario/_lib/renderSettings';
 import { runCommand } from '../../../../scenario/_lib/runCommand';
@@ -20,6 +21,7 @@
 /** A running system; the first entry is the one that is measured. */
 export interface SlopeSystem {
   readonly entryUrl: string;
+  readonly keeperUrl: string;
   readonly platform: StandInPlatform;
   stop(): Promise<void>;
 }
@@ -29,6 +31,8 @@
 
 const MODELS = ['review', 'status'].map((model) => ({ model, version: '1', adapter: '' }));
 
+const RENDER_SETTINGS = { entry: renderEntrySettings, keeper: renderKeeperSettings } as const;
+
 const READY_POLL_MS = 50;
 
 /** An entry listens before it has read a configuration; a balancer asks `/readyz` too. */
@@ -69,17 +73,15 @@
     await Promise.all([engine.stop(), fleet.stop(), platform.close()]);
     await rm(folder, { recursive: true, force: true });
   };
-  const startEntry = async (name: string): Promise<string> => {
-    const settings = renderEntrySettings(
-      { name, kind: 'entry', availabilityZone: SLOPE_ZONE.availabilityZone },
-      urls,
-    );
-    const path = join(folder, `${name}.toml`);
-    await writeFile(path, stringify(settings));
+  const startVm = async (kind: 'entry' | 'keeper', name: string): Promise<string> => {
+    const { availabilityZone } = SLOPE_ZONE;
+    const render = RENDER_SETTINGS[kind];
+    const path = join(folder, `${kind}-${name}.toml`);
+    await writeFile(path, stringify(render({ name, kind, availabilityZone }, urls)));
     const child = startChild({
       name,
-      availabilityZone: SLOPE_ZONE.availabilityZone,
-      args: ['dist/jackdaw-entry.js', '--settings', path],
+      availabilityZone,
+      args: [`dist/jackdaw-${kind}.js`, '--settings', path],
       board,
       restart: async () => {},
       onStart: (started) => {
@@ -101,6 +103,7 @@
     throw new Error(`apply failed: ${applied.output}`);
   }
   const names = Array.from({ length: load.peers + 1 }, (_value, index) => `entry-${index}`);
-  const [entryUrl = ''] = await Promise.all(names.map(startEntry));
-  return { entryUrl, platform, stop };
+  const [entryUrl = ''] = await Promise.all(names.map((name) => startVm('entry', name)));
+  const keeperUrl = await startVm('keeper', 'entry-0');
+  return { entryUrl, keeperUrl, platform, stop };
 }
--- a/tools/bench/slopes/runSlopesBench/index.ts
+++ b/tools/bench/slopes/runSlopesBench/index.ts
@@ -35,6 +35,8 @@
   'cpuPercent',
   'residentMb',
   'heapMb',
+  'keeperCpuPercent',
+  'keeperResidentMb',
   'tableReadsPerS',
   'tableWritesPerS',
 ];
