--- a/src/adapters/connect/startPeerServer/_lib/createPeerHandlers/index.ts
+++ b/src/adapters/connect/startPeerServer/_lib/createPeerHandlers/index.ts
@@ -13,7 +13,7 @@
   ReadConfigurationResponseSchema,
   ReadStatusResponseSchema,
 } from '../../../gen/peer_pb';
-import { streamGeneration } from '../streamGeneration';
+import { sendGeneration } from '../sendGeneration';
 
 /** Creates the handlers of the peer service's calls. */
 export const createPeerHandlers = (services: PeerServices) => (router: ConnectRouter) =>
@@ -25,7 +25,7 @@
       return create(ExchangeResponseSchema, { news: answer });
     },
     attachGeneration: (request, context) =>
-      streamGeneration(services.generations, request, context.signal),
+      sendGeneration(services.generations, request, context.signal),
     async cancelGeneration({ workspace, generationId }) {
       const found = await services.generations?.cancelGeneration(workspace, generationId);
       return create(CancelGenerationResponseSchema, { found: found ?? false });
--- a/src/adapters/connect/startPeerServer/_lib/streamGeneration/index.ts
+++ b/src/adapters/connect/startPeerServer/_lib/sendGeneration/index.ts
@@ -33,7 +33,7 @@
 };
 
 /** Streams a generation that this VM holds to a peer; fails with `NotFound` if it holds none. */
-export const streamGeneration = async function* streamGeneration(
+export const sendGeneration = async function* sendGeneration(
   generations: Pick<Generations, 'findGeneration'> | null,
   request: AttachGenerationRequest,
   signal: AbortSignal,
--- a/src/adapters/connect/startPeerServer/index.ts
+++ b/src/adapters/connect/startPeerServer/index.ts
@@ -36,8 +36,8 @@
 /**
  * Starts the server that peers and operators call, by connect over HTTP/2 without TLS.
  *
- * HTTP/2 because its compressed headers cost less than a tenth of those of HTTP/1.1, which alone
- * would use up the budget of bytes a second (docs/decisions/020-membership.md).
+ * HTTP/2 because its compressed headers cost about a quarter of those of HTTP/1.1, which alone
+ * would use up most of the budget of bytes a second (docs/decisions/030-membership.md).
  *
  * @returns the server, or `listen-failed` if the address can't be had
  */
--- a/src/application/peers/_lib/createFactBoard/index.ts
+++ b/src/application/peers/_lib/createFactBoard/index.ts
@@ -2,17 +2,23 @@
 
 /** Facts for peers; each carries the change counter at which it came, so that only news is sent. */
 export interface FactBoard {
-  /** Puts a fact in the place of the one with the same key. `from` is the VM it came from. */
-  put(key: string, fact: Fact, from: string): void;
+  /** Writes a fact in the place of the one with the same key. `from` is the VM it came from. */
+  write(key: string, fact: Fact, from: string): void;
   remove(key: string): void;
   find(key: string): Fact | null;
-  /** Monotonic time at which the fact was put here, in milliseconds, or null. */
-  readPutAtMs(key: string): number | null;
+  /** Monotonic time at which the fact was written here, in milliseconds, or null. */
+  readWrittenAtMs(key: string): number | null;
   /** Facts that came after counter `since`, but for those that `receiver` itself sent. */
-  listSince(since: number, receiver: string): readonly Fact[];
+  listSince(since: number, receiver: string): readonly HeldFact[];
   readSequence(): number;
 }
 
+/** A fact with the VM that it came from. */
+export interface HeldFact {
+  readonly fact: Fact;
+  readonly from: string;
+}
+
 interface Entry {
   readonly fact: Fact;
   readonly changedAt: number;
@@ -36,7 +42,7 @@
   let sequence = startSequence;
 
   return {
-    put: (key, fact, from) => {
+    write: (key, fact, from) => {
       sequence += 1;
       // Re-inserting keeps the map in the order of change.
       entries.delete(key);
@@ -49,13 +55,13 @@
       const entry = entries.get(key);
       return entry === undefined ? null : addAge(entry.fact, readNowMs() - entry.atMs);
     },
-    readPutAtMs: (key) => entries.get(key)?.atMs ?? null,
+    readWrittenAtMs: (key) => entries.get(key)?.atMs ?? null,
     listSince: (since, receiver) => {
       const known = since >= startSequence && since <= sequence ? since : 0;
       const nowMs = readNowMs();
       return [...entries.values()]
         .filter(({ changedAt, from }) => changedAt > known && from !== receiver)
-        .map(({ fact, atMs }) => addAge(fact, nowMs - atMs));
+        .map(({ fact, from, atMs }) => ({ fact: addAge(fact, nowMs - atMs), from }));
     },
     readSequence: () => sequence,
   };
--- a/src/application/peers/_lib/createHealthSource/index.ts
+++ b/src/application/peers/_lib/createHealthSource/index.ts
@@ -10,7 +10,7 @@
   readonly health: HealthRegistry;
   /** True while a peer's facts are taken: changes made by them are not news of this VM. */
   readonly isTaking: () => boolean;
-  readonly push: (fact: Fact) => void;
+  readonly sendSoon: (fact: Fact) => void;
 }
 
 type ChangeHandlers = Readonly<Record<BackendHealth, (backendServer: string) => void>>;
@@ -21,10 +21,10 @@
  * @returns a function that stops it
  */
 export function createHealthSource(deps: HealthSourceDependencies): () => void {
-  const { self, board, health, push } = deps;
+  const { self, board, health, sendSoon } = deps;
   const addFact = (key: string, fact: Fact): void => {
-    board.put(key, fact, self);
-    push(fact);
+    board.write(key, fact, self);
+    sendSoon(fact);
   };
   const addSuspicion = (backendServer: string): void => {
     const suspicion = health
@@ -36,7 +36,7 @@
   const removeSuspicion = (backendServer: string): void => {
     if (board.find(`suspicion:${backendServer}`) === null) return;
     board.remove(`suspicion:${backendServer}`);
-    push({ kind: 'recovery', backendServer });
+    sendSoon({ kind: 'recovery', backendServer });
   };
   const handlers: ChangeHandlers = {
     [BackendHealth.Suspected]: addSuspicion,
--- a/src/application/peers/_lib/createMembershipView/index.ts
+++ b/src/application/peers/_lib/createMembershipView/index.ts
@@ -23,6 +23,8 @@
   isHeard(member: Member): boolean;
   /** VMs heard in this region, with this one. */
   countHeardHere(): number;
+  /** VMs known in this region, without this one. */
+  countMembersHere(): number;
   listPeers(): readonly PeerView[];
   /** Names of VMs of this region that live and are not leaving, with this one. */
   listLiveVms(): readonly string[];
@@ -68,6 +70,7 @@
   return {
     isHeard,
     countHeardHere,
+    countMembersHere: () => members.list().filter(isHere).length,
     listPeers: () => [convertSelf(), ...members.list().map(convertMember)],
     listLiveVms: () => [
       readSelf().vm,
--- a/src/application/peers/_lib/createNewsReader/index.ts
+++ b/src/application/peers/_lib/createNewsReader/index.ts
@@ -52,7 +52,7 @@
       if (known !== null && incarnation < known.record.incarnation) return;
       const writtenAfterMs = ownClock.convertEcho(news.echoClockMs);
       partners.recordNews(news);
-      taker.takeFacts([...listHeaderFacts(news, deps.region), ...news.facts], {
+      taker.recordFacts([...listHeaderFacts(news, deps.region), ...news.facts], {
         vm,
         writtenAfterMs,
       });
--- a/src/application/peers/_lib/createNewsTaker/index.ts
+++ b/src/application/peers/_lib/createNewsTaker/index.ts
@@ -28,7 +28,7 @@
 
 /** Takes facts that a peer told. */
 export interface NewsTaker {
-  takeFacts(facts: readonly Fact[], origin: FactOrigin): void;
+  recordFacts(facts: readonly Fact[], origin: FactOrigin): void;
   /** The held state of a server's report by its name id. */
   findServerName(id: number): string | null;
   /** Remembers a server's name, so that facts with its id are understood. */
@@ -57,7 +57,7 @@
   };
   const findServerName = (id: number): string | null => serverNames.get(id) ?? null;
 
-  const takeLoad = (fact: LoadFact, origin: FactOrigin): void => {
+  const recordLoad = (fact: LoadFact, origin: FactOrigin): void => {
     const name = findServerName(fact.id);
     const state = name === null ? null : board.find(`state:${name}`);
     const held = board.find(`load:${name}`);
@@ -65,16 +65,19 @@
     const report = convertFactsToReport(state, fact, readNowMs());
     const known = held?.kind === 'load' ? convertFactsToReport(state, held, readNowMs()) : null;
     if (!isNewerReport(report, known)) return;
-    board.put(`load:${name}`, fact, origin.vm);
+    board.write(`load:${name}`, fact, origin.vm);
     load?.recordReport(report);
   };
 
-  const takeServerState = (fact: ServerStateFact, origin: FactOrigin): void => {
+  const recordServerState = (fact: ServerStateFact, origin: FactOrigin): void => {
     addServerName(fact.backendServer);
     const key = `state:${fact.backendServer}`;
-    if (JSON.stringify(board.find(key)) === JSON.stringify(fact)) return;
-    board.put(key, fact, origin.vm);
-    if (fact.leaving) health?.recordLeaving(fact.backendServer, true);
+    const held = board.find(key);
+    if (JSON.stringify(held) === JSON.stringify(fact)) return;
+    board.write(key, fact, origin.vm);
+    // Both ways: a server replaced under its name must get work again.
+    const wasLeaving = held?.kind === 'server-state' && held.leaving;
+    if (fact.leaving !== wasLeaving) health?.recordLeaving(fact.backendServer, fact.leaving);
   };
 
   const sends = new Map<string, Map<number, number>>();
@@ -82,7 +85,7 @@
   const handlers: Handlers = {
     peer: ({ record }, origin) => {
       if (record.vm === deps.self || !members.mergeRecord(record)) return;
-      board.put(`peer:${record.vm}`, { kind: 'peer', record }, origin.vm);
+      board.write(`peer:${record.vm}`, { kind: 'peer', record }, origin.vm);
     },
     pulse: (fact, origin) => {
       const member = members.findById(fact.id);
@@ -95,14 +98,14 @@
       member.beats = fact.beats;
       // The first pulse seen may be a dead VM's last: only a rise proves that it lives.
       if (!isFirst && origin.writtenAfterMs !== null) member.heardAtMs = origin.writtenAfterMs;
-      board.put(`pulse:${member.record.vm}`, fact, origin.vm);
+      board.write(`pulse:${member.record.vm}`, fact, origin.vm);
     },
     region: (fact, origin) => {
       const key = `region:${fact.region}`;
       const held = board.find(key);
       if (origin.writtenAfterMs === null) return;
       if (held?.kind === 'region' && held.ageMs <= fact.ageMs) return;
-      board.put(key, fact, origin.vm);
+      board.write(key, fact, origin.vm);
     },
     suspicion: ({ suspicion }, origin) => {
       const key = `suspicion:${suspicion.backendServer}`;
@@ -110,13 +113,13 @@
       const isKnown =
         held?.kind === 'suspicion' && JSON.stringify(held.suspicion) === JSON.stringify(suspicion);
       if (isKnown) return;
-      board.put(key, { kind: 'suspicion', suspicion }, origin.vm);
+      board.write(key, { kind: 'suspicion', suspicion }, origin.vm);
       health?.recordSuspicion(suspicion);
     },
     leaving: (fact, origin) => {
       const key = `leaving:${fact.backendServer}`;
       if (board.find(key) !== null) return;
-      board.put(key, fact, origin.vm);
+      board.write(key, fact, origin.vm);
       health?.recordLeaving(fact.backendServer, true);
     },
     recovery: ({ backendServer }) => {
@@ -128,11 +131,11 @@
       held.set(id, running);
       sends.set(origin.vm, held);
     },
-    'server-state': takeServerState,
-    load: takeLoad,
+    'server-state': recordServerState,
+    load: recordLoad,
   };
 
-  const takeFact = <Kind extends Fact['kind']>(
+  const recordFact = <Kind extends Fact['kind']>(
     fact: Extract<Fact, { kind: Kind }>,
     origin: FactOrigin,
   ): void => {
@@ -149,8 +152,8 @@
   };
 
   return {
-    takeFacts: (facts, origin) => {
-      facts.forEach((fact) => takeFact(fact, origin));
+    recordFacts: (facts, origin) => {
+      facts.forEach((fact) => recordFact(fact, origin));
       // Also without change: the view drops the sends of a peer that says nothing.
       if (sends.has(origin.vm)) recordSends(origin.vm);
     },
--- a/src/application/peers/_lib/createNewsWriter/index.ts
+++ b/src/application/peers/_lib/createNewsWriter/index.ts
@@ -1,6 +1,6 @@
 import type { Fact, News, PeerRecord } from '../../../../domain/membership';
 import type { VersionSource } from '../../types';
-import type { FactBoard } from '../createFactBoard';
+import type { FactBoard, HeldFact } from '../createFactBoard';
 import type { OwnClock } from '../createOwnClock';
 import type { OwnFacts } from '../createOwnFacts';
 import type { PartnerTable } from '../createPartnerTable';
@@ -22,6 +22,8 @@
   readonly versions: VersionSource;
   readonly readNewestReadAgeMs: () => number | null;
   readonly countHeardHere: () => number;
+  /** True: each VM of the region has a link with each other one. */
+  readonly isFullMesh: () => boolean;
 }
 
 /** Writes news. */
@@ -55,6 +57,11 @@
     return [{ kind: 'region', region, heard: deps.countHeardHere(), ageMs: 0 }];
   };
 
+  // Where all are linked, everyone hears of a load from those who polled it: passing it on as well
+  // was most of the bytes of a region of nine.
+  const isWorthRelaying = ({ fact, from }: HeldFact): boolean =>
+    fact.kind !== 'load' || from === deps.readSelf().vm || !deps.isFullMesh();
+
   return {
     writeNews: (receiver) => {
       deps.ownFacts.refresh(ownClock.countBeats());
@@ -62,6 +69,8 @@
       const isSameRegion = receiver.region === deps.readSelf().region;
       const facts = board
         .listSince(since, receiver.vm)
+        .filter(isWorthRelaying)
+        .map(({ fact }) => fact)
         .filter((fact) => isFactForRegion(fact, { isSameRegion, region: receiver.region }));
       return {
         ...writeHeader(receiver),
--- a/src/application/peers/_lib/createOwnFacts/index.ts
+++ b/src/application/peers/_lib/createOwnFacts/index.ts
@@ -12,6 +12,12 @@
 /** A load report is passed on at least this often, however little it changes. */
 export const LOAD_REFRESH_MS = 2_000;
 
+/**
+ * Shortest time between two reports of one server, for each server of the region: with 200 servers a
+ * report is passed on each 3 s at most, which keeps the bytes within a node's budget.
+ */
+export const LOAD_LEAST_MS_PER_SERVER = 15;
+
 /** What the own facts need. */
 export interface OwnFactsDependencies {
   readonly board: FactBoard;
@@ -32,22 +38,23 @@
   const sends = new Map<string, number>();
   let pulsed = -1;
 
-  const refreshReport = (report: LoadReport): void => {
+  const refreshReport = (report: LoadReport, serverCount: number): void => {
     const nowMs = readNowMs();
     const name = report.backendServer;
     const { state, load: fact } = convertReportToFacts(report, nowMs);
     const onBoard = board.find(`load:${name}`);
     const sent =
       onBoard?.kind === 'load'
-        ? { fact: onBoard, sentAtMs: board.readPutAtMs(`load:${name}`) ?? nowMs }
+        ? { fact: onBoard, sentAtMs: board.readWrittenAtMs(`load:${name}`) ?? nowMs }
         : null;
-    if (!isLoadChanged(sent, fact, { slots: report.slots, nowMs, refreshMs: LOAD_REFRESH_MS })) {
-      return;
-    }
+    const leastMs = serverCount * LOAD_LEAST_MS_PER_SERVER;
+    const refreshMs = Math.max(LOAD_REFRESH_MS, leastMs);
+    const options = { slots: report.slots, nowMs, leastMs, refreshMs };
+    if (!isLoadChanged(sent, fact, options)) return;
     if (JSON.stringify(board.find(`state:${name}`)) !== JSON.stringify(state)) {
-      board.put(`state:${name}`, state, readSelf().vm);
+      board.write(`state:${name}`, state, readSelf().vm);
     }
-    board.put(`load:${name}`, fact, readSelf().vm);
+    board.write(`load:${name}`, fact, readSelf().vm);
   };
 
   const refreshSends = (): void => {
@@ -58,7 +65,7 @@
       const running = current.get(name) ?? 0;
       if (running === (sends.get(name) ?? 0)) return;
       sends.set(name, running);
-      board.put(`send:${name}`, { kind: 'send', id: computeNameId(name), running }, '');
+      board.write(`send:${name}`, { kind: 'send', id: computeNameId(name), running }, '');
     });
   };
 
@@ -67,16 +74,17 @@
       const record = readSelf();
       const held = board.find(`peer:${record.vm}`);
       if (held?.kind !== 'peer' || JSON.stringify(held.record) !== JSON.stringify(record)) {
-        board.put(`peer:${record.vm}`, { kind: 'peer', record }, record.vm);
+        board.write(`peer:${record.vm}`, { kind: 'peer', record }, record.vm);
       }
       if (beats !== pulsed) {
         pulsed = beats;
         const incarnationTag = computeIncarnationTag(record.incarnation);
         const id = computeNameId(record.vm);
         const pulse = { kind: 'pulse', id, incarnationTag, beats } as const;
-        board.put(`pulse:${record.vm}`, pulse, record.vm);
+        board.write(`pulse:${record.vm}`, pulse, record.vm);
       }
-      load?.listReports().forEach(refreshReport);
+      const reports = load?.listReports() ?? [];
+      reports.forEach((report) => refreshReport(report, reports.length));
       refreshSends();
     },
   };
--- a/src/application/peers/_lib/createPusher/index.ts
+++ b/src/application/peers/_lib/createPusher/index.ts
@@ -16,7 +16,7 @@
 
 /** Sends urgent facts to all VMs of the region at once. */
 export interface Pusher {
-  push(fact: Fact): void;
+  sendSoon(fact: Fact): void;
   stop(): void;
 }
 
@@ -37,7 +37,7 @@
   };
 
   return {
-    push: (fact) => {
+    sendSoon: (fact) => {
       pending.push(fact);
       if (pending.length === 1) cancelTimer = deps.clock.startTimer(PUSH_DELAY_MS, sendPending);
     },
--- a/src/application/peers/createPeerExchange/index.ts
+++ b/src/application/peers/createPeerExchange/index.ts
@@ -1,3 +1,4 @@
+import { FULL_MESH_VMS } from '../../../domain/membership';
 import type { PeerRecord, News } from '../../../domain/membership';
 import type { Clock, HealthRegistry, LoadView, Randomness } from '../../ports';
 import { createFactBoard } from '../_lib/createFactBoard';
@@ -39,7 +40,7 @@
 
 /** Exchange of news with the other VMs. */
 export interface PeerExchange
-  extends Omit<MembershipView, 'isHeard' | 'countHeardHere'>, MemberSources {
+  extends Omit<MembershipView, 'isHeard' | 'countHeardHere' | 'countMembersHere'>, MemberSources {
   /** Takes a peer's news and gives this VM's. */
   handleNews(news: News): News;
   /** Tells peers whether this VM is leaving. */
@@ -105,6 +106,7 @@
     versions,
     readNewestReadAgeMs,
     countHeardHere: view.countHeardHere,
+    isFullMesh: () => view.countMembersHere() < FULL_MESH_VMS,
   });
   const readNews = (news: News): void => {
     // Changes that a peer's news makes must not be pushed again as if this VM had found them out.
@@ -130,18 +132,18 @@
     },
     recordOwnLeaving: (isLeaving) => {
       leaving = isLeaving;
-      pusher.push({ kind: 'peer', record: readSelf() });
+      pusher.sendSoon({ kind: 'peer', record: readSelf() });
     },
     sendVersion: rounds.sendVersion,
     start: () => {
       if (health !== null) {
-        const { push } = pusher;
+        const { sendSoon } = pusher;
         stopHealthSource = createHealthSource({
           self: self.vm,
           board,
           health,
           isTaking: () => isTaking,
-          push,
+          sendSoon,
         });
       }
       rounds.start();
--- a/src/domain/membership/index.ts
+++ b/src/domain/membership/index.ts
@@ -1,5 +1,5 @@
 export { chooseOwners } from './chooseOwners';
-export { choosePartners } from './choosePartners';
+export { choosePartners, FULL_MESH_VMS } from './choosePartners';
 export type { PartnerCandidate } from './choosePartners';
 export { computeIncarnationTag } from './computeIncarnationTag';
 export { computeNameId } from './computeNameId';
--- a/src/domain/membership/isLoadChanged/index.ts
+++ b/src/domain/membership/isLoadChanged/index.ts
@@ -10,23 +10,31 @@
 const MATERIAL_PART = 0.05;
 
 /**
- * Tells whether a load report is worth passing on: it changed by at least one request and 5% of
- * the slots, or the last one passed on is older than `refreshMs`.
+ * Tells whether a load report is worth passing on: the last one passed on is older than `leastMs`,
+ * and the load changed by at least one request and 5% of the slots, or it is older than `refreshMs`.
  *
  * @param sent - what was passed on last, or null
  * @param fact - the newest
- * @param options - `slots` of the server; `nowMs` and `refreshMs` in monotonic milliseconds
+ * @param options - `slots` of the server; `nowMs`, `leastMs` and `refreshMs` in monotonic
+ *   milliseconds
  */
 export const isLoadChanged = (
   sent: SentLoad | null,
   fact: LoadFact,
-  options: { readonly slots: number; readonly nowMs: number; readonly refreshMs: number },
+  options: {
+    readonly slots: number;
+    readonly nowMs: number;
+    readonly leastMs: number;
+    readonly refreshMs: number;
+  },
 ): boolean => {
   if (sent === null) return true;
   if (sent.fact.sequence === fact.sequence) return false;
   const threshold = Math.max(1, options.slots * MATERIAL_PART);
   const runningChange = Math.abs(fact.running - sent.fact.running);
   const waitingChange = Math.abs(fact.waiting - sent.fact.waiting);
-  const isOld = options.nowMs - sent.sentAtMs >= options.refreshMs;
+  const ageMs = options.nowMs - sent.sentAtMs;
+  if (ageMs < options.leastMs) return false;
+  const isOld = ageMs >= options.refreshMs;
   return isOld || runningChange >= threshold || waitingChange >= threshold;
 };
--- a/tests/peers/exchange.test.ts
+++ b/tests/peers/exchange.test.ts
@@ -76,6 +76,28 @@
   stop();
 });
 
+test('a server that says itself that it leaves, and then does not, is known as such', async (t) => {
+  // Symptom: a server replaced under its name gets no work from VMs that do not poll it.
+  // Events: its reports say leaving, later no more. Cause: only the first change was taken over.
+  const { vms, clock, stop } = await startRegion(9);
+  const readHealth = () => new Set(vms.slice(1).map(({ health }) => health.readHealth('engine-1')));
+  const report = (sequence: number, leaving: boolean) =>
+    vms[0]?.load.recordReport({
+      ...REPORT,
+      sequence,
+      leaving,
+      receivedAtMs: clock.readMonotonicMs(),
+    });
+  report(1, true);
+  await clock.advanceAsync(2_000);
+  t.deepEqual([...readHealth()], ['leaving']);
+  await clock.advanceAsync(2_000);
+  report(2, false);
+  await clock.advanceAsync(2_000);
+  t.deepEqual([...readHealth()], ['serving']);
+  stop();
+});
+
 test('sends of a VM are known to the others until they end', async (t) => {
   const { vms, clock, stop } = await startRegion(9);
   vms[0]?.load.recordSend('engine-2', []);
--- a/tools/bench/commands.ts
+++ b/tools/bench/commands.ts
@@ -1,5 +1,6 @@
 import { ConfigCommand } from './config';
 import { LoadCommand, PredictionCommand } from './load';
+import { MembershipCommand } from './membership';
 import { RelayCommand } from './relay';
 import { ResumeCommand } from './resume';
 import { SlopesCommand } from './slopes';
@@ -9,6 +10,7 @@
   ConfigCommand,
   LoadCommand,
   PredictionCommand,
+  MembershipCommand,
   RelayCommand,
   ResumeCommand,
   SlopesCommand,
--- /dev/null
+++ b/tools/bench/membership/index.ts
@@ -0,0 +1,1 @@
+export { MembershipCommand } from './MembershipCommand';
