Choose the VMs that poll a server by the one function for owners

Cause: rendezvous hashing stood twice, in domain/load and domain/membership, with the same contract. Change: choosePollers gives way to chooseOwners; its tests moved with the same assertions.

--- a/src/application/routing/createLoadPoller/index.ts
+++ b/src/application/routing/createLoadPoller/index.ts
@@ -1,9 +1,12 @@
-import { choosePollers, POLLERS_PER_SERVER } from '../../../domain/load';
+import { chooseOwners } from '../../../domain/membership';
 import { ServiceKind } from '../../../domain/types';
 import type { BackendServer, Configuration } from '../../../domain/types';
 import type { Clock, ConfigurationView, EngineClient } from '../../ports';
 import type { RoutingLoad } from '../types';
 
+/** VMs that poll one server: two, so that one may die without a gap in the reports. */
+const POLLERS_PER_SERVER = 2;
+
 /** Time between two polls of a server; engines' reports lag by about as much. */
 export const POLL_INTERVAL_MS = 500;
 
@@ -93,7 +96,7 @@
   const listOwn = (all: readonly BackendServer[]): readonly BackendServer[] => {
     const vms = dependencies.listLiveVms();
     if (vms.length <= POLLERS_PER_SERVER) return all;
-    return all.filter(({ name }) => choosePollers(name, vms, POLLERS_PER_SERVER).includes(vm));
+    return all.filter(({ name }) => chooseOwners(vms, name, POLLERS_PER_SERVER).includes(vm));
   };
 
   startPolling('load', POLL_INTERVAL_MS, listOwn, pollLoad);
--- a/src/domain/load/index.ts
+++ b/src/domain/load/index.ts
@@ -1,6 +1,5 @@
 export { addToAverage } from './addToAverage';
 export { addToLowEstimate } from './addToLowEstimate';
-export { choosePollers, POLLERS_PER_SERVER } from './choosePollers';
 export { computeFreshness } from './computeFreshness';
 export { computeTrust, LOWEST_TRUST } from './computeTrust';
 export { estimateRunning } from './estimateRunning';
--- a/src/domain/load/choosePollers/test.ts
+++ b/src/domain/membership/chooseOwners/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { choosePollers } from '.';
+import { chooseOwners } from '.';
 
 const VMS = ['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5', 'vm-6'];
 
@@ -7,14 +7,14 @@
   const servers = Array.from({ length: 60 }, (_, index) => `review-${index}`);
   const remaining = VMS.slice(1);
   servers.forEach((server) => {
-    const before = choosePollers(server, VMS, 2);
+    const before = chooseOwners(VMS, server, 2);
     t.is(before.length, 2);
-    if (!before.includes('vm-1')) t.deepEqual(choosePollers(server, remaining, 2), before);
+    if (!before.includes('vm-1')) t.deepEqual(chooseOwners(remaining, server, 2), before);
   });
 });
 
 test('the order of the list does not matter, and few VMs are enough', (t) => {
-  t.deepEqual(choosePollers('a', [...VMS].reverse(), 2), choosePollers('a', VMS, 2));
-  t.deepEqual(choosePollers('a', ['vm-1'], 2), ['vm-1']);
-  t.deepEqual(choosePollers('a', [], 2), []);
+  t.deepEqual(chooseOwners([...VMS].reverse(), 'a', 2), chooseOwners(VMS, 'a', 2));
+  t.deepEqual(chooseOwners(['vm-1'], 'a', 2), ['vm-1']);
+  t.deepEqual(chooseOwners([], 'a', 2), []);
 });
