Run both long-running binaries, and parse JSON from rows, by one piece of code each

Ruled out: one command class for both (their settings and ends differ). Change: runServiceCli and waitForSignal in programs/_lib, parseJson in domain/json.

--- a/src/domain/claim/decodeClaim/index.ts
+++ b/src/domain/claim/decodeClaim/index.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
+import { parseJson } from '../../json';
 import { ClaimState, type ClaimRow } from '../../types';
 
 /** A body that is no claim. */
@@ -23,14 +24,6 @@
   state: z.enum(ClaimState),
 });
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return null;
-  }
-}
-
 /** Decodes the body of a claim's row. */
 export function decodeClaim(body: string, revision: number): Result<ClaimRow, MalformedClaim> {
   const parsed = ClaimBody.safeParse(parseJson(body));
--- a/src/domain/configuration/decodeConfiguration/index.ts
+++ b/src/domain/configuration/decodeConfiguration/index.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import { ServiceKind, SurvivalMode, WorkClass, type Configuration } from '../../types';
-import { parseJson } from '../_lib/parseJson';
+import { parseJson } from '../../json';
 import { DEFAULT_LIMITS } from '../defaultLimits';
 
 /** Failure of decoding a stored configuration. */
--- a/src/domain/configuration/decodeConfigurationRow/index.ts
+++ b/src/domain/configuration/decodeConfigurationRow/index.ts
@@ -1,7 +1,7 @@
 import { inflateRawSync } from 'node:zlib';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { parseJson } from '../_lib/parseJson';
+import { parseJson } from '../../json';
 import { decodeConfiguration, type ConfigurationDecodeError } from '../decodeConfiguration';
 import type { ConfigurationRow } from '../types';
 
--- /dev/null
+++ b/src/domain/json/index.ts
@@ -0,0 +1,1 @@
+export { parseJson } from './parseJson';
--- a/src/domain/lease/decodeLeaseRow/index.ts
+++ b/src/domain/lease/decodeLeaseRow/index.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
+import { parseJson } from '../../json';
 import type { LeaseRow } from '../types';
 
 const schema = z.object({
@@ -14,14 +15,6 @@
   readonly reason: string;
 }
 
-function parseJson(body: string): unknown {
-  try {
-    return JSON.parse(body);
-  } catch {
-    return null;
-  }
-}
-
 /**
  * Decodes a lease from its row.
  *
--- a/src/domain/membership/decodeRegistration/index.ts
+++ b/src/domain/membership/decodeRegistration/index.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { parseJson } from '../../json';
 import type { PeerRecord } from '../types';
 
 const schema = z.object({
@@ -18,14 +19,6 @@
   readonly reason: string;
 }
 
-function parseJson(body: string): unknown {
-  try {
-    return JSON.parse(body);
-  } catch {
-    return null;
-  }
-}
-
 /**
  * Decodes a VM's registration from the body of its row.
  *
--- a/src/programs/entry/runEntryCli/index.ts
+++ b/src/programs/entry/runEntryCli/index.ts
@@ -1,19 +1,10 @@
-import { Builtins, Cli, Command, Option, type BaseContext } from 'clipanion';
-import packageFile from '../../../../package.json';
+import { Command, Option, type BaseContext } from 'clipanion';
 import { formatProblem, readSettingsFile } from '../../../adapters/toml';
+import { runServiceCli, SERVICE_EXIT_CODES } from '../../_lib/runServiceCli';
+import { waitForSignal } from '../../_lib/waitForSignal';
 import { startEntry } from '../startEntry';
 import { EntrySettingsSchema, type Entry } from '../types';
 
-/** Exit codes, as docs/operators/entry.md lists them. */
-const EXIT_CODES = { done: 0, failed: 1, usage: 2 } as const;
-
-/** Resolves at the first `SIGTERM` or `SIGINT`. */
-const waitForSignal = (): Promise<string> =>
-  new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
-
 /** Serves until a signal or an operator begins a shutdown, then until all work has ended. */
 const runEntry = async (entry: Entry): Promise<void> => {
   const drained = entry.waitForDrain();
@@ -38,15 +29,15 @@
     if (settings.isErr()) {
       const lines = settings.error.map((problem) => `${formatProblem(problem)}\n`);
       this.context.stderr.write(lines.join(''));
-      return EXIT_CODES.failed;
+      return SERVICE_EXIT_CODES.failed;
     }
     const started = await startEntry(settings.value);
     if (started.isErr()) {
       this.context.stderr.write(`${started.error.reason}\n`);
-      return EXIT_CODES.failed;
+      return SERVICE_EXIT_CODES.failed;
     }
     await runEntry(started.value);
-    return EXIT_CODES.done;
+    return SERVICE_EXIT_CODES.done;
   }
 }
 
@@ -56,25 +47,12 @@
  * @param args - arguments after the binary's name
  * @returns the exit code
  */
-export const runEntryCli = async (
+export const runEntryCli = (
   args: readonly string[],
   streams: Partial<BaseContext> = {},
-): Promise<number> => {
-  const cli = new Cli({
-    binaryLabel: 'jackdawmount entry',
-    binaryName: 'jackdaw-entry',
-    binaryVersion: packageFile.version,
-    enableColors: false,
-  });
-  [Builtins.HelpCommand, Builtins.VersionCommand, EntryCommand].forEach((command) =>
-    cli.register(command),
+): Promise<number> =>
+  runServiceCli(
+    { label: 'jackdawmount entry', name: 'jackdaw-entry', command: EntryCommand },
+    args,
+    streams,
   );
-  const context = { ...Cli.defaultContext, ...streams };
-  try {
-    return await cli.run(cli.process([...args], context), context);
-  } catch (error) {
-    // Only a wrong command line is thrown here.
-    context.stderr.write(cli.error(error, { colored: false }));
-    return EXIT_CODES.usage;
-  }
-};
--- a/src/programs/keeper/runKeeperCli/index.ts
+++ b/src/programs/keeper/runKeeperCli/index.ts
@@ -1,19 +1,10 @@
-import { Builtins, Cli, Command, Option, type BaseContext } from 'clipanion';
-import packageFile from '../../../../package.json';
+import { Command, Option, type BaseContext } from 'clipanion';
 import { formatProblem, readSettingsFile } from '../../../adapters/toml';
+import { runServiceCli, SERVICE_EXIT_CODES } from '../../_lib/runServiceCli';
+import { waitForSignal } from '../../_lib/waitForSignal';
 import { startKeeper } from '../startKeeper';
 import { KeeperSettingsSchema } from '../types';
 
-/** Exit codes, as docs/operators/keeper.md lists them. */
-const EXIT_CODES = { done: 0, failed: 1, usage: 2 } as const;
-
-/** Resolves at the first `SIGTERM` or `SIGINT`. */
-const waitForSignal = (): Promise<string> =>
-  new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
-  });
-
 class KeeperCommand extends Command {
   static override usage = Command.Usage({
     description: 'Brings the engines of its region to the configured state, under a lease.',
@@ -35,16 +26,16 @@
     if (settings.isErr()) {
       const lines = settings.error.map((problem) => `${formatProblem(problem)}\n`);
       this.context.stderr.write(lines.join(''));
-      return EXIT_CODES.failed;
+      return SERVICE_EXIT_CODES.failed;
     }
     const started = await startKeeper(settings.value);
     if (started.isErr()) {
       this.context.stderr.write(`${started.error.reason}\n`);
-      return EXIT_CODES.failed;
+      return SERVICE_EXIT_CODES.failed;
     }
     await waitForSignal();
     await started.value.stop();
-    return EXIT_CODES.done;
+    return SERVICE_EXIT_CODES.done;
   }
 }
 
@@ -54,25 +45,12 @@
  * @param args - arguments after the binary's name
  * @returns the exit code
  */
-export async function runKeeperCli(
+export const runKeeperCli = (
   args: readonly string[],
   streams: Partial<BaseContext> = {},
-): Promise<number> {
-  const cli = new Cli({
-    binaryLabel: 'jackdawmount keeper',
-    binaryName: 'jackdaw-keeper',
-    binaryVersion: packageFile.version,
-    enableColors: false,
-  });
-  [Builtins.HelpCommand, Builtins.VersionCommand, KeeperCommand].forEach((command) =>
-    cli.register(command),
+): Promise<number> =>
+  runServiceCli(
+    { label: 'jackdawmount keeper', name: 'jackdaw-keeper', command: KeeperCommand },
+    args,
+    streams,
   );
-  const context = { ...Cli.defaultContext, ...streams };
-  try {
-    return await cli.run(cli.process([...args], context), context);
-  } catch (error) {
-    // Only a wrong command line is thrown here.
-    context.stderr.write(cli.error(error, { colored: false }));
-    return EXIT_CODES.usage;
-  }
-}
