--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,7 @@
 }));
 
 export default [
-  { ignores: ['dist/', 'node_modules/', 'src/adapters/connect/gen/', '**/*.js', '**/*.mjs'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'src/adapters/connect/gen/', '**/*.js', '**/*.mjs'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/src/adapters/http/_lib/createCallerReply/index.ts
@@ -0,0 +1,85 @@
+import type { ServerResponse } from 'node:http';
+import type { CallerReply, Refusal, RefusalKind } from '../../../../application/forwarding';
+
+/** Status of each of this process's own answers. */
+const STATUSES: Readonly<Record<RefusalKind, number>> = {
+  'not-run': 503,
+  'unknown-route': 404,
+  'unknown-key': 401,
+  lost: 502,
+  'deadline-passed': 504,
+};
+
+const MS_PER_S = 1000;
+
+/** Answers that have no body, and so no length. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** What a reply works with. */
+export interface CallerReplyOptions {
+  /** Whether the connection is to be closed after this answer. */
+  readonly isClosing: () => boolean;
+}
+
+/** Creates the reply to one request of Node's HTTP server. */
+export const createCallerReply = (
+  response: ServerResponse,
+  { isClosing }: CallerReplyOptions,
+): CallerReply => {
+  const left = new AbortController();
+  response.once('close', () => {
+    if (!response.writableEnded) left.abort();
+  });
+  const isOpen = (): boolean => !left.signal.aborted && !response.writableEnded;
+
+  const writeHead = (status: number, headers: readonly string[]): void => {
+    if (isClosing()) response.shouldKeepAlive = false;
+    response.writeHead(status, [...headers]);
+  };
+
+  const sendRefusal = ({ kind, reason, retryAfterMs }: Refusal): void => {
+    if (!isOpen()) return;
+    const body = Buffer.from(JSON.stringify({ error: reason }));
+    const headers = ['content-type', 'application/json', 'content-length', String(body.length)];
+    if (retryAfterMs > 0) headers.push('retry-after', String(retryAfterMs / MS_PER_S));
+    writeHead(STATUSES[kind], headers);
+    response.end(body);
+  };
+
+  return {
+    left: left.signal,
+    isOpen,
+    hasBegun: () => response.headersSent,
+    sendRefusal,
+    sendWhole: (status, headers, body) => {
+      if (!isOpen()) return;
+      const hasLength = !BODILESS_STATUSES.has(status) && response.req.method !== 'HEAD';
+      writeHead(status, hasLength ? [...headers, 'content-length', String(body.length)] : headers);
+      response.end(body);
+    },
+    begin: (status, headers) => {
+      if (isOpen()) writeHead(status, headers);
+    },
+    write: (bytes) => !isOpen() || response.write(bytes),
+    waitForDrain: () =>
+      new Promise((resolve) => {
+        if (!isOpen() || !response.writableNeedDrain) {
+          resolve();
+          return;
+        }
+        const finish = (): void => {
+          response.off('drain', finish);
+          response.off('close', finish);
+          resolve();
+        };
+        response.on('drain', finish);
+        response.on('close', finish);
+      }),
+    end: () => {
+      if (isOpen()) response.end();
+    },
+    breakOff: () => {
+      response.destroy();
+    },
+  };
+};
--- a/src/adapters/http/index.ts
+++ b/src/adapters/http/index.ts
@@ -4,3 +4,5 @@
 export { startCallerServer } from './startCallerServer';
 export type { CallerServer, ListenError } from './startCallerServer';
 export type { CallerDependencies, CursorCodec } from './types';
+export { startForwardingServer } from './startForwardingServer';
+export type { ForwardingServer, RawHead } from './startForwardingServer';
--- a/src/adapters/log/index.ts
+++ b/src/adapters/log/index.ts
@@ -3,3 +3,4 @@
 export { createEventLog } from './createEventLog';
 export type { LineLogger } from './createEventLog';
 export { createRoarrLogger } from './createRoarrLogger';
+export { createLineQueue, type LineQueue } from './createLineQueue';
--- /dev/null
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -0,0 +1,89 @@
+import { Counter, Histogram, Registry } from 'prom-client';
+import type { ForwardingMeter } from '../../../application/forwarding';
+import { addGauge } from '../_lib/addGauge';
+import { addProcessGauges } from '../_lib/addProcessGauges';
+
+/** What a gateway tells of its state when metrics are read. */
+export interface GatewayGauges {
+  readonly countRunning: () => number;
+  readonly countServers: () => number;
+  readonly countDroppedLines: () => number;
+  readonly readConfigurationVersion: () => number;
+  readonly isReady: () => boolean;
+}
+
+/** Metrics of one gateway, in a registry of its own. */
+export interface GatewayMetrics extends ForwardingMeter {
+  readonly contentType: string;
+  addGauges(gauges: GatewayGauges): void;
+  /** Gives all metrics in the Prometheus text format. */
+  render(): Promise<string>;
+}
+
+const MS_PER_S = 1000;
+
+/** From a lookup's milliseconds to a long stream's end. */
+const DURATION_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 25];
+
+/** Around the pauses that readers notice. */
+const PAUSE_BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5];
+
+/** Creates the metrics of one gateway. */
+export const createGatewayMetrics = (): GatewayMetrics => {
+  const registry = new Registry();
+  const registers = [registry];
+  addProcessGauges(registry);
+  const requests = new Counter({
+    name: 'jackdaw_forwarded_requests_total',
+    help: 'Requests of callers, by kind of route and outcome.',
+    labelNames: ['kind', 'outcome'],
+    registers,
+  });
+  const durations = new Histogram({
+    name: 'jackdaw_forwarded_request_seconds',
+    help: 'Time from a request to the end of its answer.',
+    labelNames: ['kind'],
+    buckets: DURATION_BUCKETS_S,
+    registers,
+  });
+  const pauses = new Histogram({
+    name: 'jackdaw_resume_pause_seconds',
+    help: 'Time from the last event of a lost server to the next attempt, by what it goes on from.',
+    labelNames: ['source'],
+    buckets: PAUSE_BUCKETS_S,
+    registers,
+  });
+  return {
+    contentType: registry.contentType,
+    recordRequest: (kind, outcome, durationMs) => {
+      requests.inc({ kind, outcome });
+      durations.observe({ kind }, durationMs / MS_PER_S);
+    },
+    recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
+    addGauges: (gauges) => {
+      addGauge(registry, 'jackdaw_running_requests', 'Requests on their way.', gauges.countRunning);
+      addGauge(
+        registry,
+        'jackdaw_serving_servers',
+        'Backend servers that may take new work.',
+        gauges.countServers,
+      );
+      addGauge(
+        registry,
+        'jackdaw_dropped_log_lines',
+        'Log lines dropped since the start, as standard output was not read.',
+        gauges.countDroppedLines,
+      );
+      addGauge(
+        registry,
+        'jackdaw_configuration_version',
+        'Version of the configuration in force; 0 is none.',
+        gauges.readConfigurationVersion,
+      );
+      addGauge(registry, 'jackdaw_ready', '1 if this VM takes new connections.', () =>
+        Number(gauges.isReady()),
+      );
+    },
+    render: () => registry.metrics(),
+  };
+};
--- a/src/application/generations/_lib/createPaceHistory/index.ts
+++ b/src/application/_lib/createPaceHistory/index.ts
@@ -4,7 +4,7 @@
   updateGapStatistics,
   type FirstTokenSample,
   type GapStatistics,
-} from '../../../../domain/detection';
+} from '../../../domain/detection';
 
 /** How fast the engines of each service answered lately, as this VM saw it. */
 export interface PaceHistory {
--- /dev/null
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -0,0 +1,171 @@
+import {
+  AfterDisconnect,
+  createGenerationState,
+  updateGeneration,
+  type GenerationEffect,
+  type GenerationFailure,
+  type GenerationInput,
+} from '../../../../domain/generation';
+import { RunState, SurvivalMode } from '../../../../domain/types';
+import { createInputQueue } from '../../../_lib/createInputQueue';
+import type { PaceHistory } from '../../../_lib/createPaceHistory';
+import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
+import { closeStreamAttempt } from '../closeStreamAttempt';
+import { openStreamAttempt } from '../openStreamAttempt';
+import { recordDecision } from '../recordDecision';
+
+/** How a stream's position and its engines differ from those that number tokens. */
+const buildState = ({ request, route }: ForwardContext) =>
+  createGenerationState(
+    {
+      mode: SurvivalMode.Thrift,
+      idempotent: route.resumable,
+      keyed: false,
+      continuable: true,
+      maxOutputTokens: Infinity,
+      afterDisconnect: AfterDisconnect.Dropped,
+    },
+    { offset: request.lastEventId ?? 0 },
+  );
+
+const buildRefusal = (failure: GenerationFailure): Refusal => ({
+  kind: failure.runState === RunState.NotRun ? 'not-run' : 'lost',
+  reason: failure.message,
+  retryAfterMs: failure.runState === RunState.NotRun ? failure.retryAfterMs : 0,
+});
+
+/**
+ * Forwards a stream: it goes on at another server, within the same answer, when its server is lost.
+ *
+ * The steps are decided by `updateGeneration`, as for engines that number tokens; here the position
+ * is an event id, and a run ends with its connection.
+ *
+ * @returns the outcome, for the metrics
+ */
+export const forwardStream = (
+  dependencies: ForwardingDependencies,
+  context: ForwardContext,
+  paces: PaceHistory,
+): Promise<string> =>
+  new Promise((resolve) => {
+    const { clock, log, meter } = dependencies;
+    const { reply, request } = context;
+    const queue = createInputQueue<GenerationInput>();
+    let state = buildState(context);
+    let cancelRetry = (): void => undefined;
+    let cancelDeadline = (): void => undefined;
+    let isEnded = false;
+
+    const run: StreamRun = {
+      dependencies,
+      context,
+      paces,
+      attempts: new Map(),
+      readState: () => state,
+      dispatch: queue.push,
+      copy: null,
+      prompts: 0,
+      lastEventAtMs: null,
+      failure: null,
+    };
+
+    const end = (outcome: string): void => {
+      if (isEnded) return;
+      isEnded = true;
+      cancelRetry();
+      cancelDeadline();
+      [...run.attempts.keys()].forEach((attempt) => closeStreamAttempt(run, attempt));
+      run.copy?.release();
+      recordDecision(dependencies, context, 'stream ended', {
+        outcome,
+        offset: state.offset,
+        attempts: state.newestAttempt,
+        prompts: run.prompts,
+      });
+      resolve(outcome);
+    };
+
+    const fail = (failure: GenerationFailure): void => {
+      if (!reply.isOpen()) return end('left');
+      recordDecision(dependencies, context, 'stream failed', {
+        code: failure.code,
+        reason: failure.message,
+        runState: failure.runState,
+        offset: state.offset,
+      });
+      if (reply.hasBegun()) reply.breakOff();
+      else if (run.failure) {
+        reply.sendWhole(run.failure.head.status, run.failure.head.passedHeaders, run.failure.body);
+      } else reply.sendRefusal(buildRefusal(failure));
+      return end(failure.code);
+    };
+
+    const deliver = (effect: Extract<GenerationEffect, { kind: 'deliver' }>): void => {
+      const { batch } = effect;
+      if ('tokenIds' in batch || batch.bytes.length === 0) return;
+      const nowMs = clock.readMonotonicMs();
+      if (run.lastEventAtMs !== null && nowMs - run.lastEventAtMs > context.route.gapGoalMs) {
+        recordDecision(dependencies, context, 'stream paused too long', {
+          pauseMs: Math.round(nowMs - run.lastEventAtMs),
+          offset: state.offset,
+        });
+      }
+      run.lastEventAtMs = nowMs;
+      reply.write(batch.bytes);
+    };
+
+    const open = (effect: Extract<GenerationEffect, { kind: 'open-attempt' }>): void => {
+      if (effect.reader.attempt > 1) {
+        const pauseMs =
+          run.lastEventAtMs === null ? 0 : clock.readMonotonicMs() - run.lastEventAtMs;
+        meter.recordResume(pauseMs, run.copy ? 'copy' : 'prompt');
+      }
+      openStreamAttempt(run, effect).catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : 'unknown';
+        log.error('attempt failed unexpectedly', { requestId: request.requestId, reason });
+        queue.push({ kind: 'broken', reader: effect.reader });
+      });
+    };
+
+    const runEffect = (effect: GenerationEffect): void => {
+      if (isEnded) return;
+      if (effect.kind === 'open-attempt') open(effect);
+      else if (effect.kind === 'cancel-attempt') closeStreamAttempt(run, effect.attempt);
+      else if (effect.kind === 'deliver') deliver(effect);
+      else if (effect.kind === 'suspect-server') {
+        dependencies.directory.recordSuspicion(
+          effect.backendServer,
+          effect.cause === 'silence' ? 'silent' : 'not-connected',
+        );
+      } else if (effect.kind === 'retry-later') {
+        cancelRetry = clock.startTimer(effect.delayMs, () => queue.push({ kind: 'retry-due' }));
+      } else if (effect.kind === 'finish') {
+        reply.end();
+        end('answered');
+      } else if (effect.kind === 'fail') fail(effect.failure);
+    };
+
+    queue.setHandler((input) => {
+      if (isEnded) return;
+      const next = updateGeneration(state, input);
+      state = next.state;
+      next.effects.forEach(runEffect);
+    });
+    cancelDeadline = clock.startTimer(
+      Math.max(0, context.deadlineAtMs - clock.readMonotonicMs()),
+      () => {
+        if (reply.hasBegun()) reply.breakOff();
+        else {
+          reply.sendRefusal({
+            kind: 'deadline-passed',
+            reason: 'no event came before the deadline',
+            retryAfterMs: 0,
+          });
+        }
+        end('deadline-passed');
+      },
+    );
+    reply.left.addEventListener('abort', () => end('left'), { once: true });
+    queue.push({ kind: 'caller-attached' });
+    queue.push({ kind: 'started' });
+  });
--- /dev/null
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -0,0 +1,174 @@
+import type { AnswerHead } from '../../../../domain/forwarding';
+import { NO_GAPS } from '../../../../domain/detection';
+import type { GenerationEffect, Reader } from '../../../../domain/generation';
+import { RefusalCode } from '../../../../domain/types';
+import type { AttemptAnswer } from '../../../ports';
+import type { StreamAttempt, StreamRun } from '../../types';
+import { chooseStreamServers, type StreamServers } from '../chooseStreamServers';
+import { closeStreamAttempt } from '../closeStreamAttempt';
+import { readStreamEvents } from '../readStreamEvents';
+import { readWholeBody } from '../readWholeBody';
+import { recordAttemptFailure } from '../recordAttemptFailure';
+import { recordDecision } from '../recordDecision';
+import { startSilenceWatch } from '../startSilenceWatch';
+
+type OpenAttempt = Extract<GenerationEffect, { kind: 'open-attempt' }>;
+
+/** When a caller that got no server may come back: a crashed server is back or gone by then. */
+const RETRY_AFTER_MS = 300;
+
+const OK_STATUS = 200;
+const SERVER_ERROR_STATUS = 500;
+
+const refuse = (run: StreamRun, reader: Reader, message: string): void =>
+  run.dispatch({
+    kind: 'slot-refused',
+    reader,
+    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: RETRY_AFTER_MS },
+  });
+
+const buildAttempt = (run: StreamRun, { copy, server }: StreamServers): StreamAttempt => {
+  const { clock, directory } = run.dependencies;
+  const nowMs = clock.readMonotonicMs();
+  const promptTokens = copy ? 0 : (run.context.request.tokens?.prompt ?? 0);
+  return {
+    abort: new AbortController(),
+    server,
+    work: directory.startWork(server.id, promptTokens),
+    sentAtMs: nowMs,
+    lastActivityMs: nowMs,
+    gaps: run.paces.readInitialGaps(run.context.service) ?? NO_GAPS,
+    hasDelivered: false,
+    stopWatch: () => undefined,
+  };
+};
+
+/** The copy that the next attempt may go on from. */
+const replaceCopy = (run: StreamRun, { backup }: StreamServers): void => {
+  run.copy?.release();
+  const copy = backup && {
+    address: backup.address,
+    runId: run.context.request.requestId,
+    serverId: backup.id,
+    release: run.dependencies.directory.addCopy(backup.id),
+  };
+  Object.assign(run, { copy });
+};
+
+/** Nothing ran, so that nothing was copied; a copy that was refused is gone as well. */
+const dropCopy = (run: StreamRun): void => {
+  run.copy?.release();
+  Object.assign(run, { copy: null });
+};
+
+const handleFailure = async (
+  run: StreamRun,
+  reader: Reader,
+  attempt: StreamAttempt,
+  { body, head }: AttemptAnswer,
+): Promise<void> => {
+  const { directory } = run.dependencies;
+  if (head.isOtherServer) directory.recordSuspicion(attempt.server.id, 'replaced');
+  if (head.isNotRun) {
+    // The rest of the answer is read, so that its connection can be used again.
+    dropCopy(run);
+    await readWholeBody(body);
+    run.dispatch({ kind: 'not-started', reader, refused: false });
+    return;
+  }
+  const read = head.isGenuine ? await readWholeBody(body) : null;
+  if (read?.isOk()) Object.assign(run, { failure: { head, body: read.value } });
+  if (read?.isOk() && head.status < SERVER_ERROR_STATUS) {
+    run.dispatch({ kind: 'rejected', reader, status: head.status, message: 'by the server' });
+    return;
+  }
+  run.dispatch({ kind: 'broken', reader });
+};
+
+const beginReply = (run: StreamRun, head: AnswerHead): void => {
+  const { reply } = run.context;
+  if (!reply.hasBegun() && reply.isOpen()) reply.begin(head.status, head.passedHeaders);
+};
+
+/** Sends one attempt of a stream and reads what comes of it. */
+export const openStreamAttempt = async (
+  run: StreamRun,
+  { excludedServers, reader }: OpenAttempt,
+): Promise<void> => {
+  const { client, clock, directory, retries } = run.dependencies;
+  const { context } = run;
+  const servers = chooseStreamServers(run, new Set(excludedServers));
+  if (!servers) return refuse(run, reader, 'no server takes work');
+  if (reader.attempt > 1 && !retries.acquireRetry(context.service)) {
+    return refuse(run, reader, 'no retry left');
+  }
+  const { backup, copy, server } = servers;
+  if (!copy && run.prompts >= context.route.maxAttempts) {
+    return refuse(run, reader, 'the request went to as many servers as it may');
+  }
+  if (!copy) Object.assign(run, { prompts: run.prompts + 1 });
+  const attempt = buildAttempt(run, servers);
+  run.attempts.set(reader.attempt, attempt);
+  replaceCopy(run, servers);
+  const { offset } = run.readState();
+  const remainingMs = context.deadlineAtMs - clock.readMonotonicMs();
+  recordDecision(
+    run.dependencies,
+    context,
+    'stream sent',
+    {
+      attempt: reader.attempt,
+      offset,
+      fromCopy: copy !== null,
+      backup: backup?.id ?? '',
+      leftMs: Math.round(remainingMs),
+    },
+    server,
+  );
+  run.dispatch({ kind: 'sending', reader, backendServer: server.id });
+  attempt.stopWatch = startSilenceWatch(run, attempt, reader);
+  const sent = await client.sendAttempt(
+    {
+      server,
+      request: context.request,
+      workspace: context.holder?.workspace ?? null,
+      remainingMs,
+      lastEventId: offset > 0 ? offset : context.request.lastEventId,
+      backupAddress: backup?.address ?? null,
+      copy,
+    },
+    attempt.abort.signal,
+  );
+  const isCurrent = run.attempts.get(reader.attempt) === attempt;
+  if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
+  if (sent.isErr()) {
+    recordAttemptFailure(directory, server.id, sent.error);
+    recordDecision(
+      run.dependencies,
+      context,
+      'stream attempt failed',
+      { attempt: reader.attempt, outcome: sent.error.kind },
+      server,
+    );
+    const isRefused = sent.error.kind === 'not-started';
+    if (isRefused) dropCopy(run);
+    return run.dispatch(
+      isRefused ? { kind: 'not-started', reader, refused: true } : { kind: 'broken', reader },
+    );
+  }
+  const { head } = sent.value;
+  if (head.load) directory.recordLoad(server.id, head.load);
+  if (head.status !== OK_STATUS || !head.isGenuine) {
+    recordDecision(
+      run.dependencies,
+      context,
+      'stream attempt failed',
+      { attempt: reader.attempt, status: head.status, notRun: head.isNotRun },
+      server,
+    );
+    return handleFailure(run, reader, attempt, sent.value);
+  }
+  directory.recordSuccess(server.id);
+  beginReply(run, head);
+  return readStreamEvents(run, attempt, reader, sent.value.body);
+};
--- /dev/null
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -0,0 +1,86 @@
+import { updateGapStatistics } from '../../../../domain/detection';
+import { splitEvents, type StreamEvent } from '../../../../domain/forwarding';
+import type { Reader } from '../../../../domain/generation';
+import type { StreamAttempt, StreamRun } from '../../types';
+import { startSilenceWatch } from '../startSilenceWatch';
+
+const recordActivity = (run: StreamRun, attempt: StreamAttempt, reader: Reader): void => {
+  const { clock } = run.dependencies;
+  const { request, service } = run.context;
+  const nowMs = clock.readMonotonicMs();
+  const gapMs = nowMs - attempt.lastActivityMs;
+  Object.assign(attempt, { lastActivityMs: nowMs });
+  if (attempt.hasDelivered) {
+    Object.assign(attempt, { gaps: updateGapStatistics(attempt.gaps, gapMs) });
+    run.paces.recordGap(service, gapMs);
+    return;
+  }
+  attempt.stopWatch();
+  Object.assign(attempt, { hasDelivered: true });
+  // The limit is another one from here on, and a far shorter one.
+  Object.assign(attempt, { stopWatch: startSilenceWatch(run, attempt, reader) });
+  attempt.work.recordFirstEvent();
+  // Only a whole prompt says how long one takes.
+  if (run.attempts.size === 1 && run.prompts === 1 && run.lastEventAtMs === null) {
+    run.paces.recordFirstToken(service, {
+      firstTokenMs: nowMs - attempt.sentAtMs,
+      promptCharacters: request.tokens?.prompt ?? 0,
+    });
+  }
+};
+
+const dispatchEvent = (run: StreamRun, reader: Reader, { bytes, id }: StreamEvent): void => {
+  const { offset } = run.readState();
+  // Events of a run that went on may begin with some that the caller has already.
+  if (id !== null && id <= offset) return;
+  run.dispatch({
+    kind: 'batch',
+    reader,
+    batch: { offset: id === null ? offset : id - 1, eventCount: 1, bytes, finishReason: null },
+  });
+};
+
+/** Reads the events of an attempt until its answer ends, and dispatches what comes. */
+export const readStreamEvents = async (
+  run: StreamRun,
+  attempt: StreamAttempt,
+  reader: Reader,
+  body: AsyncIterable<Buffer>,
+): Promise<void> => {
+  const { reply } = run.context;
+  const isCurrent = (): boolean => run.attempts.get(reader.attempt) === attempt;
+  let rest: Buffer = Buffer.alloc(0);
+  try {
+    for await (const chunk of body) {
+      if (!isCurrent()) return;
+      const split = splitEvents(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]));
+      rest = split.rest;
+      if (split.events.length > 0) recordActivity(run, attempt, reader);
+      split.events.forEach((event) => dispatchEvent(run, reader, event));
+      if (isCurrent()) {
+        await reply.waitForDrain();
+        // The time in which the caller did not read is no silence of the server.
+        Object.assign(attempt, { lastActivityMs: run.dependencies.clock.readMonotonicMs() });
+      }
+    }
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : 'the stream broke off';
+    if (isCurrent()) run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
+    run.dependencies.log.info('stream broke off', {
+      requestId: run.context.request.requestId,
+      server: attempt.server.id,
+      offset: run.readState().offset,
+      isCurrent: isCurrent(),
+      reason,
+    });
+    run.dispatch({ kind: 'broken', reader });
+    return;
+  }
+  if (rest.length > 0) {
+    run.dispatch({ kind: 'broken', reader });
+    return;
+  }
+  const { offset } = run.readState();
+  const batch = { offset, eventCount: 0, bytes: rest, finishReason: 'end' } as const;
+  run.dispatch({ kind: 'batch', reader, batch });
+};
--- /dev/null
+++ b/src/application/forwarding/_lib/readWholeBody/index.ts
@@ -0,0 +1,22 @@
+import { err, ok, type Result } from 'neverthrow';
+
+/** Largest answer that is held whole; answers of calls are far smaller. */
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/** Reads an answer's body to its end; an error says why it isn't whole. */
+export const readWholeBody = async (
+  body: AsyncIterable<Buffer>,
+): Promise<Result<Buffer, string>> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of body) {
+      bytes += chunk.length;
+      if (bytes > MAX_BODY_BYTES) return err(`the answer has more than ${MAX_BODY_BYTES} bytes`);
+      chunks.push(chunk);
+    }
+    return ok(Buffer.concat(chunks));
+  } catch (error) {
+    return err(error instanceof Error ? error.message : 'the answer broke off');
+  }
+};
--- /dev/null
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -0,0 +1,107 @@
+import {
+  checkRequestKey,
+  chooseTarget,
+  findRoute,
+  RouteKind,
+  type ForwardedRequest,
+} from '../../../domain/forwarding';
+import { createPaceHistory } from '../../_lib/createPaceHistory';
+import { forwardCall } from '../_lib/forwardCall';
+import { forwardStream } from '../_lib/forwardStream';
+import type { CallerReply, ForwardContext, ForwardingDependencies, Refusal } from '../types';
+
+/** Forwards callers' requests to backend servers. */
+export interface Forwarder {
+  /** Resolves when the answer has ended, or the caller has left. */
+  forwardRequest(request: ForwardedRequest, reply: CallerReply): Promise<void>;
+  countRunning(): number;
+}
+
+/** When to come back to a VM that knows no configuration yet. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+
+const OUTCOMES: Readonly<Record<Refusal['kind'], string>> = {
+  'not-run': 'not-run',
+  'unknown-route': 'unknown-route',
+  'unknown-key': 'unknown-key',
+  lost: 'lost',
+  'deadline-passed': 'deadline-passed',
+};
+
+/** Creates the forwarder of this VM. */
+export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
+  const { clock, log, meter, randomness, retries, tables } = dependencies;
+  const paces = createPaceHistory();
+  let running = 0;
+
+  const refuse = (request: ForwardedRequest, reply: CallerReply, refusal: Refusal): string => {
+    log.info('request refused', {
+      requestId: request.requestId,
+      configuration: tables.readCurrent()?.version ?? 0,
+      ...refusal,
+    });
+    reply.sendRefusal(refusal);
+    return OUTCOMES[refusal.kind];
+  };
+
+  const admit = (request: ForwardedRequest, reply: CallerReply): ForwardContext | Refusal => {
+    const table = tables.readCurrent();
+    if (!table) {
+      const reason = 'no configuration is known yet';
+      return { kind: 'not-run', reason, retryAfterMs: NO_CONFIGURATION_RETRY_MS };
+    }
+    const route = findRoute(table, request.host, request.target);
+    if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
+    const access = checkRequestKey(table, route, request.key);
+    if (access.isErr()) return { kind: 'unknown-key', reason: access.error, retryAfterMs: 0 };
+    const service = chooseTarget(route, randomness.readFraction());
+    if (service === null) {
+      return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
+    }
+    const waitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+    return {
+      request,
+      route,
+      service,
+      holder: access.value.holder,
+      reply,
+      deadlineAtMs: request.arrivedAtMs + waitMs,
+      version: table.version,
+    };
+  };
+
+  const forward = async (request: ForwardedRequest, reply: CallerReply): Promise<void> => {
+    const admitted = admit(request, reply);
+    if (!('route' in admitted)) {
+      meter.recordRequest('none', refuse(request, reply, admitted), 0);
+      return;
+    }
+    retries.recordRequest(admitted.service);
+    const outcome =
+      admitted.route.kind === RouteKind.Stream
+        ? await forwardStream(dependencies, admitted, paces)
+        : await forwardCall(dependencies, admitted);
+    meter.recordRequest(
+      admitted.route.kind,
+      outcome,
+      clock.readMonotonicMs() - request.arrivedAtMs,
+    );
+  };
+
+  return {
+    forwardRequest: async (request, reply) => {
+      running += 1;
+      try {
+        await forward(request, reply);
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : 'unknown';
+        log.error('request failed unexpectedly', { requestId: request.requestId, reason });
+        if (reply.hasBegun()) reply.breakOff();
+        else reply.sendRefusal({ kind: 'lost', reason: 'internal error', retryAfterMs: 0 });
+      } finally {
+        running -= 1;
+      }
+    },
+    countRunning: () => running,
+  };
+};
--- /dev/null
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -0,0 +1,227 @@
+import type { Result } from 'neverthrow';
+import type { ServerEntry, ServerLoad, ServerStatus } from '../../../domain/forwarding';
+import type { Clock, EventLog, SharedRow } from '../../ports';
+import type { RowsInfo } from '../../rows';
+
+/** What a directory needs. */
+export interface ServerDirectoryDependencies {
+  readonly decode: (id: string, value: Buffer) => Result<ServerEntry, string>;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Called with the address of a server that is gone. */
+  readonly handleGone: (address: string) => void;
+}
+
+/** Work that this VM has at a server, until it is released. */
+export interface ServerWork {
+  /** The prompt has been read: it delays others no more. */
+  recordFirstEvent(): void;
+  release(): void;
+}
+
+/** Why a server is believed to have failed. */
+export type SuspicionCause = 'not-connected' | 'broken' | 'silent' | 'replaced' | 'failing';
+
+/** Knows the backend servers, and what this VM has at each. */
+export interface ServerDirectory {
+  applyRows(rows: readonly SharedRow[], info: RowsInfo): void;
+  /** Servers of a service that may take new work. */
+  listServing(service: string): readonly ServerStatus[];
+  /** A server, also one that is leaving; null once it is gone. */
+  findServer(id: string): ServerEntry | null;
+  startWork(id: string, prefillTokens: number): ServerWork;
+  /** Counts a copy of a run's memory that a server holds; the returned function ends it. */
+  addCopy(id: string): () => void;
+  recordLoad(id: string, load: ServerLoad): void;
+  recordSuspicion(id: string, cause: SuspicionCause): void;
+  /** The server answered. */
+  recordSuccess(id: string): void;
+  countServing(): number;
+}
+
+/**
+ * Entries that lapsed while the store was down are back within two seconds of its return; until a
+ * little later, a missing one is not taken for gone.
+ */
+const LAPSED_HOLD_MS = 2200;
+
+/** Age up to which a reported load counts. */
+const LOAD_AGE_MS = 1000;
+
+/** First time for which a failed server gets work only if all others failed too; it doubles. */
+const FIRST_SUSPICION_MS = 1000;
+const MAX_SUSPICION_MS = 8000;
+
+interface Record {
+  entry: ServerEntry;
+  running: number;
+  prefillTokens: number;
+  copies: number;
+  load: ServerLoad | null;
+  loadAtMs: number;
+  suspectedUntilMs: number;
+  suspicions: number;
+  /** The entry is missing; when it counts as gone. */
+  goneAtMs: number;
+}
+
+/** Creates the directory of the backend servers. */
+export const createServerDirectory = (
+  dependencies: ServerDirectoryDependencies,
+): ServerDirectory => {
+  const { clock, decode, handleGone, log } = dependencies;
+  const records = new Map<string, Record>();
+
+  const isServing = (record: Record): boolean =>
+    !record.entry.isLeaving && record.goneAtMs > clock.readMonotonicMs();
+
+  const dropGone = (id: string, record: Record): void => {
+    if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
+    records.delete(id);
+    log.info('server gone', { server: id, service: record.entry.service });
+    const isUsed = [...records.values()].some(
+      ({ entry }) => entry.address === record.entry.address,
+    );
+    if (!isUsed) handleGone(record.entry.address);
+  };
+
+  const endRecord = (id: string, record: Record): void => {
+    Object.assign(record, { goneAtMs: Math.min(record.goneAtMs, clock.readMonotonicMs()) });
+    dropGone(id, record);
+  };
+
+  const removeEntry = (id: string, info: RowsInfo): void => {
+    const record = records.get(id);
+    if (!record || record.goneAtMs !== Infinity) return;
+    const nowMs = clock.readMonotonicMs();
+    const endedAtMs = info.outageEndedAtMs;
+    const holdMs = endedAtMs === null ? 0 : Math.max(0, endedAtMs + LAPSED_HOLD_MS - nowMs);
+    record.goneAtMs = nowMs + holdMs;
+    if (holdMs > 0) log.info('server entry lapsed in an outage', { server: id, holdMs });
+    if (holdMs === 0) dropGone(id, record);
+    else clock.startTimer(holdMs + 1, () => dropGone(id, record));
+  };
+
+  /** A server that starts at the address of another one proves that the other has ended. */
+  const replaceOthers = (entry: ServerEntry): void =>
+    records.forEach((other, id) => {
+      if (id === entry.id || other.entry.address !== entry.address) return;
+      endRecord(id, other);
+    });
+
+  const applyEntry = (id: string, value: Buffer): void => {
+    const decoded = decode(id, value);
+    if (decoded.isErr()) {
+      log.error('server entry refused', { server: id, reason: decoded.error });
+      return;
+    }
+    const entry = decoded.value;
+    const known = records.get(id);
+    if (!known) {
+      log.info('server known', {
+        server: id,
+        service: entry.service,
+        zone: entry.availabilityZone,
+        leaving: entry.isLeaving,
+      });
+    } else if (known.entry.isLeaving !== entry.isLeaving) {
+      log.info('server leaving', { server: id, leaving: entry.isLeaving });
+    }
+    if (known) Object.assign(known, { entry, goneAtMs: Infinity });
+    else {
+      records.set(id, {
+        entry,
+        running: 0,
+        prefillTokens: 0,
+        copies: 0,
+        load: null,
+        loadAtMs: 0,
+        suspectedUntilMs: 0,
+        suspicions: 0,
+        goneAtMs: Infinity,
+      });
+      replaceOthers(entry);
+    }
+  };
+
+  const buildStatus = (record: Record): ServerStatus => {
+    const nowMs = clock.readMonotonicMs();
+    const { load } = record;
+    const isFresh = load !== null && nowMs - record.loadAtMs < LOAD_AGE_MS;
+    return {
+      entry: record.entry,
+      running: record.running,
+      prefillTokens: record.prefillTokens,
+      copies: record.copies,
+      reported: isFresh ? load.running + load.waiting : 0,
+      isSuspected: record.suspectedUntilMs > nowMs,
+    };
+  };
+
+  return {
+    applyRows: (rows, info) =>
+      rows.forEach(({ key, value }) =>
+        value === null ? removeEntry(key, info) : applyEntry(key, value),
+      ),
+    listServing: (service) =>
+      [...records.values()]
+        .filter((record) => record.entry.service === service && isServing(record))
+        .map(buildStatus),
+    findServer: (id) => records.get(id)?.entry ?? null,
+    startWork: (id, prefillTokens) => {
+      const record = records.get(id);
+      let unread = prefillTokens;
+      let isRunning = true;
+      if (record) {
+        record.running += 1;
+        record.prefillTokens += unread;
+      }
+      const recordFirstEvent = (): void => {
+        if (record) record.prefillTokens -= unread;
+        unread = 0;
+      };
+      return {
+        recordFirstEvent,
+        release: () => {
+          if (!isRunning) return;
+          isRunning = false;
+          recordFirstEvent();
+          if (record) record.running -= 1;
+        },
+      };
+    },
+    addCopy: (id) => {
+      const record = records.get(id);
+      if (record) record.copies += 1;
+      let isHeld = true;
+      return () => {
+        if (record && isHeld) record.copies -= 1;
+        isHeld = false;
+      };
+    },
+    recordLoad: (id, load) => {
+      const record = records.get(id);
+      if (record) Object.assign(record, { load, loadAtMs: clock.readMonotonicMs() });
+    },
+    recordSuspicion: (id, cause) => {
+      const record = records.get(id);
+      if (!record) return;
+      const nowMs = clock.readMonotonicMs();
+      if (cause === 'replaced') {
+        endRecord(id, record);
+        return;
+      }
+      // Several attempts that fail at once are one failure.
+      if (record.suspectedUntilMs > nowMs) return;
+      const holdMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** record.suspicions);
+      record.suspicions += 1;
+      record.suspectedUntilMs = nowMs + holdMs;
+      log.warn('server suspected', { server: id, cause, holdMs });
+    },
+    recordSuccess: (id) => {
+      const record = records.get(id);
+      if (record) Object.assign(record, { suspicions: 0, suspectedUntilMs: 0 });
+    },
+    countServing: () => [...records.values()].filter(isServing).length,
+  };
+};
--- /dev/null
+++ b/src/application/forwarding/index.ts
@@ -0,0 +1,12 @@
+export { createForwarder, type Forwarder } from './createForwarder';
+export { createRetryAllowance, type RetryAllowance } from './createRetryAllowance';
+export { createRouteTableHolder, type RouteTableHolder } from './createRouteTableHolder';
+export { createServerDirectory, type ServerDirectory } from './createServerDirectory';
+export type {
+  CallerReply,
+  ForwardContext,
+  ForwardingDependencies,
+  ForwardingMeter,
+  Refusal,
+  RefusalKind,
+} from './types';
--- /dev/null
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -0,0 +1,15 @@
+import type { ForwardedRequest, KeyHolder, Route } from '../../../domain/forwarding';
+import type { CallerReply } from './CallerReply';
+
+/** One request on its way. */
+export interface ForwardContext {
+  readonly request: ForwardedRequest;
+  readonly route: Route;
+  readonly service: string;
+  readonly holder: KeyHolder | null;
+  readonly reply: CallerReply;
+  /** Monotonic time at which the caller, or the route, stops waiting. */
+  readonly deadlineAtMs: number;
+  /** Version of the configuration that admitted it. */
+  readonly version: number;
+}
--- /dev/null
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -0,0 +1,18 @@
+import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { RetryAllowance } from '../createRetryAllowance';
+import type { RouteTableHolder } from '../createRouteTableHolder';
+import type { ServerDirectory } from '../createServerDirectory';
+import type { ForwardingMeter } from './ForwardingMeter';
+
+/** What forwarding works with. */
+export interface ForwardingDependencies {
+  readonly availabilityZone: string;
+  readonly client: ForwardClient;
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly log: EventLog;
+  readonly meter: ForwardingMeter;
+  readonly randomness: Randomness;
+  readonly retries: RetryAllowance;
+  readonly tables: RouteTableHolder;
+}
--- /dev/null
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -0,0 +1,45 @@
+import type { GapStatistics } from '../../../domain/detection';
+import type { GenerationInput, GenerationState } from '../../../domain/generation';
+import type { AnswerHead, ServerEntry } from '../../../domain/forwarding';
+import type { KvCopy } from '../../ports';
+import type { ServerWork } from '../createServerDirectory';
+import type { PaceHistory } from '../../_lib/createPaceHistory';
+import type { ForwardContext } from './ForwardContext';
+import type { ForwardingDependencies } from './ForwardingDependencies';
+
+/** A copy of the run's KV memory, and which server holds it. */
+export interface HeldCopy extends KvCopy {
+  readonly serverId: string;
+  /** Ends its count at that server. */
+  readonly release: () => void;
+}
+
+/** What belongs to one attempt of a stream outside of the pure state. */
+export interface StreamAttempt {
+  readonly abort: AbortController;
+  readonly server: ServerEntry;
+  readonly work: ServerWork;
+  readonly sentAtMs: number;
+  lastActivityMs: number;
+  gaps: GapStatistics;
+  hasDelivered: boolean;
+  stopWatch: () => void;
+}
+
+/** A stream on its way through one or more servers. */
+export interface StreamRun {
+  readonly dependencies: ForwardingDependencies;
+  readonly context: ForwardContext;
+  readonly paces: PaceHistory;
+  readonly attempts: Map<number, StreamAttempt>;
+  readonly readState: () => GenerationState;
+  readonly dispatch: (input: GenerationInput) => void;
+  /** Copy from which the next attempt may go on. */
+  copy: HeldCopy | null;
+  /** Attempts that read the prompt. */
+  prompts: number;
+  /** When the newest event was handed on; null before the first one. */
+  lastEventAtMs: number | null;
+  /** A server's own failure, handed on if nothing better comes. */
+  failure: { readonly head: AnswerHead; readonly body: Buffer } | null;
+}
--- a/src/application/generations/_lib/createRun/index.ts
+++ b/src/application/generations/_lib/createRun/index.ts
@@ -10,7 +10,7 @@
 import { buildAnswer } from '../buildAnswer';
 import { closeAttempt } from '../closeAttempt';
 import { createFeed } from '../createFeed';
-import { createInputQueue } from '../createInputQueue';
+import { createInputQueue } from '../../../_lib/createInputQueue';
 import { createNotifier } from '../createNotifier';
 import { runEffect, type AttemptEffect } from '../runEffect';
 
@@ -53,6 +53,8 @@
   const isEnded = (): boolean => state.phase === 'finished' || state.phase === 'failed';
 
   const deliver = (effect: Extract<GenerationEffect, { kind: 'deliver' }>): void => {
+    // Engines that number events instead of tokens are read by the forwarding, never by a run.
+    if (!('tokenIds' in effect.batch)) return;
     log.append(effect.batch);
     leader = handles.get(effect.attempt) ?? leader;
     if (effect.batch.finishReason !== null) {
--- a/src/application/generations/_lib/sweepRun/index.ts
+++ b/src/application/generations/_lib/sweepRun/index.ts
@@ -2,7 +2,7 @@
 import { BackendHealth } from '../../../../domain/types';
 import type { GenerationRun, GenerationsDependencies } from '../../types';
 import { computeAttemptLimits } from '../computeAttemptLimits';
-import type { PaceHistory } from '../createPaceHistory';
+import type { PaceHistory } from '../../../_lib/createPaceHistory';
 import type { ServerActivity } from '../createServerActivity';
 
 /** What a sweep looks with. */
--- a/src/application/generations/createGenerations/index.ts
+++ b/src/application/generations/createGenerations/index.ts
@@ -4,7 +4,7 @@
 import { buildRun } from '../_lib/buildRun';
 import { createCancelQueue } from '../_lib/createCancelQueue';
 import { createClaimedStart } from '../_lib/createClaimedStart';
-import { createPaceHistory } from '../_lib/createPaceHistory';
+import { createPaceHistory } from '../../_lib/createPaceHistory';
 import { createPendingEnds } from '../_lib/createPendingEnds';
 import { createRunStore } from '../_lib/createRunStore';
 import { createServerActivity } from '../_lib/createServerActivity';
--- a/src/application/generations/types/GenerationsContext.ts
+++ b/src/application/generations/types/GenerationsContext.ts
@@ -1,5 +1,5 @@
 import type { CancelQueue } from '../_lib/createCancelQueue';
-import type { PaceHistory } from '../_lib/createPaceHistory';
+import type { PaceHistory } from '../../_lib/createPaceHistory';
 import type { ServerActivity } from '../_lib/createServerActivity';
 import type { PendingEnds } from '../_lib/createPendingEnds';
 import type { RunStore } from '../_lib/createRunStore';
--- a/src/application/generations/types/RunContext.ts
+++ b/src/application/generations/types/RunContext.ts
@@ -2,7 +2,7 @@
 import type { GenerationRequest } from '../../../domain/types';
 import type { CancelQueue } from '../_lib/createCancelQueue';
 import type { ClaimKeeper } from '../_lib/createClaimKeeper';
-import type { PaceHistory } from '../_lib/createPaceHistory';
+import type { PaceHistory } from '../../_lib/createPaceHistory';
 import type { ServerActivity } from '../_lib/createServerActivity';
 import type { AttemptHandle } from './AttemptHandle';
 import type { GenerationsDependencies } from './GenerationsDependencies';
--- /dev/null
+++ b/src/application/ports/ForwardClient.ts
@@ -0,0 +1,52 @@
+import type { Result } from 'neverthrow';
+import type { AnswerHead, ForwardedRequest, ServerEntry } from '../../domain/forwarding';
+
+/** Where a copy of a run's KV memory lies. */
+export interface KvCopy {
+  /** IP:PORT of the server that holds it. */
+  readonly address: string;
+  /** Id of the run that it was made of. */
+  readonly runId: string;
+}
+
+/** One attempt of a request at one server. */
+export interface AttemptRequest {
+  readonly server: ServerEntry;
+  readonly request: ForwardedRequest;
+  /** Null: the route needs no key. */
+  readonly workspace: string | null;
+  /** What is left of the caller's time. */
+  readonly remainingMs: number;
+  /** The stream goes on after this event; null for a new one. */
+  readonly lastEventId: number | null;
+  /** Server to which the run's KV memory is copied as it grows; null for none. */
+  readonly backupAddress: string | null;
+  /** Copy from which the run goes on; null to read the prompt. */
+  readonly copy: KvCopy | null;
+}
+
+/** An answer whose body is still arriving. */
+export interface AttemptAnswer {
+  readonly head: AnswerHead;
+  /** Throws if the answer breaks off. */
+  readonly body: AsyncIterable<Buffer>;
+}
+
+/** Failure of an attempt before its answer's head. */
+export type AttemptError =
+  /** Surely no byte of it was sent. */
+  | { readonly kind: 'not-started'; readonly reason: string }
+  /** It was sent, or may have been. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  | { readonly kind: 'cancelled'; readonly sent: boolean };
+
+/** Calls to backend servers. Sends each attempt once: repeating is the caller's decision. */
+export interface ForwardClient {
+  /** An abort of `signal` closes the connection at once, at any time until the body has ended. */
+  sendAttempt(
+    attempt: AttemptRequest,
+    signal: AbortSignal,
+  ): Promise<Result<AttemptAnswer, AttemptError>>;
+  /** Closes idle connections of a server that is gone. */
+  removeServer(address: string): void;
+}
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -24,3 +24,11 @@
 export type { TableItem, WriteCondition } from './TableItem';
 export type { TableStore } from './TableStore';
 export type { VmList } from './VmList';
+export type {
+  AttemptAnswer,
+  AttemptError,
+  AttemptRequest,
+  ForwardClient,
+  KvCopy,
+} from './ForwardClient';
+export type { RowChanges, RowError, RowSource, SharedRow } from './RowSource';
--- /dev/null
+++ b/src/application/rows/index.ts
@@ -0,0 +1,6 @@
+export {
+  createRowFollower,
+  type RowFollower,
+  type RowFollowerDependencies,
+  type RowsInfo,
+} from './createRowFollower';
--- /dev/null
+++ b/src/domain/forwarding/findRoute/index.ts
@@ -0,0 +1,16 @@
+import type { Route, RouteTable } from '../types';
+
+/**
+ * Finds the route of a request: the one of its host with the longest prefix that begins its path.
+ *
+ * @param table - configuration in force
+ * @param host - in lower case, without a port
+ * @param target - path, with or without a query
+ * @returns the route, or null if there is none
+ */
+export const findRoute = (table: RouteTable, host: string, target: string): Route | null => {
+  const [path = ''] = target.split('?');
+  // Sorted by length, so that the first match is the longest.
+  const routes = table.routesByHost.get(host) ?? [];
+  return routes.find(({ prefix }) => path.startsWith(prefix)) ?? null;
+};
--- /dev/null
+++ b/src/domain/forwarding/types/ForwardedService.ts
@@ -0,0 +1,18 @@
+/** What engines of a service can do beside running requests. */
+export interface EngineTraits {
+  /** Requests that one engine runs at once. */
+  readonly slots: number;
+  /** Tokens that fit into one engine's KV memory. */
+  readonly kvCapacityTokens: number;
+  /** True: an engine copies a run's KV memory to another one as it grows. */
+  readonly keepsBackups: boolean;
+}
+
+/** A service as the configuration describes it. */
+export interface ForwardedService {
+  readonly name: string;
+  /** Connections that one server accepts from all callers together. */
+  readonly maxConnections: number;
+  /** Null: a plain service. */
+  readonly engine: EngineTraits | null;
+}
--- /dev/null
+++ b/src/domain/forwarding/types/ServerEntry.ts
@@ -0,0 +1,13 @@
+/** One running backend server, as it registered itself. A restarted server has a new id. */
+export interface ServerEntry {
+  readonly id: string;
+  readonly service: string;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly availabilityZone: string;
+  readonly slots: number;
+  /** True: it takes no new work and will be gone soon. */
+  readonly isLeaving: boolean;
+  /** How much longer it is slow after its start, in milliseconds, when it wrote the entry. */
+  readonly warmupLeftMs: number;
+}
--- a/src/domain/generation/_lib/handleBatch/index.ts
+++ b/src/domain/generation/_lib/handleBatch/index.ts
@@ -1,4 +1,4 @@
-import type { TokenBatch } from '../../../types';
+import type { StreamPiece } from '../../../types';
 import {
   AttemptPhase,
   type Attempt,
@@ -9,14 +9,17 @@
 import { findAttempt } from '../findAttempt';
 import { handleBreak } from '../handleBreak';
 
+const countUnits = (piece: StreamPiece): number =>
+  'tokenIds' in piece ? piece.tokenIds.length : piece.eventCount;
+
 const buildDelivered = (
   state: GenerationState,
   attempt: Attempt,
-  batch: TokenBatch,
+  batch: StreamPiece,
 ): GenerationState => ({
   ...state,
   phase: batch.finishReason === null ? state.phase : 'finished',
-  offset: state.offset + batch.tokenIds.length,
+  offset: state.offset + countUnits(batch),
   attempts:
     batch.finishReason === null
       ? [{ ...attempt, phase: AttemptPhase.Streaming, silence: 'none', fruitlessReads: 0 }]
@@ -48,7 +51,7 @@
   }
   if (batch.offset !== state.offset) return handleBreak(state, { kind: 'broken', reader });
   // An engine opens a stream with an event without tokens; it is a sign of life only.
-  if (batch.tokenIds.length === 0 && batch.finishReason === null) return { state, effects: [] };
+  if (countUnits(batch) === 0 && batch.finishReason === null) return { state, effects: [] };
   const others = state.attempts.filter((other) => other !== attempt);
   return {
     state: buildDelivered(state, attempt, batch),
--- a/src/domain/generation/_lib/handleBreak/index.ts
+++ b/src/domain/generation/_lib/handleBreak/index.ts
@@ -1,4 +1,9 @@
-import type { GenerationInput, GenerationState, Transition } from '../../types';
+import {
+  AfterDisconnect,
+  type GenerationInput,
+  type GenerationState,
+  type Transition,
+} from '../../types';
 import { findAttempt } from '../findAttempt';
 import { replaceAttempt } from '../replaceAttempt';
 import { resumeAttempt } from '../resumeAttempt';
@@ -23,7 +28,8 @@
   const attempt = findAttempt(state, input.reader);
   if (!attempt) return { state, effects: [] };
   const isReplaced = attempt.silence !== 'none' && state.attempts.length > 1;
-  return isReplaced || attempt.fruitlessReads >= MAX_FRUITLESS_READS
+  const isDropped = state.policy.afterDisconnect === AfterDisconnect.Dropped;
+  return isReplaced || isDropped || attempt.fruitlessReads >= MAX_FRUITLESS_READS
     ? replaceAttempt(state, attempt)
     : resumeAttempt(state, attempt);
 };
--- a/src/domain/generation/_lib/handleSilence/index.ts
+++ b/src/domain/generation/_lib/handleSilence/index.ts
@@ -1,5 +1,6 @@
 import { SurvivalMode, SuspicionCause } from '../../../types';
 import {
+  AfterDisconnect,
   AttemptPhase,
   type Attempt,
   type GenerationEffect,
@@ -45,7 +46,9 @@
 };
 
 const handleSuspected = (state: GenerationState): Transition =>
-  state.policy.mode === SurvivalMode.Latency && canOpen(state)
+  state.policy.mode === SurvivalMode.Latency &&
+  state.policy.afterDisconnect === AfterDisconnect.Kept &&
+  canOpen(state)
     ? openBeside(state, 'hedge')
     : { state, effects: [] };
 
@@ -83,8 +86,11 @@
     return { state, effects: [] };
   }
   // A stream that could not even be read again has nothing to say that is worth waiting for.
-  const isHopeless =
-    attempt.phase === AttemptPhase.Resuming && input.confirmed && state.policy.idempotent;
+  const isUnread = attempt.phase === AttemptPhase.Resuming && state.policy.idempotent;
+  // Nor is one whose run ends with its connection: it can't be asked again, and must not run on
+  // beside its replacement.
+  const isDropped = state.policy.afterDisconnect === AfterDisconnect.Dropped;
+  const isHopeless = input.confirmed && (isUnread || isDropped);
   const marked = updateAttempt(state, { ...attempt, silence: level });
   const evidence: GenerationEffect = {
     kind: 'suspect-server',
--- a/src/domain/generation/index.ts
+++ b/src/domain/generation/index.ts
@@ -1,6 +1,7 @@
 export { createGenerationState, type GenerationStart } from './createGenerationState';
 export { updateGeneration } from './updateGeneration';
 export {
+  AfterDisconnect,
   AttemptPhase,
   type Attempt,
   type GenerationEffect,
--- a/src/domain/generation/types/GenerationEffect.ts
+++ b/src/domain/generation/types/GenerationEffect.ts
@@ -1,4 +1,4 @@
-import type { RunState, SuspicionCause, TokenBatch } from '../../types';
+import type { RunState, StreamPiece, SuspicionCause } from '../../types';
 import type { Attempt, Reader } from './Attempt';
 
 /** Why a generation ended without its finish reason. */
@@ -25,7 +25,7 @@
   | { readonly kind: 'cancel-attempt'; readonly attempt: number }
   /** Stop reading, but let the engine's stream be. */
   | { readonly kind: 'detach-attempt'; readonly attempt: number }
-  | { readonly kind: 'deliver'; readonly attempt: number; readonly batch: TokenBatch }
+  | { readonly kind: 'deliver'; readonly attempt: number; readonly batch: StreamPiece }
   | { readonly kind: 'retry-later'; readonly delayMs: number }
   | {
       readonly kind: 'suspect-server';
--- a/src/domain/generation/types/GenerationInput.ts
+++ b/src/domain/generation/types/GenerationInput.ts
@@ -1,4 +1,4 @@
-import type { Refusal, TokenBatch } from '../../types';
+import type { Refusal, StreamPiece } from '../../types';
 import type { Reader } from './Attempt';
 
 /** What can happen to a generation. */
@@ -19,7 +19,7 @@
     }
   | { readonly kind: 'broken'; readonly reader: Reader }
   | { readonly kind: 'stream-gone'; readonly reader: Reader }
-  | { readonly kind: 'batch'; readonly reader: Reader; readonly batch: TokenBatch }
+  | { readonly kind: 'batch'; readonly reader: Reader; readonly batch: StreamPiece }
   | { readonly kind: 'silent'; readonly reader: Reader; readonly confirmed: boolean }
   /** The delay of a `retry-later` effect has passed. */
   | { readonly kind: 'retry-due' }
--- a/src/domain/generation/types/GenerationState.ts
+++ b/src/domain/generation/types/GenerationState.ts
@@ -1,6 +1,17 @@
 import type { SurvivalMode } from '../../types';
 import type { Attempt } from './Attempt';
 
+/** What engines do with a stream whose connection ends. */
+export const AfterDisconnect = {
+  /** It is kept for a while and can be read again; another attempt may run beside it. */
+  Kept: 'kept',
+  /** It is dropped; the next attempt begins only once this one's connection is closed. */
+  Dropped: 'dropped',
+} as const;
+
+/** One of the things that engines do with a stream whose connection ends. */
+export type AfterDisconnect = (typeof AfterDisconnect)[keyof typeof AfterDisconnect];
+
 /** What decides how a generation may be continued; fixed for its life. */
 export interface GenerationPolicy {
   readonly mode: SurvivalMode;
@@ -10,14 +21,18 @@
   readonly keyed: boolean;
   /** True: the request and every token from 0 are held here, so another engine can go on. */
   readonly continuable: boolean;
+  /** In the unit of `offset`; infinite where the engine alone knows the end. */
   readonly maxOutputTokens: number;
+  /** What an engine does with a stream whose connection ends. */
+  /** Kept, if absent. */
+  readonly afterDisconnect?: AfterDisconnect;
 }
 
 /** Everything that decides the next step of a generation; its tokens are held elsewhere. */
 export interface GenerationState {
   readonly policy: GenerationPolicy;
   readonly phase: 'running' | 'parked' | 'finished' | 'failed';
-  /** Tokens delivered, counted from the start of the generation. */
+  /** Position: tokens delivered since the start, or the id of the last event delivered. */
   readonly offset: number;
   /** Attempts that may deliver the next token; the oldest first. */
   readonly attempts: readonly Attempt[];
--- a/src/domain/generation/types/index.ts
+++ b/src/domain/generation/types/index.ts
@@ -1,5 +1,5 @@
 export { AttemptPhase, type Attempt, type Reader } from './Attempt';
 export type { GenerationEffect, GenerationFailure } from './GenerationEffect';
 export type { GenerationInput } from './GenerationInput';
-export type { GenerationPolicy, GenerationState } from './GenerationState';
+export { AfterDisconnect, type GenerationPolicy, type GenerationState } from './GenerationState';
 export type { Transition } from './Transition';
--- /dev/null
+++ b/src/programs/gateway/_lib/parseAddress/index.ts
@@ -0,0 +1,5 @@
+/** Splits IP:PORT, as checked with the settings. */
+export const parseAddress = (address: string): { readonly host: string; readonly port: number } => {
+  const [host = '', port = '0'] = address.split(':');
+  return { host, port: Number(port) };
+};
--- /dev/null
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -0,0 +1,47 @@
+import { Hono } from 'hono';
+import { err, ok, type Result } from 'neverthrow';
+import { startCallerServer, type CallerServer, type ListenError } from '../../../../adapters/http';
+import { CALLS } from '../../../../../platform';
+import type { GatewaySettings } from '../../../../domain/forwarding';
+import type { GatewayParts } from '../wireGateway';
+import { parseAddress } from '../parseAddress';
+
+/** What the endpoints tell of. */
+export interface EndpointParts extends Pick<GatewayParts, 'metrics'> {
+  readonly isReady: () => boolean;
+}
+
+const READY_STATUS = 200;
+const NOT_READY_STATUS = 503;
+
+/** Starts the readiness and metrics addresses. */
+export const startEndpoints = async (
+  settings: GatewaySettings,
+  { isReady, metrics }: EndpointParts,
+): Promise<Result<{ stop(): Promise<void> }, ListenError>> => {
+  const readiness = new Hono();
+  readiness.get(CALLS.ready, (call) =>
+    call.text(isReady() ? 'ready' : 'not ready', isReady() ? READY_STATUS : NOT_READY_STATUS),
+  );
+  const metricsApp = new Hono();
+  metricsApp.get('/metrics', async (call) =>
+    call.body(await metrics.render(), READY_STATUS, { 'content-type': metrics.contentType }),
+  );
+  const servers: CallerServer[] = [];
+  const stop = async (): Promise<void> => {
+    await Promise.all(servers.map((server) => server.stop()));
+  };
+  const listens = [
+    { app: readiness, address: settings.readinessAddress },
+    { app: metricsApp, address: settings.metricsAddress },
+  ];
+  for (const { address, app } of listens) {
+    const started = await startCallerServer(app, parseAddress(address));
+    if (started.isErr()) {
+      await stop();
+      return err(started.error);
+    }
+    servers.push(started.value);
+  }
+  return ok({ stop });
+};
--- /dev/null
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -0,0 +1,104 @@
+import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
+import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
+import {
+  createForwarder,
+  createRetryAllowance,
+  createRouteTableHolder,
+  createServerDirectory,
+  type Forwarder,
+  type RouteTableHolder,
+} from '../../../../application/forwarding';
+import type { Clock, EventLog, Randomness } from '../../../../application/ports';
+import { createRowFollower, type RowFollower } from '../../../../application/rows';
+import {
+  CONFIGURATION_KEY,
+  createServerClient,
+  createStoreClient,
+  decodeRouteTable,
+  decodeServerEntry,
+  TABLES,
+} from '../../../../../platform';
+import type { GatewaySettings } from '../../../../domain/forwarding';
+
+/** What tests pass in. */
+export interface GatewayOverrides {
+  readonly clock?: Clock;
+  readonly randomness?: Randomness;
+  readonly log?: EventLog;
+}
+
+/** The parts of a gateway. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly tables: RouteTableHolder;
+  readonly forwarder: Forwarder;
+  readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
+  /** Closes all connections to servers and the store. */
+  stop(): Promise<void>;
+}
+
+const SILENT_LOG: EventLog = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+/** Wires the parts of a gateway; nothing runs yet. */
+export const wireGateway = (
+  settings: GatewaySettings,
+  overrides: GatewayOverrides,
+): GatewayParts => {
+  const clock = overrides.clock ?? createSystemClock();
+  const randomness = overrides.randomness ?? createSystemRandomness();
+  const log = overrides.log ?? SILENT_LOG;
+  const metrics = createGatewayMetrics();
+  const store = createStoreClient(settings.storeUrl, { clock });
+  const client = createServerClient();
+  const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
+  const directory = createServerDirectory({
+    decode: decodeServerEntry,
+    clock,
+    log,
+    handleGone: client.removeServer,
+  });
+  const shared = { store, clock, randomness, log };
+  const configuration = createRowFollower({
+    ...shared,
+    table: TABLES.operator,
+    handleRows: (rows) => tables.applyRows(rows),
+  });
+  const servers = createRowFollower({
+    ...shared,
+    table: TABLES.servers,
+    handleRows: directory.applyRows,
+  });
+  const retries = createRetryAllowance({
+    bounds: settings.bounds,
+    clock,
+    countVms: () => 1,
+  });
+  const forwarder = createForwarder({
+    availabilityZone: settings.availabilityZone,
+    client,
+    clock,
+    directory,
+    log,
+    meter: metrics,
+    randomness,
+    retries,
+    tables,
+  });
+  return {
+    clock,
+    log,
+    metrics,
+    tables,
+    forwarder,
+    followers: { configuration, servers },
+    stop: async () => {
+      await Promise.all([client.stop(), store.stop()]);
+    },
+  };
+};
--- /dev/null
+++ b/src/programs/gateway/index.ts
@@ -0,0 +1,1 @@
+export { startGateway, type Gateway } from './startGateway';
--- /dev/null
+++ b/src/programs/gateway/startGateway/index.ts
@@ -0,0 +1,99 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  startForwardingServer,
+  type ForwardingServer,
+  type ListenError,
+} from '../../../adapters/http';
+import { decodeRequestHead } from '../../../../platform';
+import type { GatewaySettings } from '../../../domain/forwarding';
+import { parseAddress } from '../_lib/parseAddress';
+import { startEndpoints } from '../_lib/startEndpoints';
+import { wireGateway, type GatewayOverrides } from '../_lib/wireGateway';
+
+/** A running gateway. */
+export interface Gateway {
+  /** Reports itself as not ready, lets running requests end, and resolves when it may exit. */
+  drain(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/**
+ * After SIGTERM the platform still sends new connections until it has asked twice whether this VM
+ * is ready, once a second: until then it goes on to take requests.
+ */
+const TAKEN_OUT_MS = 2500;
+
+/** Left of the time before SIGKILL for the process to end by itself. */
+const EXIT_MARGIN_MS = 400;
+
+const DRAIN_STEP_MS = 50;
+
+/**
+ * Starts a gateway: listens, and follows configuration and servers.
+ *
+ * @param settings - as read from the settings file
+ * @param overrides - for tests and the demo
+ */
+export const startGateway = async (
+  settings: GatewaySettings,
+  overrides: GatewayOverrides = {},
+): Promise<Result<Gateway, ListenError>> => {
+  const parts = wireGateway(settings, overrides);
+  const { clock, followers, forwarder, log, tables } = parts;
+  let isDraining = false;
+  const isReady = (): boolean =>
+    !isDraining && tables.readCurrent() !== null && followers.servers.readVersion() > 0;
+
+  const callers = await startForwardingServer(
+    {
+      clock,
+      log,
+      forwarder,
+      decodeHead: decodeRequestHead,
+      readLimits: () => tables.readCurrent()?.limits ?? null,
+      isClosing: () => isDraining,
+    },
+    parseAddress(settings.callerAddress),
+  );
+  if (callers.isErr()) return err(callers.error);
+  const server: ForwardingServer = callers.value;
+  const endpoints = await startEndpoints(settings, { ...parts, isReady });
+  if (endpoints.isErr()) {
+    await server.stop();
+    return err(endpoints.error);
+  }
+  tables.addListener((table) => server.applyLimits(table.limits));
+  followers.configuration.start();
+  followers.servers.start();
+  log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
+
+  const wait = (delayMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      clock.startTimer(delayMs, resolve);
+    });
+
+  return ok({
+    drain: async () => {
+      if (isDraining) return;
+      isDraining = true;
+      const startedAtMs = clock.readMonotonicMs();
+      const readAgeMs = (): number => clock.readMonotonicMs() - startedAtMs;
+      log.info('gateway draining', { running: forwarder.countRunning() });
+      while (
+        readAgeMs() < TAKEN_OUT_MS ||
+        (forwarder.countRunning() > 0 && readAgeMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
+      ) {
+        await wait(DRAIN_STEP_MS);
+        if (readAgeMs() >= TAKEN_OUT_MS) server.closeIdleConnections();
+      }
+      log.info('gateway drained', { running: forwarder.countRunning() });
+    },
+    stop: async () => {
+      followers.configuration.stop();
+      followers.servers.stop();
+      await Promise.all([server.stop(), endpoints.value.stop()]);
+      await parts.stop();
+      log.info('gateway stopped', { vm: settings.vm });
+    },
+  });
+};
--- a/tests/properties/support/createGenerationWorld/index.ts
+++ b/tests/properties/support/createGenerationWorld/index.ts
@@ -58,6 +58,10 @@
 
   const deliver = ({ attempt, batch }: Extract<GenerationEffect, { kind: 'deliver' }>): void => {
     if (batch.offset !== delivered.length) faults.push(`offset ${batch.offset}`);
+    if (!('tokenIds' in batch)) {
+      faults.push('a piece without token ids');
+      return;
+    }
     batch.tokenIds.forEach((tokenId) => {
       const wanted = computeScriptedToken(delivered, streams.get(attempt)?.name ?? '');
       if (tokenId !== wanted) faults.push(`token ${delivered.length} of another run`);
