Keep a stream's copy for as long as the stream runs, and ask silent servers before giving them up

A prompt on a server that fell silent was noticed only after 5 s. Next: what one VM learns of lost servers should reach the others.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,7 +17,16 @@
 }));
 
 export default [
-  { ignores: ['dist/', 'target/', 'node_modules/', 'src/adapters/connect/gen/', '**/*.js', '**/*.mjs'] },
+  {
+    ignores: [
+      'dist/',
+      'target/',
+      'node_modules/',
+      'src/adapters/connect/gen/',
+      '**/*.js',
+      '**/*.mjs',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -10,10 +10,14 @@
   readonly backup: ServerEntry | null;
 }
 
-const findCopyServer = (run: StreamRun, excludedIds: ReadonlySet<string>): ServerEntry | null =>
-  run.copy && !excludedIds.has(run.copy.serverId)
-    ? run.dependencies.directory.findServer(run.copy.serverId)
-    : null;
+const findCopyServer = (
+  { copy, dependencies }: StreamRun,
+  excludedIds: ReadonlySet<string>,
+): ServerEntry | null => {
+  if (!copy || excludedIds.has(copy.serverId)) return null;
+  const { directory } = dependencies;
+  return directory.findServer(copy.serverId) ?? directory.findServerAt(copy.serverAddress);
+};
 
 /**
  * Chooses the server of the next attempt, and the one that gets its copy: in another availability
--- a/src/application/forwarding/_lib/closeStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/closeStreamAttempt/index.ts
@@ -6,6 +6,7 @@
   if (!open) return;
   run.attempts.delete(attempt);
   open.stopWatch();
+  open.stopCopies();
   open.abort.abort();
   open.work.release();
 };
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -54,6 +54,7 @@
     let state = buildState(context);
     let cancelRetry = (): void => undefined;
     let cancelDeadline = (): void => undefined;
+    let firstEventMs: number | null = null;
     let isEnded = false;
 
     const run: StreamRun = {
@@ -66,6 +67,7 @@
       copy: null,
       prompts: 0,
       lastEventAtMs: null,
+      longestPauseMs: 0,
       failure: null,
     };
 
@@ -81,6 +83,8 @@
         offset: state.offset,
         attempts: state.newestAttempt,
         prompts: run.prompts,
+        firstEventMs: Math.round(firstEventMs ?? -1),
+        longestPauseMs: Math.round(run.longestPauseMs),
       });
       resolve(outcome);
     };
@@ -104,12 +108,9 @@
       const { batch } = effect;
       if ('tokenIds' in batch || batch.bytes.length === 0) return;
       const nowMs = clock.readMonotonicMs();
-      if (run.lastEventAtMs !== null && nowMs - run.lastEventAtMs > context.route.gapGoalMs) {
-        recordDecision(dependencies, context, 'stream paused too long', {
-          pauseMs: Math.round(nowMs - run.lastEventAtMs),
-          offset: state.offset,
-        });
-      }
+      const pauseMs = nowMs - (run.lastEventAtMs ?? nowMs);
+      firstEventMs ??= nowMs - request.arrivedAtMs;
+      run.longestPauseMs = Math.max(run.longestPauseMs, pauseMs);
       run.lastEventAtMs = nowMs;
       reply.write(batch.bytes);
     };
--- /dev/null
+++ b/src/application/forwarding/_lib/moveRun/index.ts
@@ -0,0 +1,67 @@
+import { chooseForwardServer, type ServerEntry } from '../../../../domain/forwarding';
+import type { StreamAttempt, StreamRun } from '../../types';
+import { recordDecision } from '../recordDecision';
+
+const chooseHolder = (run: StreamRun, source: ServerEntry): ServerEntry | null => {
+  const { directory, randomness } = run.dependencies;
+  const status = chooseForwardServer(directory.listServing(run.context.service), {
+    excludedIds: new Set([source.id]),
+    avoidedZone: null,
+    preferredZone: source.availabilityZone,
+    draw: randomness.readFraction(),
+  });
+  return status && !status.isSuspected ? status.entry : null;
+};
+
+/**
+ * Moves a run to another server, where it gets a copy again: its memory is copied while it goes on,
+ * then it is stopped, the rest is copied, and the next attempt goes on from there.
+ *
+ * Without this a run outlives its copy: availability zones are lost one after the other, and a
+ * prompt that must be read anew takes longer than a reader waits for the next event.
+ *
+ * @returns whether the run was stopped
+ */
+export const moveRun = async (run: StreamRun, attempt: StreamAttempt): Promise<boolean> => {
+  const { client, directory } = run.dependencies;
+  const { request } = run.context;
+  const holder = chooseHolder(run, attempt.server);
+  if (!holder) return false;
+  const lostHolder = run.copy?.serverId ?? '';
+  const record = (outcome: string): void =>
+    recordDecision(
+      run.dependencies,
+      run.context,
+      'run moved',
+      { holder: holder.id, holderZone: holder.availabilityZone, lostHolder, outcome },
+      attempt.server,
+    );
+  const isCurrent = (): boolean => [...run.attempts.values()].includes(attempt);
+
+  const first = await client.copyRun(attempt.server, request.requestId, holder, { stops: false });
+  if (first.isErr()) {
+    record(first.error.reason);
+    return false;
+  }
+  if (!isCurrent()) {
+    client.dropCopy(attempt.server, first.value.handle);
+    return false;
+  }
+  Object.assign(attempt, { isMoving: true });
+  const last = await client.copyRun(attempt.server, request.requestId, holder, { stops: true });
+  if (!isCurrent()) return true;
+  const copy = last.isOk() ? last.value : last.error.kept;
+  record(last.isOk() ? 'moved' : last.error.reason);
+  if (!copy) return false;
+  run.copy?.release();
+  const server = last.isOk() ? holder : attempt.server;
+  Object.assign(run, {
+    copy: {
+      ...copy,
+      serverId: server.id,
+      serverAddress: server.address,
+      release: directory.addCopy(server.id),
+    },
+  });
+  return true;
+};
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -10,6 +10,7 @@
 import { readWholeBody } from '../readWholeBody';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 import { recordDecision } from '../recordDecision';
+import { startCopyWatch } from '../startCopyWatch';
 import { startSilenceWatch } from '../startSilenceWatch';
 
 type OpenAttempt = Extract<GenerationEffect, { kind: 'open-attempt' }>;
@@ -40,6 +41,8 @@
     gaps: run.paces.readInitialGaps(run.context.service) ?? NO_GAPS,
     hasDelivered: false,
     stopWatch: () => undefined,
+    stopCopies: () => undefined,
+    isMoving: false,
   };
 };
 
@@ -48,8 +51,9 @@
   run.copy?.release();
   const copy = backup && {
     address: backup.address,
-    runId: run.context.request.requestId,
+    handle: run.context.request.requestId,
     serverId: backup.id,
+    serverAddress: backup.address,
     release: run.dependencies.directory.addCopy(backup.id),
   };
   Object.assign(run, { copy });
@@ -127,6 +131,7 @@
   );
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopWatch = startSilenceWatch(run, attempt, reader);
+  attempt.stopCopies = startCopyWatch(run, attempt, reader);
   const sent = await client.sendAttempt(
     {
       server,
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -65,6 +65,8 @@
     }
   } catch (error) {
     const reason = error instanceof Error ? error.message : 'the stream broke off';
+    // What was asked to stop is no evidence; nor does it tell the end of the move, which dispatches.
+    if (attempt.isMoving) return;
     if (isCurrent()) run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
     run.dependencies.log.info('stream broke off', {
       requestId: run.context.request.requestId,
@@ -76,6 +78,7 @@
     run.dispatch({ kind: 'broken', reader });
     return;
   }
+  if (attempt.isMoving) return;
   if (rest.length > 0) {
     run.dispatch({ kind: 'broken', reader });
     return;
--- /dev/null
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -0,0 +1,56 @@
+import type { Reader } from '../../../../domain/generation';
+import type { StreamAttempt, StreamRun } from '../../types';
+import { moveRun } from '../moveRun';
+
+/** How often it is looked whether a run still has its copy. */
+const LOOK_MS = 300;
+
+/** Pause after a move that could not be made. */
+const RETRY_MS = 1000;
+
+/**
+ * Watches whether the server that holds a run's copy is still there, and moves the run if not.
+ *
+ * @returns ends the watch
+ */
+export const startCopyWatch = (
+  run: StreamRun,
+  attempt: StreamAttempt,
+  reader: Reader,
+): (() => void) => {
+  const { clock, directory, log, tables } = run.dependencies;
+  const { service } = run.context;
+  let isStopped = false;
+  let cancelTimer = (): void => undefined;
+
+  const hasCopy = (): boolean => run.copy !== null && directory.isTrusted(run.copy.serverId);
+
+  /** Returns when to look again. */
+  const look = async (): Promise<number> => {
+    const traits = tables.readCurrent()?.services.get(service)?.engine;
+    if (!traits?.copiesRuns || !attempt.hasDelivered || hasCopy()) return LOOK_MS;
+    const isStoppedThere = await moveRun(run, attempt);
+    // The server closes the stream as well; its last events may arrive before that.
+    if (isStoppedThere) run.dispatch({ kind: 'broken', reader });
+    return RETRY_MS;
+  };
+
+  function schedule(delayMs: number): void {
+    cancelTimer = clock.startTimer(delayMs, () => {
+      look()
+        .catch((error: unknown) => {
+          const reason = error instanceof Error ? error.message : 'unknown';
+          log.error('move failed unexpectedly', { reason });
+          return RETRY_MS;
+        })
+        .then((nextMs) => {
+          if (!isStopped) schedule(nextMs);
+        });
+    });
+  }
+  schedule(LOOK_MS);
+  return () => {
+    isStopped = true;
+    cancelTimer();
+  };
+};
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,67 +1,113 @@
-import {
-  computePrefillLimitMs,
-  computeSilenceLimitMs,
-  type SilenceLimits,
-} from '../../../../domain/detection';
+import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { recordDecision } from '../recordDecision';
+
+/** Part of the longest good pause after which a server is asked whether it lives. */
+const ASK_PART = 0.35;
 
 /**
- * Part of the longest good pause after which a silent server is given up: the rest is what going
- * on elsewhere takes, some round trips and the tokens that had not been copied yet.
+ * Part of the longest good pause after which a server that lives is given up where a copy is at
+ * hand: its connection may be what is dead, and the rest of the pause is enough to go on elsewhere.
  */
-const PAUSE_PART = 0.5;
+const PAUSE_PART = 0.7;
+
+/** Longest good pauses after which a server that lives is given up where the prompt must be read. */
+const UNCOPIED_PAUSES = 3;
 
 /**
  * Part of the latency goal after which a server without a first event is given up: with the prompt
  * read anew elsewhere the answer may still come in time.
  */
-const FIRST_EVENT_PART = 0.45;
+const FIRST_EVENT_PART = 0.6;
 
 /**
- * A process that stood still has not read what arrived meanwhile: it reads first, for this long,
- * and then looks again.
+ * How often a server is asked whether it lives while it reads a prompt. It sends nothing meanwhile,
+ * for a second and more, so that its silence alone does not tell a lost server from a busy one.
  */
-const SECOND_LOOK_MS = 15;
+const ASK_IN_PREFILL_MS = 400;
 
-const computeLimits = (run: StreamRun, attempt: StreamAttempt): SilenceLimits => {
+/** Time between two questions while a server that answers them sends no event. */
+const ASK_AGAIN_MS = 150;
+
+const computeGiveUpMs = (run: StreamRun, attempt: StreamAttempt): number => {
   const { request, route, service } = run.context;
   if (attempt.hasDelivered) {
-    const own = computeSilenceLimitMs(attempt.gaps, { serverDead: false });
-    return { ...own, confirmMs: Math.min(own.confirmMs, route.gapGoalMs * PAUSE_PART) };
+    const isCopied = run.copy !== null && run.dependencies.directory.isTrusted(run.copy.serverId);
+    return route.gapGoalMs * (isCopied ? PAUSE_PART : UNCOPIED_PAUSES);
   }
   const samples = run.paces.listFirstTokens(service);
-  const size = request.tokens?.prompt ?? 0;
-  const limits = computePrefillLimitMs(samples, size, { serverDead: false });
+  const limits = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: false });
   const goalMs = route.latencyGoalMs * FIRST_EVENT_PART;
-  // Never sooner than reading the prompt usually takes, where that is long beside the goal.
-  return { ...limits, confirmMs: Math.min(limits.confirmMs, Math.max(goalMs, limits.suspectMs)) };
+  // Never sooner than reading the prompt takes now and then, where that is long beside the goal.
+  return Math.max(goalMs, limits.suspectMs);
+};
+
+const computeAskMs = (run: StreamRun, attempt: StreamAttempt): number => {
+  if (!attempt.hasDelivered) return ASK_IN_PREFILL_MS;
+  const { suspectMs } = computeSilenceLimitMs(attempt.gaps, { serverDead: false });
+  return Math.min(suspectMs, run.context.route.gapGoalMs * ASK_PART);
 };
 
 /**
- * Watches an attempt for silence, and dispatches it when it has lasted too long.
+ * Watches an attempt for silence. A server that has been silent for longer than usual is asked
+ * whether it lives; it is given up when it does not answer, or after a far longer silence.
  *
- * @returns stops the watch
+ * @returns ends the watch
  */
 export const startSilenceWatch = (
   run: StreamRun,
   attempt: StreamAttempt,
   reader: Reader,
 ): (() => void) => {
-  const { clock } = run.dependencies;
+  const { client, clock, log } = run.dependencies;
   let cancelTimer = (): void => undefined;
+  let isStopped = false;
+
+  const readSilentMs = (): number => clock.readMonotonicMs() - attempt.lastActivityMs;
+
+  const giveUp = (cause: string): void => {
+    const silentMs = Math.round(readSilentMs());
+    recordDecision(
+      run.dependencies,
+      run.context,
+      'server silent',
+      { cause, silentMs },
+      attempt.server,
+    );
+    run.dispatch({ kind: 'silent', reader, confirmed: true });
+  };
 
-  const readLeftMs = (): number =>
-    attempt.lastActivityMs + computeLimits(run, attempt).confirmMs - clock.readMonotonicMs();
+  /** Returns when to look again, or null once the server was given up. */
+  const look = async (): Promise<number | null> => {
+    const askMs = computeAskMs(run, attempt);
+    const silentMs = readSilentMs();
+    if (silentMs < askMs) return askMs - silentMs;
+    const askedAtMs = attempt.lastActivityMs;
+    const isAlive = await client.probeServer(attempt.server);
+    if (isStopped || attempt.lastActivityMs !== askedAtMs) return ASK_AGAIN_MS;
+    if (isAlive && readSilentMs() < computeGiveUpMs(run, attempt)) {
+      return attempt.hasDelivered ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
+    }
+    giveUp(isAlive ? 'no event' : 'no answer');
+    return null;
+  };
 
-  function watch(): void {
-    cancelTimer = clock.startTimer(Math.max(1, readLeftMs()), () => {
-      cancelTimer = clock.startTimer(readLeftMs() > 0 ? 0 : SECOND_LOOK_MS, () => {
-        if (readLeftMs() > 0) watch();
-        else run.dispatch({ kind: 'silent', reader, confirmed: true });
-      });
+  function schedule(delayMs: number): void {
+    cancelTimer = clock.startTimer(Math.max(1, delayMs), () => {
+      look()
+        .then((nextMs) => {
+          if (!isStopped && nextMs !== null) schedule(nextMs);
+        })
+        .catch((error: unknown) => {
+          const reason = error instanceof Error ? error.message : 'unknown';
+          log.error('silence watch failed unexpectedly', { reason });
+        });
     });
   }
-  watch();
-  return () => cancelTimer();
+  schedule(computeAskMs(run, attempt));
+  return () => {
+    isStopped = true;
+    cancelTimer();
+  };
 };
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -15,11 +15,16 @@
   /** Resolves when the answer has ended, or the caller has left. */
   forwardRequest(request: ForwardedRequest, reply: CallerReply): Promise<void>;
   countRunning(): number;
+  /** From now on new streams are refused: they would outlive this process. */
+  refuseStreams(): void;
 }
 
 /** When to come back to a VM that knows no configuration yet. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 
+/** When to come back, to another VM, from one that is leaving. */
+const LEAVING_RETRY_MS = 50;
+
 const OUTCOMES: Readonly<Record<Refusal['kind'], string>> = {
   'not-run': 'not-run',
   'unknown-route': 'unknown-route',
@@ -33,6 +38,7 @@
   const { clock, log, meter, randomness, retries, tables } = dependencies;
   const paces = createPaceHistory();
   let running = 0;
+  let refusesStreams = false;
 
   const refuse = (request: ForwardedRequest, reply: CallerReply, refusal: Refusal): string => {
     log.info('request refused', {
@@ -52,6 +58,9 @@
     }
     const route = findRoute(table, request.host, request.target);
     if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
+    if (refusesStreams && route.kind === RouteKind.Stream) {
+      return { kind: 'not-run', reason: 'this VM is leaving', retryAfterMs: LEAVING_RETRY_MS };
+    }
     const access = checkRequestKey(table, route, request.key);
     if (access.isErr()) return { kind: 'unknown-key', reason: access.error, retryAfterMs: 0 };
     const service = chooseTarget(route, randomness.readFraction());
@@ -103,5 +112,8 @@
       }
     },
     countRunning: () => running,
+    refuseStreams: () => {
+      refusesStreams = true;
+    },
   };
 };
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -8,8 +8,8 @@
   readonly decode: (id: string, value: Buffer) => Result<ServerEntry, string>;
   readonly clock: Clock;
   readonly log: EventLog;
-  /** Called with the address of a server that is gone. */
-  readonly handleGone: (address: string) => void;
+  /** Called with the id of a server that is gone. */
+  readonly handleGone: (id: string) => void;
 }
 
 /** Work that this VM has at a server, until it is released. */
@@ -29,6 +29,10 @@
   listServing(service: string): readonly ServerStatus[];
   /** A server, also one that is leaving; null once it is gone. */
   findServer(id: string): ServerEntry | null;
+  /** The server at an address now. */
+  findServerAt(address: string): ServerEntry | null;
+  /** True: it is there, stays, and did not fail lately. */
+  isTrusted(id: string): boolean;
   startWork(id: string, prefillTokens: number): ServerWork;
   /** Counts a copy of a run's memory that a server holds; the returned function ends it. */
   addCopy(id: string): () => void;
@@ -79,10 +83,7 @@
     if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
     records.delete(id);
     log.info('server gone', { server: id, service: record.entry.service });
-    const isUsed = [...records.values()].some(
-      ({ entry }) => entry.address === record.entry.address,
-    );
-    if (!isUsed) handleGone(record.entry.address);
+    handleGone(id);
   };
 
   const endRecord = (id: string, record: Record): void => {
@@ -168,6 +169,13 @@
         .filter((record) => record.entry.service === service && isServing(record))
         .map(buildStatus),
     findServer: (id) => records.get(id)?.entry ?? null,
+    findServerAt: (address) =>
+      [...records.values()].find(({ entry }) => entry.address === address)?.entry ?? null,
+    isTrusted: (id) => {
+      const record = records.get(id);
+      if (!record) return false;
+      return isServing(record) && record.suspectedUntilMs <= clock.readMonotonicMs();
+    },
     startWork: (id, prefillTokens) => {
       const record = records.get(id);
       let unread = prefillTokens;
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -10,6 +10,8 @@
 /** A copy of the run's KV memory, and which server holds it. */
 export interface HeldCopy extends KvCopy {
   readonly serverId: string;
+  /** IP:PORT of the holder: a server that took its place has what was copied to it since. */
+  readonly serverAddress: string;
   /** Ends its count at that server. */
   readonly release: () => void;
 }
@@ -24,6 +26,9 @@
   gaps: GapStatistics;
   hasDelivered: boolean;
   stopWatch: () => void;
+  stopCopies: () => void;
+  /** True: it was asked to stop, so that the run goes on elsewhere. */
+  isMoving: boolean;
 }
 
 /** A stream on its way through one or more servers. */
@@ -40,6 +45,8 @@
   prompts: number;
   /** When the newest event was handed on; null before the first one. */
   lastEventAtMs: number | null;
+  /** Longest time between two events so far. */
+  longestPauseMs: number;
   /** A server's own failure, handed on if nothing better comes. */
   failure: { readonly head: AnswerHead; readonly body: Buffer } | null;
 }
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -3,10 +3,9 @@
 
 /** Where a copy of a run's KV memory lies. */
 export interface KvCopy {
-  /** IP:PORT of the server that holds it. */
+  /** IP:PORT of the server that knows the handle: the copy's holder, or the one it was made at. */
   readonly address: string;
-  /** Id of the run that it was made of. */
-  readonly runId: string;
+  readonly handle: string;
 }
 
 /** One attempt of a request at one server. */
@@ -40,6 +39,13 @@
   | { readonly kind: 'broken'; readonly reason: string }
   | { readonly kind: 'cancelled'; readonly sent: boolean };
 
+/** Why a run could not be copied. */
+export interface CopyError {
+  readonly reason: string;
+  /** The memory that the server itself kept of a run which it had stopped already, if any. */
+  readonly kept: KvCopy | null;
+}
+
 /** Calls to backend servers. Sends each attempt once: repeating is the caller's decision. */
 export interface ForwardClient {
   /** An abort of `signal` closes the connection at once, at any time until the body has ended. */
@@ -47,6 +53,22 @@
     attempt: AttemptRequest,
     signal: AbortSignal,
   ): Promise<Result<AttemptAnswer, AttemptError>>;
+  /**
+   * Copies the KV memory of a run to another server; called again, only what is new is copied.
+   *
+   * @param options.stops - the run ends first, so that the copy is whole
+   * @returns where to go on from
+   */
+  copyRun(
+    from: ServerEntry,
+    runId: string,
+    to: ServerEntry,
+    options: { readonly stops: boolean },
+  ): Promise<Result<KvCopy, CopyError>>;
+  /** Frees a copy that nothing goes on from, at both servers. */
+  dropCopy(from: ServerEntry, handle: string): void;
+  /** Asks whether a server answers at all, without a slot of it. */
+  probeServer(server: ServerEntry): Promise<boolean>;
   /** Closes idle connections of a server that is gone. */
-  removeServer(address: string): void;
+  removeServer(id: string): void;
 }
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -28,6 +28,7 @@
   AttemptAnswer,
   AttemptError,
   AttemptRequest,
+  CopyError,
   ForwardClient,
   KvCopy,
 } from './ForwardClient';
--- a/src/domain/forwarding/types/ForwardedService.ts
+++ b/src/domain/forwarding/types/ForwardedService.ts
@@ -6,6 +6,8 @@
   readonly kvCapacityTokens: number;
   /** True: an engine copies a run's KV memory to another one as it grows. */
   readonly keepsBackups: boolean;
+  /** True: a run's memory can be copied on demand. */
+  readonly copiesRuns: boolean;
 }
 
 /** A service as the configuration describes it. */
--- a/src/domain/generation/_lib/handleSilence/index.ts
+++ b/src/domain/generation/_lib/handleSilence/index.ts
@@ -47,7 +47,7 @@
 
 const handleSuspected = (state: GenerationState): Transition =>
   state.policy.mode === SurvivalMode.Latency &&
-  state.policy.afterDisconnect === AfterDisconnect.Kept &&
+  state.policy.afterDisconnect !== AfterDisconnect.Dropped &&
   canOpen(state)
     ? openBeside(state, 'hedge')
     : { state, effects: [] };
--- a/src/programs/gateway/runGatewayCli/index.ts
+++ b/src/programs/gateway/runGatewayCli/index.ts
@@ -22,7 +22,7 @@
     const bytes = Buffer.from(text);
     const writeFrom = (offset: number): void =>
       write(STANDARD_OUTPUT, bytes, offset, bytes.length - offset, null, (error, written) => {
-        if (error && (error).code === 'EAGAIN') {
+        if (error && error.code === 'EAGAIN') {
           setTimeout(() => writeFrom(offset), 5);
         } else if (error || offset + written >= bytes.length) done();
         else writeFrom(offset + written);
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -26,6 +26,12 @@
 /** Left of the time before SIGKILL for the process to end by itself. */
 const EXIT_MARGIN_MS = 400;
 
+/**
+ * Streams that begin later than this after SIGTERM are refused: most take six seconds, and would be
+ * cut off by the end of the process.
+ */
+const TAKE_STREAMS_MS = 1500;
+
 const DRAIN_STEP_MS = 50;
 
 /**
@@ -84,6 +90,7 @@
         (forwarder.countRunning() > 0 && readAgeMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
       ) {
         await wait(DRAIN_STEP_MS);
+        if (readAgeMs() >= TAKE_STREAMS_MS) forwarder.refuseStreams();
         if (readAgeMs() >= TAKEN_OUT_MS) server.closeIdleConnections();
       }
       log.info('gateway drained', { running: forwarder.countRunning() });
