--- a/src/adapters/http/_lib/createCallerReply/index.ts
+++ b/src/adapters/http/_lib/createCallerReply/index.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import type { AnswerHead } from '../../../../domain/forwarding';
 import type { CallerReply, Refusal, RefusalKind } from '../../../../application/forwarding';
 
 /** Status of each of this process's own answers. */
@@ -37,6 +38,16 @@
     response.writeHead(status, [...headers]);
   };
 
+  // A server's answer that ends with its connection is handed on as such: with a length, or in
+  // chunks, one that was cut short would look whole.
+  const writeAnswerHead = (head: AnswerHead, framing: readonly string[]): void => {
+    if (!head.isFramed) {
+      response.shouldKeepAlive = false;
+      response.useChunkedEncodingByDefault = false;
+    }
+    writeHead(head.status, [...head.passedHeaders, ...framing]);
+  };
+
   const sendRefusal = ({ kind, reason, retryAfterMs }: Refusal): void => {
     if (!isOpen()) return;
     const body = Buffer.from(JSON.stringify({ error: reason }));
@@ -51,14 +62,15 @@
     isOpen,
     hasBegun: () => response.headersSent,
     sendRefusal,
-    sendWhole: (status, headers, body) => {
+    sendWhole: (head, body) => {
       if (!isOpen()) return;
-      const hasLength = !BODILESS_STATUSES.has(status) && response.req.method !== 'HEAD';
-      writeHead(status, hasLength ? [...headers, 'content-length', String(body.length)] : headers);
+      const hasLength =
+        head.isFramed && !BODILESS_STATUSES.has(head.status) && response.req.method !== 'HEAD';
+      writeAnswerHead(head, hasLength ? ['content-length', String(body.length)] : []);
       response.end(body);
     },
-    begin: (status, headers) => {
-      if (isOpen()) writeHead(status, headers);
+    begin: (head) => {
+      if (isOpen()) writeAnswerHead(head, []);
     },
     write: (bytes) => !isOpen() || response.write(bytes),
     waitForDrain: () =>
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -16,7 +16,7 @@
 ): ServerEntry | null => {
   if (!copy || excludedIds.has(copy.serverId)) return null;
   const { directory } = dependencies;
-  return directory.findServer(copy.serverId) ?? directory.findServerAt(copy.serverAddress);
+  return directory.findServing(copy.serverId) ?? directory.findServingAt(copy.serverAddress);
 };
 
 /**
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -107,7 +107,7 @@
 };
 
 const sendAnswer = ({ reply }: ForwardContext, { body, head }: WholeAnswer): void =>
-  reply.sendWhole(head.status, head.passedHeaders, body);
+  reply.sendWhole(head, body);
 
 const refuse = (
   dependencies: ForwardingDependencies,
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -99,7 +99,7 @@
       });
       if (reply.hasBegun()) reply.breakOff();
       else if (run.failure) {
-        reply.sendWhole(run.failure.head.status, run.failure.head.passedHeaders, run.failure.body);
+        reply.sendWhole(run.failure.head, run.failure.body);
       } else reply.sendRefusal(buildRefusal(failure));
       return end(failure.code);
     };
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -91,7 +91,7 @@
 
 const beginReply = (run: StreamRun, head: AnswerHead): void => {
   const { reply } = run.context;
-  if (!reply.hasBegun() && reply.isOpen()) reply.begin(head.status, head.passedHeaders);
+  if (!reply.hasBegun() && reply.isOpen()) reply.begin(head);
 };
 
 /** Sends one attempt of a stream and reads what comes of it. */
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -27,10 +27,10 @@
   applyRows(rows: readonly SharedRow[], info: RowsInfo): void;
   /** Servers of a service that may take new work. */
   listServing(service: string): readonly ServerStatus[];
-  /** A server, also one that is leaving; null once it is gone. */
-  findServer(id: string): ServerEntry | null;
-  /** The server at an address now. */
-  findServerAt(address: string): ServerEntry | null;
+  /** A server that may take new work; null if it is leaving or gone. */
+  findServing(id: string): ServerEntry | null;
+  /** The server at an address now, if it may take new work. */
+  findServingAt(address: string): ServerEntry | null;
   /** True: it is there, stays, and did not fail lately. */
   isTrusted(id: string): boolean;
   startWork(id: string, prefillTokens: number): ServerWork;
@@ -168,9 +168,13 @@
       [...records.values()]
         .filter((record) => record.entry.service === service && isServing(record))
         .map(buildStatus),
-    findServer: (id) => records.get(id)?.entry ?? null,
-    findServerAt: (address) =>
-      [...records.values()].find(({ entry }) => entry.address === address)?.entry ?? null,
+    findServing: (id) => {
+      const record = records.get(id);
+      return record && isServing(record) ? record.entry : null;
+    },
+    findServingAt: (address) =>
+      [...records.values()].find((record) => record.entry.address === address && isServing(record))
+        ?.entry ?? null,
     isTrusted: (id) => {
       const record = records.get(id);
       if (!record) return false;
--- a/src/application/forwarding/types/CallerReply.ts
+++ b/src/application/forwarding/types/CallerReply.ts
@@ -1,3 +1,5 @@
+import type { AnswerHead } from '../../../domain/forwarding';
+
 /** Why a request got no answer of a server. Adapters turn it into a status. */
 export type RefusalKind =
   /** Nothing ran and nothing will: the caller may come back. */
@@ -23,10 +25,10 @@
   /** True once the answer's head was sent. */
   hasBegun(): boolean;
   sendRefusal(refusal: Refusal): void;
-  /** Sends a server's answer, known to be whole. */
-  sendWhole(status: number, headers: readonly string[], body: Buffer): void;
-  /** Begins an answer of unknown length. */
-  begin(status: number, headers: readonly string[]): void;
+  /** Sends a server's answer, read to its end. */
+  sendWhole(head: AnswerHead, body: Buffer): void;
+  /** Begins an answer whose body follows in parts. */
+  begin(head: AnswerHead): void;
   /** Sends a part; false asks to wait before the next one. */
   write(bytes: Buffer): boolean;
   waitForDrain(): Promise<void>;
--- a/src/domain/forwarding/types/ServerAnswer.ts
+++ b/src/domain/forwarding/types/ServerAnswer.ts
@@ -12,6 +12,8 @@
   readonly passedHeaders: readonly string[];
   /** False: without the server's signature, in an encoding, or of another request. */
   readonly isGenuine: boolean;
+  /** False: its body ends with its connection, so that a cut one can't be told from a whole one. */
+  readonly isFramed: boolean;
   /** True: the server says that it did not run the request, and won't. */
   readonly isNotRun: boolean;
   /** Id of another server that has the address now, if the answer says so. */
