Ask servers just before a prompt is sent, and find lost runs by reports

Ruled out: a limit from first-token times alone (12 s after a few slow ones). Change: four servers are asked, the least busy one gets the prompt, another zone's the copy; a run that a server does not list, with nothing waiting or being read there, is given up.

--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -101,7 +101,9 @@
 ): Promise<void> => {
   const { client, clock, directory, retries } = run.dependencies;
   const { context } = run;
-  const servers = chooseStreamServers(run, new Set(excludedServers));
+  const servers = await chooseStreamServers(run, new Set(excludedServers));
+  // The caller may have left, or the deadline passed, while servers were asked.
+  if (!run.readState().attempts.some(({ attempt }) => attempt === reader.attempt)) return undefined;
   if (!servers) return refuse(run, reader, 'no server takes work');
   if (reader.attempt > 1 && !retries.acquireRetry(context.service)) {
     return refuse(run, reader, 'no retry left');
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,4 +1,5 @@
 import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
+import { isRunLost } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { recordDecision } from '../recordDecision';
@@ -19,7 +20,7 @@
  * Part of the latency goal after which a server without a first event is given up: with the prompt
  * read anew elsewhere the answer may still come in time.
  */
-const FIRST_EVENT_PART = 0.6;
+const FIRST_EVENT_PART = 0.8;
 
 /**
  * How often a server is asked whether it lives while it reads a prompt. It sends nothing meanwhile,
@@ -37,10 +38,10 @@
     return route.gapGoalMs * (isCopied ? PAUSE_PART : UNCOPIED_PAUSES);
   }
   const samples = run.paces.listFirstTokens(service);
-  const limits = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: false });
+  const slowest = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: true });
   const goalMs = route.latencyGoalMs * FIRST_EVENT_PART;
   // Never sooner than reading the prompt takes now and then, where that is long beside the goal.
-  return Math.max(goalMs, limits.suspectMs);
+  return Math.max(goalMs, slowest.confirmMs);
 };
 
 const computeAskMs = (run: StreamRun, attempt: StreamAttempt): number => {
@@ -63,6 +64,7 @@
   const { client, clock, log } = run.dependencies;
   let cancelTimer = (): void => undefined;
   let isStopped = false;
+  let wasLost = false;
 
   const readSilentMs = (): number => clock.readMonotonicMs() - attempt.lastActivityMs;
 
@@ -84,12 +86,19 @@
     const silentMs = readSilentMs();
     if (silentMs < askMs) return askMs - silentMs;
     const askedAtMs = attempt.lastActivityMs;
-    const isAlive = await client.probeServer(attempt.server);
+    const report = await client.readReport(attempt.server);
     if (isStopped || attempt.lastActivityMs !== askedAtMs) return ASK_AGAIN_MS;
-    if (isAlive && readSilentMs() < computeGiveUpMs(run, attempt)) {
+    const isLost = report !== null && isRunLost(report, run.context.request.requestId);
+    // A report is late: the first one may be older than the run.
+    if (isLost && wasLost) {
+      giveUp('run lost');
+      return null;
+    }
+    wasLost = isLost;
+    if (report && readSilentMs() < computeGiveUpMs(run, attempt)) {
       return attempt.hasDelivered ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
     }
-    giveUp(isAlive ? 'no event' : 'no answer');
+    giveUp(report ? 'no event' : 'no answer');
     return null;
   };
 
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -1,5 +1,10 @@
 import type { Result } from 'neverthrow';
-import type { AnswerHead, ForwardedRequest, ServerEntry } from '../../domain/forwarding';
+import type {
+  AnswerHead,
+  ForwardedRequest,
+  ServerEntry,
+  ServerReport,
+} from '../../domain/forwarding';
 
 /** Where a copy of a run's KV memory lies. */
 export interface KvCopy {
@@ -67,8 +72,8 @@
   ): Promise<Result<KvCopy, CopyError>>;
   /** Frees a copy that nothing goes on from, at both servers. */
   dropCopy(from: ServerEntry, handle: string): void;
-  /** Asks whether a server answers at all, without a slot of it. */
-  probeServer(server: ServerEntry): Promise<boolean>;
+  /** Asks a server what it does, without a slot of it; null if it does not answer. */
+  readReport(server: ServerEntry): Promise<ServerReport | null>;
   /** Closes idle connections of a server that is gone. */
   removeServer(id: string): void;
 }
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -1,6 +1,12 @@
 export { checkRequestKey, type RequestAccess } from './checkRequestKey';
 export { chooseForwardServer, type ServerChoiceOptions } from './chooseForwardServer';
+export {
+  chooseReportedServer,
+  type ReportedChoiceOptions,
+  type ReportedServer,
+} from './chooseReportedServer';
 export { chooseTarget } from './chooseTarget';
 export { findRoute } from './findRoute';
+export { isRunLost } from './isRunLost';
 export { splitEvents, type SplitEvents, type StreamEvent } from './splitEvents';
 export * from './types';
--- a/src/domain/forwarding/types/index.ts
+++ b/src/domain/forwarding/types/index.ts
@@ -6,4 +6,5 @@
 export type { KeyHolder, RouteTable } from './RouteTable';
 export type { AnswerHead, ServerLoad } from './ServerAnswer';
 export type { ServerEntry } from './ServerEntry';
+export type { ServerReport } from './ServerReport';
 export type { ServerStatus } from './ServerStatus';
