Send prompts to servers that follow from them, and returning callers to the holder of their prompt

Ruled out: handles of copies kept in the platform's store (a copy is gone 4 s after its last part, the callers of VMs without power come back after 18 s). Change: candidates for a prompt are ranked by its last part (rendezvous hashing), so that every VM finds the same servers; a resumed stream asks them what they hold.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -1,10 +1,14 @@
 import {
   chooseForwardServer,
   chooseReportedServer,
+  rankServers,
+  type ReportedServer,
   type ServerEntry,
+  type ServerStatus,
 } from '../../../../domain/forwarding';
 import type { HeldCopy, StreamRun } from '../../types';
 import { askServers } from '../askServers';
+import { findPromptHolder } from '../findPromptHolder';
 
 /** Where the next attempt goes. */
 export interface StreamServers {
@@ -15,9 +19,15 @@
   readonly backup: ServerEntry | null;
 }
 
-/** Rounds in which servers are asked, where none of a round answers. */
+/** Servers asked before a prompt is sent: as many for the run as for its copy. */
+const ASKED = 4;
+
+/** Rounds in which servers are asked, while none of them answers or all are busy. */
 const MAX_ROUNDS = 3;
 
+/** Prompts waiting at the best server from which others are asked as well. */
+const BUSY_WAITING = 2;
+
 const findCopyServer = (
   { copy, dependencies }: StreamRun,
   excludedIds: ReadonlySet<string>,
@@ -48,6 +58,36 @@
   return { server, copy: run.copy, backup: backup?.entry ?? null };
 };
 
+/** The next attempt reads the prompt at the chosen server; another zone's gets the copy. */
+const buildFromPrompt = (
+  run: StreamRun,
+  chosen: ReportedServer,
+  reported: readonly ReportedServer[],
+  neededTokens: number,
+): StreamServers => {
+  const others = reported.filter(
+    ({ entry }) => entry.availabilityZone !== chosen.entry.availabilityZone,
+  );
+  const backup = chooseReportedServer(others, { neededTokens, preferredZone: null });
+  return {
+    server: chosen.entry,
+    copy: null,
+    backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
+  };
+};
+
+/** Servers that the prompt belongs to, whichever VM looks. */
+const listCandidates = (
+  run: StreamRun,
+  excludedIds: ReadonlySet<string>,
+): readonly ServerStatus[] => {
+  const { request, service } = run.context;
+  const allowed = run.dependencies.directory
+    .listServing(service)
+    .filter(({ entry }) => !excludedIds.has(entry.id));
+  return rankServers(allowed, request.promptParts.at(-1)?.id ?? request.requestId, ASKED);
+};
+
 /**
  * Chooses the server of the next attempt, and the one that gets its copy: in another availability
  * zone, as servers of one zone are lost together.
@@ -64,20 +104,22 @@
   if (copyServer) return buildFromCopy(run, copyServer, excludedIds);
   const { tokens } = run.context.request;
   const neededTokens = (tokens?.prompt ?? 0) + (tokens?.maxOutput ?? 0);
+  const asked = new Set<string>();
+  const reported: ReportedServer[] = [];
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
-    const asked = await askServers(run, excludedIds);
-    const chosen = chooseReportedServer(asked, { neededTokens, preferredZone: availabilityZone });
-    if (chosen) {
-      const others = asked.filter(
-        ({ entry }) => entry.availabilityZone !== chosen.entry.availabilityZone,
-      );
-      const backup = chooseReportedServer(others, { neededTokens, preferredZone: null });
-      return {
-        server: chosen.entry,
-        copy: null,
-        backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
-      };
+    const candidates = listCandidates(run, new Set([...excludedIds, ...asked]));
+    candidates.forEach(({ entry }) => asked.add(entry.id));
+    const holder = run.readState().offset > 0 ? await findPromptHolder(run, candidates) : null;
+    const answers = await askServers(run, candidates);
+    const holding = answers.find(({ entry }) => entry.id === holder?.entry.id);
+    reported.push(...answers);
+    const preferredZone = availabilityZone;
+    const chosen = holding ?? chooseReportedServer(reported, { neededTokens, preferredZone });
+    const isBusy = chosen !== null && !holding && chosen.report.waiting >= BUSY_WAITING;
+    if (chosen && (!isBusy || round === MAX_ROUNDS - 1)) {
+      return buildFromPrompt(run, chosen, reported, neededTokens);
     }
   }
-  return null;
+  const chosen = chooseReportedServer(reported, { neededTokens, preferredZone: availabilityZone });
+  return chosen && buildFromPrompt(run, chosen, reported, neededTokens);
 };
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -8,5 +8,6 @@
 export { chooseTarget } from './chooseTarget';
 export { findRoute } from './findRoute';
 export { isRunLost } from './isRunLost';
+export { rankServers } from './rankServers';
 export { splitEvents, type SplitEvents, type StreamEvent } from './splitEvents';
 export * from './types';
