Let gateways tell each other of rows and failed servers

Cause: a VM that the store turns away knew nothing of new configurations and leaving servers, and each VM found each lost server for itself. Change: connect calls between gateways, one drawn each 1.5 s (0.3 s while the store does not answer); suspicions go to all at once where there are few VMs. Conclusion: kept for the outages that it is meant for; its gain on lost servers is not shown.

--- /dev/null
+++ b/src/adapters/connect/_lib/openTransport/index.ts
@@ -0,0 +1,31 @@
+import type { Transport } from '@connectrpc/connect';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { createSessionManager, type SessionManager } from '../createSessionManager';
+
+/** A ping finds out whether a connection that was idle this long still lives. */
+const PING_INTERVAL_MS = 5_000;
+const PING_TIMEOUT_MS = 500;
+const IDLE_CONNECTION_TIMEOUT_MS = 30_000;
+
+/** A connection to another process, opened on the first call. */
+export interface OpenedTransport {
+  readonly transport: Transport;
+  readonly manager: SessionManager;
+}
+
+/** Opens the one HTTP/2 connection to an address, which is closed when idle. */
+export const openTransport = (peerAddress: string): OpenedTransport => {
+  const baseUrl = `http://${peerAddress}`;
+  const manager = createSessionManager(baseUrl, {
+    pingIntervalMs: PING_INTERVAL_MS,
+    pingTimeoutMs: PING_TIMEOUT_MS,
+    idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
+  });
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: '2',
+    sessionManager: manager,
+    acceptCompression: [],
+  });
+  return { transport, manager };
+};
--- a/src/adapters/connect/createPeerClient/index.ts
+++ b/src/adapters/connect/createPeerClient/index.ts
@@ -1,7 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
-import { createConnectTransport } from '@connectrpc/connect-node';
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { OperatorCalls, PeerCalls, PeerError } from '../../../application/peers';
@@ -10,13 +9,10 @@
 import { convertNewsToMessage } from '../convertNewsToMessage';
 import { ExchangeRequestSchema, PeerService } from '../gen/peer_pb';
 import { convertConnectError } from './_lib/convertConnectError';
-import { createSessionManager, type SessionManager } from './_lib/createSessionManager';
+import type { SessionManager } from '../_lib/createSessionManager';
+import { openTransport } from '../_lib/openTransport';
 import { openGeneration } from './_lib/openGeneration';
 
-/** A ping finds out whether a connection that was idle this long still lives. */
-const PING_INTERVAL_MS = 5_000;
-const PING_TIMEOUT_MS = 500;
-const IDLE_CONNECTION_TIMEOUT_MS = 30_000;
 /** An operator waits this long for one VM. */
 const OPERATOR_TIMEOUT_MS = 2_000;
 /** A VM that holds the generation says so within this time, or is taken as unreachable. */
@@ -51,18 +47,7 @@
 }
 
 const openConnection = (peerAddress: string): Connection => {
-  const baseUrl = `http://${peerAddress}`;
-  const manager = createSessionManager(baseUrl, {
-    pingIntervalMs: PING_INTERVAL_MS,
-    pingTimeoutMs: PING_TIMEOUT_MS,
-    idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS,
-  });
-  const transport = createConnectTransport({
-    baseUrl,
-    httpVersion: '2',
-    sessionManager: manager,
-    acceptCompression: [],
-  });
+  const { manager, transport } = openTransport(peerAddress);
   return { calls: createClient(PeerService, transport), manager };
 };
 
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -10,6 +10,8 @@
   readonly log: EventLog;
   /** Called with the id of a server that is gone. */
   readonly handleGone: (id: string) => void;
+  /** Called when this VM itself begins to suspect a server. */
+  readonly handleSuspected: (id: string, cause: SuspicionCause) => void;
 }
 
 /** Work that this VM has at a server, until it is released. */
@@ -20,7 +22,8 @@
 }
 
 /** Why a server is believed to have failed. */
-export type SuspicionCause = 'not-connected' | 'broken' | 'silent' | 'replaced' | 'failing';
+export type SuspicionCause =
+  'not-connected' | 'broken' | 'silent' | 'replaced' | 'failing' | 'told';
 
 /** Knows the backend servers, and what this VM has at each. */
 export interface ServerDirectory {
@@ -52,6 +55,9 @@
 /** Age up to which a reported load counts. */
 const LOAD_AGE_MS = 1000;
 
+/** For this long an answer to this VM weighs more than what another VM says. */
+const OWN_EVIDENCE_MS = 200;
+
 /** First time for which a failed server gets work only if all others failed too; it doubles. */
 const FIRST_SUSPICION_MS = 1000;
 const MAX_SUSPICION_MS = 8000;
@@ -64,6 +70,7 @@
   load: ServerLoad | null;
   loadAtMs: number;
   suspectedUntilMs: number;
+  answeredAtMs: number;
   suspicions: number;
   /** The entry is missing; when it counts as gone. */
   goneAtMs: number;
@@ -73,7 +80,7 @@
 export const createServerDirectory = (
   dependencies: ServerDirectoryDependencies,
 ): ServerDirectory => {
-  const { clock, decode, handleGone, log } = dependencies;
+  const { clock, decode, handleGone, handleSuspected, log } = dependencies;
   const records = new Map<string, Record>();
 
   const isServing = (record: Record): boolean =>
@@ -138,6 +145,7 @@
         load: null,
         loadAtMs: 0,
         suspectedUntilMs: 0,
+        answeredAtMs: -Infinity,
         suspicions: 0,
         goneAtMs: Infinity,
       });
@@ -225,14 +233,20 @@
       }
       // Several attempts that fail at once are one failure.
       if (record.suspectedUntilMs > nowMs) return;
+      // Another VM's path to a server may be cut: what this VM saw itself just now goes first.
+      const isToldOnly = cause === 'told';
+      if (isToldOnly && nowMs - record.answeredAtMs < OWN_EVIDENCE_MS) return;
       const holdMs = Math.min(MAX_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** record.suspicions);
       record.suspicions += 1;
       record.suspectedUntilMs = nowMs + holdMs;
       log.warn('server suspected', { server: id, cause, holdMs });
+      if (!isToldOnly) handleSuspected(id, cause);
     },
     recordSuccess: (id) => {
       const record = records.get(id);
-      if (record) Object.assign(record, { suspicions: 0, suspectedUntilMs: 0 });
+      if (!record) return;
+      const answeredAtMs = clock.readMonotonicMs();
+      Object.assign(record, { suspicions: 0, suspectedUntilMs: 0, answeredAtMs });
     },
     countServing: () => [...records.values()].filter(isServing).length,
   };
--- /dev/null
+++ b/src/application/gossip/createGossip/index.ts
@@ -0,0 +1,220 @@
+import type { Clock, EventLog, Randomness } from '../../ports';
+import type { RowFollower } from '../../rows';
+import type { GossipCalls, Knowledge, Member, SharedSuspicion, TableChanges } from '../types';
+
+/** What gossip needs. */
+export interface GossipDependencies {
+  readonly self: Omit<Member, 'ageMs'>;
+  /** Peer addresses to begin with; some may be stale. */
+  readonly seedAddresses: readonly string[];
+  readonly calls: GossipCalls;
+  /** Followers whose rows are passed on, by table. */
+  readonly followers: ReadonlyMap<string, RowFollower>;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly log: EventLog;
+  /** Takes a suspicion that another VM has. */
+  readonly handleSuspicion: (suspicion: SharedSuspicion) => void;
+}
+
+/** Passes on what this VM knows, and learns what others know. */
+export interface Gossip {
+  start(): void;
+  stop(): void;
+  /** Answers another VM. */
+  handleKnowledge(knowledge: Knowledge): Knowledge;
+  /** Tells others of a server that failed here. */
+  sendSuspicion(server: string, cause: string): void;
+  /** VMs heard lately, this one included. */
+  countVms(): number;
+}
+
+/**
+ * Time between two exchanges with a VM drawn at random. Each VM follows the store itself: what it
+ * learns from others it needs only once it can't.
+ */
+const EXCHANGE_MS = 1500;
+
+/** The same while the store does not answer: a change is in force within a second or two. */
+const EXCHANGE_IN_OUTAGE_MS = 300;
+
+/** A VM that was not heard for this long is drawn no more. */
+const MEMBER_AGE_MS = 6000;
+
+/** VMs that are told at once of news; they pass it on to as many. */
+const FANOUT = 8;
+
+/** News that comes within this time goes out together. */
+const GATHER_MS = 30;
+
+/** Hops of a suspicion: with the fanout, enough for some hundred VMs. */
+const HOPS = 2;
+
+/** Members told of in one message. */
+const MAX_MEMBERS = 4;
+
+/** A seed is asked with this chance in each exchange, so that two halves find each other again. */
+const SEED_CHANCE = 0.15;
+
+interface Known {
+  readonly member: Omit<Member, 'ageMs'>;
+  heardAtMs: number;
+}
+
+/** Creates the gossip of this VM. */
+export const createGossip = (dependencies: GossipDependencies): Gossip => {
+  const { calls, clock, followers, handleSuspicion, log, randomness, seedAddresses, self } =
+    dependencies;
+  const known = new Map<string, Known>();
+  /** By member: versions that it had when it was last heard. */
+  const versionsOf = new Map<string, ReadonlyMap<string, number>>();
+  let news: SharedSuspicion[] = [];
+  let isGathering = false;
+  let isStopped = false;
+  let cancelTimer = (): void => undefined;
+
+  const listLive = (): Known[] => {
+    const sinceMs = clock.readMonotonicMs() - MEMBER_AGE_MS;
+    return [...known.values()].filter(({ heardAtMs }) => heardAtMs >= sinceMs);
+  };
+
+  const draw = <T>(items: readonly T[], count: number): readonly T[] =>
+    items
+      .map((item) => ({ item, order: randomness.readFraction() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, count)
+      .map(({ item }) => item);
+
+  const listChanges = (versions: ReadonlyMap<string, number> | undefined): TableChanges[] =>
+    [...followers].flatMap(([table, follower]) => {
+      const after = versions?.get(table);
+      if (after === undefined || after >= follower.readVersion()) return [];
+      const changes = follower.listChanges(after);
+      // What it lacks is known no more: all rows are given, which follow the very beginning.
+      const whole = changes ? null : follower.listChanges(0);
+      const given = changes ?? whole;
+      return given ? [{ table, after: changes ? after : 0, ...given }] : [];
+    });
+
+  const buildKnowledge = (
+    versions: ReadonlyMap<string, number> | undefined,
+    suspicions: readonly SharedSuspicion[],
+  ): Knowledge => {
+    const nowMs = clock.readMonotonicMs();
+    return {
+      sender: { ...self, ageMs: 0 },
+      members: draw(listLive(), MAX_MEMBERS).map(({ heardAtMs, member }) => ({
+        ...member,
+        ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
+      })),
+      versions: new Map([...followers].map(([table, one]) => [table, one.readVersion()])),
+      changes: listChanges(versions),
+      suspicions,
+    };
+  };
+
+  const recordMember = ({ ageMs, ...member }: Member): void => {
+    if (member.vm === self.vm) return;
+    const heardAtMs = clock.readMonotonicMs() - ageMs;
+    const before = known.get(member.vm);
+    if (before && before.heardAtMs >= heardAtMs) return;
+    if (!before) log.info('peer known', { peer: member.vm, address: member.address });
+    known.set(member.vm, { member, heardAtMs });
+  };
+
+  let tell: (suspicions: readonly SharedSuspicion[]) => void = () => undefined;
+
+  const gather = (suspicion: SharedSuspicion): void => {
+    if (news.some(({ server }) => server === suspicion.server)) return;
+    news.push(suspicion);
+    if (isGathering) return;
+    isGathering = true;
+    clock.startTimer(GATHER_MS, () => {
+      isGathering = false;
+      const gathered = news;
+      news = [];
+      if (!isStopped) tell(gathered);
+    });
+  };
+
+  const mergeKnowledge = (taken: Knowledge): void => {
+    recordMember(taken.sender);
+    taken.members.forEach(recordMember);
+    versionsOf.set(taken.sender.vm, taken.versions);
+    taken.changes.forEach(({ after, rows, table, version }) =>
+      followers.get(table)?.mergeChanges({ rows, version }, after),
+    );
+    taken.suspicions.forEach((suspicion) => {
+      handleSuspicion(suspicion);
+      if (suspicion.hops > 0) gather({ ...suspicion, hops: suspicion.hops - 1 });
+    });
+  };
+
+  const exchange = async (
+    address: string,
+    vm: string | null,
+    suspicions: readonly SharedSuspicion[],
+  ): Promise<void> => {
+    const versions = vm === null ? undefined : versionsOf.get(vm);
+    const taken = await calls.exchangeKnowledge(address, buildKnowledge(versions, suspicions));
+    if (taken && !isStopped) mergeKnowledge(taken);
+  };
+
+  tell = (suspicions: readonly SharedSuspicion[]): void => {
+    if (suspicions.length === 0) return;
+    draw(listLive(), FANOUT).forEach(({ member }) => {
+      exchange(member.address, member.vm, suspicions);
+    });
+  };
+
+  const exchangeOnce = async (): Promise<void> => {
+    const live = listLive();
+    const [drawn] = draw(live, 1);
+    const seeds = seedAddresses.filter((address) => address !== self.address);
+    const [seed] = draw(seeds, 1);
+    const wantsSeed = drawn === undefined || randomness.readFraction() < SEED_CHANCE;
+    if (seed !== undefined && wantsSeed) await exchange(seed, null, []);
+    else if (drawn) await exchange(drawn.member.address, drawn.member.vm, []);
+  };
+
+  function schedule(): void {
+    const isCutOff = [...followers.values()].some((one) => !one.isStoreReachable());
+    const baseMs = isCutOff ? EXCHANGE_IN_OUTAGE_MS : EXCHANGE_MS;
+    const delayMs = baseMs * (0.75 + randomness.readFraction() / 2);
+    cancelTimer = clock.startTimer(delayMs, () => {
+      exchangeOnce()
+        .catch((error: unknown) => {
+          const reason = error instanceof Error ? error.message : 'unknown';
+          log.error('exchange failed unexpectedly', { reason });
+        })
+        .finally(() => {
+          if (!isStopped) schedule();
+        });
+    });
+  }
+
+  return {
+    start: () => {
+      seedAddresses
+        .filter((address) => address !== self.address)
+        .forEach((address) => {
+          exchange(address, null, []);
+        });
+      schedule();
+    },
+    stop: () => {
+      isStopped = true;
+      cancelTimer();
+    },
+    handleKnowledge: (taken) => {
+      mergeKnowledge(taken);
+      return buildKnowledge(taken.versions, []);
+    },
+    sendSuspicion: (server, cause) => {
+      // Where all VMs are told at once, nobody needs to pass it on.
+      const hops = listLive().length > FANOUT ? HOPS : 0;
+      gather({ server, cause, ageMs: 0, hops });
+    },
+    countVms: () => listLive().length + 1,
+  };
+};
--- /dev/null
+++ b/src/application/gossip/types/index.ts
@@ -0,0 +1,44 @@
+import type { SharedRow } from '../../ports';
+
+/** A VM as others know it. */
+export interface Member {
+  readonly vm: string;
+  /** IP:PORT of its peer address. */
+  readonly address: string;
+  readonly availabilityZone: string;
+  /** How long ago it was heard, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Changes of a table that follow `after` without a gap, up to `version`. */
+export interface TableChanges {
+  readonly table: string;
+  readonly after: number;
+  readonly version: number;
+  readonly rows: readonly SharedRow[];
+}
+
+/** A server that failed somewhere. */
+export interface SharedSuspicion {
+  readonly server: string;
+  readonly cause: string;
+  readonly ageMs: number;
+  /** Times that it may still be passed on. */
+  readonly hops: number;
+}
+
+/** What one VM tells another. */
+export interface Knowledge {
+  readonly sender: Member;
+  readonly members: readonly Member[];
+  /** By table: the version up to which the sender misses no change. */
+  readonly versions: ReadonlyMap<string, number>;
+  readonly changes: readonly TableChanges[];
+  readonly suspicions: readonly SharedSuspicion[];
+}
+
+/** Calls to other VMs. */
+export interface GossipCalls {
+  /** Gives knowledge and takes the other's; null if it does not answer in time. */
+  exchangeKnowledge(address: string, knowledge: Knowledge): Promise<Knowledge | null>;
+}
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -1,23 +1,24 @@
 import { Hono } from 'hono';
 import { err, ok, type Result } from 'neverthrow';
 import { startCallerServer, type CallerServer, type ListenError } from '../../../../adapters/http';
+import { createGatewayRoutes, startConnectServer } from '../../../../adapters/connect';
 import { CALLS } from '../../../../../platform';
 import type { GatewaySettings } from '../../../../domain/forwarding';
 import type { GatewayParts } from '../wireGateway';
 import { parseAddress } from '../parseAddress';
 
 /** What the endpoints tell of. */
-export interface EndpointParts extends Pick<GatewayParts, 'metrics'> {
+export interface EndpointParts extends Pick<GatewayParts, 'gossip' | 'metrics'> {
   readonly isReady: () => boolean;
 }
 
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 
-/** Starts the readiness and metrics addresses. */
+/** Starts the readiness and metrics addresses, and the one for other gateways. */
 export const startEndpoints = async (
   settings: GatewaySettings,
-  { isReady, metrics }: EndpointParts,
+  { gossip, isReady, metrics }: EndpointParts,
 ): Promise<Result<{ stop(): Promise<void> }, ListenError>> => {
   const readiness = new Hono();
   readiness.get(CALLS.ready, (call) =>
@@ -43,5 +44,21 @@
     }
     servers.push(started.value);
   }
-  return ok({ stop });
+  const peers = await startConnectServer({
+    ...parseAddress(settings.peerAddress),
+    routes: createGatewayRoutes(gossip.handleKnowledge),
+  });
+  if (peers.isErr()) {
+    await stop();
+    return err({
+      kind: 'cannot-listen',
+      address: settings.peerAddress,
+      reason: peers.error.reason,
+    });
+  }
+  return ok({
+    stop: async () => {
+      await Promise.all([stop(), peers.value.stop()]);
+    },
+  });
 };
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -1,3 +1,4 @@
+import { createGatewayClient } from '../../../../adapters/connect';
 import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
@@ -8,6 +9,7 @@
   type Forwarder,
   type RouteTableHolder,
 } from '../../../../application/forwarding';
+import { createGossip, type Gossip } from '../../../../application/gossip';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
 import { createRowFollower, type RowFollower } from '../../../../application/rows';
 import {
@@ -35,6 +37,7 @@
   readonly tables: RouteTableHolder;
   readonly forwarder: Forwarder;
   readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
+  readonly gossip: Gossip;
   /** Closes all connections to servers and the store. */
   stop(): Promise<void>;
 }
@@ -57,11 +60,14 @@
   const store = createStoreClient(settings.storeUrl, { clock });
   const client = createServerClient();
   const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
+  // The gossip tells of the followers' rows, which the directory takes: it is wired last.
+  let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
   const directory = createServerDirectory({
     decode: decodeServerEntry,
     clock,
     log,
     handleGone: client.removeServer,
+    handleSuspected: (id, cause) => sendSuspicion(id, cause),
   });
   const shared = { store, clock, randomness, log };
   const configuration = createRowFollower({
@@ -74,10 +80,29 @@
     table: TABLES.servers,
     handleRows: directory.applyRows,
   });
+  const calls = createGatewayClient();
+  const gossip = createGossip({
+    self: {
+      vm: settings.vm,
+      address: settings.peerAddress,
+      availabilityZone: settings.availabilityZone,
+    },
+    seedAddresses: settings.seedAddresses,
+    calls,
+    followers: new Map([
+      [TABLES.operator, configuration],
+      [TABLES.servers, servers],
+    ]),
+    clock,
+    randomness,
+    log,
+    handleSuspicion: ({ server }) => directory.recordSuspicion(server, 'told'),
+  });
+  sendSuspicion = gossip.sendSuspicion;
   const retries = createRetryAllowance({
     bounds: settings.bounds,
     clock,
-    countVms: () => 1,
+    countVms: () => gossip.countVms(),
   });
   const forwarder = createForwarder({
     availabilityZone: settings.availabilityZone,
@@ -97,7 +122,10 @@
     tables,
     forwarder,
     followers: { configuration, servers },
+    gossip,
     stop: async () => {
+      gossip.stop();
+      calls.close();
       await Promise.all([client.stop(), store.stop()]);
     },
   };
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -71,6 +71,7 @@
   tables.addListener((table) => server.applyLimits(table.limits));
   followers.configuration.start();
   followers.servers.start();
+  parts.gossip.start();
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
 
   const wait = (delayMs: number): Promise<void> =>
