Test the gateway on stand-ins of store and servers; refuse all requests before the process ends

Ruled out: closing the listener sooner (the platform sends connections to a zone's VMs while fewer than half of them are in rotation). Change: from 5.5 s after SIGTERM every new request is refused with when to come back. Stand-ins of the store and of servers; tests of calls and of the client of servers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -55,7 +55,10 @@
       ],
       'no-continue': 'off',
       // neverthrow's accessors for tests, and DynamoDB's own field name.
-      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr', '__type'] }],
+      'no-underscore-dangle': [
+        'error',
+        { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr', '__type', '_handle'] },
+      ],
       'max-lines': ['error', { max: 250, skipBlankLines: false, skipComments: false }],
     },
   },
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import type { Forwarder } from '../../../application/forwarding';
@@ -33,6 +34,7 @@
 
 /** A listening server that forwards requests. */
 export interface ForwardingServer {
+  readonly url: string;
   /** Sets how long connections may be idle, and how long headers may take. */
   applyLimits(limits: ForwardingLimits): void;
   closeIdleConnections(): void;
@@ -155,6 +157,7 @@
       server.off('error', fail);
       resolve(
         ok({
+          url: `http://${listen.host}:${(server.address() as AddressInfo).port}`,
           applyLimits,
           closeIdleConnections: () => server.closeIdleConnections(),
           stop: () =>
--- /dev/null
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -0,0 +1,32 @@
+import type { ServerEntry, ServerLoad } from '../../../../domain/forwarding';
+
+/** What this VM holds of one server. */
+export interface ServerRecord {
+  entry: ServerEntry;
+  running: number;
+  prefillTokens: number;
+  copies: number;
+  load: ServerLoad | null;
+  loadAtMs: number;
+  suspectedUntilMs: number;
+  /** When it last answered this VM. */
+  answeredAtMs: number;
+  /** Suspicions in a row, without an answer in between. */
+  suspicions: number;
+  /** When it counts as gone; infinite while its entry is there. */
+  goneAtMs: number;
+}
+
+/** Builds the record of a server that is new here. */
+export const buildServerRecord = (entry: ServerEntry): ServerRecord => ({
+  entry,
+  running: 0,
+  prefillTokens: 0,
+  copies: 0,
+  load: null,
+  loadAtMs: 0,
+  suspectedUntilMs: 0,
+  answeredAtMs: -Infinity,
+  suspicions: 0,
+  goneAtMs: Infinity,
+});
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -17,6 +17,8 @@
   countRunning(): number;
   /** From now on new streams are refused: they would outlive this process. */
   refuseStreams(): void;
+  /** From now on every new request is refused: the process is about to end. */
+  refuseAll(): void;
 }
 
 /** When to come back to a VM that knows no configuration yet. */
@@ -39,6 +41,7 @@
   const paces = createPaceHistory();
   let running = 0;
   let refusesStreams = false;
+  let refusesAll = false;
 
   const refuse = (request: ForwardedRequest, reply: CallerReply, refusal: Refusal): string => {
     log.info('request refused', {
@@ -58,7 +61,7 @@
     }
     const route = findRoute(table, request.host, request.target);
     if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
-    if (refusesStreams && route.kind === RouteKind.Stream) {
+    if (refusesAll || (refusesStreams && route.kind === RouteKind.Stream)) {
       return { kind: 'not-run', reason: 'this VM is leaving', retryAfterMs: LEAVING_RETRY_MS };
     }
     const access = checkRequestKey(table, route, request.key);
@@ -112,6 +115,9 @@
       }
     },
     countRunning: () => running,
+    refuseAll: () => {
+      refusesAll = true;
+    },
     refuseStreams: () => {
       refusesStreams = true;
     },
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -2,6 +2,7 @@
 import type { ServerEntry, ServerLoad, ServerStatus } from '../../../domain/forwarding';
 import type { Clock, EventLog, SharedRow } from '../../ports';
 import type { RowsInfo } from '../../rows';
+import { buildServerRecord, type ServerRecord } from '../_lib/buildServerRecord';
 
 /** What a directory needs. */
 export interface ServerDirectoryDependencies {
@@ -62,38 +63,24 @@
 const FIRST_SUSPICION_MS = 1000;
 const MAX_SUSPICION_MS = 8000;
 
-interface Record {
-  entry: ServerEntry;
-  running: number;
-  prefillTokens: number;
-  copies: number;
-  load: ServerLoad | null;
-  loadAtMs: number;
-  suspectedUntilMs: number;
-  answeredAtMs: number;
-  suspicions: number;
-  /** The entry is missing; when it counts as gone. */
-  goneAtMs: number;
-}
-
 /** Creates the directory of the backend servers. */
 export const createServerDirectory = (
   dependencies: ServerDirectoryDependencies,
 ): ServerDirectory => {
   const { clock, decode, handleGone, handleSuspected, log } = dependencies;
-  const records = new Map<string, Record>();
+  const records = new Map<string, ServerRecord>();
 
-  const isServing = (record: Record): boolean =>
+  const isServing = (record: ServerRecord): boolean =>
     !record.entry.isLeaving && record.goneAtMs > clock.readMonotonicMs();
 
-  const dropGone = (id: string, record: Record): void => {
+  const dropGone = (id: string, record: ServerRecord): void => {
     if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
     records.delete(id);
     log.info('server gone', { server: id, service: record.entry.service });
     handleGone(id);
   };
 
-  const endRecord = (id: string, record: Record): void => {
+  const endRecord = (id: string, record: ServerRecord): void => {
     Object.assign(record, { goneAtMs: Math.min(record.goneAtMs, clock.readMonotonicMs()) });
     dropGone(id, record);
   };
@@ -137,23 +124,12 @@
     }
     if (known) Object.assign(known, { entry, goneAtMs: Infinity });
     else {
-      records.set(id, {
-        entry,
-        running: 0,
-        prefillTokens: 0,
-        copies: 0,
-        load: null,
-        loadAtMs: 0,
-        suspectedUntilMs: 0,
-        answeredAtMs: -Infinity,
-        suspicions: 0,
-        goneAtMs: Infinity,
-      });
+      records.set(id, buildServerRecord(entry));
       replaceOthers(entry);
     }
   };
 
-  const buildStatus = (record: Record): ServerStatus => {
+  const buildStatus = (record: ServerRecord): ServerStatus => {
     const nowMs = clock.readMonotonicMs();
     const { load } = record;
     const isFresh = load !== null && nowMs - record.loadAtMs < LOAD_AGE_MS;
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -12,6 +12,13 @@
   readonly isReady: () => boolean;
 }
 
+/** Endpoints that listen. */
+export interface Endpoints {
+  readonly readinessUrl: string;
+  readonly metricsUrl: string;
+  stop(): Promise<void>;
+}
+
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 
@@ -19,7 +26,7 @@
 export const startEndpoints = async (
   settings: GatewaySettings,
   { gossip, isReady, metrics }: EndpointParts,
-): Promise<Result<{ stop(): Promise<void> }, ListenError>> => {
+): Promise<Result<Endpoints, ListenError>> => {
   const readiness = new Hono();
   readiness.get(CALLS.ready, (call) =>
     call.text(isReady() ? 'ready' : 'not ready', isReady() ? READY_STATUS : NOT_READY_STATUS),
@@ -57,6 +64,8 @@
     });
   }
   return ok({
+    readinessUrl: servers[0]?.url ?? '',
+    metricsUrl: servers[1]?.url ?? '',
     stop: async () => {
       await Promise.all([stop(), peers.value.stop()]);
     },
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -12,6 +12,9 @@
 
 /** A running gateway. */
 export interface Gateway {
+  readonly callerUrl: string;
+  readonly readinessUrl: string;
+  readonly metricsUrl: string;
   /** Reports itself as not ready, lets running requests end, and resolves when it may exit. */
   drain(): Promise<void>;
   stop(): Promise<void>;
@@ -32,6 +35,12 @@
  */
 const TAKE_STREAMS_MS = 1500;
 
+/**
+ * Left of the time before SIGKILL when every new request is refused: calls that are on their way
+ * end well within it, and the last one must not be cut off by the end of the process.
+ */
+const REFUSE_ALL_MARGIN_MS = 2500;
+
 const DRAIN_STEP_MS = 50;
 
 /**
@@ -80,6 +89,9 @@
     });
 
   return ok({
+    callerUrl: server.url,
+    readinessUrl: endpoints.value.readinessUrl,
+    metricsUrl: endpoints.value.metricsUrl,
     drain: async () => {
       if (isDraining) return;
       isDraining = true;
@@ -92,6 +104,7 @@
       ) {
         await wait(DRAIN_STEP_MS);
         if (readAgeMs() >= TAKE_STREAMS_MS) forwarder.refuseStreams();
+        if (readAgeMs() >= settings.bounds.shutdownMs - REFUSE_ALL_MARGIN_MS) forwarder.refuseAll();
         if (readAgeMs() >= TAKEN_OUT_MS) server.closeIdleConnections();
       }
       log.info('gateway drained', { running: forwarder.countRunning() });
--- /dev/null
+++ b/standins/gateway/createStandInServer/index.ts
@@ -0,0 +1,186 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { CALLS, HEADERS } from '../../../platform';
+
+/** A request as the server got it. */
+export interface ReceivedRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly rawHeaders: readonly string[];
+  readonly body: string;
+  /** The connection that it came on. */
+  readonly socket: Socket;
+  readonly response: ServerResponse;
+  /** Resolves when the caller has closed the connection. */
+  readonly closed: Promise<void>;
+}
+
+/** A stand-in of a backend server that a test drives event by event. */
+export interface StandInServer {
+  readonly id: string;
+  /** IP:PORT. */
+  readonly address: string;
+  /** Resolves with the next request that is no question about the server itself. */
+  nextRequest(): Promise<ReceivedRequest>;
+  countRequests(): number;
+  countConnections(): number;
+  /** Sends a whole answer, signed. */
+  answer(request: ReceivedRequest, status: number, body: string, headers?: Headers): void;
+  /** Begins a stream, signed. */
+  begin(request: ReceivedRequest): void;
+  /** Sends the events with ids from `first` to `last`. */
+  emit(request: ReceivedRequest, first: number, last: number): void;
+  /** Ends the process: all connections are reset, and new ones refused. */
+  crash(): Promise<void>;
+  /** Falls silent: connections stay open, and nothing is answered any more. */
+  freeze(): void;
+  stop(): Promise<void>;
+}
+
+type Headers = Readonly<Record<string, string>>;
+
+const STAMP = 'stand-in-stamp';
+
+/** Formats an event as the engines do. */
+export const formatStandInEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+
+const readBody = async (request: IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+};
+
+/**
+ * Starts a stand-in of a backend server on a free port.
+ *
+ * @param id - its id; requests that expect another one get 421
+ */
+export const createStandInServer = async (id: string): Promise<StandInServer> => {
+  const sockets = new Set<Socket>();
+  const received: ReceivedRequest[] = [];
+  const runs = new Set<string>();
+  let waiting: ((request: ReceivedRequest) => void)[] = [];
+  let requests = 0;
+  let connections = 0;
+  let isFrozen = false;
+
+  const readId = ({ headers }: Pick<ReceivedRequest, 'headers'>): string =>
+    String(headers[HEADERS.requestId] ?? '');
+
+  const sendReport = (response: ServerResponse): void => {
+    const list = [...runs].map((run) => [run, 100, 1, 5]);
+    const report = { queued: 0, active: runs.size, kv_used: 0, kv_total: 88_000, runs: list };
+    response.end(JSON.stringify(report));
+  };
+
+  const sendHandle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { id: run } = JSON.parse(await readBody(request)) as { id: string };
+    response.end(JSON.stringify({ handle: `handle-${run}`, created: 1 }));
+  };
+
+  const OWN_CALLS: Readonly<
+    Record<string, (request: IncomingMessage, response: ServerResponse) => void>
+  > = {
+    [CALLS.report]: (_request, response) => sendReport(response),
+    [CALLS.heldParts]: (_request, response) => {
+      response.end(JSON.stringify({ epoch: 1, next: 1, held: [] }));
+    },
+    [CALLS.copyRun]: sendHandle,
+  };
+
+  const receive = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const own = OWN_CALLS[request.url ?? ''];
+    if (isFrozen) return;
+    if (own) {
+      own(request, response);
+      return;
+    }
+    const taken: ReceivedRequest = {
+      method: request.method ?? '',
+      target: request.url ?? '',
+      headers: request.headers,
+      rawHeaders: request.rawHeaders,
+      body: await readBody(request),
+      socket: request.socket,
+      response,
+      closed: new Promise((resolve) => {
+        request.socket.once('close', () => resolve());
+      }),
+    };
+    if (request.headers[HEADERS.expectServer] !== id) {
+      response.writeHead(421, { [HEADERS.serverId]: id });
+      response.end();
+      return;
+    }
+    requests += 1;
+    runs.add(readId(taken));
+    response.on('close', () => runs.delete(readId(taken)));
+    const next = waiting.shift();
+    if (next) next(taken);
+    else received.push(taken);
+  };
+
+  const server = createServer((request, response) => {
+    receive(request, response);
+  });
+  server.on('connection', (socket) => {
+    connections += 1;
+    sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => sockets.delete(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+
+  const buildHeaders = (request: ReceivedRequest, headers: Headers = {}): Headers => ({
+    [HEADERS.requestId]: readId(request),
+    [HEADERS.stamp]: STAMP,
+    ...headers,
+  });
+  const stop = async (): Promise<void> => {
+    if (!server.listening) return;
+    server.close();
+    sockets.forEach((socket) => socket.resetAndDestroy());
+    await once(server, 'close');
+  };
+
+  return {
+    id,
+    address,
+    nextRequest: () =>
+      new Promise((resolve) => {
+        const first = received.shift();
+        if (first) resolve(first);
+        else waiting = [...waiting, resolve];
+      }),
+    countRequests: () => requests,
+    countConnections: () => connections,
+    answer: (request, status, body, headers) => {
+      request.response.writeHead(status, {
+        'content-length': String(Buffer.byteLength(body)),
+        ...buildHeaders(request, headers),
+      });
+      request.response.end(body);
+    },
+    begin: (request) => {
+      request.response.writeHead(
+        200,
+        buildHeaders(request, { 'content-type': 'text/event-stream' }),
+      );
+      request.response.flushHeaders();
+    },
+    emit: (request, first, last) => {
+      for (let event = first; event <= last; event += 1) {
+        request.response.write(formatStandInEvent(event));
+      }
+    },
+    crash: stop,
+    freeze: () => {
+      isFrozen = true;
+    },
+    stop,
+  };
+};
--- /dev/null
+++ b/standins/gateway/createStandInStore/index.ts
@@ -0,0 +1,157 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { CALLS } from '../../../platform';
+
+/** How the store treats calls. */
+export type StoreMode = 'up' | 'refuse' | 'reset' | 'silent';
+
+/** A stand-in of the platform's store: rows, whole reads and feeds. */
+export interface StandInStore {
+  readonly url: string;
+  /** Writes or, with null, removes a row. */
+  writeRow(table: string, key: string, value: unknown): void;
+  setMode(mode: StoreMode): void;
+  /** Feeds that follow an older version get 410 from now on. */
+  dropHistory(): void;
+  /** Resolves when another call for the path has come. */
+  waitForCall(path: string): Promise<void>;
+  stop(): Promise<void>;
+}
+
+interface Row {
+  readonly table: string;
+  readonly key: string;
+  readonly value: string | null;
+  readonly ver: number;
+}
+
+const REFUSED_STATUS = 503;
+const HISTORY_LOST_STATUS = 410;
+
+const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+};
+
+const encodeRow = ({ value, ...row }: Row) => ({
+  ...row,
+  part: '',
+  ...(value === null ? { tombstone: true } : { value }),
+});
+
+/** Starts a stand-in of the platform's store on a free port. */
+export const createStandInStore = async (): Promise<StandInStore> => {
+  const rows = new Map<string, Row>();
+  const sockets = new Set<Socket>();
+  let feeds: (() => void)[] = [];
+  let callers: { readonly path: string; readonly resolve: () => void }[] = [];
+  let mode: StoreMode = 'up';
+  let version = 1;
+  let historyFrom = 0;
+
+  const listRows = (table: string, after: number): Row[] =>
+    [...rows.values()]
+      .filter((row) => row.table === table && row.ver > after)
+      .sort((left, right) => left.ver - right.ver);
+
+  const handleFeed = (query: URLSearchParams, response: ServerResponse): void => {
+    const after = Number(query.get('after_revision'));
+    const table = query.get('table') ?? '';
+    if (after < historyFrom) {
+      sendJson(response, HISTORY_LOST_STATUS, {});
+      return;
+    }
+    const send = (): void =>
+      sendJson(response, 200, {
+        rows: listRows(table, after).map(encodeRow),
+        ver: version,
+        now_ms: 0,
+      });
+    if (listRows(table, after).length > 0) {
+      send();
+      return;
+    }
+    const timer = setTimeout(send, Number(query.get('wait_ms')));
+    const wake = (): void => {
+      if (response.writableEnded || listRows(table, after).length === 0) return;
+      clearTimeout(timer);
+      send();
+    };
+    feeds.push(wake);
+    response.on('close', () => {
+      clearTimeout(timer);
+      feeds = feeds.filter((feed) => feed !== wake);
+    });
+  };
+
+  const handleRead = (query: URLSearchParams, response: ServerResponse): void => {
+    const found = listRows(query.get('table') ?? '', 0).filter(({ value }) => value !== null);
+    sendJson(response, 200, {
+      rows: found.map(encodeRow),
+      truncated: false,
+      ver: version,
+      now_ms: 0,
+    });
+  };
+
+  const HANDLERS: Readonly<
+    Record<string, (query: URLSearchParams, response: ServerResponse) => void>
+  > = { [CALLS.followRows]: handleFeed, [CALLS.readRows]: handleRead };
+
+  const MODES: Readonly<
+    Record<StoreMode, (request: IncomingMessage, response: ServerResponse) => void>
+  > = {
+    refuse: (_request, response) => sendJson(response, REFUSED_STATUS, {}),
+    reset: (request) => request.socket.resetAndDestroy(),
+    silent: () => undefined,
+    up: (request, response) => {
+      const url = new URL(request.url ?? '/', 'http://store');
+      const handle = HANDLERS[url.pathname];
+      if (handle) handle(url.searchParams, response);
+      else sendJson(response, 404, {});
+    },
+  };
+
+  const server = createServer((request, response) => {
+    const [path = ''] = (request.url ?? '').split('?');
+    callers.filter((caller) => caller.path === path).forEach(({ resolve }) => resolve());
+    callers = callers.filter((caller) => caller.path !== path);
+    MODES[mode](request, response);
+  });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    writeRow: (table, key, value) => {
+      version += 1;
+      const encoded = value === null ? null : Buffer.from(JSON.stringify(value)).toString('base64');
+      rows.set(`${table}/${key}`, { table, key, value: encoded, ver: version });
+      feeds.forEach((wake) => wake());
+    },
+    setMode: (next) => {
+      mode = next;
+      // Calls that wait are cut, as by the outage itself.
+      if (next !== 'up') sockets.forEach((socket) => socket.destroy());
+    },
+    dropHistory: () => {
+      historyFrom = version + 1;
+      version += 1;
+      sockets.forEach((socket) => socket.destroy());
+    },
+    waitForCall: (path) =>
+      new Promise((resolve) => {
+        callers.push({ path, resolve });
+      }),
+    stop: async () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+      await once(server, 'close');
+    },
+  };
+};
--- /dev/null
+++ b/standins/gateway/index.ts
@@ -0,0 +1,4 @@
+export { createStandInServer, formatStandInEvent } from './createStandInServer';
+export type { ReceivedRequest, StandInServer } from './createStandInServer';
+export { createStandInStore } from './createStandInStore';
+export type { StandInStore, StoreMode } from './createStandInStore';
--- /dev/null
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -0,0 +1,232 @@
+import { once } from 'node:events';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { HEADERS, TABLES, CONFIGURATION_KEY } from '../../../../platform';
+import type { EventFields, EventLog } from '../../../../src/application/ports';
+import { startGateway, type Gateway } from '../../../../src/programs/gateway';
+import {
+  createStandInServer,
+  createStandInStore,
+  type StandInServer,
+  type StandInStore,
+} from '../../../../standins/gateway';
+import { readOk } from '../../../_lib/readOk';
+
+/** What a caller sends; the rest is filled in. */
+export interface TestRequest {
+  readonly target: string;
+  readonly method?: string;
+  readonly id?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** An answer, its body read to the end. */
+export interface TestAnswer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** False: the connection was closed before the answer had ended. */
+  readonly isWhole: boolean;
+}
+
+/** A gateway with a store and servers that a test drives. */
+export interface TestGateway {
+  readonly gateway: Gateway;
+  readonly store: StandInStore;
+  readonly servers: readonly StandInServer[];
+  /** Log lines so far. */
+  readonly lines: readonly (EventFields & { readonly message: string })[];
+  send(request: TestRequest): Promise<TestAnswer>;
+  /** Sends a request and gives its answer as soon as the head is there. */
+  open(request: TestRequest): Promise<IncomingMessage>;
+  /** Resolves at the next log line of this kind that passes. */
+  waitForLine(message: string, passes?: (fields: EventFields) => boolean): Promise<EventFields>;
+  stop(): Promise<void>;
+}
+
+/** Changes to what a test gateway begins with. */
+export interface TestGatewayOptions {
+  readonly serverIds?: readonly string[];
+  readonly configuration?: object;
+  readonly isConfigured?: boolean;
+}
+
+/** The key that every test request carries. */
+export const TEST_KEY = 'key-1';
+
+const ZONES = ['z1', 'z2', 'z3'];
+
+/** A configuration with a repeatable, a non-idempotent and a streaming route of one service. */
+export const buildWireConfiguration = (change: object = {}): object => {
+  const route = { host: 'a.example', service: 's', timeout_ms: 5000, max_attempts: 3 };
+  return {
+    version: 2,
+    routes: [
+      { ...route, name: 'safe', prefix: '/safe/', route_type: 'safe', latency_goal_ms: 200 },
+      { ...route, name: 'unsafe', prefix: '/unsafe/', route_type: 'unsafe', max_attempts: 1 },
+      {
+        ...route,
+        name: 'stream',
+        prefix: '/stream/',
+        route_type: 'streaming',
+        latency_goal_ms: 2000,
+        gap_goal_ms: 700,
+        resumable: true,
+      },
+    ],
+    services: [
+      {
+        name: 's',
+        health_path: '/healthz',
+        max_conns: 50,
+        engine: { slots: 8, kv_capacity: 88_000, backups: true, moves: true },
+      },
+    ],
+    limits: {
+      max_header_bytes: 4096,
+      max_body_bytes: 10_000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: 'w1', api_keys: [TEST_KEY] }],
+    ...change,
+  };
+};
+
+/** The entry that a server writes of itself. */
+export const buildWireEntry = (server: StandInServer, change: object = {}): object => ({
+  service: 's',
+  address: server.address,
+  zone: 'z1',
+  slots: 8,
+  state: 'ready',
+  sequence: 1,
+  ...change,
+});
+
+const buildHeaders = ({ body, headers, id }: TestRequest): Record<string, string> => ({
+  host: 'a.example',
+  [HEADERS.requestId]: id ?? 'request-1',
+  [HEADERS.deadlineMs]: '4000',
+  [HEADERS.authorization]: `Bearer ${TEST_KEY}`,
+  ...(body === undefined ? {} : { 'content-length': String(Buffer.byteLength(body)) }),
+  ...headers,
+});
+
+const readAnswer = async (incoming: IncomingMessage): Promise<TestAnswer> => {
+  const chunks: Buffer[] = [];
+  let isWhole = true;
+  try {
+    for await (const chunk of incoming) chunks.push(chunk as Buffer);
+  } catch {
+    isWhole = false;
+  }
+  return {
+    status: incoming.statusCode ?? 0,
+    headers: incoming.headers,
+    body: Buffer.concat(chunks).toString('utf8'),
+    isWhole: isWhole && incoming.complete,
+  };
+};
+
+/** Starts a gateway in this process, before a store and servers on loopback. */
+export const startTestGateway = async (options: TestGatewayOptions = {}): Promise<TestGateway> => {
+  const lines: (EventFields & { readonly message: string })[] = [];
+  let waiters: (() => void)[] = [];
+  const take = (message: string, fields: EventFields): void => {
+    lines.push({ ...fields, message });
+    waiters.forEach((look) => look());
+  };
+  const log: EventLog = { info: take, warn: take, error: take };
+  const store = await createStandInStore();
+  const serverIds = options.serverIds ?? ['i-1', 'i-2'];
+  const servers = await Promise.all(serverIds.map(createStandInServer));
+  servers.forEach((server, index) => {
+    store.writeRow(
+      TABLES.servers,
+      server.id,
+      buildWireEntry(server, { zone: ZONES[index % ZONES.length] }),
+    );
+  });
+  const configure = (): void =>
+    store.writeRow(
+      TABLES.operator,
+      CONFIGURATION_KEY,
+      buildWireConfiguration(options.configuration),
+    );
+  if (options.isConfigured !== false) configure();
+
+  const waitForLine: TestGateway['waitForLine'] = (message, passes = () => true) =>
+    new Promise((resolve) => {
+      const look = (): void => {
+        const found = lines.find((line) => line.message === message && passes(line));
+        if (!found) return;
+        waiters = waiters.filter((waiter) => waiter !== look);
+        resolve(found);
+      };
+      waiters.push(look);
+      look();
+    });
+
+  const gateway = readOk(
+    await startGateway(
+      {
+        vm: 'vm-1',
+        ip: '127.0.0.1',
+        availabilityZone: 'z1',
+        callerAddress: '127.0.0.1:0',
+        readinessAddress: '127.0.0.1:0',
+        peerAddress: '127.0.0.1:0',
+        metricsAddress: '127.0.0.1:0',
+        seedAddresses: [],
+        isFirstStart: true,
+        serverHeartbeatMs: 1200,
+        storeUrl: store.url,
+        memoryMb: 200,
+        maxDescriptors: 1000,
+        bounds: {
+          serverDrainMs: 2000,
+          shutdownMs: 8000,
+          configurationMs: 2000,
+          retryRatio: 0.8,
+          retryWindowMs: 10_000,
+          retryExtra: 150,
+        },
+      },
+      { log },
+    ),
+  );
+  if (options.isConfigured !== false) await waitForLine('configuration in force');
+  await Promise.all(
+    serverIds.map((id) => waitForLine('server known', ({ server }) => server === id)),
+  );
+
+  const open = async (request: TestRequest): Promise<IncomingMessage> => {
+    const { hostname, port } = new URL(gateway.callerUrl);
+    const sent = sendRequest({
+      hostname,
+      port,
+      path: request.target,
+      method: request.method ?? (request.body === undefined ? 'GET' : 'POST'),
+      headers: buildHeaders(request),
+      agent: false,
+    });
+    sent.end(request.body);
+    const [incoming] = (await once(sent, 'response')) as [IncomingMessage];
+    return incoming;
+  };
+
+  return {
+    gateway,
+    store,
+    servers,
+    lines,
+    open,
+    send: async (request) => readAnswer(await open(request)),
+    waitForLine,
+    stop: async () => {
+      await gateway.stop();
+      await Promise.all([store.stop(), ...servers.map((server) => server.stop())]);
+    },
+  };
+};
--- /dev/null
+++ b/tests/gateway/serverClient.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import { createServerClient, HEADERS } from '../../platform';
+import { createStandInServer } from '../../standins/gateway';
+import { readOk } from '../_lib/readOk';
+
+const buildAttempt = (address: string, id: string) => ({
+  server: {
+    id,
+    service: 's',
+    address,
+    availabilityZone: 'z1',
+    slots: 1,
+    isLeaving: false,
+    warmupLeftMs: 0,
+  },
+  request: {
+    requestId: 'request-1',
+    method: 'GET',
+    target: '/x',
+    host: 'a.example',
+    passedHeaders: ['Host', 'a.example', HEADERS.requestId, 'request-1'],
+    body: Buffer.alloc(0),
+    key: null,
+    deadlineMs: null,
+    arrivedAtMs: 0,
+    lastEventId: null,
+    tokens: null,
+    promptParts: [],
+  },
+  workspace: null,
+  remainingMs: 1000,
+  lastEventId: null,
+  backupAddress: null,
+  copy: null,
+});
+
+const readAll = async (body: AsyncIterable<Buffer>): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks).toString('utf8');
+};
+
+// Symptom: a cut answer looks whole.
+// Sequence: a server sends an answer without a length and is reset in the middle of it.
+// Cause: the HTTP client takes a reset for the end of an answer without a length.
+test('an answer without a length that is reset midway does not end like a whole one', async (t) => {
+  const server = await createStandInServer('i-1');
+  const client = createServerClient();
+  const sent = client.sendAttempt(
+    buildAttempt(server.address, server.id),
+    new AbortController().signal,
+  );
+  const { socket } = await server.nextRequest();
+  socket.write(
+    `HTTP/1.1 200 OK\r\nConnection: close\r\n${HEADERS.requestId}: request-1\r\n` +
+      `${HEADERS.stamp}: s\r\n\r\nhalf`,
+  );
+  const answer = readOk(await sent);
+  t.false(answer.head.isFramed);
+  socket.resetAndDestroy();
+  await t.throwsAsync(readAll(answer.body));
+  await client.stop();
+  await server.stop();
+});
+
+test('a connection that nobody accepts surely sent nothing', async (t) => {
+  const server = await createStandInServer('i-1');
+  await server.stop();
+  const client = createServerClient();
+  const sent = await client.sendAttempt(
+    buildAttempt(server.address, server.id),
+    new AbortController().signal,
+  );
+  t.is(sent._unsafeUnwrapErr().kind, 'not-started');
+  await client.stop();
+});
+
+test('a connection that breaks after the request may have sent it', async (t) => {
+  const server = await createStandInServer('i-1');
+  const client = createServerClient();
+  const sent = client.sendAttempt(
+    buildAttempt(server.address, server.id),
+    new AbortController().signal,
+  );
+  const { socket } = await server.nextRequest();
+  socket.resetAndDestroy();
+  t.is((await sent)._unsafeUnwrapErr().kind, 'broken');
+  await client.stop();
+  await server.stop();
+});
+
+test('a report that does not come tells that the server is silent', async (t) => {
+  const server = await createStandInServer('i-1');
+  const client = createServerClient();
+  const { server: entry } = buildAttempt(server.address, server.id);
+  t.is((await client.readReport(entry))?.running, 0);
+  server.freeze();
+  t.is(await client.readReport(entry), null);
+  await client.stop();
+  await server.stop();
+});
