Test streams, rejected requests and draining of the gateway; mend three faults that the tests show

Cause: the gauges were never added to the metrics; bytes after a rejected request got a second answer (400 twice on one connection). Ruled out: Node's parser alone (it reports the same bytes once as a request and once as an error). Change: gauges are added; a connection whose request is being answered, or was rejected, gets no answer of the parser's.

--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -122,9 +122,15 @@
     );
   };
 
+  const answering = new WeakSet<Duplex>();
   const server = createServer(
     { maxHeaderSize: MAX_PARSED_HEADER_BYTES, requireHostHeader: false, noDelay: true },
     (incoming, response) => {
+      const { socket } = incoming;
+      answering.add(socket);
+      response.once('close', () => {
+        if (response.shouldKeepAlive) answering.delete(socket);
+      });
       handle(incoming, response).catch((error: unknown) => {
         const reason = error instanceof Error ? error.message : 'unknown';
         log.error('request failed unexpectedly', { reason });
@@ -134,7 +140,9 @@
   );
   server.requestTimeout = 0;
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-    if (!socket.writable || error.code === 'ECONNRESET') {
+    // Bytes after a request that is being answered, or was rejected, get no answer of their own:
+    // it would stand where another one is due.
+    if (!socket.writable || error.code === 'ECONNRESET' || answering.has(socket)) {
       socket.destroy();
       return;
     }
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -7,6 +7,7 @@
   createRouteTableHolder,
   createServerDirectory,
   type Forwarder,
+  type ServerDirectory,
   type RouteTableHolder,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
@@ -27,6 +28,8 @@
   readonly clock?: Clock;
   readonly randomness?: Randomness;
   readonly log?: EventLog;
+  /** Log lines that were dropped, for the metrics. */
+  readonly countDroppedLines?: () => number;
 }
 
 /** The parts of a gateway. */
@@ -35,6 +38,7 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly tables: RouteTableHolder;
+  readonly directory: ServerDirectory;
   readonly forwarder: Forwarder;
   readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
   readonly gossip: Gossip;
@@ -120,6 +124,7 @@
     log,
     metrics,
     tables,
+    directory,
     forwarder,
     followers: { configuration, servers },
     gossip,
--- a/src/programs/gateway/runGatewayCli/index.ts
+++ b/src/programs/gateway/runGatewayCli/index.ts
@@ -73,7 +73,10 @@
       return SERVICE_EXIT_CODES.failed;
     }
     const log = await createLog(settings.vm);
-    const started = await startGateway(settings, { log });
+    const started = await startGateway(settings, {
+      log,
+      countDroppedLines: lines.countDropped,
+    });
     if (started.isErr()) {
       this.context.stderr.write(`${started.error.address}: ${started.error.reason}\n`);
       return SERVICE_EXIT_CODES.failed;
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -78,6 +78,13 @@
     return err(endpoints.error);
   }
   tables.addListener((table) => server.applyLimits(table.limits));
+  parts.metrics.addGauges({
+    countRunning: forwarder.countRunning,
+    countServers: parts.directory.countServing,
+    countDroppedLines: overrides.countDroppedLines ?? (() => 0),
+    readConfigurationVersion: () => tables.readCurrent()?.version ?? 0,
+    isReady,
+  });
   followers.configuration.start();
   followers.servers.start();
   parts.gossip.start();
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -24,6 +24,10 @@
   readonly address: string;
   /** Resolves with the next request that is no question about the server itself. */
   nextRequest(): Promise<ReceivedRequest>;
+  /** Takes a request that has come, if there is one. */
+  takeRequest(): ReceivedRequest | null;
+  /** Calls `listener` at each request. */
+  addListener(listener: () => void): void;
   countRequests(): number;
   countConnections(): number;
   /** Sends a whole answer, signed. */
@@ -61,7 +65,7 @@
   const sockets = new Set<Socket>();
   const received: ReceivedRequest[] = [];
   const runs = new Set<string>();
-  let waiting: ((request: ReceivedRequest) => void)[] = [];
+  const listeners: (() => void)[] = [];
   let requests = 0;
   let connections = 0;
   let isFrozen = false;
@@ -117,9 +121,8 @@
     requests += 1;
     runs.add(readId(taken));
     response.on('close', () => runs.delete(readId(taken)));
-    const next = waiting.shift();
-    if (next) next(taken);
-    else received.push(taken);
+    received.push(taken);
+    listeners.forEach((listener) => listener());
   };
 
   const server = createServer((request, response) => {
@@ -150,11 +153,21 @@
   return {
     id,
     address,
+    takeRequest: () => received.shift() ?? null,
+    addListener: (listener) => {
+      listeners.push(listener);
+    },
     nextRequest: () =>
       new Promise((resolve) => {
-        const first = received.shift();
-        if (first) resolve(first);
-        else waiting = [...waiting, resolve];
+        let isTaken = false;
+        const look = (): void => {
+          const first = isTaken ? undefined : received.shift();
+          if (!first) return;
+          isTaken = true;
+          resolve(first);
+        };
+        listeners.push(look);
+        look();
       }),
     countRequests: () => requests,
     countConnections: () => connections,
--- /dev/null
+++ b/tests/gateway/_lib/nextAnywhere/index.ts
@@ -0,0 +1,23 @@
+import type { ReceivedRequest, StandInServer } from '../../../../standins/gateway';
+
+/** A request and the server that got it. */
+export interface Taken {
+  readonly server: StandInServer;
+  readonly request: ReceivedRequest;
+}
+
+/** Takes the next request that any of these servers gets. */
+export const nextAnywhere = (servers: readonly StandInServer[]): Promise<Taken> =>
+  new Promise((resolve) => {
+    let isTaken = false;
+    const look = (): void => {
+      servers.forEach((server) => {
+        const request = isTaken ? null : server.takeRequest();
+        if (!request) return;
+        isTaken = true;
+        resolve({ server, request });
+      });
+    };
+    servers.forEach((server) => server.addListener(look));
+    look();
+  });
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -1,5 +1,4 @@
-import { once } from 'node:events';
-import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import { HEADERS, TABLES, CONFIGURATION_KEY } from '../../../../platform';
 import type { EventFields, EventLog } from '../../../../src/application/ports';
 import { startGateway, type Gateway } from '../../../../src/programs/gateway';
@@ -29,6 +28,13 @@
   readonly isWhole: boolean;
 }
 
+/** An answer that is followed while it comes. */
+export interface FollowedAnswer {
+  /** Resolves when the body has this text. */
+  waitForText(text: string): Promise<void>;
+  readonly done: Promise<TestAnswer>;
+}
+
 /** A gateway with a store and servers that a test drives. */
 export interface TestGateway {
   readonly gateway: Gateway;
@@ -37,8 +43,8 @@
   /** Log lines so far. */
   readonly lines: readonly (EventFields & { readonly message: string })[];
   send(request: TestRequest): Promise<TestAnswer>;
-  /** Sends a request and gives its answer as soon as the head is there. */
-  open(request: TestRequest): Promise<IncomingMessage>;
+  /** Sends a request, and follows its answer as it comes. */
+  follow(request: TestRequest): FollowedAnswer;
   /** Resolves at the next log line of this kind that passes. */
   waitForLine(message: string, passes?: (fields: EventFields) => boolean): Promise<EventFields>;
   stop(): Promise<void>;
@@ -113,19 +119,41 @@
   ...headers,
 });
 
-const readAnswer = async (incoming: IncomingMessage): Promise<TestAnswer> => {
-  const chunks: Buffer[] = [];
-  let isWhole = true;
-  try {
-    for await (const chunk of incoming) chunks.push(chunk as Buffer);
-  } catch {
-    isWhole = false;
-  }
+/** Follows an answer; one that never began has the status 0. */
+const followAnswer = (sent: ClientRequest): FollowedAnswer => {
+  let body = '';
+  let waiters: (() => void)[] = [];
+  const done = new Promise<TestAnswer>((resolve) => {
+    sent.on('error', () => resolve({ status: 0, headers: {}, body, isWhole: false }));
+    sent.on('response', (incoming) => {
+      incoming.setEncoding('utf8');
+      incoming.on('data', (text: string) => {
+        body += text;
+        waiters.forEach((look) => look());
+      });
+      incoming.on('error', () => undefined);
+      incoming.on('close', () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body,
+          isWhole: incoming.complete,
+        }),
+      );
+    });
+  });
   return {
-    status: incoming.statusCode ?? 0,
-    headers: incoming.headers,
-    body: Buffer.concat(chunks).toString('utf8'),
-    isWhole: isWhole && incoming.complete,
+    done,
+    waitForText: (text) =>
+      new Promise((resolve) => {
+        const look = (): void => {
+          if (!body.includes(text)) return;
+          waiters = waiters.filter((waiter) => waiter !== look);
+          resolve();
+        };
+        waiters.push(look);
+        look();
+      }),
   };
 };
 
@@ -201,7 +229,7 @@
     serverIds.map((id) => waitForLine('server known', ({ server }) => server === id)),
   );
 
-  const open = async (request: TestRequest): Promise<IncomingMessage> => {
+  const follow = (request: TestRequest): FollowedAnswer => {
     const { hostname, port } = new URL(gateway.callerUrl);
     const sent = sendRequest({
       hostname,
@@ -212,8 +240,7 @@
       agent: false,
     });
     sent.end(request.body);
-    const [incoming] = (await once(sent, 'response')) as [IncomingMessage];
-    return incoming;
+    return followAnswer(sent);
   };
 
   return {
@@ -221,8 +248,8 @@
     store,
     servers,
     lines,
-    open,
-    send: async (request) => readAnswer(await open(request)),
+    follow,
+    send: (request) => follow(request).done,
     waitForLine,
     stop: async () => {
       await gateway.stop();
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -1,13 +1,8 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
-import type { ReceivedRequest, StandInServer } from '../../standins/gateway';
+import type { StandInServer } from '../../standins/gateway';
 import { buildWireEntry, startTestGateway, type TestGateway } from './_lib/startTestGateway';
-
-/** The first request that any server gets, and that server. */
-const nextAnywhere = (
-  servers: readonly StandInServer[],
-): Promise<{ readonly server: StandInServer; readonly request: ReceivedRequest }> =>
-  Promise.race(servers.map(async (server) => ({ server, request: await server.nextRequest() })));
+import { nextAnywhere } from './_lib/nextAnywhere';
 
 const countAll = ({ servers }: TestGateway): number =>
   servers.reduce((sum, server) => sum + server.countRequests(), 0);
--- /dev/null
+++ b/tests/gateway/requests.test.ts
@@ -0,0 +1,133 @@
+import { connect } from 'node:net';
+import test from 'ava';
+import { CALLS, CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
+import {
+  buildWireConfiguration,
+  startTestGateway,
+  type TestGateway,
+} from './_lib/startTestGateway';
+
+/** Sends bytes as they are, and gives what comes back until the connection is closed. */
+const sendRaw = (bench: TestGateway, text: string): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const { hostname, port } = new URL(bench.gateway.callerUrl);
+    const socket = connect(Number(port), hostname);
+    let received = '';
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString('latin1');
+    });
+    socket.on('close', () => resolve(received));
+    socket.on('error', reject);
+    socket.write(text);
+  });
+
+const HEAD =
+  `Host: a.example\r\n${HEADERS.requestId}: r-1\r\n` + `${HEADERS.authorization}: Bearer key-1\r\n`;
+
+const MALFORMED: Readonly<Record<string, string>> = {
+  'two lengths that differ': `POST /safe/x HTTP/1.1\r\n${HEAD}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`,
+  'two equal lengths': `POST /safe/x HTTP/1.1\r\n${HEAD}Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc`,
+  'a length beside chunks': `POST /safe/x HTTP/1.1\r\n${HEAD}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+  'an unknown transfer encoding': `POST /safe/x HTTP/1.1\r\n${HEAD}Transfer-Encoding: gzip\r\n\r\n`,
+  'two ids': `GET /safe/x HTTP/1.1\r\n${HEAD}${HEADERS.requestId}: r-2\r\n\r\n`,
+  'no id': `GET /safe/x HTTP/1.1\r\nHost: a.example\r\n\r\n`,
+  'no host': `GET /safe/x HTTP/1.1\r\n${HEADERS.requestId}: r-1\r\n\r\n`,
+  'two hosts': `GET /safe/x HTTP/1.1\r\nHost: b.example\r\n${HEAD}\r\n`,
+  'a target that is no path': `GET http://b.example/safe/x HTTP/1.1\r\n${HEAD}\r\n`,
+};
+
+for (const [name, text] of Object.entries(MALFORMED)) {
+  test(`a request with ${name} gets 400, is not forwarded, and its connection is closed`, async (t) => {
+    const bench = await startTestGateway({ serverIds: ['i-1'] });
+    const answer = await sendRaw(bench, text);
+    t.regex(answer, /^HTTP\/1\.1 400 /);
+    t.is(answer.match(/HTTP\/1\.1/g)?.length, 1);
+    t.is(bench.servers[0]?.countRequests(), 0);
+    await bench.stop();
+  });
+}
+
+test('headers past the limit get 431, a body past it 413', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  const long = await sendRaw(
+    bench,
+    `GET /safe/x HTTP/1.1\r\n${HEAD}x: ${'y'.repeat(5000)}\r\n\r\n`,
+  );
+  t.regex(long, /^HTTP\/1\.1 431 /);
+  const large = await sendRaw(
+    bench,
+    `POST /safe/x HTTP/1.1\r\n${HEAD}Content-Length: 20000\r\n\r\n`,
+  );
+  t.regex(large, /^HTTP\/1\.1 413 /);
+  t.is(bench.servers[0]?.countRequests(), 0);
+  await bench.stop();
+});
+
+test('an unknown route gets 404, an unknown key 401', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  t.is((await bench.send({ target: '/nowhere/x' })).status, 404);
+  const headers = { [HEADERS.authorization]: 'Bearer stolen' };
+  t.is((await bench.send({ target: '/safe/x', headers })).status, 401);
+  t.is(bench.servers[0]?.countRequests(), 0);
+  await bench.stop();
+});
+
+// Symptom: callers get 404 for a route that exists.
+// Sequence: a VM starts before it knows a configuration.
+// Cause: no configuration is taken for one without routes.
+test('a VM without a configuration is not ready, and answers 503 with when to come back', async (t) => {
+  const bench = await startTestGateway({ isConfigured: false });
+  t.is((await fetch(`${bench.gateway.readinessUrl}${CALLS.ready}`)).status, 503);
+  const answer = await bench.send({ target: '/safe/x' });
+  t.is(answer.status, 503);
+  t.true(Number(answer.headers['retry-after']) > 0);
+  bench.store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildWireConfiguration());
+  await bench.waitForLine('configuration in force');
+  t.is((await fetch(`${bench.gateway.readinessUrl}${CALLS.ready}`)).status, 200);
+  await bench.stop();
+});
+
+test('a configuration that can not be decoded leaves the one before in force', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  bench.store.writeRow(TABLES.operator, CONFIGURATION_KEY, { version: 9, routes: 'none' });
+  const refused = await bench.waitForLine('configuration refused');
+  t.is(refused.inForce, 2);
+  t.regex(String(refused.reason), /routes/);
+  t.is((await bench.send({ target: '/nowhere/x' })).status, 404);
+  await bench.stop();
+});
+
+test('a key that was taken away is refused', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  const without = buildWireConfiguration({ version: 3, tenants: [{ name: 'w1', api_keys: [] }] });
+  bench.store.writeRow(TABLES.operator, CONFIGURATION_KEY, without);
+  await bench.waitForLine('configuration in force', ({ version }) => version === 3);
+  t.is((await bench.send({ target: '/safe/x' })).status, 401);
+  await bench.stop();
+});
+
+// Symptom: a review is cut off by a planned restart.
+// Sequence: SIGTERM comes while a request runs.
+// Cause: the process ends without waiting for it.
+test('a draining VM is not ready, lets running requests end, and closes connections after them', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  const answered = bench.send({ target: '/unsafe/x', body: '1' });
+  const request = await bench.servers[0]!.nextRequest();
+  const drained = bench.gateway.drain();
+  t.is((await fetch(`${bench.gateway.readinessUrl}${CALLS.ready}`)).status, 503);
+  bench.servers[0]!.answer(request, 200, 'whole');
+  const answer = await answered;
+  t.is(answer.body, 'whole');
+  t.is(answer.headers.connection, 'close');
+  await drained;
+  await bench.stop();
+});
+
+test('the metrics address tells requests by outcome', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1'] });
+  await bench.send({ target: '/nowhere/x' });
+  const text = await (await fetch(`${bench.gateway.metricsUrl}/metrics`)).text();
+  t.regex(text, /jackdaw_forwarded_requests_total\{kind="none",outcome="unknown-route"\} 1/);
+  t.regex(text, /jackdaw_configuration_version 2/);
+  await bench.stop();
+});
--- /dev/null
+++ b/tests/gateway/streams.test.ts
@@ -0,0 +1,237 @@
+import test from 'ava';
+import { HEADERS, TABLES } from '../../platform';
+import { formatStandInEvent, type StandInServer } from '../../standins/gateway';
+import {
+  buildWireConfiguration,
+  buildWireEntry,
+  startTestGateway,
+  type TestGateway,
+} from './_lib/startTestGateway';
+import { nextAnywhere } from './_lib/nextAnywhere';
+
+const listEvents = (first: number, last: number): string =>
+  Array.from({ length: last - first + 1 }, (_, index) => formatStandInEvent(first + index)).join(
+    '',
+  );
+
+const listOthers = ({ servers }: TestGateway, server: StandInServer): StandInServer[] =>
+  servers.filter((other) => other !== server);
+
+const buildStream = (change: object = {}) => ({
+  target: '/stream/x',
+  body: 'a long prompt',
+  headers: { [HEADERS.tokenSizes]: '8000,900', ...change },
+});
+
+test('a stream is handed on event by event, with the head of its server', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream());
+  const { request, server } = await nextAnywhere(bench.servers);
+  server.begin(request);
+  server.emit(request, 1, 1);
+  await followed.waitForText(formatStandInEvent(1));
+  server.emit(request, 2, 3);
+  request.response.end();
+  const answer = await followed.done;
+  t.is(answer.status, 200);
+  t.is(answer.headers[HEADERS.requestId], 'request-1');
+  t.is(answer.headers[HEADERS.stamp], 'stand-in-stamp');
+  t.is(answer.body, listEvents(1, 3));
+  t.true(answer.isWhole);
+  await bench.stop();
+});
+
+// Symptom: a stream whose server dies pauses for as long as its prompt takes to read, or is lost.
+// Sequence: a server dies in mid-stream; its run's memory is copied to another zone.
+// Cause: the next attempt reads the prompt anew.
+test('a stream goes on from the copy when its server dies, in one whole answer', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  const backup = String(first.request.headers[HEADERS.kvBackup]);
+  t.true(listOthers(bench, first.server).some(({ address }) => address === backup));
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 5);
+  // A server that dies may stop within an event: what has no end is never handed on.
+  first.request.response.write('id: 6\ndata: ha');
+  await followed.waitForText(formatStandInEvent(5));
+  await first.server.crash();
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  t.is(second.server.address, backup);
+  t.is(second.request.headers[HEADERS.kvFrom], `${backup}/request-1`);
+  t.is(second.request.headers[HEADERS.lastEventId], '5');
+  t.is(second.request.headers[HEADERS.requestId], 'request-1');
+  second.server.begin(second.request);
+  second.server.emit(second.request, 6, 9);
+  second.request.response.end();
+  const answer = await followed.done;
+  t.true(answer.isWhole);
+  t.is(answer.body, listEvents(1, 9));
+  await bench.stop();
+});
+
+// Symptom: pieces come twice.
+// Sequence: the run that goes on begins with events that the caller has already.
+// Cause: they are handed on as they come.
+test('events that the caller has already are left out of a run that goes on', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 4);
+  await followed.waitForText(formatStandInEvent(4));
+  first.request.socket.resetAndDestroy();
+  const second = await nextAnywhere(bench.servers);
+  second.server.begin(second.request);
+  second.server.emit(second.request, 3, 6);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 6));
+  await bench.stop();
+});
+
+// Symptom: a piece is missing.
+// Sequence: the run that goes on leaves an event out.
+// Cause: ids are not compared with the one before.
+test('a run that leaves an event out is not handed on', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 2);
+  first.server.emit(first.request, 4, 4);
+  const second = await nextAnywhere(bench.servers);
+  t.is(second.request.headers[HEADERS.lastEventId], '2');
+  second.server.begin(second.request);
+  second.server.emit(second.request, 3, 4);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 4));
+  await bench.stop();
+});
+
+// Symptom: two servers work on one request.
+// Sequence: a server falls silent; the stream goes on elsewhere; the first one wakes.
+// Cause: its connection is still open.
+test('a silent server is given up, and its connection closed before the next one is asked', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 2);
+  await followed.waitForText(formatStandInEvent(2));
+  first.server.freeze();
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  await first.request.closed;
+  second.server.begin(second.request);
+  second.server.emit(second.request, 3, 4);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 4));
+  t.is((await bench.waitForLine('server silent')).cause, 'no answer');
+  await bench.stop();
+});
+
+// Symptom: a stream stands still for the whole of its deadline.
+// Sequence: a server loses the answer of a run, but keeps its connection open and answers questions.
+// Cause: only a closed connection, or a server that answers nothing, counts as a loss.
+test('a run that its server no longer has is begun elsewhere', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  // The stand-in lists runs by their open answers: this one is forgotten.
+  first.request.response.emit('close');
+  const second = await nextAnywhere(bench.servers);
+  second.server.begin(second.request);
+  second.server.emit(second.request, 1, 2);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 2));
+  t.is((await bench.waitForLine('server silent')).cause, 'run lost');
+  await bench.stop();
+});
+
+// Symptom: a stream that outlives its backup server reads its prompt anew when its own is lost.
+// Sequence: the server with the copy is replaced while the stream runs.
+// Cause: a copy is made only when a stream begins.
+test('a run whose copy is lost is moved, and gets a new copy', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  const backup = bench.servers.find(
+    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
+  ) as StandInServer;
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 3);
+  await followed.waitForText(formatStandInEvent(3));
+  bench.store.writeRow(TABLES.servers, backup.id, null);
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  t.is(second.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
+  t.not(second.server, backup);
+  second.server.begin(second.request);
+  second.server.emit(second.request, 4, 5);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 5));
+  await bench.stop();
+});
+
+// Symptom: a request reaches a server seconds after it said that it leaves.
+// Sequence: the server that holds a copy is leaving; the stream's own server dies.
+// Cause: the holder of a copy goes before all others, whatever its state.
+test('a stream does not go on at a leaving server, although it holds the copy', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  const backup = bench.servers.find(
+    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
+  ) as StandInServer;
+  bench.store.writeRow(TABLES.servers, backup.id, buildWireEntry(backup, { state: 'draining' }));
+  await bench.waitForLine('server leaving');
+  first.request.socket.resetAndDestroy();
+  const second = await nextAnywhere(listOthers(bench, backup));
+  t.not(second.server, backup);
+  t.is(second.request.headers[HEADERS.kvFrom], undefined);
+  second.server.begin(second.request);
+  second.server.emit(second.request, 1, 2);
+  second.request.response.end();
+  t.true((await followed.done).isWhole);
+  await bench.stop();
+});
+
+test('a stream that may not be resumed is broken off when its server dies, and never looks whole', async (t) => {
+  const [base] = [buildWireConfiguration() as { routes: object[] }];
+  const routes = base.routes.map((route) => ({ ...route, resumable: false }));
+  const bench = await startTestGateway({ configuration: { routes } });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 2);
+  await followed.waitForText(formatStandInEvent(2));
+  first.request.socket.resetAndDestroy();
+  const answer = await followed.done;
+  t.false(answer.isWhole);
+  t.is(
+    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
+    1,
+  );
+  await bench.stop();
+});
+
+test('a caller that comes back with its last event id gets the events after it', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream({ [HEADERS.lastEventId]: '7' }));
+  const { request, server } = await nextAnywhere(bench.servers);
+  t.is(request.headers[HEADERS.lastEventId], '7');
+  server.begin(request);
+  server.emit(request, 8, 9);
+  request.response.end();
+  t.is((await followed.done).body, listEvents(8, 9));
+  await bench.stop();
+});
+
+test('a stream that is still running at its deadline is broken off', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream({ [HEADERS.deadlineMs]: '300' }));
+  const { request, server } = await nextAnywhere(bench.servers);
+  server.begin(request);
+  server.emit(request, 1, 1);
+  t.false((await followed.done).isWhole);
+  await request.closed;
+  await bench.stop();
+});
