--- /dev/null
+++ b/tools/platform-demo/main.ts
@@ -0,0 +1,174 @@
+// A moment on the users' platform, on stand-ins: a server dies in mid-stream, and the caller gets
+// one whole answer. `npm run demo:platform`.
+import { once } from 'node:events';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
+import type { EventLog } from '../../src/application/ports';
+import { startGateway } from '../../src/programs/gateway';
+import {
+  createStandInServer,
+  createStandInStore,
+  type ReceivedRequest,
+  type StandInServer,
+} from '../../standins/gateway';
+
+const EVENTS = 60;
+const KILL_AT = 25;
+const EVENT_MS = 30;
+
+/** Messages that tell the story; the others are left out here. */
+const SHOWN: readonly string[] = [
+  'stream sent',
+  'stream broke off',
+  'server silent',
+  'stream ended',
+];
+
+const SETTINGS = {
+  vm: 'vm-1',
+  ip: '127.0.0.1',
+  availabilityZone: 'z1',
+  callerAddress: '127.0.0.1:0',
+  readinessAddress: '127.0.0.1:0',
+  peerAddress: '127.0.0.1:0',
+  metricsAddress: '127.0.0.1:0',
+  seedAddresses: [],
+  isFirstStart: true,
+  serverHeartbeatMs: 1200,
+  memoryMb: 200,
+  maxDescriptors: 1000,
+  bounds: {
+    serverDrainMs: 2000,
+    shutdownMs: 8000,
+    configurationMs: 2000,
+    retryRatio: 0.8,
+    retryWindowMs: 10_000,
+    retryExtra: 150,
+  },
+};
+
+const CONFIGURATION = {
+  version: 1,
+  routes: [
+    {
+      name: 'letters',
+      host: 'letters.example',
+      prefix: '/draft/',
+      route_type: 'streaming',
+      timeout_ms: 25_000,
+      latency_goal_ms: 2000,
+      gap_goal_ms: 700,
+      max_attempts: 5,
+      resumable: true,
+      service: 'drafting',
+    },
+  ],
+  services: [
+    {
+      name: 'drafting',
+      max_conns: 50,
+      engine: { slots: 8, kv_capacity: 88_000, backups: true, moves: true },
+    },
+  ],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 1_000_000,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+const write = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+/** Generates events from where the caller is, until all are sent or the server has died. */
+const generate = (
+  server: StandInServer,
+  request: ReceivedRequest,
+  onEvent: (id: number) => void,
+) => {
+  let id = Number(request.headers[HEADERS.lastEventId] ?? 0);
+  server.begin(request);
+  const timer = setInterval(() => {
+    id += 1;
+    if (request.response.destroyed || id > EVENTS) {
+      clearInterval(timer);
+      request.response.end();
+      return;
+    }
+    server.emit(request, id, id);
+    onEvent(id);
+  }, EVENT_MS);
+};
+
+const store = await createStandInStore();
+const servers = await Promise.all(['i-1', 'i-2', 'i-3'].map(createStandInServer));
+servers.forEach((server, index) =>
+  store.writeRow(TABLES.servers, server.id, {
+    service: 'drafting',
+    address: server.address,
+    zone: `z${index + 1}`,
+    slots: 8,
+    state: 'ready',
+  }),
+);
+store.writeRow(TABLES.operator, CONFIGURATION_KEY, CONFIGURATION);
+
+let noteServers = (): void => undefined;
+const knownServers = new Promise<void>((resolve) => {
+  let known = 0;
+  noteServers = () => {
+    known += 1;
+    if (known === servers.length) resolve();
+  };
+});
+const take: EventLog['info'] = (message, fields) => {
+  if (message === 'server known') noteServers();
+  if (SHOWN.includes(message)) write(`  ${message} ${JSON.stringify(fields)}`);
+};
+const started = await startGateway(
+  { ...SETTINGS, storeUrl: store.url },
+  { log: { info: take, warn: take, error: take } },
+);
+if (started.isErr()) throw new Error(started.error.reason);
+const gateway = started.value;
+await knownServers;
+
+let killed = false;
+servers.forEach((server) => {
+  const look = (): void => {
+    const request = server.takeRequest();
+    if (!request) return;
+    generate(server, request, (id) => {
+      if (killed || id !== KILL_AT) return;
+      killed = true;
+      write(`${server.id} dies after event ${id}`);
+      server.crash();
+    });
+  };
+  server.addListener(look);
+});
+
+const sent = sendRequest(`${gateway.callerUrl}/draft/letter`, {
+  method: 'POST',
+  headers: {
+    host: 'letters.example',
+    [HEADERS.requestId]: 'demo-1',
+    [HEADERS.deadlineMs]: '20000',
+    [HEADERS.tokenSizes]: '8000,900',
+  },
+});
+sent.end('a pile of council correspondence');
+const [answer] = (await once(sent, 'response')) as [IncomingMessage];
+let body = '';
+for await (const chunk of answer) body += String(chunk);
+
+const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+const missing = EVENTS - new Set(ids).size;
+const repeated = ids.length - new Set(ids).size;
+const verdict = missing === 0 && repeated === 0 && answer.complete ? 'ok' : 'failed';
+write(`demo: ${verdict} events=${ids.length} missing=${missing} repeated=${repeated}`);
+await gateway.stop();
+await Promise.all([store.stop(), ...servers.map((server) => server.stop())]);
+process.exitCode = verdict === 'ok' ? 0 : 1;
