--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -27,14 +27,6 @@
 /** When to come back, to another VM, from one that is leaving. */
 const LEAVING_RETRY_MS = 50;
 
-const OUTCOMES: Readonly<Record<Refusal['kind'], string>> = {
-  'not-run': 'not-run',
-  'unknown-route': 'unknown-route',
-  'unknown-key': 'unknown-key',
-  lost: 'lost',
-  'deadline-passed': 'deadline-passed',
-};
-
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
   const { clock, log, meter, randomness, retries, tables } = dependencies;
@@ -50,7 +42,7 @@
       ...refusal,
     });
     reply.sendRefusal(refusal);
-    return OUTCOMES[refusal.kind];
+    return refusal.kind;
   };
 
   const admit = (request: ForwardedRequest, reply: CallerReply): ForwardContext | Refusal => {
--- a/src/domain/forwarding/types/GatewaySettings.ts
+++ b/src/domain/forwarding/types/GatewaySettings.ts
@@ -1,11 +1,7 @@
 /** Bounds that the platform sets. */
 export interface GatewayBounds {
-  /** A leaving server gets nothing later than this after it said so. */
-  readonly serverDrainMs: number;
   /** From SIGTERM to SIGKILL. */
   readonly shutdownMs: number;
-  /** A configuration is in force this long after it was accepted. */
-  readonly configurationMs: number;
   /** Sends beyond the first of each request, as a part of a service's requests in a window. */
   readonly retryRatio: number;
   readonly retryWindowMs: number;
@@ -16,7 +12,6 @@
 /** Checked settings of a gateway. */
 export interface GatewaySettings {
   readonly vm: string;
-  readonly ip: string;
   readonly availabilityZone: string;
   readonly callerAddress: string;
   readonly readinessAddress: string;
@@ -25,12 +20,7 @@
   readonly metricsAddress: string;
   /** Peer addresses of some VMs; they may be stale. */
   readonly seedAddresses: readonly string[];
-  readonly isFirstStart: boolean;
-  /** Interval in which servers renew their entries. */
-  readonly serverHeartbeatMs: number;
   readonly storeUrl: string;
-  readonly memoryMb: number;
-  readonly maxDescriptors: number;
   readonly bounds: GatewayBounds;
 }
 
--- a/tests/gateway/decoders.test.ts
+++ b/tests/gateway/decoders.test.ts
@@ -23,7 +23,6 @@
 control_plane = "10.1.0.1:8748"
 [limits]
 memory_mb = 200
-max_fds = 4100
 [bounds]
 grace_s = 9
 retry_budget_ratio = 0.8
@@ -40,7 +39,7 @@
   t.is(settings.metricsAddress, '10.1.0.1:7215');
   t.is(settings.storeUrl, 'http://10.200.1.7:8742');
   t.is(settings.bounds.shutdownMs, 9000);
-  t.is(settings.bounds.configurationMs, 2000);
+  t.is(settings.bounds.retryWindowMs, 10_000);
 });
 
 for (const [name, text, key] of [
@@ -50,7 +49,7 @@
     SETTINGS.replace('10.200.1.7:8742', 'store'),
     'platform.address',
   ],
-  ['without a table', SETTINGS.replace('[limits]', '[other]'), 'limits'],
+  ['without a table', SETTINGS.replace('[listen]', '[other]'), 'listen'],
 ] as const) {
   test(`settings ${name} are refused with the key`, (t) => {
     const problems = decodeSettings(text)._unsafeUnwrapErr();
--- a/tools/platform-demo/main.ts
+++ b/tools/platform-demo/main.ts
@@ -26,21 +26,14 @@
 
 const SETTINGS = {
   vm: 'vm-1',
-  ip: '127.0.0.1',
   availabilityZone: 'z1',
   callerAddress: '127.0.0.1:0',
   readinessAddress: '127.0.0.1:0',
   peerAddress: '127.0.0.1:0',
   metricsAddress: '127.0.0.1:0',
   seedAddresses: [],
-  isFirstStart: true,
-  serverHeartbeatMs: 1200,
-  memoryMb: 200,
-  maxDescriptors: 1000,
   bounds: {
-    serverDrainMs: 2000,
     shutdownMs: 8000,
-    configurationMs: 2000,
     retryRatio: 0.8,
     retryWindowMs: 10_000,
     retryExtra: 150,
