Send a prompt also where no server could be asked, and don't blame servers for this VM's own standstill

Cause: with a busy machine (load 17) streams were refused, or begun anew, as questions of 150 ms timed out on all servers at once; found by the gateway's own tests beside eight busy processes. Ruled out: longer limits for the questions (a silent server would cost readers their pause). Change: where no server answers, the choice is made by what is known from before; before the first event two questions in a row must be missed; one that took over 250 ms counts for nothing.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -40,10 +40,11 @@
 const keepsBackups = ({ context, dependencies }: StreamRun): boolean =>
   dependencies.tables.readCurrent()?.services.get(context.service)?.engine?.keepsBackups ?? false;
 
-/** The next attempt goes on at once from a copy: nobody is asked. */
-const buildFromCopy = (
+/** Builds a choice for which nobody was asked; the copy goes to another zone. */
+const buildUnasked = (
   run: StreamRun,
   server: ServerEntry,
+  copy: HeldCopy | null,
   excludedIds: ReadonlySet<string>,
 ): StreamServers => {
   const { directory, randomness } = run.dependencies;
@@ -55,7 +56,22 @@
         draw: randomness.readFraction(),
       })
     : null;
-  return { server, copy: run.copy, backup: backup?.entry ?? null };
+  return { server, copy, backup: backup?.entry ?? null };
+};
+
+/**
+ * Chooses by what is known from before. A VM that is slow or cut off for a moment gets no answer in
+ * time from anyone: refusing then would be a refusal while servers are free.
+ */
+const chooseUnasked = (run: StreamRun, excludedIds: ReadonlySet<string>): StreamServers | null => {
+  const { availabilityZone, directory, randomness } = run.dependencies;
+  const status = chooseForwardServer(directory.listServing(run.context.service), {
+    excludedIds,
+    avoidedZone: null,
+    preferredZone: availabilityZone,
+    draw: randomness.readFraction(),
+  });
+  return status && buildUnasked(run, status.entry, null, excludedIds);
 };
 
 /** The next attempt reads the prompt at the chosen server; another zone's gets the copy. */
@@ -101,7 +117,7 @@
 ): Promise<StreamServers | null> => {
   const { availabilityZone } = run.dependencies;
   const copyServer = findCopyServer(run, excludedIds);
-  if (copyServer) return buildFromCopy(run, copyServer, excludedIds);
+  if (copyServer) return buildUnasked(run, copyServer, run.copy, excludedIds);
   const { tokens } = run.context.request;
   const neededTokens = (tokens?.prompt ?? 0) + (tokens?.maxOutput ?? 0);
   const asked = new Set<string>();
@@ -121,5 +137,7 @@
     }
   }
   const chosen = chooseReportedServer(reported, { neededTokens, preferredZone: availabilityZone });
-  return chosen && buildFromPrompt(run, chosen, reported, neededTokens);
+  return chosen
+    ? buildFromPrompt(run, chosen, reported, neededTokens)
+    : chooseUnasked(run, excludedIds);
 };
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -31,11 +31,22 @@
 /** Time between two questions while a server that answers them sends no event. */
 const ASK_AGAIN_MS = 150;
 
+/** Time after which a server that did not answer is asked again. */
+const ASK_MISSED_MS = 50;
+
+/**
+ * A question that was given up later than this was so because this process itself stood still or
+ * is slow: it is no evidence against the server. Its own limit is 150 ms.
+ */
+const STALLED_MS = 250;
+
+const hasCopy = ({ copy, dependencies }: StreamRun): boolean =>
+  copy !== null && dependencies.directory.isTrusted(copy.serverId);
+
 const computeGiveUpMs = (run: StreamRun, attempt: StreamAttempt): number => {
   const { request, route, service } = run.context;
   if (attempt.hasDelivered) {
-    const isCopied = run.copy !== null && run.dependencies.directory.isTrusted(run.copy.serverId);
-    return route.gapGoalMs * (isCopied ? PAUSE_PART : UNCOPIED_PAUSES);
+    return route.gapGoalMs * (hasCopy(run) ? PAUSE_PART : UNCOPIED_PAUSES);
   }
   const samples = run.paces.listFirstTokens(service);
   const slowest = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: true });
@@ -65,6 +76,7 @@
   let cancelTimer = (): void => undefined;
   let isStopped = false;
   let wasLost = false;
+  let misses = 0;
 
   const readSilentMs = (): number => clock.readMonotonicMs() - attempt.lastActivityMs;
 
@@ -86,8 +98,14 @@
     const silentMs = readSilentMs();
     if (silentMs < askMs) return askMs - silentMs;
     const askedAtMs = attempt.lastActivityMs;
+    const askedMs = clock.readMonotonicMs();
     const report = await client.readReport(attempt.server);
-    if (isStopped || attempt.lastActivityMs !== askedAtMs) return ASK_AGAIN_MS;
+    const tookMs = clock.readMonotonicMs() - askedMs;
+    if (isStopped) return null;
+    if (attempt.lastActivityMs !== askedAtMs) {
+      misses = 0;
+      return ASK_AGAIN_MS;
+    }
     const isLost = report !== null && isRunLost(report, run.context.request.requestId);
     // A report is late: the first one may be older than the run.
     if (isLost && wasLost) {
@@ -95,7 +113,11 @@
       return null;
     }
     wasLost = isLost;
-    if (report && readSilentMs() < computeGiveUpMs(run, attempt)) {
+    misses = report ? 0 : misses + 1;
+    const isStalled = !report && tookMs > STALLED_MS;
+    const isMissed = misses > (attempt.hasDelivered && hasCopy(run) ? 0 : 1) && !isStalled;
+    if (!isMissed && readSilentMs() < computeGiveUpMs(run, attempt)) {
+      if (!report) return ASK_MISSED_MS;
       return attempt.hasDelivered ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
     }
     giveUp(report ? 'no event' : 'no answer');
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -38,6 +38,8 @@
   emit(request: ReceivedRequest, first: number, last: number): void;
   /** Ends the process: all connections are reset, and new ones refused. */
   crash(): Promise<void>;
+  /** Answers requests, but no questions about itself. */
+  muteReports(): void;
   /** Falls silent: connections stay open, and nothing is answered any more. */
   freeze(): void;
   stop(): Promise<void>;
@@ -69,6 +71,7 @@
   let requests = 0;
   let connections = 0;
   let isFrozen = false;
+  let isMute = false;
 
   const readId = ({ headers }: Pick<ReceivedRequest, 'headers'>): string =>
     String(headers[HEADERS.requestId] ?? '');
@@ -97,6 +100,7 @@
   const receive = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const own = OWN_CALLS[request.url ?? ''];
     if (isFrozen) return;
+    if (own && isMute) return;
     if (own) {
       own(request, response);
       return;
@@ -191,6 +195,9 @@
       }
     },
     crash: stop,
+    muteReports: () => {
+      isMute = true;
+    },
     freeze: () => {
       isFrozen = true;
     },
