--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -64,9 +64,19 @@
 // Sequence: the process stands still; the limits of its questions pass meanwhile.
 // Cause: time in which this process read nothing counts as silence of the server.
 test('a question that took far longer than its limit is no evidence', async (t) => {
-  const { clock, countAsked, inputs, stop } = setUp(400);
-  await clock.advanceAsync(2000);
+  const { clock, countAsked, inputs, stop } = setUp(700);
+  await clock.advanceAsync(2700);
   t.true(countAsked() >= 3);
   t.is(inputs.length, 0);
   stop();
 });
+
+// Symptom: a prompt on a server that fell silent is noticed when the server is back, seconds later.
+// Sequence: the kept connection is dead; the next question waits for a connection until its limit.
+// Cause: a question that waits for a connection in vain was taken for a standstill of this process.
+test('a question that waited for a connection in vain counts', async (t) => {
+  const { clock, inputs, stop } = setUp(400);
+  await clock.advanceAsync(1300);
+  t.is(inputs.length, 1);
+  stop();
+});
