Take over changed settings, hand on priorities, wait longer at the store, and explain a request from logs

Each call to the store waited 2.5 s whatever the bounds say. Ruled out: a limit of connections in the HTTP client's pool, as calls would wait there unseen; the field is not decoded any more. After: not measured yet.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -122,7 +122,9 @@
   const neededTokens = (tokens?.prompt ?? 0) + (tokens?.maxOutput ?? 0);
   const asked = new Set<string>();
   const reported: ReportedServer[] = [];
-  for (let round = 0; round < MAX_ROUNDS; round += 1) {
+  let chosen: ReportedServer | null = null;
+  let isFree = false;
+  for (let round = 0; round < MAX_ROUNDS && !isFree; round += 1) {
     const candidates = listCandidates(run, new Set([...excludedIds, ...asked]));
     candidates.forEach(({ entry }) => asked.add(entry.id));
     const holder = run.readState().offset > 0 ? await findPromptHolder(run, candidates) : null;
@@ -130,13 +132,9 @@
     const holding = answers.find(({ entry }) => entry.id === holder?.entry.id);
     reported.push(...answers);
     const preferredZone = availabilityZone;
-    const chosen = holding ?? chooseReportedServer(reported, { neededTokens, preferredZone });
-    const isBusy = chosen !== null && !holding && chosen.report.waiting >= BUSY_WAITING;
-    if (chosen && (!isBusy || round === MAX_ROUNDS - 1)) {
-      return buildFromPrompt(run, chosen, reported, neededTokens);
-    }
+    chosen = holding ?? chooseReportedServer(reported, { neededTokens, preferredZone });
+    isFree = chosen !== null && (holding !== undefined || chosen.report.waiting < BUSY_WAITING);
   }
-  const chosen = chooseReportedServer(reported, { neededTokens, preferredZone: availabilityZone });
   return chosen
     ? buildFromPrompt(run, chosen, reported, neededTokens)
     : chooseUnasked(run, excludedIds);
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -73,6 +73,7 @@
         server,
         request,
         workspace: holder?.workspace ?? null,
+        priority: context.priority,
         remainingMs: options.leftMs,
         lastEventId: null,
         backupAddress: null,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -141,6 +141,7 @@
       server,
       request: context.request,
       workspace: context.holder?.workspace ?? null,
+      priority: context.priority,
       remainingMs,
       lastEventId: offset > 0 ? offset : context.request.lastEventId,
       backupAddress: backup?.address ?? null,
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -1,6 +1,7 @@
 import {
   checkRequestKey,
   chooseTarget,
+  computePriority,
   findRoute,
   RouteKind,
   type ForwardedRequest,
@@ -68,6 +69,7 @@
       route,
       service,
       holder: access.value.holder,
+      priority: computePriority(route, access.value.holder),
       reply,
       deadlineAtMs: request.arrivedAtMs + waitMs,
       version: table.version,
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -7,6 +7,8 @@
   readonly route: Route;
   readonly service: string;
   readonly holder: KeyHolder | null;
+  /** Rank among the requests that wait at a server; 0 is the most urgent. */
+  readonly priority: number;
   readonly reply: CallerReply;
   /** Monotonic time at which the caller, or the route, stops waiting. */
   readonly deadlineAtMs: number;
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -21,6 +21,8 @@
 export interface Gossip {
   start(): void;
   stop(): void;
+  /** Takes other addresses to begin with. */
+  applySeeds(addresses: readonly string[]): void;
   /** Answers another VM. */
   handleKnowledge(knowledge: Knowledge): Knowledge;
   /** Tells others of a server that failed here. */
@@ -63,8 +65,8 @@
 
 /** Creates the gossip of this VM. */
 export const createGossip = (dependencies: GossipDependencies): Gossip => {
-  const { calls, clock, followers, handleSuspicion, log, randomness, seedAddresses, self } =
-    dependencies;
+  const { calls, clock, followers, handleSuspicion, log, randomness, self } = dependencies;
+  let { seedAddresses } = dependencies;
   const known = new Map<string, Known>();
   /** By member: versions that it had when it was last heard. */
   const versionsOf = new Map<string, ReadonlyMap<string, number>>();
@@ -206,6 +208,9 @@
       isStopped = true;
       cancelTimer();
     },
+    applySeeds: (addresses) => {
+      seedAddresses = addresses;
+    },
     handleKnowledge: (taken) => {
       mergeKnowledge(taken);
       return buildKnowledge(taken.versions, []);
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -19,6 +19,8 @@
   readonly request: ForwardedRequest;
   /** Null: the route needs no key. */
   readonly workspace: string | null;
+  /** Rank among the requests that wait at the server, 0 to 9; 0 is the most urgent. */
+  readonly priority: number;
   /** What is left of the caller's time. */
   readonly remainingMs: number;
   /** The stream goes on after this event; null for a new one. */
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -12,6 +12,8 @@
 export interface RowFollowerDependencies {
   readonly table: string;
   readonly store: RowSource;
+  /** How long one call waits for changes. */
+  readonly waitMs: number;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly log: EventLog;
@@ -39,12 +41,6 @@
   isStoreReachable(): boolean;
 }
 
-/**
- * How long one call waits for changes. A connection that fell silent is noticed only when the
- * answer is overdue: with this and the store client's own margin, after about three seconds.
- */
-const FOLLOW_WAIT_MS = 2500;
-
 /**
  * Changes come in bursts: this long after some, the rest is awaited, which saves calls. Together
  * with a call it stays far below the two seconds within which a change must be in force.
@@ -73,7 +69,7 @@
  * goes back to an older version, whichever source tells of it.
  */
 export const createRowFollower = (dependencies: RowFollowerDependencies): RowFollower => {
-  const { clock, handleRows, log, randomness, store, table } = dependencies;
+  const { clock, handleRows, log, randomness, store, table, waitMs } = dependencies;
   const rows = new Map<string, SharedRow>();
   const abort = new AbortController();
   let version = 0;
@@ -146,7 +142,7 @@
   /** Returns whether all rows must be read anew. */
   const followOnce = async (): Promise<boolean> => {
     const asked = version;
-    const options = { version: asked, waitMs: FOLLOW_WAIT_MS };
+    const options = { version: asked, waitMs };
     const changes = await store.followRows(table, options, abort.signal);
     if (abort.signal.aborted) return false;
     if (changes.isErr()) {
--- a/src/application/rows/createRowFollower/test.ts
+++ b/src/application/rows/createRowFollower/test.ts
@@ -31,6 +31,7 @@
         return feeds.shift() ?? never;
       },
     },
+    waitMs: 2500,
     clock,
     randomness: createSeededRandomness(1),
     log: { info: take, warn: take, error: take },
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -6,6 +6,8 @@
   type ReportedServer,
 } from './chooseReportedServer';
 export { chooseTarget } from './chooseTarget';
+export { computeFollowWait } from './computeFollowWait';
+export { computePriority } from './computePriority';
 export { findRoute } from './findRoute';
 export { isRunLost } from './isRunLost';
 export { rankServers } from './rankServers';
--- a/src/domain/forwarding/types/ForwardedService.ts
+++ b/src/domain/forwarding/types/ForwardedService.ts
@@ -13,8 +13,6 @@
 /** A service as the configuration describes it. */
 export interface ForwardedService {
   readonly name: string;
-  /** Connections that one server accepts from all callers together. */
-  readonly maxConnections: number;
   /** Null: a plain service. */
   readonly engine: EngineTraits | null;
 }
--- a/src/domain/forwarding/types/GatewaySettings.ts
+++ b/src/domain/forwarding/types/GatewaySettings.ts
@@ -2,6 +2,10 @@
 export interface GatewayBounds {
   /** From SIGTERM to SIGKILL. */
   readonly shutdownMs: number;
+  /** After trouble of its own, a VM must keep the other bounds again this much later. */
+  readonly settleMs: number;
+  /** From the store's answer to a change until the change is in force. */
+  readonly changeMs: number;
   /** Sends beyond the first of each request, as a part of a service's requests in a window. */
   readonly retryRatio: number;
   readonly retryWindowMs: number;
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -21,7 +21,7 @@
   decodeServerEntry,
   TABLES,
 } from '../../../../../platform';
-import type { GatewaySettings } from '../../../../domain/forwarding';
+import { computeFollowWait, type GatewaySettings } from '../../../../domain/forwarding';
 
 /** What tests pass in. */
 export interface GatewayOverrides {
@@ -73,7 +73,8 @@
     handleGone: client.removeServer,
     handleSuspected: (id, cause) => sendSuspicion(id, cause),
   });
-  const shared = { store, clock, randomness, log };
+  const waitMs = computeFollowWait(settings.bounds);
+  const shared = { store, waitMs, clock, randomness, log };
   const configuration = createRowFollower({
     ...shared,
     table: TABLES.operator,
--- a/src/programs/gateway/runGatewayCli/index.ts
+++ b/src/programs/gateway/runGatewayCli/index.ts
@@ -1,23 +1,12 @@
 import { Command, Option, type BaseContext } from 'clipanion';
-import type { EventLog } from '../../../application/ports';
+import { createSystemClock } from '../../../adapters/system';
 import { runServiceCli, SERVICE_EXIT_CODES } from '../../_lib/runServiceCli';
 import { waitForSignal } from '../../_lib/waitForSignal';
 import { createGatewayLog } from '../_lib/createGatewayLog';
 import { readGatewaySettings } from '../_lib/readGatewaySettings';
+import { startSettingsWatch } from '../_lib/startSettingsWatch';
 import { startGateway } from '../startGateway';
 
-/** Reads the settings at each SIGHUP, so that a wrong file is known before the next start. */
-const checkSettingsAtSignal = (file: string, log: EventLog): void => {
-  process.on('SIGHUP', () => {
-    readGatewaySettings(file).then((read) =>
-      read.match(
-        ({ vm }) => log.info('settings read again', { vm }),
-        (problems) => log.error('settings refused', { reason: problems.join('; ') }),
-      ),
-    );
-  });
-};
-
 class GatewayCommand extends Command {
   static override usage = Command.Usage({
     description: "Forwards callers' requests at one VM until SIGTERM, then lets them end.",
@@ -45,9 +34,20 @@
       this.context.stderr.write(`${started.error.address}: ${started.error.reason}\n`);
       return SERVICE_EXIT_CODES.failed;
     }
-    checkSettingsAtSignal(this.settings, log);
+    const watch = startSettingsWatch({
+      file: this.settings,
+      settings: settings.value,
+      clock: createSystemClock(),
+      log,
+      applySettings: started.value.applySettings,
+    });
+    process.on('SIGHUP', () => {
+      log.info('signal received', { signal: 'SIGHUP' });
+      watch.readNow();
+    });
     const signal = await waitForSignal();
     log.info('signal received', { signal });
+    watch.stop();
     await started.value.drain();
     await started.value.stop();
     await lines.waitForEmpty();
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -17,9 +17,19 @@
   readonly metricsUrl: string;
   /** Reports itself as not ready, lets running requests end, and resolves when it may exit. */
   drain(): Promise<void>;
+  /** Takes over what can change while it runs; returns the keys that need a restart. */
+  applySettings(settings: GatewaySettings): readonly string[];
   stop(): Promise<void>;
 }
 
+/** Keys that are taken over while the gateway runs. */
+const CHANGEABLE_KEYS: ReadonlySet<string> = new Set<keyof GatewaySettings>(['seedAddresses']);
+
+const listChangedKeys = (before: GatewaySettings, after: GatewaySettings): string[] =>
+  (Object.keys(after) as (keyof GatewaySettings)[]).filter(
+    (key) => JSON.stringify(before[key]) !== JSON.stringify(after[key]),
+  );
+
 /**
  * After SIGTERM the platform still sends new connections until it has asked twice whether this VM
  * is ready, once a second: until then it goes on to take requests.
@@ -116,6 +126,10 @@
       }
       log.info('gateway drained', { running: forwarder.countRunning() });
     },
+    applySettings: (next) => {
+      parts.gossip.applySeeds(next.seedAddresses);
+      return listChangedKeys(settings, next).filter((key) => !CHANGEABLE_KEYS.has(key));
+    },
     stop: async () => {
       followers.configuration.stop();
       followers.servers.stop();
--- a/src/programs/jackdaw/commands/ExplainCommand.ts
+++ b/src/programs/jackdaw/commands/ExplainCommand.ts
@@ -1,6 +1,8 @@
 import { Command, Option } from 'clipanion';
 import { z } from 'zod';
 import type { AwaitedVm } from '../../../application/configuration';
+import { explainLog } from '../explainLog';
+import { renderStory } from '../renderStory';
 import { ExitCode, type OperatorPlatform } from '../types';
 import { PlatformCommand } from './PlatformCommand';
 
@@ -40,12 +42,14 @@
     description: 'Show each decision about a request.',
     details: `
       REQUEST is the value of the answer's Jackdaw-Request-Id. Entries keep their newest decisions
-      in memory; older ones are in their logs.
-      Exit code 0: decisions shown; 4: no VM answered; 6: no VM holds a decision about it.
+      in memory; older ones are in their logs: with --log the story is told from log files, those of
+      all VMs together, with what each VM believed at that moment and for how long.
+      Exit code 0: decisions shown; 4: no VM answered; 6: no VM, or no log, holds a decision about it; 1: a log cannot be read.
     `,
     examples: [
       ['Ask all entries', 'jackdaw explain req_5f0c --settings jackdaw.toml'],
       ['Ask one entry', 'jackdaw explain req_5f0c --vm entry-2 --json'],
+      ['Read the logs of two VMs', 'jackdaw explain 52e82a --log vm-1.log --log vm-2.log'],
     ],
   });
 
@@ -55,6 +59,27 @@
 
   json = Option.Boolean('--json', false, { description: 'Print one JSON object a decision.' });
 
+  logs = Option.Array('--log', [], {
+    description: 'Log file of one VM or more; may be given again.',
+  });
+
+  moreLogs = Option.Rest({ name: 'FILE' });
+
+  override async execute(): Promise<ExitCode> {
+    const files = [...this.logs, ...this.moreLogs];
+    if (files.length === 0) return super.execute();
+    const story = await explainLog(this.request, files);
+    if (story.isErr()) {
+      this.writeNote(story.error);
+      return ExitCode.Refused;
+    }
+    if (this.json) story.value.forEach((line) => this.writeJson(line));
+    else renderStory(story.value).forEach((line) => this.writeLine(line));
+    if (story.value.length > 0) return ExitCode.Ok;
+    this.writeNote(`no log line tells of ${this.request}`);
+    return ExitCode.NotFound;
+  }
+
   protected override async executeOn(platform: OperatorPlatform): Promise<ExitCode> {
     const vms = (await platform.listEntryVms()).filter(
       ({ vm, peerAddress }) => this.vm === '' || vm === this.vm || peerAddress === this.vm,
--- /dev/null
+++ b/src/programs/jackdaw/renderStory/index.ts
@@ -0,0 +1,22 @@
+import type { StoryLine } from '../explainLog';
+
+/** Fields that are the same in each line of a story. */
+const COMMON_FIELDS: ReadonlySet<string> = new Set(['requestId']);
+
+const formatTime = (timeMs: number): string => new Date(timeMs).toISOString().slice(11, 23);
+
+const formatAge = (ageMs: number): string => `${(ageMs / 1000).toFixed(1)} s`;
+
+/** Renders the story of a request: each line, and below it what its VM believed. */
+export const renderStory = (story: readonly StoryLine[]): readonly string[] =>
+  story.flatMap(({ beliefs, line }) => {
+    const fields = Object.entries(line.fields)
+      .filter(([name]) => !COMMON_FIELDS.has(name))
+      .map(([name, value]) => `${name}=${String(value)}`);
+    return [
+      `${formatTime(line.timeMs)} ${line.vm}: ${line.message}  ${fields.join(' ')}`.trimEnd(),
+      ...beliefs.map(
+        ({ ageMs, belief, subject }) => `    ${subject}: ${belief}, for ${formatAge(ageMs)}`,
+      ),
+    ];
+  });
--- a/src/programs/jackdaw/runOperatorCli/test.ts
+++ b/src/programs/jackdaw/runOperatorCli/test.ts
@@ -148,3 +148,19 @@
   t.is((await run('rollback', '1')).exitCode, ExitCode.Unreachable);
   t.is((await run('apply', folder, '--expect-version', '1', '--force')).exitCode, ExitCode.Ok);
 });
+
+test('explain --log tells the story from log files without the platform', async (t) => {
+  const { folder, run } = await setUp(t);
+  const file = join(folder, 'vm-1.log');
+  await writeFile(
+    file,
+    `${JSON.stringify({ context: { vm: 'vm-1', requestId: 'r-1', kind: 'not-run' }, message: 'request refused', time: 0 })}\n`,
+  );
+  const found = await run('explain', 'r-1', '--log', file);
+  t.is(found.exitCode, ExitCode.Ok);
+  t.regex(found.text, /vm-1: request refused {2}kind=not-run/);
+  t.is((await run('explain', 'r-2', '--log', file)).exitCode, ExitCode.NotFound);
+  const missing = await run('explain', 'r-1', '--log', join(folder, 'none.log'));
+  t.is(missing.exitCode, ExitCode.Refused);
+  t.regex(missing.text, /none\.log: /);
+});
--- /dev/null
+++ b/standins/gateway/buildGatewaySettings/index.ts
@@ -0,0 +1,21 @@
+import type { GatewaySettings } from '../../../src/domain/forwarding';
+
+/** Settings of a gateway on free ports of loopback, with a stand-in's store. */
+export const buildGatewaySettings = (storeUrl: string): GatewaySettings => ({
+  vm: 'vm-1',
+  availabilityZone: 'z1',
+  callerAddress: '127.0.0.1:0',
+  readinessAddress: '127.0.0.1:0',
+  peerAddress: '127.0.0.1:0',
+  metricsAddress: '127.0.0.1:0',
+  seedAddresses: [],
+  storeUrl,
+  bounds: {
+    shutdownMs: 8000,
+    settleMs: 3000,
+    changeMs: 2000,
+    retryRatio: 0.8,
+    retryWindowMs: 10_000,
+    retryExtra: 150,
+  },
+});
--- a/standins/gateway/index.ts
+++ b/standins/gateway/index.ts
@@ -1,3 +1,4 @@
+export { buildGatewaySettings } from './buildGatewaySettings';
 export { createStandInServer, formatStandInEvent } from './createStandInServer';
 export type { ReceivedRequest, StandInServer } from './createStandInServer';
 export { createStandInStore } from './createStandInStore';
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -1,8 +1,10 @@
 import { request as sendRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 import { HEADERS, TABLES, CONFIGURATION_KEY } from '../../../../platform';
-import type { EventFields, EventLog } from '../../../../src/application/ports';
+import type { GatewaySettings } from '../../../../src/domain/forwarding';
+import type { Clock, EventFields, EventLog } from '../../../../src/application/ports';
 import { startGateway, type Gateway } from '../../../../src/programs/gateway';
 import {
+  buildGatewaySettings,
   createStandInServer,
   createStandInStore,
   type StandInServer,
@@ -56,6 +58,8 @@
   readonly serverIds?: readonly string[];
   readonly configuration?: object;
   readonly isConfigured?: boolean;
+  readonly settings?: Partial<GatewaySettings>;
+  readonly clock?: Clock;
 }
 
 const ZONES = ['z1', 'z2', 'z3'];
@@ -148,23 +152,8 @@
 
   const gateway = readOk(
     await startGateway(
-      {
-        vm: 'vm-1',
-        availabilityZone: 'z1',
-        callerAddress: '127.0.0.1:0',
-        readinessAddress: '127.0.0.1:0',
-        peerAddress: '127.0.0.1:0',
-        metricsAddress: '127.0.0.1:0',
-        seedAddresses: [],
-        storeUrl: store.url,
-        bounds: {
-          shutdownMs: 8000,
-          retryRatio: 0.8,
-          retryWindowMs: 10_000,
-          retryExtra: 150,
-        },
-      },
-      { log },
+      { ...buildGatewaySettings(store.url), ...options.settings },
+      { log, ...(options.clock ? { clock: options.clock } : {}) },
     ),
   );
   if (options.isConfigured !== false) await waitForLine('configuration in force');
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -28,6 +28,7 @@
     promptParts: [],
   },
   workspace: null,
+  priority: 5,
   remainingMs: 1000,
   lastEventId: null,
   backupAddress: null,
--- a/tools/platform-demo/main.ts
+++ b/tools/platform-demo/main.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from '../../src/application/ports';
 import { startGateway } from '../../src/programs/gateway';
 import {
+  buildGatewaySettings,
   createStandInServer,
   createStandInStore,
   type ReceivedRequest,
@@ -24,22 +25,6 @@
   'stream ended',
 ];
 
-const SETTINGS = {
-  vm: 'vm-1',
-  availabilityZone: 'z1',
-  callerAddress: '127.0.0.1:0',
-  readinessAddress: '127.0.0.1:0',
-  peerAddress: '127.0.0.1:0',
-  metricsAddress: '127.0.0.1:0',
-  seedAddresses: [],
-  bounds: {
-    shutdownMs: 8000,
-    retryRatio: 0.8,
-    retryWindowMs: 10_000,
-    retryExtra: 150,
-  },
-};
-
 const CONFIGURATION = {
   version: 1,
   routes: [
@@ -120,10 +105,9 @@
   if (message === 'server known') noteServers();
   if (SHOWN.includes(message)) write(`  ${message} ${JSON.stringify(fields)}`);
 };
-const started = await startGateway(
-  { ...SETTINGS, storeUrl: store.url },
-  { log: { info: take, warn: take, error: take } },
-);
+const started = await startGateway(buildGatewaySettings(store.url), {
+  log: { info: take, warn: take, error: take },
+});
 if (started.isErr()) throw new Error(started.error.reason);
 const gateway = started.value;
 await knownServers;
