Notice prompts that are lost in reading, and go on where a moved run was stopped

Ruled out: the choice of server (waits of 0 to 1 at most of these), the time to resume (50 to 200 ms). Change: isRunLost knows events made of which none arrived, and prompts that must be through by now; copies have holders in an order; no question for a copy before the first event.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -28,13 +28,12 @@
 /** Prompts waiting at the best server from which others are asked as well. */
 const BUSY_WAITING = 2;
 
-const findCopyServer = (
-  { copy, dependencies }: StreamRun,
-  excludedIds: ReadonlySet<string>,
-): ServerEntry | null => {
-  if (!copy || excludedIds.has(copy.serverId)) return null;
+/** A server that stopped a run itself was not at fault: it is no less fit than before. */
+const findCopyServer = ({ copy, dependencies }: StreamRun): ServerEntry | null => {
+  if (!copy?.hasBegun) return null;
   const { directory } = dependencies;
-  return directory.findServing(copy.serverId) ?? directory.findServingAt(copy.serverAddress);
+  const servers = copy.holders.map(directory.findServing).filter((entry) => entry !== null);
+  return servers.find(({ id }) => directory.isTrusted(id)) ?? servers[0] ?? null;
 };
 
 const keepsBackups = ({ context, dependencies }: StreamRun): boolean =>
@@ -116,7 +115,7 @@
   excludedIds: ReadonlySet<string>,
 ): Promise<StreamServers | null> => {
   const { availabilityZone } = run.dependencies;
-  const copyServer = findCopyServer(run, excludedIds);
+  const copyServer = findCopyServer(run);
   if (copyServer) return buildUnasked(run, copyServer, run.copy, excludedIds);
   const { tokens } = run.context.request;
   const neededTokens = (tokens?.prompt ?? 0) + (tokens?.maxOutput ?? 0);
@@ -127,8 +126,10 @@
   for (let round = 0; round < MAX_ROUNDS && !isFree; round += 1) {
     const candidates = listCandidates(run, new Set([...excludedIds, ...asked]));
     candidates.forEach(({ entry }) => asked.add(entry.id));
-    const holder = run.readState().offset > 0 ? await findPromptHolder(run, candidates) : null;
-    const answers = await askServers(run, candidates);
+    const [holder, answers] = await Promise.all([
+      run.readState().offset > 0 ? findPromptHolder(run, candidates) : null,
+      askServers(run, candidates),
+    ]);
     const holding = answers.find(({ entry }) => entry.id === holder?.entry.id);
     reported.push(...answers);
     const preferredZone = availabilityZone;
--- a/src/application/forwarding/_lib/moveRun/index.ts
+++ b/src/application/forwarding/_lib/moveRun/index.ts
@@ -1,5 +1,5 @@
 import { chooseForwardServer, type ServerEntry } from '../../../../domain/forwarding';
-import type { StreamAttempt, StreamRun } from '../../types';
+import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
 import { recordDecision } from '../recordDecision';
 
 /** Part of the repeats that moves may use: the rest is for runs that are lost. */
@@ -32,7 +32,7 @@
   if (!holder) return false;
   // Before the run is stopped: one that may not be sent again would stand still.
   if (!retries.acquireRetry(run.context.service, { part: MOVES_PART })) return false;
-  const lostHolder = run.copy?.serverId ?? '';
+  const lostHolder = run.copy?.holders[0] ?? '';
   const record = (outcome: string): void =>
     recordDecision(
       run.dependencies,
@@ -63,14 +63,17 @@
     return false;
   }
   run.copy?.release();
-  const server = last.isOk() ? holder : attempt.server;
+  // The source keeps the memory of a run that it stopped.
+  const holders: HeldCopy['holders'] = last.isOk()
+    ? [holder.id, attempt.server.id]
+    : [attempt.server.id];
   Object.assign(run, {
     hasRetry: true,
     copy: {
       ...copy,
-      serverId: server.id,
-      serverAddress: server.address,
-      release: directory.addCopy(server.id),
+      holders,
+      hasBegun: true,
+      release: directory.addCopy(holders[0]),
     },
   });
   return true;
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -3,15 +3,17 @@
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
-import type { StreamAttempt, StreamRun } from '../../types';
+import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
 import { chooseStreamServers, type StreamServers } from '../chooseStreamServers';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 import { recordDecision } from '../recordDecision';
+import { releaseCopy } from '../releaseCopy';
 import { startCopyWatch } from '../startCopyWatch';
 import { startSilenceWatch } from '../startSilenceWatch';
+import { updateCopy } from '../updateCopy';
 
 type OpenAttempt = Extract<GenerationEffect, { kind: 'open-attempt' }>;
 
@@ -46,36 +48,18 @@
   };
 };
 
-/** The copy that the next attempt may go on from. */
-const replaceCopy = (run: StreamRun, { backup }: StreamServers): void => {
-  run.copy?.release();
-  const copy = backup && {
-    address: backup.address,
-    handle: run.context.request.requestId,
-    serverId: backup.id,
-    serverAddress: backup.address,
-    release: run.dependencies.directory.addCopy(backup.id),
-  };
-  Object.assign(run, { copy });
-};
-
-/** Nothing ran, so that nothing was copied; a copy that was refused is gone as well. */
-const dropCopy = (run: StreamRun): void => {
-  run.copy?.release();
-  Object.assign(run, { copy: null });
-};
-
 const handleFailure = async (
   run: StreamRun,
   reader: Reader,
   attempt: StreamAttempt,
   { body, head }: AttemptAnswer,
+  copy: HeldCopy | null,
 ): Promise<void> => {
   const { directory } = run.dependencies;
   if (head.isOtherServer) directory.recordSuspicion(attempt.server.id, 'replaced');
   if (head.isNotRun) {
     // The rest of the answer is read, so that its connection can be used again.
-    dropCopy(run);
+    releaseCopy(run, copy, attempt.server.id);
     await readWholeBody(body);
     run.dispatch({ kind: 'not-started', reader, refused: false });
     return;
@@ -117,7 +101,7 @@
   if (!copy) Object.assign(run, { prompts: run.prompts + 1 });
   const attempt = buildAttempt(run, servers);
   run.attempts.set(reader.attempt, attempt);
-  replaceCopy(run, servers);
+  updateCopy(run, backup);
   const { offset } = run.readState();
   const remainingMs = context.deadlineAtMs - clock.readMonotonicMs();
   recordDecision(
@@ -164,7 +148,7 @@
     );
     const isRefused = sent.error.kind === 'not-started';
     if (isRefused) {
-      dropCopy(run);
+      releaseCopy(run, copy, server.id);
       if (isRepeat) retries.releaseRetry(context.service);
     }
     return run.dispatch(
@@ -181,7 +165,7 @@
       { attempt: reader.attempt, status: head.status, notRun: head.isNotRun },
       server,
     );
-    return handleFailure(run, reader, attempt, sent.value);
+    return handleFailure(run, reader, attempt, sent.value, copy);
   }
   directory.recordSuccess(server.id);
   beginReply(run, head);
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -17,6 +17,7 @@
   }
   attempt.stopWatch();
   Object.assign(attempt, { hasDelivered: true });
+  if (run.copy) Object.assign(run, { copy: { ...run.copy, hasBegun: true } });
   // The limit is another one from here on, and a far shorter one.
   Object.assign(attempt, { stopWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -23,7 +23,7 @@
   let isStopped = false;
   let cancelTimer = (): void => undefined;
 
-  const hasCopy = (): boolean => run.copy !== null && directory.isTrusted(run.copy.serverId);
+  const hasCopy = (): boolean => run.copy !== null && run.copy.holders.some(directory.isTrusted);
 
   /** Returns when to look again. */
   const look = async (): Promise<number> => {
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,5 +1,9 @@
-import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
-import { isRunLost } from '../../../../domain/forwarding';
+import {
+  computePrefillLimitMs,
+  computeSilenceLimitMs,
+  estimatePrefillMs,
+} from '../../../../domain/detection';
+import { isRunLost, type ServerReport } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { recordDecision } from '../recordDecision';
@@ -42,7 +46,7 @@
 const STALLED_MS = 600;
 
 const hasCopy = ({ copy, dependencies }: StreamRun): boolean =>
-  copy !== null && dependencies.directory.isTrusted(copy.serverId);
+  copy !== null && copy.holders.some(dependencies.directory.isTrusted);
 
 const computeGiveUpMs = (run: StreamRun, attempt: StreamAttempt): number => {
   const { request, route, service } = run.context;
@@ -81,13 +85,20 @@
 
   const readSilentMs = (): number => clock.readMonotonicMs() - attempt.lastActivityMs;
 
-  const giveUp = (cause: string): void => {
+  const giveUp = (cause: string, report: ServerReport | null): void => {
     const silentMs = Math.round(readSilentMs());
     recordDecision(
       run.dependencies,
       run.context,
       'server silent',
-      { cause, silentMs },
+      {
+        cause,
+        silentMs,
+        waiting: report?.waiting ?? -1,
+        running: report?.running ?? -1,
+        listed: report?.eventsByRun?.size ?? -1,
+        eventsMade: report?.eventsByRun?.get(run.context.request.requestId) ?? -1,
+      },
       attempt.server,
     );
     run.dispatch({ kind: 'silent', reader, confirmed: true });
@@ -107,10 +118,19 @@
       misses = 0;
       return ASK_AGAIN_MS;
     }
-    const isLost = report !== null && isRunLost(report, run.context.request.requestId);
+    const isLost =
+      report !== null &&
+      isRunLost(report, run.context.request.requestId, {
+        hasArrived: attempt.hasDelivered,
+        silentMs: readSilentMs(),
+        prefillMs: estimatePrefillMs(
+          run.paces.listFirstTokens(run.context.service),
+          run.context.request.tokens?.prompt ?? 0,
+        ),
+      });
     // A report is late: the first one may be older than the run.
     if (isLost && wasLost) {
-      giveUp('run lost');
+      giveUp('run lost', report);
       return null;
     }
     wasLost = isLost;
@@ -119,9 +139,9 @@
     const isMissed = misses > (attempt.hasDelivered && hasCopy(run) ? 0 : 1) && !isStalled;
     if (!isMissed && readSilentMs() < computeGiveUpMs(run, attempt)) {
       if (!report) return ASK_MISSED_MS;
-      return attempt.hasDelivered ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
+      return attempt.hasDelivered || isLost ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
     }
-    giveUp(report ? 'no event' : 'no answer');
+    giveUp(report ? 'no event' : 'no answer', report);
     return null;
   };
 
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -33,8 +33,6 @@
   listServing(service: string): readonly ServerStatus[];
   /** A server that may take new work; null if it is leaving or gone. */
   findServing(id: string): ServerEntry | null;
-  /** The server at an address now, if it may take new work. */
-  findServingAt(address: string): ServerEntry | null;
   /** True: it is there, stays, and did not fail lately. */
   isTrusted(id: string): boolean;
   startWork(id: string, prefillTokens: number): ServerWork;
@@ -156,9 +154,6 @@
       const record = records.get(id);
       return record && isServing(record) ? record.entry : null;
     },
-    findServingAt: (address) =>
-      [...records.values()].find((record) => record.entry.address === address && isServing(record))
-        ?.entry ?? null,
     isTrusted: (id) => {
       const record = records.get(id);
       if (!record) return false;
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -7,11 +7,12 @@
 import type { ForwardContext } from './ForwardContext';
 import type { ForwardingDependencies } from './ForwardingDependencies';
 
-/** A copy of the run's KV memory, and which server holds it. */
+/** A copy of the run's KV memory, and which servers it may go on at. */
 export interface HeldCopy extends KvCopy {
-  readonly serverId: string;
-  /** IP:PORT of the holder: a server that took its place has what was copied to it since. */
-  readonly serverAddress: string;
+  /** Ids of these servers, the best one first; never empty. */
+  readonly holders: readonly [string, ...string[]];
+  /** False: nothing of the run was copied yet, as its memory is only sent from its first event on. */
+  readonly hasBegun: boolean;
   /** Ends its count at that server. */
   readonly release: () => void;
 }
--- a/src/domain/detection/index.ts
+++ b/src/domain/detection/index.ts
@@ -1,4 +1,5 @@
 export { computeInitialGaps } from './computeInitialGaps';
+export { estimatePrefillMs } from './estimatePrefillMs';
 export { computePrefillLimitMs } from './computePrefillLimitMs';
 export { computeProbeDelayMs } from './computeProbeDelayMs';
 export { computeSilenceLimitMs } from './computeSilenceLimitMs';
--- a/src/domain/forwarding/chooseReportedServer/index.ts
+++ b/src/domain/forwarding/chooseReportedServer/index.ts
@@ -31,11 +31,14 @@
   readonly preferredZone: string | null;
 }
 
+const countReadingRuns = ({ eventsByRun, running }: ServerReport): number =>
+  eventsByRun === null ? 0 : Math.max(0, running - eventsByRun.size);
+
 const computeLoad = (
   { copies, entry, report }: ReportedServer,
   { neededTokens, preferredZone }: ReportedChoiceOptions,
 ): number => {
-  const reading = report.runIds === null ? 0 : Math.max(0, report.running - report.runIds.size);
+  const reading = countReadingRuns(report);
   const isFull =
     report.kvTotalTokens > 0 &&
     report.kvUsedTokens + neededTokens > report.kvTotalTokens * MEMORY_PART;
--- a/src/domain/forwarding/types/ServerReport.ts
+++ b/src/domain/forwarding/types/ServerReport.ts
@@ -6,6 +6,6 @@
   /** Tokens of KV memory that can't yield, and of all of it; 0 if not told. */
   readonly kvUsedTokens: number;
   readonly kvTotalTokens: number;
-  /** Ids of the requests that run; null if it does not tell. */
-  readonly runIds: ReadonlySet<string> | null;
+  /** Events made so far, by the id of each request that runs; null if it does not tell. */
+  readonly eventsByRun: ReadonlyMap<string, number> | null;
 }
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -36,6 +36,8 @@
   begin(request: ReceivedRequest): void;
   /** Sends the events with ids from `first` to `last`. */
   emit(request: ReceivedRequest, first: number, last: number): void;
+  /** Makes so many events of a run, of which none reaches the caller. */
+  loseEvents(request: ReceivedRequest, events: number): void;
   /** Ends the process: all connections are reset, and new ones refused. */
   crash(): Promise<void>;
   /** Answers requests, but no questions about itself. */
@@ -66,7 +68,8 @@
 export const createStandInServer = async (id: string): Promise<StandInServer> => {
   const sockets = new Set<Socket>();
   const received: ReceivedRequest[] = [];
-  const runs = new Set<string>();
+  /** Events made, by the id of each run. */
+  const runs = new Map<string, number>();
   const listeners: (() => void)[] = [];
   let requests = 0;
   let connections = 0;
@@ -77,7 +80,7 @@
     String(headers[HEADERS.requestId] ?? '');
 
   const sendReport = (response: ServerResponse): void => {
-    const list = [...runs].map((run) => [run, 100, 1, 5]);
+    const list = [...runs].map(([run, events]) => [run, 100, events, 5]);
     const report = { queued: 0, active: runs.size, kv_used: 0, kv_total: 88_000, runs: list };
     response.end(JSON.stringify(report));
   };
@@ -123,7 +126,7 @@
       return;
     }
     requests += 1;
-    runs.add(readId(taken));
+    runs.set(readId(taken), 0);
     response.on('close', () => runs.delete(readId(taken)));
     received.push(taken);
     listeners.forEach((listener) => listener());
@@ -193,6 +196,10 @@
       for (let event = first; event <= last; event += 1) {
         request.response.write(formatStandInEvent(event));
       }
+      runs.set(readId(request), last);
+    },
+    loseEvents: (request, events) => {
+      runs.set(readId(request), events);
     },
     crash: stop,
     muteReports: () => {
--- /dev/null
+++ b/tests/gateway/streamLosses.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import { HEADERS, TABLES } from '../../platform';
+import { formatStandInEvent, type StandInServer } from '../../standins/gateway';
+import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
+import { nextAnywhere } from './_lib/nextAnywhere';
+
+const listEvents = (first: number, last: number): string =>
+  Array.from({ length: last - first + 1 }, (_, index) => formatStandInEvent(first + index)).join(
+    '',
+  );
+
+const listOthers = ({ servers }: TestGateway, server: StandInServer): StandInServer[] =>
+  servers.filter((other) => other !== server);
+
+const buildStream = (change: object = {}) => ({
+  target: '/stream/x',
+  body: 'a long prompt',
+  headers: { [HEADERS.tokenSizes]: '8000,900', ...change },
+});
+
+// Symptom: a stream has its first event after 4.7 s, of which 3.6 s were waiting for one server.
+// Sequence: a server runs the request and loses its answer; the connection stays open, and the
+// server lists the run whenever it is asked.
+// Cause: a run that is listed counts as sound, although events were made and none arrived.
+test('a run of which no event arrives, though its server made some, is begun elsewhere', async (t) => {
+  const bench = await startTestGateway();
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  first.server.loseEvents(first.request, 5);
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  t.is((await bench.waitForLine('server silent')).cause, 'run lost');
+  await first.request.closed;
+  second.server.begin(second.request);
+  second.server.emit(second.request, 1, 2);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 2));
+  await bench.stop();
+});
+
+// Symptom: a server gets a request that it can only refuse, and the repeats run out sooner.
+// Sequence: a server dies while it reads a prompt; the server that was to get its copy is asked to
+// go on from it.
+// Cause: memory is sent from the first event on; before it there is no copy.
+test('no server is asked to go on from a copy before the first event has come', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  t.truthy(first.request.headers[HEADERS.kvBackup]);
+  await first.server.crash();
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  t.is(second.request.headers[HEADERS.kvFrom], undefined);
+  second.server.begin(second.request);
+  second.server.emit(second.request, 1, 2);
+  second.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 2));
+  await bench.stop();
+});
+
+// Symptom: a run that was moved reads its prompt anew, although its memory is still there.
+// Sequence: the server with the copy is lost; the run is moved; the server that it is moved to
+// refuses it; the server that it was stopped at keeps its memory.
+// Cause: only the new server is tried, and the one before counts as one that failed.
+test('a run that its new server refuses goes on where it was stopped', async (t) => {
+  const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
+  const followed = bench.follow(buildStream());
+  const first = await nextAnywhere(bench.servers);
+  const backup = bench.servers.find(
+    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
+  ) as StandInServer;
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 3);
+  await followed.waitForText(formatStandInEvent(3));
+  bench.store.writeRow(TABLES.servers, backup.id, null);
+  const second = await nextAnywhere(listOthers(bench, first.server));
+  second.server.answer(second.request, 503, '', { [HEADERS.notRun]: '1' });
+  const third = await nextAnywhere(bench.servers);
+  t.is(third.server, first.server);
+  t.is(third.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
+  t.is(third.request.headers[HEADERS.lastEventId], '3');
+  third.server.begin(third.request);
+  third.server.emit(third.request, 4, 5);
+  third.request.response.end();
+  t.is((await followed.done).body, listEvents(1, 5));
+  await bench.stop();
+});
