Send streams on connections of their own, none that cannot be read in time, and none after the caller left

A stream whose caller had left while servers were asked was sent all the same, and read in vain. Not ruled out as harm: servers that drop idle connections unseen.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -17,6 +17,8 @@
   readonly server: ServerEntry;
   /** Copy that it goes on from; null if it reads the prompt. */
   readonly copy: HeldCopy | null;
+  /** True: it has the prompt in memory, or goes on from a copy. */
+  readonly hasPrompt: boolean;
   /** Server that gets a copy as the run grows; null if there is none. */
   readonly backup: ServerEntry | null;
 }
@@ -54,7 +56,7 @@
         draw: randomness.readFraction(),
       })
     : null;
-  return { server, copy, backup: backup?.entry ?? null };
+  return { server, copy, hasPrompt: copy !== null, backup: backup?.entry ?? null };
 };
 
 /**
@@ -76,9 +78,13 @@
 const buildFromPrompt = (
   run: StreamRun,
   chosen: ReportedServer,
-  reported: readonly ReportedServer[],
-  neededTokens: number,
+  options: {
+    readonly reported: readonly ReportedServer[];
+    readonly neededTokens: number;
+    readonly hasPrompt: boolean;
+  },
 ): StreamServers => {
+  const { hasPrompt, neededTokens, reported } = options;
   const others = reported.filter(
     ({ entry }) => entry.availabilityZone !== chosen.entry.availabilityZone,
   );
@@ -86,6 +92,7 @@
   return {
     server: chosen.entry,
     copy: null,
+    hasPrompt,
     backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
   };
 };
@@ -125,6 +132,7 @@
   const reported: ReportedServer[] = [];
   let chosen: ReportedServer | null = null;
   let isFree = false;
+  let hasPrompt = false;
   for (let round = 0; round < MAX_ROUNDS && !isFree; round += 1) {
     const candidates = listCandidates(run, new Set([...excludedIds, ...asked]));
     candidates.forEach(({ entry }) => asked.add(entry.id));
@@ -134,9 +142,10 @@
     reported.push(...answers);
     const preferredZone = availabilityZone;
     chosen = holding ?? chooseReportedServer(reported, { neededTokens, preferredZone });
-    isFree = chosen !== null && (holding !== null || countPrompts(chosen.report) === 0);
+    hasPrompt = holding !== null;
+    isFree = chosen !== null && (hasPrompt || countPrompts(chosen.report) === 0);
   }
   return chosen
-    ? buildFromPrompt(run, chosen, reported, neededTokens)
+    ? buildFromPrompt(run, chosen, { reported, neededTokens, hasPrompt })
     : chooseUnasked(run, excludedIds);
 };
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -78,6 +78,7 @@
         lastEventId: null,
         backupAddress: null,
         copy: null,
+        ownConnection: false,
       },
       AbortSignal.any([reply.left, timeout.signal]),
     );
@@ -124,12 +125,7 @@
   return refusal.kind;
 };
 
-/**
- * Forwards a call: to one server after the other while it surely did not run, or may be repeated.
- *
- * @returns the outcome, for the metrics
- */
-export const forwardCall = async (
+const sendToServers = async (
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
@@ -216,3 +212,20 @@
     retryAfterMs: runs === 0 ? RETRY_AFTER_MS : 0,
   });
 };
+
+/**
+ * Forwards a call: to one server after the other while it surely did not run, or may be repeated.
+ *
+ * @returns the outcome, for the metrics
+ */
+export const forwardCall = async (
+  dependencies: ForwardingDependencies,
+  context: ForwardContext,
+): Promise<string> => {
+  const outcome = await sendToServers(dependencies, context);
+  recordDecision(dependencies, context, 'call ended', {
+    outcome,
+    goalMs: context.route.latencyGoalMs,
+  });
+  return outcome;
+};
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -57,6 +57,9 @@
     let firstEventMs: number | null = null;
     let isEnded = false;
 
+    // Set once the end is defined, which needs the run.
+    let refuse: StreamRun['refuse'] = () => undefined;
+
     const run: StreamRun = {
       dependencies,
       context,
@@ -64,6 +67,8 @@
       attempts: new Map(),
       readState: () => state,
       dispatch: queue.push,
+      isEnded: () => isEnded,
+      refuse: (refusal) => refuse(refusal),
       copy: null,
       prompts: 0,
       arrivals: 0,
@@ -91,6 +96,11 @@
       resolve(outcome);
     };
 
+    refuse = (refusal) => {
+      reply.sendRefusal(refusal);
+      end(refusal.kind);
+    };
+
     const fail = (failure: GenerationFailure): void => {
       if (!reply.isOpen()) return end('left');
       recordDecision(dependencies, context, 'stream failed', {
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,5 +1,5 @@
-import type { AnswerHead } from '../../../../domain/forwarding';
-import { NO_GAPS } from '../../../../domain/detection';
+import { hasTimeToRead, type AnswerHead } from '../../../../domain/forwarding';
+import { estimatePrefill, NO_GAPS } from '../../../../domain/detection';
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
@@ -30,6 +30,17 @@
     refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: RETRY_AFTER_MS },
   });
 
+const hasTime = (run: StreamRun, servers: StreamServers): boolean => {
+  const { clock } = run.dependencies;
+  const { deadlineAtMs, request, route, service } = run.context;
+  const prefill = estimatePrefill(run.paces.listFirstTokens(service), request.tokens?.prompt ?? 0);
+  const leftMs = deadlineAtMs - clock.readMonotonicMs();
+  return (
+    servers.hasPrompt ||
+    hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs: prefill.ownMs })
+  );
+};
+
 const buildAttempt = (run: StreamRun, { copy, server }: StreamServers): StreamAttempt => {
   const { clock, directory } = run.dependencies;
   const nowMs = clock.readMonotonicMs();
@@ -87,7 +98,19 @@
   const { context } = run;
   const servers = await chooseStreamServers(run, new Set(excludedServers));
   // The caller may have left, or the deadline passed, while servers were asked.
-  if (!run.readState().attempts.some(({ attempt }) => attempt === reader.attempt)) return undefined;
+  const isWanted = run.readState().attempts.some(({ attempt }) => attempt === reader.attempt);
+  if (run.isEnded() || !isWanted) {
+    recordDecision(run.dependencies, context, 'stream not sent', { attempt: reader.attempt });
+    return undefined;
+  }
+  if (servers && run.arrivals === 0 && !hasTime(run, servers)) {
+    const reason = 'less time is left than the prompt takes to read';
+    recordDecision(run.dependencies, context, 'stream not sent', {
+      attempt: reader.attempt,
+      reason,
+    });
+    return run.refuse({ kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS });
+  }
   if (!servers) return refuse(run, reader, 'no server takes work');
   const isRepeat = run.arrivals > 0;
   if (isRepeat && !run.hasRetry && !retries.acquireRetry(context.service)) {
@@ -130,6 +153,7 @@
       lastEventId: offset > 0 ? offset : context.request.lastEventId,
       backupAddress: backup?.address ?? null,
       copy,
+      ownConnection: true,
     },
     attempt.abort.signal,
   );
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -21,8 +21,9 @@
   // The limit is another one from here on, and a far shorter one.
   Object.assign(attempt, { stopWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
-  // Only a whole prompt says how long one takes.
-  if (run.attempts.size === 1 && run.prompts === 1 && run.lastEventAtMs === null) {
+  // Only a whole prompt says how long one takes: that of a caller who comes back may be cached.
+  const isWhole = run.prompts === 1 && request.lastEventId === null;
+  if (run.attempts.size === 1 && isWhole && run.lastEventAtMs === null) {
     run.paces.recordFirstToken(service, {
       firstTokenMs: nowMs - attempt.sentAtMs,
       promptCharacters: request.tokens?.prompt ?? 0,
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -4,6 +4,7 @@
 import type { KvCopy } from '../../ports';
 import type { ServerWork } from '../createServerDirectory';
 import type { PaceHistory } from '../../_lib/createPaceHistory';
+import type { Refusal } from './CallerReply';
 import type { ForwardContext } from './ForwardContext';
 import type { ForwardingDependencies } from './ForwardingDependencies';
 
@@ -40,6 +41,10 @@
   readonly attempts: Map<number, StreamAttempt>;
   readonly readState: () => GenerationState;
   readonly dispatch: (input: GenerationInput) => void;
+  /** True once its caller has the end, or has left. */
+  readonly isEnded: () => boolean;
+  /** Ends a run of which nothing was sent to any server. */
+  readonly refuse: (refusal: Refusal) => void;
   /** Copy from which the next attempt may go on. */
   copy: HeldCopy | null;
   /** Attempts that read the prompt. */
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -29,6 +29,8 @@
   readonly backupAddress: string | null;
   /** Copy from which the run goes on; null to read the prompt. */
   readonly copy: KvCopy | null;
+  /** True: on a connection made for it. One that was idle may be dead: what is sent on it is lost. */
+  readonly ownConnection: boolean;
 }
 
 /** An answer whose body is still arriving. */
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -10,6 +10,7 @@
 export { computePriority } from './computePriority';
 export { countReadingRuns } from './countReadingRuns';
 export { findRoute } from './findRoute';
+export { hasTimeToRead } from './hasTimeToRead';
 export { isRunLost } from './isRunLost';
 export { rankServers } from './rankServers';
 export { splitEvents, type SplitEvents, type StreamEvent } from './splitEvents';
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -24,6 +24,8 @@
   readonly address: string;
   /** Resolves with the next request that is no question about the server itself. */
   nextRequest(): Promise<ReceivedRequest>;
+  /** Resolves when it is asked about itself. */
+  nextQuestion(): Promise<void>;
   /** Takes a request that has come, if there is one. */
   takeRequest(): ReceivedRequest | null;
   /** Calls `listener` at each request. */
@@ -73,6 +75,7 @@
   /** Events made, by the id of each run. */
   const runs = new Map<string, number>();
   const listeners: (() => void)[] = [];
+  const questions: (() => void)[] = [];
   let requests = 0;
   let connections = 0;
   let isFrozen = false;
@@ -106,6 +109,7 @@
 
   const receive = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const own = OWN_CALLS[request.url ?? ''];
+    if (own) questions.splice(0).forEach((resolve) => resolve());
     if (isFrozen) return;
     if (own && isMute) return;
     if (own) {
@@ -164,6 +168,10 @@
   return {
     id,
     address,
+    nextQuestion: () =>
+      new Promise((resolve) => {
+        questions.push(resolve);
+      }),
     takeRequest: () => received.shift() ?? null,
     addListener: (listener) => {
       listeners.push(listener);
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -35,6 +35,8 @@
 export interface FollowedAnswer {
   /** Resolves when the body has this text. */
   waitForText(text: string): Promise<void>;
+  /** Closes the connection. */
+  leave(): void;
   readonly done: Promise<TestAnswer>;
 }
 
@@ -98,6 +100,7 @@
   });
   return {
     done,
+    leave: () => sent.destroy(),
     waitForText: (text) =>
       new Promise((resolve) => {
         const look = (): void => {
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -33,6 +33,7 @@
   lastEventId: null,
   backupAddress: null,
   copy: null,
+  ownConnection: false,
 });
 
 const readAll = async (body: AsyncIterable<Buffer>): Promise<string> => {
@@ -100,3 +101,22 @@
   await client.stop();
   await server.stop();
 });
+
+// Symptom: prompts are read anew, and copies lost, although all servers live.
+// Sequence: connections to servers are reset while they are idle, unseen; requests are sent on them.
+// Cause: a run is entrusted to a connection that was idle.
+test('a request with a connection of its own uses no idle one, and leaves none', async (t) => {
+  const server = await createStandInServer('i-1');
+  const client = createServerClient();
+  const attempt = buildAttempt(server.address, server.id);
+  await client.readReport(attempt.server);
+  const signal = new AbortController();
+  const sent = client.sendAttempt({ ...attempt, ownConnection: true }, signal.signal);
+  const request = await server.nextRequest();
+  t.is(server.countConnections(), 2);
+  server.answer(request, 200, 'done');
+  t.is(await readAll(readOk(await sent).body), 'done');
+  await request.closed;
+  await client.stop();
+  await server.stop();
+});
--- a/tests/gateway/streamLosses.test.ts
+++ b/tests/gateway/streamLosses.test.ts
@@ -113,3 +113,37 @@
   );
   await bench.stop();
 });
+
+// Symptom: a server reads a prompt that nobody waits for.
+// Sequence: the caller leaves while servers are asked which of them is free.
+// Cause: only the state of the stream was looked at, which does not end with its caller.
+test('a prompt is not sent once its caller has left', async (t) => {
+  const bench = await startTestGateway();
+  bench.servers.forEach((server) => server.muteReports());
+  const followed = bench.follow(buildStream());
+  const asked = bench.servers.map((server) => server.nextQuestion());
+  await Promise.all(asked);
+  followed.leave();
+  await bench.waitForLine('stream not sent');
+  t.is(
+    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
+    0,
+  );
+  await bench.stop();
+});
+
+// Symptom: a caller that comes back shortly before its deadline is held to it, and gets 504.
+// Sequence: 400 ms are left; the prompt must be read anew, which takes a second.
+// Cause: it is sent all the same.
+test('a prompt that cannot be read in the time left is refused at once', async (t) => {
+  const bench = await startTestGateway();
+  const headers = { [HEADERS.lastEventId]: '7', [HEADERS.deadlineMs]: '400' };
+  const answer = await bench.send(buildStream(headers));
+  t.is(answer.status, 503);
+  t.true(Number(answer.headers['retry-after']) > 0);
+  t.is(
+    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
+    0,
+  );
+  await bench.stop();
+});
