--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -7,6 +7,7 @@
 import { decodeRequestHead } from '../../../../platform';
 import type { GatewaySettings } from '../../../domain/forwarding';
 import { parseAddress } from '../_lib/parseAddress';
+import { recordReady } from '../_lib/recordReady';
 import { startEndpoints } from '../_lib/startEndpoints';
 import { wireGateway, type GatewayOverrides } from '../_lib/wireGateway';
 
@@ -98,6 +99,7 @@
   followers.configuration.start();
   followers.servers.start();
   parts.gossip.start();
+  const stopRecording = recordReady({ ...parts, isReady });
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
 
   const wait = (delayMs: number): Promise<void> =>
@@ -112,6 +114,7 @@
     drain: async () => {
       if (isDraining) return;
       isDraining = true;
+      stopRecording();
       const startedAtMs = clock.readMonotonicMs();
       const readAgeMs = (): number => clock.readMonotonicMs() - startedAtMs;
       log.info('gateway draining', { running: forwarder.countRunning() });
@@ -131,6 +134,7 @@
       return listChangedKeys(settings, next).filter((key) => !CHANGEABLE_KEYS.has(key));
     },
     stop: async () => {
+      stopRecording();
       followers.configuration.stop();
       followers.servers.stop();
       await Promise.all([server.stop(), endpoints.value.stop()]);
