--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -14,6 +14,8 @@
   readonly store: RowSource;
   /** How long one call waits for changes. */
   readonly waitMs: number;
+  /** How long the next call is put off after changes, which come in bursts. */
+  readonly burstPauseMs: number;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly log: EventLog;
@@ -41,12 +43,6 @@
   isStoreReachable(): boolean;
 }
 
-/**
- * Changes come in bursts: this long after some, the rest is awaited, which saves calls. Together
- * with a call it stays far below the two seconds within which a change must be in force.
- */
-const BURST_PAUSE_MS = 600;
-
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 500;
 
@@ -69,7 +65,7 @@
  * goes back to an older version, whichever source tells of it.
  */
 export const createRowFollower = (dependencies: RowFollowerDependencies): RowFollower => {
-  const { clock, handleRows, log, randomness, store, table, waitMs } = dependencies;
+  const { burstPauseMs, clock, handleRows, log, randomness, store, table, waitMs } = dependencies;
   const rows = new Map<string, SharedRow>();
   const abort = new AbortController();
   let version = 0;
@@ -152,7 +148,7 @@
     recordSuccess();
     mergeRows(changes.value.rows, 'store');
     version = Math.max(version, changes.value.version);
-    if (changes.value.rows.length > 0) await wait(BURST_PAUSE_MS);
+    if (changes.value.rows.length > 0) await wait(burstPauseMs);
     return false;
   };
 
--- a/src/application/rows/createRowFollower/test.ts
+++ b/src/application/rows/createRowFollower/test.ts
@@ -32,6 +32,7 @@
       },
     },
     waitMs: 2500,
+    burstPauseMs: 600,
     clock,
     randomness: createSeededRandomness(1),
     log: { info: take, warn: take, error: take },
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -6,6 +6,7 @@
   type ReportedServer,
 } from './chooseReportedServer';
 export { chooseTarget } from './chooseTarget';
+export { computeBurstPause } from './computeBurstPause';
 export { computeFollowWait } from './computeFollowWait';
 export { computePriority } from './computePriority';
 export { countReadingRuns } from './countReadingRuns';
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -21,7 +21,11 @@
   decodeServerEntry,
   TABLES,
 } from '../../../../../platform';
-import { computeFollowWait, type GatewaySettings } from '../../../../domain/forwarding';
+import {
+  computeBurstPause,
+  computeFollowWait,
+  type GatewaySettings,
+} from '../../../../domain/forwarding';
 
 /** What tests pass in. */
 export interface GatewayOverrides {
@@ -74,7 +78,8 @@
     handleSuspected: (id, cause) => sendSuspicion(id, cause),
   });
   const waitMs = computeFollowWait(settings.bounds);
-  const shared = { store, waitMs, clock, randomness, log };
+  const burstPauseMs = computeBurstPause(settings.bounds);
+  const shared = { store, waitMs, burstPauseMs, clock, randomness, log };
   const configuration = createRowFollower({
     ...shared,
     table: TABLES.operator,
