--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -66,7 +66,7 @@
   const log = overrides.log ?? SILENT_LOG;
   const metrics = createGatewayMetrics();
   const store = createStoreClient(settings.storeUrl, { clock });
-  const client = createServerClient();
+  const client = createServerClient({ clock });
   const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
   // The gossip tells of the followers' rows, which the directory takes: it is wired last.
   let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
+import { createFakeClock } from '../../standins/fakes';
 import type { StandInServer } from '../../standins/gateway';
 import { buildWireEntry } from './_lib/buildWireConfiguration';
 import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
@@ -9,7 +10,7 @@
   servers.reduce((sum, server) => sum + server.countRequests(), 0);
 
 test('a call is handed on with its id, its workspace, what is left of its time, and no key', async (t) => {
-  const bench = await startTestGateway();
+  const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({
     target: '/unsafe/x?y=1',
     body: 'payment',
@@ -39,7 +40,7 @@
 // Sequence: the first server answers 500; the call may be repeated.
 // Cause: the server's failure is handed on at once.
 test('a repeatable call goes to another server after a failure', async (t) => {
-  const bench = await startTestGateway();
+  const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({ target: '/safe/x' });
   const first = await nextAnywhere(bench.servers);
   first.server.answer(first.request, 500, 'broken');
@@ -55,7 +56,7 @@
 // Sequence: the server takes the call, then its connection breaks.
 // Cause: a call that may have run is sent again.
 test('a non-idempotent call is never sent twice once it may have run', async (t) => {
-  const bench = await startTestGateway();
+  const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({ target: '/unsafe/x', body: '1' });
   const { request } = await nextAnywhere(bench.servers);
   request.socket.resetAndDestroy();
@@ -69,7 +70,7 @@
 // Sequence: the first server says that it did not run the call.
 // Cause: the refusal is taken for the end.
 test('a call that surely did not run goes to another server, whatever its kind', async (t) => {
-  const bench = await startTestGateway();
+  const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({ target: '/unsafe/x', body: '1' });
   const first = await nextAnywhere(bench.servers);
   first.server.answer(first.request, 503, '', { [HEADERS.notRun]: '1' });
@@ -172,7 +173,7 @@
 });
 
 test('a server that is leaving gets nothing more', async (t) => {
-  const bench = await startTestGateway();
+  const bench = await startTestGateway({ clock: createFakeClock() });
   const [leaving, staying] = bench.servers as [StandInServer, StandInServer];
   bench.store.writeRow(TABLES.servers, leaving.id, buildWireEntry(leaving, { state: 'draining' }));
   await bench.waitForLine('server leaving');
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { createServerClient, HEADERS } from '../../platform';
+import { createFakeClock } from '../../standins/fakes';
 import { createStandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
 
@@ -47,7 +48,7 @@
 // Cause: the HTTP client takes a reset for the end of an answer without a length.
 test('an answer without a length that is reset midway does not end like a whole one', async (t) => {
   const server = await createStandInServer('i-1');
-  const client = createServerClient();
+  const client = createServerClient({ clock: createFakeClock() });
   const sent = client.sendAttempt(
     buildAttempt(server.address, server.id),
     new AbortController().signal,
@@ -68,7 +69,7 @@
 test('a connection that nobody accepts surely sent nothing', async (t) => {
   const server = await createStandInServer('i-1');
   await server.stop();
-  const client = createServerClient();
+  const client = createServerClient({ clock: createFakeClock() });
   const sent = await client.sendAttempt(
     buildAttempt(server.address, server.id),
     new AbortController().signal,
@@ -79,7 +80,7 @@
 
 test('a connection that breaks after the request may have sent it', async (t) => {
   const server = await createStandInServer('i-1');
-  const client = createServerClient();
+  const client = createServerClient({ clock: createFakeClock() });
   const sent = client.sendAttempt(
     buildAttempt(server.address, server.id),
     new AbortController().signal,
@@ -93,11 +94,16 @@
 
 test('a report that does not come tells that the server is silent', async (t) => {
   const server = await createStandInServer('i-1');
-  const client = createServerClient();
+  const clock = createFakeClock();
+  const client = createServerClient({ clock });
   const { server: entry } = buildAttempt(server.address, server.id);
   t.is((await client.readReport(entry))?.running, 0);
   server.freeze();
-  t.is(await client.readReport(entry), null);
+  const asked = server.nextQuestion();
+  const report = client.readReport(entry);
+  await asked;
+  clock.advance(1000);
+  t.is(await report, null);
   await client.stop();
   await server.stop();
 });
@@ -107,7 +113,7 @@
 // Cause: a run is entrusted to a connection that was idle.
 test('a request with a connection of its own uses no idle one, and leaves none', async (t) => {
   const server = await createStandInServer('i-1');
-  const client = createServerClient();
+  const client = createServerClient({ clock: createFakeClock() });
   const attempt = buildAttempt(server.address, server.id);
   const asked = server.nextQuestion();
   await client.readReport(attempt.server);
