--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -69,7 +69,7 @@
   const { directory } = run.dependencies;
   if (head.isOtherServer) directory.recordSuspicion(attempt.server.id, 'replaced');
   if (head.isNotRun) {
-    // The rest of the answer is read, so that its connection can be used again.
+    // The rest of the answer is read, so that its connection ends by itself.
     releaseCopy(run, copy, attempt.server.id);
     await readWholeBody(body);
     run.dispatch({ kind: 'not-started', reader, refused: false });
--- /dev/null
+++ b/tests/gateway/_lib/findBackup/index.ts
@@ -0,0 +1,12 @@
+import { HEADERS } from '../../../../platform';
+import type { StandInServer } from '../../../../standins/gateway';
+import type { Taken } from '../nextAnywhere';
+import type { TestGateway } from '../startTestGateway';
+
+/** The server that a stream's memory is to be copied to. */
+export const findBackup = ({ servers }: TestGateway, { request }: Taken): StandInServer => {
+  const address = request.headers[HEADERS.kvBackup];
+  const backup = servers.find((server) => server.address === address);
+  if (!backup) throw new Error(`no server at ${String(address)}`);
+  return backup;
+};
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -3,12 +3,10 @@
 import { createFakeClock } from '../../standins/fakes';
 import type { StandInServer } from '../../standins/gateway';
 import { buildWireEntry } from './_lib/buildWireConfiguration';
-import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
+import { countRequests } from './_lib/countRequests';
+import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
-const countAll = ({ servers }: TestGateway): number =>
-  servers.reduce((sum, server) => sum + server.countRequests(), 0);
-
 test('a call is handed on with its id, its workspace, what is left of its time, and no key', async (t) => {
   const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({
@@ -62,7 +60,7 @@
   request.socket.resetAndDestroy();
   const answer = await answered;
   t.is(answer.status, 502);
-  t.is(countAll(bench), 1);
+  t.is(countRequests(bench), 1);
   await bench.stop();
 });
 
--- a/tests/gateway/days.test.ts
+++ b/tests/gateway/days.test.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import test from 'ava';
 import { parse } from 'smol-toml';
-import { encodeDay } from '../../platform';
+import { encodeDay } from '../../platform/encodeDay';
 import { readOk } from '../_lib/readOk';
 
 const FOLDER = 'tests/days';
--- a/tests/gateway/drain.test.ts
+++ b/tests/gateway/drain.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { HEADERS } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
+import { countRequests } from './_lib/countRequests';
 import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
@@ -30,10 +31,7 @@
   t.is((await late).body, 'done');
   await clock.advanceAsync(100);
   await drained;
-  t.is(
-    bench.servers.reduce((sum, one) => sum + one.countRequests(), 0),
-    2,
-  );
+  t.is(countRequests(bench), 2);
   await bench.stop();
 });
 
--- a/tests/gateway/streamLosses.test.ts
+++ b/tests/gateway/streamLosses.test.ts
@@ -1,23 +1,15 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
-import { formatStandInEvent, type StandInServer } from '../../standins/gateway';
-import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
+import { formatStandInEvent } from '../../standins/gateway';
+import { buildStream } from './_lib/buildStream';
+import { countRequests } from './_lib/countRequests';
+import { findBackup } from './_lib/findBackup';
+import { finishStream } from './_lib/finishStream';
+import { listEvents } from './_lib/listEvents';
+import { listOthers } from './_lib/listOthers';
+import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
-const listEvents = (first: number, last: number): string =>
-  Array.from({ length: last - first + 1 }, (_, index) => formatStandInEvent(first + index)).join(
-    '',
-  );
-
-const listOthers = ({ servers }: TestGateway, server: StandInServer): StandInServer[] =>
-  servers.filter((other) => other !== server);
-
-const buildStream = (change: object = {}) => ({
-  target: '/stream/x',
-  body: 'a long prompt',
-  headers: { [HEADERS.tokenSizes]: '8000,900', ...change },
-});
-
 // Symptom: a stream has its first event after 4.7 s, of which 3.6 s were waiting for one server.
 // Sequence: a server runs the request and loses its answer; the connection stays open, and the
 // server lists the run whenever it is asked.
@@ -30,9 +22,7 @@
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is((await bench.waitForLine('server silent')).cause, 'run lost');
   await first.request.closed;
-  second.server.begin(second.request);
-  second.server.emit(second.request, 1, 2);
-  second.request.response.end();
+  finishStream(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   await bench.stop();
 });
@@ -49,9 +39,7 @@
   await first.server.crash();
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], undefined);
-  second.server.begin(second.request);
-  second.server.emit(second.request, 1, 2);
-  second.request.response.end();
+  finishStream(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   await bench.stop();
 });
@@ -64,9 +52,7 @@
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   const followed = bench.follow(buildStream());
   const first = await nextAnywhere(bench.servers);
-  const backup = bench.servers.find(
-    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
-  ) as StandInServer;
+  const backup = findBackup(bench, first);
   first.server.begin(first.request);
   first.server.emit(first.request, 1, 3);
   await followed.waitForText(formatStandInEvent(3));
@@ -77,9 +63,7 @@
   t.is(third.server, first.server);
   t.is(third.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   t.is(third.request.headers[HEADERS.lastEventId], '3');
-  third.server.begin(third.request);
-  third.server.emit(third.request, 4, 5);
-  third.request.response.end();
+  finishStream(third, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   await bench.stop();
 });
@@ -93,9 +77,7 @@
   bench.servers.forEach((server) => server.holdRests());
   const followed = bench.follow(buildStream());
   const first = await nextAnywhere(bench.servers);
-  const backup = bench.servers.find(
-    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
-  ) as StandInServer;
+  const backup = findBackup(bench, first);
   first.server.begin(first.request);
   first.server.emit(first.request, 1, 3);
   await followed.waitForText(formatStandInEvent(3));
@@ -103,9 +85,7 @@
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   await first.request.closed;
-  second.server.begin(second.request);
-  second.server.emit(second.request, 4, 5);
-  second.request.response.end();
+  finishStream(second, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   t.deepEqual(
     bench.lines.filter(({ message }) => message === 'server silent'),
@@ -125,10 +105,7 @@
   await Promise.all(asked);
   followed.leave();
   await bench.waitForLine('stream not sent');
-  t.is(
-    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
-    0,
-  );
+  t.is(countRequests(bench), 0);
   await bench.stop();
 });
 
@@ -141,9 +118,6 @@
   const answer = await bench.send(buildStream(headers));
   t.is(answer.status, 503);
   t.true(Number(answer.headers['retry-after']) > 0);
-  t.is(
-    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
-    0,
-  );
+  t.is(countRequests(bench), 0);
   await bench.stop();
 });
--- a/tests/gateway/streams.test.ts
+++ b/tests/gateway/streams.test.ts
@@ -1,24 +1,16 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
-import { formatStandInEvent, type StandInServer } from '../../standins/gateway';
+import { formatStandInEvent } from '../../standins/gateway';
 import { buildWireConfiguration, buildWireEntry } from './_lib/buildWireConfiguration';
-import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
+import { buildStream } from './_lib/buildStream';
+import { countRequests } from './_lib/countRequests';
+import { findBackup } from './_lib/findBackup';
+import { finishStream } from './_lib/finishStream';
+import { listEvents } from './_lib/listEvents';
+import { listOthers } from './_lib/listOthers';
+import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
-const listEvents = (first: number, last: number): string =>
-  Array.from({ length: last - first + 1 }, (_, index) => formatStandInEvent(first + index)).join(
-    '',
-  );
-
-const listOthers = ({ servers }: TestGateway, server: StandInServer): StandInServer[] =>
-  servers.filter((other) => other !== server);
-
-const buildStream = (change: object = {}) => ({
-  target: '/stream/x',
-  body: 'a long prompt',
-  headers: { [HEADERS.tokenSizes]: '8000,900', ...change },
-});
-
 test('a stream is handed on event by event, with the head of its server', async (t) => {
   const bench = await startTestGateway();
   const followed = bench.follow(buildStream());
@@ -57,9 +49,7 @@
   t.is(second.request.headers[HEADERS.kvFrom], `${backup}/request-1`);
   t.is(second.request.headers[HEADERS.lastEventId], '5');
   t.is(second.request.headers[HEADERS.requestId], 'request-1');
-  second.server.begin(second.request);
-  second.server.emit(second.request, 6, 9);
-  second.request.response.end();
+  finishStream(second, 6, 9);
   const answer = await followed.done;
   t.true(answer.isWhole);
   t.is(answer.body, listEvents(1, 9));
@@ -78,9 +68,7 @@
   await followed.waitForText(formatStandInEvent(4));
   first.request.socket.resetAndDestroy();
   const second = await nextAnywhere(bench.servers);
-  second.server.begin(second.request);
-  second.server.emit(second.request, 3, 6);
-  second.request.response.end();
+  finishStream(second, 3, 6);
   t.is((await followed.done).body, listEvents(1, 6));
   await bench.stop();
 });
@@ -97,9 +85,7 @@
   first.server.emit(first.request, 4, 4);
   const second = await nextAnywhere(bench.servers);
   t.is(second.request.headers[HEADERS.lastEventId], '2');
-  second.server.begin(second.request);
-  second.server.emit(second.request, 3, 4);
-  second.request.response.end();
+  finishStream(second, 3, 4);
   t.is((await followed.done).body, listEvents(1, 4));
   await bench.stop();
 });
@@ -117,9 +103,7 @@
   first.server.freeze();
   const second = await nextAnywhere(listOthers(bench, first.server));
   await first.request.closed;
-  second.server.begin(second.request);
-  second.server.emit(second.request, 3, 4);
-  second.request.response.end();
+  finishStream(second, 3, 4);
   t.is((await followed.done).body, listEvents(1, 4));
   t.is((await bench.waitForLine('server silent')).cause, 'no answer');
   await bench.stop();
@@ -135,9 +119,7 @@
   // The stand-in lists runs by their open answers: this one is forgotten.
   first.request.response.emit('close');
   const second = await nextAnywhere(bench.servers);
-  second.server.begin(second.request);
-  second.server.emit(second.request, 1, 2);
-  second.request.response.end();
+  finishStream(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   t.is((await bench.waitForLine('server silent')).cause, 'run lost');
   await bench.stop();
@@ -150,9 +132,7 @@
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   const followed = bench.follow(buildStream());
   const first = await nextAnywhere(bench.servers);
-  const backup = bench.servers.find(
-    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
-  ) as StandInServer;
+  const backup = findBackup(bench, first);
   first.server.begin(first.request);
   first.server.emit(first.request, 1, 3);
   await followed.waitForText(formatStandInEvent(3));
@@ -160,9 +140,7 @@
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   t.not(second.server, backup);
-  second.server.begin(second.request);
-  second.server.emit(second.request, 4, 5);
-  second.request.response.end();
+  finishStream(second, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   await bench.stop();
 });
@@ -174,18 +152,14 @@
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   const followed = bench.follow(buildStream());
   const first = await nextAnywhere(bench.servers);
-  const backup = bench.servers.find(
-    ({ address }) => address === first.request.headers[HEADERS.kvBackup],
-  ) as StandInServer;
+  const backup = findBackup(bench, first);
   bench.store.writeRow(TABLES.servers, backup.id, buildWireEntry(backup, { state: 'draining' }));
   await bench.waitForLine('server leaving');
   first.request.socket.resetAndDestroy();
   const second = await nextAnywhere(listOthers(bench, backup));
   t.not(second.server, backup);
   t.is(second.request.headers[HEADERS.kvFrom], undefined);
-  second.server.begin(second.request);
-  second.server.emit(second.request, 1, 2);
-  second.request.response.end();
+  finishStream(second, 1, 2);
   t.true((await followed.done).isWhole);
   await bench.stop();
 });
@@ -202,10 +176,7 @@
   first.request.socket.resetAndDestroy();
   const answer = await followed.done;
   t.false(answer.isWhole);
-  t.is(
-    bench.servers.reduce((sum, server) => sum + server.countRequests(), 0),
-    1,
-  );
+  t.is(countRequests(bench), 1);
   await bench.stop();
 });
 
--- a/tools/platform-days/main.ts
+++ b/tools/platform-days/main.ts
@@ -1,7 +1,7 @@
-// Writes our days (tests/days) as files for the bench: `tsx tools/platform-days/main.ts SITE FOLDER`.
+// Writes our days (tests/days) in the platform's words: `tsx tools/platform-days/main.ts SITE FOLDER`.
 import { mkdir, readdir, readFile, writeFile } from 'node:fs/promises';
 import { basename, join } from 'node:path';
-import { encodeDay } from '../../platform';
+import { encodeDay } from '../../platform/encodeDay';
 
 const DAYS = 'tests/days';
 
