One wait on a clock, and one estimate of a run's prompt

Ruled out: one timeout for all callers: those that are left abort for reasons of their own as well. Change: waitDelay (src/application/time), estimateRunPrefill. Behaviour as before; tests unchanged.

--- a/src/application/configuration/_lib/writeVersionRow/index.ts
+++ b/src/application/configuration/_lib/writeVersionRow/index.ts
@@ -5,6 +5,7 @@
   type ConfigurationRow,
 } from '../../../../domain/configuration';
 import type { Clock, Randomness, TableStore } from '../../../ports';
+import { waitDelay } from '../../../time';
 import { CONFIGURATION_PARTITION } from '../../partition';
 import { readVersionRow } from '../../readVersionRow';
 import type { ApplyError } from '../../types';
@@ -30,9 +31,7 @@
 
 function waitPause(deps: WriteVersionDependencies, attempt: number): Promise<void> {
   const pauseMs = FIRST_PAUSE_MS * 2 ** attempt * (0.5 + deps.randomness.readFraction());
-  return new Promise((resolve) => {
-    deps.clock.startTimer(pauseMs, resolve);
-  });
+  return waitDelay(deps.clock, pauseMs);
 }
 
 /** Tells by reading back whose the version is; null while that is not known. */
--- a/src/application/configuration/waitForVersion/index.ts
+++ b/src/application/configuration/waitForVersion/index.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Clock } from '../../ports';
+import { waitDelay } from '../../time';
 
 /** Time between two questions to the VMs that lag, in milliseconds. */
 const ASK_INTERVAL_MS = 250;
@@ -80,8 +81,6 @@
     if (progress.elapsedMs >= options.timeoutMs) {
       return err(progress);
     }
-    await new Promise<void>((resolve) => {
-      deps.clock.startTimer(ASK_INTERVAL_MS, resolve);
-    });
+    await waitDelay(deps.clock, ASK_INTERVAL_MS);
   }
 }
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,11 +1,12 @@
 import { hasTimeToRead, type AnswerHead } from '../../../../domain/forwarding';
-import { estimatePrefill, NO_GAPS } from '../../../../domain/detection';
+import { NO_GAPS } from '../../../../domain/detection';
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
 import { chooseStreamServers, type StreamServers } from '../chooseStreamServers';
 import { closeStreamAttempt } from '../closeStreamAttempt';
+import { estimateRunPrefill } from '../estimateRunPrefill';
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
 import { recordAttemptFailure } from '../recordAttemptFailure';
@@ -31,13 +32,11 @@
   });
 
 const hasTime = (run: StreamRun, servers: StreamServers): boolean => {
-  const { clock } = run.dependencies;
-  const { deadlineAtMs, request, route, service } = run.context;
-  const prefill = estimatePrefill(run.paces.listFirstTokens(service), request.tokens?.prompt ?? 0);
-  const leftMs = deadlineAtMs - clock.readMonotonicMs();
+  const { deadlineAtMs, route } = run.context;
+  const leftMs = deadlineAtMs - run.dependencies.clock.readMonotonicMs();
+  const prefillMs = estimateRunPrefill(run).ownMs;
   return (
-    servers.hasPrompt ||
-    hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs: prefill.ownMs })
+    servers.hasPrompt || hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs })
   );
 };
 
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,11 +1,8 @@
-import {
-  computePrefillLimitMs,
-  computeSilenceLimitMs,
-  estimatePrefill,
-} from '../../../../domain/detection';
+import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
 import { isRunLost, type ServerReport } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { estimateRunPrefill } from '../estimateRunPrefill';
 import { recordDecision } from '../recordDecision';
 
 /** Part of the longest good pause after which a server is asked whether it lives. */
@@ -126,10 +123,7 @@
       isRunLost(report, run.context.request.requestId, {
         hasArrived: attempt.hasDelivered,
         unqueuedMs: Math.max(0, clock.readMonotonicMs() - unqueuedAtMs),
-        prefill: estimatePrefill(
-          run.paces.listFirstTokens(run.context.service),
-          run.context.request.tokens?.prompt ?? 0,
-        ),
+        prefill: estimateRunPrefill(run),
       });
     // A report is late: the first one may be older than the run.
     if (isLost && wasLost) {
--- a/src/application/generations/_lib/createClaimKeeper/index.ts
+++ b/src/application/generations/_lib/createClaimKeeper/index.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { ClaimState, type ClaimRow, type StoredAnswer } from '../../../../domain/types';
 import type { ClaimError, Claims, Clock } from '../../../ports';
+import { waitDelay } from '../../../time';
 
 /** What a claim keeper needs. */
 export interface ClaimKeeperDependencies {
@@ -73,9 +74,7 @@
     const written = await addWrite(write);
     if (written.isOk() || written.error.kind === 'lost' || tries >= MAX_END_TRIES) return;
     const delayMs = Math.max(MIN_END_RETRY_MS, written.error.retryAfterMs);
-    await new Promise<void>((resolve) => {
-      dependencies.clock.startTimer(delayMs, resolve);
-    });
+    await waitDelay(dependencies.clock, delayMs);
     await recordEnd(write, tries + 1);
   };
 
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -7,6 +7,7 @@
   RowSource,
   SharedRow,
 } from '../../ports';
+import { waitDelay } from '../../time';
 
 /** What a follower needs. */
 export interface RowFollowerDependencies {
@@ -115,11 +116,6 @@
     log.warn('store lost', { table, reason: error.reason, version });
   };
 
-  const wait = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      clock.startTimer(delayMs, resolve);
-    });
-
   const readAll = async (): Promise<boolean> => {
     const all = await store.readRows(table);
     if (all.isErr()) {
@@ -148,7 +144,7 @@
     recordSuccess();
     mergeRows(changes.value.rows, 'store');
     version = Math.max(version, changes.value.version);
-    if (changes.value.rows.length > 0) await wait(burstPauseMs);
+    if (changes.value.rows.length > 0) await waitDelay(clock, burstPauseMs);
     return false;
   };
 
@@ -158,7 +154,7 @@
       mustReadAll = mustReadAll ? !(await readAll()) : await followOnce();
       if (failures > 0) {
         const boundMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1));
-        await wait(boundMs * (0.5 + randomness.readFraction() / 2));
+        await waitDelay(clock, boundMs * (0.5 + randomness.readFraction() / 2));
       }
     }
   };
--- a/src/application/store/createStoreGuard/index.ts
+++ b/src/application/store/createStoreGuard/index.ts
@@ -9,6 +9,7 @@
   type RetryBudget,
 } from '../../../domain/retry';
 import type { Clock, EventLog, Randomness, StoreError } from '../../ports';
+import { waitDelay } from '../../time';
 import type { StorePolicy } from '../policies';
 import { waitForResult } from '../_lib/waitForResult';
 
@@ -75,10 +76,6 @@
     if (next !== null) budget = next;
     return next !== null;
   };
-  const waitMs = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      clock.startTimer(delayMs, resolve);
-    });
 
   const runOnce = async <T>(
     operation: () => Promise<Result<T, StoreError>>,
@@ -112,7 +109,7 @@
         const delayMs = computeBackoffMs(retry, randomness.readFraction(), policy.backoff);
         const inTime = clock.readMonotonicMs() + delayMs < untilMs;
         if (breaker.kind !== 'closed' || !inTime || !takeRetry()) return result;
-        await waitMs(delayMs);
+        await waitDelay(clock, delayMs);
         if (breaker.kind !== 'closed') return result;
         result = await runOnce(operation, kind, untilMs);
       }
--- /dev/null
+++ b/src/application/time/index.ts
@@ -0,0 +1,1 @@
+export { waitDelay } from './waitDelay';
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -4,6 +4,7 @@
   type ForwardingServer,
   type ListenError,
 } from '../../../adapters/http';
+import { waitDelay } from '../../../application/time';
 import { decodeRequestHead } from '../../../../platform';
 import type { GatewaySettings } from '../../../domain/forwarding';
 import { parseAddress } from '../_lib/parseAddress';
@@ -102,11 +103,6 @@
   const stopRecording = recordReady({ ...parts, isReady });
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
 
-  const wait = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      clock.startTimer(delayMs, resolve);
-    });
-
   return ok({
     callerUrl: server.url,
     readinessUrl: endpoints.value.readinessUrl,
@@ -122,7 +118,7 @@
         readAgeMs() < TAKEN_OUT_MS ||
         (forwarder.countRunning() > 0 && readAgeMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
       ) {
-        await wait(DRAIN_STEP_MS);
+        await waitDelay(clock, DRAIN_STEP_MS);
         if (readAgeMs() >= TAKE_STREAMS_MS) forwarder.refuseStreams();
         if (readAgeMs() >= settings.bounds.shutdownMs - REFUSE_ALL_MARGIN_MS) forwarder.refuseAll();
         if (readAgeMs() >= TAKEN_OUT_MS) server.closeIdleConnections();
--- a/src/programs/jackdaw/commands/DrainCommand.ts
+++ b/src/programs/jackdaw/commands/DrainCommand.ts
@@ -1,18 +1,13 @@
 import { Command, Option } from 'clipanion';
 import { z } from 'zod';
 import type { AwaitedVm } from '../../../application/configuration';
-import type { Clock } from '../../../application/ports';
+import { waitDelay } from '../../../application/time';
 import { ExitCode, type OperatorPlatform } from '../types';
 import { PlatformCommand } from './PlatformCommand';
 
 const POLL_MS = 500;
 const MS_PER_S = 1_000;
 
-const waitForTimer = (clock: Clock, delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    clock.startTimer(delayMs, resolve);
-  });
-
 const runningSchema = z.object({ running: z.number() });
 
 function readRunning(status: unknown): number | null {
@@ -85,7 +80,7 @@
       }
       const running = readRunning(read.unwrapOr(null));
       if (running !== null) this.writeProgress(`${target.vm}: ${running} requests running`);
-      await waitForTimer(clock, POLL_MS);
+      await waitDelay(clock, POLL_MS);
     }
     this.endProgress();
     return false;
