Listen in one place, and test the choice by reports

Cause: the servers for callers and for forwarded requests listened, failed and stopped by the same lines; two tests built the same server status; the choice among servers that reported had no test of its own. Change: startListening, buildServerStatus, chooseReportedServer/test. Behaviour and assertions as before.

--- a/src/adapters/http/startCallerServer/index.ts
+++ b/src/adapters/http/startCallerServer/index.ts
@@ -1,27 +1,9 @@
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { createAdaptorServer } from '@hono/node-server';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { startListening, type CallerServer, type ListenError } from '../_lib/startListening';
 
-/** A listening server for callers. */
-export interface CallerServer {
-  readonly url: string;
-  /** Stops listening and closes what is still open. */
-  stop(): Promise<void>;
-}
-
-/** Why a server could not listen. */
-export interface ListenError {
-  readonly kind: 'cannot-listen';
-  readonly address: string;
-  readonly reason: string;
-}
-
-const stopServer = (server: Server): Promise<void> =>
-  new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeAllConnections();
-  });
+export type { CallerServer, ListenError } from '../_lib/startListening';
 
 /**
  * Starts to serve callers.
@@ -31,22 +13,13 @@
 export const startCallerServer = (
   app: { readonly fetch: Parameters<typeof createAdaptorServer>[0]['fetch'] },
   listen: { readonly host: string; readonly port: number },
-): Promise<Result<CallerServer, ListenError>> =>
-  new Promise((resolve) => {
-    // The replacement of the global Request and Response would change undici's in this process.
-    const server = createAdaptorServer({
-      fetch: app.fetch,
-      overrideGlobalObjects: false,
-    }) as Server;
-    // Bodies may be long and callers slow; the body's size is bounded instead.
-    server.requestTimeout = 0;
-    const address = `${listen.host}:${listen.port}`;
-    const fail = (error: Error): void =>
-      resolve(err({ kind: 'cannot-listen', address, reason: error.message }));
-    server.once('error', fail);
-    server.listen(listen.port, listen.host, () => {
-      server.off('error', fail);
-      const { port } = server.address() as AddressInfo;
-      resolve(ok({ url: `http://${listen.host}:${port}`, stop: () => stopServer(server) }));
-    });
-  });
+): Promise<Result<CallerServer, ListenError>> => {
+  // The replacement of the global Request and Response would change undici's in this process.
+  const server = createAdaptorServer({
+    fetch: app.fetch,
+    overrideGlobalObjects: false,
+  }) as Server;
+  // Bodies may be long and callers slow; the body's size is bounded instead.
+  server.requestTimeout = 0;
+  return startListening(server, listen);
+};
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -1,13 +1,12 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { Forwarder } from '../../../application/forwarding';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { ForwardingLimits, RequestHead } from '../../../domain/forwarding';
 import { createCallerReply } from '../_lib/createCallerReply';
 import { readBody } from '../_lib/readBody';
-import type { ListenError } from '../startCallerServer';
+import { startListening, type CallerServer, type ListenError } from '../_lib/startListening';
 
 /** A request as the HTTP library read it. */
 export interface RawHead {
@@ -33,13 +32,10 @@
 }
 
 /** A listening server that forwards requests. */
-export interface ForwardingServer {
-  readonly url: string;
+export interface ForwardingServer extends CallerServer {
   /** Sets how long connections may be idle, and how long headers may take. */
   applyLimits(limits: ForwardingLimits): void;
   closeIdleConnections(): void;
-  /** Stops listening, and closes what is still open. */
-  stop(): Promise<void>;
 }
 
 /** Until a configuration is known. */
@@ -81,7 +77,7 @@
  *
  * @param listen - host and port; port 0 takes a free one
  */
-export const startForwardingServer = (
+export const startForwardingServer = async (
   dependencies: ForwardingServerDependencies,
   listen: { readonly host: string; readonly port: number },
 ): Promise<Result<ForwardingServer, ListenError>> => {
@@ -156,25 +152,10 @@
   };
   applyLimits(DEFAULT_LIMITS);
 
-  return new Promise((resolve) => {
-    const address = `${listen.host}:${listen.port}`;
-    const fail = (error: Error): void =>
-      resolve(err({ kind: 'cannot-listen', address, reason: error.message }));
-    server.once('error', fail);
-    server.listen(listen.port, listen.host, () => {
-      server.off('error', fail);
-      resolve(
-        ok({
-          url: `http://${listen.host}:${(server.address() as AddressInfo).port}`,
-          applyLimits,
-          closeIdleConnections: () => server.closeIdleConnections(),
-          stop: () =>
-            new Promise((stopped) => {
-              server.close(() => stopped());
-              server.closeAllConnections();
-            }),
-        }),
-      );
-    });
-  });
+  const listening = await startListening(server, listen);
+  return listening.map((one) => ({
+    ...one,
+    applyLimits,
+    closeIdleConnections: () => server.closeIdleConnections(),
+  }));
 };
--- /dev/null
+++ b/src/domain/forwarding/chooseReportedServer/test.ts
@@ -0,0 +1,57 @@
+import test from 'ava';
+import { buildServerStatus } from '../../../../standins/fakes';
+import type { ServerReport } from '../types';
+import { chooseReportedServer, type ReportedServer } from '.';
+
+const NONE = { neededTokens: 9000, preferredZone: null };
+
+const build = (
+  id: string,
+  zone: string,
+  change: Partial<ServerReport> = {},
+  copies = 0,
+): ReportedServer => ({
+  entry: buildServerStatus(id, zone).entry,
+  copies,
+  report: {
+    waiting: 0,
+    running: 0,
+    kvUsedTokens: 0,
+    kvTotalTokens: 88_000,
+    eventsByRun: new Map(),
+    ...change,
+  },
+});
+
+const choose = (servers: readonly ReportedServer[], change: Partial<typeof NONE> = {}) =>
+  chooseReportedServer(servers, { ...NONE, ...change })?.entry.id ?? null;
+
+const runs = (count: number): ReadonlyMap<string, number> =>
+  new Map(Array.from({ length: count }, (_, index) => [`r-${index}`, 5]));
+
+test('a prompt that waits delays a new one more than many runs that generate', (t) => {
+  const generating = build('a', 'z1', { running: 8, eventsByRun: runs(8) });
+  t.is(choose([build('b', 'z1', { waiting: 1 }), generating]), 'a');
+});
+
+test('a run that is not listed yet reads its prompt, and counts as one that waits', (t) => {
+  const reading = build('a', 'z1', { running: 2, eventsByRun: runs(1) });
+  t.is(choose([reading, build('b', 'z1', { running: 4, eventsByRun: runs(4) })]), 'b');
+});
+
+test('a server whose memory the request would not fit into comes last', (t) => {
+  const full = build('a', 'z1', { kvUsedTokens: 70_000 });
+  t.is(choose([full, build('b', 'z1', { waiting: 3 })]), 'b');
+  t.is(choose([full], { neededTokens: 9000 }), 'a');
+});
+
+test('copies count a little, and the preferred zone decides between equal servers', (t) => {
+  t.is(choose([build('a', 'z1', {}, 1), build('b', 'z2')]), 'b');
+  const equal = [build('a', 'z1'), build('b', 'z2')];
+  t.is(choose(equal), 'a');
+  t.is(chooseReportedServer(equal, { ...NONE, preferredZone: 'z2' })?.entry.id, 'b');
+});
+
+test('nobody is chosen among none', (t) => {
+  t.is(choose([]), null);
+});
--- a/src/domain/forwarding/rankServers/test.ts
+++ b/src/domain/forwarding/rankServers/test.ts
@@ -1,25 +1,11 @@
 import test from 'ava';
 import type { ServerStatus } from '../types';
+import { buildServerStatus } from '../../../../standins/fakes';
 import { rankServers } from '.';
 
-const build = (id: string, zone: string, isSuspected = false): ServerStatus => ({
-  entry: {
-    id,
-    service: 's',
-    address: `${id}:1`,
-    availabilityZone: zone,
-    slots: 4,
-    isLeaving: false,
-    warmupLeftMs: 0,
-  },
-  running: 0,
-  prefillTokens: 0,
-  copies: 0,
-  reported: 0,
-  isSuspected,
-});
-
-const SERVERS = Array.from({ length: 12 }, (_, index) => build(`i-${index}`, `z${index % 3}`));
+const SERVERS = Array.from({ length: 12 }, (_, index) =>
+  buildServerStatus(`i-${index}`, `z${index % 3}`),
+);
 
 const listIds = (servers: readonly ServerStatus[], key: string): string[] =>
   rankServers(servers, key, 4).map(({ entry }) => entry.id);
@@ -43,6 +29,12 @@
 });
 
 test('suspected servers are ranked only where there are no others', (t) => {
-  t.deepEqual(listIds([build('a', 'z1', true), build('b', 'z2')], 'p'), ['b']);
-  t.deepEqual(listIds([build('a', 'z1', true)], 'p'), ['a']);
+  t.deepEqual(
+    listIds(
+      [buildServerStatus('a', 'z1', { isSuspected: true }), buildServerStatus('b', 'z2')],
+      'p',
+    ),
+    ['b'],
+  );
+  t.deepEqual(listIds([buildServerStatus('a', 'z1', { isSuspected: true })], 'p'), ['a']);
 });
--- /dev/null
+++ b/standins/fakes/buildServerStatus/index.ts
@@ -0,0 +1,24 @@
+import type { ServerStatus } from '../../../src/domain/forwarding';
+
+/** A server without work that nobody suspects, with changes. */
+export const buildServerStatus = (
+  id: string,
+  zone: string,
+  change: Partial<ServerStatus> = {},
+): ServerStatus => ({
+  entry: {
+    id,
+    service: 's',
+    address: `${id}:1`,
+    availabilityZone: zone,
+    slots: 4,
+    isLeaving: false,
+    warmupLeftMs: 0,
+  },
+  running: 0,
+  prefillTokens: 0,
+  copies: 0,
+  reported: 0,
+  isSuspected: false,
+  ...change,
+});
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,4 +1,5 @@
 export { buildSampleConfiguration } from './buildSampleConfiguration';
+export { buildServerStatus } from './buildServerStatus';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
 export { createMemoryObjectStore } from './createMemoryObjectStore';
