One loop for what is repeated on a clock

Cause: the watches of silence, copies and settings and the exchange between VMs each had the same timer that starts itself anew, with four ways to treat a failed step. Change: startLoop (src/application/time). Delays, log lines and what follows a failure stay; a settings file whose read throws is now told as refused, which could not happen before either.

--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -1,4 +1,5 @@
 import type { Reader } from '../../../../domain/generation';
+import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { moveRun } from '../moveRun';
 
@@ -20,8 +21,6 @@
 ): (() => void) => {
   const { clock, directory, log, tables } = run.dependencies;
   const { service } = run.context;
-  let isStopped = false;
-  let cancelTimer = (): void => undefined;
 
   const hasCopy = (): boolean => run.copy !== null && run.copy.holders.some(directory.isTrusted);
 
@@ -35,22 +34,13 @@
     return RETRY_MS;
   };
 
-  function schedule(delayMs: number): void {
-    cancelTimer = clock.startTimer(delayMs, () => {
-      look()
-        .catch((error: unknown) => {
-          const reason = error instanceof Error ? error.message : 'unknown';
-          log.error('move failed unexpectedly', { reason });
-          return RETRY_MS;
-        })
-        .then((nextMs) => {
-          if (!isStopped) schedule(nextMs);
-        });
-    });
-  }
-  schedule(LOOK_MS);
-  return () => {
-    isStopped = true;
-    cancelTimer();
-  };
+  return startLoop({
+    clock,
+    firstDelayMs: LOOK_MS,
+    runStep: look,
+    handleFailure: (reason) => {
+      log.error('move failed unexpectedly', { reason });
+      return RETRY_MS;
+    },
+  });
 };
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,6 +1,7 @@
 import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
 import { isRunLost, type ServerReport } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
+import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { recordDecision } from '../recordDecision';
@@ -75,7 +76,6 @@
   reader: Reader,
 ): (() => void) => {
   const { client, clock, log } = run.dependencies;
-  let cancelTimer = (): void => undefined;
   let isStopped = false;
   let wasLost = false;
   let misses = 0;
@@ -142,21 +142,17 @@
     return null;
   };
 
-  function schedule(delayMs: number): void {
-    cancelTimer = clock.startTimer(Math.max(1, delayMs), () => {
-      look()
-        .then((nextMs) => {
-          if (!isStopped && nextMs !== null) schedule(nextMs);
-        })
-        .catch((error: unknown) => {
-          const reason = error instanceof Error ? error.message : 'unknown';
-          log.error('silence watch failed unexpectedly', { reason });
-        });
-    });
-  }
-  schedule(computeAskMs(run, attempt));
+  const stopLoop = startLoop({
+    clock,
+    firstDelayMs: computeAskMs(run, attempt),
+    runStep: look,
+    handleFailure: (reason) => {
+      log.error('silence watch failed unexpectedly', { reason });
+      return null;
+    },
+  });
   return () => {
     isStopped = true;
-    cancelTimer();
+    stopLoop();
   };
 };
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, Randomness } from '../../ports';
 import type { RowFollower } from '../../rows';
+import { startLoop } from '../../time';
 import type { GossipCalls, Knowledge, Member, SharedSuspicion, TableChanges } from '../types';
 
 /** What gossip needs. */
@@ -73,7 +74,7 @@
   let news: SharedSuspicion[] = [];
   let isGathering = false;
   let isStopped = false;
-  let cancelTimer = (): void => undefined;
+  let stopLoop = (): void => undefined;
 
   const listLive = (): Known[] => {
     const sinceMs = clock.readMonotonicMs() - MEMBER_AGE_MS;
@@ -179,21 +180,11 @@
     else if (drawn) await exchange(drawn.member.address, drawn.member.vm, []);
   };
 
-  function schedule(): void {
+  const computeDelayMs = (): number => {
     const isCutOff = [...followers.values()].some((one) => !one.isStoreReachable());
     const baseMs = isCutOff ? EXCHANGE_IN_OUTAGE_MS : EXCHANGE_MS;
-    const delayMs = baseMs * (0.75 + randomness.readFraction() / 2);
-    cancelTimer = clock.startTimer(delayMs, () => {
-      exchangeOnce()
-        .catch((error: unknown) => {
-          const reason = error instanceof Error ? error.message : 'unknown';
-          log.error('exchange failed unexpectedly', { reason });
-        })
-        .finally(() => {
-          if (!isStopped) schedule();
-        });
-    });
-  }
+    return baseMs * (0.75 + randomness.readFraction() / 2);
+  };
 
   return {
     start: () => {
@@ -202,11 +193,22 @@
         .forEach((address) => {
           exchange(address, null, []);
         });
-      schedule();
+      stopLoop = startLoop({
+        clock,
+        firstDelayMs: computeDelayMs(),
+        runStep: async () => {
+          await exchangeOnce();
+          return computeDelayMs();
+        },
+        handleFailure: (reason) => {
+          log.error('exchange failed unexpectedly', { reason });
+          return computeDelayMs();
+        },
+      });
     },
     stop: () => {
       isStopped = true;
-      cancelTimer();
+      stopLoop();
     },
     applySeeds: (addresses) => {
       seedAddresses = addresses;
--- a/src/application/time/index.ts
+++ b/src/application/time/index.ts
@@ -1,1 +1,2 @@
+export { startLoop, type LoopOptions } from './startLoop';
 export { waitDelay } from './waitDelay';
--- a/src/programs/gateway/_lib/startSettingsWatch/index.ts
+++ b/src/programs/gateway/_lib/startSettingsWatch/index.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog } from '../../../../application/ports';
+import { startLoop } from '../../../../application/time';
 import type { GatewaySettings } from '../../../../domain/forwarding';
 import { readGatewaySettings } from '../readGatewaySettings';
 
@@ -34,7 +35,6 @@
   let inForce = JSON.stringify(settings);
   let lastProblem = '';
   let isStopped = false;
-  let cancelTimer = (): void => undefined;
 
   const takeSettings = (next: GatewaySettings): void => {
     lastProblem = '';
@@ -56,19 +56,23 @@
     if (!isStopped) read.match(takeSettings, takeProblems);
   };
 
-  function schedule(): void {
-    cancelTimer = clock.startTimer(READ_MS, () => {
-      readNow().finally(() => {
-        if (!isStopped) schedule();
-      });
-    });
-  }
-  schedule();
+  const stopLoop = startLoop({
+    clock,
+    firstDelayMs: READ_MS,
+    runStep: async () => {
+      await readNow();
+      return READ_MS;
+    },
+    handleFailure: (reason) => {
+      takeProblems([reason]);
+      return READ_MS;
+    },
+  });
   return {
     readNow,
     stop: () => {
       isStopped = true;
-      cancelTimer();
+      stopLoop();
     },
   };
 };
