--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -123,7 +123,7 @@
   run: StreamRun,
   excludedIds: ReadonlySet<string>,
 ): Promise<StreamServers | null> => {
-  const { availabilityZone } = run.dependencies;
+  const { availabilityZone: preferredZone } = run.dependencies;
   const copyServer = findCopyServer(run);
   if (copyServer) return buildUnasked(run, copyServer, run.copy, excludedIds);
   const { tokens } = run.context.request;
@@ -140,7 +140,6 @@
     // Those that answered are asked what they hold: one that fell silent would hold this up.
     const holding = run.readState().offset > 0 ? await findPromptHolder(run, answers) : null;
     reported.push(...answers);
-    const preferredZone = availabilityZone;
     chosen = holding ?? chooseReportedServer(reported, { neededTokens, preferredZone });
     hasPrompt = holding !== null;
     isFree = chosen !== null && (hasPrompt || countPrompts(chosen.report) === 0);
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,5 +1,4 @@
 import { hasTimeToRead, type AnswerHead } from '../../../../domain/forwarding';
-import { NO_GAPS } from '../../../../domain/detection';
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
@@ -50,7 +49,7 @@
     work: directory.startWork(server.id, promptTokens),
     sentAtMs: nowMs,
     lastActivityMs: nowMs,
-    gaps: run.paces.readInitialGaps(run.context.service) ?? NO_GAPS,
+    gaps: run.paces.readInitialGaps(run.context.service),
     hasDelivered: false,
     stopWatch: () => undefined,
     stopCopies: () => undefined,
--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -1,6 +1,7 @@
 import type { Reader } from '../../../../domain/generation';
 import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { hasTrustedCopy } from '../hasTrustedCopy';
 import { moveRun } from '../moveRun';
 
 /** How often it is looked whether a run still has its copy. */
@@ -19,15 +20,13 @@
   attempt: StreamAttempt,
   reader: Reader,
 ): (() => void) => {
-  const { clock, directory, log, tables } = run.dependencies;
+  const { clock, log, tables } = run.dependencies;
   const { service } = run.context;
 
-  const hasCopy = (): boolean => run.copy !== null && run.copy.holders.some(directory.isTrusted);
-
   /** Returns when to look again. */
   const look = async (): Promise<number> => {
     const traits = tables.readCurrent()?.services.get(service)?.engine;
-    if (!traits?.copiesRuns || !attempt.hasDelivered || hasCopy()) return LOOK_MS;
+    if (!traits?.copiesRuns || !attempt.hasDelivered || hasTrustedCopy(run)) return LOOK_MS;
     const isStoppedThere = await moveRun(run, attempt);
     // The server closes the stream as well; its last events may arrive before that.
     if (isStoppedThere) run.dispatch({ kind: 'broken', reader });
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -4,6 +4,7 @@
 import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { estimateRunPrefill } from '../estimateRunPrefill';
+import { hasTrustedCopy } from '../hasTrustedCopy';
 import { recordDecision } from '../recordDecision';
 
 /** Part of the longest good pause after which a server is asked whether it lives. */
@@ -43,13 +44,10 @@
  */
 const STALLED_MS = 600;
 
-const hasCopy = ({ copy, dependencies }: StreamRun): boolean =>
-  copy !== null && copy.holders.some(dependencies.directory.isTrusted);
-
 const computeGiveUpMs = (run: StreamRun, attempt: StreamAttempt): number => {
   const { request, route, service } = run.context;
   if (attempt.hasDelivered) {
-    return route.gapGoalMs * (hasCopy(run) ? PAUSE_PART : UNCOPIED_PAUSES);
+    return route.gapGoalMs * (hasTrustedCopy(run) ? PAUSE_PART : UNCOPIED_PAUSES);
   }
   const samples = run.paces.listFirstTokens(service);
   const slowest = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: true });
@@ -133,7 +131,7 @@
     wasLost = isLost;
     misses = report ? 0 : misses + 1;
     const isStalled = !report && tookMs > STALLED_MS;
-    const isMissed = misses > (attempt.hasDelivered && hasCopy(run) ? 0 : 1) && !isStalled;
+    const isMissed = misses > (attempt.hasDelivered && hasTrustedCopy(run) ? 0 : 1) && !isStalled;
     if (!isMissed && readSilentMs() < computeGiveUpMs(run, attempt)) {
       if (!report) return ASK_MISSED_MS;
       return attempt.hasDelivered || isLost ? ASK_AGAIN_MS : ASK_IN_PREFILL_MS;
