Share the cursor and the lost backup of several tests

Cause: three tests spelled out the same cursor, three the same stream whose copy is lost. Change: buildTestCursor, removeBackup. Every assertion and literal stays.

--- /dev/null
+++ b/tests/_lib/buildTestCursor/index.ts
@@ -0,0 +1,12 @@
+/** The cursor of a generation that one entry holds, `offset` tokens in. */
+export const buildTestCursor = (offset: number) => ({
+  generationId: 'gen_1',
+  workspace: 'counter',
+  service: 'review',
+  attempt: 1,
+  streamId: 's',
+  backendServer: 'engine-1',
+  vm: 'entry-1',
+  offset,
+  chain: 'c',
+});
--- a/tests/callers/backpressure.test.ts
+++ b/tests/callers/backpressure.test.ts
@@ -5,6 +5,7 @@
 import type { GenerationEvent, GenerationFeed } from '../../src/application/ports';
 import { TEST_KEYS } from '../_lib/buildTestConfiguration';
 import { createScriptedGenerations } from '../_lib/createScriptedGenerations';
+import { buildTestCursor } from '../_lib/buildTestCursor';
 import { startTestCallerServer } from '../_lib/startTestCallerServer';
 
 const EVENTS = 4000;
@@ -41,17 +42,7 @@
           text: 'x'.repeat(EVENT_CHARACTERS),
           finishReason: null,
         },
-        cursor: {
-          generationId: 'gen_1',
-          workspace: 'counter',
-          service: 'review',
-          attempt: 1,
-          streamId: 's',
-          backendServer: 'engine-1',
-          vm: 'entry-1',
-          offset: counts.pulled + 1,
-          chain: 'c',
-        },
+        cursor: buildTestCursor(counts.pulled + 1),
       };
     }
   }
--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -3,20 +3,11 @@
 import type { EventFields } from '../../src/application/ports';
 import { signCursor, verifyCursor } from '../../src/domain/cursor';
 import { TEST_KEYS } from '../_lib/buildTestConfiguration';
+import { buildTestCursor } from '../_lib/buildTestCursor';
 import { startTestCallerServer, TEST_CURSOR_KEYS } from '../_lib/startTestCallerServer';
 
 const BODY = { model: 'review', messages: [{ role: 'user', content: 'seal' }] };
-const CURSOR = {
-  generationId: 'gen_1',
-  workspace: 'counter',
-  service: 'review',
-  attempt: 1,
-  streamId: 's',
-  backendServer: 'engine-1',
-  vm: 'entry-1',
-  offset: 1,
-  chain: 'c',
-};
+const CURSOR = buildTestCursor(1);
 
 test('an unmodified OpenAI client gets a chat streamed, whole, with usage, and the models', async (t) => {
   const server = await startTestCallerServer();
--- a/tests/callers/shutdown.test.ts
+++ b/tests/callers/shutdown.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { ok } from 'neverthrow';
+import { buildTestCursor } from '../_lib/buildTestCursor';
 import { startTestCallerServer } from '../_lib/startTestCallerServer';
 
 const BODY = { model: 'review', messages: [{ role: 'user', content: 'seal' }], stream: true };
@@ -22,17 +23,7 @@
   server.generations.push({
     kind: 'tokens',
     batch: { offset: at, tokenIds: [at], text: `w${at} `, finishReason: null },
-    cursor: {
-      generationId: 'gen_1',
-      workspace: 'counter',
-      service: 'review',
-      attempt: 1,
-      streamId: 's',
-      backendServer: 'engine-1',
-      vm: 'entry-1',
-      offset: at + 1,
-      chain: 'c',
-    },
+    cursor: buildTestCursor(at + 1),
   });
 
 test('a shutdown refuses new work as not run and lets a stream go to its end', async (t) => {
--- /dev/null
+++ b/tests/gateway/_lib/removeBackup/index.ts
@@ -0,0 +1,22 @@
+import { TABLES } from '../../../../platform';
+import { formatStandInEvent, type StandInServer } from '../../../../standins/gateway';
+import { findBackup } from '../findBackup';
+import { nextAnywhere, type Taken } from '../nextAnywhere';
+import type { FollowedAnswer, TestGateway } from '../startTestGateway';
+
+/**
+ * Answers a stream with its first three events, then removes the server that its memory is copied
+ * to: from here on the run is to be moved.
+ */
+export const removeBackup = async (
+  bench: TestGateway,
+  followed: FollowedAnswer,
+): Promise<{ readonly first: Taken; readonly backup: StandInServer }> => {
+  const first = await nextAnywhere(bench.servers);
+  const backup = findBackup(bench, first);
+  first.server.begin(first.request);
+  first.server.emit(first.request, 1, 3);
+  await followed.waitForText(formatStandInEvent(3));
+  bench.store.writeRow(TABLES.servers, backup.id, null);
+  return { first, backup };
+};
--- a/tests/gateway/streamLosses.test.ts
+++ b/tests/gateway/streamLosses.test.ts
@@ -1,13 +1,12 @@
 import test from 'ava';
-import { HEADERS, TABLES } from '../../platform';
-import { formatStandInEvent } from '../../standins/gateway';
+import { HEADERS } from '../../platform';
 import { buildStream } from './_lib/buildStream';
 import { countRequests } from './_lib/countRequests';
-import { findBackup } from './_lib/findBackup';
-import { finishStream } from './_lib/finishStream';
+import { sendEvents } from './_lib/sendEvents';
 import { listEvents } from './_lib/listEvents';
 import { listOthers } from './_lib/listOthers';
 import { startTestGateway } from './_lib/startTestGateway';
+import { removeBackup } from './_lib/removeBackup';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
 // Symptom: a stream has its first event after 4.7 s, of which 3.6 s were waiting for one server.
@@ -22,7 +21,7 @@
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is((await bench.waitForLine('server silent')).cause, 'run lost');
   await first.request.closed;
-  finishStream(second, 1, 2);
+  sendEvents(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   await bench.stop();
 });
@@ -39,7 +38,7 @@
   await first.server.crash();
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], undefined);
-  finishStream(second, 1, 2);
+  sendEvents(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   await bench.stop();
 });
@@ -51,19 +50,14 @@
 test('a run that its new server refuses goes on where it was stopped', async (t) => {
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   const followed = bench.follow(buildStream());
-  const first = await nextAnywhere(bench.servers);
-  const backup = findBackup(bench, first);
-  first.server.begin(first.request);
-  first.server.emit(first.request, 1, 3);
-  await followed.waitForText(formatStandInEvent(3));
-  bench.store.writeRow(TABLES.servers, backup.id, null);
+  const { first } = await removeBackup(bench, followed);
   const second = await nextAnywhere(listOthers(bench, first.server));
   second.server.answer(second.request, 503, '', { [HEADERS.notRun]: '1' });
   const third = await nextAnywhere(bench.servers);
   t.is(third.server, first.server);
   t.is(third.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   t.is(third.request.headers[HEADERS.lastEventId], '3');
-  finishStream(third, 4, 5);
+  sendEvents(third, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   await bench.stop();
 });
@@ -76,16 +70,11 @@
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   bench.servers.forEach((server) => server.holdRests());
   const followed = bench.follow(buildStream());
-  const first = await nextAnywhere(bench.servers);
-  const backup = findBackup(bench, first);
-  first.server.begin(first.request);
-  first.server.emit(first.request, 1, 3);
-  await followed.waitForText(formatStandInEvent(3));
-  bench.store.writeRow(TABLES.servers, backup.id, null);
+  const { first } = await removeBackup(bench, followed);
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   await first.request.closed;
-  finishStream(second, 4, 5);
+  sendEvents(second, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   t.deepEqual(
     bench.lines.filter(({ message }) => message === 'server silent'),
--- a/tests/gateway/streams.test.ts
+++ b/tests/gateway/streams.test.ts
@@ -5,10 +5,11 @@
 import { buildStream } from './_lib/buildStream';
 import { countRequests } from './_lib/countRequests';
 import { findBackup } from './_lib/findBackup';
-import { finishStream } from './_lib/finishStream';
+import { sendEvents } from './_lib/sendEvents';
 import { listEvents } from './_lib/listEvents';
 import { listOthers } from './_lib/listOthers';
 import { startTestGateway } from './_lib/startTestGateway';
+import { removeBackup } from './_lib/removeBackup';
 import { nextAnywhere } from './_lib/nextAnywhere';
 
 test('a stream is handed on event by event, with the head of its server', async (t) => {
@@ -49,7 +50,7 @@
   t.is(second.request.headers[HEADERS.kvFrom], `${backup}/request-1`);
   t.is(second.request.headers[HEADERS.lastEventId], '5');
   t.is(second.request.headers[HEADERS.requestId], 'request-1');
-  finishStream(second, 6, 9);
+  sendEvents(second, 6, 9);
   const answer = await followed.done;
   t.true(answer.isWhole);
   t.is(answer.body, listEvents(1, 9));
@@ -68,7 +69,7 @@
   await followed.waitForText(formatStandInEvent(4));
   first.request.socket.resetAndDestroy();
   const second = await nextAnywhere(bench.servers);
-  finishStream(second, 3, 6);
+  sendEvents(second, 3, 6);
   t.is((await followed.done).body, listEvents(1, 6));
   await bench.stop();
 });
@@ -85,7 +86,7 @@
   first.server.emit(first.request, 4, 4);
   const second = await nextAnywhere(bench.servers);
   t.is(second.request.headers[HEADERS.lastEventId], '2');
-  finishStream(second, 3, 4);
+  sendEvents(second, 3, 4);
   t.is((await followed.done).body, listEvents(1, 4));
   await bench.stop();
 });
@@ -103,7 +104,7 @@
   first.server.freeze();
   const second = await nextAnywhere(listOthers(bench, first.server));
   await first.request.closed;
-  finishStream(second, 3, 4);
+  sendEvents(second, 3, 4);
   t.is((await followed.done).body, listEvents(1, 4));
   t.is((await bench.waitForLine('server silent')).cause, 'no answer');
   await bench.stop();
@@ -119,7 +120,7 @@
   // The stand-in lists runs by their open answers: this one is forgotten.
   first.request.response.emit('close');
   const second = await nextAnywhere(bench.servers);
-  finishStream(second, 1, 2);
+  sendEvents(second, 1, 2);
   t.is((await followed.done).body, listEvents(1, 2));
   t.is((await bench.waitForLine('server silent')).cause, 'run lost');
   await bench.stop();
@@ -131,16 +132,11 @@
 test('a run whose copy is lost is moved, and gets a new copy', async (t) => {
   const bench = await startTestGateway({ serverIds: ['i-1', 'i-2', 'i-3'] });
   const followed = bench.follow(buildStream());
-  const first = await nextAnywhere(bench.servers);
-  const backup = findBackup(bench, first);
-  first.server.begin(first.request);
-  first.server.emit(first.request, 1, 3);
-  await followed.waitForText(formatStandInEvent(3));
-  bench.store.writeRow(TABLES.servers, backup.id, null);
+  const { backup, first } = await removeBackup(bench, followed);
   const second = await nextAnywhere(listOthers(bench, first.server));
   t.is(second.request.headers[HEADERS.kvFrom], `${first.server.address}/handle-request-1`);
   t.not(second.server, backup);
-  finishStream(second, 4, 5);
+  sendEvents(second, 4, 5);
   t.is((await followed.done).body, listEvents(1, 5));
   await bench.stop();
 });
@@ -159,7 +155,7 @@
   const second = await nextAnywhere(listOthers(bench, backup));
   t.not(second.server, backup);
   t.is(second.request.headers[HEADERS.kvFrom], undefined);
-  finishStream(second, 1, 2);
+  sendEvents(second, 1, 2);
   t.true((await followed.done).isWhole);
   await bench.stop();
 });
