--- /dev/null
+++ b/src/application/gossip/_lib/createMemberList/index.ts
@@ -0,0 +1,74 @@
+import { choosePartners, FULL_MESH_VMS } from '../../../../domain/membership';
+import type { Clock, EventLog } from '../../../ports';
+import type { Member } from '../../types';
+
+/** What a member list needs. */
+export interface MemberListDependencies {
+  /** Name of this VM, which is no member. */
+  readonly self: string;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** The other VMs that were heard of lately. */
+export interface MemberList {
+  /** Takes news of a VM; older ones than those held change nothing. */
+  record(member: Member): void;
+  /** Takes whether a VM answered a call. */
+  recordCall(vm: string, call: { readonly hasAnswered: boolean }): void;
+  /** Those heard of lately, with the present age of the news. */
+  listLive(): readonly Member[];
+  /** Those to exchange news with: all of a small fleet, some of a large one, always the same. */
+  listPartners(): readonly Member[];
+  /** True: news must be passed on, as each VM tells some others only. */
+  isLarge(): boolean;
+}
+
+/**
+ * A VM that was not heard of for this long is drawn and counted no more. Twice the time that news of
+ * one of 60 VMs takes to reach all others: VMs that count too few of them share out too many repeats.
+ */
+const MEMBER_AGE_MS = 8000;
+
+interface Known {
+  readonly member: Member;
+  readonly heardAtMs: number;
+}
+
+/** Creates the list of the other VMs; it is empty. */
+export const createMemberList = ({ clock, log, self }: MemberListDependencies): MemberList => {
+  const known = new Map<string, Known>();
+  const failedAtMs = new Map<string, number>();
+
+  const listLive = (): readonly Member[] => {
+    const nowMs = clock.readMonotonicMs();
+    return [...known.values()]
+      .map(({ heardAtMs, member }) => ({ ...member, ageMs: Math.max(0, nowMs - heardAtMs) }))
+      .filter(({ ageMs }) => ageMs <= MEMBER_AGE_MS);
+  };
+
+  return {
+    record: (member) => {
+      if (member.vm === self) return;
+      const heardAtMs = clock.readMonotonicMs() - member.ageMs;
+      const before = known.get(member.vm);
+      if (before && before.heardAtMs >= heardAtMs) return;
+      if (!before) log.info('peer known', { peer: member.vm, address: member.address });
+      known.set(member.vm, { member, heardAtMs });
+    },
+    recordCall: (vm, { hasAnswered }) => {
+      if (hasAnswered) failedAtMs.delete(vm);
+      else failedAtMs.set(vm, clock.readMonotonicMs());
+    },
+    listLive,
+    listPartners: () => {
+      const live = listLive();
+      if (live.length < FULL_MESH_VMS) return live;
+      const candidates = live.map(({ vm }) => ({ vm, failedAtMs: failedAtMs.get(vm) ?? null }));
+      const options = { nowMs: clock.readMonotonicMs(), backoffMs: MEMBER_AGE_MS };
+      const chosen = new Set(choosePartners(self, candidates, options));
+      return live.filter(({ vm }) => chosen.has(vm));
+    },
+    isLarge: () => listLive().length >= FULL_MESH_VMS,
+  };
+};
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,7 +1,7 @@
-import { choosePartners, FULL_MESH_VMS } from '../../../domain/membership';
 import type { Clock, EventLog, Randomness } from '../../ports';
 import type { RowFollower } from '../../rows';
 import { startLoop } from '../../time';
+import { createMemberList } from '../_lib/createMemberList';
 import type { GossipCalls, Knowledge, Member, SharedSuspicion, TableChanges } from '../types';
 
 /** What gossip needs. */
@@ -42,12 +42,6 @@
 /** The same while the store does not answer: a change is in force within a second or two. */
 const EXCHANGE_IN_OUTAGE_MS = 300;
 
-/**
- * A VM that was not heard of for this long is drawn and counted no more. Twice the time that news of
- * one of 60 VMs takes to reach all others: VMs that count too few of them share out too many repeats.
- */
-const MEMBER_AGE_MS = 8000;
-
 /** News that comes within this time goes out together. */
 const GATHER_MS = 50;
 
@@ -67,32 +61,20 @@
 /** A seed is asked with this chance in each exchange, so that two halves find each other again. */
 const SEED_CHANCE = 0.15;
 
-interface Known {
-  readonly member: Omit<Member, 'ageMs'>;
-  readonly heardAtMs: number;
-}
-
 /** Creates the gossip of this VM. */
 export const createGossip = (dependencies: GossipDependencies): Gossip => {
   const { calls, clock, followers, handleSuspicion, log, randomness, self } = dependencies;
   let { seedAddresses } = dependencies;
-  const known = new Map<string, Known>();
+  const members = createMemberList({ self: self.vm, clock, log });
   /** By member: versions that it had when it was last heard. */
   const versionsOf = new Map<string, ReadonlyMap<string, number>>();
   /** By server: when a suspicion of it was passed on last. */
   const passedAtMs = new Map<string, number>();
-  /** By member: when it did not answer last. */
-  const failedAtMs = new Map<string, number>();
   let news: SharedSuspicion[] = [];
   let isGathering = false;
   let isStopped = false;
   let stopLoop = (): void => undefined;
 
-  const listLive = (): Known[] => {
-    const sinceMs = clock.readMonotonicMs() - MEMBER_AGE_MS;
-    return [...known.values()].filter(({ heardAtMs }) => heardAtMs >= sinceMs);
-  };
-
   const draw = <T>(items: readonly T[], count: number): readonly T[] =>
     items
       .map((item) => ({ item, order: randomness.readFraction() }))
@@ -100,19 +82,6 @@
       .slice(0, count)
       .map(({ item }) => item);
 
-  /** In a large fleet some VMs each, always the same: a connection to every other one is costly. */
-  const listPartners = (): readonly Known[] => {
-    const live = listLive();
-    if (live.length < FULL_MESH_VMS) return live;
-    const candidates = live.map(({ member: { vm } }) => ({
-      vm,
-      failedAtMs: failedAtMs.get(vm) ?? null,
-    }));
-    const options = { nowMs: clock.readMonotonicMs(), backoffMs: MEMBER_AGE_MS };
-    const chosen = new Set(choosePartners(self.vm, candidates, options));
-    return live.filter(({ member: { vm } }) => chosen.has(vm));
-  };
-
   const isCutOff = (): boolean => [...followers.values()].some((one) => !one.isStoreReachable());
 
   const listChanges = (versions: ReadonlyMap<string, number> | undefined): TableChanges[] =>
@@ -129,33 +98,18 @@
   const buildKnowledge = (
     versions: ReadonlyMap<string, number> | undefined,
     suspicions: readonly SharedSuspicion[],
-  ): Knowledge => {
-    const nowMs = clock.readMonotonicMs();
-    return {
-      sender: { ...self, ageMs: 0 },
-      members: draw(listLive(), MAX_MEMBERS).map(({ heardAtMs, member }) => ({
-        ...member,
-        ageMs: Math.max(0, Math.round(nowMs - heardAtMs)),
-      })),
-      // Who names no version is given no rows: they come from the store, and would come twice.
-      versions: new Map(
-        [...followers]
-          .filter(([, one]) => !one.isStoreReachable())
-          .map(([table, one]) => [table, one.readVersion()]),
-      ),
-      changes: listChanges(versions),
-      suspicions,
-    };
-  };
-
-  const recordMember = ({ ageMs, ...member }: Member): void => {
-    if (member.vm === self.vm) return;
-    const heardAtMs = clock.readMonotonicMs() - ageMs;
-    const before = known.get(member.vm);
-    if (before && before.heardAtMs >= heardAtMs) return;
-    if (!before) log.info('peer known', { peer: member.vm, address: member.address });
-    known.set(member.vm, { member, heardAtMs });
-  };
+  ): Knowledge => ({
+    sender: { ...self, ageMs: 0 },
+    members: draw(members.listLive(), MAX_MEMBERS),
+    // Who names no version is given no rows: they come from the store, and would come twice.
+    versions: new Map(
+      [...followers]
+        .filter(([, one]) => !one.isStoreReachable())
+        .map(([table, one]) => [table, one.readVersion()]),
+    ),
+    changes: listChanges(versions),
+    suspicions,
+  });
 
   let tell: (suspicions: readonly SharedSuspicion[]) => void = () => undefined;
 
@@ -178,8 +132,8 @@
   };
 
   const mergeKnowledge = (taken: Knowledge): void => {
-    recordMember(taken.sender);
-    taken.members.forEach(recordMember);
+    members.record(taken.sender);
+    taken.members.forEach(members.record);
     versionsOf.set(taken.sender.vm, taken.versions);
     taken.changes.forEach(({ after, rows, table, version }) =>
       followers.get(table)?.mergeChanges({ rows, version }, after),
@@ -187,7 +141,7 @@
     taken.suspicions.forEach((suspicion) => {
       handleSuspicion(suspicion);
       // Where all VMs are told at once, nobody needs to pass it on.
-      if (listLive().length >= FULL_MESH_VMS) gather(suspicion);
+      if (members.isLarge()) gather(suspicion);
       else passedAtMs.set(suspicion.server, clock.readMonotonicMs());
     });
   };
@@ -199,26 +153,25 @@
   ): Promise<void> => {
     const versions = vm === null ? undefined : versionsOf.get(vm);
     const taken = await calls.exchangeKnowledge(address, buildKnowledge(versions, suspicions));
-    if (vm !== null && !taken) failedAtMs.set(vm, clock.readMonotonicMs());
-    if (vm !== null && taken) failedAtMs.delete(vm);
+    if (vm !== null) members.recordCall(vm, { hasAnswered: taken !== null });
     if (taken && !isStopped) mergeKnowledge(taken);
   };
 
   tell = (suspicions: readonly SharedSuspicion[]): void => {
     if (suspicions.length === 0) return;
-    listPartners().forEach(({ member }) => {
-      exchange(member.address, member.vm, suspicions);
+    members.listPartners().forEach(({ address, vm }) => {
+      exchange(address, vm, suspicions);
     });
   };
 
   const exchangeOnce = async (): Promise<void> => {
     // One that is cut off asks any: its partners may be cut off as well.
-    const [drawn] = draw(isCutOff() ? listLive() : listPartners(), 1);
+    const [drawn] = draw(isCutOff() ? members.listLive() : members.listPartners(), 1);
     const seeds = seedAddresses.filter((address) => address !== self.address);
     const [seed] = draw(seeds, 1);
     const wantsSeed = drawn === undefined || randomness.readFraction() < SEED_CHANCE;
     if (seed !== undefined && wantsSeed) await exchange(seed, null, []);
-    else if (drawn) await exchange(drawn.member.address, drawn.member.vm, []);
+    else if (drawn) await exchange(drawn.address, drawn.vm, []);
   };
 
   const computeDelayMs = (): number => {
@@ -260,6 +213,6 @@
     sendSuspicion: (server, cause) => {
       gather({ server, cause, ageMs: 0 });
     },
-    countVms: () => listLive().length + 1,
+    countVms: () => members.listLive().length + 1,
   };
 };
