Refuse at once what can not begin within its goal, and make copies only where there is room

Nothing predicted when a server can begin with a prompt. Change: predictFirstEvent (prompts ahead, pace as seen, memory), decideStream, computeReturnMs, isReturning; copies and moves only to servers with room (hasCopyRoom); VMs without a configuration say when to come back from the age of the outage.

--- a/src/application/_lib/createPaceHistory/index.ts
+++ b/src/application/_lib/createPaceHistory/index.ts
@@ -5,10 +5,15 @@
   type FirstTokenSample,
   type GapStatistics,
 } from '../../../domain/detection';
+import { addToAverage, addToLowEstimate } from '../../../domain/load';
 
 /** How fast the engines of each service answered lately, as this VM saw it. */
 export interface PaceHistory {
   recordFirstToken(service: string, sample: FirstTokenSample): void;
+  /** A stream took this long from its first event to its end. */
+  recordRun(service: string, runMs: number): void;
+  /** Paces of the engines when nothing disturbs them; 0 while none was seen. */
+  readEnginePaces(service: string): EnginePaces;
   /** Newest first-token times. */
   listFirstTokens(service: string): readonly FirstTokenSample[];
   recordGap(service: string, gapMs: number): void;
@@ -16,6 +21,19 @@
   readInitialGaps(service: string): GapStatistics;
 }
 
+/** Paces of a service's engines. */
+export interface EnginePaces {
+  /** Milliseconds that one token of a prompt takes to be read. */
+  readonly readingMsPerToken: number;
+  /** Time from a stream's first event to its end. */
+  readonly runMs: number;
+}
+
+const NO_PACES: EnginePaces = { readingMsPerToken: 0, runMs: 0 };
+
+/** A new run's weight in the mean: a burst shows within some ten of them. */
+const RUN_WEIGHT = 0.1;
+
 /** Enough to hold a busy minute's extremes, few enough to forget an old load soon. */
 const KEPT_SAMPLES = 32;
 
@@ -27,13 +45,24 @@
 export const createPaceHistory = (): PaceHistory => {
   const samples = new Map<string, FirstTokenSample[]>();
   const gaps = new Map<string, GapStatistics>();
+  const paces = new Map<string, EnginePaces>();
+  const readPaces = (service: string): EnginePaces => paces.get(service) ?? NO_PACES;
   return {
     recordFirstToken: (service, sample) => {
       const kept = samples.get(service) ?? [];
       kept.push(sample);
       if (kept.length > KEPT_SAMPLES) kept.shift();
       samples.set(service, kept);
+      const before = readPaces(service);
+      const perToken = sample.firstTokenMs / Math.max(1, sample.promptCharacters);
+      const readingMsPerToken = addToLowEstimate(before.readingMsPerToken, perToken);
+      paces.set(service, { ...before, readingMsPerToken });
+    },
+    recordRun: (service, runMs) => {
+      const before = readPaces(service);
+      paces.set(service, { ...before, runMs: addToAverage(before.runMs, runMs, RUN_WEIGHT) });
     },
+    readEnginePaces: readPaces,
     listFirstTokens: (service) => samples.get(service) ?? [],
     recordGap: (service, gapMs) => {
       gaps.set(service, updateGapStatistics(gaps.get(service) ?? NO_GAPS, gapMs));
--- a/src/application/forwarding/_lib/askServers/index.ts
+++ b/src/application/forwarding/_lib/askServers/index.ts
@@ -27,12 +27,12 @@
       resolve([...answers]);
     };
     if (left === 0) end();
-    candidates.forEach(async ({ copies, entry }) => {
+    candidates.forEach(async ({ copies, entry, prefillTokens }) => {
       const report = await client.readReport(entry);
       left -= 1;
       if (report) {
         directory.recordBorn(entry.id, report.bornMs);
-        answers.push({ entry, report, copies });
+        answers.push({ entry, report, copies, ownUnreadTokens: prefillTokens });
       } else directory.recordSuspicion(entry.id, 'silent');
       if (left === 0) end();
       else if (report) cancelTimer ??= clock.startTimer(OTHERS_MS, end);
--- /dev/null
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -0,0 +1,56 @@
+import { decideStream, hasTimeToRead, type StreamDecision } from '../../../../domain/forwarding';
+import type { Refusal, StreamRun } from '../../types';
+import type { StreamServers } from '../chooseStreamServers';
+import { estimateRunPrefill } from '../estimateRunPrefill';
+import { recordDecision } from '../recordDecision';
+
+const hasTime = (run: StreamRun, servers: StreamServers): boolean => {
+  const { deadlineAtMs, route } = run.context;
+  const leftMs = deadlineAtMs - run.dependencies.clock.readMonotonicMs();
+  const prefillMs = estimateRunPrefill(run).ownMs;
+  return (
+    servers.hasPrompt || hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs })
+  );
+};
+
+/** Decides whether a new stream is begun; returns why it is refused, or null. */
+export const checkStreamStart = (run: StreamRun, servers: StreamServers): Refusal | null => {
+  const { context, dependencies, overload } = run;
+  const { predictedMs } = servers;
+  const leftMs = context.deadlineAtMs - dependencies.clock.readMonotonicMs();
+  const overloadMs = overload.readOverloadMs(context.service);
+  const decide = (): StreamDecision => {
+    if (predictedMs === null || servers.hasPrompt) {
+      if (hasTime(run, servers)) return { kind: 'send' };
+      const reason = 'less time is left than the prompt takes to read';
+      return { kind: 'refuse', reason, returnMs: 0 };
+    }
+    return decideStream({
+      predictedMs,
+      latencyGoalMs: context.route.latencyGoalMs,
+      leftMs,
+      isReturning: context.isReturning,
+      overloadMs,
+      draw: dependencies.randomness.readFraction(),
+    });
+  };
+  const decision = decide();
+  overload.recordChoice(context.service, decision.kind === 'send');
+  if (decision.kind === 'send') return null;
+  const { reason, returnMs } = decision;
+  recordDecision(
+    dependencies,
+    context,
+    'stream refused',
+    {
+      reason,
+      predictedMs: Math.round(predictedMs ?? -1),
+      leftMs: Math.round(leftMs),
+      overloadMs: Math.round(overloadMs),
+      isReturning: context.isReturning,
+      returnMs,
+    },
+    servers.server,
+  );
+  return { kind: 'not-run', reason, retryAfterMs: returnMs };
+};
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -1,7 +1,10 @@
 import {
   chooseForwardServer,
   chooseReportedServer,
+  countNeededTokens,
   countReadingRuns,
+  hasCopyRoom,
+  predictFirstEvent,
   rankServers,
   type ReportedServer,
   type ServerReport,
@@ -21,6 +24,8 @@
   readonly hasPrompt: boolean;
   /** Server that gets a copy as the run grows; null if there is none. */
   readonly backup: ServerEntry | null;
+  /** Time to the first event as the servers' reports predict it; null if no report was read. */
+  readonly predictedMs: number | null;
 }
 
 /** Servers asked before a prompt is sent: as many for the run as for its copy. */
@@ -56,7 +61,8 @@
         draw: randomness.readFraction(),
       })
     : null;
-  return { server, copy, hasPrompt: copy !== null, backup: backup?.entry ?? null };
+  const isCopied = copy !== null;
+  return { server, copy, hasPrompt: isCopied, backup: backup?.entry ?? null, predictedMs: null };
 };
 
 /**
@@ -82,17 +88,20 @@
     readonly reported: readonly ReportedServer[];
     readonly neededTokens: number;
     readonly hasPrompt: boolean;
+    readonly predictedMs: number;
   },
 ): StreamServers => {
-  const { hasPrompt, neededTokens, reported } = options;
+  const { hasPrompt, neededTokens, predictedMs, reported } = options;
   const others = reported.filter(
-    ({ entry }) => entry.availabilityZone !== chosen.entry.availabilityZone,
+    ({ entry, report }) =>
+      entry.availabilityZone !== chosen.entry.availabilityZone && hasCopyRoom(report, neededTokens),
   );
   const backup = chooseReportedServer(others, { neededTokens, preferredZone: null });
   return {
     server: chosen.entry,
     copy: null,
     hasPrompt,
+    predictedMs,
     backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
   };
 };
@@ -127,7 +136,7 @@
   const copyServer = findCopyServer(run);
   if (copyServer) return buildUnasked(run, copyServer, run.copy, excludedIds);
   const { tokens } = run.context.request;
-  const neededTokens = (tokens?.prompt ?? 0) + (tokens?.maxOutput ?? 0);
+  const neededTokens = countNeededTokens(run.context.request);
   const asked = new Set<string>();
   const reported: ReportedServer[] = [];
   let chosen: ReportedServer | null = null;
@@ -144,7 +153,23 @@
     hasPrompt = holding !== null;
     isFree = chosen !== null && (hasPrompt || countPrompts(chosen.report) === 0);
   }
-  return chosen
-    ? buildFromPrompt(run, chosen, { reported, neededTokens, hasPrompt })
-    : chooseUnasked(run, excludedIds);
+  if (!chosen) return chooseUnasked(run, excludedIds);
+  // Where all are busy, by the prediction: what waits there counts, not only how much runs.
+  const predict = ({ ownUnreadTokens, report }: ReportedServer): number =>
+    predictFirstEvent(report, {
+      promptTokens: tokens?.prompt ?? 0,
+      neededTokens,
+      ownUnreadTokens,
+      paces: run.paces.readEnginePaces(run.context.service),
+      latencyGoalMs: run.context.route.latencyGoalMs,
+    });
+  const best = isFree
+    ? chosen
+    : reported.reduce((first, one) => (predict(one) < predict(first) ? one : first), chosen);
+  return buildFromPrompt(run, best, {
+    reported,
+    neededTokens,
+    hasPrompt,
+    predictedMs: predict(best),
+  });
 };
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -8,7 +8,6 @@
 } from '../../../../domain/generation';
 import { RunState, SurvivalMode } from '../../../../domain/types';
 import { createInputQueue } from '../../../_lib/createInputQueue';
-import type { PaceHistory } from '../../../_lib/createPaceHistory';
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { openStreamAttempt } from '../openStreamAttempt';
@@ -45,7 +44,7 @@
 export const forwardStream = (
   dependencies: ForwardingDependencies,
   context: ForwardContext,
-  paces: PaceHistory,
+  { overload, paces }: Pick<StreamRun, 'overload' | 'paces'>,
 ): Promise<string> =>
   new Promise((resolve) => {
     const { clock, log, meter } = dependencies;
@@ -64,6 +63,7 @@
       dependencies,
       context,
       paces,
+      overload,
       attempts: new Map(),
       readState: () => state,
       dispatch: queue.push,
@@ -85,6 +85,10 @@
       cancelDeadline();
       [...run.attempts.keys()].forEach((attempt) => closeStreamAttempt(run, attempt));
       run.copy?.release();
+      if (outcome === 'answered' && firstEventMs !== null) {
+        const tookMs = clock.readMonotonicMs() - request.arrivedAtMs;
+        paces.recordRun(context.service, tookMs - firstEventMs);
+      }
       recordDecision(dependencies, context, 'stream ended', {
         outcome,
         offset: state.offset,
--- a/src/application/forwarding/_lib/moveRun/index.ts
+++ b/src/application/forwarding/_lib/moveRun/index.ts
@@ -1,5 +1,10 @@
 import { ok, type Result } from 'neverthrow';
-import { chooseForwardServer, type ServerEntry } from '../../../../domain/forwarding';
+import {
+  chooseForwardServer,
+  countNeededTokens,
+  hasCopyRoom,
+  type ServerEntry,
+} from '../../../../domain/forwarding';
 import type { CopyError, KvCopy } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
 import { recordDecision } from '../recordDecision';
@@ -60,7 +65,9 @@
   const { client, clock, directory, retries } = run.dependencies;
   const { request } = run.context;
   const holder = chooseHolder(run, attempt.server);
-  if (!holder) return false;
+  const report = holder && (await client.readReport(holder));
+  // Where memory is scarce a copy takes the place of a run, which is read again for it.
+  if (!holder || !report || !hasCopyRoom(report, countNeededTokens(request))) return false;
   // Before the run is stopped: one that may not be sent again would stand still.
   if (!retries.acquireRetry(run.context.service, { part: MOVES_PART })) return false;
   const lostHolder = run.copy?.holders[0] ?? '';
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,11 +1,11 @@
-import { hasTimeToRead, type AnswerHead } from '../../../../domain/forwarding';
+import type { AnswerHead } from '../../../../domain/forwarding';
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
+import { checkStreamStart } from '../checkStreamStart';
 import { chooseStreamServers, type StreamServers } from '../chooseStreamServers';
 import { closeStreamAttempt } from '../closeStreamAttempt';
-import { estimateRunPrefill } from '../estimateRunPrefill';
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
 import { recordAttemptFailure } from '../recordAttemptFailure';
@@ -30,15 +30,6 @@
     refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: RETRY_AFTER_MS },
   });
 
-const hasTime = (run: StreamRun, servers: StreamServers): boolean => {
-  const { deadlineAtMs, route } = run.context;
-  const leftMs = deadlineAtMs - run.dependencies.clock.readMonotonicMs();
-  const prefillMs = estimateRunPrefill(run).ownMs;
-  return (
-    servers.hasPrompt || hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs })
-  );
-};
-
 const buildAttempt = (
   run: StreamRun,
   { copy, server }: StreamServers,
@@ -109,14 +100,8 @@
     recordDecision(run.dependencies, context, 'stream not sent', { attempt: reader.attempt });
     return undefined;
   }
-  if (servers && run.arrivals === 0 && !hasTime(run, servers)) {
-    const reason = 'less time is left than the prompt takes to read';
-    recordDecision(run.dependencies, context, 'stream not sent', {
-      attempt: reader.attempt,
-      reason,
-    });
-    return run.refuse({ kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS });
-  }
+  const refusal = servers && run.arrivals === 0 ? checkStreamStart(run, servers) : null;
+  if (refusal) return run.refuse(refusal);
   if (!servers) return refuse(run, reader, 'no server takes work');
   const isRepeat = run.arrivals > 0;
   if (isRepeat && !run.hasRetry && !retries.acquireRetry(context.service)) {
@@ -143,6 +128,7 @@
       fromCopy: copy !== null,
       backup: backup?.id ?? '',
       leftMs: Math.round(remainingMs),
+      predictedMs: Math.round(servers.predictedMs ?? -1),
     },
     server,
   );
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -2,11 +2,14 @@
   checkRequestKey,
   chooseTarget,
   computePriority,
+  computeReturnMs,
   findRoute,
+  isReturning,
   RouteKind,
   type ForwardedRequest,
 } from '../../../domain/forwarding';
 import { createPaceHistory } from '../../_lib/createPaceHistory';
+import { createOverloadWatch } from '../_lib/createOverloadWatch';
 import { forwardCall } from '../_lib/forwardCall';
 import { forwardStream } from '../_lib/forwardStream';
 import type { CallerReply, ForwardContext, ForwardingDependencies, Refusal } from '../types';
@@ -22,8 +25,17 @@
   refuseAll(): void;
 }
 
-/** When to come back to a VM that knows no configuration yet. */
-const NO_CONFIGURATION_RETRY_MS = 500;
+/**
+ * When to come back to a VM that knows no configuration yet, at least. It has one within 0.1 s of its
+ * start unless the store is away; told 0.5 s, callers came back once, were refused again and gave up.
+ */
+const NO_CONFIGURATION_MS = 1000;
+
+/** Time without a configuration, against the time that it is expected to last. */
+const OUTAGE_FACTOR = 2;
+
+/** Refused streams are told to come back after a goal, less the spread of the returns. */
+const SHORTEST_RETURN_PART = 0.9;
 
 /** When to come back, to another VM, from one that is leaving. */
 const LEAVING_RETRY_MS = 50;
@@ -31,7 +43,10 @@
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
   const { clock, log, meter, randomness, retries, tables } = dependencies;
-  const paces = createPaceHistory();
+  const shared = { paces: createPaceHistory(), overload: createOverloadWatch(clock) };
+  const startedAtMs = clock.readMonotonicMs();
+  /** By route: the longest time that a caller waited. */
+  const longestWaitMs = new Map<string, number>();
   let running = 0;
   let refusesStreams = false;
   let refusesAll = false;
@@ -50,7 +65,13 @@
     const table = tables.readCurrent();
     if (!table) {
       const reason = 'no configuration is known yet';
-      return { kind: 'not-run', reason, retryAfterMs: NO_CONFIGURATION_RETRY_MS };
+      const retryAfterMs = computeReturnMs({
+        waitMs: NO_CONFIGURATION_MS,
+        outageMs: (clock.readMonotonicMs() - startedAtMs) * OUTAGE_FACTOR,
+        leftMs: request.deadlineMs ?? Infinity,
+        draw: randomness.readFraction(),
+      });
+      return { kind: 'not-run', reason, retryAfterMs };
     }
     const route = findRoute(table, request.host, request.target);
     if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
@@ -63,6 +84,8 @@
     if (service === null) {
       return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
     }
+    const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, request.deadlineMs ?? 0);
+    longestWaitMs.set(route.name, longestMs);
     const waitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     return {
       request,
@@ -70,6 +93,11 @@
       service,
       holder: access.value.holder,
       priority: computePriority(route, access.value.holder),
+      isReturning: isReturning({
+        deadlineMs: request.deadlineMs,
+        longestMs,
+        shortestReturnMs: route.latencyGoalMs * SHORTEST_RETURN_PART,
+      }),
       reply,
       deadlineAtMs: request.arrivedAtMs + waitMs,
       version: table.version,
@@ -85,7 +113,7 @@
     retries.recordRequest(admitted.service);
     const outcome =
       admitted.route.kind === RouteKind.Stream
-        ? await forwardStream(dependencies, admitted, paces)
+        ? await forwardStream(dependencies, admitted, shared)
         : await forwardCall(dependencies, admitted);
     meter.recordRequest(
       admitted.route.kind,
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -9,6 +9,8 @@
   readonly holder: KeyHolder | null;
   /** Rank among the requests that wait at a server; 0 is the most urgent. */
   readonly priority: number;
+  /** True: the caller was refused before, and does not come back a second time. */
+  readonly isReturning: boolean;
   readonly reply: CallerReply;
   /** Monotonic time at which the caller, or the route, stops waiting. */
   readonly deadlineAtMs: number;
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -3,6 +3,7 @@
 import type { AnswerHead, ServerEntry } from '../../../domain/forwarding';
 import type { KvCopy } from '../../ports';
 import type { ServerWork } from '../_lib/startServerWork';
+import type { OverloadWatch } from '../_lib/createOverloadWatch';
 import type { PaceHistory } from '../../_lib/createPaceHistory';
 import type { Refusal } from './CallerReply';
 import type { ForwardContext } from './ForwardContext';
@@ -38,6 +39,7 @@
   readonly dependencies: ForwardingDependencies;
   readonly context: ForwardContext;
   readonly paces: PaceHistory;
+  readonly overload: OverloadWatch;
   readonly attempts: Map<number, StreamAttempt>;
   readonly readState: () => GenerationState;
   readonly dispatch: (input: GenerationInput) => void;
--- a/src/domain/forwarding/chooseReportedServer/index.ts
+++ b/src/domain/forwarding/chooseReportedServer/index.ts
@@ -7,6 +7,8 @@
   readonly report: ServerReport;
   /** Runs whose memory this VM knows to be copied there. */
   readonly copies: number;
+  /** Prompt tokens that this VM sent there and that are still to be read. */
+  readonly ownUnreadTokens: number;
 }
 
 /** Prompts are read one after the other: a running request delays a new one far less. */
--- a/src/domain/forwarding/chooseReportedServer/test.ts
+++ b/src/domain/forwarding/chooseReportedServer/test.ts
@@ -13,6 +13,7 @@
 ): ReportedServer => ({
   entry: buildServerStatus(id, zone).entry,
   copies,
+  ownUnreadTokens: 0,
   report: {
     waiting: 0,
     running: 0,
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -7,11 +7,18 @@
 } from './chooseReportedServer';
 export { chooseTarget } from './chooseTarget';
 export { compareIncarnations, type IncarnationOrder } from './compareIncarnations';
+export { computeEventLimit, type EventLimitOptions } from './computeEventLimit';
+export { computeReturnMs, type ReturnOptions } from './computeReturnMs';
+export { decideStream, type StreamChoice, type StreamDecision } from './decideStream';
+export { hasCopyRoom } from './hasCopyRoom';
+export { predictFirstEvent, type EnginePaces } from './predictFirstEvent';
 export { isAddressKept, type AddressTimes } from './isAddressKept';
 export { computeBurstPause } from './computeBurstPause';
 export { computeFollowWait } from './computeFollowWait';
 export { computePriority } from './computePriority';
+export { countNeededTokens } from './countNeededTokens';
 export { countReadingRuns } from './countReadingRuns';
+export { isReturning, type ReturningOptions } from './isReturning';
 export { findRoute } from './findRoute';
 export { hasTimeToRead } from './hasTimeToRead';
 export { isRunLost } from './isRunLost';
--- /dev/null
+++ b/src/domain/forwarding/predictFirstEvent/index.ts
@@ -0,0 +1,65 @@
+import { countReadingRuns } from '../countReadingRuns';
+import type { ServerReport } from '../types';
+
+/** Paces of a service's engines, as this VM saw them. */
+export interface EnginePaces {
+  /** Milliseconds that one token of a prompt takes to be read; 0 while none was seen. */
+  readonly readingMsPerToken: number;
+  /** Time from a stream's first event to its end; 0 while none was seen. */
+  readonly runMs: number;
+}
+
+/** What is known beside the server's report. */
+export interface FirstEventOptions {
+  readonly promptTokens: number;
+  /** Tokens of KV memory that the run takes until its end. */
+  readonly neededTokens: number;
+  /** Prompt tokens that this VM sent there and that are still to be read. */
+  readonly ownUnreadTokens: number;
+  readonly paces: EnginePaces;
+  readonly latencyGoalMs: number;
+}
+
+/** Part of a prompt that is still to be read, on average, of one that is being read. */
+const READING_PART = 0.5;
+
+/** Part of the latency goal that a prompt takes while no pace is known: slower than any seen. */
+const UNKNOWN_READ_PART = 0.25;
+
+/**
+ * Predicts how long a new prompt takes to its first event at a server.
+ *
+ * Prompts are read one after the other, so that those ahead count whole; and a run begins only when
+ * its memory is there, for which others have to end. Prompts ahead are taken to be as long as the
+ * new one where nothing else is known. A report is late by some hundred milliseconds: what this VM
+ * sent itself counts at least.
+ *
+ * @returns milliseconds
+ *
+ * @example
+ * // Two prompts of 8,000 tokens wait, at 8 tokens a millisecond.
+ * predictFirstEvent(
+ *   { waiting: 2, running: 0, kvUsedTokens: 0, kvTotalTokens: 88_000, eventsByRun: new Map(), bornMs: null },
+ *   { promptTokens: 8000, neededTokens: 9000, ownUnreadTokens: 0, latencyGoalMs: 4500,
+ *     paces: { readingMsPerToken: 0.125, runMs: 6000 } },
+ * ); // 3000
+ */
+export const predictFirstEvent = (
+  report: ServerReport,
+  { latencyGoalMs, neededTokens, ownUnreadTokens, paces, promptTokens }: FirstEventOptions,
+): number => {
+  const unknownMs = (latencyGoalMs * UNKNOWN_READ_PART) / Math.max(1, promptTokens);
+  const msPerToken = paces.readingMsPerToken || unknownMs;
+  const ahead = report.waiting + countReadingRuns(report) * READING_PART;
+  const aheadTokens = Math.max(ownUnreadTokens, ahead * promptTokens);
+  const readingMs = (aheadTokens + promptTokens) * msPerToken;
+  if (report.kvTotalTokens === 0) return readingMs;
+  const aheadRuns = Math.max(ahead, ownUnreadTokens / Math.max(1, promptTokens));
+  const wantedTokens = report.kvUsedTokens + (aheadRuns + 1) * neededTokens;
+  const lackedTokens = Math.max(0, wantedTokens - report.kvTotalTokens);
+  const endsNeeded = lackedTokens / Math.max(1, neededTokens);
+  const runMs = paces.runMs || latencyGoalMs;
+  // Runs are spread over their time: one of n ends each n-th part of it.
+  const memoryMs = (endsNeeded * runMs) / Math.max(1, report.running);
+  return Math.max(readingMs, memoryMs + promptTokens * msPerToken);
+};
--- /dev/null
+++ b/src/domain/forwarding/predictFirstEvent/test.ts
@@ -0,0 +1,46 @@
+import test from 'ava';
+import type { ServerReport } from '../types';
+import { predictFirstEvent } from '.';
+
+const report = (change: Partial<ServerReport> = {}): ServerReport => ({
+  waiting: 0,
+  running: 0,
+  kvUsedTokens: 0,
+  kvTotalTokens: 88_000,
+  eventsByRun: new Map(),
+  bornMs: null,
+  ...change,
+});
+
+const OPTIONS = {
+  promptTokens: 8000,
+  neededTokens: 9000,
+  ownUnreadTokens: 0,
+  paces: { readingMsPerToken: 0.125, runMs: 6000 },
+  latencyGoalMs: 4500,
+};
+
+test('an idle server reads the prompt at its pace', (t) => {
+  t.is(predictFirstEvent(report(), OPTIONS), 1000);
+});
+
+test('prompts that wait count whole, one that is read by half', (t) => {
+  t.is(predictFirstEvent(report({ waiting: 2, running: 1 }), OPTIONS), 3500);
+});
+
+test('what this VM sent counts before the server reports it', (t) => {
+  t.is(predictFirstEvent(report(), { ...OPTIONS, ownUnreadTokens: 16_000 }), 3000);
+});
+
+test('a run waits until the memory that it needs is free', (t) => {
+  const runs = new Map(Array.from({ length: 9 }, (_, index) => [`r-${index}`, 5]));
+  const full = report({ running: 9, eventsByRun: runs, kvUsedTokens: 88_000, waiting: 2 });
+  // Three runs have to end, one each 667 ms.
+  t.is(Math.round(predictFirstEvent(full, OPTIONS)), 3000);
+  t.is(Math.round(predictFirstEvent({ ...full, waiting: 5 }, OPTIONS)), 6000);
+});
+
+test('an unknown pace counts as slow', (t) => {
+  const paces = { readingMsPerToken: 0, runMs: 0 };
+  t.is(predictFirstEvent(report(), { ...OPTIONS, paces }), 1125);
+});
--- /dev/null
+++ b/standins/fakes/createDirectoryFixture/index.ts
@@ -0,0 +1,40 @@
+import { err, ok } from 'neverthrow';
+import { createFakeClock } from '../createFakeClock';
+import { createServerDirectory } from '../../../src/application/forwarding';
+
+const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
+
+/** Rows that the store told, which was never away. */
+export const STORE = { source: 'store', outageEndedAtMs: null } as const;
+
+/** Creates a directory for tests, with what it reported. */
+export const createDirectoryFixture = () => {
+  const clock = createFakeClock();
+  const gone: string[] = [];
+  const suspected: string[] = [];
+  const inferred: string[] = [];
+  const directory = createServerDirectory({
+    decode: (id, value) => {
+      if (value.length === 0) return err('malformed');
+      const [address = '', state = '', born] = value.toString('utf8').split(' ');
+      return ok({
+        id,
+        service: 's',
+        address,
+        availabilityZone: 'z1',
+        slots: 4,
+        isLeaving: state === 'leaving',
+        warmupLeftMs: 0,
+        bornMs: born === undefined ? null : Number(born),
+      });
+    },
+    clock,
+    log: QUIET,
+    handleGone: (id) => gone.push(id),
+    handleSuspected: (id) => suspected.push(id),
+    handleInferred: ({ id }) => inferred.push(id),
+    reuseAfterMs: 2000,
+  });
+  const listIds = (): string[] => directory.listServing('s').map(({ entry }) => entry.id);
+  return { clock, directory, gone, inferred, listIds, suspected };
+};
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,3 +1,5 @@
+export { buildDirectoryRow } from './buildDirectoryRow';
+export { createDirectoryFixture, STORE } from './createDirectoryFixture';
 export { buildSampleConfiguration } from './buildSampleConfiguration';
 export { buildServerStatus } from './buildServerStatus';
 export { createFakeClock } from './createFakeClock';
