--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -29,7 +29,7 @@
  * When to come back to a VM that knows no configuration yet, at least. It has one within 0.1 s of its
  * start unless the store is away; told 0.5 s, callers came back once, were refused again and gave up.
  */
-const NO_CONFIGURATION_MS = 1000;
+const NO_CONFIGURATION_MS = 2000;
 
 /** Time without a configuration, against the time that it is expected to last. */
 const OUTAGE_FACTOR = 2;
