Play overloads in virtual time, and begin streams that are predicted within three quarters of the goal

A model of engines (one prompt read after the other, memory, runs slowed by reading, crashes), callers that come back once, and several gateways, over the real code of the forwarder through its ports. Hypothesis: predictions are short under load, so a limit below the goal serves more in time. Kept: 0.75, and no return before the goal.

--- a/src/domain/forwarding/decideStream/index.ts
+++ b/src/domain/forwarding/decideStream/index.ts
@@ -21,10 +21,13 @@
   | { readonly kind: 'refuse'; readonly reason: string; readonly returnMs: number };
 
 /**
- * Predictions past the goal by up to this factor are still sent: they are long rather than short,
- * as prompts ahead may be given up or go on elsewhere.
+ * Part of the latency goal within which a first event must be predicted. Predictions are short under
+ * load, as runs slow the reading down and other VMs send at the same moment. In a model of 13 engines
+ * at four times what they can read (251 streams) 71 came in time with 1.1 of the goal, 84 with 0.9, 90
+ * with 0.75 and 86 with 0.6; at twice the load 107, 109, 111 and 113 of 196 (mean of three seeds or
+ * more each).
  */
-const DOUBT_FACTOR = 1.1;
+const START_PART = 0.75;
 
 /**
  * Decides whether a new stream is sent, or refused at once.
@@ -41,13 +44,19 @@
   overloadMs,
   predictedMs,
 }: StreamChoice): StreamDecision => {
-  const limitMs = Math.min(leftMs, latencyGoalMs * DOUBT_FACTOR);
+  const limitMs = Math.min(leftMs, latencyGoalMs * START_PART);
   if (predictedMs <= limitMs) return { kind: 'send' };
   return {
     kind: 'refuse',
     reason: 'no server begins within the goal',
     returnMs: isReturning
       ? 0
-      : computeReturnMs({ waitMs: predictedMs, outageMs: overloadMs, leftMs, draw }),
+      : computeReturnMs({
+          // Not before the goal has passed: a return that soon is taken for a new caller.
+          waitMs: Math.max(predictedMs, latencyGoalMs),
+          outageMs: overloadMs,
+          leftMs,
+          draw,
+        }),
   };
 };
--- /dev/null
+++ b/standins/model/createModelCaller/index.ts
@@ -0,0 +1,97 @@
+import type { CallerReply, Forwarder, Refusal } from '../../../src/application/forwarding';
+import type { Clock } from '../../../src/application/ports';
+import type { ForwardedRequest } from '../../../src/domain/forwarding';
+
+/** What became of one caller. */
+export interface CallerOutcome {
+  readonly isWhole: boolean;
+  /** From its first attempt to its first event; null if none came. */
+  readonly firstEventMs: number | null;
+  readonly refusals: number;
+}
+
+/** What a caller sends, and where. */
+export interface ModelCallerOptions {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly deadlineMs: number;
+  readonly promptTokens: number;
+  /** Gateway of each attempt: a caller that comes back reaches another one. */
+  readonly pickForwarder: (attempt: number) => Forwarder;
+}
+
+/** Callers come back once, no later than at this part of the time that they have left. */
+const HONOURED_PART = 1 / 3;
+
+const MAX_OUTPUT_TOKENS = 840;
+
+/** Starts a caller that comes back once when it is refused and told when to. */
+export const createModelCaller = ({
+  clock,
+  deadlineMs,
+  id,
+  pickForwarder,
+  promptTokens,
+}: ModelCallerOptions): Promise<CallerOutcome> =>
+  new Promise((resolve) => {
+    const startedAtMs = clock.readMonotonicMs();
+    let firstEventMs: number | null = null;
+    let refusals = 0;
+
+    const buildRequest = (attempt: number): ForwardedRequest => ({
+      requestId: `${id}-${attempt}`,
+      method: 'POST',
+      target: '/p/',
+      host: 'h',
+      passedHeaders: [],
+      key: null,
+      deadlineMs: deadlineMs - (clock.readMonotonicMs() - startedAtMs),
+      arrivedAtMs: clock.readMonotonicMs(),
+      lastEventId: null,
+      tokens: { prompt: promptTokens, maxOutput: MAX_OUTPUT_TOKENS },
+      promptParts: [{ id, tokens: promptTokens }],
+      body: Buffer.alloc(0),
+    });
+
+    const send = (attempt: number): void => {
+      const left = new AbortController();
+      let isOpen = true;
+      let hasBegun = false;
+      const end = (isWhole: boolean): void => {
+        if (!isOpen) return;
+        isOpen = false;
+        resolve({ isWhole, firstEventMs, refusals });
+      };
+      const handleRefusal = ({ kind, retryAfterMs }: Refusal): void => {
+        if (!isOpen) return;
+        refusals += 1;
+        const leftMs = deadlineMs - (clock.readMonotonicMs() - startedAtMs);
+        if (kind !== 'not-run' || attempt > 1) {
+          end(false);
+          return;
+        }
+        isOpen = false;
+        const waitMs = Math.min(retryAfterMs, leftMs * HONOURED_PART);
+        clock.startTimer(waitMs, () => send(attempt + 1));
+      };
+      const reply: CallerReply = {
+        left: left.signal,
+        isOpen: () => isOpen,
+        hasBegun: () => hasBegun,
+        sendRefusal: handleRefusal,
+        sendWhole: () => end(false),
+        begin: () => {
+          hasBegun = true;
+        },
+        write: () => {
+          firstEventMs ??= clock.readMonotonicMs() - startedAtMs;
+          return true;
+        },
+        waitForDrain: () => Promise.resolve(),
+        end: () => end(true),
+        breakOff: () => end(false),
+      };
+      pickForwarder(attempt).forwardRequest(buildRequest(attempt), reply);
+    };
+    send(1);
+  });
--- /dev/null
+++ b/standins/model/createModelClient/index.ts
@@ -0,0 +1,101 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { AttemptAnswer, AttemptError, ForwardClient } from '../../../src/application/ports';
+import type { ModelEngine } from '../createModelEngine';
+
+/** A client that counts what it sent. */
+export interface ModelClient extends ForwardClient {
+  /** Attempts that reached an engine. */
+  countSends(): number;
+}
+
+/** Events of each stream. */
+const EVENTS = 140;
+
+const HEAD = {
+  status: 200,
+  passedHeaders: [],
+  isGenuine: true,
+  isFramed: true,
+  isNotRun: false,
+  isOtherServer: false,
+  serverId: null,
+  load: null,
+};
+
+/** Creates the client of the model's engines. */
+export const createModelClient = (find: (id: string) => ModelEngine): ModelClient => {
+  let sends = 0;
+
+  const sendAttempt: ForwardClient['sendAttempt'] = ({ lastEventId, request, server }, signal) =>
+    new Promise<Result<AttemptAnswer, AttemptError>>((resolve) => {
+      const engine = find(server.id);
+      if (!engine.isUp()) {
+        resolve(err({ kind: 'not-started', reason: 'refused' }));
+        return;
+      }
+      sends += 1;
+      const first = lastEventId ?? 0;
+      const chunks: Buffer[] = [];
+      const state: { wake: () => void; end: 'whole' | 'lost' | null } = {
+        wake: () => undefined,
+        end: null,
+      };
+      const waitForMore = (): Promise<void> =>
+        new Promise((next) => {
+          state.wake = next;
+        });
+      async function* readBody(): AsyncGenerator<Buffer> {
+        for (;;) {
+          const chunk = chunks.shift();
+          if (chunk) yield chunk;
+          else if (state.end === 'lost') throw new Error('reset');
+          else if (state.end === 'whole') return;
+          else {
+            await waitForMore();
+          }
+        }
+      }
+      const id = `${request.requestId}@${sends}`;
+      engine.start({
+        id,
+        promptTokens: request.tokens?.prompt ?? 0,
+        neededTokens: (request.tokens?.prompt ?? 0) + (request.tokens?.maxOutput ?? 0),
+        events: EVENTS - first,
+        handleEvent: (event) => {
+          chunks.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
+          if (event === 1) resolve(ok({ head: HEAD, body: readBody() }));
+          state.wake();
+        },
+        handleEnd: (isWhole) => {
+          state.end = isWhole ? 'whole' : 'lost';
+          resolve(err({ kind: 'broken', reason: 'reset' }));
+          state.wake();
+        },
+      });
+      signal.addEventListener('abort', () => {
+        engine.cancel(id);
+        state.end = 'lost';
+        resolve(err({ kind: 'cancelled', sent: true }));
+        state.wake();
+      });
+    });
+
+  return {
+    countSends: () => sends,
+    sendAttempt,
+    copyRun: async () => err({ reason: 'none', kept: null }),
+    dropCopy: () => undefined,
+    readReport: async (server) => {
+      const report = find(server.id).readReport();
+      if (!report?.eventsByRun) return report;
+      // Engines list runs by the caller's id.
+      const eventsByRun = new Map(
+        [...report.eventsByRun].map(([id, events]) => [id.split('@')[0] ?? id, events]),
+      );
+      return { ...report, eventsByRun };
+    },
+    readIdentity: async (server) => server.id,
+    readHeldParts: async () => new Map(),
+    removeServer: () => undefined,
+  };
+};
--- /dev/null
+++ b/standins/model/index.ts
@@ -0,0 +1,1 @@
+export { runModelLoad, type ModelLoad, type ModelResult } from './runModelLoad';
--- /dev/null
+++ b/standins/model/runModelLoad/index.ts
@@ -0,0 +1,177 @@
+import { ok } from 'neverthrow';
+import {
+  createForwarder,
+  createRetryAllowance,
+  createRetryLender,
+  createServerDirectory,
+  type Forwarder,
+} from '../../../src/application/forwarding';
+import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
+import { createFakeClock, createSeededRandomness } from '../../fakes';
+import { createModelClient } from '../createModelClient';
+import { createModelCaller, type CallerOutcome } from '../createModelCaller';
+import { createModelEngine, type ModelEngine } from '../createModelEngine';
+
+/** A load on engines in virtual time. */
+export interface ModelLoad {
+  readonly seed: number;
+  readonly engines: number;
+  readonly vms: number;
+  /** Streams that begin in each second, by second. */
+  readonly streamsPerS: readonly number[];
+  /** Engines that are down from one second to another. */
+  readonly down: { readonly count: number; readonly fromS: number; readonly untilS: number };
+}
+
+/** What callers got, and what it cost. */
+export interface ModelResult {
+  readonly outcomes: readonly CallerOutcome[];
+  /** Streams whose first event came within the goal, and that are whole. */
+  readonly inTime: number;
+  readonly sends: number;
+  /** Prompt tokens read per stream that was served in time. */
+  readonly readTokensPerStream: number;
+}
+
+const GOAL_MS = 4500;
+const DEADLINE_MS = 25_000;
+const PROMPT_TOKENS = 8200;
+
+/** Callers' deadlines and prompts differ by up to this part. */
+const SPREAD = 0.15;
+
+const STEP_MS = 100;
+
+const SERVICE = 's';
+
+const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
+
+const TABLE: RouteTable = {
+  version: 1,
+  routesByHost: new Map([
+    [
+      'h',
+      [
+        {
+          name: 'r',
+          host: 'h',
+          prefix: '/p/',
+          kind: RouteKind.Stream,
+          resumable: true,
+          timeoutMs: DEADLINE_MS,
+          latencyGoalMs: GOAL_MS,
+          gapGoalMs: 700,
+          priority: 1,
+          maxAttempts: 5,
+          isPublic: true,
+          targets: [{ service: SERVICE, weight: 1 }],
+        },
+      ],
+    ],
+  ]),
+  services: new Map([[SERVICE, { name: SERVICE, healthPath: '/', engine: null }]]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  holdersByKey: null,
+};
+
+/** Plays a load over the gateways' own code, engines and callers in virtual time. */
+export const runModelLoad = async (load: ModelLoad): Promise<ModelResult> => {
+  const clock = createFakeClock();
+  const randomness = createSeededRandomness(load.seed);
+  const engines = new Map<string, ModelEngine>(
+    Array.from({ length: load.engines }, (_, index) => [`e-${index}`, createModelEngine(clock)]),
+  );
+  const find = (id: string): ModelEngine => {
+    const engine = engines.get(id);
+    if (!engine) throw new Error(`no engine ${id}`);
+    return engine;
+  };
+  const client = createModelClient(find);
+
+  const createGateway = (): Forwarder => {
+    const directory = createServerDirectory({
+      decode: (id) =>
+        ok({
+          id,
+          service: SERVICE,
+          address: `${id}:1`,
+          availabilityZone: `z${Number(id.slice(2)) % 3}`,
+          slots: 64,
+          isLeaving: false,
+          warmupLeftMs: 0,
+          bornMs: null,
+        }),
+      clock,
+      log: QUIET,
+      reuseAfterMs: 2000,
+      handleGone: () => undefined,
+      handleSuspected: () => undefined,
+      handleInferred: () => undefined,
+    });
+    directory.applyRows(
+      [...engines.keys()].map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
+      { source: 'store', outageEndedAtMs: null },
+    );
+    const retries = createRetryAllowance({
+      bounds: { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 },
+      clock,
+      countVms: () => load.vms,
+    });
+    return createForwarder({
+      availabilityZone: 'z0',
+      client,
+      clock,
+      directory,
+      log: QUIET,
+      meter: { recordRequest: () => undefined, recordResume: () => undefined },
+      randomness,
+      retries,
+      lender: createRetryLender({
+        retries,
+        log: QUIET,
+        drawPeers: () => [],
+        askPeer: async () => false,
+      }),
+      tables: {
+        readCurrent: () => TABLE,
+        applyRows: () => undefined,
+        addListener: () => undefined,
+      },
+    });
+  };
+  const gateways = Array.from({ length: load.vms }, createGateway);
+  const draw = (): number => randomness.readFraction();
+  const pickForwarder = (): Forwarder =>
+    gateways[Math.floor(draw() * gateways.length)] as Forwarder;
+
+  const callers: Promise<CallerOutcome>[] = [];
+  const startCaller = (): void => {
+    callers.push(
+      createModelCaller({
+        id: `c-${callers.length}`,
+        clock,
+        deadlineMs: DEADLINE_MS * (1 - SPREAD * draw()),
+        promptTokens: Math.round(PROMPT_TOKENS * (1 - SPREAD + 2 * SPREAD * draw())),
+        pickForwarder,
+      }),
+    );
+  };
+  load.streamsPerS.forEach((count, second) => {
+    for (let index = 0; index < count; index += 1) {
+      clock.startTimer((second + draw()) * 1000, startCaller);
+    }
+  });
+  const downEngines = [...engines.values()].slice(0, load.down.count);
+  clock.startTimer(load.down.fromS * 1000, () => downEngines.forEach((one) => one.crash()));
+  clock.startTimer(load.down.untilS * 1000, () => downEngines.forEach((one) => one.recover()));
+  const lastsMs = load.streamsPerS.length * 1000 + DEADLINE_MS + 1000;
+  for (let atMs = 0; atMs < lastsMs; atMs += STEP_MS) await clock.advanceAsync(STEP_MS);
+
+  const outcomes = await Promise.all(callers);
+  const inTime = outcomes.filter(
+    ({ firstEventMs, isWhole }) => isWhole && firstEventMs !== null && firstEventMs <= GOAL_MS,
+  ).length;
+  const readTokens = [...engines.values()].reduce((sum, one) => sum + one.countReadTokens(), 0);
+  const sends = client.countSends();
+  return { outcomes, inTime, sends, readTokensPerStream: readTokens / Math.max(1, inTime) };
+};
--- /dev/null
+++ b/tests/gateway/overload.test.ts
@@ -0,0 +1,71 @@
+import test from 'ava';
+import { runModelLoad, type ModelLoad, type ModelResult } from '../../standins/model';
+
+const SEEDS = [1, 2, 3];
+
+const repeat = (count: number, seconds: number): number[] => new Array<number>(seconds).fill(count);
+
+const countTwice = ({ outcomes }: ModelResult): number =>
+  outcomes.filter(({ refusals }) => refusals > 1).length;
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+/** Plays a load with some seeds over the gateways' own code, in virtual time. */
+const play = async (load: Omit<ModelLoad, 'seed' | 'engines' | 'vms'>) => {
+  const results = await Promise.all(
+    SEEDS.map((seed) => runModelLoad({ seed, engines: 13, vms: 9, ...load })),
+  );
+  return {
+    streams: results[0]?.outcomes.length ?? 0,
+    inTime: mean(results.map(({ inTime }) => inTime)),
+    sends: mean(results.map(({ sends }) => sends)),
+    tokensPerStream: mean(results.map(({ readTokensPerStream }) => readTokensPerStream)),
+    refusedTwice: mean(results.map(countTwice)),
+  };
+};
+
+const NONE_DOWN = { count: 0, fromS: 0, untilS: 0 };
+
+test('a load that engines can read is served in time, without a refusal', async (t) => {
+  const result = await play({ streamsPerS: repeat(3, 18), down: NONE_DOWN });
+  t.is(result.inTime, 54);
+  t.is(result.refusedTwice, 0);
+});
+
+// Symptom: in a burst with half of the engines lost a third of the streams come in time, and as many
+// prompts again are read in vain.
+// Sequence: all streams are sent and queue; places in queues are given up for others; all are late.
+// Cause: nothing predicted when a server can begin, and a queue that moves was taken for silence.
+// Before, mean of three seeds: 67 of 106 in time, 174 sends, 17,100 tokens read for each in time.
+test('in a burst with half of the engines lost, most streams come in time', async (t) => {
+  const result = await play({
+    streamsPerS: [...repeat(3, 6), ...repeat(16, 4), ...repeat(3, 8)],
+    down: { count: 6, fromS: 5, untilS: 9 },
+  });
+  t.log(result);
+  t.true(result.inTime >= 74);
+  t.true(result.sends <= 130);
+  t.true(result.tokensPerStream <= 13_000);
+});
+
+// Before, mean of three seeds: 99 of 196 in time, 413 sends, 21,500 tokens read for each in time.
+test('at twice what engines can read, no prompt is read for long in vain', async (t) => {
+  const result = await play({ streamsPerS: repeat(14, 14), down: NONE_DOWN });
+  t.log(result);
+  t.true(result.inTime >= 104);
+  t.true(result.sends <= 196);
+  t.true(result.tokensPerStream <= 15_000);
+});
+
+// Before, mean of three seeds: 65 of 251 in time, 620 sends, 33,100 tokens read for each in time.
+test('at four times what engines can read, those that are sent come in time', async (t) => {
+  const result = await play({
+    streamsPerS: [...repeat(3, 3), ...repeat(28, 8), ...repeat(3, 6)],
+    down: NONE_DOWN,
+  });
+  t.log(result);
+  t.true(result.inTime >= 80);
+  t.true(result.sends <= 200);
+  t.true(result.tokensPerStream <= 18_000);
+});
