--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -12,8 +12,11 @@
   close(): void;
 }
 
-/** A gateway answers within some milliseconds; one that is cut off never does. */
-const CALL_TIMEOUT_MS = 400;
+/**
+ * A gateway answers within some milliseconds; one that is cut off never does. A configuration of 2,000
+ * routes has 0.5 MB, which a VM of 7 Mbit/s receives in 0.6 s.
+ */
+const CALL_TIMEOUT_MS = 1000;
 
 /** A stream waits for this answer, and may ask two more. */
 const RETRY_TIMEOUT_MS = 100;
--- /dev/null
+++ b/tests/gateway/storeClient.test.ts
@@ -0,0 +1,79 @@
+import { once } from 'node:events';
+import { createServer, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test from 'ava';
+import { createStoreClient, TABLES } from '../../platform';
+import { createFakeClock } from '../../standins/fakes';
+
+const ANSWER = JSON.stringify({ rows: [{ key: 'a', value: 'eA==', ver: 3 }], ver: 3 });
+
+/** A store whose answers a test sends part by part. */
+const setUp = async () => {
+  const clock = createFakeClock();
+  let take: (response: ServerResponse) => void = () => undefined;
+  const asked = new Promise<ServerResponse>((resolve) => {
+    take = resolve;
+  });
+  const server = createServer((_request, response) => take(response));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const client = createStoreClient(`http://127.0.0.1:${port}`, { clock });
+  const stop = async (): Promise<void> => {
+    await client.stop();
+    server.closeAllConnections();
+    server.close();
+  };
+  return { asked, client, clock, stop };
+};
+
+/** Resolves once what was sent before has arrived at the client, as the timers show. */
+const waitForRestart = async (counter: { readonly starts: number }): Promise<void> => {
+  const before = counter.starts;
+  while (counter.starts === before) {
+    await new Promise<void>((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+};
+
+// Symptom: after all VMs lost power, 52 of 58 know no configuration for 16 s and refuse everything.
+// Sequence: the configuration has 2,000 routes; a VM of 7 Mbit/s takes 0.7 s to receive it; the call
+// is given up after 0.6 s, and begun anew, for ever.
+// Cause: the time was that of the whole answer, also while it came.
+test('an answer that takes long to arrive is read to its end', async (t) => {
+  const { asked, client, clock, stop } = await setUp();
+  const counter = { starts: 0 };
+  const { startTimer } = clock;
+  Object.assign(clock, {
+    startTimer: (...args: Parameters<typeof startTimer>) => {
+      counter.starts += 1;
+      return startTimer(...args);
+    },
+  });
+  const read = client.readRows(TABLES.operator);
+  const response = await asked;
+  for (const part of [ANSWER.slice(0, 10), ANSWER.slice(10, 20), ANSWER.slice(20)]) {
+    clock.advance(500);
+    const restarted = waitForRestart(counter);
+    response.write(part);
+    await restarted;
+  }
+  response.end();
+  t.is((await read)._unsafeUnwrap().version, 3);
+  await stop();
+});
+
+test('an answer of which nothing more comes is given up', async (t) => {
+  const { asked, client, clock, stop } = await setUp();
+  const read = client.readRows(TABLES.operator);
+  const response = await asked;
+  response.write(ANSWER.slice(0, 10));
+  clock.advance(600);
+  clock.advance(600);
+  t.deepEqual((await read)._unsafeUnwrapErr(), {
+    kind: 'unavailable',
+    reason: 'no answer in time',
+  });
+  await stop();
+});
