--- /dev/null
+++ b/tests/gateway/foreignEntries.test.ts
@@ -0,0 +1,110 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import test from 'ava';
+import fc from 'fast-check';
+import { decodeServerEntry } from '../../platform';
+import { decodeHeldParts } from '../../platform/decodeHeldParts';
+import { decodeServerAnswer } from '../../platform/decodeServerAnswer';
+import { decodeServerReport } from '../../platform/decodeServerReport';
+import { readKnowledgeMessage } from '../../src/adapters/connect/_lib/convertKnowledge';
+import { KnowledgeSchema } from '../../src/adapters/connect/gen/gateway_pb';
+import { createServerDirectory } from '../../src/application/forwarding';
+import { createFakeClock, STORE } from '../../standins/fakes';
+
+const SOUND = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z1',
+  slots: 4,
+  state: 'ready',
+  warmup_left_ms: 0,
+  born: 1000,
+};
+
+const NEEDED = ['service', 'address', 'zone', 'slots', 'state'] as const;
+
+const encode = (value: unknown): Buffer => Buffer.from(JSON.stringify(value) ?? '');
+
+/** A sound entry with one needed field missing or of another type. */
+const SPOILED = fc
+  .tuple(fc.constantFrom(...NEEDED), fc.constantFrom(undefined, null, true, [], {}, -1))
+  .map(([field, value]) => encode({ ...SOUND, [field]: value }));
+
+const ANY_BYTES = fc.uint8Array({ maxLength: 200 }).map((bytes) => Buffer.from(bytes));
+
+const ANY_JSON = fc.jsonValue().map(encode);
+
+const setUp = () => {
+  const lines: string[] = [];
+  const take = (message: string): void => {
+    lines.push(message);
+  };
+  const directory = createServerDirectory({
+    decode: decodeServerEntry,
+    clock: createFakeClock(),
+    log: { info: take, warn: take, error: take },
+    reuseAfterMs: 2000,
+    handleGone: () => undefined,
+    handleSuspected: () => undefined,
+    handleInferred: () => undefined,
+  });
+  const list = (): string[] => directory.listServing('s').map(({ entry }) => entry.id);
+  return { directory, lines, list };
+};
+
+test('an entry of another writer names no server, and changes no other', (t) => {
+  fc.assert(
+    fc.property(fc.oneof(SPOILED, ANY_BYTES, ANY_JSON), fc.string(), (value, key) => {
+      fc.pre(key !== 'i-1' && key !== 'i-2');
+      const { directory, lines, list } = setUp();
+      const other = { ...SOUND, address: '10.0.0.2:80' };
+      directory.applyRows(
+        [
+          { key: 'i-1', value: encode(SOUND), version: 1 },
+          { key: 'i-2', value: encode(other), version: 2 },
+          { key, value, version: 3 },
+        ],
+        STORE,
+      );
+      t.deepEqual(list(), ['i-1', 'i-2']);
+      t.is(lines.filter((line) => line === 'server entry refused').length, 1);
+      directory.applyRows([{ key: 'i-1', value, version: 4 }], STORE);
+      t.deepEqual(list(), ['i-2']);
+    }),
+  );
+});
+
+test('a state that is not known takes no work, and a birth that is malformed is not known', (t) => {
+  const read = decodeServerEntry('i-1', encode({ ...SOUND, state: 'asleep', born: 'noon' }));
+  t.true(read._unsafeUnwrap().isLeaving);
+  t.is(read._unsafeUnwrap().bornMs, null);
+  t.is(decodeServerEntry('i-1', encode(SOUND))._unsafeUnwrap().bornMs, 1000);
+});
+
+test('reports, lists and answers that are malformed are read without a throw', (t) => {
+  fc.assert(
+    fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
+      const report = decodeServerReport(text);
+      t.true(report.waiting >= 0 && report.running >= 0);
+      decodeHeldParts(text);
+      decodeServerAnswer(
+        421,
+        { 'jackdawmount-server-load': text, 'jackdawmount-instance-id': text },
+        'r',
+      );
+    }),
+  );
+});
+
+test('a report keeps the fields that are sound', (t) => {
+  const report = decodeServerReport(JSON.stringify({ queued: 3, active: 'x', runs: 7, born: -1 }));
+  t.is(report.waiting, 3);
+  t.is(report.running, 0);
+  t.is(report.eventsByRun, null);
+  t.is(report.bornMs, null);
+});
+
+test('any message of another gateway is read without a throw', (t) => {
+  const sound = toBinary(KnowledgeSchema, create(KnowledgeSchema, { sender: { vm: 'a' } }));
+  t.is(readKnowledgeMessage(fromBinary(KnowledgeSchema, sound))?.sender.vm, 'a');
+  t.is(readKnowledgeMessage(create(KnowledgeSchema, {})), null);
+});
