Don't refuse a caller that has part of its answer for the goal of a first event

Cause (found in reading the diff): a caller that comes back with Last-Event-Id after its VM was lost was weighed as a new stream, refused under load, and has no further try. Now it is sent while any time is left. Test: checkStreamStart/test.ts, failed before.

--- a/src/application/forwarding/_lib/checkStreamStart/index.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -20,7 +20,9 @@
   const leftMs = context.deadlineAtMs - dependencies.clock.readMonotonicMs();
   const overloadMs = overload.readOverloadMs(context.service);
   const decide = (): StreamDecision => {
-    if (predictedMs === null || servers.hasPrompt) {
+    // Who has part of an answer waits for the rest of it: late is better than refused.
+    const hasBegun = context.request.lastEventId !== null;
+    if (predictedMs === null || servers.hasPrompt || hasBegun) {
       if (hasTime(run, servers)) return { kind: 'send' };
       const reason = 'less time is left than the prompt takes to read';
       return { kind: 'refuse', reason, returnMs: 0 };
