Take an entry for what it says: one with a sound server's address ends nothing for good

Found in reading the diff: since servers that were met at an address void what ran before, any entry with the address of another server did so too, also one of another writer, and kept the sound server's next entries out. Only answers of the server itself prove its end now; an entry takes its place in choices, as before. Test: createServerRecords/test.ts, failed before. And the longest time of a route's callers is capped by the route's own: one caller with a huge deadline made all others count as returning, and they were told no time to come back.

--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -79,12 +79,18 @@
     else clock.startTimer(holdMs + 1, () => dropGone(id, record));
   };
 
-  /** A server that starts at the address of another one proves that the other has ended. */
+  /**
+   * A server that starts at the address of another one proves that the other has ended. That is an
+   * entry's word only, which another writer may have written: the other one's runs go on, and its next
+   * entry brings it back.
+   */
   const addRecord = (entry: ServerEntry): ServerRecord => {
     const record = buildServerRecord(entry);
     records.set(entry.id, record);
     records.forEach((other, id) => {
-      if (id !== entry.id && other.entry.address === entry.address) endRecord(id, other);
+      if (id === entry.id || other.entry.address !== entry.address) return;
+      Object.assign(other, { goneAtMs: Math.min(other.goneAtMs, clock.readMonotonicMs()) });
+      dropGone(id, other);
     });
     return record;
   };
--- a/src/application/forwarding/_lib/createServerRecords/test.ts
+++ b/src/application/forwarding/_lib/createServerRecords/test.ts
@@ -112,3 +112,22 @@
   directory.applyRows([buildRow('b', 'x:1')], STORE);
   t.deepEqual(listIds(), ['b']);
 });
+
+// Symptom: a sound server gets no work any more, and its streams break off.
+// Sequence: another writer's entry names its address.
+// Cause: an entry was taken for proof that the server before it has ended for good.
+test('an entry with the address of a sound server neither breaks its runs nor keeps it away', (t) => {
+  const { directory, listIds } = setUp();
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  let voids = 0;
+  directory.startWork('a', {
+    prefillTokens: 0,
+    handleVoid: () => {
+      voids += 1;
+    },
+  });
+  directory.applyRows([buildRow('foreign', 'x:1')], STORE);
+  t.is(voids, 0);
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  t.deepEqual(listIds(), ['a']);
+});
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -84,9 +84,10 @@
     if (service === null) {
       return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
     }
-    const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, request.deadlineMs ?? 0);
-    longestWaitMs.set(route.name, longestMs);
     const waitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+    // Up to the route's own time: one caller with a huge deadline must not make all others look late.
+    const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, waitMs);
+    longestWaitMs.set(route.name, longestMs);
     return {
       request,
       route,
