--- a/src/application/_lib/createPaceHistory/index.ts
+++ b/src/application/_lib/createPaceHistory/index.ts
@@ -5,6 +5,7 @@
   type FirstTokenSample,
   type GapStatistics,
 } from '../../../domain/detection';
+import type { EnginePaces } from '../../../domain/forwarding';
 import { addToAverage, addToLowEstimate } from '../../../domain/load';
 
 /** How fast the engines of each service answered lately, as this VM saw it. */
@@ -21,14 +22,6 @@
   readInitialGaps(service: string): GapStatistics;
 }
 
-/** Paces of a service's engines. */
-export interface EnginePaces {
-  /** Milliseconds that one token of a prompt takes to be read. */
-  readonly readingMsPerToken: number;
-  /** Time from a stream's first event to its end. */
-  readonly runMs: number;
-}
-
 const NO_PACES: EnginePaces = { readingMsPerToken: 0, runMs: 0 };
 
 /** A new run's weight in the mean: a burst shows within some ten of them. */
--- a/src/application/forwarding/_lib/checkStreamStart/index.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -9,34 +9,28 @@
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { recordDecision } from '../recordDecision';
 
-const hasTime = (run: StreamRun, servers: StreamServers): boolean => {
-  const { deadlineAtMs, route } = run.context;
-  const leftMs = deadlineAtMs - run.dependencies.clock.readMonotonicMs();
-  const prefillMs = estimateRunPrefill(run).ownMs;
-  return (
-    servers.hasPrompt || hasTimeToRead({ leftMs, latencyGoalMs: route.latencyGoalMs, prefillMs })
-  );
-};
-
 /** Decides whether a new stream is begun; returns why it is refused, or null. */
 export const checkStreamStart = (run: StreamRun, servers: StreamServers): Refusal | null => {
   const { context, dependencies, overload } = run;
-  const { predictedMs } = servers;
+  const { hasPrompt, predictedMs } = servers;
+  const { latencyGoalMs } = context.route;
   const leftMs = context.deadlineAtMs - dependencies.clock.readMonotonicMs();
   const draw = dependencies.randomness.readFraction();
   const overloadMs = overload.readOverloadMs(context.service);
   const decide = (): StreamDecision => {
     // Who has part of an answer waits for the rest of it: late is better than refused.
     const hasBegun = context.request.lastEventId !== null;
-    if (predictedMs === null || servers.hasPrompt || hasBegun) {
-      if (hasTime(run, servers)) return { kind: 'send' };
+    if (predictedMs === null || hasPrompt || hasBegun) {
+      const prefillMs = estimateRunPrefill(run).ownMs;
+      const hasTime = hasPrompt || hasTimeToRead({ leftMs, latencyGoalMs, prefillMs });
+      if (hasTime) return { kind: 'send' };
       const reason = 'less time is left than the prompt takes to read';
       const returnMs = computeReturnMs({ waitMs: 0, outageMs: overloadMs, leftMs, draw });
       return { kind: 'refuse', reason, returnMs };
     }
     return decideStream({
       predictedMs,
-      latencyGoalMs: context.route.latencyGoalMs,
+      latencyGoalMs,
       leftMs,
       isReturning: context.isReturning,
       overloadMs,
--- a/src/application/forwarding/_lib/checkStreamStart/test.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/test.ts
@@ -1,16 +1,14 @@
 import test from 'ava';
-import { buildServerStatus, createFakeClock } from '../../../../../standins/fakes';
+import { buildServerStatus, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { StreamRun } from '../../types';
 import { createOverloadWatch } from '../createOverloadWatch';
 import { checkStreamStart } from '.';
 
-const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
-
 /** A stream that is to be begun, its caller holding events up to `lastEventId`. */
 const build = (lastEventId: number | null): StreamRun => {
   const clock = createFakeClock();
   return {
-    dependencies: { clock, log: QUIET, randomness: { readFraction: () => 0.5 } },
+    dependencies: { clock, log: QUIET_LOG, randomness: { readFraction: () => 0.5 } },
     context: {
       request: { requestId: 'r-1', arrivedAtMs: 0, lastEventId, tokens: null },
       route: { name: 'r', latencyGoalMs: 4500 },
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -163,13 +163,12 @@
       paces: run.paces.readEnginePaces(run.context.service),
       latencyGoalMs: run.context.route.latencyGoalMs,
     });
+  const known = { server: chosen, predictedMs: predict(chosen) };
   const best = isFree
-    ? chosen
-    : reported.reduce((first, one) => (predict(one) < predict(first) ? one : first), chosen);
-  return buildFromPrompt(run, best, {
-    reported,
-    neededTokens,
-    hasPrompt,
-    predictedMs: predict(best),
-  });
+    ? known
+    : reported
+        .map((server) => ({ server, predictedMs: predict(server) }))
+        .reduce((first, one) => (one.predictedMs < first.predictedMs ? one : first), known);
+  const { predictedMs, server } = best;
+  return buildFromPrompt(run, server, { reported, neededTokens, hasPrompt, predictedMs });
 };
--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -55,6 +55,12 @@
     handleGone(id);
   };
 
+  /** From now on the server is gone, unless it is already. */
+  const removeRecord = (id: string, record: ServerRecord): void => {
+    Object.assign(record, { goneAtMs: Math.min(record.goneAtMs, clock.readMonotonicMs()) });
+    dropGone(id, record);
+  };
+
   /** Ends a server that surely is not there any more: what runs there is lost. */
   const endRecord = (id: string, record: ServerRecord): void => {
     endedBornMs.set(id, record.entry.bornMs);
@@ -62,8 +68,7 @@
       const [oldest = ''] = endedBornMs.keys();
       endedBornMs.delete(oldest);
     }
-    Object.assign(record, { goneAtMs: Math.min(record.goneAtMs, clock.readMonotonicMs()) });
-    dropGone(id, record);
+    removeRecord(id, record);
     [...record.voidHandlers].forEach((handleVoid) => handleVoid());
   };
 
@@ -88,9 +93,7 @@
     const record = buildServerRecord(entry);
     records.set(entry.id, record);
     records.forEach((other, id) => {
-      if (id === entry.id || other.entry.address !== entry.address) return;
-      Object.assign(other, { goneAtMs: Math.min(other.goneAtMs, clock.readMonotonicMs()) });
-      dropGone(id, other);
+      if (id !== entry.id && other.entry.address === entry.address) removeRecord(id, other);
     });
     return record;
   };
@@ -143,9 +146,7 @@
     // Also of a server that was known: whoever wrote this, it names no server to use.
     log.error('server entry refused', { server: id, reason: decoded.error });
     const known = records.get(id);
-    if (!known) return;
-    known.goneAtMs = Math.min(known.goneAtMs, clock.readMonotonicMs());
-    dropGone(id, known);
+    if (known) removeRecord(id, known);
   };
 
   const addInferred = (entry: ServerEntry, source: string): boolean => {
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { NO_GAPS } from '../../../../domain/detection';
-import { createFakeClock } from '../../../../../standins/fakes';
+import { createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { GenerationInput } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { startSilenceWatch } from '.';
@@ -32,7 +32,7 @@
     dependencies: {
       clock,
       directory: { recordBorn: () => undefined },
-      log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      log: QUIET_LOG,
       client: {
         readReport: () => {
           asked += 1;
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -1,10 +1,8 @@
 import test from 'ava';
-import { createFakeClock, createSeededRandomness } from '../../../../standins/fakes';
+import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../../../standins/fakes';
 import { createRetryAllowance } from '../createRetryAllowance';
 import { createRetryLender, type RetryLender } from '.';
 
-const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
-
 const BOUNDS = { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 };
 
 /** VMs that share the bounds and reach each other. */
@@ -18,7 +16,7 @@
     const others = names.filter((name) => name !== vm);
     const lender = createRetryLender({
       retries,
-      log: QUIET,
+      log: QUIET_LOG,
       drawPeers: (wanted) =>
         Array.from(
           { length: wanted },
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -126,21 +126,30 @@
 
   let tell: (gathered: News) => void = () => undefined;
 
-  /** True once a second for each server. */
-  const isNews = (server: string): boolean => {
-    const nowMs = clock.readMonotonicMs();
-    if (nowMs - (passedAtMs.get(server) ?? -Infinity) < PASS_AGAIN_MS) return false;
-    passedAtMs.forEach((atMs, passed) => {
-      if (nowMs - atMs >= PASS_AGAIN_MS) passedAtMs.delete(passed);
+  const dropOldPassed = (): void => {
+    const untilMs = clock.readMonotonicMs() - PASS_AGAIN_MS;
+    passedAtMs.forEach((atMs, server) => {
+      if (atMs <= untilMs) passedAtMs.delete(server);
     });
-    passedAtMs.set(server, nowMs);
-    return true;
+  };
+
+  /** Takes note that news of servers is told; those told within the last second stay as they are. */
+  const recordPassed = (servers: readonly string[]): void => {
+    const nowMs = clock.readMonotonicMs();
+    servers
+      .filter((server) => !passedAtMs.has(server))
+      .forEach((server) => passedAtMs.set(server, nowMs));
   };
 
   const gather = ({ inferred, suspicions }: News): void => {
-    const newSuspicions = suspicions.filter(({ server }) => isNews(server));
-    const newInferred = inferred.filter(({ id }) => isNews(id));
+    dropOldPassed();
+    const newSuspicions = suspicions.filter(({ server }) => !passedAtMs.has(server));
+    const newInferred = inferred.filter(({ id }) => !passedAtMs.has(id));
     if (newSuspicions.length + newInferred.length === 0) return;
+    recordPassed([
+      ...newSuspicions.map(({ server }) => server),
+      ...newInferred.map(({ id }) => id),
+    ]);
     news = {
       suspicions: [...news.suspicions, ...newSuspicions],
       inferred: [...news.inferred, ...newInferred],
@@ -166,7 +175,10 @@
     taken.inferred.forEach(handleInferred);
     // Where all VMs are told at once, nobody needs to pass it on.
     if (members.isLarge()) gather(taken);
-    else taken.suspicions.forEach(({ server }) => isNews(server));
+    else {
+      dropOldPassed();
+      recordPassed(taken.suspicions.map(({ server }) => server));
+    }
   };
 
   const exchange = async (address: string, vm: string | null, told: News): Promise<void> => {
--- a/src/application/gossip/createGossip/test.ts
+++ b/src/application/gossip/createGossip/test.ts
@@ -3,14 +3,13 @@
   buildServerStatus,
   createFakeClock,
   createSeededRandomness,
+  QUIET_LOG,
 } from '../../../../standins/fakes';
 import type { RowChanges, SharedRow } from '../../ports';
 import type { RowFollower } from '../../rows';
 import type { Knowledge, SharedSuspicion } from '../types';
 import { createGossip, type Gossip } from '.';
 
-const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
-
 /** A follower that holds what the test gives it. */
 const createHeldRows = (rows: readonly SharedRow[], isReachable: boolean): RowFollower => {
   const held = new Map(rows.map((row) => [row.key, row]));
@@ -64,7 +63,7 @@
         followers: new Map([['t', follower]]),
         clock,
         randomness: createSeededRandomness(index + 1),
-        log: QUIET,
+        log: QUIET_LOG,
         handleInferred: ({ id }) => inferred.push(`${vm} ${id}`),
         handleSuspicion: ({ server }: SharedSuspicion) => suspicions.push({ vm, server }),
       }),
--- a/src/domain/forwarding/chooseReportedServer/test.ts
+++ b/src/domain/forwarding/chooseReportedServer/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { buildServerStatus } from '../../../../standins/fakes';
+import { buildServerReport, buildServerStatus } from '../../../../standins/fakes';
 import type { ServerReport } from '../types';
 import { chooseReportedServer, type ReportedServer } from '.';
 
@@ -14,15 +14,7 @@
   entry: buildServerStatus(id, zone).entry,
   copies,
   ownUnreadTokens: 0,
-  report: {
-    waiting: 0,
-    running: 0,
-    kvUsedTokens: 0,
-    kvTotalTokens: 88_000,
-    eventsByRun: new Map(),
-    bornMs: null,
-    ...change,
-  },
+  report: buildServerReport(change),
 });
 
 const choose = (servers: readonly ReportedServer[], change: Partial<typeof NONE> = {}) =>
--- a/src/domain/forwarding/countReadingRuns/test.ts
+++ b/src/domain/forwarding/countReadingRuns/test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
+import { buildServerReport } from '../../../../standins/fakes';
 import { countReadingRuns } from '.';
 
-const REPORT = { waiting: 0, running: 3, kvUsedTokens: 0, kvTotalTokens: 0, bornMs: null };
+const REPORT = buildServerReport({ running: 3 });
 
 test('a run that is not listed yet reads its prompt', (t) => {
   t.is(countReadingRuns({ ...REPORT, eventsByRun: new Map([['a', 4]]) }), 2);
--- a/src/domain/forwarding/hasCopyRoom/test.ts
+++ b/src/domain/forwarding/hasCopyRoom/test.ts
@@ -1,14 +1,8 @@
 import test from 'ava';
+import { buildServerReport } from '../../../../standins/fakes';
 import { hasCopyRoom } from '.';
 
-const REPORT = {
-  waiting: 0,
-  running: 2,
-  kvUsedTokens: 20_000,
-  kvTotalTokens: 88_000,
-  eventsByRun: null,
-  bornMs: null,
-};
+const REPORT = buildServerReport({ running: 2, kvUsedTokens: 20_000, eventsByRun: null });
 
 test('a server takes copies while there is room for runs beside them', (t) => {
   t.true(hasCopyRoom(REPORT, 9000));
--- a/src/domain/forwarding/isRunLost/test.ts
+++ b/src/domain/forwarding/isRunLost/test.ts
@@ -1,19 +1,17 @@
 import test from 'ava';
+import { buildServerReport } from '../../../../standins/fakes';
 import type { ServerReport } from '../types';
 import { isRunLost } from '.';
 
-const build = (change: Partial<ServerReport>): ServerReport => ({
-  waiting: 0,
-  running: 2,
-  kvUsedTokens: 0,
-  kvTotalTokens: 0,
-  bornMs: null,
-  eventsByRun: new Map([
-    ['a', 9],
-    ['b', 4],
-  ]),
-  ...change,
-});
+const build = (change: Partial<ServerReport>): ServerReport =>
+  buildServerReport({
+    running: 2,
+    eventsByRun: new Map([
+      ['a', 9],
+      ['b', 4],
+    ]),
+    ...change,
+  });
 
 const PREFILL = { ownMs: 1000, usualMs: 1200 };
 const ARRIVED = { hasArrived: true, unqueuedMs: 0, prefill: PREFILL };
--- a/src/domain/forwarding/predictFirstEvent/test.ts
+++ b/src/domain/forwarding/predictFirstEvent/test.ts
@@ -1,17 +1,7 @@
 import test from 'ava';
-import type { ServerReport } from '../types';
+import { buildServerReport as report } from '../../../../standins/fakes';
 import { predictFirstEvent } from '.';
 
-const report = (change: Partial<ServerReport> = {}): ServerReport => ({
-  waiting: 0,
-  running: 0,
-  kvUsedTokens: 0,
-  kvTotalTokens: 88_000,
-  eventsByRun: new Map(),
-  bornMs: null,
-  ...change,
-});
-
 const OPTIONS = {
   promptTokens: 8000,
   neededTokens: 9000,
--- a/standins/fakes/createDirectoryFixture/index.ts
+++ b/standins/fakes/createDirectoryFixture/index.ts
@@ -1,9 +1,8 @@
 import { err, ok } from 'neverthrow';
 import { createFakeClock } from '../createFakeClock';
+import { QUIET_LOG } from '../quietLog';
 import { createServerDirectory } from '../../../src/application/forwarding';
 
-const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
-
 /** Rows that the store told, which was never away. */
 export const STORE = { source: 'store', outageEndedAtMs: null } as const;
 
@@ -29,7 +28,7 @@
       });
     },
     clock,
-    log: QUIET,
+    log: QUIET_LOG,
     handleGone: (id) => gone.push(id),
     handleSuspected: (id) => suspected.push(id),
     handleInferred: ({ id }) => inferred.push(id),
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,7 +1,9 @@
 export { buildDirectoryRow } from './buildDirectoryRow';
 export { createDirectoryFixture, STORE } from './createDirectoryFixture';
 export { buildSampleConfiguration } from './buildSampleConfiguration';
+export { buildServerReport } from './buildServerReport';
 export { buildServerStatus } from './buildServerStatus';
+export { QUIET_LOG } from './quietLog';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
 export { createMemoryObjectStore } from './createMemoryObjectStore';
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -7,7 +7,7 @@
   type Forwarder,
 } from '../../../src/application/forwarding';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
-import { createFakeClock, createSeededRandomness } from '../../fakes';
+import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
 import { createModelClient } from '../createModelClient';
 import { createModelCaller, type CallerOutcome } from '../createModelCaller';
 import { createModelEngine, type ModelEngine } from '../createModelEngine';
@@ -44,8 +44,6 @@
 
 const SERVICE = 's';
 
-const QUIET = { info: () => undefined, warn: () => undefined, error: () => undefined };
-
 const TABLE: RouteTable = {
   version: 1,
   routesByHost: new Map([
@@ -102,7 +100,7 @@
           bornMs: null,
         }),
       clock,
-      log: QUIET,
+      log: QUIET_LOG,
       reuseAfterMs: 2000,
       handleGone: () => undefined,
       handleSuspected: () => undefined,
@@ -122,13 +120,13 @@
       client,
       clock,
       directory,
-      log: QUIET,
+      log: QUIET_LOG,
       meter: { recordRequest: () => undefined, recordResume: () => undefined },
       randomness,
       retries,
       lender: createRetryLender({
         retries,
-        log: QUIET,
+        log: QUIET_LOG,
         drawPeers: () => [],
         askPeer: async () => false,
       }),
--- a/tests/_lib/startTestCallerServer/index.ts
+++ b/tests/_lib/startTestCallerServer/index.ts
@@ -4,7 +4,7 @@
 import { createShutdown } from '../../../src/application/shutdown';
 import { signCursor, verifyCursor } from '../../../src/domain/cursor';
 import { buildTestConfiguration, TEST_KEYS } from '../buildTestConfiguration';
-import { createFakeClock } from '../../../standins/fakes';
+import { createFakeClock, QUIET_LOG } from '../../../standins/fakes';
 import { createScriptedGenerations } from '../createScriptedGenerations';
 
 /** Key under which the test server signs. */
@@ -38,7 +38,7 @@
     metrics: createEntryMetrics(),
     clock,
     randomness: { readFraction: () => 0, readHex: (bytes) => '0'.repeat(2 * bytes) },
-    log: { info: () => undefined, warn: () => undefined, error: () => undefined },
+    log: QUIET_LOG,
     isCutOff: () => false,
     ...change,
   });
--- a/tests/services/plain.test.ts
+++ b/tests/services/plain.test.ts
@@ -9,6 +9,7 @@
   createMemoryObjectStore,
   createMemoryTableStore,
   createSeededRandomness,
+  QUIET_LOG,
 } from '../../standins/fakes';
 import { createStandInPlainService } from '../../standins/plain';
 import { buildTestConfiguration } from '../_lib/buildTestConfiguration';
@@ -55,7 +56,7 @@
     peerAddress: '127.0.0.1:1',
     readAnswerTtlMs: () => 60_000,
   });
-  const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
+  const log = QUIET_LOG;
   const services = createPlainServices({ router, claims, client, clock, log });
   const call = async (source: ServiceCall) => {
     const answer = await services.callService(source, NEVER);
--- a/tests/support/createTestEntry/index.ts
+++ b/tests/support/createTestEntry/index.ts
@@ -16,7 +16,11 @@
   type Demand,
   type GenerationRequest,
 } from '../../../src/domain/types';
-import { buildSampleConfiguration, createSeededRandomness } from '../../../standins/fakes';
+import {
+  buildSampleConfiguration,
+  createSeededRandomness,
+  QUIET_LOG,
+} from '../../../standins/fakes';
 import type { ScriptedEngines } from '../createScriptedEngines';
 
 /** An entry's generations over scripted engines. */
@@ -120,7 +124,7 @@
       addListener: () => () => undefined,
     },
     decisionLog: { record: () => undefined, listDecisions: () => [] },
-    eventLog: { info: () => undefined, warn: () => undefined, error: () => undefined },
+    eventLog: QUIET_LOG,
   });
   return { generations, health, demands, outcomes };
 };
