Tell each failed call to the store, and how old a table's knowledge is

Cause: VMs went on with an old configuration for seconds after an outage of the store, and their logs did not say why. Only the first failure of an outage was logged, without when the call had been sent or how long it had waited; the end of the outage was logged only once a waiting call was answered (14.3 s for a table whose call the store had taken at 11.6 s). So a call that was lost, a pause between calls that had grown, and an answer that had come and was not used all looked alike.

Change: `store call failed` for each call (kind, wait asked, time taken, failures in a row, version held), `rows taken` with the source, `jackdaw_store_table_age_seconds` by table.

No change of what is sent or decided.

--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -1,4 +1,4 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ForwardingMeter } from '../../../application/forwarding';
 import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
@@ -9,6 +9,8 @@
   readonly countServers: () => number;
   readonly countDroppedLines: () => number;
   readonly readConfigurationVersion: () => number;
+  /** By table of the store: how long ago the newest answered call was sent, in milliseconds. */
+  readonly readTableAges: () => ReadonlyMap<string, number>;
   readonly isReady: () => boolean;
 }
 
@@ -80,6 +82,14 @@
         'Version of the configuration in force; 0 is none.',
         gauges.readConfigurationVersion,
       );
+      const ages: Gauge = new Gauge({
+        name: 'jackdaw_store_table_age_seconds',
+        help: 'Time since the newest answered call for a table was sent; infinite before the first.',
+        labelNames: ['table'],
+        registers,
+        collect: () =>
+          gauges.readTableAges().forEach((ageMs, table) => ages.set({ table }, ageMs / MS_PER_S)),
+      });
       addGauge(registry, 'jackdaw_ready', '1 if this VM takes new connections.', () =>
         Number(gauges.isReady()),
       );
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,9 +1,10 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import type { Clock, EventLog, Randomness } from '../../ports';
-import type { RowFollower } from '../../rows';
 import { startLoop } from '../../time';
 import { createMemberList } from '../_lib/createMemberList';
-import type { GossipCalls, Knowledge, Member, SharedSuspicion, TableChanges } from '../types';
+import { drawSome } from '../_lib/drawSome';
+import { listTableChanges } from '../_lib/listTableChanges';
+import type { GossipCalls, Knowledge, Member, PassedRows, SharedSuspicion } from '../types';
 
 /** What gossip needs. */
 export interface GossipDependencies {
@@ -12,7 +13,7 @@
   readonly seedAddresses: readonly string[];
   readonly calls: GossipCalls;
   /** Followers whose rows are passed on, by table. */
-  readonly followers: ReadonlyMap<string, RowFollower>;
+  readonly followers: ReadonlyMap<string, PassedRows>;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly log: EventLog;
@@ -88,39 +89,21 @@
   let isStopped = false;
   let stopLoop = (): void => undefined;
 
-  const draw = <T>(items: readonly T[], count: number): readonly T[] =>
-    items
-      .map((item) => ({ item, order: randomness.readFraction() }))
-      .sort((left, right) => left.order - right.order)
-      .slice(0, count)
-      .map(({ item }) => item);
-
   const isCutOff = (): boolean => [...followers.values()].some((one) => !one.isStoreReachable());
 
-  const listChanges = (versions: ReadonlyMap<string, number> | undefined): TableChanges[] =>
-    [...followers].flatMap(([table, follower]) => {
-      const after = versions?.get(table);
-      if (after === undefined || after >= follower.readVersion()) return [];
-      const changes = follower.listChanges(after);
-      // What it lacks is known no more: all rows are given, which follow the very beginning.
-      const whole = changes ? null : follower.listChanges(0);
-      const given = changes ?? whole;
-      return given ? [{ table, after: changes ? after : 0, ...given }] : [];
-    });
-
   const buildKnowledge = (
     versions: ReadonlyMap<string, number> | undefined,
     told: News,
   ): Knowledge => ({
     sender: { ...self, ageMs: 0 },
-    members: draw(members.listLive(), MAX_MEMBERS),
+    members: drawSome(members.listLive(), MAX_MEMBERS, randomness),
     // Who names no version is given no rows: they come from the store, and would come twice.
     versions: new Map(
       [...followers]
         .filter(([, one]) => !one.isStoreReachable())
         .map(([table, one]) => [table, one.readVersion()]),
     ),
-    changes: listChanges(versions),
+    changes: listTableChanges(followers, versions),
     ...told,
   });
 
@@ -196,9 +179,13 @@
 
   const exchangeOnce = async (): Promise<void> => {
     // One that is cut off asks any: its partners may be cut off as well.
-    const [drawn] = draw(isCutOff() ? members.listLive() : members.listPartners(), 1);
+    const [drawn] = drawSome(
+      isCutOff() ? members.listLive() : members.listPartners(),
+      1,
+      randomness,
+    );
     const seeds = seedAddresses.filter((address) => address !== self.address);
-    const [seed] = draw(seeds, 1);
+    const [seed] = drawSome(seeds, 1, randomness);
     const wantsSeed = drawn === undefined || randomness.readFraction() < SEED_CHANCE;
     if (seed !== undefined && wantsSeed) await exchange(seed, null, NO_NEWS);
     else if (drawn) await exchange(drawn.address, drawn.vm, NO_NEWS);
@@ -244,7 +231,8 @@
       gather({ suspicions: [{ server, cause, ageMs: 0 }], inferred: [] });
     },
     sendInferred: (server) => gather({ suspicions: [], inferred: [server] }),
-    drawAddresses: (count) => draw(members.listLive(), count).map(({ address }) => address),
+    drawAddresses: (count) =>
+      drawSome(members.listLive(), count, randomness).map(({ address }) => address),
     countVms: () => members.listLive().length + 1,
   };
 };
--- a/src/application/gossip/createGossip/test.ts
+++ b/src/application/gossip/createGossip/test.ts
@@ -6,17 +6,14 @@
   QUIET_LOG,
 } from '../../../../standins/fakes';
 import type { RowChanges, SharedRow } from '../../ports';
-import type { RowFollower } from '../../rows';
-import type { Knowledge, SharedSuspicion } from '../types';
+import type { Knowledge, SharedSuspicion, PassedRows } from '../types';
 import { createGossip, type Gossip } from '.';
 
 /** A follower that holds what the test gives it. */
-const createHeldRows = (rows: readonly SharedRow[], isReachable: boolean): RowFollower => {
+const createHeldRows = (rows: readonly SharedRow[], isReachable: boolean): PassedRows => {
   const held = new Map(rows.map((row) => [row.key, row]));
   let version = rows.reduce((newest, row) => Math.max(newest, row.version), 0);
   return {
-    start: () => undefined,
-    stop: () => undefined,
     readVersion: () => version,
     listChanges: (after) => ({
       rows: [...held.values()].filter((row) => row.version > after),
@@ -41,7 +38,7 @@
   const clock = createFakeClock();
   const cut = new Set<string>();
   const gossips = new Map<string, Gossip>();
-  const followers = new Map<string, RowFollower>();
+  const followers = new Map<string, PassedRows>();
   const suspicions: { readonly vm: string; readonly server: string }[] = [];
   const inferred: string[] = [];
   let calls = 0;
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -1,5 +1,6 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import type { SharedRow } from '../../ports';
+import type { RowFollower } from '../../rows';
 
 /** A VM as others know it. */
 export interface Member {
@@ -43,3 +44,9 @@
   /** Gives knowledge and takes the other's; null if it does not answer in time. */
   exchangeKnowledge(address: string, knowledge: Knowledge): Promise<Knowledge | null>;
 }
+
+/** What gossip asks of a follower whose rows it passes on. */
+export type PassedRows = Pick<
+  RowFollower,
+  'isStoreReachable' | 'listChanges' | 'mergeChanges' | 'readVersion'
+>;
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -42,6 +42,15 @@
   /** Takes changes that another VM knows of; `afterVersion` is the version that they follow. */
   mergeChanges(changes: RowChanges, afterVersion: number): void;
   isStoreReachable(): boolean;
+  /** How long ago the newest call that was answered had been sent, in milliseconds; infinite before. */
+  readAgeMs(): number;
+}
+
+/** A call to the store, as its outcome is told. */
+interface StoreCall {
+  readonly call: 'read' | 'feed';
+  readonly sentAtMs: number;
+  readonly waitMs: number;
 }
 
 const MIN_RETRY_MS = 100;
@@ -75,6 +84,7 @@
   let failures = 0;
   let outageStartedAtMs: number | null = null;
   let outageEndedAtMs: number | null = null;
+  let answeredCallSentAtMs = -Infinity;
 
   const dropOldRemovals = (): void => {
     const removed = [...rows.values()].filter(({ value }) => value === null);
@@ -84,6 +94,15 @@
     });
   };
 
+  const startCall = (call: StoreCall['call'], callWaitMs: number): StoreCall => ({
+    call,
+    sentAtMs: clock.readMonotonicMs(),
+    waitMs: callWaitMs,
+  });
+
+  const readTookMs = ({ sentAtMs }: StoreCall): number =>
+    Math.round(clock.readMonotonicMs() - sentAtMs);
+
   const mergeRows = (changes: readonly SharedRow[], source: RowsInfo['source']): void => {
     const news = changes.filter((row) => row.version > (rows.get(row.key)?.version ?? 0));
     news.forEach((row) => {
@@ -92,37 +111,49 @@
       rows.set(row.key, row);
     });
     if (news.length === 0) return;
+    log.info('rows taken', { table, source, rows: news.length, version });
     dropOldRemovals();
     handleRows(news, { source, outageEndedAtMs });
   };
 
-  const recordSuccess = (): void => {
+  const recordSuccess = (call: StoreCall): void => {
     failures = 0;
+    answeredCallSentAtMs = Math.max(answeredCallSentAtMs, call.sentAtMs);
     if (outageStartedAtMs === null) return;
     const lastedMs = Math.round(clock.readMonotonicMs() - outageStartedAtMs);
     outageStartedAtMs = null;
     outageEndedAtMs = clock.readMonotonicMs();
-    log.info('store regained', { table, lastedMs });
+    log.info('store regained', { table, lastedMs, call: call.call, tookMs: readTookMs(call) });
   };
 
-  const recordFailure = (error: RowError): void => {
+  const recordFailure = (call: StoreCall, error: RowError): void => {
     if (error.kind === 'history-lost') {
       log.warn('history lost, all rows are read anew', { table, version });
       return;
     }
     failures += 1;
+    log.warn('store call failed', {
+      table,
+      call: call.call,
+      waitMs: call.waitMs,
+      tookMs: readTookMs(call),
+      reason: error.reason,
+      failures,
+      version,
+    });
     if (outageStartedAtMs !== null) return;
     outageStartedAtMs = clock.readMonotonicMs();
     log.warn('store lost', { table, reason: error.reason, version });
   };
 
   const readAll = async (): Promise<boolean> => {
+    const call = startCall('read', 0);
     const all = await store.readRows(table);
     if (all.isErr()) {
-      recordFailure(all.error);
+      recordFailure(call, all.error);
       return false;
     }
-    recordSuccess();
+    recordSuccess(call);
     // From the newest row on, as a read gives them by key.
     const sorted = [...all.value.rows].sort((left, right) => left.version - right.version);
     mergeRows([...listRemoved(rows, all.value), ...sorted], 'store');
@@ -133,15 +164,15 @@
 
   /** Returns whether all rows must be read anew. */
   const followOnce = async (): Promise<boolean> => {
-    const asked = version;
-    const options = { version: asked, waitMs };
+    const options = { version, waitMs };
+    const call = startCall('feed', waitMs);
     const changes = await store.followRows(table, options, abort.signal);
     if (abort.signal.aborted) return false;
     if (changes.isErr()) {
-      recordFailure(changes.error);
+      recordFailure(call, changes.error);
       return changes.error.kind === 'history-lost';
     }
-    recordSuccess();
+    recordSuccess(call);
     mergeRows(changes.value.rows, 'store');
     version = Math.max(version, changes.value.version);
     if (changes.value.rows.length > 0) await waitDelay(clock, burstPauseMs);
@@ -180,5 +211,6 @@
       if (afterVersion <= version) version = Math.max(version, changes.version);
     },
     isStoreReachable: () => outageStartedAtMs === null && version > 0,
+    readAgeMs: () => clock.readMonotonicMs() - answeredCallSentAtMs,
   };
 };
--- a/src/application/rows/createRowFollower/test.ts
+++ b/src/application/rows/createRowFollower/test.ts
@@ -109,6 +109,25 @@
   t.not(taken.at(-1)?.info.outageEndedAtMs ?? null, null);
 });
 
+// Symptom: after an outage VMs went on with an old configuration; no line told since when they had
+// heard nothing, nor which call was waited for.
+// Sequence: one call fails and begins an outage; the next one is lost as well.
+// Cause: only the first failure of an outage was told.
+test('each call that fails is told, with how long it had waited, and the age of what is known', async (t) => {
+  const { clock, feeds, follower, lines, reads } = setUp();
+  reads.push(ok({ rows: [], version: 5 }));
+  feeds.push(UNAVAILABLE, UNAVAILABLE);
+  t.is(follower.readAgeMs(), Infinity);
+  follower.start();
+  await clock.advanceAsync(3000);
+  const failed = lines.filter(({ message }) => message === 'store call failed');
+  t.deepEqual(
+    failed.map(({ call, failures, reason, version }) => ({ call, failures, reason, version })),
+    [1, 2].map((failures) => ({ call: 'feed', failures, reason: 'status 503', version: 5 })),
+  );
+  t.is(follower.readAgeMs(), 3000);
+});
+
 test('changes are given to peers from the version that they have', async (t) => {
   const { clock, follower, reads } = setUp();
   reads.push(ok({ rows: [buildRow('a', 3), buildRow('b', 5)], version: 5 }));
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -95,6 +95,8 @@
     countServers: parts.directory.countServing,
     countDroppedLines: overrides.countDroppedLines ?? (() => 0),
     readConfigurationVersion: () => tables.readCurrent()?.version ?? 0,
+    readTableAges: () =>
+      new Map(Object.entries(followers).map(([table, one]) => [table, one.readAgeMs()])),
     isReady,
   });
   followers.configuration.start();
