--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -23,6 +23,7 @@
   decodeRouteTable,
   decodeServerEntry,
   TABLES,
+  type StoreClient,
 } from '../../../../../platform';
 import {
   computeBurstPause,
@@ -35,6 +36,8 @@
   readonly clock?: Clock;
   readonly randomness?: Randomness;
   readonly log?: EventLog;
+  /** In place of the platform's store. */
+  readonly store?: StoreClient;
   /** Log lines that were dropped, for the metrics. */
   readonly countDroppedLines?: () => number;
 }
@@ -69,7 +72,7 @@
   const randomness = overrides.randomness ?? createSystemRandomness();
   const log = overrides.log ?? SILENT_LOG;
   const metrics = createGatewayMetrics();
-  const store = createStoreClient(settings.storeUrl, { clock });
+  const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
   const client = createServerClient({ clock });
   const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
   // The gossip tells of the followers' rows, which the directory takes: it is wired last.
