--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -11,6 +11,7 @@
   readonly url: string;
   /** Writes or, with null, removes a row. */
   writeRow(table: string, key: string, value: unknown): void;
+  /** Outages cut the connections, but for `silent`: there waiting calls are lost without a word. */
   setMode(mode: StoreMode): void;
   /** Feeds that follow an older version get 410 from now on. */
   dropHistory(): void;
@@ -44,6 +45,7 @@
 export const createStandInStore = async (): Promise<StandInStore> => {
   const rows = new Map<string, Row>();
   const sockets = new Set<Socket>();
+  const timers = new Set<NodeJS.Timeout>();
   let feeds: (() => void)[] = [];
   let callers: { readonly path: string; readonly resolve: () => void }[] = [];
   let mode: StoreMode = 'up';
@@ -73,6 +75,7 @@
       return;
     }
     const timer = setTimeout(send, Number(query.get('wait_ms')));
+    timers.add(timer);
     const wake = (): void => {
       if (response.writableEnded || listRows(table, after).length === 0) return;
       clearTimeout(timer);
@@ -81,6 +84,7 @@
     feeds.push(wake);
     response.on('close', () => {
       clearTimeout(timer);
+      timers.delete(timer);
       feeds = feeds.filter((feed) => feed !== wake);
     });
   };
@@ -136,8 +140,11 @@
     },
     setMode: (next) => {
       mode = next;
-      // Calls that wait are cut, as by the outage itself.
-      if (next !== 'up') sockets.forEach((socket) => socket.destroy());
+      if (next === 'silent') {
+        // Calls that wait are lost without a word: their connections stay, also after the outage.
+        timers.forEach(clearTimeout);
+        feeds = [];
+      } else if (next !== 'up') sockets.forEach((socket) => socket.destroy());
     },
     dropHistory: () => {
       historyFrom = version + 1;
--- a/tests/gateway/storeClient.test.ts
+++ b/tests/gateway/storeClient.test.ts
@@ -2,8 +2,9 @@
 import { createServer, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
-import { createStoreClient, TABLES } from '../../platform';
+import { CALLS, createStoreClient, TABLES } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
+import { createStandInStore } from '../../standins/gateway';
 
 const ANSWER = JSON.stringify({ rows: [{ key: 'a', value: 'eA==', ver: 3 }], ver: 3 });
 
@@ -64,6 +65,33 @@
   await stop();
 });
 
+// Symptom: changes overdue after an outage (see storeOutages.test.ts).
+// Sequence: the store falls silent while a call waits for changes; its connection stays open.
+// Cause: only the call's own limit shows that it was lost.
+test('a waiting call that a silent store has lost is given up at its limit, and the next one answered', async (t) => {
+  const clock = createFakeClock();
+  const store = await createStandInStore();
+  const client = createStoreClient(store.url, { clock });
+  const { signal } = new AbortController();
+  const isWaiting = store.waitForCall(CALLS.followRows);
+  const lost = client.followRows(TABLES.operator, { version: 1, waitMs: 1700 }, signal);
+  await isWaiting;
+  store.setMode('silent');
+  store.writeRow(TABLES.operator, 'a', {});
+  store.setMode('up');
+  clock.advance(2299);
+  t.is(await Promise.race([lost, 'waits']), 'waits');
+  clock.advance(1);
+  t.is((await lost)._unsafeUnwrapErr().kind, 'unavailable');
+  const next = await client.followRows(TABLES.operator, { version: 1, waitMs: 0 }, signal);
+  t.deepEqual(
+    next._unsafeUnwrap().rows.map(({ key }) => key),
+    ['a'],
+  );
+  await client.stop();
+  await store.stop();
+});
+
 test('an answer of which nothing more comes is given up', async (t) => {
   const { asked, client, clock, stop } = await setUp();
   const read = client.readRows(TABLES.operator);
