Lead callers that come back to whichever of twelve servers holds their prompt

Symptom: when VMs are lost, streams that come back through another VM pause for 1 to 2 s, and whole bursts of prompts are read again.

Change: where the caller has part of its answer twelve servers are asked at once. A prompt that is held counts as nothing to read, here and at other VMs.

--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -44,6 +44,14 @@
 /** Rounds in which servers are asked, while none of them answers or all are busy. */
 const MAX_ROUNDS = 3;
 
+/**
+ * Servers asked, all at once, where the caller has part of its answer: the one that ran it before has
+ * the prompt in memory, and goes on within 0.1 to 0.3 s where reading it anew takes 1 to 2 s. Runs move
+ * between servers, so that it is not always among the first by rank: with four asked, 9 of 44 callers
+ * that came back after their VM was lost were led to it (two days of 13 servers).
+ */
+const ASKED_FOR_HELD = 12;
+
 /** A server that stopped a run itself was not at fault: it is no less fit than before. */
 const findCopyServer = ({ copy, dependencies }: StreamRun): ServerEntry | null => {
   if (!copy?.hasBegun) return null;
@@ -155,12 +163,13 @@
 const listCandidates = (
   run: StreamRun,
   excludedIds: ReadonlySet<string>,
+  count: number,
 ): readonly ServerStatus[] => {
   const { request, service } = run.context;
   const allowed = run.dependencies.directory
     .listServing(service)
     .filter(({ entry }) => !excludedIds.has(entry.id));
-  return rankServers(allowed, request.promptParts.at(-1)?.id ?? request.requestId, ASKED);
+  return rankServers(allowed, request.promptParts.at(-1)?.id ?? request.requestId, count);
 };
 
 /**
@@ -188,12 +197,15 @@
   let chosen: ReportedServer | null = null;
   let isFree = false;
   let hasPrompt = false;
-  for (let round = 0; round < MAX_ROUNDS && !isFree; round += 1) {
-    const candidates = listCandidates(run, new Set([...excludedIds, ...asked]));
+  const hasEvents = run.readState().offset > 0;
+  const rounds = hasEvents ? 1 : MAX_ROUNDS;
+  const count = hasEvents ? ASKED_FOR_HELD : ASKED;
+  for (let round = 0; round < rounds && !isFree; round += 1) {
+    const candidates = listCandidates(run, new Set([...excludedIds, ...asked]), count);
     candidates.forEach(({ entry }) => asked.add(entry.id));
     const answers = await askServers(run, candidates);
     // Those that answered are asked what they hold: one that fell silent would hold this up.
-    const holding = run.readState().offset > 0 ? await findPromptHolder(run, answers) : null;
+    const holding = hasEvents ? await findPromptHolder(run, answers) : null;
     answered.push(...answers);
     // As of now: while servers were asked, this VM may have sent other prompts to them.
     reported = answered.map((one) => addUnread(run, one));
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -30,19 +30,19 @@
     refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: RETRY_AFTER_MS },
   });
 
-const buildAttempt = (
-  run: StreamRun,
-  { copy, expectedMs, isFree, server }: StreamServers,
-  reader: Reader,
-): StreamAttempt => {
+/** Counts the prompt tokens that the server has to read before others. */
+const countTokensToRead = (run: StreamRun, { copy, hasPrompt }: StreamServers): number =>
+  copy || hasPrompt ? 0 : (run.context.request.tokens?.prompt ?? 0);
+
+const buildAttempt = (run: StreamRun, servers: StreamServers, reader: Reader): StreamAttempt => {
   const { clock, directory } = run.dependencies;
+  const { expectedMs, isFree, server } = servers;
   const nowMs = clock.readMonotonicMs();
-  const promptTokens = copy ? 0 : (run.context.request.tokens?.prompt ?? 0);
   return {
     abort: new AbortController(),
     server,
     work: directory.startWork(server.id, {
-      prefillTokens: promptTokens,
+      prefillTokens: countTokensToRead(run, servers),
       // It knows nothing of this run any more, whatever its connection still shows.
       handleVoid: () => run.dispatch({ kind: 'silent', reader, confirmed: true }),
     }),
@@ -142,7 +142,8 @@
     },
     server,
   );
-  if (!copy) run.dependencies.tellPrompt(server.id, context.request.tokens?.prompt ?? 0);
+  const tokensToRead = countTokensToRead(run, servers);
+  if (tokensToRead > 0) run.dependencies.tellPrompt(server.id, tokensToRead);
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopWatch = startSilenceWatch(run, attempt, reader);
   attempt.stopCopies = startCopyWatch(run, attempt, reader);
