Agree on places for prompts in large fleets, by one call a prompt

The guess that prompts meet more rarely where engines are more was wrong.

Change: the places of each server are kept by one VM, by rendezvous hashing over those heard of; a prompt takes its place there by one call (30 ms at the most), and is placed anew where others were sooner. Small fleets go on to tell everyone.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,4 +1,6 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { createClient, type Client } from '@connectrpc/connect';
+import type { PlacedPrompt } from '../../../application/forwarding';
 import type { GossipCalls } from '../../../application/gossip';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { openTransport, type OpenedTransport } from '../_lib/openTransport';
@@ -9,7 +11,9 @@
   /** Asks a gateway for one of its repeats; false also if it does not answer in time. */
   askRetry(address: string, service: string): Promise<boolean>;
   /** Tells a gateway of a prompt that was sent to a server; nothing depends on its arrival. */
-  tellPrompt(address: string, prompt: { readonly server: string; readonly tokens: number }): void;
+  tellPrompt(address: string, prompt: PlacedPrompt): void;
+  /** Takes a place for a prompt; null if the gateway does not answer in time. */
+  reservePrompt(address: string, prompt: PlacedPrompt): Promise<number | null>;
   /** Closes every connection. */
   close(): void;
 }
@@ -23,6 +27,9 @@
 /** A stream waits for this answer, and may ask two more. */
 const RETRY_TIMEOUT_MS = 100;
 
+/** A prompt waits for this answer; sound gateways take some milliseconds. */
+const RESERVE_WAIT_MS = 30;
+
 interface Connection extends OpenedTransport {
   readonly calls: Client<typeof GatewayService>;
 }
@@ -71,6 +78,13 @@
       const answer = await call(address, (calls) => calls.lendRetry({ service }, options));
       return answer?.isLent ?? false;
     },
+    reservePrompt: async (address, prompt) => {
+      const options = { timeoutMs: CALL_TIMEOUT_MS };
+      const asked = call(address, (calls) => calls.reservePrompt(prompt, options));
+      // Late is no failure: the connection is kept.
+      const answer = await Promise.race([asked, wait(RESERVE_WAIT_MS, null, { ref: false })]);
+      return answer?.othersTokens ?? null;
+    },
     tellPrompt: (address, prompt) => {
       call(address, (calls) => calls.tellPrompt(prompt, { timeoutMs: CALL_TIMEOUT_MS }));
     },
--- a/src/adapters/connect/createGatewayRoutes/index.ts
+++ b/src/adapters/connect/createGatewayRoutes/index.ts
@@ -8,14 +8,18 @@
   readonly handleKnowledge: (knowledge: Knowledge) => Knowledge;
   readonly lendRetry: (service: string) => boolean;
   readonly recordToldPrompt: (server: string, tokens: number) => void;
+  readonly handleReservation: (server: string, tokens: number) => number;
 }
 
 /** Creates the handlers of the calls between gateways. */
 export const createGatewayRoutes =
-  ({ handleKnowledge, lendRetry, recordToldPrompt }: GatewayHandlers) =>
+  ({ handleKnowledge, handleReservation, lendRetry, recordToldPrompt }: GatewayHandlers) =>
   (router: ConnectRouter): void => {
     router.service(GatewayService, {
       lendRetry: ({ service }) => ({ isLent: lendRetry(service) }),
+      reservePrompt: ({ server, tokens }) => ({
+        othersTokens: handleReservation(server, tokens),
+      }),
       tellPrompt: ({ server, tokens }) => {
         recordToldPrompt(server, tokens);
         return {};
--- a/src/application/forwarding/_lib/checkStreamStart/index.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -4,8 +4,7 @@
   hasTimeToRead,
   type StreamDecision,
 } from '../../../../domain/forwarding';
-import type { Refusal, StreamRun } from '../../types';
-import type { StreamServers } from '../chooseStreamServers';
+import type { Refusal, StreamRun, StreamServers } from '../../types';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { recordDecision } from '../recordDecision';
 
--- a/src/application/forwarding/_lib/chooseStreamServers/test.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/test.ts
@@ -38,6 +38,7 @@
       directory,
       randomness: createSeededRandomness(1),
       tables: { readCurrent: () => null },
+      reservePrompt: async () => 0,
       client: {
         readReport: async ({ id }: { readonly id: string }) => {
           asked.push(id);
--- /dev/null
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -0,0 +1,107 @@
+import {
+  chooseReportedServer,
+  countNeededTokens,
+  countReadingRuns,
+  hasCopyRoom,
+  predictFirstEvent,
+  type ReportedChoiceOptions,
+  type ReportedServer,
+} from '../../../../domain/forwarding';
+import type { StreamRun, StreamServers } from '../../types';
+import type { AnsweringServer } from '../askServers';
+import { keepsBackups } from '../keepsBackups';
+
+/** What a request needs of a server. */
+type ReportedNeeds = Pick<ReportedChoiceOptions, 'neededTokens' | 'promptTokens'>;
+
+/** What is known of a choice. */
+interface BuildOptions {
+  readonly reported: readonly ReportedServer[];
+  readonly needs: ReportedNeeds;
+  readonly hasPrompt: boolean;
+  readonly predictedMs: number;
+}
+
+const addUnread = (run: StreamRun, one: AnsweringServer): ReportedServer => ({
+  ...one,
+  unreadTokens: run.dependencies.directory.countUnreadTokens(one.entry.id),
+});
+
+/** True: it has no prompt to read before a new one. */
+const isIdle = ({ report, unreadTokens }: ReportedServer): boolean =>
+  unreadTokens === 0 && report.waiting + countReadingRuns(report) === 0;
+
+/** True: the run can begin without others having to end. */
+const hasRoom = ({ report }: ReportedServer, { neededTokens }: ReportedNeeds): boolean =>
+  report.kvTotalTokens === 0 || report.kvUsedTokens + neededTokens <= report.kvTotalTokens;
+
+/** The next attempt reads the prompt at the chosen server; another zone's gets the copy. */
+const buildFromPrompt = (
+  run: StreamRun,
+  chosen: ReportedServer,
+  options: BuildOptions,
+): StreamServers => {
+  const { hasPrompt, needs, predictedMs, reported } = options;
+  const isPaceKnown = run.paces.readEnginePaces(run.context.service).readingMsPerToken > 0;
+  const others = reported.filter(
+    ({ entry, report }) =>
+      entry.availabilityZone !== chosen.entry.availabilityZone &&
+      hasCopyRoom(report, needs.neededTokens),
+  );
+  const backup = chooseReportedServer(others, { ...needs, preferredZone: null });
+  return {
+    server: chosen.entry,
+    copy: null,
+    hasPrompt,
+    isFree: isIdle(chosen) && hasRoom(chosen, needs),
+    estimate: {
+      promptTokens: needs.promptTokens,
+      waiting: chosen.report.waiting,
+      reading: countReadingRuns(chosen.report),
+      unreadTokens: chosen.unreadTokens,
+    },
+    predictedMs,
+    expectedMs: isPaceKnown ? predictedMs : run.context.route.latencyGoalMs,
+    backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
+  };
+};
+
+/**
+ * Picks the server for a prompt among those that answered, as of now: what this VM sent, or was told
+ * of, while they were asked counts. Where all are busy the prediction decides, as what waits there
+ * counts, not only how much runs.
+ *
+ * @param holding - server that has the prompt in memory, which goes before all others
+ */
+export const pickServer = (
+  run: StreamRun,
+  answered: readonly AnsweringServer[],
+  holding: AnsweringServer | null,
+): StreamServers | null => {
+  const needs: ReportedNeeds = {
+    neededTokens: countNeededTokens(run.context.request),
+    promptTokens: run.context.request.tokens?.prompt ?? 0,
+  };
+  const predict = ({ report, unreadTokens }: ReportedServer): number =>
+    predictFirstEvent(report, {
+      ...needs,
+      unreadTokens,
+      paces: run.paces.readEnginePaces(run.context.service),
+      latencyGoalMs: run.context.route.latencyGoalMs,
+    });
+  const reported = answered.map((one) => addUnread(run, one));
+  const hasPrompt = holding !== null;
+  const { availabilityZone: preferredZone } = run.dependencies;
+  const chosen = holding
+    ? addUnread(run, holding)
+    : chooseReportedServer(reported, { ...needs, preferredZone });
+  if (!chosen) return null;
+  const known = { server: chosen, predictedMs: predict(chosen) };
+  const { predictedMs, server } =
+    hasPrompt || isIdle(chosen)
+      ? known
+      : reported
+          .map((one) => ({ server: one, predictedMs: predict(one) }))
+          .reduce((first, one) => (one.predictedMs < first.predictedMs ? one : first), known);
+  return buildFromPrompt(run, server, { reported, needs, hasPrompt, predictedMs });
+};
--- /dev/null
+++ b/src/application/forwarding/createPromptPlaces/test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import { createPromptPlaces, type PromptPlaces } from '.';
+
+/** A fleet whose VMs call each other directly; `isDown` tells which do not answer. */
+const buildFleet = (vms: number, isDown: (address: string) => boolean = () => false) => {
+  const names = Array.from({ length: vms }, (_, index) => `vm-${index}`);
+  const fleet = new Map<string, PromptPlaces>();
+  const told: string[] = [];
+  let calls = 0;
+  names.forEach((self) => {
+    const unread = new Map<string, number>();
+    fleet.set(
+      self,
+      createPromptPlaces({
+        self,
+        listPeers: () => names.filter((name) => name !== self).map((vm) => ({ vm, address: vm })),
+        tellPeer: (address, { server, tokens }) => {
+          calls += 1;
+          told.push(`${address} ${server} ${tokens}`);
+        },
+        askPeer: async (address, { server, tokens }) => {
+          calls += 1;
+          return isDown(address)
+            ? null
+            : (fleet.get(address)?.handleReservation(server, tokens) ?? null);
+        },
+        countUnreadTokens: (server) => unread.get(server) ?? 0,
+        recordToldPrompt: (server, tokens) =>
+          unread.set(server, (unread.get(server) ?? 0) + tokens),
+      }),
+    );
+  });
+  const find = (index: number): PromptPlaces => fleet.get(`vm-${index}`) as PromptPlaces;
+  return { countCalls: () => calls, find, told };
+};
+
+test('all other VMs of a small fleet are told, and nobody is asked', async (t) => {
+  const { countCalls, find, told } = buildFleet(3);
+  t.is(await find(0).reservePrompt('i-1', 8200), 0);
+  t.is(countCalls(), 0);
+  find(0).tellPrompt('i-1', 8200);
+  t.deepEqual(told, ['vm-1 i-1 8200', 'vm-2 i-1 8200']);
+});
+
+// Symptom: one prompt in eight waits behind another one, with 84 engines of which most are idle.
+// Sequence: two of 60 VMs find the same engine idle within a tenth of a second.
+// Cause: telling all VMs costs too much there, and nobody told anyone.
+test('in a large fleet the second VM that wants a server learns of the first', async (t) => {
+  const { countCalls, find, told } = buildFleet(60);
+  let seen = 0;
+  for (let server = 0; server < 84; server += 1) {
+    await find(server % 60).reservePrompt(`i-${server}`, 8200);
+    const others = await find((server + 7) % 60).reservePrompt(`i-${server}`, 4000);
+    seen += Number(others > 0);
+  }
+  // The VM that keeps a server's places does not ask: its own prompts are known to it.
+  t.true(seen >= 78, `${seen} of 84`);
+  t.true(countCalls() <= 2 * 84);
+  find(0).tellPrompt('i-1', 8200);
+  t.deepEqual(told, []);
+});
+
+test('a VM that does not answer holds no prompt up', async (t) => {
+  const { find } = buildFleet(60, () => true);
+  t.is(await find(0).reservePrompt('i-1', 8200), 0);
+});
+
+test('a VM that is alone asks and tells nobody', async (t) => {
+  const { countCalls, find } = buildFleet(1);
+  find(0).tellPrompt('i-1', 8200);
+  t.is(await find(0).reservePrompt('i-1', 8200), 0);
+  t.is(countCalls(), 0);
+});
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -1,5 +1,10 @@
 export { createForwarder, type Forwarder } from './createForwarder';
-export { createPromptTeller, type PromptTellerDependencies } from './createPromptTeller';
+export {
+  createPromptPlaces,
+  type PlacedPrompt,
+  type PromptPlaces,
+  type PromptPlacesDependencies,
+} from './createPromptPlaces';
 export { createRetryAllowance, type RetryAllowance } from './createRetryAllowance';
 export { createRouteTableHolder, type RouteTableHolder } from './createRouteTableHolder';
 export { createIdentityWatch, type IdentityWatch } from './createIdentityWatch';
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -19,4 +19,9 @@
   readonly tables: RouteTableHolder;
   /** Tells other VMs of a prompt that was sent to a server just now. */
   readonly tellPrompt: (server: string, tokens: number) => void;
+  /**
+   * Takes a place for a prompt at a server, in fleets that are too large to tell everyone; resolves
+   * with the prompt tokens that others took a place for a moment ago.
+   */
+  readonly reservePrompt: (server: string, tokens: number) => Promise<number>;
 }
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -2,4 +2,5 @@
 export type { ForwardContext } from './ForwardContext';
 export type { ForwardingDependencies } from './ForwardingDependencies';
 export type { ForwardingMeter } from './ForwardingMeter';
+export type { StreamServers } from './StreamServers';
 export type { HeldCopy, StreamAttempt, StreamRun } from './StreamRun';
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -35,6 +35,8 @@
   sendSuspicion(server: string, cause: string): void;
   /** Tells others of a server without an entry. */
   sendInferred(server: ServerEntry): void;
+  /** Other VMs heard lately. */
+  listMembers(): readonly Member[];
   /** VMs heard lately, this one included. */
   countVms(): number;
   /** Addresses of some other VMs heard lately, drawn at random. */
@@ -233,6 +235,7 @@
     sendInferred: (server) => gather({ suspicions: [], inferred: [server] }),
     drawAddresses: (count) =>
       drawSome(members.listLive(), count, randomness).map(({ address }) => address),
+    listMembers: members.listLive,
     countVms: () => members.listLive().length + 1,
   };
 };
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -4,7 +4,8 @@
 import {
   createForwarder,
   createIdentityWatch,
-  createPromptTeller,
+  createPromptPlaces,
+  type PromptPlaces,
   createRetryAllowance,
   createRetryLender,
   createRouteTableHolder,
@@ -54,6 +55,7 @@
   readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
   readonly gossip: Gossip;
   readonly lender: RetryLender;
+  readonly places: PromptPlaces;
   /** Closes all connections to servers and the store. */
   stop(): Promise<void>;
 }
@@ -143,6 +145,14 @@
     drawPeers: gossip.drawAddresses,
     askPeer: calls.askRetry,
   });
+  const places = createPromptPlaces({
+    self: settings.vm,
+    listPeers: gossip.listMembers,
+    tellPeer: calls.tellPrompt,
+    askPeer: calls.reservePrompt,
+    countUnreadTokens: directory.countUnreadTokens,
+    recordToldPrompt: directory.recordToldPrompt,
+  });
   const forwarder = createForwarder({
     lender,
     availabilityZone: settings.availabilityZone,
@@ -154,11 +164,8 @@
     randomness,
     retries,
     tables,
-    tellPrompt: createPromptTeller({
-      countVms: gossip.countVms,
-      drawPeers: gossip.drawAddresses,
-      tellPeer: calls.tellPrompt,
-    }),
+    tellPrompt: places.tellPrompt,
+    reservePrompt: places.reservePrompt,
   });
   return {
     clock,
@@ -170,6 +177,7 @@
     followers: { configuration, servers },
     gossip,
     lender,
+    places,
     stop: async () => {
       gossip.stop();
       identities.stop();
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -150,6 +150,7 @@
         applyRows: () => undefined,
         addListener: () => undefined,
       },
+      reservePrompt: async () => 0,
       tellPrompt: (server, tokens) => {
         clock.startTimer(TELL_MS, () =>
           directories
