--- a/src/application/forwarding/_lib/chooseStreamServers/test.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/test.ts
@@ -1,13 +1,10 @@
-import { ok } from 'neverthrow';
 import test from 'ava';
 import {
   buildServerReport,
-  buildServerStatus,
   createFakeClock,
   createSeededRandomness,
-  QUIET_LOG,
 } from '../../../../../standins/fakes';
-import { createServerDirectory } from '../../createServerDirectory';
+import { createModelDirectory, MODEL_SERVICE } from '../../../../../standins/model';
 import type { StreamRun } from '../../types';
 import { chooseStreamServers } from '.';
 
@@ -16,20 +13,7 @@
 /** A stream whose caller has some events, before servers of which one holds the prompt. */
 const build = (holder: string, offset: number) => {
   const clock = createFakeClock();
-  const directory = createServerDirectory({
-    decode: (id) =>
-      ok({ ...buildServerStatus(id, `z${Number(id.slice(2)) % 3}`).entry, service: 's' }),
-    clock,
-    log: QUIET_LOG,
-    reuseAfterMs: 2000,
-    handleGone: () => undefined,
-    handleSuspected: () => undefined,
-    handleInferred: () => undefined,
-  });
-  directory.applyRows(
-    IDS.map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
-    { source: 'store', outageEndedAtMs: null },
-  );
+  const directory = createModelDirectory(clock, IDS);
   const asked: string[] = [];
   const run = {
     dependencies: {
@@ -49,7 +33,7 @@
       },
     },
     context: {
-      service: 's',
+      service: MODEL_SERVICE,
       request: {
         requestId: 'r',
         tokens: { prompt: 8200, maxOutput: 840 },
--- /dev/null
+++ b/standins/model/createModelDirectory/index.ts
@@ -0,0 +1,38 @@
+import { ok } from 'neverthrow';
+import { createServerDirectory, type ServerDirectory } from '../../../src/application/forwarding';
+import type { Clock } from '../../../src/application/ports';
+import { QUIET_LOG } from '../../fakes';
+
+/** Service of all servers of the model. */
+export const MODEL_SERVICE = 's';
+
+/** Availability zones of the model, `z0` and on; servers `<name>-0` and on are spread over them. */
+export const MODEL_ZONES = 3;
+
+/** Creates a gateway's directory that knows these servers, all ready. */
+export const createModelDirectory = (clock: Clock, ids: readonly string[]): ServerDirectory => {
+  const directory = createServerDirectory({
+    decode: (id) =>
+      ok({
+        id,
+        service: MODEL_SERVICE,
+        address: `${id}:1`,
+        availabilityZone: `z${Number(id.slice(2)) % MODEL_ZONES}`,
+        slots: 64,
+        isLeaving: false,
+        warmupLeftMs: 0,
+        bornMs: null,
+      }),
+    clock,
+    log: QUIET_LOG,
+    reuseAfterMs: 2000,
+    handleGone: () => undefined,
+    handleSuspected: () => undefined,
+    handleInferred: () => undefined,
+  });
+  directory.applyRows(
+    ids.map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
+    { source: 'store', outageEndedAtMs: null },
+  );
+  return directory;
+};
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -1,14 +1,13 @@
-import { ok } from 'neverthrow';
 import {
   createForwarder,
   createRetryAllowance,
   createRetryLender,
-  createServerDirectory,
   type Forwarder,
   type ServerDirectory,
 } from '../../../src/application/forwarding';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
 import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
+import { createModelDirectory, MODEL_SERVICE, MODEL_ZONES } from '../createModelDirectory';
 import { createModelClient } from '../createModelClient';
 import { createModelCaller, type CallerOutcome } from '../createModelCaller';
 import { createModelEngine, type ModelEngine } from '../createModelEngine';
@@ -45,8 +44,6 @@
 /** Callers' deadlines and prompts differ by up to this part. */
 const SPREAD = 0.15;
 
-const ZONES = 3;
-
 /** Streams of a bunch begin within this time. */
 const BUNCH_MS = 40;
 
@@ -55,8 +52,6 @@
 
 const STEP_MS = 100;
 
-const SERVICE = 's';
-
 const TABLE: RouteTable = {
   version: 1,
   routesByHost: new Map([
@@ -75,12 +70,12 @@
           priority: 1,
           maxAttempts: 5,
           isPublic: true,
-          targets: [{ service: SERVICE, weight: 1 }],
+          targets: [{ service: MODEL_SERVICE, weight: 1 }],
         },
       ],
     ],
   ]),
-  services: new Map([[SERVICE, { name: SERVICE, healthPath: '/', engine: null }]]),
+  services: new Map([[MODEL_SERVICE, { name: MODEL_SERVICE, healthPath: '/', engine: null }]]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   holdersByKey: null,
 };
@@ -101,29 +96,7 @@
 
   const directories: ServerDirectory[] = [];
   const createGateway = (index: number): Forwarder => {
-    const directory = createServerDirectory({
-      decode: (id) =>
-        ok({
-          id,
-          service: SERVICE,
-          address: `${id}:1`,
-          availabilityZone: `z${Number(id.slice(2)) % ZONES}`,
-          slots: 64,
-          isLeaving: false,
-          warmupLeftMs: 0,
-          bornMs: null,
-        }),
-      clock,
-      log: QUIET_LOG,
-      reuseAfterMs: 2000,
-      handleGone: () => undefined,
-      handleSuspected: () => undefined,
-      handleInferred: () => undefined,
-    });
-    directory.applyRows(
-      [...engines.keys()].map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
-      { source: 'store', outageEndedAtMs: null },
-    );
+    const directory = createModelDirectory(clock, [...engines.keys()]);
     directories.push(directory);
     const retries = createRetryAllowance({
       bounds: { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 },
@@ -131,7 +104,7 @@
       countVms: () => load.vms,
     });
     return createForwarder({
-      availabilityZone: `z${index % ZONES}`,
+      availabilityZone: `z${index % MODEL_ZONES}`,
       client,
       clock,
       directory,
