--- a/src/domain/forwarding/decideStream/index.ts
+++ b/src/domain/forwarding/decideStream/index.ts
@@ -37,8 +37,8 @@
  * Under a burst that servers can't read in time, each stream that is sent nonetheless delays all
  * that follow, until none is in time. Those that can begin within the goal are sent; the others come
  * back, once, when the burst may be over. Where a server is free, waiting can gain nothing: a prompt
- * that takes long to read takes as long later. Of 200 streams of a day four were refused with free
- * engines, the longest ones, which are worth most.
+ * that takes long to read takes as long later. In a model of 13 idle engines 10 of 10 prompts of 24,000
+ * tokens came in time, 4 with the limit (and with less patience, see computeEventLimit).
  */
 export const decideStream = ({
   draw,
