Wait no longer for a held prompt than before

A caller that came back to the server that holds its prompt would have waited for twice the time of reading it, if that run was lost.

--- a/src/application/forwarding/_lib/chooseStreamServers/test.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/test.ts
@@ -59,6 +59,7 @@
     const chosen = await chooseStreamServers(run, new Set());
     t.is(chosen?.server.id, holder);
     t.true(chosen?.hasPrompt);
+    t.is(chosen?.expectedMs, 0);
   }
 });
 
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -43,6 +43,7 @@
 ): StreamServers => {
   const { hasPrompt, needs, predictedMs, reported } = options;
   const isPaceKnown = run.paces.readEnginePaces(run.context.service).readingMsPerToken > 0;
+  const readingMs = isPaceKnown ? predictedMs : run.context.route.latencyGoalMs;
   const others = reported.filter(
     ({ entry, report }) =>
       entry.availabilityZone !== chosen.entry.availabilityZone &&
@@ -61,7 +62,8 @@
       unreadTokens: chosen.unreadTokens,
     },
     predictedMs,
-    expectedMs: isPaceKnown ? predictedMs : run.context.route.latencyGoalMs,
+    // A prompt that is held needs no reading: its silence is no work.
+    expectedMs: hasPrompt ? 0 : readingMs,
     backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
   };
 };
--- a/src/application/forwarding/types/StreamServers.ts
+++ b/src/application/forwarding/types/StreamServers.ts
@@ -17,7 +17,7 @@
   readonly estimate: EventFields;
   /**
    * Time that the first event is expected to take: as predicted, or the goal while this VM has seen no
-   * pace; 0 where nobody was asked. A VM that had just started gave long prompts up in the middle.
+   * pace; 0 where nobody was asked or the prompt is held. A VM that had just started gave long prompts up in the middle.
    */
   readonly expectedMs: number;
   /** Time to the first event as the servers' reports predict it; null if no report was read. */
