--- a/tests/gateway/_lib/createVirtualStore/index.ts
+++ b/standins/gateway/createVirtualStore/index.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
-import type { StoreClient } from '../../../../platform';
-import type { Clock, RowChanges, RowError, SharedRow } from '../../../../src/application/ports';
+import type { StoreClient } from '../../../platform';
+import type { Clock, RowChanges, RowError, SharedRow } from '../../../src/application/ports';
 
 /** A store in virtual time whose calls can be lost without a word. */
 export interface VirtualStore extends StoreClient {
--- a/standins/gateway/index.ts
+++ b/standins/gateway/index.ts
@@ -3,3 +3,4 @@
 export type { ReceivedRequest, StandInServer } from './createStandInServer';
 export { createStandInStore } from './createStandInStore';
 export type { StandInStore, StoreMode } from './createStandInStore';
+export { createVirtualStore, type VirtualStore } from './createVirtualStore';
--- a/tests/gateway/storeOutages.test.ts
+++ b/tests/gateway/storeOutages.test.ts
@@ -13,10 +13,9 @@
 import test from 'ava';
 import { CONFIGURATION_KEY, TABLES } from '../../platform';
 import { wireGateway } from '../../src/programs/gateway/_lib/wireGateway';
-import { buildGatewaySettings } from '../../standins/gateway';
+import { buildGatewaySettings, createVirtualStore } from '../../standins/gateway';
 import { createFakeClock, createSeededRandomness } from '../../standins/fakes';
 import { buildWireConfiguration, buildWireEntry } from './_lib/buildWireConfiguration';
-import { createVirtualStore } from './_lib/createVirtualStore';
 
 const SETTINGS = buildGatewaySettings('http://127.0.0.1:9');
 const { changeMs, settleMs } = SETTINGS.bounds;
