Say once what a server that answered is

The type of a server that was asked had the fields of ReportedServer but one, written again. Found in the read of the whole change. Types only: the built gateway is the same, byte for byte.

--- a/src/application/forwarding/_lib/askServers/index.ts
+++ b/src/application/forwarding/_lib/askServers/index.ts
@@ -1,13 +1,8 @@
-import type { ServerEntry, ServerReport, ServerStatus } from '../../../../domain/forwarding';
+import type { ReportedServer, ServerStatus } from '../../../../domain/forwarding';
 import type { StreamRun } from '../../types';
 
-/** A server that was asked, and what it said of itself. */
-export interface AnsweringServer {
-  readonly entry: ServerEntry;
-  readonly report: ServerReport;
-  /** Runs whose memory this VM knows to be copied there. */
-  readonly copies: number;
-}
+/** A server that was asked, and what it said of itself; what is on its way is added at the choice. */
+export type AnsweringServer = Omit<ReportedServer, 'unreadTokens'>;
 
 /**
  * Time that the others get once a server has answered: sound ones take some milliseconds, and those
