Ask for members' ages only now and then, not with each news of servers

Cause: when a zone of servers is lost every VM passes the news on some ten times, and each message and its answer named all members. Change: members are told in the periodic exchanges and in news of who joins; a VM that was not heard for twelve seconds counts no more (eight before), twice the time that news takes through 200 VMs.

--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -29,6 +29,7 @@
   create(KnowledgeSchema, {
     sender: buildMember(knowledge.sender),
     members: knowledge.members.map(buildMember),
+    isMembersAsked: knowledge.isMembersAsked,
     heardIds: [...knowledge.heard.keys()],
     heardAgesMs: [...knowledge.heard.values()].map(Math.round),
     versions: [...knowledge.versions].map(([table, version]) =>
@@ -66,6 +67,7 @@
     ? {
         sender: readMember(message.sender),
         members: message.members.map(readMember),
+        isMembersAsked: message.isMembersAsked,
         heard: new Map(message.heardIds.map((id, at) => [id, message.heardAgesMs[at] ?? Infinity])),
         versions: new Map(message.versions.map(({ table, version }) => [table, Number(version)])),
         changes: message.changes.map(readTableChanges),
--- a/src/application/gossip/_lib/createMemberList/index.ts
+++ b/src/application/gossip/_lib/createMemberList/index.ts
@@ -32,9 +32,12 @@
 
 /**
  * A VM that was not heard of for this long is drawn and counted no more. Twice the time that news of
- * one of 60 VMs takes to reach all others: VMs that count too few of them share out too many repeats.
+ * one of 200 VMs takes to reach all others: VMs that count too few of them share out too many repeats.
  */
-const MEMBER_AGE_MS = 8000;
+const MEMBER_AGE_MS = 12_000;
+
+/** A partner that failed is left out for this long. */
+const PARTNER_BACKOFF_MS = 8000;
 
 interface Known {
   readonly member: Member;
@@ -68,7 +71,7 @@
       const nameId = before?.nameId ?? computeNameId(member.vm);
       known.set(member.vm, { member, nameId, heardAtMs });
       vmOfNameId.set(nameId, member.vm);
-      return !before || !isLive(before);
+      return !before;
     },
     recordHeard: (heard) => {
       const nowMs = clock.readMonotonicMs();
@@ -97,7 +100,7 @@
       const live = listLive();
       if (live.length < FULL_MESH_VMS) return live;
       const candidates = live.map(({ vm }) => ({ vm, failedAtMs: failedAtMs.get(vm) ?? null }));
-      const options = { nowMs: clock.readMonotonicMs(), backoffMs: MEMBER_AGE_MS };
+      const options = { nowMs: clock.readMonotonicMs(), backoffMs: PARTNER_BACKOFF_MS };
       const chosen = new Set(choosePartners(self, candidates, options));
       return live.filter(({ vm }) => chosen.has(vm));
     },
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -85,7 +85,8 @@
     told: News,
   ): Knowledge => ({
     sender: { ...self, ageMs: 0 },
-    heard: members.listHeard(),
+    isMembersAsked: false,
+    heard: new Map(),
     versions: listVersions(),
     changes: listTableChanges(followers, versions),
     ...told,
@@ -108,9 +109,19 @@
     else gatherer.recordPassed({ ...taken, members: [] });
   };
 
+  const askMembers = (knowledge: Knowledge): Knowledge => ({
+    ...knowledge,
+    isMembersAsked: true,
+    heard: members.listHeard(),
+  });
+
   const exchange = async (address: string, vm: string | null, told: News): Promise<void> => {
     const versions = vm === null ? undefined : versionsOf.get(vm);
-    const taken = await calls.exchangeKnowledge(address, buildKnowledge(versions, told));
+    const knowledge = buildKnowledge(versions, told);
+    // News of servers comes by the dozen when an availability zone is lost.
+    const isOfServers = told.suspicions.length + told.inferred.length > 0;
+    const sent = isOfServers ? knowledge : askMembers(knowledge);
+    const taken = await calls.exchangeKnowledge(address, sent);
     if (vm !== null) members.recordCall(vm, { hasAnswered: taken !== null });
     if (taken && !isStopped) mergeKnowledge(taken);
   };
@@ -170,9 +181,11 @@
     },
     handleKnowledge: (taken) => {
       mergeKnowledge(taken);
+      if (!taken.isMembersAsked) return buildKnowledge(taken.versions, NO_NEWS);
       const missing = members.listMissing(taken.heard).filter(({ vm }) => vm !== taken.sender.vm);
       const told = drawSome(missing, MAX_TOLD_MEMBERS, randomness);
-      return buildKnowledge(taken.versions, { ...NO_NEWS, members: told });
+      const answer = buildKnowledge(taken.versions, { ...NO_NEWS, members: told });
+      return { ...answer, heard: members.listHeard() };
     },
     sendSuspicion: (server, cause) => {
       gatherer.gather({ ...NO_NEWS, suspicions: [{ server, cause, ageMs: 0 }] });
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -34,7 +34,9 @@
   readonly sender: Member;
   /** VMs that the receiver may not know. */
   readonly members: readonly Member[];
-  /** VMs heard of lately: age in milliseconds, by the id of their name (`computeNameId`). */
+  /** Whether the receiver tells in turn which VMs it has heard of; it costs most of a message. */
+  readonly isMembersAsked: boolean;
+  /** VMs heard of lately, in messages that ask for them and their answers: age in milliseconds, by the id of their name (`computeNameId`). */
   readonly heard: ReadonlyMap<number, number>;
   /** By table that the sender can't read itself: the version up to which it misses no change. */
   readonly versions: ReadonlyMap<string, number>;
--- a/src/application/rows/_lib/createSourceRecord/index.ts
+++ b/src/application/rows/_lib/createSourceRecord/index.ts
@@ -14,7 +14,7 @@
   isStoreAway(): boolean;
 }
 
-/** As long as a VM that was not heard stays in the list of members. */
+/** A VM that ended stays in the list of members for some seconds more. */
 const FAILED_MS = 8000;
 
 /** A VM cut off from the store is asked again after this time. */
