--- /dev/null
+++ b/scripts/gateway-loader.cjs
@@ -0,0 +1,30 @@
+// Loads the bundled gateway with its code cache, which the build writes beside it: compiling the
+// bundle takes about half of the processor time until a VM is ready. A cache that does not fit (other
+// flags or another Node.js) is left alone, and said.
+'use strict';
+
+const { readFileSync } = require('node:fs');
+const { createRequire, wrap } = require('node:module');
+const { dirname, join } = require('node:path');
+const { Script } = require('node:vm');
+
+const file = join(__dirname, 'jackdaw-gateway-bundle.cjs');
+
+const readCache = () => {
+  try {
+    return readFileSync(`${file}.cache`);
+  } catch {
+    return undefined;
+  }
+};
+
+const cachedData = readCache();
+const script = new Script(wrap(readFileSync(file, 'utf8')), { filename: file, cachedData });
+if (!cachedData || script.cachedDataRejected) {
+  const message = cachedData ? 'code cache rejected' : 'no code cache';
+  process.stdout.write(`${JSON.stringify({ context: { program: 'jackdaw-gateway' }, message })}\n`);
+}
+const loaded = { exports: {} };
+script.runInThisContext()(loaded.exports, createRequire(file), loaded, file, dirname(file));
+
+module.exports = { script, file };
