--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,6 +38,7 @@
       'src/adapters/connect/gen/',
       '**/*.js',
       '**/*.mjs',
+      '**/*.cjs',
     ],
   },
   plugins.stylistic,
