Let lookups take repeats that other VMs have left, as streams do

Cause: with 195 VMs each has less than one of the 150 shared repeats of a window; a lookup that failed at one server was given up with servers free ('no retry left'), while streams borrowed. Change: sendToServers asks the lender. What is lent counts at the lender.

--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -129,7 +129,7 @@
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
-  const { clock, directory, randomness, retries } = dependencies;
+  const { clock, directory, lender, randomness, retries } = dependencies;
   const { deadlineAtMs, reply, route, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -154,7 +154,7 @@
     });
     if (!status) break;
     const isRepeat = arrivals > 0;
-    if (isRepeat && !retries.acquireRetry(service)) {
+    if (isRepeat && !(await lender.acquireRetry(service))) {
       lastReason = `no retry left after: ${lastReason}`;
       break;
     }
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -1,7 +1,10 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
+import { createGatewayRoutes, startConnectServer } from '../../src/adapters/connect';
+import type { Member } from '../../src/application/gossip';
 import { createFakeClock } from '../../standins/fakes';
-import type { StandInServer } from '../../standins/gateway';
+import { buildGatewaySettings, type StandInServer } from '../../standins/gateway';
+import { readOk } from '../_lib/readOk';
 import { buildWireEntry } from './_lib/buildWireConfiguration';
 import { countRequests } from './_lib/countRequests';
 import { startTestGateway } from './_lib/startTestGateway';
@@ -53,6 +56,53 @@
 // Symptom: a payment is made twice.
 // Sequence: the server takes the call, then its connection breaks.
 // Cause: a call that may have run is sent again.
+// Symptom: lookups fail although servers are free: 'no retry left'.
+// Sequence: of 195 VMs each has less than one of the shared repeats; a server answers 500.
+// Cause: streams take a repeat that another VM lends, calls asked only for one of their own.
+test('a call that needs a repeat takes one that another VM has left', async (t) => {
+  const self: Member = { vm: 'vm-2', address: '', availabilityZone: 'z2', cores: 1, ageMs: 0 };
+  let lent = 0;
+  let address = '';
+  const started = await startConnectServer({
+    host: '127.0.0.1',
+    port: 0,
+    routes: createGatewayRoutes({
+      handleKnowledge: (taken) => ({
+        ...taken,
+        sender: { ...self, address },
+        members: [],
+        heard: new Map(),
+      }),
+      lendRetry: () => {
+        lent += 1;
+        return true;
+      },
+      recordToldPrompt: () => undefined,
+      handleReservation: () => 0,
+      handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
+    }),
+  });
+  const peer = readOk(started);
+  ({ address } = peer);
+  const { bounds } = buildGatewaySettings('');
+  const bench = await startTestGateway({
+    settings: {
+      seedAddresses: [peer.address],
+      bounds: { ...bounds, retryRatio: 0, retryExtra: 0 },
+    },
+  });
+  await bench.waitForLine('peer known');
+  const answered = bench.send({ target: '/safe/x' });
+  const first = await nextAnywhere(bench.servers);
+  first.server.answer(first.request, 500, 'no');
+  const second = await nextAnywhere(bench.servers);
+  second.server.answer(second.request, 200, 'yes');
+  t.is((await answered).body, 'yes');
+  t.is(lent, 1);
+  await bench.stop();
+  await peer.stop();
+});
+
 test('a non-idempotent call is never sent twice once it may have run', async (t) => {
   const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({ target: '/unsafe/x', body: '1' });
