--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -158,8 +158,14 @@
       lastReason = `no retry left after: ${lastReason}`;
       break;
     }
+    // Another VM may have been asked for the repeat: time has passed, and the caller may have left.
+    const remainingMs = deadlineAtMs - clock.readMonotonicMs();
+    if (remainingMs <= 1 || !reply.isOpen()) {
+      if (isRepeat) retries.releaseRetry(service);
+      continue;
+    }
     const isLast = runs + 1 >= route.maxAttempts;
-    const attemptMs = computeAttemptMs(context, leftMs, isLast);
+    const attemptMs = computeAttemptMs(context, remainingMs, isLast);
     recordDecision(
       dependencies,
       context,
@@ -169,11 +175,14 @@
         running: status.running,
         reported: status.reported,
         suspected: status.isSuspected,
-        leftMs: Math.round(leftMs),
+        leftMs: Math.round(remainingMs),
       },
       status.entry,
     );
-    const end = await sendOnce(dependencies, context, status.entry, { leftMs, attemptMs });
+    const end = await sendOnce(dependencies, context, status.entry, {
+      leftMs: remainingMs,
+      attemptMs,
+    });
     if (end.kind === 'left') return 'left';
     if (end.kind !== 'not-run' || end.hasArrived) arrivals += 1;
     else if (isRepeat) retries.releaseRetry(service);
