Let a reader that the store turns away follow another VM, and ask it less often

Change: only VMs that are cut off count towards the store being away; one that has just begun to read is asked again after 0.3 s; a reader that is cut off goes last by rank; pauses between failing calls grow to 1 s (0.5 s).

--- a/src/application/rows/_lib/createSourceRecord/index.ts
+++ b/src/application/rows/_lib/createSourceRecord/index.ts
@@ -4,12 +4,14 @@
 export interface SourceRecord {
   /** The VM did not answer: it is left out for a while. */
   recordFailure(vm: string): void;
-  /** The VM answered that it knows nothing newer itself. */
-  recordStale(vm: string): void;
+  /** The VM knows nothing young itself; `isCutOff`: as the store does not answer it. */
+  recordStale(vm: string, isCutOff: boolean): void;
   /** The VM told something that is young enough. */
   recordFresh(vm: string): void;
   /** Those of the VMs that may be asked. */
   filterUsable<T extends { readonly vm: string }>(vms: readonly T[]): readonly T[];
+  /** Whether the VM was cut off from the store a moment ago. */
+  isCutOff(vm: string): boolean;
   /** So many VMs are cut off from the store at once that the store itself must be away. */
   isStoreAway(): boolean;
 }
@@ -18,7 +20,10 @@
 const FAILED_MS = 8000;
 
 /** A VM cut off from the store is asked again after this time. */
-const STALE_MS = 5000;
+const CUT_OFF_MS = 5000;
+
+/** One that has only just begun to follow the store will soon know more. */
+const STALE_MS = 300;
 
 /**
  * With this many VMs cut off at once no further one is tried: VMs that ask the store in an outage
@@ -30,6 +35,7 @@
 export const createSourceRecord = (clock: Pick<Clock, 'readMonotonicMs'>): SourceRecord => {
   const failedUntilMs = new Map<string, number>();
   const staleUntilMs = new Map<string, number>();
+  const cutOffUntilMs = new Map<string, number>();
 
   const dropOver = (times: Map<string, number>): void => {
     const nowMs = clock.readMonotonicMs();
@@ -39,24 +45,32 @@
   };
 
   const isStoreAway = (): boolean => {
-    dropOver(staleUntilMs);
-    return staleUntilMs.size >= AWAY_VMS;
+    dropOver(cutOffUntilMs);
+    return cutOffUntilMs.size >= AWAY_VMS;
   };
 
   return {
     recordFailure: (vm) => {
       failedUntilMs.set(vm, clock.readMonotonicMs() + FAILED_MS);
     },
-    recordStale: (vm) => {
-      staleUntilMs.set(vm, clock.readMonotonicMs() + STALE_MS);
+    recordStale: (vm, isCutOff) => {
+      const [times, lastsMs] = isCutOff ? [cutOffUntilMs, CUT_OFF_MS] : [staleUntilMs, STALE_MS];
+      times.set(vm, clock.readMonotonicMs() + lastsMs);
     },
     recordFresh: (vm) => {
       staleUntilMs.delete(vm);
+      cutOffUntilMs.delete(vm);
+    },
+    isCutOff: (vm) => {
+      dropOver(cutOffUntilMs);
+      return cutOffUntilMs.has(vm);
     },
     filterUsable: (vms) => {
       dropOver(failedUntilMs);
+      dropOver(staleUntilMs);
       const isAway = isStoreAway();
-      return vms.filter(({ vm }) => !failedUntilMs.has(vm) && (isAway || !staleUntilMs.has(vm)));
+      const isLeftOut = (vm: string): boolean => staleUntilMs.has(vm) || cutOffUntilMs.has(vm);
+      return vms.filter(({ vm }) => !failedUntilMs.has(vm) && (isAway || !isLeftOut(vm)));
     },
     isStoreAway,
   };
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -7,7 +7,7 @@
 import type { RowFollower, RowFollowerDependencies, RowsInfo } from '../types';
 
 const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 500;
+const MAX_RETRY_MS = 1000;
 
 /**
  * A waiting call that another table's answer has overtaken is given up after this time: answers of
--- a/src/application/rows/createSharedReading/index.ts
+++ b/src/application/rows/createSharedReading/index.ts
@@ -94,6 +94,10 @@
   const listZone = (): readonly RowReader[] =>
     listMembers().filter(({ availabilityZone }) => availabilityZone === self.availabilityZone);
 
+  const isReader = (): boolean => source === null || source === self.vm;
+
+  const isStoreLost = (): boolean => [...followers.values()].some((one) => !one.isStoreReachable());
+
   const setSource = (next: RowReader): void => {
     pair.setFollowing(next.vm === self.vm);
     if (source === next.vm) return;
@@ -132,7 +136,7 @@
       return GATHER_MS;
     }
     log.warn('rows source stale', { source: reader.vm, isCutOff, ageMs: Math.round(ageMs) });
-    sources.recordStale(reader.vm);
+    sources.recordStale(reader.vm, isCutOff);
     return sources.isStoreAway() ? AWAY_PAUSE_MS : GATHER_MS;
   };
 
@@ -170,9 +174,18 @@
 
   const runStep = async (): Promise<number> => {
     if (isTooSoon()) return LOOK_MS;
-    const reader = chooseRowReader(self, sources.filterUsable(listZone()));
+    // One that the store turns away follows another VM, unless it does so to all.
+    const isLast = sources.isCutOff(self.vm) && !sources.isStoreAway();
+    const candidate = isLast ? { ...self, cores: -1 } : self;
+    const reader = chooseRowReader(candidate, sources.filterUsable(listZone()));
+    const wasReader = isReader();
     setSource(reader);
-    if (reader === self) return LOOK_MS;
+    if (reader.vm === self.vm) {
+      if (!isStoreLost()) sources.recordFresh(self.vm);
+      // At first what is known of the store is from before.
+      else if (wasReader) sources.recordStale(self.vm, true);
+      return LOOK_MS;
+    }
     const limitMs = staleMs * (1 - SPREAD_PART * randomness.readFraction());
     if (pair.readAgeMs() >= limitMs && clock.readMonotonicMs() >= nextCheckMs) await checkStore();
     const leftMs = limitMs - pair.readAgeMs();
@@ -196,6 +209,6 @@
       });
     },
     stop: () => stopLoop(),
-    isReader: () => source === null || source === self.vm,
+    isReader,
   };
 };
