Warm the code cache up with traffic, and tell of peers once a message

Change: the build's warm-up serves lookups, streams, one that goes on at another server, and calls between VMs (tools/warm-up, on stand-ins); the cache is written after that. 'peers known' names up to ten of those that one message brought. The stand-ins' configuration stands once, for tests, demo and warm-up.

--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -8,7 +8,10 @@
 const BUNDLE = 'target/jackdaw-gateway-bundle.cjs';
 
 await build({
-  entryPoints: { 'jackdaw-gateway-bundle': 'src/programs/gateway/main.ts' },
+  entryPoints: {
+    'jackdaw-gateway-bundle': 'src/programs/gateway/main.ts',
+    'warm-up': 'tools/warm-up/main.ts',
+  },
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
@@ -28,6 +31,7 @@
 rmSync(`${BUNDLE}.cache`, { force: true });
 const written = spawnSync(process.execPath, [...flags, 'scripts/write-code-cache.cjs'], {
   stdio: ['ignore', 'ignore', 'inherit'],
+  timeout: 60_000,
 });
 // A gateway without a code cache starts more slowly, and says so.
 if (written.status !== 0) console.warn('the code cache could not be written');
--- a/src/application/gossip/_lib/createMemberList/index.ts
+++ b/src/application/gossip/_lib/createMemberList/index.ts
@@ -1,5 +1,5 @@
 import { choosePartners, computeNameId, FULL_MESH_VMS } from '../../../../domain/membership';
-import type { Clock, EventLog } from '../../../ports';
+import type { Clock } from '../../../ports';
 import type { Knowledge, Member } from '../../types';
 
 /** What a member list needs. */
@@ -7,7 +7,6 @@
   /** Name of this VM, which is no member. */
   readonly self: string;
   readonly clock: Clock;
-  readonly log: EventLog;
 }
 
 /** The other VMs that were heard of lately. */
@@ -46,7 +45,7 @@
 }
 
 /** Creates the list of the other VMs; it is empty. */
-export const createMemberList = ({ clock, log, self }: MemberListDependencies): MemberList => {
+export const createMemberList = ({ clock, self }: MemberListDependencies): MemberList => {
   const known = new Map<string, Known>();
   const vmOfNameId = new Map<number, string>();
   const failedAtMs = new Map<string, number>();
@@ -67,7 +66,6 @@
       const heardAtMs = clock.readMonotonicMs() - member.ageMs;
       const before = known.get(member.vm);
       if (before && before.heardAtMs >= heardAtMs) return false;
-      if (!before) log.info('peer known', { peer: member.vm, address: member.address });
       const nameId = before?.nameId ?? computeNameId(member.vm);
       known.set(member.vm, { member, nameId, heardAtMs });
       vmOfNameId.set(nameId, member.vm);
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -56,6 +56,9 @@
 /** VMs that one answer tells of at most, of those that the other does not know: 50 bytes each. */
 const MAX_TOLD_MEMBERS = 400;
 
+/** Members that one line of the log names: hundreds come with the first message. */
+const MAX_LOGGED_MEMBERS = 10;
+
 /** A seed is asked with this chance in each exchange, so that two halves find each other again. */
 const SEED_CHANCE = 0.15;
 
@@ -64,7 +67,7 @@
   const { calls, clock, followers, handleInferred, handleSuspicion, log, randomness, self } =
     dependencies;
   let { seedAddresses } = dependencies;
-  const members = createMemberList({ self: self.vm, clock, log });
+  const members = createMemberList({ self: self.vm, clock });
   /** By member: versions that it had when it was last heard. */
   const versionsOf = new Map<string, ReadonlyMap<string, number>>();
   let isStopped = false;
@@ -98,6 +101,16 @@
   const mergeKnowledge = (taken: Knowledge): void => {
     const joined = [taken.sender, ...taken.members].filter((member) => members.record(member));
     members.recordHeard(taken.heard);
+    if (joined.length > 0) {
+      log.info('peers known', {
+        from: taken.sender.vm,
+        count: joined.length,
+        peers: joined
+          .slice(0, MAX_LOGGED_MEMBERS)
+          .map(({ address, vm }) => `${vm} ${address}`)
+          .join(', '),
+      });
+    }
     versionsOf.set(taken.sender.vm, taken.versions);
     taken.changes.forEach(({ after, rows, table, version }) =>
       followers.get(table)?.mergeChanges({ rows, version }, after),
--- a/standins/gateway/buildWireConfiguration/index.ts
+++ b/standins/gateway/buildWireConfiguration/index.ts
@@ -1,4 +1,4 @@
-import type { StandInServer } from '../../../../standins/gateway';
+import type { StandInServer } from '../createStandInServer';
 
 /** The key that every test request carries. */
 export const TEST_KEY = 'key-1';
--- a/standins/gateway/index.ts
+++ b/standins/gateway/index.ts
@@ -1,3 +1,4 @@
+export { buildWireConfiguration, buildWireEntry, TEST_KEY } from './buildWireConfiguration';
 export { buildGatewaySettings } from './buildGatewaySettings';
 export { createStandInServer, formatStandInEvent } from './createStandInServer';
 export type { ReceivedRequest, StandInServer } from './createStandInServer';
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -11,7 +11,7 @@
   type StandInStore,
 } from '../../../../standins/gateway';
 import { readOk } from '../../../_lib/readOk';
-import { buildWireConfiguration, buildWireEntry, TEST_KEY } from '../buildWireConfiguration';
+import { buildWireConfiguration, buildWireEntry, TEST_KEY } from '../../../../standins/gateway';
 
 /** What a caller sends; the rest is filled in. */
 export interface TestRequest {
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -5,7 +5,7 @@
 import { createFakeClock } from '../../standins/fakes';
 import { buildGatewaySettings, type StandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
-import { buildWireEntry } from './_lib/buildWireConfiguration';
+import { buildWireEntry } from '../../standins/gateway';
 import { countRequests } from './_lib/countRequests';
 import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
@@ -91,7 +91,7 @@
       bounds: { ...bounds, retryRatio: 0, retryExtra: 0 },
     },
   });
-  await bench.waitForLine('peer known');
+  await bench.waitForLine('peers known');
   const answered = bench.send({ target: '/safe/x' });
   const first = await nextAnywhere(bench.servers);
   first.server.answer(first.request, 500, 'no');
--- a/tests/gateway/decoders.test.ts
+++ b/tests/gateway/decoders.test.ts
@@ -8,7 +8,7 @@
 } from '../../platform';
 import { RouteKind } from '../../src/domain/forwarding';
 import { readOk } from '../_lib/readOk';
-import { buildWireConfiguration } from './_lib/buildWireConfiguration';
+import { buildWireConfiguration } from '../../standins/gateway';
 
 const SETTINGS = `
 node_name = "vm-1"
--- a/tests/gateway/requests.test.ts
+++ b/tests/gateway/requests.test.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import test from 'ava';
 import { CALLS, CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
-import { buildWireConfiguration } from './_lib/buildWireConfiguration';
+import { buildWireConfiguration } from '../../standins/gateway';
 import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
 
 /** Sends bytes as they are, and gives what comes back until the connection is closed. */
--- a/tests/gateway/storeOutages.test.ts
+++ b/tests/gateway/storeOutages.test.ts
@@ -13,9 +13,8 @@
 import test from 'ava';
 import { CONFIGURATION_KEY, TABLES } from '../../platform';
 import { wireGateway } from '../../src/programs/gateway/_lib/wireGateway';
-import { buildGatewaySettings, createVirtualStore } from '../../standins/gateway';
+import { buildGatewaySettings, createVirtualStore, buildWireConfiguration, buildWireEntry } from '../../standins/gateway';
 import { createFakeClock, createSeededRandomness } from '../../standins/fakes';
-import { buildWireConfiguration, buildWireEntry } from './_lib/buildWireConfiguration';
 
 const SETTINGS = buildGatewaySettings('http://127.0.0.1:9');
 const { changeMs, settleMs } = SETTINGS.bounds;
--- a/tests/gateway/streams.test.ts
+++ b/tests/gateway/streams.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
-import { formatStandInEvent } from '../../standins/gateway';
-import { buildWireConfiguration, buildWireEntry } from './_lib/buildWireConfiguration';
+import { formatStandInEvent, buildWireConfiguration, buildWireEntry } from '../../standins/gateway';
 import { buildStream } from './_lib/buildStream';
 import { countRequests } from './_lib/countRequests';
 import { findBackup } from './_lib/findBackup';
--- a/tools/platform-demo/main.ts
+++ b/tools/platform-demo/main.ts
@@ -7,9 +7,12 @@
 import { startGateway } from '../../src/programs/gateway';
 import {
   buildGatewaySettings,
+  buildWireConfiguration,
+  buildWireEntry,
   createStandInServer,
   createStandInStore,
   type ReceivedRequest,
+  TEST_KEY,
   type StandInServer,
 } from '../../standins/gateway';
 
@@ -25,37 +28,6 @@
   'stream ended',
 ];
 
-const CONFIGURATION = {
-  version: 1,
-  routes: [
-    {
-      name: 'letters',
-      host: 'letters.example',
-      prefix: '/draft/',
-      route_type: 'streaming',
-      timeout_ms: 25_000,
-      latency_goal_ms: 2000,
-      gap_goal_ms: 700,
-      max_attempts: 5,
-      resumable: true,
-      service: 'drafting',
-    },
-  ],
-  services: [
-    {
-      name: 'drafting',
-      max_conns: 50,
-      engine: { slots: 8, kv_capacity: 88_000, backups: true, moves: true },
-    },
-  ],
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 1_000_000,
-    header_timeout_ms: 3000,
-    idle_timeout_ms: 15_000,
-  },
-};
-
 const write = (text: string): void => {
   process.stdout.write(`${text}\n`);
 };
@@ -83,15 +55,9 @@
 const store = await createStandInStore();
 const servers = await Promise.all(['i-1', 'i-2', 'i-3'].map((id) => createStandInServer(id)));
 servers.forEach((server, index) =>
-  store.writeRow(TABLES.servers, server.id, {
-    service: 'drafting',
-    address: server.address,
-    zone: `z${index + 1}`,
-    slots: 8,
-    state: 'ready',
-  }),
+  store.writeRow(TABLES.servers, server.id, buildWireEntry(server, { zone: `z${index + 1}` })),
 );
-store.writeRow(TABLES.operator, CONFIGURATION_KEY, CONFIGURATION);
+store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildWireConfiguration());
 
 let noteServers = (): void => undefined;
 const knownServers = new Promise<void>((resolve) => {
@@ -127,10 +93,11 @@
   server.addListener(look);
 });
 
-const sent = sendRequest(`${gateway.callerUrl}/draft/letter`, {
+const sent = sendRequest(`${gateway.callerUrl}/stream/letter`, {
   method: 'POST',
   headers: {
-    host: 'letters.example',
+    host: 'a.example',
+    [HEADERS.authorization]: `Bearer ${TEST_KEY}`,
     [HEADERS.requestId]: 'demo-1',
     [HEADERS.deadlineMs]: '20000',
     [HEADERS.tokenSizes]: '8000,900',
