--- a/tests/gateway/storeOutages.test.ts
+++ b/tests/gateway/storeOutages.test.ts
@@ -13,7 +13,12 @@
 import test from 'ava';
 import { CONFIGURATION_KEY, TABLES } from '../../platform';
 import { wireGateway } from '../../src/programs/gateway/_lib/wireGateway';
-import { buildGatewaySettings, createVirtualStore, buildWireConfiguration, buildWireEntry } from '../../standins/gateway';
+import {
+  buildGatewaySettings,
+  createVirtualStore,
+  buildWireConfiguration,
+  buildWireEntry,
+} from '../../standins/gateway';
 import { createFakeClock, createSeededRandomness } from '../../standins/fakes';
 
 const SETTINGS = buildGatewaySettings('http://127.0.0.1:9');
