Let VMs that have less than two repeats lend them

Ruled out: longer searches for a lender (none had one to lend). Change: a VM lends up to two, whatever part of its own they are; what is lent counts at the lender, so that the bound holds as before. Figures: test 1 of 5 repeats before, 5 now; sum over 195 VMs within the bound.

--- a/src/application/forwarding/createRetryAllowance/index.ts
+++ b/src/application/forwarding/createRetryAllowance/index.ts
@@ -22,8 +22,12 @@
    * Takes one send beyond the first, if it is within the bounds.
    *
    * @param options.part - part of the allowance that may be used for it, 0 to 1; by default all
+   * @param options.least - sends that may be used for it whatever the part, within the allowance
    */
-  acquireRetry(service: string, options?: { readonly part?: number }): boolean;
+  acquireRetry(
+    service: string,
+    options?: { readonly part?: number; readonly least?: number },
+  ): boolean;
   /** Gives one back that did not reach a server. */
   releaseRetry(service: string): void;
 }
@@ -94,12 +98,13 @@
       const { retries } = findCounts(service);
       retries[index] = (retries[index] ?? 0) - 1;
     },
-    acquireRetry: (service, { part = 1 } = {}) => {
+    acquireRetry: (service, { least = 0, part = 1 } = {}) => {
       const index = slide();
       const { requests, retries } = findCounts(service);
       const extra = bounds.retryExtra / Math.max(1, countVms());
       const allowed = USED_PART * (bounds.retryRatio * sum(requests) + extra);
-      if (sum(retries) + 1 > allowed * part) return false;
+      const usable = Math.max(allowed * part, Math.min(allowed, least));
+      if (sum(retries) + 1 > usable) return false;
       retries[index] = (retries[index] ?? 0) + 1;
       return true;
     },
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -25,6 +25,12 @@
 /** Part of its repeats that a VM uses up for others. */
 const LENT_PART = 0.5;
 
+/**
+ * Repeats that a VM lends whatever part of its own they are: with hundreds of VMs each has less than
+ * two, and half of that is none. It may borrow itself.
+ */
+const LEAST_LENT = 2;
+
 /**
  * Creates the lender of this VM.
  *
@@ -52,5 +58,5 @@
     log.info('no repeat left', { service, asked });
     return false;
   },
-  lendRetry: (service) => retries.acquireRetry(service, { part: LENT_PART }),
+  lendRetry: (service) => retries.acquireRetry(service, { part: LENT_PART, least: LEAST_LENT }),
 });
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -6,13 +6,14 @@
 const BOUNDS = { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 };
 
 /** VMs that share the bounds and reach each other. */
-const setUp = (count: number) => {
+const setUp = (count: number, requestsEach = 0) => {
   const clock = createFakeClock();
   const randomness = createSeededRandomness(7);
   const lenders = new Map<string, RetryLender>();
   const names = Array.from({ length: count }, (_, index) => `vm-${index}`);
   names.forEach((vm) => {
     const retries = createRetryAllowance({ bounds: BOUNDS, clock, countVms: () => count });
+    for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s');
     const others = names.filter((name) => name !== vm);
     const lender = createRetryLender({
       retries,
@@ -55,3 +56,21 @@
   t.true(sum <= BOUNDS.retryExtra, `${sum}`);
   t.true(sum >= 100, `${sum}`);
 });
+
+// Symptom: with hundreds of VMs streams stand still for 4 to 9 s after a server was lost ('no repeat
+// left', 15 attempts in a row), with nine tenths of the shared repeats unused.
+// Sequence: 195 VMs, each with one request in the window; one needs five repeats.
+// Cause: each VM has between one and two repeats, and lent half of them at most, which is none.
+// Before: 1 of 5 repeats; now 5.
+test('VMs that have less than two repeats each lend them all the same', async (t) => {
+  const { lenders } = setUp(195, 1);
+  t.is(await acquireAll(lenders.get('vm-3') as RetryLender, 5), 5);
+});
+
+test('195 VMs together never take more than the bound', async (t) => {
+  const { lenders, names } = setUp(195, 1);
+  const taken = await Promise.all(names.map((vm) => acquireAll(lenders.get(vm) as RetryLender, 6)));
+  const sum = taken.reduce((total, one) => total + one, 0);
+  t.true(sum <= BOUNDS.retryExtra + 195 * BOUNDS.retryRatio, `${sum}`);
+  t.true(sum >= 150, `${sum}`);
+});
