--- a/src/adapters/connect/_lib/packValue/index.ts
+++ b/src/adapters/connect/_lib/packValue/index.ts
@@ -16,8 +16,8 @@
 const packed = new WeakMap<Buffer, PackedValue>();
 
 /**
- * Packs a row's value: a configuration of 2,000 routes would otherwise take a VM of 14 Mbit/s that
- * tells thirty others of it ten seconds.
+ * Packs a row's value: a VM with a slow link that tells all others of its zone of a configuration with
+ * many routes would otherwise take longer than a change has.
  */
 export const packValue = (value: Buffer): PackedValue => {
   const known = packed.get(value);
--- a/src/application/forwarding/createPromptPlaces/index.ts
+++ b/src/application/forwarding/createPromptPlaces/index.ts
@@ -37,7 +37,7 @@
 
 /**
  * Fleets of up to this many VMs tell each other of every prompt: some ten small calls, and nobody
- * waits. With 60 VMs that doubled the processor time of a quiet day (38 and 69 s in 12 s of traffic).
+ * waits. In larger ones these calls would cost as much as the requests themselves.
  */
 const MAX_TOLD_VMS = 12;
 
@@ -45,10 +45,10 @@
  * Creates what lets VMs agree on places for prompts.
  *
  * Prompts often come within some milliseconds of each other, and reports of servers are older than
- * that: without it VMs find the same engine idle, and one prompt waits for the other (one in six with
- * 13 engines, one in eight with 84). In a large fleet the places of each server are kept by one VM, by
- * rendezvous hashing over those heard of: one call a prompt, whatever the size. VMs that disagree on
- * who keeps them, or one that does not answer, only bring the old state back.
+ * that: without it VMs find the same engine idle, and one prompt waits for the other. In a large fleet
+ * the places of each server are kept by one VM, by rendezvous hashing over those heard of: one call a
+ * prompt, whatever the size. VMs that disagree on who keeps them, or one that does not answer, only
+ * bring the old state back.
  */
 export const createPromptPlaces = ({
   askPeer,
--- a/src/application/gossip/_lib/createNewsGatherer/index.ts
+++ b/src/application/gossip/_lib/createNewsGatherer/index.ts
@@ -30,9 +30,8 @@
 const GATHER_MEMBERS_MS = 200;
 
 /**
- * The same news is passed on once in this time. An availability zone is lost as a whole and every VM
- * notices it: of 60 VMs that each suspect 27 servers, all messages together are 10 a VM instead of 67
- * (see the test).
+ * The same news is passed on once in this time: an availability zone is lost as a whole, every VM
+ * notices it, and each would tell all others of all its servers.
  */
 const PASS_AGAIN_MS = 1000;
 
--- a/src/domain/forwarding/computeEventLimit/index.ts
+++ b/src/domain/forwarding/computeEventLimit/index.ts
@@ -38,9 +38,8 @@
 
 /**
  * Latency goals for which a place in a queue is kept, before the first event or once a run was put
- * back into the queue. Callers wait for four. Given up after 0.8 goals, the place is lost and another
- * one is taken at the end of another queue: with half of the engines lost in a burst of five times
- * the usual load, 307 of 648 sends ended so, and 85 of 227 streams came in time.
+ * back into the queue. Callers wait for four. Given up sooner, the place is lost, and another one is
+ * taken at the end of another queue.
  */
 const QUEUED_GOALS = 3;
 
--- a/src/domain/forwarding/decideStream/index.ts
+++ b/src/domain/forwarding/decideStream/index.ts
@@ -24,10 +24,7 @@
 
 /**
  * Part of the latency goal within which a first event must be predicted. Predictions are short under
- * load, as runs slow the reading down and other VMs send at the same moment. In a model of 13 engines
- * at four times what they can read (251 streams) 71 came in time with 1.1 of the goal, 84 with 0.9, 90
- * with 0.75 and 86 with 0.6; at twice the load 107, 109, 111 and 113 of 196 (mean of three seeds or
- * more each).
+ * load, as runs slow the reading down and other VMs send at the same moment.
  */
 const START_PART = 0.75;
 
@@ -37,8 +34,7 @@
  * Under a burst that servers can't read in time, each stream that is sent nonetheless delays all
  * that follow, until none is in time. Those that can begin within the goal are sent; the others come
  * back, once, when the burst may be over. Where a server is free, waiting can gain nothing: a prompt
- * that takes long to read takes as long later. In a model of 13 idle engines 10 of 10 prompts of 24,000
- * tokens came in time, 4 with the limit (and with less patience, see computeEventLimit).
+ * that takes long to read takes as long later.
  */
 export const decideStream = ({
   draw,
