Log what repetitions of a request share, and how long a server had run it

Added: fingerprint (caller, path, body) in stream sent, stream broke off and call attempt failed; ranMs since the server's head, hadEvents, tookMs.

--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,5 +1,6 @@
 import {
   chooseForwardServer,
+  computeFingerprint,
   RouteKind,
   type AnswerHead,
   type ServerEntry,
@@ -179,6 +180,7 @@
       },
       status.entry,
     );
+    const sentAtMs = clock.readMonotonicMs();
     const end = await sendOnce(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
@@ -195,7 +197,13 @@
       dependencies,
       context,
       'call attempt failed',
-      { attempt, outcome: end.kind, reason: end.reason },
+      {
+        attempt,
+        outcome: end.kind,
+        reason: end.reason,
+        fingerprint: computeFingerprint(context.request, context.holder?.workspace ?? null),
+        tookMs: Math.round(clock.readMonotonicMs() - sentAtMs),
+      },
       status.entry,
     );
     excludedIds.add(status.entry.id);
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -6,6 +6,7 @@
   type GenerationFailure,
   type GenerationInput,
 } from '../../../../domain/generation';
+import { computeFingerprint } from '../../../../domain/forwarding';
 import { RunState, SurvivalMode } from '../../../../domain/types';
 import { createInputQueue } from '../../../_lib/createInputQueue';
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
@@ -62,6 +63,7 @@
     const run: StreamRun = {
       dependencies,
       context,
+      fingerprint: computeFingerprint(request, context.holder?.workspace ?? null),
       paces,
       overload,
       attempts: new Map(),
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -47,6 +47,7 @@
       handleVoid: () => run.dispatch({ kind: 'silent', reader, confirmed: true }),
     }),
     sentAtMs: nowMs,
+    headAtMs: null,
     lastActivityMs: nowMs,
     gaps: run.paces.readInitialGaps(run.context.service),
     hasDelivered: false,
@@ -132,6 +133,7 @@
     'stream sent',
     {
       attempt: reader.attempt,
+      fingerprint: run.fingerprint,
       offset,
       fromCopy: copy !== null,
       backup: backup?.id ?? '',
@@ -195,6 +197,7 @@
     );
     return handleFailure(run, reader, attempt, sent.value, copy);
   }
+  Object.assign(attempt, { headAtMs: clock.readMonotonicMs() });
   directory.recordSuccess(server.id);
   beginReply(run, head);
   return readStreamEvents(run, attempt, reader, sent.value.body);
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -78,7 +78,12 @@
     run.dependencies.log.info('stream broke off', {
       requestId: run.context.request.requestId,
       server: attempt.server.id,
+      fingerprint: run.fingerprint,
       offset: run.readState().offset,
+      hadEvents: attempt.hasDelivered,
+      ranMs: Math.round(
+        run.dependencies.clock.readMonotonicMs() - (attempt.headAtMs ?? attempt.sentAtMs),
+      ),
       isCurrent: isCurrent(),
       reason,
     });
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -25,6 +25,8 @@
   readonly server: ServerEntry;
   readonly work: ServerWork;
   readonly sentAtMs: number;
+  /** When the server's head came: it has begun to run the request; null before. */
+  headAtMs: number | null;
   lastActivityMs: number;
   gaps: GapStatistics;
   hasDelivered: boolean;
@@ -42,6 +44,8 @@
 export interface StreamRun {
   readonly dependencies: ForwardingDependencies;
   readonly context: ForwardContext;
+  /** The same each time that its caller sends it (`computeFingerprint`). */
+  readonly fingerprint: string;
   readonly paces: PaceHistory;
   readonly overload: OverloadWatch;
   readonly attempts: Map<number, StreamAttempt>;
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -7,6 +7,7 @@
 } from './chooseReportedServer';
 export { chooseTarget } from './chooseTarget';
 export { compareIncarnations, type IncarnationOrder } from './compareIncarnations';
+export { computeFingerprint } from './computeFingerprint';
 export { computeEventLimit, type EventLimitOptions } from './computeEventLimit';
 export { computeReturnMs, type ReturnOptions } from './computeReturnMs';
 export { decideStream, type StreamChoice, type StreamDecision } from './decideStream';
