--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -6,6 +6,7 @@
   InferredServerSchema,
   KnowledgeSchema,
   MemberSchema,
+  RunOutcomeSchema,
   SuspicionSchema,
   TableVersionSchema,
   type InferredServer,
@@ -40,6 +41,10 @@
     inferred: knowledge.inferred.map(({ address, availabilityZone, id, service, slots }) =>
       create(InferredServerSchema, { id, service, address, availabilityZone, slots }),
     ),
+    outcomes: knowledge.outcomes.map(({ ageMs, ...outcome }) =>
+      create(RunOutcomeSchema, { ...outcome, ageMs: Math.round(ageMs) }),
+    ),
+    outcomesDigest: knowledge.outcomesDigest,
   });
 
 const readMember = (message: MemberMessage): Member => ({
@@ -77,5 +82,13 @@
           ageMs,
         })),
         inferred: message.inferred.map(readInferred),
+        outcomes: message.outcomes.map(({ ageMs, fingerprint, hasCrashed, requestId, server }) => ({
+          fingerprint,
+          requestId,
+          server,
+          hasCrashed,
+          ageMs,
+        })),
+        outcomesDigest: message.outcomesDigest,
       }
     : null;
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,30 +1,9 @@
-import {
-  chooseForwardServer,
-  computeFingerprint,
-  RouteKind,
-  type AnswerHead,
-  type ServerEntry,
-} from '../../../../domain/forwarding';
-import type { AttemptError } from '../../../ports';
+import { chooseForwardServer, RouteKind } from '../../../../domain/forwarding';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
-import { readWholeBody } from '../readWholeBody';
-import { recordAttemptFailure } from '../recordAttemptFailure';
+import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
+import { createCallCrashes } from '../createCallCrashes';
 import { recordDecision } from '../recordDecision';
-
-/** A server's answer, whole. */
-interface WholeAnswer {
-  readonly head: AnswerHead;
-  readonly body: Buffer;
-}
-
-/** How one attempt ended. */
-type AttemptEnd =
-  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
-  /** The server did not run it. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly hasArrived: boolean }
-  /** It may have run. */
-  | { readonly kind: 'failed'; readonly reason: string; readonly answer: WholeAnswer | null }
-  | { readonly kind: 'left' };
+import { sendCallAttempt, type WholeAnswer } from '../sendCallAttempt';
 
 /** An attempt of a repeatable call is given up after this many latency goals. */
 const ATTEMPT_GOALS = 1.5;
@@ -40,79 +19,12 @@
 
 const RETRY_AFTER_MS = 150;
 
-const SERVER_ERROR_STATUS = 500;
-
 const computeAttemptMs = ({ route }: ForwardContext, leftMs: number, isLast: boolean): number => {
   if (route.kind !== RouteKind.Repeatable || isLast) return leftMs;
   const goalMs = Math.max(MIN_ATTEMPT_MS, route.latencyGoalMs * ATTEMPT_GOALS);
   return Math.min(goalMs, leftMs * ATTEMPT_PART);
 };
 
-const convertError = (error: AttemptError, isTimeout: boolean): AttemptEnd => {
-  if (error.kind === 'not-started') {
-    return { kind: 'not-run', reason: error.reason, hasArrived: false };
-  }
-  if (error.kind === 'cancelled' && !isTimeout) return { kind: 'left' };
-  const reason = error.kind === 'broken' ? error.reason : 'no answer in time';
-  return { kind: 'failed', reason, answer: null };
-};
-
-const sendOnce = async (
-  dependencies: ForwardingDependencies,
-  context: ForwardContext,
-  server: ServerEntry,
-  options: { readonly leftMs: number; readonly attemptMs: number },
-): Promise<AttemptEnd> => {
-  const { client, clock, directory } = dependencies;
-  const { holder, reply, request } = context;
-  const timeout = new AbortController();
-  const cancelTimer = clock.startTimer(options.attemptMs, () => timeout.abort());
-  const work = directory.startWork(server.id, { prefillTokens: 0 });
-  try {
-    const sent = await client.sendAttempt(
-      {
-        server,
-        request,
-        workspace: holder?.workspace ?? null,
-        priority: context.priority,
-        remainingMs: options.leftMs,
-        lastEventId: null,
-        backupAddress: null,
-        copy: null,
-        ownConnection: false,
-      },
-      AbortSignal.any([reply.left, timeout.signal]),
-    );
-    if (sent.isErr()) {
-      recordAttemptFailure(directory, server.id, sent.error);
-      return convertError(sent.error, timeout.signal.aborted);
-    }
-    const { body, head } = sent.value;
-    if (!head.isGenuine && !head.isNotRun) {
-      // The answer that is due may still follow on this connection: it is not used again.
-      timeout.abort();
-      return { kind: 'failed', reason: 'the answer is of another request', answer: null };
-    }
-    const read = await readWholeBody(body);
-    if (reply.left.aborted) return { kind: 'left' };
-    if (head.load) directory.recordLoad(server.id, head.load);
-    if (head.isOtherServer) directory.recordReplaced(server.id, head.serverId);
-    if (head.isNotRun) {
-      return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true };
-    }
-    if (read.isErr()) return { kind: 'failed', reason: read.error, answer: null };
-    const answer = { head, body: read.value };
-    if (head.status >= SERVER_ERROR_STATUS) {
-      return { kind: 'failed', reason: `status ${head.status}`, answer };
-    }
-    directory.recordSuccess(server.id);
-    return { kind: 'answered', answer };
-  } finally {
-    cancelTimer();
-    work.release();
-  }
-};
-
 const sendAnswer = ({ reply }: ForwardContext, { body, head }: WholeAnswer): void =>
   reply.sendWhole(head, body);
 
@@ -134,6 +46,7 @@
   const { deadlineAtMs, reply, route, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
+  const crashes = createCallCrashes(dependencies, context);
   let failedAnswer: WholeAnswer | null = null;
   let runs = 0;
   let refusals = 0;
@@ -147,6 +60,7 @@
       const kind = runs === 0 && attempt === 1 ? 'not-run' : 'deadline-passed';
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
+    if (crashes.readQuarantineMs() > 0) break;
     const status = chooseForwardServer(directory.listServing(service), {
       excludedIds,
       avoidedZone: null,
@@ -161,7 +75,7 @@
     }
     // Another VM may have been asked for the repeat: time has passed, and the caller may have left.
     const remainingMs = deadlineAtMs - clock.readMonotonicMs();
-    if (remainingMs <= 1 || !reply.isOpen()) {
+    if (remainingMs <= 1 || !reply.isOpen() || crashes.readQuarantineMs() > 0) {
       if (isRepeat) retries.releaseRetry(service);
       continue;
     }
@@ -181,7 +95,7 @@
       status.entry,
     );
     const sentAtMs = clock.readMonotonicMs();
-    const end = await sendOnce(dependencies, context, status.entry, {
+    const end = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
     });
@@ -189,6 +103,7 @@
     if (end.kind !== 'not-run' || end.hasArrived) arrivals += 1;
     else if (isRepeat) retries.releaseRetry(service);
     if (end.kind === 'answered') {
+      crashes.recordAnswer(status.entry);
       sendAnswer(context, end.answer);
       return 'answered';
     }
@@ -201,7 +116,7 @@
         attempt,
         outcome: end.kind,
         reason: end.reason,
-        fingerprint: computeFingerprint(context.request, context.holder?.workspace ?? null),
+        fingerprint: crashes.readFingerprint(),
         tookMs: Math.round(clock.readMonotonicMs() - sentAtMs),
       },
       status.entry,
@@ -213,6 +128,8 @@
     } else {
       runs += 1;
       failedAnswer = end.answer ?? failedAnswer;
+      if (end.hasBroken) crashes.recordCrash(status.entry);
+      else if (end.answer) crashes.recordAnswer(status.entry);
       if (!isRepeatable || runs >= route.maxAttempts) break;
     }
   }
@@ -221,6 +138,11 @@
     sendAnswer(context, failedAnswer);
     return 'server-error';
   }
+  const quarantineMs = crashes.readQuarantineMs();
+  if (quarantineMs > 0) {
+    const refusal = buildQuarantineRefusal({ hasArrived: runs > 0, quarantineMs });
+    return refuse(dependencies, context, refusal);
+  }
   const isLate = clock.readMonotonicMs() >= deadlineAtMs - 1;
   const kindOfLoss = isLate ? 'deadline-passed' : 'lost';
   return refuse(dependencies, context, {
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -12,7 +12,9 @@
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { openStreamAttempt } from '../openStreamAttempt';
+import { recordAnswer } from '../recordAnswer';
 import { recordDecision } from '../recordDecision';
+import { refuseQuarantined } from '../refuseQuarantined';
 
 /** How a stream's position and its engines differ from those that number tokens. */
 const buildState = ({ request, route }: ForwardContext) =>
@@ -48,12 +50,13 @@
   { overload, paces }: Pick<StreamRun, 'overload' | 'paces'>,
 ): Promise<string> =>
   new Promise((resolve) => {
-    const { clock, log, meter } = dependencies;
+    const { clock, crashes, log, meter } = dependencies;
     const { reply, request } = context;
     const queue = createInputQueue<GenerationInput>();
     let state = buildState(context);
     let cancelRetry = (): void => undefined;
     let cancelDeadline = (): void => undefined;
+    let cancelListener = (): void => undefined;
     let firstEventMs: number | null = null;
     let isEnded = false;
 
@@ -85,6 +88,7 @@
       isEnded = true;
       cancelRetry();
       cancelDeadline();
+      cancelListener();
       [...run.attempts.keys()].forEach((attempt) => closeStreamAttempt(run, attempt));
       run.copy?.release();
       if (outcome === 'answered' && firstEventMs !== null) {
@@ -103,7 +107,8 @@
     };
 
     refuse = (refusal) => {
-      reply.sendRefusal(refusal);
+      if (reply.hasBegun()) reply.breakOff();
+      else reply.sendRefusal(refusal);
       end(refusal.kind);
     };
 
@@ -160,6 +165,7 @@
         cancelRetry = clock.startTimer(effect.delayMs, () => queue.push({ kind: 'retry-due' }));
       } else if (effect.kind === 'finish') {
         reply.end();
+        recordAnswer(run);
         end('answered');
       } else if (effect.kind === 'fail') fail(effect.failure);
     };
@@ -185,6 +191,11 @@
       },
     );
     reply.left.addEventListener('abort', () => end('left'), { once: true });
+    if (refuseQuarantined(run)) return;
+    // A caller who has the head of an answer is told nothing by its end: it may as well be finished.
+    cancelListener = crashes.addListener(run.fingerprint, () => {
+      if (!reply.hasBegun()) refuseQuarantined(run);
+    });
     queue.push({ kind: 'caller-attached' });
     queue.push({ kind: 'started' });
   });
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -9,7 +9,9 @@
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
 import { recordAttemptFailure } from '../recordAttemptFailure';
+import { recordCrash } from '../recordCrash';
 import { recordDecision } from '../recordDecision';
+import { refuseQuarantined } from '../refuseQuarantined';
 import { releaseCopy } from '../releaseCopy';
 import { startCopyWatch } from '../startCopyWatch';
 import { startSilenceWatch } from '../startSilenceWatch';
@@ -116,6 +118,10 @@
     if (isRepeat) retries.releaseRetry(context.service);
     return undefined;
   }
+  if (refuseQuarantined(run)) {
+    if (isRepeat) retries.releaseRetry(context.service);
+    return undefined;
+  }
   Object.assign(run, { hasRetry: false });
   const { backup, copy, server } = servers;
   if (!copy && run.prompts >= context.route.maxAttempts) {
@@ -176,6 +182,7 @@
       { attempt: reader.attempt, outcome: sent.error.kind },
       server,
     );
+    if (sent.error.kind === 'broken') recordCrash(run, attempt);
     const isRefused = sent.error.kind === 'not-started';
     if (isRefused) {
       releaseCopy(run, copy, server.id);
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -2,6 +2,7 @@
 import { splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { recordCrash } from '../recordCrash';
 import { startSilenceWatch } from '../startSilenceWatch';
 
 const recordActivity = (run: StreamRun, attempt: StreamAttempt, reader: Reader): void => {
@@ -74,7 +75,10 @@
     const reason = error instanceof Error ? error.message : 'the stream broke off';
     // What was asked to stop is no evidence; nor does it tell the end of the move, which dispatches.
     if (attempt.isMoving) return;
-    if (isCurrent()) run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
+    if (isCurrent()) {
+      run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
+      recordCrash(run, attempt);
+    }
     run.dependencies.log.info('stream broke off', {
       requestId: run.context.request.requestId,
       server: attempt.server.id,
--- /dev/null
+++ b/src/application/forwarding/_lib/recordCrash/index.ts
@@ -0,0 +1,16 @@
+import { formatIncarnation, hasEndedEarly } from '../../../../domain/forwarding';
+import type { StreamAttempt, StreamRun } from '../../types';
+
+/** Takes an attempt that broke off as evidence about its request, where it is some. */
+export const recordCrash = (
+  { context, dependencies, fingerprint }: StreamRun,
+  { headAtMs, server }: Pick<StreamAttempt, 'headAtMs' | 'server'>,
+): void => {
+  if (!hasEndedEarly({ headAtMs, nowMs: dependencies.clock.readMonotonicMs() })) return;
+  dependencies.crashes.recordOutcome({
+    fingerprint,
+    requestId: context.request.requestId,
+    server: formatIncarnation(server),
+    hasCrashed: true,
+  });
+};
--- /dev/null
+++ b/src/application/forwarding/_lib/refuseQuarantined/index.ts
@@ -0,0 +1,19 @@
+import type { StreamRun } from '../../types';
+import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
+import { recordDecision } from '../recordDecision';
+
+/** Ends a stream whose request is in quarantine; false if it is not. */
+export const refuseQuarantined = (run: StreamRun): boolean => {
+  const { context, dependencies, fingerprint } = run;
+  const quarantineMs = dependencies.crashes.readQuarantineMs(fingerprint);
+  if (quarantineMs === 0) return false;
+  // One that is on its way may still run.
+  const hasArrived = run.arrivals > 0 || run.readState().sent;
+  recordDecision(dependencies, context, 'request in quarantine', {
+    fingerprint,
+    quarantineMs: Math.round(quarantineMs),
+    hasArrived,
+  });
+  run.refuse(buildQuarantineRefusal({ hasArrived, quarantineMs }));
+  return true;
+};
--- /dev/null
+++ b/src/application/forwarding/createCrashHistory/test.ts
@@ -0,0 +1,104 @@
+import test from 'ava';
+import { createFakeClock, QUIET_LOG } from '../../../../standins/fakes';
+import type { SharedOutcome } from '../../../domain/forwarding';
+import { createCrashHistory } from '.';
+
+const setUp = () => {
+  const clock = createFakeClock();
+  const alive = new Set<string>();
+  const told: SharedOutcome[] = [];
+  const quarantined: string[] = [];
+  const history = createCrashHistory({
+    clock,
+    log: QUIET_LOG,
+    hasAnsweredSince: (server) => alive.has(server),
+    tellOutcome: (outcome) => told.push(outcome),
+    handleQuarantine: (fingerprint) => quarantined.push(fingerprint),
+  });
+  const crash = (server: string, requestId = 'r-1', fingerprint = 'f'): void =>
+    history.recordOutcome({ fingerprint, requestId, server, hasCrashed: true });
+  const answer = (server: string): void =>
+    history.recordOutcome({ fingerprint: 'f', requestId: 'r-9', server, hasCrashed: false });
+  const crashThree = (): void => ['i-1', 'i-2', 'i-3'].forEach((server) => crash(server));
+  return { alive, answer, clock, crash, crashThree, history, quarantined, told };
+};
+
+test('the third server that ends under a request puts it into quarantine', (t) => {
+  const { crash, history, quarantined, told } = setUp();
+  crash('i-1');
+  crash('i-2');
+  t.is(history.readQuarantineMs('f'), 0);
+  crash('i-3');
+  t.true(history.readQuarantineMs('f') > 0);
+  t.deepEqual(quarantined, ['f']);
+  t.is(told.length, 3);
+  t.is(history.readQuarantineMs('another'), 0);
+});
+
+test('what is told twice is no news, and counts once', (t) => {
+  const { history } = setUp();
+  const outcome = { fingerprint: 'f', requestId: 'r-1', server: 'i-1', hasCrashed: true, ageMs: 5 };
+  t.true(history.mergeOutcome(outcome));
+  t.false(history.mergeOutcome({ ...outcome, ageMs: 900 }));
+  t.is(history.listOutcomes().length, 1);
+});
+
+test('a request that many send is free again once a server has answered it', (t) => {
+  const { answer, clock, crash, crashThree, history } = setUp();
+  crashThree();
+  clock.advance(10);
+  answer('i-4');
+  t.is(history.readQuarantineMs('f'), 0);
+  t.false(history.isSuspected('f'));
+  clock.advance(10);
+  crash('i-5');
+  t.true(history.isSuspected('f'));
+  t.is(history.readQuarantineMs('f'), 0);
+});
+
+test('connections that are reset by servers that stay count for nothing', (t) => {
+  const { alive, crashThree, history } = setUp();
+  crashThree();
+  alive.add('i-2');
+  t.is(history.readQuarantineMs('f'), 0);
+});
+
+test('a rack that is lost under many of the same requests puts them into no quarantine', (t) => {
+  const { crash, history } = setUp();
+  ['1', '2', '3', '4'].forEach((one) => crash(`i-${one}`, `r-${one}`));
+  t.is(history.readQuarantineMs('f'), 0);
+});
+
+test('after ten minutes it is tried again, and one more crash is enough', (t) => {
+  const { clock, crash, crashThree, history } = setUp();
+  crashThree();
+  clock.advance(600_001);
+  t.is(history.readQuarantineMs('f'), 0);
+  crash('i-4');
+  t.true(history.readQuarantineMs('f') > 0);
+});
+
+test('a listener hears of the quarantine once, unless it has gone', (t) => {
+  const { crashThree, history } = setUp();
+  let heard = 0;
+  const cancel = history.addListener('f', () => {
+    heard += 10;
+  });
+  history.addListener('f', () => {
+    heard += 1;
+  });
+  cancel();
+  crashThree();
+  t.is(heard, 1);
+});
+
+test('thousands of suspected requests are not all remembered', (t) => {
+  const { clock, crash, history } = setUp();
+  for (let index = 0; index < 1200; index += 1) {
+    clock.advance(1);
+    crash('i-1', 'r-1', `f-${index}`);
+  }
+  t.false(history.isSuspected('f-0'));
+  t.true(history.isSuspected('f-1199'));
+  t.is(history.listOutcomes().length, 40);
+});
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -1,4 +1,5 @@
 import {
+  formatIncarnation,
   isAddressKept,
   type ServerEntry,
   type ServerLoad,
@@ -48,6 +49,8 @@
   recordAlive(id: string): void;
   /** Another server has its address now; `successorId` is null where that did not say its id. */
   recordReplaced(id: string, successorId: string | null): void;
+  /** True: this incarnation (`formatIncarnation`) answered this VM after that time. */
+  hasAnsweredSince(incarnation: string, atMs: number): boolean;
   /** The server said when it was born; null if it did not. */
   recordBorn(id: string, bornMs: number | null): void;
   /** Takes a server that another VM met. */
@@ -65,6 +68,9 @@
 /** For this long an answer to this VM weighs more than what another VM says. */
 const OWN_EVIDENCE_MS = 200;
 
+/** What was on its way when a server ended may be read this much later. */
+const LAST_WORDS_MS = 250;
+
 /** First time for which a failed server gets work only if all others failed too; it doubles. */
 const FIRST_SUSPICION_MS = 1000;
 const MAX_SUSPICION_MS = 8000;
@@ -179,6 +185,13 @@
       const successor = { ...entry, id: successorId, isLeaving: false, bornMs: null };
       if (records.addInferred(successor, 'met')) handleInferred(successor);
     },
+    hasAnsweredSince: (incarnation, atMs) =>
+      records
+        .list()
+        .some(
+          ({ aliveAtMs, entry }) =>
+            aliveAtMs > atMs + LAST_WORDS_MS && formatIncarnation(entry) === incarnation,
+        ),
     recordBorn: records.recordBorn,
     applyInferred: (entry) => {
       records.addInferred(entry, 'told');
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -1,3 +1,5 @@
+export { CRASHES_KEPT_MS, createCrashHistory, type CrashHistory } from './createCrashHistory';
+export { createQuarantineRows, type QuarantineRows } from './createQuarantineRows';
 export { createForwarder, type Forwarder } from './createForwarder';
 export {
   createPromptPlaces,
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { CrashHistory } from '../createCrashHistory';
 import type { RetryAllowance } from '../createRetryAllowance';
 import type { RetryLender } from '../createRetryLender';
 import type { RouteTableHolder } from '../createRouteTableHolder';
@@ -10,6 +11,8 @@
   readonly availabilityZone: string;
   readonly client: ForwardClient;
   readonly clock: Clock;
+  /** Which requests end the servers that run them. */
+  readonly crashes: CrashHistory;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- a/src/application/gossip/_lib/createNewsGatherer/index.ts
+++ b/src/application/gossip/_lib/createNewsGatherer/index.ts
@@ -1,11 +1,12 @@
+import type { SharedOutcome } from '../../../../domain/forwarding';
 import type { Clock } from '../../../ports';
 import type { Knowledge } from '../../types';
 
 /** What is told at once. */
-export type News = Pick<Knowledge, 'inferred' | 'members' | 'suspicions'>;
+export type News = Pick<Knowledge, 'inferred' | 'members' | 'outcomes' | 'suspicions'>;
 
 /** Nothing to tell. */
-export const NO_NEWS: News = { suspicions: [], inferred: [], members: [] };
+export const NO_NEWS: News = { suspicions: [], inferred: [], members: [], outcomes: [] };
 
 /** What a gatherer needs. */
 export interface NewsGathererDependencies {
@@ -35,10 +36,14 @@
  */
 const PASS_AGAIN_MS = 1000;
 
-const listKeys = ({ inferred, members, suspicions }: News): string[] => [
+const buildOutcomeKey = ({ fingerprint, hasCrashed, server }: SharedOutcome): string =>
+  `${fingerprint} ${server} ${hasCrashed}`;
+
+const listKeys = ({ inferred, members, outcomes, suspicions }: News): string[] => [
   ...suspicions.map(({ server }) => server),
   ...inferred.map(({ id }) => id),
   ...members.map(({ vm }) => vm),
+  ...outcomes.map(buildOutcomeKey),
 ];
 
 const countNews = (news: News): number => listKeys(news).length;
@@ -68,10 +73,11 @@
       .forEach((key) => passedAtMs.set(key, nowMs));
   };
 
-  const filterNew = ({ inferred, members, suspicions }: News): News => ({
+  const filterNew = ({ inferred, members, outcomes, suspicions }: News): News => ({
     suspicions: suspicions.filter(({ server }) => !passedAtMs.has(server)),
     inferred: inferred.filter(({ id }) => !passedAtMs.has(id)),
     members: members.filter(({ vm }) => !passedAtMs.has(vm)),
+    outcomes: outcomes.filter((outcome) => !passedAtMs.has(buildOutcomeKey(outcome))),
   });
 
   const schedule = (delayMs: number): void => {
@@ -98,6 +104,7 @@
         suspicions: [...waiting.suspicions, ...fresh.suspicions],
         inferred: [...waiting.inferred, ...fresh.inferred],
         members: [...waiting.members, ...fresh.members],
+        outcomes: [...waiting.outcomes, ...fresh.outcomes],
       };
       schedule(countNews(fresh) > fresh.members.length ? GATHER_MS : GATHER_MEMBERS_MS);
     },
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,11 +1,19 @@
-import type { ServerEntry } from '../../../domain/forwarding';
+import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
 import type { Clock, EventLog, Randomness } from '../../ports';
 import { startLoop } from '../../time';
+import { computeOutcomesDigest } from '../_lib/computeOutcomesDigest';
 import { createMemberList } from '../_lib/createMemberList';
 import { createNewsGatherer, NO_NEWS, type News } from '../_lib/createNewsGatherer';
 import { drawSome } from '../_lib/drawSome';
 import { listTableChanges } from '../_lib/listTableChanges';
-import type { GossipCalls, Knowledge, Member, PassedRows, SharedSuspicion } from '../types';
+import type {
+  GossipCalls,
+  Knowledge,
+  Member,
+  PassedOutcomes,
+  PassedRows,
+  SharedSuspicion,
+} from '../types';
 
 /** What gossip needs. */
 export interface GossipDependencies {
@@ -15,6 +23,8 @@
   readonly calls: GossipCalls;
   /** Followers whose rows are passed on, by table. */
   readonly followers: ReadonlyMap<string, PassedRows>;
+  /** What is known of requests that end their servers. */
+  readonly outcomes: PassedOutcomes;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly log: EventLog;
@@ -36,6 +46,8 @@
   sendSuspicion(server: string, cause: string): void;
   /** Tells others of a server without an entry. */
   sendInferred(server: ServerEntry): void;
+  /** Tells others how a server fared under a request. */
+  sendOutcome(outcome: SharedOutcome): void;
   /** Other VMs heard lately. */
   listMembers(): readonly Member[];
   /** VMs heard lately, this one included. */
@@ -64,8 +76,17 @@
 
 /** Creates the gossip of this VM. */
 export const createGossip = (dependencies: GossipDependencies): Gossip => {
-  const { calls, clock, followers, handleInferred, handleSuspicion, log, randomness, self } =
-    dependencies;
+  const {
+    calls,
+    clock,
+    followers,
+    handleInferred,
+    handleSuspicion,
+    log,
+    outcomes,
+    randomness,
+    self,
+  } = dependencies;
   let { seedAddresses } = dependencies;
   const members = createMemberList({ self: self.vm, clock });
   /** By member: versions that it had when it was last heard. */
@@ -92,6 +113,7 @@
     heard: new Map(),
     versions: listVersions(),
     changes: listTableChanges(followers, versions),
+    outcomesDigest: computeOutcomesDigest(outcomes.listOutcomes()),
     ...told,
   });
 
@@ -118,7 +140,8 @@
     taken.suspicions.forEach(handleSuspicion);
     taken.inferred.forEach(handleInferred);
     // Where all VMs are told at once, nobody needs to pass it on.
-    if (members.isLarge()) gatherer.gather({ ...taken, members: joined });
+    const fresh = taken.outcomes.filter(outcomes.mergeOutcome);
+    if (members.isLarge()) gatherer.gather({ ...taken, members: joined, outcomes: fresh });
     else gatherer.recordPassed({ ...taken, members: [] });
   };
 
@@ -132,7 +155,7 @@
     const versions = vm === null ? undefined : versionsOf.get(vm);
     const knowledge = buildKnowledge(versions, told);
     // News of servers comes by the dozen when an availability zone is lost.
-    const isOfServers = told.suspicions.length + told.inferred.length > 0;
+    const isOfServers = told.suspicions.length + told.inferred.length + told.outcomes.length > 0;
     const sent = isOfServers ? knowledge : askMembers(knowledge);
     const taken = await calls.exchangeKnowledge(address, sent);
     if (vm !== null) members.recordCall(vm, { hasAnswered: taken !== null });
@@ -198,12 +221,18 @@
       const missing = members.listMissing(taken.heard).filter(({ vm }) => vm !== taken.sender.vm);
       const told = drawSome(missing, MAX_TOLD_MEMBERS, randomness);
       const answer = buildKnowledge(taken.versions, { ...NO_NEWS, members: told });
-      return { ...answer, heard: members.listHeard() };
+      const isSame = answer.outcomesDigest === taken.outcomesDigest;
+      return {
+        ...answer,
+        heard: members.listHeard(),
+        outcomes: isSame ? [] : outcomes.listOutcomes(),
+      };
     },
     sendSuspicion: (server, cause) => {
       gatherer.gather({ ...NO_NEWS, suspicions: [{ server, cause, ageMs: 0 }] });
     },
     sendInferred: (server) => gatherer.gather({ ...NO_NEWS, inferred: [server] }),
+    sendOutcome: (outcome) => gatherer.gather({ ...NO_NEWS, outcomes: [outcome] }),
     drawAddresses: (count) =>
       drawSome(members.listLive(), count, randomness).map(({ address }) => address),
     listMembers: members.listLive,
--- a/src/application/gossip/createGossip/test.ts
+++ b/src/application/gossip/createGossip/test.ts
@@ -1,31 +1,8 @@
 import test from 'ava';
-import {
-  buildServerStatus,
-  createFakeClock,
-  createSeededRandomness,
-  QUIET_LOG,
-} from '../../../../standins/fakes';
-import type { RowChanges, SharedRow } from '../../ports';
-import type { Knowledge, SharedSuspicion, PassedRows } from '../types';
-import { createGossip, type Gossip } from '.';
-
-/** A follower that holds what the test gives it. */
-const createHeldRows = (rows: readonly SharedRow[], isReachable: boolean): PassedRows => {
-  const held = new Map(rows.map((row) => [row.key, row]));
-  let version = rows.reduce((newest, row) => Math.max(newest, row.version), 0);
-  return {
-    readVersion: () => version,
-    listChanges: (after) => ({
-      rows: [...held.values()].filter((row) => row.version > after),
-      version,
-    }),
-    mergeChanges: (changes: RowChanges, after) => {
-      changes.rows.forEach((row) => held.set(row.key, row));
-      if (after <= version) version = Math.max(version, changes.version);
-    },
-    isStoreReachable: () => isReachable,
-  };
-};
+import { buildServerStatus } from '../../../../standins/fakes';
+import type { Gossip } from '..';
+import { createGossipFleet } from '../../../../standins/gossip';
+import type { SharedRow } from '../../ports';
 
 const buildRow = (key: string, version: number): SharedRow => ({
   key,
@@ -33,49 +10,10 @@
   version,
 });
 
-/** Some VMs that reach each other, but for those that the test cuts off. */
-const setUp = (names: readonly string[], rowsOf: Readonly<Record<string, SharedRow[]>>) => {
-  const clock = createFakeClock();
-  const cut = new Set<string>();
-  const gossips = new Map<string, Gossip>();
-  const followers = new Map<string, PassedRows>();
-  const suspicions: { readonly vm: string; readonly server: string }[] = [];
-  const inferred: string[] = [];
-  let calls = 0;
-  const addVm = (vm: string, index: number): void => {
-    const follower = createHeldRows(rowsOf[vm] ?? [], (rowsOf[vm] ?? []).length > 0);
-    followers.set(vm, follower);
-    gossips.set(
-      vm,
-      createGossip({
-        self: { vm, address: vm, availabilityZone: 'z1', cores: 0.3 },
-        seedAddresses: [names[0] as string],
-        calls: {
-          exchangeKnowledge: async (address: string, knowledge: Knowledge) => {
-            calls += 1;
-            if (cut.has(vm) || cut.has(address)) return null;
-            return gossips.get(address)?.handleKnowledge(knowledge) ?? null;
-          },
-        },
-        followers: new Map([['t', follower]]),
-        clock,
-        randomness: createSeededRandomness(index + 1),
-        log: QUIET_LOG,
-        handleInferred: ({ id }) => inferred.push(`${vm} ${id}`),
-        handleSuspicion: ({ server }: SharedSuspicion) => suspicions.push({ vm, server }),
-      }),
-    );
-  };
-  names.forEach(addVm);
-  const stop = (): void => gossips.forEach((gossip) => gossip.stop());
-  const countCalls = (): number => calls;
-  return { addVm, clock, countCalls, cut, followers, gossips, inferred, stop, suspicions };
-};
-
 const NAMES = ['a', 'b', 'c', 'd', 'e'];
 
 test('VMs that know one seed learn of all others', async (t) => {
-  const { clock, gossips, stop } = setUp(NAMES, {});
+  const { clock, gossips, stop } = createGossipFleet(NAMES, {});
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(6000);
   gossips.forEach((gossip) => t.is(gossip.countVms(), NAMES.length));
@@ -86,7 +24,7 @@
 // Sequence: the store turns this VM away and serves the others; the configuration changes.
 // Cause: rows come from the store only.
 test('a VM that the store turns away gets the rows of the others within a second or two', async (t) => {
-  const { clock, followers, gossips, stop } = setUp(NAMES, { a: [buildRow('x', 7)] });
+  const { clock, followers, gossips, stop } = createGossipFleet(NAMES, { a: [buildRow('x', 7)] });
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(2000);
   NAMES.forEach((vm) => t.is(followers.get(vm)?.readVersion(), 7));
@@ -94,7 +32,7 @@
 });
 
 test('a suspicion is told to all VMs at once', async (t) => {
-  const { clock, gossips, stop, suspicions } = setUp(NAMES, {});
+  const { clock, gossips, stop, suspicions } = createGossipFleet(NAMES, {});
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(6000);
   gossips.get('b')?.sendSuspicion('i-1', 'not-connected');
@@ -107,7 +45,7 @@
 // Sequence: a VM is cut off, or removed for good.
 // Cause: whoever was heard once counts for ever.
 test('a VM that is not heard any more is not counted, and is counted again when it is back', async (t) => {
-  const { clock, cut, gossips, stop } = setUp(NAMES, {});
+  const { clock, cut, gossips, stop } = createGossipFleet(NAMES, {});
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(6000);
   cut.add('e');
@@ -120,7 +58,7 @@
 });
 
 test('while nothing happens a VM makes less than one call a second', async (t) => {
-  const { clock, countCalls, gossips, stop } = setUp(NAMES, {
+  const { clock, countCalls, gossips, stop } = createGossipFleet(NAMES, {
     a: [buildRow('x', 1)],
     b: [buildRow('x', 1)],
     c: [buildRow('x', 1)],
@@ -151,7 +89,10 @@
 // Before: 67 messages a VM where each one had heard of 6 to 40 others; now 10, and all are heard of.
 test('the loss of a zone that every VM notices costs few messages, and reaches all', async (t) => {
   const names = buildNames(60);
-  const { clock, countCalls, gossips, stop, suspicions } = setUp(names, buildReachable(names));
+  const { clock, countCalls, gossips, stop, suspicions } = createGossipFleet(
+    names,
+    buildReachable(names),
+  );
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(20_000);
   const before = countCalls();
@@ -177,7 +118,7 @@
 // Cause: news of the others is older than what still counts when it arrives: one VM counted 6 of 60.
 test('60 VMs count one another', async (t) => {
   const names = buildNames(60);
-  const { clock, gossips, stop } = setUp(names, buildReachable(names));
+  const { clock, gossips, stop } = createGossipFleet(names, buildReachable(names));
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(20_000);
   const counts = names.map((vm) => gossips.get(vm)?.countVms() ?? 0);
@@ -192,7 +133,7 @@
 // still counts when it arrived. Before: the median VM counted 98 of 195, the one that counted least 36.
 test('195 VMs count one another', async (t) => {
   const names = buildNames(195);
-  const { clock, gossips, stop } = setUp(names, buildReachable(names));
+  const { clock, gossips, stop } = createGossipFleet(names, buildReachable(names));
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(3000);
   gossips.forEach((gossip) => t.is(gossip.countVms(), 195));
@@ -208,7 +149,7 @@
 // 5 of the 28 after three seconds.
 test('VMs that join a large fleet are counted by all within three seconds', async (t) => {
   const names = buildNames(195);
-  const { addVm, clock, gossips, stop } = setUp(names, buildReachable(names));
+  const { addVm, clock, gossips, stop } = createGossipFleet(names, buildReachable(names));
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(20_000);
   const joined = Array.from({ length: 28 }, (_, index) => `new-${index}`);
@@ -227,7 +168,7 @@
 
 test('a server without an entry that one of 60 VMs met is known to three quarters within half a second', async (t) => {
   const names = buildNames(60);
-  const { clock, gossips, inferred, stop } = setUp(names, buildReachable(names));
+  const { clock, gossips, inferred, stop } = createGossipFleet(names, buildReachable(names));
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(20_000);
   gossips.get('vm-07')?.sendInferred(buildServerStatus('i-9', 'z1').entry);
--- a/src/application/gossip/index.ts
+++ b/src/application/gossip/index.ts
@@ -1,2 +1,10 @@
 export { createGossip, type Gossip, type GossipDependencies } from './createGossip';
-export type { GossipCalls, Knowledge, Member, SharedSuspicion, TableChanges } from './types';
+export type {
+  GossipCalls,
+  Knowledge,
+  Member,
+  PassedOutcomes,
+  PassedRows,
+  SharedSuspicion,
+  TableChanges,
+} from './types';
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -1,4 +1,4 @@
-import type { ServerEntry } from '../../../domain/forwarding';
+import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
 import type { SharedRow } from '../../ports';
 import type { RowFollower } from '../../rows';
 
@@ -44,6 +44,10 @@
   readonly suspicions: readonly SharedSuspicion[];
   /** Servers that were met at the address of one that ended, and have no entry yet. */
   readonly inferred: readonly ServerEntry[];
+  /** Servers that ended, or answered, under requests that are suspected. */
+  readonly outcomes: readonly SharedOutcome[];
+  /** Digest of the outcomes that the sender knows: one that knows others tells them. */
+  readonly outcomesDigest: number;
 }
 
 /** Calls to other VMs. */
@@ -52,6 +56,13 @@
   exchangeKnowledge(address: string, knowledge: Knowledge): Promise<Knowledge | null>;
 }
 
+/** What gossip asks of the history of crashes. */
+export interface PassedOutcomes {
+  /** True if it was news. */
+  mergeOutcome(outcome: SharedOutcome): boolean;
+  listOutcomes(): readonly SharedOutcome[];
+}
+
 /** What gossip asks of a follower whose rows it passes on. */
 export type PassedRows = Pick<
   RowFollower,
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -33,3 +33,4 @@
   KvCopy,
 } from './ForwardClient';
 export type { RowChanges, RowError, RowSource, SharedRow } from './RowSource';
+export type { RowWriter, RowWrites } from './RowWriter';
--- a/src/domain/forwarding/types/GatewaySettings.ts
+++ b/src/domain/forwarding/types/GatewaySettings.ts
@@ -29,6 +29,8 @@
   /** Peer addresses of some VMs; they may be stale. */
   readonly seedAddresses: readonly string[];
   readonly storeUrl: string;
+  /** True: the whole system starts for the first time, so that no VM has written anything yet. */
+  readonly isFirstStart: boolean;
   readonly bounds: GatewayBounds;
 }
 
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -2,9 +2,13 @@
 import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
+  CRASHES_KEPT_MS,
+  createCrashHistory,
   createForwarder,
   createIdentityWatch,
   createPromptPlaces,
+  createQuarantineRows,
+  type QuarantineRows,
   type PromptPlaces,
   createRetryAllowance,
   createRetryLender,
@@ -62,6 +66,7 @@
   readonly gossip: Gossip;
   readonly sharing: SharedReading;
   readonly lender: RetryLender;
+  readonly quarantineRows: QuarantineRows;
   readonly places: PromptPlaces;
   /** Closes all connections to servers and the store. */
   stop(): Promise<void>;
@@ -88,6 +93,8 @@
   // The gossip tells of the followers' rows, which the directory takes: it is wired last.
   let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
   let sendInferred: Gossip['sendInferred'] = () => undefined;
+  let writeQuarantine: QuarantineRows['startWrite'] = () => undefined;
+  let sendOutcome: Gossip['sendOutcome'] = () => undefined;
   let startIdentityWatch = (): void => undefined;
   const directory = createServerDirectory({
     decode: decodeServerEntry,
@@ -127,6 +134,22 @@
     [TABLES.operator, configuration],
     [TABLES.servers, servers],
   ]);
+  const crashes = createCrashHistory({
+    clock,
+    log,
+    hasAnsweredSince: directory.hasAnsweredSince,
+    tellOutcome: (outcome) => sendOutcome(outcome),
+    handleQuarantine: (fingerprint) => writeQuarantine(fingerprint),
+  });
+  const quarantineRows = createQuarantineRows({
+    table: TABLES.quarantines,
+    store,
+    crashes,
+    clock,
+    log,
+    keptMs: CRASHES_KEPT_MS,
+  });
+  writeQuarantine = quarantineRows.startWrite;
   const calls = createGatewayClient();
   const self = {
     vm: settings.vm,
@@ -139,6 +162,7 @@
     seedAddresses: settings.seedAddresses,
     calls,
     followers,
+    outcomes: crashes,
     clock,
     randomness,
     log,
@@ -150,6 +174,7 @@
   });
   sendSuspicion = gossip.sendSuspicion;
   sendInferred = gossip.sendInferred;
+  sendOutcome = gossip.sendOutcome;
   const sharing = createSharedReading({
     self,
     sharing: shared,
@@ -186,6 +211,7 @@
     availabilityZone: settings.availabilityZone,
     client,
     clock,
+    crashes,
     directory,
     log,
     meter: metrics,
@@ -206,8 +232,10 @@
     gossip,
     sharing,
     lender,
+    quarantineRows,
     places,
     stop: async () => {
+      quarantineRows.stop();
       sharing.stop();
       gossip.stop();
       identities.stop();
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -104,6 +104,7 @@
   followers.servers.start();
   parts.sharing.start();
   parts.gossip.start();
+  if (!settings.isFirstStart) parts.quarantineRows.startRead();
   const stopRecording = recordReady({ ...parts, isReady });
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
 
--- a/standins/gateway/buildGatewaySettings/index.ts
+++ b/standins/gateway/buildGatewaySettings/index.ts
@@ -11,6 +11,7 @@
   metricsAddress: '127.0.0.1:0',
   seedAddresses: [],
   storeUrl,
+  isFirstStart: true,
   bounds: {
     shutdownMs: 8000,
     reuseAfterMs: 2000,
--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { z } from 'zod';
 import { CALLS } from '../../../platform';
 
 /** How the store treats calls. */
@@ -27,6 +28,14 @@
   readonly ver: number;
 }
 
+const RowKeySchema = z.object({ table: z.string(), part: z.literal(''), key: z.string() });
+
+const ChangesSchema = z.object({
+  expected_revision: z.array(z.unknown()),
+  writes: z.array(RowKeySchema.extend({ value: z.string() })),
+  remove: z.array(RowKeySchema),
+});
+
 const REFUSED_STATUS = 503;
 const HISTORY_LOST_STATUS = 410;
 
@@ -99,6 +108,24 @@
     });
   };
 
+  const write = (table: string, key: string, value: string | null): void => {
+    version += 1;
+    rows.set(`${table}/${key}`, { table, key, value, ver: version });
+    feeds.forEach((wake) => wake());
+  };
+
+  const handleChange = async (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const changes = ChangesSchema.parse(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+    changes.writes.forEach(({ key, table, value }) => write(table, key, value));
+    changes.remove.forEach(({ key, table }) => write(table, key, null));
+    sendJson(response, 200, { ver: version, now_ms: 0 });
+  };
+
   const HANDLERS: Readonly<
     Record<string, (query: URLSearchParams, response: ServerResponse) => void>
   > = { [CALLS.followRows]: handleFeed, [CALLS.readRows]: handleRead };
@@ -113,6 +140,7 @@
       const url = new URL(request.url ?? '/', 'http://store');
       const handle = HANDLERS[url.pathname];
       if (handle) handle(url.searchParams, response);
+      else if (url.pathname === CALLS.changeRows) handleChange(request, response);
       else sendJson(response, 404, {});
     },
   };
@@ -133,10 +161,8 @@
   return {
     url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
     writeRow: (table, key, value) => {
-      version += 1;
       const encoded = value === null ? null : Buffer.from(JSON.stringify(value)).toString('base64');
-      rows.set(`${table}/${key}`, { table, key, value: encoded, ver: version });
-      feeds.forEach((wake) => wake());
+      write(table, key, encoded);
     },
     setMode: (next) => {
       mode = next;
--- a/standins/gateway/createVirtualStore/index.ts
+++ b/standins/gateway/createVirtualStore/index.ts
@@ -88,6 +88,12 @@
       );
     });
 
+  const addChange = (table: string, key: string, value: Buffer | null): void => {
+    version += 1;
+    changes.push({ table, key, value, version });
+    waiting.forEach(({ wake }) => wake());
+  };
+
   return {
     readRows: (table) =>
       call(table, 0, null, () => answer(listRows(table, 0).filter(({ value }) => value !== null))),
@@ -97,12 +103,15 @@
         const rows = listRows(table, after);
         return rows.length > 0 || isDue ? answer(rows) : null;
       }),
-    writeRow: (table, key, value) => {
-      version += 1;
-      const encoded = value === null ? null : Buffer.from(JSON.stringify(value));
-      changes.push({ table, key, value: encoded, version });
-      waiting.forEach(({ wake }) => wake());
+    changeRows: async ({ removed, table, writes }) => {
+      calls += 1;
+      if (isSilent) return err({ kind: 'unavailable', reason: 'no answer in time' });
+      writes.forEach(({ key, value }) => addChange(table, key, value));
+      removed.forEach((key) => addChange(table, key, null));
+      return ok(null);
     },
+    writeRow: (table, key, value) =>
+      addChange(table, key, value === null ? null : Buffer.from(JSON.stringify(value))),
     setSilent: (next) => {
       isSilent = next;
       if (next) waiting.forEach((one) => Object.assign(one, { isLost: true }));
--- /dev/null
+++ b/standins/gossip/createGossipFleet/index.ts
@@ -0,0 +1,91 @@
+import { createCrashHistory, type CrashHistory } from '../../../src/application/forwarding';
+import {
+  createGossip,
+  type Gossip,
+  type Knowledge,
+  type PassedRows,
+  type SharedSuspicion,
+} from '../../../src/application/gossip';
+import type { RowChanges, SharedRow } from '../../../src/application/ports';
+import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
+
+/** A follower that holds what the test gives it. */
+const createHeldRows = (rows: readonly SharedRow[], isReachable: boolean): PassedRows => {
+  const held = new Map(rows.map((row) => [row.key, row]));
+  let version = rows.reduce((newest, row) => Math.max(newest, row.version), 0);
+  return {
+    readVersion: () => version,
+    listChanges: (after) => ({
+      rows: [...held.values()].filter((row) => row.version > after),
+      version,
+    }),
+    mergeChanges: (changes: RowChanges, after) => {
+      changes.rows.forEach((row) => held.set(row.key, row));
+      if (after <= version) version = Math.max(version, changes.version);
+    },
+    isStoreReachable: () => isReachable,
+  };
+};
+
+/** Some VMs that reach each other, but for those that the test cuts off. */
+export const createGossipFleet = (
+  names: readonly string[],
+  rowsOf: Readonly<Record<string, SharedRow[]>>,
+) => {
+  const clock = createFakeClock();
+  const cut = new Set<string>();
+  const gossips = new Map<string, Gossip>();
+  const followers = new Map<string, PassedRows>();
+  const suspicions: { readonly vm: string; readonly server: string }[] = [];
+  const inferred: string[] = [];
+  const histories = new Map<string, CrashHistory>();
+  let calls = 0;
+  const addVm = (vm: string, index: number): void => {
+    const follower = createHeldRows(rowsOf[vm] ?? [], (rowsOf[vm] ?? []).length > 0);
+    followers.set(vm, follower);
+    const history = createCrashHistory({
+      clock,
+      log: QUIET_LOG,
+      hasAnsweredSince: () => false,
+      tellOutcome: (outcome) => gossips.get(vm)?.sendOutcome(outcome),
+      handleQuarantine: () => undefined,
+    });
+    histories.set(vm, history);
+    gossips.set(
+      vm,
+      createGossip({
+        self: { vm, address: vm, availabilityZone: 'z1', cores: 0.3 },
+        seedAddresses: [names[0] as string],
+        calls: {
+          exchangeKnowledge: async (address: string, knowledge: Knowledge) => {
+            calls += 1;
+            if (cut.has(vm) || cut.has(address)) return null;
+            return gossips.get(address)?.handleKnowledge(knowledge) ?? null;
+          },
+        },
+        followers: new Map([['t', follower]]),
+        clock,
+        randomness: createSeededRandomness(index + 1),
+        log: QUIET_LOG,
+        outcomes: history,
+        handleInferred: ({ id }) => inferred.push(`${vm} ${id}`),
+        handleSuspicion: ({ server }: SharedSuspicion) => suspicions.push({ vm, server }),
+      }),
+    );
+  };
+  names.forEach(addVm);
+  const stop = (): void => gossips.forEach((gossip) => gossip.stop());
+  const countCalls = (): number => calls;
+  return {
+    addVm,
+    clock,
+    countCalls,
+    cut,
+    followers,
+    gossips,
+    histories,
+    inferred,
+    stop,
+    suspicions,
+  };
+};
--- /dev/null
+++ b/standins/gossip/index.ts
@@ -0,0 +1,1 @@
+export { createGossipFleet } from './createGossipFleet';
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -1,4 +1,5 @@
 import {
+  createCrashHistory,
   createForwarder,
   createRetryAllowance,
   createRetryLender,
@@ -107,6 +108,13 @@
       availabilityZone: `z${index % MODEL_ZONES}`,
       client,
       clock,
+      crashes: createCrashHistory({
+        clock,
+        log: QUIET_LOG,
+        hasAnsweredSince: directory.hasAnsweredSince,
+        tellOutcome: () => undefined,
+        handleQuarantine: () => undefined,
+      }),
       directory,
       log: QUIET_LOG,
       meter: { recordRequest: () => undefined, recordResume: () => undefined },
--- a/tests/gateway/crashingRequests.test.ts
+++ b/tests/gateway/crashingRequests.test.ts
@@ -4,11 +4,15 @@
 // Cause: failures are charged to servers only; what a request did is forgotten with its attempt.
 import test from 'ava';
 import { HEADERS } from '../../platform';
-import { buildWireConfiguration } from '../../standins/gateway';
+import { createFakeClock } from '../../standins/fakes';
+import { buildWireConfiguration, formatStandInEvent } from '../../standins/gateway';
 import { buildStream } from './_lib/buildStream';
 import { countRequests } from './_lib/countRequests';
 import { crashNext } from './_lib/crashNext';
 import { findFreePort } from './_lib/findFreePort';
+import { listEvents } from './_lib/listEvents';
+import { nextAnywhere } from './_lib/nextAnywhere';
+import { sendEvents } from './_lib/sendEvents';
 import { startTestGateway } from './_lib/startTestGateway';
 
 const SERVER_IDS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'];
@@ -67,3 +71,39 @@
   await other.stop();
   await bench.stop();
 });
+
+test('the quarantine of a request outlives the end of all VMs at once', async (t) => {
+  const configuration = buildConfiguration(5);
+  const bench = await startTestGateway({ serverIds: SERVER_IDS, configuration });
+  const followed = bench.follow(buildStream());
+  for (let crashed = 0; crashed < 3; crashed += 1) await crashNext(bench);
+  await followed.done;
+  await bench.waitForLine('quarantine written');
+  await bench.gateway.stop();
+  const restarted = await startTestGateway({ beside: bench, settings: { isFirstStart: false } });
+  await restarted.waitForLine('quarantine rows read');
+  const again = await restarted.send({ ...buildStream(), id: 'request-2' });
+  t.is(again.status, REFUSED_STATUS);
+  t.is(countRequests(bench), 3);
+  await restarted.stop();
+  await bench.stop();
+});
+
+test('a request that lost three servers in the middle of its run is in no quarantine', async (t) => {
+  const configuration = buildConfiguration(5);
+  const clock = createFakeClock();
+  const bench = await startTestGateway({ serverIds: SERVER_IDS, configuration, clock });
+  const followed = bench.follow(buildStream());
+  for (let crashed = 0; crashed < 3; crashed += 1) {
+    const { request, server } = await nextAnywhere(bench.servers);
+    server.begin(request);
+    server.emit(request, crashed + 1, crashed + 1);
+    await followed.waitForText(formatStandInEvent(crashed + 1));
+    clock.advance(1100);
+    await server.crash();
+  }
+  const last = await nextAnywhere(bench.servers);
+  sendEvents(last, 4, 5);
+  t.is((await followed.done).body, listEvents(1, 5));
+  await bench.stop();
+});
--- /dev/null
+++ b/tests/gateway/sharedQuarantine.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava';
+import { createGossipFleet } from '../../standins/gossip';
+import type { CrashHistory } from '../../src/application/forwarding';
+
+const NAMES = ['a', 'b', 'c', 'd', 'e'];
+
+/** Three servers end under one request, each at another VM. */
+const crashThree = (vms: readonly string[], histories: ReadonlyMap<string, CrashHistory>): void =>
+  vms.slice(0, 3).forEach((vm, index) =>
+    histories.get(vm)?.recordOutcome({
+      fingerprint: 'f',
+      requestId: 'r-1',
+      server: `i-${index}`,
+      hasCrashed: true,
+    }),
+  );
+
+const countQuarantines = (histories: ReadonlyMap<string, CrashHistory>): number =>
+  [...histories.values()].filter((history) => history.readQuarantineMs('f') > 0).length;
+
+test('three crashes at three VMs put a request into quarantine at all of them', async (t) => {
+  const { clock, gossips, histories, stop } = createGossipFleet(NAMES, {});
+  gossips.forEach((gossip) => gossip.start());
+  await clock.advanceAsync(6000);
+  crashThree(NAMES, histories);
+  await clock.advanceAsync(200);
+  t.is(countQuarantines(histories), NAMES.length);
+  stop();
+});
+
+test('a VM that was cut off, or is new, learns of the quarantine within a settling time', async (t) => {
+  const { addVm, clock, cut, gossips, histories, stop } = createGossipFleet(NAMES, {});
+  gossips.forEach((gossip) => gossip.start());
+  await clock.advanceAsync(6000);
+  cut.add('e');
+  crashThree(NAMES, histories);
+  await clock.advanceAsync(1000);
+  t.is(countQuarantines(histories), NAMES.length - 1);
+  cut.delete('e');
+  addVm('f', NAMES.length);
+  gossips.get('f')?.start();
+  await clock.advanceAsync(3000);
+  t.is(countQuarantines(histories), NAMES.length + 1);
+  stop();
+});
+
+test('in a fleet of 200 VMs all know of the quarantine within two seconds, and the news ends', async (t) => {
+  const names = Array.from({ length: 200 }, (_, index) => `vm-${index}`);
+  const { clock, countCalls, gossips, histories, stop } = createGossipFleet(names, {});
+  gossips.forEach((gossip) => gossip.start());
+  await clock.advanceAsync(8000);
+  const quietFrom = countCalls();
+  await clock.advanceAsync(4000);
+  const quiet = countCalls() - quietFrom;
+  crashThree(names, histories);
+  await clock.advanceAsync(2000);
+  t.is(countQuarantines(histories), names.length);
+  const spreadTo = countCalls();
+  await clock.advanceAsync(4000);
+  t.true(countCalls() - spreadTo < quiet * 1.5);
+  stop();
+});
