Log that a server's answer says that it leaves

What an answer's head tells is taken in one place (recordAnswerHead), as calls and streams had their own.

--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -24,6 +24,8 @@
   drop(id: string): void;
   /** Adds a server that has no entry yet; false if it is known, or has ended. */
   addInferred(entry: ServerEntry, source: string): boolean;
+  /** The server said in an answer that it takes no new work. */
+  recordLeaving(id: string): void;
   /** The server said when it was born; null if it did not. */
   recordBorn(id: string, bornMs: number | null): void;
 }
@@ -172,6 +174,12 @@
       handleGone(id);
     },
     addInferred,
+    recordLeaving: (id) => {
+      const record = records.get(id);
+      if (!record || record.hasSaidLeaving) return;
+      record.hasSaidLeaving = true;
+      log.info('server said that it leaves', { server: id, isLeaving: record.entry.isLeaving });
+    },
     recordBorn: (id, bornMs) => {
       const known = records.get(id);
       if (!known || bornMs === null) return;
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -8,6 +8,7 @@
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
+import { recordAnswerHead } from '../recordAnswerHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 import { recordCrash } from '../recordCrash';
 import { recordDecision } from '../recordDecision';
@@ -68,8 +69,6 @@
   { body, head }: AttemptAnswer,
   copy: HeldCopy | null,
 ): Promise<void> => {
-  const { directory } = run.dependencies;
-  if (head.isOtherServer) directory.recordReplaced(attempt.server.id, head.serverId);
   if (head.isNotRun) {
     // The rest of the answer is read, so that its connection ends by itself.
     releaseCopy(run, copy, attempt.server.id);
@@ -193,7 +192,7 @@
     );
   }
   const { head } = sent.value;
-  if (head.load) directory.recordLoad(server.id, head.load);
+  recordAnswerHead(directory, server, head);
   if (head.status !== OK_STATUS || !head.isGenuine) {
     recordDecision(
       run.dependencies,
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -2,6 +2,7 @@
 import type { AttemptError } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
 import { readWholeBody } from '../readWholeBody';
+import { recordAnswerHead } from '../recordAnswerHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 
 /** A server's answer, whole. */
@@ -76,6 +77,7 @@
       return convertError(sent.error, timeout.signal.aborted);
     }
     const { body, head } = sent.value;
+    recordAnswerHead(directory, server, head);
     if (!head.isGenuine && !head.isNotRun) {
       // The answer that is due may still follow on this connection: it is not used again.
       timeout.abort();
@@ -83,8 +85,6 @@
     }
     const read = await readWholeBody(body);
     if (reply.left.aborted) return { kind: 'left' };
-    if (head.load) directory.recordLoad(server.id, head.load);
-    if (head.isOtherServer) directory.recordReplaced(server.id, head.serverId);
     if (head.isNotRun) {
       return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true };
     }
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -42,6 +42,8 @@
   /** Counts a copy of a run's memory that a server holds; the returned function ends it. */
   addCopy(id: string): () => void;
   recordLoad(id: string, load: ServerLoad): void;
+  /** The server said in an answer that it takes no new work. */
+  recordLeaving(id: string): void;
   recordSuspicion(id: string, cause: SuspicionCause): void;
   /** The server answered a request under its id. */
   recordSuccess(id: string): void;
@@ -154,6 +156,7 @@
       const record = records.find(id);
       if (record) Object.assign(record, { load, loadAtMs: clock.readMonotonicMs() });
     },
+    recordLeaving: records.recordLeaving,
     recordSuspicion: (id, cause) => {
       const record = records.find(id);
       if (!record) return;
--- a/src/domain/forwarding/types/ServerAnswer.ts
+++ b/src/domain/forwarding/types/ServerAnswer.ts
@@ -21,4 +21,8 @@
   /** Id of the server that answered, where it says so. */
   readonly serverId: string | null;
   readonly load: ServerLoad | null;
+  /** True: the server says that it takes no new work and will be gone soon. */
+  readonly isLeaving: boolean;
+  /** For how long the server wants nothing of this VM, in milliseconds; 0 if it does not say so. */
+  readonly pauseMs: number;
 }
--- a/standins/model/createModelClient/index.ts
+++ b/standins/model/createModelClient/index.ts
@@ -20,6 +20,8 @@
   isOtherServer: false,
   serverId: null,
   load: null,
+  isLeaving: false,
+  pauseMs: 0,
 };
 
 /** Creates the client of the model's engines. */
