--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -155,6 +155,8 @@
   server.on('connection', (socket) => {
     connections += 1;
     sockets.add(socket);
+    // Each request on a kept connection waits for its end.
+    socket.setMaxListeners(0);
     socket.on('error', () => socket.destroy());
     socket.on('close', () => sockets.delete(socket));
   });
