Send nothing more to a server that said in an answer that it leaves

Cause: that a server leaves was read from its entry in the store only, and the store answered nobody. What its own answers say was not read, though they come from the one who knows, and sooner. Change: the word counts from any answer - of requests, also failures and refusals, of reports and of questions who is there - for that start of the server: an entry that was written before, or is read anew after it had lapsed, does not take it back. createIncarnationSet keeps the starts that ended, which stood in createServerRecords before, and those that leave. Ruled out: believing an entry that says ready again, as it can't be told from an old one.

--- a/src/application/forwarding/_lib/askServers/index.ts
+++ b/src/application/forwarding/_lib/askServers/index.ts
@@ -35,7 +35,8 @@
       left -= 1;
       if (report) {
         directory.recordBorn(entry.id, report.bornMs);
-        answers.push({ entry, report, copies });
+        if (report.isLeaving) directory.recordLeaving(entry.id);
+        else answers.push({ entry, report, copies });
       } else directory.recordSuspicion(entry.id, 'silent');
       if (left === 0) end();
       else if (report) cancelTimer ??= clock.startTimer(OTHERS_MS, end);
--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -27,8 +27,6 @@
   goneAtMs: number;
   /** True: it was met at the address of a server that ended, and has no entry yet. */
   isInferred: boolean;
-  /** True: an answer of it said that it takes no new work. */
-  hasSaidLeaving: boolean;
   /** Called when the server is surely not the one any more that the work was sent to. */
   readonly voidHandlers: Set<() => void>;
 }
@@ -48,6 +46,5 @@
   trials: 0,
   goneAtMs: Infinity,
   isInferred: false,
-  hasSaidLeaving: false,
   voidHandlers: new Set(),
 });
--- /dev/null
+++ b/src/application/forwarding/_lib/createIncarnationSet/index.ts
@@ -0,0 +1,31 @@
+import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
+
+type Incarnation = Pick<ServerEntry, 'bornMs' | 'id'>;
+
+/** A bounded set of starts of servers. */
+export interface IncarnationSet {
+  add(incarnation: Incarnation): void;
+  /** True for those that were added, and for older ones of the same id. */
+  has(incarnation: Incarnation): boolean;
+}
+
+/** Starts of servers that are remembered; the oldest ones are forgotten. */
+const MAX_INCARNATIONS = 1000;
+
+/** Creates a set of starts of servers; it is empty. */
+export const createIncarnationSet = (): IncarnationSet => {
+  const bornMsOf = new Map<string, number | null>();
+  return {
+    add: ({ bornMs, id }) => {
+      bornMsOf.delete(id);
+      bornMsOf.set(id, bornMs);
+      if (bornMsOf.size <= MAX_INCARNATIONS) return;
+      const [oldest = ''] = bornMsOf.keys();
+      bornMsOf.delete(oldest);
+    },
+    has: ({ bornMs, id }) => {
+      const addedMs = bornMsOf.get(id);
+      return addedMs !== undefined && compareIncarnations(addedMs, bornMs) !== 'newer';
+    },
+  };
+};
--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -2,6 +2,7 @@
 import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
 import type { Clock, EventLog, SharedRow } from '../../../ports';
 import type { RowsInfo } from '../../../rows';
+import { createIncarnationSet } from '../createIncarnationSet';
 import { buildServerRecord, type ServerRecord } from '../buildServerRecord';
 
 /** What records of servers need. */
@@ -36,9 +37,6 @@
  */
 const LAPSED_HOLD_MS = 2200;
 
-/** Ids of servers that ended, remembered so that late entries do not bring them back. */
-const MAX_ENDED_IDS = 1000;
-
 /** Creates the records of the backend servers; there are none. */
 export const createServerRecords = ({
   clock,
@@ -47,8 +45,10 @@
   log,
 }: ServerRecordsDependencies): ServerRecords => {
   const records = new Map<string, ServerRecord>();
-  /** When each server that surely ended was born, as far as that was known. */
-  const endedBornMs = new Map<string, number | null>();
+  /** Servers that surely ended: late entries do not bring them back. */
+  const ended = createIncarnationSet();
+  /** Servers that said in an answer that they leave: entries that were written before do not count. */
+  const leaving = createIncarnationSet();
 
   const dropGone = (id: string, record: ServerRecord): void => {
     if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
@@ -65,11 +65,7 @@
 
   /** Ends a server that surely is not there any more: what runs there is lost. */
   const endRecord = (id: string, record: ServerRecord): void => {
-    endedBornMs.set(id, record.entry.bornMs);
-    if (endedBornMs.size > MAX_ENDED_IDS) {
-      const [oldest = ''] = endedBornMs.keys();
-      endedBornMs.delete(oldest);
-    }
+    ended.add(record.entry);
     removeRecord(id, record);
     [...record.voidHandlers].forEach((handleVoid) => handleVoid());
   };
@@ -113,17 +109,15 @@
     [...before.voidHandlers].forEach((handleVoid) => handleVoid());
   };
 
-  /** An entry may be written late: it does not bring back a server that surely ended. */
-  const isOfEnded = ({ bornMs, id }: ServerEntry): boolean => {
-    const endedMs = endedBornMs.get(id);
-    return endedMs !== undefined && compareIncarnations(endedMs, bornMs) !== 'newer';
-  };
+  const markLeaving = (entry: ServerEntry): ServerEntry =>
+    leaving.has(entry) ? { ...entry, isLeaving: true } : entry;
 
-  const applyEntry = (entry: ServerEntry): void => {
+  const applyEntry = (read: ServerEntry): void => {
+    const entry = markLeaving(read);
     const { bornMs, id, isLeaving, service } = entry;
     const known = records.get(id);
     if (!known) {
-      if (isOfEnded(entry)) return;
+      if (ended.has(entry)) return;
       log.info('server known', { server: id, service, zone: entry.availabilityZone, isLeaving });
       addRecord(entry);
       return;
@@ -152,9 +146,12 @@
   };
 
   const addInferred = (entry: ServerEntry, source: string): boolean => {
-    if (records.has(entry.id) || isOfEnded(entry)) return false;
+    if (records.has(entry.id) || ended.has(entry)) return false;
     log.info('server inferred', { server: entry.id, address: entry.address, source });
-    Object.assign(addRecord(entry), { isInferred: true, aliveAtMs: clock.readMonotonicMs() });
+    Object.assign(addRecord(markLeaving(entry)), {
+      isInferred: true,
+      aliveAtMs: clock.readMonotonicMs(),
+    });
     return true;
   };
 
@@ -176,9 +173,10 @@
     addInferred,
     recordLeaving: (id) => {
       const record = records.get(id);
-      if (!record || record.hasSaidLeaving) return;
-      record.hasSaidLeaving = true;
+      if (!record || leaving.has(record.entry)) return;
+      leaving.add(record.entry);
       log.info('server said that it leaves', { server: id, isLeaving: record.entry.isLeaving });
+      record.entry = markLeaving(record.entry);
     },
     recordBorn: (id, bornMs) => {
       const known = records.get(id);
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -30,7 +30,11 @@
   run.dispatch({
     kind: 'slot-refused',
     reader,
-    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: RETRY_AFTER_MS },
+    refusal: {
+      code: RefusalCode.NoReadyServer,
+      message,
+      retryAfterMs: RETRY_AFTER_MS,
+    },
   });
 
 /** Counts the prompt tokens that the server has to read before others. */
--- a/src/application/forwarding/createIdentityWatch/index.ts
+++ b/src/application/forwarding/createIdentityWatch/index.ts
@@ -9,7 +9,7 @@
   readonly clock: Clock;
   readonly directory: Pick<
     ServerDirectory,
-    'countInferred' | 'listUncertain' | 'recordAlive' | 'recordReplaced'
+    'countInferred' | 'listUncertain' | 'recordAlive' | 'recordLeaving' | 'recordReplaced'
   >;
   readonly log: EventLog;
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
@@ -54,9 +54,12 @@
       directory.listUncertain().map(async (server) => {
         const healthPath = services?.get(server.service)?.healthPath;
         if (healthPath === undefined) return;
-        const id = await client.readIdentity(server, healthPath);
+        const identity = await client.readIdentity(server, healthPath);
+        if (!identity) return;
+        const { id, isLeaving } = identity;
         if (id === server.id) directory.recordAlive(id);
-        else if (id !== null) directory.recordReplaced(server.id, id);
+        else directory.recordReplaced(server.id, id);
+        if (isLeaving) directory.recordLeaving(id);
       }),
     );
   };
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -55,6 +55,13 @@
   readonly kept: KvCopy | null;
 }
 
+/** Who serves at an address. */
+export interface ServerIdentity {
+  readonly id: string;
+  /** True: it takes no new work and will be gone soon. */
+  readonly isLeaving: boolean;
+}
+
 /** Calls to backend servers. Sends each attempt once: repeating is the caller's decision. */
 export interface ForwardClient {
   /** An abort of `signal` closes the connection at once, at any time until the body has ended. */
@@ -79,7 +86,7 @@
   /** Asks a server what it does, without a slot of it; null if it does not answer. */
   readReport(server: ServerEntry): Promise<ServerReport | null>;
   /** Asks who serves at a server's address; null if nobody says so at once. */
-  readIdentity(server: ServerEntry, healthPath: string): Promise<string | null>;
+  readIdentity(server: ServerEntry, healthPath: string): Promise<ServerIdentity | null>;
   /** Tokens that a server keeps of parts of prompts, by id; empty if it does not answer. */
   readHeldParts(server: ServerEntry): Promise<ReadonlyMap<string, number>>;
   /** Closes idle connections of a server that is gone. */
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -31,6 +31,7 @@
   CopyError,
   ForwardClient,
   KvCopy,
+  ServerIdentity,
 } from './ForwardClient';
 export type { RowChanges, RowError, RowSource, SharedRow } from './RowSource';
 export type { RowWriter, RowWrites } from './RowWriter';
--- a/src/domain/forwarding/types/ServerReport.ts
+++ b/src/domain/forwarding/types/ServerReport.ts
@@ -8,6 +8,8 @@
   readonly kvTotalTokens: number;
   /** Events made so far, by the id of each request that runs; null if it does not tell. */
   readonly eventsByRun: ReadonlyMap<string, number> | null;
+  /** True: it takes no new work and will be gone soon. */
+  readonly isLeaving: boolean;
   /** When it started, in Unix milliseconds; null if it does not tell. */
   readonly bornMs: number | null;
 }
--- a/standins/fakes/buildServerReport/index.ts
+++ b/standins/fakes/buildServerReport/index.ts
@@ -7,6 +7,7 @@
   kvUsedTokens: 0,
   kvTotalTokens: 88_000,
   eventsByRun: new Map(),
+  isLeaving: false,
   bornMs: null,
   ...change,
 });
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -44,6 +44,8 @@
   holdRests(): void;
   /** Ends the process: all connections are reset, and new ones refused. */
   crash(): Promise<void>;
+  /** From now on all its answers say that it leaves. */
+  leave(): void;
   /** Answers requests, but no questions about itself. */
   muteReports(): void;
   /** Falls silent: connections stay open, and nothing is answered any more. */
@@ -85,6 +87,7 @@
   let connections = 0;
   let isFrozen = false;
   let isMute = false;
+  let isLeaving = false;
   let holdsRests = false;
 
   const readId = ({ headers }: Pick<ReceivedRequest, 'headers'>): string =>
@@ -117,6 +120,7 @@
   };
 
   const receive = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    if (isLeaving) response.setHeader(HEADERS.leaving, '1');
     const own = OWN_CALLS[request.url ?? ''];
     if (own) questions.splice(0).forEach((resolve) => resolve(request.socket));
     if (isFrozen) return;
@@ -225,6 +229,9 @@
       runs.set(readId(request), events);
     },
     crash: stop,
+    leave: () => {
+      isLeaving = true;
+    },
     muteReports: () => {
       isMute = true;
     },
--- a/standins/model/createModelClient/index.ts
+++ b/standins/model/createModelClient/index.ts
@@ -96,7 +96,7 @@
       );
       return { ...report, eventsByRun };
     },
-    readIdentity: async (server) => server.id,
+    readIdentity: async ({ id }) => ({ id, isLeaving: false }),
     readHeldParts: async () => new Map(),
     removeServer: () => undefined,
   };
--- a/standins/model/createModelEngine/index.ts
+++ b/standins/model/createModelEngine/index.ts
@@ -97,6 +97,7 @@
     kvUsedTokens: sumNeeded(),
     kvTotalTokens: MEMORY_TOKENS,
     eventsByRun: new Map(running.map(({ events, run }) => [run.id, Math.floor(events)])),
+    isLeaving: false,
     bornMs: null,
   });
 
--- a/tests/gateway/foreignEntries.test.ts
+++ b/tests/gateway/foreignEntries.test.ts
@@ -83,7 +83,7 @@
 test('reports, lists and answers that are malformed are read without a throw', (t) => {
   fc.assert(
     fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
-      const report = decodeServerReport(text);
+      const report = decodeServerReport(text, false);
       t.true(report.waiting >= 0 && report.running >= 0);
       decodeHeldParts(text);
       decodeServerAnswer(
@@ -96,7 +96,10 @@
 });
 
 test('a report keeps the fields that are sound', (t) => {
-  const report = decodeServerReport(JSON.stringify({ queued: 3, active: 'x', runs: 7, born: -1 }));
+  const report = decodeServerReport(
+    JSON.stringify({ queued: 3, active: 'x', runs: 7, born: -1 }),
+    false,
+  );
   t.is(report.waiting, 3);
   t.is(report.running, 0);
   t.is(report.eventsByRun, null);
--- a/tests/gateway/leavingServers.test.ts
+++ b/tests/gateway/leavingServers.test.ts
@@ -75,6 +75,20 @@
   await bench.stop();
 });
 
+test('a server whose report says that it leaves gets no prompt', async (t) => {
+  const bench = await startTestGateway();
+  const [leaving] = bench.servers as [StandInServer];
+  leaving.leave();
+  for (let stream = 0; stream < CALLS; stream += 1) {
+    const followed = bench.follow({ ...buildStream(), id: `stream-${stream}` });
+    const taken = await nextAnywhere(bench.servers);
+    t.not(taken.server, leaving);
+    sendEvents(taken, 1, 2);
+    await followed.done;
+  }
+  await bench.stop();
+});
+
 test('a failure that bears the word of leaving counts as well', async (t) => {
   const bench = await startTestGateway({ clock: createFakeClock() });
   const answered = bench.send({ target: '/safe/x' });
