Send nothing to a server that refused with Retry-After until that time is over

Cause: the same as that of the word of leaving: a refusal counted for its one request, and Retry-After was not read. Change: the server takes no work of this VM until its time is over; it is not chosen, not asked what it does, nor who it is. Where all servers of a service paused, a caller is refused at once with the time until the first one is back. A stream that has begun waits as before: a new server may come first.

--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -27,6 +27,8 @@
   goneAtMs: number;
   /** True: it was met at the address of a server that ended, and has no entry yet. */
   isInferred: boolean;
+  /** Until then it wants no request of this VM. */
+  pausedUntilMs: number;
   /** Called when the server is surely not the one any more that the work was sent to. */
   readonly voidHandlers: Set<() => void>;
 }
@@ -46,5 +48,6 @@
   trials: 0,
   goneAtMs: Infinity,
   isInferred: false,
+  pausedUntilMs: -Infinity,
   voidHandlers: new Set(),
 });
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -148,7 +148,7 @@
   return refuse(dependencies, context, {
     kind: runs === 0 ? 'not-run' : kindOfLoss,
     reason: lastReason,
-    retryAfterMs: runs === 0 ? RETRY_AFTER_MS : 0,
+    retryAfterMs: runs === 0 ? Math.max(RETRY_AFTER_MS, directory.readPauseMs(service)) : 0,
   });
 };
 
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -26,15 +26,17 @@
 const OK_STATUS = 200;
 const SERVER_ERROR_STATUS = 500;
 
+/** A caller who waits here is served by whichever server is there first; a new one comes back later. */
+const computeRetryMs = ({ arrivals, context, dependencies }: StreamRun): number =>
+  arrivals > 0
+    ? RETRY_AFTER_MS
+    : Math.max(RETRY_AFTER_MS, dependencies.directory.readPauseMs(context.service));
+
 const refuse = (run: StreamRun, reader: Reader, message: string): void =>
   run.dispatch({
     kind: 'slot-refused',
     reader,
-    refusal: {
-      code: RefusalCode.NoReadyServer,
-      message,
-      retryAfterMs: RETRY_AFTER_MS,
-    },
+    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: computeRetryMs(run) },
   });
 
 /** Counts the prompt tokens that the server has to read before others. */
--- a/src/application/forwarding/_lib/recordAnswerHead/index.ts
+++ b/src/application/forwarding/_lib/recordAnswerHead/index.ts
@@ -13,4 +13,5 @@
   }
   if (head.load) directory.recordLoad(server.id, head.load);
   if (head.isLeaving) directory.recordLeaving(server.id);
+  if (head.pauseMs > 0) directory.recordPause(server.id, head.pauseMs);
 };
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -44,6 +44,10 @@
   recordLoad(id: string, load: ServerLoad): void;
   /** The server said in an answer that it takes no new work. */
   recordLeaving(id: string): void;
+  /** The server said for how long it wants no request of this VM. */
+  recordPause(id: string, pauseMs: number): void;
+  /** Time until the first server of a service that paused takes work again; 0 if none paused. */
+  readPauseMs(service: string): number;
   recordSuspicion(id: string, cause: SuspicionCause): void;
   /** The server answered a request under its id. */
   recordSuccess(id: string): void;
@@ -97,12 +101,15 @@
   const { clock, handleInferred, handleSuspected, log, reuseAfterMs } = dependencies;
   const records = createServerRecords(dependencies);
 
-  const isServing = ({ aliveAtMs, entry, goneAtMs, isInferred }: ServerRecord): boolean => {
+  const isThere = ({ aliveAtMs, entry, goneAtMs, isInferred }: ServerRecord): boolean => {
     const nowMs = clock.readMonotonicMs();
     const isKnown = !isInferred || nowMs - aliveAtMs < INFERRED_AGE_MS;
     return !entry.isLeaving && goneAtMs > nowMs && isKnown;
   };
 
+  const isServing = (record: ServerRecord): boolean =>
+    isThere(record) && record.pausedUntilMs <= clock.readMonotonicMs();
+
   const listTold = ({ told }: ServerRecord): readonly ToldPrompt[] => {
     const sinceMs = clock.readMonotonicMs() - TOLD_MS;
     return told.filter(({ toldAtMs }) => toldAtMs > sinceMs);
@@ -157,6 +164,22 @@
       if (record) Object.assign(record, { load, loadAtMs: clock.readMonotonicMs() });
     },
     recordLeaving: records.recordLeaving,
+    recordPause: (id, pauseMs) => {
+      const record = records.find(id);
+      if (!record) return;
+      const untilMs = clock.readMonotonicMs() + pauseMs;
+      record.pausedUntilMs = Math.max(record.pausedUntilMs, untilMs);
+      log.info('server paused', { server: id, pauseMs: Math.round(pauseMs) });
+    },
+    readPauseMs: (service) => {
+      const nowMs = clock.readMonotonicMs();
+      const pauses = records
+        .list()
+        .filter((record) => record.entry.service === service && isThere(record))
+        .map(({ pausedUntilMs }) => pausedUntilMs - nowMs)
+        .filter((pauseMs) => pauseMs > 0);
+      return pauses.length === 0 ? 0 : Math.min(...pauses);
+    },
     recordSuspicion: (id, cause) => {
       const record = records.find(id);
       if (!record) return;
@@ -203,6 +226,7 @@
       const nowMs = clock.readMonotonicMs();
       return records
         .list()
+        .filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs)
         .filter(({ aliveAtMs, isInferred, suspicions }) =>
           isInferred
             ? nowMs - aliveAtMs > INFERRED_ASK_MS
