End a generation under which three engines ended without a token

Change: an attempt that was sent, and whose engine is then not there or knows nothing of it, without a token from it, counts (replaceCrashed); with the third in a row the generation fails with engines_crashed. Tokens in between start the count anew, so that one that lost four engines in mid-answer goes on as before.

--- a/src/domain/generation/_lib/handleBatch/index.ts
+++ b/src/domain/generation/_lib/handleBatch/index.ts
@@ -12,6 +12,14 @@
 const countUnits = (piece: StreamPiece): number =>
   'tokenIds' in piece ? piece.tokenIds.length : piece.eventCount;
 
+const buildStreaming = (attempt: Attempt): Attempt => ({
+  ...attempt,
+  phase: AttemptPhase.Streaming,
+  silence: 'none',
+  fruitlessReads: 0,
+  hasDelivered: true,
+});
+
 const buildDelivered = (
   state: GenerationState,
   attempt: Attempt,
@@ -20,12 +28,10 @@
   ...state,
   phase: batch.finishReason === null ? state.phase : 'finished',
   offset: state.offset + countUnits(batch),
-  attempts:
-    batch.finishReason === null
-      ? [{ ...attempt, phase: AttemptPhase.Streaming, silence: 'none', fruitlessReads: 0 }]
-      : [],
+  attempts: batch.finishReason === null ? [buildStreaming(attempt)] : [],
   excludedServers: [],
   fruitlessAttempts: 0,
+  crashes: 0,
   sent: true,
 });
 
--- a/src/domain/generation/_lib/handleNotStarted/index.ts
+++ b/src/domain/generation/_lib/handleNotStarted/index.ts
@@ -8,6 +8,7 @@
 } from '../../types';
 import { findAttempt } from '../findAttempt';
 import { replaceAttempt } from '../replaceAttempt';
+import { replaceCrashed } from '../replaceCrashed';
 
 /**
  * Handles an engine that refused before it began, or that cannot be connected to.
@@ -24,7 +25,10 @@
   if (!attempt) return { state, effects: [] };
   const wasNeverSent = attempt.phase === AttemptPhase.Prefill && state.offset === 0;
   const sent = wasNeverSent ? attempt.sentBefore : state.sent;
-  const next = replaceAttempt({ ...state, sent }, attempt);
+  // One that was read again had begun: its engine ended since.
+  const hasCrashed = input.refused && attempt.phase === AttemptPhase.Resuming;
+  const replace = hasCrashed ? replaceCrashed : replaceAttempt;
+  const next = replace({ ...state, sent }, attempt);
   if (!input.refused) return next;
   const evidence: GenerationEffect = {
     kind: 'suspect-server',
--- a/src/domain/generation/_lib/openAttempt/index.ts
+++ b/src/domain/generation/_lib/openAttempt/index.ts
@@ -18,6 +18,7 @@
     silence: 'none',
     sentBefore: state.sent,
     fruitlessReads: 0,
+    hasDelivered: false,
   };
   const silent = state.attempts.map(({ backendServer }) => backendServer).filter(Boolean);
   const excludedServers = [...new Set([...state.excludedServers, ...silent])];
--- a/src/domain/generation/createGenerationState/index.ts
+++ b/src/domain/generation/createGenerationState/index.ts
@@ -20,6 +20,8 @@
   silence: 'none',
   sentBefore: true,
   fruitlessReads: 0,
+  // What it has delivered elsewhere is not known here.
+  hasDelivered: true,
 });
 
 /**
@@ -44,6 +46,7 @@
     newestAttempt,
     excludedServers: [],
     fruitlessAttempts: 0,
+    crashes: 0,
     sent: newestAttempt > 0,
     callers: 0,
   };
--- a/src/domain/generation/types/Attempt.ts
+++ b/src/domain/generation/types/Attempt.ts
@@ -30,4 +30,6 @@
   readonly sentBefore: boolean;
   /** Times in a row that its stream was read again without a token. */
   readonly fruitlessReads: number;
+  /** True: a token came from it. */
+  readonly hasDelivered: boolean;
 }
--- a/src/domain/generation/types/GenerationState.ts
+++ b/src/domain/generation/types/GenerationState.ts
@@ -42,6 +42,8 @@
   readonly excludedServers: readonly string[];
   /** Attempts in a row that brought no token. */
   readonly fruitlessAttempts: number;
+  /** Engines in a row that ended after they got it, and before a token. */
+  readonly crashes: number;
   /** True: an engine may have begun to run it. */
   readonly sent: boolean;
   readonly callers: number;
