Wait for the first rows of an empty store instead of reading it again at once

Cause: VMs start before the operator has written anything. An empty store answers with version 0, which a follower took for nothing known: it read anew, without a pause, until the first row came. Change: after a whole read of an empty store its feed is followed from version 0. The stand-ins of the store begin empty, as the platform's does; they began with version 1, which is why no test showed it. storeClient.test.ts names version 0 for the same reason; what it checks is unchanged.

--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -31,6 +31,8 @@
   let waiting: StoreCall | null = null;
   let dropReason: string | null = null;
   let mustReadAll = false;
+  /** The store answered, but nothing was ever written to it: its first rows are waited for. */
+  let isStoreEmpty = false;
   /** Monotonic time of the end of an outage that another VM told of. */
   let toldOutageEndedAtMs: number | null = null;
   const calls = createCallRecord({
@@ -80,6 +82,7 @@
     }
     takeAnswer(call, all.value, true);
     mustReadAll = false;
+    isStoreEmpty = held.readVersion() === 0;
     return true;
   };
 
@@ -124,9 +127,11 @@
 
   const run = async (): Promise<void> => {
     while (!abort.signal.aborted) {
-      if (held.readVersion() === 0 || mustReadAll) await readAll();
+      const isNew = held.readVersion() === 0;
+      if (mustReadAll || (isNew && !isStoreEmpty)) await readAll();
       else {
-        await dependencies.waitForTurn();
+        // Who knows nothing yet has no other VM to follow.
+        if (!isNew) await dependencies.waitForTurn();
         if (!abort.signal.aborted) await followOnce();
       }
       const failures = calls.countFailures();
--- a/src/application/rows/createRowFollower/test.ts
+++ b/src/application/rows/createRowFollower/test.ts
@@ -189,3 +189,19 @@
   await clock.advanceAsync(2000);
   t.true(asked.length <= 6, `${asked.length} calls`);
 });
+
+// Symptom: 150 calls a VM to a store in its first second, before anything is written to it.
+// Sequence: the store answers that it has no row, and has never had one.
+// Cause: a version of 0 is taken for nothing known.
+test('the first row of an empty store is waited for, not asked for again and again', async (t) => {
+  const { asked, feeds, follower, listKeys, reads, clock } = setUp();
+  reads.push(ok({ rows: [], version: 0 }));
+  feeds.push(ok({ rows: [], version: 0 }), ok({ rows: [buildRow('a', 1)], version: 1 }));
+  follower.start();
+  await clock.advanceAsync(0);
+  t.deepEqual(asked, [0]);
+  await clock.advanceAsync(1000);
+  t.deepEqual(asked, [0, 0]);
+  t.deepEqual(listKeys(), ['+a']);
+  follower.stop();
+});
--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -58,7 +58,7 @@
   let feeds: (() => void)[] = [];
   let callers: { readonly path: string; readonly resolve: () => void }[] = [];
   let mode: StoreMode = 'up';
-  let version = 1;
+  let version = 0;
   let historyFrom = 0;
 
   const listRows = (table: string, after: number): Row[] =>
--- a/standins/gateway/createVirtualStore/index.ts
+++ b/standins/gateway/createVirtualStore/index.ts
@@ -37,7 +37,7 @@
 export const createVirtualStore = (clock: Clock): VirtualStore => {
   const changes: (SharedRow & { readonly table: string })[] = [];
   let waiting: Waiting[] = [];
-  let version = 1;
+  let version = 0;
   let historyFrom = 0;
   let isSilent = false;
   let calls = 0;
--- a/tests/gateway/storeClient.test.ts
+++ b/tests/gateway/storeClient.test.ts
@@ -74,7 +74,7 @@
   const client = createStoreClient(store.url, { clock });
   const { signal } = new AbortController();
   const isWaiting = store.waitForCall(CALLS.followRows);
-  const lost = client.followRows(TABLES.operator, { version: 1, waitMs: 1700 }, signal);
+  const lost = client.followRows(TABLES.operator, { version: 0, waitMs: 1700 }, signal);
   await isWaiting;
   store.setMode('silent');
   store.writeRow(TABLES.operator, 'a', {});
@@ -83,7 +83,7 @@
   t.is(await Promise.race([lost, 'waits']), 'waits');
   clock.advance(1);
   t.is((await lost)._unsafeUnwrapErr().kind, 'unavailable');
-  const next = await client.followRows(TABLES.operator, { version: 1, waitMs: 0 }, signal);
+  const next = await client.followRows(TABLES.operator, { version: 0, waitMs: 0 }, signal);
   t.deepEqual(
     next._unsafeUnwrap().rows.map(({ key }) => key),
     ['a'],
