--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -182,8 +182,10 @@
       const known = records.get(id);
       if (!known || bornMs === null) return;
       const entry = { ...known.entry, bornMs };
-      if (compareIncarnations(known.entry.bornMs, bornMs) === 'newer') restartRecord(known, entry);
-      else if (known.entry.bornMs === null) Object.assign(known, { entry });
+      if (compareIncarnations(known.entry.bornMs, bornMs) === 'newer') {
+        // The word of the one before is not its own.
+        restartRecord(known, { ...entry, isLeaving: false });
+      } else if (known.entry.bornMs === null) Object.assign(known, { entry });
     },
   };
 };
--- a/src/application/forwarding/_lib/createServerRecords/test.ts
+++ b/src/application/forwarding/_lib/createServerRecords/test.ts
@@ -131,3 +131,17 @@
   directory.applyRows([buildRow('a', 'x:1')], STORE);
   t.deepEqual(listIds(), ['a']);
 });
+
+// Symptom: a server that has started again gets nothing until its next entry.
+// Sequence: it says that it leaves, starts again under its old id, and its report says so first.
+// Cause: the word of the start before is kept.
+test('a server that left and started again under its id takes work again', (t) => {
+  const { directory, listIds } = setUp();
+  directory.applyRows([buildRow('a', 'x:1 ready 1000')], STORE);
+  directory.recordLeaving('a');
+  t.deepEqual(listIds(), []);
+  directory.applyRows([buildRow('a', 'x:1 ready 1000')], STORE);
+  t.deepEqual(listIds(), []);
+  directory.recordBorn('a', 2000);
+  t.deepEqual(listIds(), ['a']);
+});
