--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -1,4 +1,5 @@
 import {
+  countPromptTokens,
   chooseForwardServer,
   rankServers,
   type ServerEntry,
@@ -86,7 +87,7 @@
   first: StreamServers,
 ): Promise<StreamServers> => {
   const { directory, reservePrompt } = run.dependencies;
-  const promptTokens = run.context.request.tokens?.prompt ?? 0;
+  const promptTokens = countPromptTokens(run.context.request);
   let picked = first;
   for (let tries = 0; tries < MAX_RESERVED; tries += 1) {
     const othersTokens = await reservePrompt(picked.server.id, promptTokens);
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,4 +1,4 @@
-import type { AnswerHead } from '../../../../domain/forwarding';
+import { countPromptTokens, type AnswerHead } from '../../../../domain/forwarding';
 import type { GenerationEffect, Reader } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { AttemptAnswer } from '../../../ports';
@@ -41,7 +41,7 @@
 
 /** Counts the prompt tokens that the server has to read before others. */
 const countTokensToRead = (run: StreamRun, { copy, hasPrompt }: StreamServers): number =>
-  copy || hasPrompt ? 0 : (run.context.request.tokens?.prompt ?? 0);
+  copy || hasPrompt ? 0 : countPromptTokens(run.context.request);
 
 const buildAttempt = (run: StreamRun, servers: StreamServers, reader: Reader): StreamAttempt => {
   const { clock, directory } = run.dependencies;
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -1,4 +1,5 @@
 import {
+  countPromptTokens,
   chooseReportedServer,
   countNeededTokens,
   countReadingRuns,
@@ -82,7 +83,7 @@
 ): StreamServers | null => {
   const needs: ReportedNeeds = {
     neededTokens: countNeededTokens(run.context.request),
-    promptTokens: run.context.request.tokens?.prompt ?? 0,
+    promptTokens: countPromptTokens(run.context.request),
   };
   const predict = ({ report, unreadTokens }: ReportedServer): number =>
     predictFirstEvent(report, {
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -1,5 +1,5 @@
 import { updateGapStatistics } from '../../../../domain/detection';
-import { splitEvents, type StreamEvent } from '../../../../domain/forwarding';
+import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { recordCrash } from '../recordCrash';
@@ -28,7 +28,7 @@
   if (run.attempts.size === 1 && isWhole && run.lastEventAtMs === null) {
     const sample = {
       firstTokenMs: nowMs - attempt.sentAtMs,
-      promptCharacters: request.tokens?.prompt ?? 0,
+      promptCharacters: countPromptTokens(request),
     };
     run.paces.recordFirstToken(service, sample);
     // One that waited for others says little of the pace: a VM that had seen only such a one took
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -1,5 +1,10 @@
 import { computePrefillLimitMs, computeSilenceLimitMs } from '../../../../domain/detection';
-import { computeEventLimit, isRunLost, type ServerReport } from '../../../../domain/forwarding';
+import {
+  countPromptTokens,
+  computeEventLimit,
+  isRunLost,
+  type ServerReport,
+} from '../../../../domain/forwarding';
 import type { Reader } from '../../../../domain/generation';
 import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
@@ -36,7 +41,7 @@
 ): number => {
   const { request, route, service } = run.context;
   const samples = run.paces.listFirstTokens(service);
-  const slowest = computePrefillLimitMs(samples, request.tokens?.prompt ?? 0, { serverDead: true });
+  const slowest = computePrefillLimitMs(samples, countPromptTokens(request), { serverDead: true });
   return computeEventLimit({
     hasDelivered,
     hasCopy: hasTrustedCopy(run),
--- a/src/application/gossip/_lib/createMemberList/index.ts
+++ b/src/application/gossip/_lib/createMemberList/index.ts
@@ -50,15 +50,17 @@
   const vmOfNameId = new Map<number, string>();
   const failedAtMs = new Map<string, number>();
 
-  const listLive = (): readonly Member[] => {
-    const nowMs = clock.readMonotonicMs();
-    return [...known.values()]
-      .map(({ heardAtMs, member }) => ({ ...member, ageMs: Math.max(0, nowMs - heardAtMs) }))
-      .filter(({ ageMs }) => ageMs <= MEMBER_AGE_MS);
+  const listKnownLive = (): readonly Known[] => {
+    const sinceMs = clock.readMonotonicMs() - MEMBER_AGE_MS;
+    return [...known.values()].filter(({ heardAtMs }) => heardAtMs >= sinceMs);
   };
 
-  const isLive = ({ heardAtMs }: Known): boolean =>
-    clock.readMonotonicMs() - heardAtMs <= MEMBER_AGE_MS;
+  const computeAgeMs = ({ heardAtMs }: Known): number =>
+    Math.max(0, clock.readMonotonicMs() - heardAtMs);
+
+  const buildMember = (one: Known): Member => ({ ...one.member, ageMs: computeAgeMs(one) });
+
+  const listLive = (): readonly Member[] => listKnownLive().map(buildMember);
 
   return {
     record: (member) => {
@@ -79,16 +81,11 @@
         known.set(before.member.vm, { ...before, heardAtMs: nowMs - ageMs });
       });
     },
-    listHeard: () => {
-      const nowMs = clock.readMonotonicMs();
-      const live = [...known.values()].filter(isLive);
-      return new Map(live.map(({ heardAtMs, nameId }) => [nameId, Math.max(0, nowMs - heardAtMs)]));
-    },
-    listMissing: (heard) => {
-      const missing = [...known.values()].filter((one) => isLive(one) && !heard.has(one.nameId));
-      const names = new Set(missing.map(({ member }) => member.vm));
-      return listLive().filter(({ vm }) => names.has(vm));
-    },
+    listHeard: () => new Map(listKnownLive().map((one) => [one.nameId, computeAgeMs(one)])),
+    listMissing: (heard) =>
+      listKnownLive()
+        .filter(({ nameId }) => !heard.has(nameId))
+        .map(buildMember),
     recordCall: (vm, { hasAnswered }) => {
       if (hasAnswered) failedAtMs.delete(vm);
       else failedAtMs.set(vm, clock.readMonotonicMs());
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -22,6 +22,7 @@
 export { computePriority } from './computePriority';
 export { countCrashes } from './countCrashes';
 export { countNeededTokens } from './countNeededTokens';
+export { countPromptTokens } from './countPromptTokens';
 export { countReadingRuns } from './countReadingRuns';
 export { isReturning, type ReturningOptions } from './isReturning';
 export { findRoute } from './findRoute';
