--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -192,7 +192,7 @@
     );
     reply.left.addEventListener('abort', () => end('left'), { once: true });
     if (refuseQuarantined(run)) return;
-    // A caller who has the head of an answer is told nothing by its end: it may as well be finished.
+    // Once an answer has begun it can't be refused; what is on its way may still end well.
     cancelListener = crashes.addListener(run.fingerprint, () => {
       if (!reply.hasBegun()) refuseQuarantined(run);
     });
--- /dev/null
+++ b/src/application/forwarding/createQuarantineRows/test.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+import { createFakeClock, QUIET_LOG } from '../../../../standins/fakes';
+import { createVirtualStore } from '../../../../standins/gateway';
+import { decodeQuarantine, type SharedOutcome } from '../../../domain/forwarding';
+import { createQuarantineRows } from '.';
+
+const KEPT_MS = 3_600_000;
+
+const setUp = () => {
+  const clock = createFakeClock();
+  const store = createVirtualStore(clock);
+  const merged: SharedOutcome[] = [];
+  const quarantined = new Set(['f']);
+  const rows = createQuarantineRows({
+    table: 't',
+    store,
+    crashes: {
+      findQuarantine: (fingerprint) =>
+        quarantined.has(fingerprint)
+          ? { fingerprint, servers: ['i-1', 'i-2'], lastCrashAtMs: clock.readMonotonicMs() - 100 }
+          : null,
+      mergeOutcome: (outcome) => merged.push(outcome) > 0,
+    },
+    clock,
+    log: QUIET_LOG,
+    keptMs: KEPT_MS,
+  });
+  const readKeys = async (): Promise<readonly string[]> => {
+    const read = store.readRows('t');
+    await clock.advanceAsync(10);
+    return (await read)._unsafeUnwrap().rows.map(({ key }) => key);
+  };
+  const write = (key: string, ageMs: number): void =>
+    store.writeRow('t', key, {
+      servers: ['i-1', 'i-2', 'i-3'],
+      last_crash_unix_ms: clock.readWallMs() - ageMs,
+    });
+  return { clock, merged, quarantined, readKeys, rows, store, write };
+};
+
+test('a quarantine is written with the age of its last crash', async (t) => {
+  const { clock, rows, store } = setUp();
+  rows.startWrite('f');
+  await clock.advanceAsync(500);
+  const read = store.readRows('t');
+  await clock.advanceAsync(10);
+  const [row] = (await read)._unsafeUnwrap().rows;
+  const { lastCrashAtMs, servers } = decodeQuarantine('f', row!.value!)._unsafeUnwrap();
+  t.deepEqual(servers, ['i-1', 'i-2']);
+  t.is(lastCrashAtMs, clock.readWallMs() - 110);
+});
+
+test('one that proves void a moment later is not written', async (t) => {
+  const { clock, quarantined, readKeys, rows } = setUp();
+  rows.startWrite('f');
+  quarantined.clear();
+  await clock.advanceAsync(5000);
+  t.deepEqual(await readKeys(), []);
+});
+
+test('a store that is away is asked again until it is back', async (t) => {
+  const { clock, readKeys, rows, store } = setUp();
+  store.setSilent(true);
+  rows.startWrite('f');
+  await clock.advanceAsync(4000);
+  store.setSilent(false);
+  await clock.advanceAsync(2000);
+  t.deepEqual(await readKeys(), ['f']);
+});
+
+test('a new process takes over what is young, and removes what is old', async (t) => {
+  const { clock, merged, readKeys, rows, write } = setUp();
+  write('young', 5000);
+  write('old', KEPT_MS);
+  rows.startRead();
+  await clock.advanceAsync(100);
+  t.deepEqual(
+    merged.map(({ fingerprint, server }) => `${fingerprint} ${server}`),
+    ['young i-1', 'young i-2', 'young i-3'],
+  );
+  t.true(merged.every(({ ageMs, hasCrashed }) => hasCrashed && ageMs >= 5000 && ageMs < 5100));
+  t.deepEqual(await readKeys(), ['young']);
+});
+
+test('a row that can not be read holds up no other one, and stays', async (t) => {
+  const { clock, merged, readKeys, rows, store, write } = setUp();
+  store.writeRow('t', 'spoiled', { servers: 7 });
+  write('young', 5000);
+  rows.startRead();
+  await clock.advanceAsync(100);
+  t.is(merged.length, 3);
+  t.deepEqual(await readKeys(), ['spoiled', 'young']);
+});
