Take a broken connection for a server's end only where the server has ended

Cause: an attempt that broke before its answer began was evidence, though a request ends a server only as it begins to run. Calls have no head before their answer: 0.4 s later the server is asked who it is, and another one too (createCrashProbe); only one that is not there, while another answers, has ended. Within one call three broken connections are enough to stop. Ruled out: waiting for the store's word (3.6 s of silence, later than the bound).

--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -60,7 +60,7 @@
       const kind = runs === 0 && attempt === 1 ? 'not-run' : 'deadline-passed';
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
-    if (crashes.readQuarantineMs() > 0) break;
+    if (crashes.hasCrashedOften() || crashes.readQuarantineMs() > 0) break;
     const status = chooseForwardServer(directory.listServing(service), {
       excludedIds,
       avoidedZone: null,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -10,7 +10,6 @@
 import { readWholeBody } from '../readWholeBody';
 import { recordAnswerHead } from '../recordAnswerHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
-import { recordCrash } from '../recordCrash';
 import { recordDecision } from '../recordDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
 import { releaseCopy } from '../releaseCopy';
@@ -187,7 +186,6 @@
       { attempt: reader.attempt, outcome: sent.error.kind },
       server,
     );
-    if (sent.error.kind === 'broken') recordCrash(run, attempt);
     const isRefused = sent.error.kind === 'not-started';
     if (isRefused) {
       releaseCopy(run, copy, server.id);
--- a/src/application/forwarding/createCrashHistory/index.ts
+++ b/src/application/forwarding/createCrashHistory/index.ts
@@ -39,7 +39,7 @@
 }
 
 /** Servers that a request may end: the next one could be lost for another reason. */
-const MAX_CRASHES = 3;
+export const MAX_CRASHES = 3;
 
 /** After its last crash a request is tried again only this much later. */
 const QUARANTINE_MS = 600_000;
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -1,5 +1,6 @@
 export { CRASHES_KEPT_MS, createCrashHistory, type CrashHistory } from './createCrashHistory';
 export { createQuarantineRows, type QuarantineRows } from './createQuarantineRows';
+export { createCrashProbe, type CrashProbe } from './createCrashProbe';
 export { createForwarder, type Forwarder } from './createForwarder';
 export {
   createPromptPlaces,
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
 import type { RetryAllowance } from '../createRetryAllowance';
 import type { RetryLender } from '../createRetryLender';
@@ -13,6 +14,7 @@
   readonly clock: Clock;
   /** Which requests end the servers that run them. */
   readonly crashes: CrashHistory;
+  readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- a/src/domain/forwarding/hasEndedEarly/index.ts
+++ b/src/domain/forwarding/hasEndedEarly/index.ts
@@ -2,7 +2,8 @@
 const EARLY_MS = 1000;
 
 /**
- * Says whether a run broke off so early that the request itself may have ended the server.
+ * Says whether a run broke off so early that the request itself may have ended the server. One that
+ * had not begun did not.
  *
  * @param run.headAtMs - when the server's head came; null if none did
  * @param run.nowMs - when the run broke off
@@ -13,4 +14,4 @@
 }: {
   readonly headAtMs: number | null;
   readonly nowMs: number;
-}): boolean => headAtMs === null || nowMs - headAtMs <= EARLY_MS;
+}): boolean => headAtMs !== null && nowMs - headAtMs <= EARLY_MS;
--- /dev/null
+++ b/src/programs/gateway/_lib/wireCrashes/index.ts
@@ -0,0 +1,73 @@
+import {
+  createCrashHistory,
+  createCrashProbe,
+  createQuarantineRows,
+  CRASHES_KEPT_MS,
+  type CrashHistory,
+  type CrashProbe,
+  type QuarantineRows,
+  type RouteTableHolder,
+  type ServerDirectory,
+} from '../../../../application/forwarding';
+import type { Gossip } from '../../../../application/gossip';
+import type { Clock, EventLog, ForwardClient, Randomness } from '../../../../application/ports';
+import { TABLES, type StoreClient } from '../../../../../platform';
+
+/** What the parts work with. */
+export interface CrashPartsDependencies {
+  readonly client: ForwardClient;
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly log: EventLog;
+  readonly randomness: Randomness;
+  readonly store: StoreClient;
+  readonly tables: RouteTableHolder;
+  readonly tellOutcome: Gossip['sendOutcome'];
+}
+
+/** The parts that know of requests which end their servers. */
+export interface CrashParts {
+  readonly crashes: CrashHistory;
+  readonly crashProbe: CrashProbe;
+  readonly quarantineRows: QuarantineRows;
+}
+
+/** Wires what knows of requests that end their servers. */
+export const wireCrashes = ({
+  client,
+  clock,
+  directory,
+  log,
+  randomness,
+  store,
+  tables,
+  tellOutcome,
+}: CrashPartsDependencies): CrashParts => {
+  let writeQuarantine: QuarantineRows['startWrite'] = () => undefined;
+  const crashes = createCrashHistory({
+    clock,
+    log,
+    hasAnsweredSince: directory.hasAnsweredSince,
+    tellOutcome,
+    handleQuarantine: (fingerprint) => writeQuarantine(fingerprint),
+  });
+  const quarantineRows = createQuarantineRows({
+    table: TABLES.quarantines,
+    store,
+    crashes,
+    clock,
+    log,
+    keptMs: CRASHES_KEPT_MS,
+  });
+  writeQuarantine = quarantineRows.startWrite;
+  const crashProbe = createCrashProbe({
+    client,
+    clock,
+    crashes,
+    directory,
+    log,
+    randomness,
+    tables,
+  });
+  return { crashes, crashProbe, quarantineRows };
+};
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -2,12 +2,9 @@
 import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
-  CRASHES_KEPT_MS,
-  createCrashHistory,
   createForwarder,
   createIdentityWatch,
   createPromptPlaces,
-  createQuarantineRows,
   type QuarantineRows,
   type PromptPlaces,
   createRetryAllowance,
@@ -36,6 +33,7 @@
   TABLES,
   type StoreClient,
 } from '../../../../../platform';
+import { wireCrashes } from '../wireCrashes';
 import {
   computeBurstPause,
   computeFollowWait,
@@ -93,7 +91,6 @@
   // The gossip tells of the followers' rows, which the directory takes: it is wired last.
   let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
   let sendInferred: Gossip['sendInferred'] = () => undefined;
-  let writeQuarantine: QuarantineRows['startWrite'] = () => undefined;
   let sendOutcome: Gossip['sendOutcome'] = () => undefined;
   let startIdentityWatch = (): void => undefined;
   const directory = createServerDirectory({
@@ -134,22 +131,16 @@
     [TABLES.operator, configuration],
     [TABLES.servers, servers],
   ]);
-  const crashes = createCrashHistory({
+  const { crashes, crashProbe, quarantineRows } = wireCrashes({
+    client,
     clock,
+    directory,
     log,
-    hasAnsweredSince: directory.hasAnsweredSince,
-    tellOutcome: (outcome) => sendOutcome(outcome),
-    handleQuarantine: (fingerprint) => writeQuarantine(fingerprint),
-  });
-  const quarantineRows = createQuarantineRows({
-    table: TABLES.quarantines,
+    randomness,
     store,
-    crashes,
-    clock,
-    log,
-    keptMs: CRASHES_KEPT_MS,
+    tables,
+    tellOutcome: (outcome) => sendOutcome(outcome),
   });
-  writeQuarantine = quarantineRows.startWrite;
   const calls = createGatewayClient();
   const self = {
     vm: settings.vm,
@@ -212,6 +203,7 @@
     client,
     clock,
     crashes,
+    crashProbe,
     directory,
     log,
     meter: metrics,
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -115,6 +115,7 @@
         tellOutcome: () => undefined,
         handleQuarantine: () => undefined,
       }),
+      crashProbe: { startProbe: () => undefined },
       directory,
       log: QUIET_LOG,
       meter: { recordRequest: () => undefined, recordResume: () => undefined },
--- a/tests/gateway/crashingRequests.test.ts
+++ b/tests/gateway/crashingRequests.test.ts
@@ -45,6 +45,10 @@
   for (let crashed = 0; crashed < 3; crashed += 1) await crashNext(bench, { begins: false });
   await answered;
   t.is(countRequests(bench), 3);
+  await bench.waitForLine(
+    'request crashed a server',
+    ({ isQuarantined }) => isQuarantined === true,
+  );
   t.is((await bench.send({ target: '/safe/x', id: 'request-2' })).status, REFUSED_STATUS);
   t.is(countRequests(bench), 3);
   await bench.stop();
@@ -107,3 +111,34 @@
   t.is((await followed.done).body, listEvents(1, 5));
   await bench.stop();
 });
+
+// Symptom: a caller who comes back is refused everywhere for ten minutes, though no server ended.
+// Sequence: the VM's path to the servers resets each connection; it tells the others of three crashes.
+// Cause: a connection that broke was taken for a server that ended.
+test('connections that are reset under requests put none of them into quarantine', async (t) => {
+  const bench = await startTestGateway({
+    serverIds: SERVER_IDS,
+    configuration: buildConfiguration(5),
+  });
+  const call = bench.send({ target: '/safe/x', headers: { [HEADERS.deadlineMs]: '2000' } });
+  for (let reset = 0; reset < 3; reset += 1) {
+    (await nextAnywhere(bench.servers)).request.socket.resetAndDestroy();
+  }
+  await call;
+  const stream = bench.follow(buildStream());
+  for (let reset = 0; reset < 3; reset += 1) {
+    (await nextAnywhere(bench.servers)).request.socket.resetAndDestroy();
+  }
+  sendEvents(await nextAnywhere(bench.servers), 1, 2);
+  t.is((await stream.done).body, listEvents(1, 2));
+  await bench.waitForLine('crash not confirmed');
+  t.deepEqual(
+    bench.lines.filter(({ message }) => message === 'request crashed a server'),
+    [],
+  );
+  const again = bench.send({ target: '/safe/x', id: 'request-2' });
+  const { request, server } = await nextAnywhere(bench.servers);
+  server.answer(request, 200, 'yes');
+  t.is((await again).status, 200);
+  await bench.stop();
+});
