Remove the holder of a copy before the stream's events, not after them

Trace: with 1.5 s between the third event and the removal of the holder the same test fails with the same two addresses; the run's silence is over its limit before the removal is there, and to go on at the copy is right then. Now the holder is gone before the first event, so that no silence comes between. What is expected is unchanged. streams and streamLosses: 18 passed, three times.

--- a/tests/gateway/_lib/removeBackup/index.ts
+++ b/tests/gateway/_lib/removeBackup/index.ts
@@ -5,8 +5,8 @@
 import type { FollowedAnswer, TestGateway } from '../startTestGateway';
 
 /**
- * Answers a stream with its first three events, then removes the server that its memory is copied
- * to: from here on the run is to be moved.
+ * Removes the server that a stream's memory is copied to, then answers with the first three events:
+ * from here on the run is to be moved.
  */
 export const removeBackup = async (
   bench: TestGateway,
@@ -14,9 +14,10 @@
 ): Promise<{ readonly first: Taken; readonly backup: StandInServer }> => {
   const first = await nextAnywhere(bench.servers);
   const backup = findBackup(bench, first);
+  bench.store.writeRow(TABLES.servers, backup.id, null);
+  await bench.waitForLine('server gone', ({ server }) => server === backup.id);
   first.server.begin(first.request);
   first.server.emit(first.request, 1, 3);
   await followed.waitForText(formatStandInEvent(3));
-  bench.store.writeRow(TABLES.servers, backup.id, null);
   return { first, backup };
 };
