Ask servers of other services whether a crash was one

Cause: the probe of a broken call asked one other server of the same service, to tell a server that ended from a VM that is cut off. A call that ends all servers of a small service within 0.4 s leaves none to answer: its crashes were not confirmed and it got into no quarantine, so that its repetitions ended the servers again as they came back.

Change: one server of each service is asked; any answer shows that this VM reaches servers. It costs one probe more a service and broken call.

Test: 'a call that crashed all servers of its service within a moment is put into quarantine' fails before ('crash not confirmed'), passes now; the test of connections that are reset passes before and after.

--- a/src/application/forwarding/createCrashProbe/index.ts
+++ b/src/application/forwarding/createCrashProbe/index.ts
@@ -33,7 +33,8 @@
  * Creates the probe of this VM.
  *
  * Connections also break where the server stays: on the way, or as it sheds load. The server is asked
- * who it is, and another one as well: a VM that nobody answers is cut off itself, and has seen nothing.
+ * who it is, and one other of each service as well: a VM that nobody answers is cut off itself, and has
+ * seen nothing, while a service may be down as a whole.
  */
 export const createCrashProbe = ({
   client,
@@ -51,23 +52,29 @@
     return identity?.id === server.id;
   };
 
-  const findOther = ({ id, service }: ServerEntry): ServerEntry | null =>
+  const findOther = (service: string, excludedId: string): ServerEntry | null =>
     chooseForwardServer(directory.listServing(service), {
-      excludedIds: new Set([id]),
+      excludedIds: new Set([excludedId]),
       avoidedZone: null,
       preferredZone: null,
       draw: randomness.readFraction(),
     })?.entry ?? null;
 
+  /** One server of each service, where it has another one than this. */
+  const listOthers = ({ id }: ServerEntry): readonly ServerEntry[] =>
+    [...(tables.readCurrent()?.services.keys() ?? [])]
+      .map((service) => findOther(service, id))
+      .filter((other) => other !== null);
+
   const probe = async (
     run: Pick<RunOutcome, 'fingerprint' | 'requestId'>,
     server: ServerEntry,
   ): Promise<void> => {
-    const other = findOther(server);
-    const [isServerThere, isOtherThere] = await Promise.all([
+    const [isServerThere, othersThere] = await Promise.all([
       isThere(server),
-      other !== null && isThere(other),
+      Promise.all(listOthers(server).map(isThere)),
     ]);
+    const isOtherThere = othersThere.includes(true);
     if (!isServerThere && isOtherThere) {
       crashes.recordOutcome({ ...run, server: formatIncarnation(server), hasCrashed: true });
       return;
--- a/tests/gateway/crashingRequests.test.ts
+++ b/tests/gateway/crashingRequests.test.ts
@@ -3,9 +3,14 @@
 // and comes again at other VMs with the same path, caller and body.
 // Cause: failures are charged to servers only; what a request did is forgotten with its attempt.
 import test from 'ava';
-import { HEADERS } from '../../platform';
+import { HEADERS, TABLES } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
-import { buildWireConfiguration, formatStandInEvent } from '../../standins/gateway';
+import {
+  buildWireConfiguration,
+  buildWireEntry,
+  createStandInServer,
+  formatStandInEvent,
+} from '../../standins/gateway';
 import { buildStream } from './_lib/buildStream';
 import { countRequests } from './_lib/countRequests';
 import { crashNext } from './_lib/crashNext';
@@ -54,6 +59,29 @@
   await bench.stop();
 });
 
+test('a call that crashed all servers of its service within a moment is put into quarantine', async (t) => {
+  const { services } = buildWireConfiguration() as { services: object[] };
+  const other = { name: 'other', health_path: '/healthz', max_conns: 50 };
+  const bench = await startTestGateway({
+    serverIds: ['i-1', 'i-2', 'i-3'],
+    configuration: { ...buildConfiguration(5), services: [...services, other] },
+  });
+  const witness = await createStandInServer('i-9');
+  bench.store.writeRow(TABLES.servers, 'i-9', buildWireEntry(witness, { service: 'other' }));
+  await bench.waitForLine('server known', ({ server }) => server === 'i-9');
+  const answered = bench.send({ target: '/safe/x', headers: { [HEADERS.deadlineMs]: '2000' } });
+  for (let crashed = 0; crashed < 3; crashed += 1) await crashNext(bench, { begins: false });
+  await answered;
+  const verdict = await Promise.race([
+    bench.waitForLine('request crashed a server', ({ crashes }) => crashes === 3),
+    bench.waitForLine('crash not confirmed'),
+  ]);
+  t.true(verdict.isQuarantined);
+  t.is(witness.countRequests(), 0);
+  await bench.stop();
+  await witness.stop();
+});
+
 test('servers that a request crashed at another VM count here', async (t) => {
   const configuration = buildConfiguration(2);
   const port = await findFreePort();
