--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { ServerEntry } from '../../../../domain/forwarding';
 import type { Knowledge, Member } from '../../../../application/gossip';
+import { buildVerdictMessage, readVerdictMessage } from '../convertRollouts';
 import { buildTableChanges, readTableChanges } from '../convertTableChanges';
 import {
   InferredServerSchema,
@@ -38,13 +39,14 @@
     ),
     changes: knowledge.changes.map(buildTableChanges),
     suspicions: knowledge.suspicions.map((suspicion) => create(SuspicionSchema, { ...suspicion })),
-    inferred: knowledge.inferred.map(({ address, availabilityZone, id, service, slots }) =>
-      create(InferredServerSchema, { id, service, address, availabilityZone, slots }),
+    inferred: knowledge.inferred.map(({ address, availabilityZone, id, service, slots, version }) =>
+      create(InferredServerSchema, { id, service, address, availabilityZone, slots, version }),
     ),
     outcomes: knowledge.outcomes.map(({ ageMs, ...outcome }) =>
       create(RunOutcomeSchema, { ...outcome, ageMs: Math.round(ageMs) }),
     ),
     outcomesDigest: knowledge.outcomesDigest,
+    verdicts: knowledge.verdicts.map(buildVerdictMessage),
   });
 
 const readMember = (message: MemberMessage): Member => ({
@@ -63,6 +65,7 @@
   slots: message.slots,
   isLeaving: false,
   warmupLeftMs: 0,
+  version: message.version,
   bornMs: null,
 });
 
@@ -90,5 +93,6 @@
           ageMs,
         })),
         outcomesDigest: message.outcomesDigest,
+        verdicts: message.verdicts.map(readVerdictMessage).filter((verdict) => verdict !== null),
       }
     : null;
--- /dev/null
+++ b/src/adapters/connect/_lib/convertRollouts/index.ts
@@ -0,0 +1,62 @@
+import { create } from '@bufbuild/protobuf';
+import type { TrialReport } from '../../../../application/rollouts';
+import { RolloutState, type RolloutVerdict, type VersionTally } from '../../../../domain/rollouts';
+import {
+  ReportTrialRequestSchema,
+  RolloutVerdictSchema,
+  type ReportTrialRequest,
+  type RolloutVerdict as RolloutVerdictMessage,
+  type VersionTally as VersionTallyMessage,
+} from '../../gen/gateway_pb';
+
+const STATES: ReadonlyMap<string, RolloutState> = new Map(
+  Object.values(RolloutState).map((state) => [state, state]),
+);
+
+/** Converts a verdict to its message. */
+export const buildVerdictMessage = (verdict: RolloutVerdict): RolloutVerdictMessage =>
+  create(RolloutVerdictSchema, { ...verdict, sequence: BigInt(verdict.sequence) });
+
+/** Converts a message to a verdict; null if its state is not known here. */
+export const readVerdictMessage = ({
+  isStored,
+  sequence,
+  service,
+  state,
+  to,
+}: RolloutVerdictMessage): RolloutVerdict | null => {
+  const known = STATES.get(state);
+  return known ? { service, to, sequence: Number(sequence), state: known, isStored } : null;
+};
+
+/** Converts a report to its message. */
+export const buildReportMessage = (report: TrialReport): ReportTrialRequest =>
+  create(ReportTrialRequestSchema, {
+    sender: report.sender,
+    service: report.service,
+    sequence: BigInt(report.sequence),
+    tallies: [...report.tallies].map(([route, tally]) => ({ route, ...tally })),
+  });
+
+const readTally = (message: VersionTallyMessage | undefined): VersionTally => ({
+  requests: message?.requests ?? 0,
+  poor: message?.poor ?? 0,
+});
+
+/** Converts a message to a report. */
+export const readReportMessage = ({
+  sender,
+  sequence,
+  service,
+  tallies,
+}: ReportTrialRequest): TrialReport => ({
+  sender,
+  service,
+  sequence: Number(sequence),
+  tallies: new Map(
+    tallies.map(({ candidate, established, route }) => [
+      route,
+      { established: readTally(established), candidate: readTally(candidate) },
+    ]),
+  ),
+});
--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,8 +1,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { PlacedPrompt } from '../../../application/forwarding';
 import type { GossipCalls } from '../../../application/gossip';
+import type { TrialReport } from '../../../application/rollouts';
 import type { Statements, StatementsRequest } from '../../../application/rows';
+import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
+import { buildReportMessage, readVerdictMessage } from '../_lib/convertRollouts';
 import { buildRequestMessage, readStatementsMessage } from '../_lib/convertStatements';
 import { createUnaryCaller } from '../_lib/createUnaryCaller';
 import { GatewayService } from '../gen/gateway_pb';
@@ -21,6 +24,8 @@
     request: StatementsRequest,
     timeoutMs: number,
   ): Promise<Statements | null>;
+  /** Tells a gateway what was seen of a new version; null if it does not take it in time. */
+  reportTrial(address: string, report: TrialReport): Promise<RolloutVerdict | null>;
   /** Closes every connection. */
   close(): void;
 }
@@ -34,6 +39,9 @@
 /** A stream waits for this answer, and may ask two more. */
 const RETRY_TIMEOUT_MS = 100;
 
+/** Reports go to the next gateway in line then; a bad version must be known within a second or two. */
+const REPORT_TIMEOUT_MS = 300;
+
 /** A prompt waits for this answer; sound gateways take some milliseconds. */
 const RESERVE_WAIT_MS = 30;
 
@@ -66,6 +74,11 @@
       const answer = await call(address, METHODS.followTables, message, Math.ceil(timeoutMs));
       return answer && readStatementsMessage(answer);
     },
+    reportTrial: async (address, report) => {
+      const message = buildReportMessage(report);
+      const answer = await call(address, METHODS.reportTrial, message, REPORT_TIMEOUT_MS);
+      return answer?.verdict ? readVerdictMessage(answer.verdict) : null;
+    },
     close,
   };
 };
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,7 +1,10 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
 import type { Knowledge } from '../../../application/gossip';
+import type { TrialReport } from '../../../application/rollouts';
 import type { Statements, StatementsRequest } from '../../../application/rows';
+import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
+import { buildVerdictMessage, readReportMessage } from '../_lib/convertRollouts';
 import { buildStatementsMessage, readRequestMessage } from '../_lib/convertStatements';
 import { GatewayService } from '../gen/gateway_pb';
 
@@ -12,6 +15,8 @@
   readonly recordToldPrompt: (server: string, tokens: number) => void;
   readonly handleReservation: (server: string, tokens: number) => number;
   readonly handleRequest: (request: StatementsRequest) => Promise<Statements>;
+  /** Null if the order is not known here. */
+  readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
 }
 
 type Methods = typeof GatewayService.method;
@@ -26,6 +31,7 @@
 /** Creates the handlers of the calls between gateways. */
 export const createGatewayHandlers = ({
   handleKnowledge,
+  handleReport,
   handleRequest,
   handleReservation,
   lendRetry,
@@ -39,6 +45,10 @@
     recordToldPrompt(server, tokens);
     return {};
   },
+  reportTrial: async (request) => {
+    const verdict = handleReport(readReportMessage(request));
+    return verdict ? { verdict: buildVerdictMessage(verdict) } : {};
+  },
   followTables: async (request) =>
     buildStatementsMessage(await handleRequest(readRequestMessage(request))),
   exchange: async (request) => {
--- a/src/adapters/log/index.ts
+++ b/src/adapters/log/index.ts
@@ -4,3 +4,4 @@
 export type { LineLogger } from './createEventLog';
 export { createRoarrLogger } from './createRoarrLogger';
 export { createLineQueue, type LineQueue } from './createLineQueue';
+export { createSilentLog } from './createSilentLog';
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -29,10 +29,13 @@
 const MAX_RESERVED = 3;
 
 /** A server that stopped a run itself was not at fault: it is no less fit than before. */
-const findCopyServer = ({ copy, dependencies }: StreamRun): ServerEntry | null => {
+const findCopyServer = ({ context, copy, dependencies }: StreamRun): ServerEntry | null => {
   if (!copy?.hasBegun) return null;
   const { directory } = dependencies;
-  const servers = copy.holders.map(directory.findServing).filter((entry) => entry !== null);
+  const servers = copy.holders
+    .map(directory.findServing)
+    .filter((entry) => entry !== null)
+    .filter(context.servers.isAllowed);
   return servers.find(({ id }) => directory.isTrusted(id)) ?? servers[0] ?? null;
 };
 
@@ -43,9 +46,9 @@
   copy: HeldCopy | null,
   excludedIds: ReadonlySet<string>,
 ): StreamServers => {
-  const { directory, randomness } = run.dependencies;
-  const backup = keepsBackups(run)
-    ? chooseForwardServer(directory.listServing(run.context.service), {
+  const { randomness } = run.dependencies;
+  const backup = keepsBackups(run, server)
+    ? chooseForwardServer(run.context.servers.listHolders(server), {
         excludedIds: new Set([...excludedIds, server.id]),
         avoidedZone: server.availabilityZone,
         preferredZone: null,
@@ -70,8 +73,8 @@
  * time from anyone: refusing then would be a refusal while servers are free.
  */
 const chooseUnasked = (run: StreamRun, excludedIds: ReadonlySet<string>): StreamServers | null => {
-  const { availabilityZone, directory, randomness } = run.dependencies;
-  const status = chooseForwardServer(directory.listServing(run.context.service), {
+  const { availabilityZone, randomness } = run.dependencies;
+  const status = chooseForwardServer(run.context.servers.list(), {
     excludedIds,
     avoidedZone: null,
     preferredZone: availabilityZone,
@@ -106,10 +109,8 @@
   excludedIds: ReadonlySet<string>,
   count: number,
 ): readonly ServerStatus[] => {
-  const { request, service } = run.context;
-  const allowed = run.dependencies.directory
-    .listServing(service)
-    .filter(({ entry }) => !excludedIds.has(entry.id));
+  const { request, servers } = run.context;
+  const allowed = servers.list().filter(({ entry }) => !excludedIds.has(entry.id));
   return rankServers(allowed, request.promptParts.at(-1)?.id ?? request.requestId, count);
 };
 
--- a/src/application/forwarding/_lib/chooseStreamServers/test.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {
+  buildOpenServers,
   buildServerReport,
   createFakeClock,
   createSeededRandomness,
@@ -34,6 +35,7 @@
     },
     context: {
       service: MODEL_SERVICE,
+      servers: buildOpenServers(() => directory.listServing(MODEL_SERVICE)),
       request: {
         requestId: 'r',
         tokens: { prompt: 8200, maxOutput: 840 },
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -43,7 +43,7 @@
   context: ForwardContext,
 ): Promise<string> => {
   const { clock, directory, lender, randomness, retries } = dependencies;
-  const { deadlineAtMs, reply, route, service } = context;
+  const { deadlineAtMs, reply, route, servers, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
   const crashes = createCallCrashes(dependencies, context);
@@ -61,7 +61,7 @@
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
     if (crashes.hasCrashedOften() || crashes.readQuarantineMs() > 0) break;
-    const status = chooseForwardServer(directory.listServing(service), {
+    const status = chooseForwardServer(servers.list(), {
       excludedIds,
       avoidedZone: null,
       preferredZone: dependencies.availabilityZone,
@@ -94,12 +94,18 @@
       },
       status.entry,
     );
+    servers.recordSent(status.entry);
     const sentAtMs = clock.readMonotonicMs();
     const end = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
     });
     if (end.kind === 'left') return 'left';
+    const tookMs = clock.readMonotonicMs() - sentAtMs;
+    if (end.kind !== 'not-run') {
+      const isFailure = end.kind === 'failed';
+      servers.recordOutcome(status.entry, { isFailure, took: isFailure ? null : tookMs });
+    }
     if (end.kind !== 'not-run' || end.hasArrived) arrivals += 1;
     else if (isRepeat) retries.releaseRetry(service);
     if (end.kind === 'answered') {
@@ -117,7 +123,7 @@
         outcome: end.kind,
         reason: end.reason,
         fingerprint: crashes.readFingerprint(),
-        tookMs: Math.round(clock.readMonotonicMs() - sentAtMs),
+        tookMs: Math.round(tookMs),
       },
       status.entry,
     );
--- a/src/application/forwarding/_lib/keepsBackups/index.ts
+++ b/src/application/forwarding/_lib/keepsBackups/index.ts
@@ -1,5 +1,11 @@
+import type { ServerEntry } from '../../../../domain/forwarding';
 import type { StreamRun } from '../../types';
 
-/** True: servers of the run's service copy its memory to another one as it grows. */
-export const keepsBackups = ({ context, dependencies }: StreamRun): boolean =>
-  dependencies.tables.readCurrent()?.services.get(context.service)?.engine?.keepsBackups ?? false;
+/** True: this server of the run's service copies its memory to another one as it grows. */
+export const keepsBackups = (
+  { context, dependencies }: StreamRun,
+  server: ServerEntry,
+): boolean => {
+  const engine = dependencies.tables.readCurrent()?.services.get(context.service)?.engine;
+  return (engine?.keepsBackups ?? false) && !context.servers.isTrial(server);
+};
--- a/src/application/forwarding/_lib/moveRun/index.ts
+++ b/src/application/forwarding/_lib/moveRun/index.ts
@@ -19,8 +19,8 @@
 const MOVES_PART = 0.6;
 
 const chooseHolder = (run: StreamRun, source: ServerEntry): ServerEntry | null => {
-  const { directory, randomness } = run.dependencies;
-  const status = chooseForwardServer(directory.listServing(run.context.service), {
+  const { randomness } = run.dependencies;
+  const status = chooseForwardServer(run.context.servers.listHolders(source), {
     excludedIds: new Set([source.id]),
     avoidedZone: null,
     preferredZone: source.availabilityZone,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -81,6 +81,7 @@
     run.dispatch({ kind: 'not-started', reader, refused: false });
     return;
   }
+  run.context.servers.recordOutcome(attempt.server, { isFailure: true, took: null });
   const read = head.isGenuine ? await readWholeBody(body) : null;
   if (read?.isOk()) Object.assign(run, { failure: { head, body: read.value } });
   if (read?.isOk() && head.status < SERVER_ERROR_STATUS) {
@@ -156,6 +157,7 @@
   );
   const tokensToRead = countTokensToRead(run, servers);
   if (tokensToRead > 0) run.dependencies.tellPrompt(server.id, tokensToRead);
+  context.servers.recordSent(server);
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopWatch = startSilenceWatch(run, attempt, reader);
   attempt.stopCopies = startCopyWatch(run, attempt, reader);
@@ -187,6 +189,9 @@
       server,
     );
     const isRefused = sent.error.kind === 'not-started';
+    if (sent.error.kind === 'broken') {
+      context.servers.recordOutcome(server, { isFailure: true, took: null });
+    }
     if (isRefused) {
       releaseCopy(run, copy, server.id);
       if (isRepeat) retries.releaseRetry(context.service);
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -65,7 +65,7 @@
     predictedMs,
     // A prompt that is held needs no reading: its silence is no work.
     expectedMs: hasPrompt ? 0 : readingMs,
-    backup: keepsBackups(run) ? (backup?.entry ?? null) : null,
+    backup: keepsBackups(run, chosen.entry) ? (backup?.entry ?? null) : null,
   };
 };
 
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -5,6 +5,15 @@
 import { recordCrash } from '../recordCrash';
 import { startSilenceWatch } from '../startSilenceWatch';
 
+/** Tells roll-outs how a server fared; only a prompt that it read at once says how fast it is. */
+const recordFirstEvent = (run: StreamRun, attempt: StreamAttempt, nowMs: number): void => {
+  const { request, servers } = run.context;
+  const tokens = countPromptTokens(request);
+  const saysPace = attempt.wasFree && request.lastEventId === null && tokens > 0;
+  const took = saysPace ? (nowMs - attempt.sentAtMs) / tokens : null;
+  servers.recordOutcome(attempt.server, { isFailure: false, took });
+};
+
 const recordActivity = (run: StreamRun, attempt: StreamAttempt, reader: Reader): void => {
   const { clock } = run.dependencies;
   const { request, service } = run.context;
@@ -23,6 +32,7 @@
   // The limit is another one from here on, and a far shorter one.
   Object.assign(attempt, { stopWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
+  recordFirstEvent(run, attempt, nowMs);
   // Only a whole prompt says how long one takes: that of a caller who comes back may be cached.
   const isWhole = run.prompts === 1 && request.lastEventId === null;
   if (run.attempts.size === 1 && isWhole && run.lastEventAtMs === null) {
@@ -77,6 +87,7 @@
     if (attempt.isMoving) return;
     if (isCurrent()) {
       run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
+      run.context.servers.recordOutcome(attempt.server, { isFailure: true, took: null });
       recordCrash(run, attempt);
     }
     run.dependencies.log.info('stream broke off', {
--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -25,6 +25,8 @@
 
   /** Returns when to look again. */
   const look = async (): Promise<number> => {
+    // What tries a new version goes on at the established one by its prompt: memory is not shared.
+    if (run.context.servers.isTrial(attempt.server)) return LOOK_MS;
     const traits = tables.readCurrent()?.services.get(service)?.engine;
     if (!traits?.copiesRuns || !attempt.hasDelivered || hasTrustedCopy(run)) return LOOK_MS;
     const isStoppedThere = await moveRun(run, attempt);
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -95,6 +95,7 @@
       },
       attempt.server,
     );
+    run.context.servers.recordOutcome(attempt.server, { isFailure: true, took: null });
     run.dispatch({ kind: 'silent', reader, confirmed: true });
   };
 
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { NO_GAPS } from '../../../../domain/detection';
-import { createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
+import { buildOpenServers, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { GenerationInput } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { startSilenceWatch } from '.';
@@ -25,6 +25,7 @@
       request: { requestId: 'r-1', arrivedAtMs: 0, tokens: null },
       route: { name: 'r', latencyGoalMs: 4000, gapGoalMs: 700 },
       service: 's',
+      servers: buildOpenServers(() => []),
       version: 1,
     },
     paces: { listFirstTokens: () => [] },
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -42,7 +42,7 @@
 
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
-  const { clock, log, meter, randomness, retries, tables } = dependencies;
+  const { clock, log, meter, randomness, retries, rollouts, tables } = dependencies;
   const shared = { paces: createPaceHistory(), overload: createOverloadWatch(clock) };
   const startedAtMs = clock.readMonotonicMs();
   /** By route: the longest time that a caller waited. */
@@ -99,6 +99,7 @@
         longestMs,
         shortestReturnMs: route.latencyGoalMs * SHORTEST_RETURN_PART,
       }),
+      servers: rollouts.openRequest({ service, route: route.name }),
       reply,
       deadlineAtMs: request.arrivedAtMs + waitMs,
       version: table.version,
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -1,4 +1,5 @@
 import type { ForwardedRequest, KeyHolder, Route } from '../../../domain/forwarding';
+import type { RequestServers } from '../../rollouts';
 import type { CallerReply } from './CallerReply';
 
 /** One request on its way. */
@@ -11,6 +12,8 @@
   readonly priority: number;
   /** True: the caller was refused before, and does not come back a second time. */
   readonly isReturning: boolean;
+  /** Servers that it may go to. */
+  readonly servers: RequestServers;
   readonly reply: CallerReply;
   /** Monotonic time at which the caller, or the route, stops waiting. */
   readonly deadlineAtMs: number;
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { Rollouts } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
 import type { RetryAllowance } from '../createRetryAllowance';
@@ -20,6 +21,7 @@
   readonly meter: ForwardingMeter;
   readonly randomness: Randomness;
   readonly retries: RetryAllowance;
+  readonly rollouts: Pick<Rollouts, 'openRequest'>;
   readonly lender: RetryLender;
   readonly tables: RouteTableHolder;
   /** Tells other VMs of a prompt that was sent to a server just now. */
--- a/src/application/gossip/_lib/createNewsGatherer/index.ts
+++ b/src/application/gossip/_lib/createNewsGatherer/index.ts
@@ -1,12 +1,19 @@
 import type { SharedOutcome } from '../../../../domain/forwarding';
+import type { RolloutVerdict } from '../../../../domain/rollouts';
 import type { Clock } from '../../../ports';
 import type { Knowledge } from '../../types';
 
 /** What is told at once. */
-export type News = Pick<Knowledge, 'inferred' | 'members' | 'outcomes' | 'suspicions'>;
+export type News = Pick<Knowledge, 'inferred' | 'members' | 'outcomes' | 'suspicions' | 'verdicts'>;
 
 /** Nothing to tell. */
-export const NO_NEWS: News = { suspicions: [], inferred: [], members: [], outcomes: [] };
+export const NO_NEWS: News = {
+  suspicions: [],
+  inferred: [],
+  members: [],
+  outcomes: [],
+  verdicts: [],
+};
 
 /** What a gatherer needs. */
 export interface NewsGathererDependencies {
@@ -39,11 +46,15 @@
 const buildOutcomeKey = ({ fingerprint, hasCrashed, server }: SharedOutcome): string =>
   `${fingerprint} ${server} ${hasCrashed}`;
 
-const listKeys = ({ inferred, members, outcomes, suspicions }: News): string[] => [
+const buildVerdictKey = ({ isStored, sequence, service, state }: RolloutVerdict): string =>
+  `${service} ${sequence} ${state} ${isStored}`;
+
+const listKeys = ({ inferred, members, outcomes, suspicions, verdicts }: News): string[] => [
   ...suspicions.map(({ server }) => server),
   ...inferred.map(({ id }) => id),
   ...members.map(({ vm }) => vm),
   ...outcomes.map(buildOutcomeKey),
+  ...verdicts.map(buildVerdictKey),
 ];
 
 const countNews = (news: News): number => listKeys(news).length;
@@ -73,11 +84,12 @@
       .forEach((key) => passedAtMs.set(key, nowMs));
   };
 
-  const filterNew = ({ inferred, members, outcomes, suspicions }: News): News => ({
+  const filterNew = ({ inferred, members, outcomes, suspicions, verdicts }: News): News => ({
     suspicions: suspicions.filter(({ server }) => !passedAtMs.has(server)),
     inferred: inferred.filter(({ id }) => !passedAtMs.has(id)),
     members: members.filter(({ vm }) => !passedAtMs.has(vm)),
     outcomes: outcomes.filter((outcome) => !passedAtMs.has(buildOutcomeKey(outcome))),
+    verdicts: verdicts.filter((verdict) => !passedAtMs.has(buildVerdictKey(verdict))),
   });
 
   const schedule = (delayMs: number): void => {
@@ -105,6 +117,7 @@
         inferred: [...waiting.inferred, ...fresh.inferred],
         members: [...waiting.members, ...fresh.members],
         outcomes: [...waiting.outcomes, ...fresh.outcomes],
+        verdicts: [...waiting.verdicts, ...fresh.verdicts],
       };
       schedule(countNews(fresh) > fresh.members.length ? GATHER_MS : GATHER_MEMBERS_MS);
     },
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,11 +1,14 @@
 import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
+import type { RolloutVerdict } from '../../../domain/rollouts';
 import type { Clock, EventLog, Randomness } from '../../ports';
+import type { PassedVerdicts } from '../../rollouts';
 import { startLoop } from '../../time';
 import { computeOutcomesDigest } from '../_lib/computeOutcomesDigest';
 import { createMemberList } from '../_lib/createMemberList';
 import { createNewsGatherer, NO_NEWS, type News } from '../_lib/createNewsGatherer';
 import { drawSome } from '../_lib/drawSome';
 import { listTableChanges } from '../_lib/listTableChanges';
+import { recordJoined } from '../_lib/recordJoined';
 import type {
   GossipCalls,
   Knowledge,
@@ -25,6 +28,8 @@
   readonly followers: ReadonlyMap<string, PassedRows>;
   /** What is known of requests that end their servers. */
   readonly outcomes: PassedOutcomes;
+  /** What is known of roll-outs. */
+  readonly verdicts: PassedVerdicts;
   readonly clock: Clock;
   readonly randomness: Randomness;
   readonly log: EventLog;
@@ -48,6 +53,8 @@
   sendInferred(server: ServerEntry): void;
   /** Tells others how a server fared under a request. */
   sendOutcome(outcome: SharedOutcome): void;
+  /** Tells others of a verdict on a roll-out. */
+  sendVerdict(verdict: RolloutVerdict): void;
   /** Other VMs heard lately. */
   listMembers(): readonly Member[];
   /** VMs heard lately, this one included. */
@@ -68,9 +75,6 @@
 /** VMs that one answer tells of at most, of those that the other does not know: 50 bytes each. */
 const MAX_TOLD_MEMBERS = 400;
 
-/** Members that one line of the log names: hundreds come with the first message. */
-const MAX_LOGGED_MEMBERS = 10;
-
 /** A seed is asked with this chance in each exchange, so that two halves find each other again. */
 const SEED_CHANCE = 0.15;
 
@@ -86,6 +90,7 @@
     outcomes,
     randomness,
     self,
+    verdicts,
   } = dependencies;
   let { seedAddresses } = dependencies;
   const members = createMemberList({ self: self.vm, clock });
@@ -115,6 +120,7 @@
     changes: listTableChanges(followers, versions),
     outcomesDigest: computeOutcomesDigest(outcomes.listOutcomes()),
     ...told,
+    verdicts: verdicts.listVerdicts(),
   });
 
   let tell: (gathered: News) => void = () => undefined;
@@ -123,16 +129,7 @@
   const mergeKnowledge = (taken: Knowledge): void => {
     const joined = [taken.sender, ...taken.members].filter((member) => members.record(member));
     members.recordHeard(taken.heard);
-    if (joined.length > 0) {
-      log.info('peers known', {
-        from: taken.sender.vm,
-        count: joined.length,
-        peers: joined
-          .slice(0, MAX_LOGGED_MEMBERS)
-          .map(({ address, vm }) => `${vm} ${address}`)
-          .join(', '),
-      });
-    }
+    recordJoined(log, taken.sender.vm, joined);
     versionsOf.set(taken.sender.vm, taken.versions);
     taken.changes.forEach(({ after, rows, table, version }) =>
       followers.get(table)?.mergeChanges({ rows, version }, after),
@@ -141,8 +138,10 @@
     taken.inferred.forEach(handleInferred);
     // Where all VMs are told at once, nobody needs to pass it on.
     const fresh = taken.outcomes.filter(outcomes.mergeOutcome);
-    if (members.isLarge()) gatherer.gather({ ...taken, members: joined, outcomes: fresh });
-    else gatherer.recordPassed({ ...taken, members: [] });
+    const changed = taken.verdicts.filter(verdicts.mergeVerdict);
+    if (members.isLarge()) {
+      gatherer.gather({ ...taken, members: joined, outcomes: fresh, verdicts: changed });
+    } else gatherer.recordPassed({ ...taken, members: [] });
   };
 
   const askMembers = (knowledge: Knowledge): Knowledge => ({
@@ -155,8 +154,8 @@
     const versions = vm === null ? undefined : versionsOf.get(vm);
     const knowledge = buildKnowledge(versions, told);
     // News of servers comes by the dozen when an availability zone is lost.
-    const isOfServers = told.suspicions.length + told.inferred.length + told.outcomes.length > 0;
-    const sent = isOfServers ? knowledge : askMembers(knowledge);
+    const news = [told.suspicions, told.inferred, told.outcomes, told.verdicts];
+    const sent = news.some((some) => some.length > 0) ? knowledge : askMembers(knowledge);
     const taken = await calls.exchangeKnowledge(address, sent);
     if (vm !== null) members.recordCall(vm, { hasAnswered: taken !== null });
     if (taken && !isStopped) mergeKnowledge(taken);
@@ -233,6 +232,7 @@
     },
     sendInferred: (server) => gatherer.gather({ ...NO_NEWS, inferred: [server] }),
     sendOutcome: (outcome) => gatherer.gather({ ...NO_NEWS, outcomes: [outcome] }),
+    sendVerdict: (verdict) => gatherer.gather({ ...NO_NEWS, verdicts: [verdict] }),
     drawAddresses: (count) =>
       drawSome(members.listLive(), count, randomness).map(({ address }) => address),
     listMembers: members.listLive,
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -1,5 +1,6 @@
 import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
 import type { SharedRow } from '../../ports';
+import type { RolloutVerdict } from '../../../domain/rollouts';
 import type { RowFollower } from '../../rows';
 
 /** A VM as others know it. */
@@ -48,6 +49,8 @@
   readonly outcomes: readonly SharedOutcome[];
   /** Digest of the outcomes that the sender knows: one that knows others tells them. */
   readonly outcomesDigest: number;
+  /** Roll-outs that have come to another state lately. */
+  readonly verdicts: readonly RolloutVerdict[];
 }
 
 /** Calls to other VMs. */
--- a/src/application/ports/RowWriter.ts
+++ b/src/application/ports/RowWriter.ts
@@ -8,6 +8,8 @@
   readonly writes: readonly { readonly key: string; readonly value: Buffer }[];
   /** Keys of rows to remove. */
   readonly removed: readonly string[];
+  /** Versions that rows must have, or nothing is changed; 0: there must be no such row. */
+  readonly expected?: readonly { readonly key: string; readonly version: number }[];
 }
 
 /** Writes to shared tables. */
--- a/src/domain/forwarding/types/GatewaySettings.ts
+++ b/src/domain/forwarding/types/GatewaySettings.ts
@@ -13,6 +13,10 @@
   readonly retryWindowMs: number;
   /** Such sends that are free in each window, over all VMs. */
   readonly retryExtra: number;
+  /** Requests that a new version may get before it is known to be sound, as a part of its service's. */
+  readonly trialRatio: number;
+  /** Such requests on top, over all VMs. */
+  readonly trialExtra: number;
 }
 
 /** Checked settings of a gateway. */
--- a/src/domain/forwarding/types/ServerEntry.ts
+++ b/src/domain/forwarding/types/ServerEntry.ts
@@ -13,6 +13,8 @@
   readonly isLeaving: boolean;
   /** How much longer it is slow after its start, in milliseconds, when it wrote the entry. */
   readonly warmupLeftMs: number;
+  /** Version of its software; empty if it does not tell. */
+  readonly version: string;
   /** When it started, in Unix milliseconds; null if it does not tell. */
   readonly bornMs: number | null;
 }
--- /dev/null
+++ b/src/domain/rollouts/addTallies/index.ts
@@ -0,0 +1,28 @@
+import type { RolloutTallies, RouteTally, VersionTally } from '../types';
+
+const EMPTY: VersionTally = { requests: 0, poor: 0 };
+
+const add = (left: VersionTally, right: VersionTally): VersionTally => ({
+  requests: left.requests + right.requests,
+  poor: left.poor + right.poor,
+});
+
+/**
+ * Adds tallies of several VMs up, route by route.
+ *
+ * @example
+ * addTallies([new Map([['r', tally]]), new Map([['r', tally]])]); // twice the tally of 'r'
+ */
+export const addTallies = (all: readonly RolloutTallies[]): RolloutTallies => {
+  const sums = new Map<string, RouteTally>();
+  all.forEach((tallies) =>
+    tallies.forEach(({ candidate, established }, route) => {
+      const before = sums.get(route) ?? { established: EMPTY, candidate: EMPTY };
+      sums.set(route, {
+        established: add(before.established, established),
+        candidate: add(before.candidate, candidate),
+      });
+    }),
+  );
+  return sums;
+};
--- /dev/null
+++ b/src/domain/rollouts/computeTrialAllowance/test.ts
@@ -0,0 +1,26 @@
+import test from 'ava';
+import { computeTrialAllowance } from '.';
+
+const options = {
+  bounds: { trialRatio: 0.1, trialExtra: 50 },
+  requests: 0,
+  vms: 85,
+  ageMs: 12_000,
+  durationMs: 12_000,
+  draw: 0,
+};
+
+test('VMs that do not ask each other stay within half of the bounds together', (t) => {
+  const fleets = [1, 9, 85, 340].map((vms) =>
+    Array.from({ length: vms }, (_, index) =>
+      computeTrialAllowance({ ...options, vms, requests: 24, draw: (index + 0.5) / vms }),
+    ).reduce((sum, one) => sum + one, 0),
+  );
+  [1, 9, 85, 340].forEach((vms, at) => t.true((fleets[at] ?? Infinity) <= 0.05 * 24 * vms + 25));
+});
+
+test('what is free of charge is spread over the first part of the time', (t) => {
+  const small = { ...options, vms: 9, draw: 0.5 };
+  t.is(computeTrialAllowance({ ...small, ageMs: 0 }), 0);
+  t.is(computeTrialAllowance({ ...small, ageMs: 6000 }), 2);
+});
--- /dev/null
+++ b/src/domain/rollouts/decideRollout/test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import { decideRollout, SWITCH_MS, type RolloutProgress } from '.';
+import { RolloutState } from '../types';
+
+const progress: RolloutProgress = {
+  state: RolloutState.InProgress,
+  ageMs: 1000,
+  durationMs: 12_000,
+  switchedMs: 0,
+  judgement: { kind: 'unknown', reason: '' },
+  hasEstablished: true,
+};
+
+const BAD = { kind: 'bad', route: 'r', reason: '' } as const;
+const SOUND = { kind: 'sound' } as const;
+
+test('a bad version is reverted at once, also while requests move to it', (t) => {
+  t.is(decideRollout({ ...progress, judgement: BAD }), RolloutState.Reverted);
+  const switching = { ...progress, state: RolloutState.Switching, judgement: BAD };
+  t.is(decideRollout(switching), RolloutState.Reverted);
+});
+
+test('a sound version is watched for most of the time before requests move to it', (t) => {
+  const early = { ...progress, judgement: SOUND, ageMs: 5000 };
+  t.is(decideRollout(early), RolloutState.InProgress);
+  t.is(decideRollout({ ...early, ageMs: 8000 }), RolloutState.Switching);
+});
+
+test('a version is completed only once all VMs send to it', (t) => {
+  const switching = { ...progress, state: RolloutState.Switching, judgement: SOUND };
+  t.is(decideRollout({ ...switching, switchedMs: SWITCH_MS - 1 }), RolloutState.Switching);
+  t.is(decideRollout({ ...switching, switchedMs: SWITCH_MS }), RolloutState.Completed);
+});
+
+test('a version that was not shown to be sound in time is reverted', (t) => {
+  t.is(decideRollout({ ...progress, ageMs: 11_000 }), RolloutState.Reverted);
+  t.is(decideRollout({ ...progress, ageMs: 60_000, judgement: SOUND }), RolloutState.Reverted);
+});
+
+test('a final state stays, whatever is seen later', (t) => {
+  const completed = { ...progress, state: RolloutState.Completed, judgement: BAD };
+  t.is(decideRollout(completed), RolloutState.Completed);
+  const reverted = { ...progress, state: RolloutState.Reverted, judgement: SOUND };
+  t.is(decideRollout(reverted), RolloutState.Reverted);
+});
+
+test('a service that has servers of the ordered version only is complete', (t) => {
+  const alone = { ...progress, hasEstablished: false };
+  t.is(decideRollout(alone), RolloutState.InProgress);
+  t.is(decideRollout({ ...alone, ageMs: 2500 }), RolloutState.Completed);
+});
--- /dev/null
+++ b/src/domain/rollouts/index.ts
@@ -0,0 +1,16 @@
+export { addTallies } from './addTallies';
+export { chooseTrialServers } from './chooseTrialServers';
+export { compareVerdicts } from './compareVerdicts';
+export { computeTrialAllowance } from './computeTrialAllowance';
+export { decideRollout, SWITCH_MS } from './decideRollout';
+export { judgeVersion } from './judgeVersion';
+export {
+  RolloutState,
+  type RolloutOrder,
+  type RolloutTallies,
+  type RolloutVerdict,
+  type RouteTally,
+  type TrialBounds,
+  type VersionJudgement,
+  type VersionTally,
+} from './types';
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -10,7 +10,7 @@
 /** What the endpoints tell of. */
 export interface EndpointParts extends Pick<
   GatewayParts,
-  'directory' | 'gossip' | 'lender' | 'log' | 'metrics' | 'places' | 'sharing'
+  'directory' | 'gossip' | 'lender' | 'log' | 'metrics' | 'places' | 'rolloutJudge' | 'sharing'
 > {
   readonly isReady: () => boolean;
 }
@@ -28,7 +28,17 @@
 /** Starts the readiness and metrics addresses, and the one for other gateways. */
 export const startEndpoints = async (
   settings: GatewaySettings,
-  { directory, gossip, isReady, lender, log, metrics, places, sharing }: EndpointParts,
+  {
+    directory,
+    gossip,
+    isReady,
+    lender,
+    log,
+    metrics,
+    places,
+    rolloutJudge,
+    sharing,
+  }: EndpointParts,
 ): Promise<Result<Endpoints, ListenError>> => {
   const readiness = new Hono();
   readiness.get(CALLS.ready, (call) =>
@@ -62,6 +72,7 @@
         lendRetry: lender.lendRetry,
         recordToldPrompt: directory.recordToldPrompt,
         handleReservation: places.handleReservation,
+        handleReport: rolloutJudge.handleReport,
         handleRequest: sharing.handleRequest,
       }),
     },
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -1,4 +1,5 @@
 import { createGatewayClient } from '../../../../adapters/connect';
+import { createSilentLog } from '../../../../adapters/log';
 import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
@@ -7,8 +8,6 @@
   createPromptPlaces,
   type QuarantineRows,
   type PromptPlaces,
-  createRetryAllowance,
-  createRetryLender,
   createRouteTableHolder,
   createServerDirectory,
   type Forwarder,
@@ -34,6 +33,8 @@
   type StoreClient,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireRetries } from '../wireRetries';
+import { wireRollouts, type RolloutParts } from '../wireRollouts';
 import {
   computeBurstPause,
   computeFollowWait,
@@ -66,16 +67,11 @@
   readonly lender: RetryLender;
   readonly quarantineRows: QuarantineRows;
   readonly places: PromptPlaces;
+  readonly rolloutJudge: RolloutParts['judge'];
   /** Closes all connections to servers and the store. */
   stop(): Promise<void>;
 }
 
-const SILENT_LOG: EventLog = {
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 /** Wires the parts of a gateway; nothing runs yet. */
 export const wireGateway = (
   settings: GatewaySettings,
@@ -83,7 +79,7 @@
 ): GatewayParts => {
   const clock = overrides.clock ?? createSystemClock();
   const randomness = overrides.randomness ?? createSystemRandomness();
-  const log = overrides.log ?? SILENT_LOG;
+  const log = overrides.log ?? createSilentLog();
   const metrics = createGatewayMetrics();
   const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
   const client = createServerClient({ clock });
@@ -110,6 +106,20 @@
   });
   const identities = createIdentityWatch({ client, clock, directory, log, tables });
   startIdentityWatch = identities.start;
+  const calls = createGatewayClient();
+  let listMembers: Gossip['listMembers'] = () => [];
+  let sendVerdict: Gossip['sendVerdict'] = () => undefined;
+  const { judge: rolloutJudge, rollouts } = wireRollouts({
+    settings,
+    clock,
+    directory,
+    listPeers: () => listMembers(),
+    log,
+    randomness,
+    sendReport: calls.reportTrial,
+    store,
+    tellVerdict: (verdict) => sendVerdict(verdict),
+  });
   // The configuration guards the servers' table: its changes are the rarer ones, and it is always there.
   const shared = computeSharing(settings.bounds);
   let handleAdvance = (): void => undefined;
@@ -123,7 +133,13 @@
     staleMs: shared?.staleMs ?? Infinity,
     burstPauseMs: computeBurstPause(settings.bounds),
     handleAdvance: () => handleAdvance(),
-    guard: { table: TABLES.operator, handleRows: tables.applyRows },
+    guard: {
+      table: TABLES.operator,
+      handleRows: (rows) => {
+        tables.applyRows(rows);
+        rollouts.applyRows(rows);
+      },
+    },
     guarded: { table: TABLES.servers, handleRows: directory.applyRows },
   });
   const { guard: configuration, guarded: servers } = pair;
@@ -141,7 +157,6 @@
     tables,
     tellOutcome: (outcome) => sendOutcome(outcome),
   });
-  const calls = createGatewayClient();
   const self = {
     vm: settings.vm,
     address: settings.peerAddress,
@@ -154,6 +169,7 @@
     calls,
     followers,
     outcomes: crashes,
+    verdicts: rollouts,
     clock,
     randomness,
     log,
@@ -166,6 +182,8 @@
   sendSuspicion = gossip.sendSuspicion;
   sendInferred = gossip.sendInferred;
   sendOutcome = gossip.sendOutcome;
+  sendVerdict = gossip.sendVerdict;
+  listMembers = gossip.listMembers;
   const sharing = createSharedReading({
     self,
     sharing: shared,
@@ -178,17 +196,8 @@
     log,
   });
   handleAdvance = sharing.handleAdvance;
-  const retries = createRetryAllowance({
-    bounds: settings.bounds,
-    clock,
-    countVms: () => gossip.countVms(),
-  });
-  const lender = createRetryLender({
-    retries,
-    log,
-    drawPeers: gossip.drawAddresses,
-    askPeer: calls.askRetry,
-  });
+  const { bounds } = settings;
+  const { lender, retries } = wireRetries({ bounds, calls, clock, gossip, log });
   const places = createPromptPlaces({
     self: settings.vm,
     listPeers: gossip.listMembers,
@@ -209,6 +218,7 @@
     meter: metrics,
     randomness,
     retries,
+    rollouts,
     tables,
     tellPrompt: places.tellPrompt,
     reservePrompt: places.reservePrompt,
@@ -226,8 +236,10 @@
     lender,
     quarantineRows,
     places,
+    rolloutJudge,
     stop: async () => {
       quarantineRows.stop();
+      rolloutJudge.stop();
       sharing.stop();
       gossip.stop();
       identities.stop();
--- /dev/null
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -0,0 +1,43 @@
+import type { GatewayClient } from '../../../../adapters/connect';
+import {
+  createRetryAllowance,
+  createRetryLender,
+  type RetryAllowance,
+  type RetryLender,
+} from '../../../../application/forwarding';
+import type { Gossip } from '../../../../application/gossip';
+import type { Clock, EventLog } from '../../../../application/ports';
+import type { GatewayBounds } from '../../../../domain/forwarding';
+
+/** What the parts work with. */
+export interface RetryPartsDependencies {
+  readonly bounds: GatewayBounds;
+  readonly calls: Pick<GatewayClient, 'askRetry'>;
+  readonly clock: Clock;
+  readonly gossip: Pick<Gossip, 'countVms' | 'drawAddresses'>;
+  readonly log: EventLog;
+}
+
+/** The parts that keep the bound on repeats. */
+export interface RetryParts {
+  readonly retries: RetryAllowance;
+  readonly lender: RetryLender;
+}
+
+/** Wires what keeps the bound on repeats. */
+export const wireRetries = ({
+  bounds,
+  calls,
+  clock,
+  gossip,
+  log,
+}: RetryPartsDependencies): RetryParts => {
+  const retries = createRetryAllowance({ bounds, clock, countVms: () => gossip.countVms() });
+  const lender = createRetryLender({
+    retries,
+    log,
+    drawPeers: gossip.drawAddresses,
+    askPeer: calls.askRetry,
+  });
+  return { retries, lender };
+};
--- /dev/null
+++ b/src/programs/gateway/_lib/wireRollouts/index.ts
@@ -0,0 +1,80 @@
+import { createRolloutCodec, decodeRolloutOrder, type StoreClient } from '../../../../../platform';
+import type { Clock, EventLog, Randomness } from '../../../../application/ports';
+import {
+  createRolloutJudge,
+  createRolloutRows,
+  createRollouts,
+  createTrialReporter,
+  type RolloutJudge,
+  type RolloutPeer,
+  type Rollouts,
+  type TrialReport,
+  type TrialReporter,
+} from '../../../../application/rollouts';
+import type { ServerDirectory } from '../../../../application/forwarding';
+import type { GatewaySettings } from '../../../../domain/forwarding';
+import type { RolloutVerdict } from '../../../../domain/rollouts';
+
+/** What the parts work with. */
+export interface RolloutPartsDependencies {
+  readonly settings: Pick<GatewaySettings, 'bounds' | 'vm'>;
+  readonly clock: Clock;
+  readonly directory: Pick<ServerDirectory, 'listServing'>;
+  readonly listPeers: () => readonly RolloutPeer[];
+  readonly log: EventLog;
+  readonly randomness: Randomness;
+  readonly sendReport: (address: string, report: TrialReport) => Promise<RolloutVerdict | null>;
+  readonly store: StoreClient;
+  readonly tellVerdict: (verdict: RolloutVerdict) => void;
+}
+
+/** The parts that move services to new versions. */
+export interface RolloutParts {
+  readonly rollouts: Rollouts;
+  readonly judge: RolloutJudge;
+}
+
+/** Wires what moves services to new versions. */
+export const wireRollouts = ({
+  clock,
+  directory,
+  listPeers,
+  log,
+  randomness,
+  sendReport,
+  settings,
+  store,
+  tellVerdict,
+}: RolloutPartsDependencies): RolloutParts => {
+  const { bounds, vm: self } = settings;
+  let watch: RolloutJudge['watch'] = () => undefined;
+  let recordEvidence: TrialReporter['recordEvidence'] = () => undefined;
+  const rollouts = createRollouts({
+    decodeOrder: decodeRolloutOrder,
+    bounds,
+    listServing: directory.listServing,
+    countVms: () => listPeers().length + 1,
+    clock,
+    log,
+    randomness,
+    tellVerdict,
+    handleChange: (service) => watch(service),
+    handleEvidence: (service) => recordEvidence(service),
+  });
+  const codec = createRolloutCodec();
+  const rows = createRolloutRows({ codec, store, rollouts, clock, log });
+  const judge = createRolloutJudge({ self, listPeers, rollouts, rows, clock, log });
+  const reporter = createTrialReporter({
+    self,
+    incarnation: String(clock.readWallMs()),
+    listPeers,
+    sendReport,
+    judge,
+    rollouts,
+    clock,
+    log,
+  });
+  watch = judge.watch;
+  recordEvidence = reporter.recordEvidence;
+  return { rollouts, judge };
+};
--- /dev/null
+++ b/standins/fakes/buildOpenServers/index.ts
@@ -0,0 +1,12 @@
+import type { RequestServers } from '../../../src/application/rollouts';
+import type { ServerStatus } from '../../../src/domain/forwarding';
+
+/** Servers of a request where no roll-out is under way. */
+export const buildOpenServers = (listServing: () => readonly ServerStatus[]): RequestServers => ({
+  list: listServing,
+  listHolders: listServing,
+  isTrial: () => false,
+  isAllowed: () => true,
+  recordSent: () => undefined,
+  recordOutcome: () => undefined,
+});
--- a/standins/fakes/buildServerStatus/index.ts
+++ b/standins/fakes/buildServerStatus/index.ts
@@ -13,6 +13,7 @@
     availabilityZone: zone,
     slots: 4,
     isLeaving: false,
+    version: 'v1',
     warmupLeftMs: 0,
     bornMs: null,
   },
--- a/standins/fakes/createDirectoryFixture/index.ts
+++ b/standins/fakes/createDirectoryFixture/index.ts
@@ -23,6 +23,7 @@
         availabilityZone: 'z1',
         slots: 4,
         isLeaving: state === 'leaving',
+        version: 'v1',
         warmupLeftMs: 0,
         bornMs: born === undefined ? null : Number(born),
       });
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,6 +1,7 @@
 export { buildDirectoryRow } from './buildDirectoryRow';
 export { createDirectoryFixture, STORE } from './createDirectoryFixture';
 export { buildSampleConfiguration } from './buildSampleConfiguration';
+export { buildOpenServers } from './buildOpenServers';
 export { buildServerReport } from './buildServerReport';
 export { buildServerStatus } from './buildServerStatus';
 export { QUIET_LOG } from './quietLog';
--- a/standins/gateway/buildGatewaySettings/index.ts
+++ b/standins/gateway/buildGatewaySettings/index.ts
@@ -20,5 +20,7 @@
     retryRatio: 0.8,
     retryWindowMs: 10_000,
     retryExtra: 150,
+    trialRatio: 0.1,
+    trialExtra: 50,
   },
 });
--- a/standins/gossip/createGossipFleet/index.ts
+++ b/standins/gossip/createGossipFleet/index.ts
@@ -68,6 +68,7 @@
         randomness: createSeededRandomness(index + 1),
         log: QUIET_LOG,
         outcomes: history,
+        verdicts: { listVerdicts: () => [], mergeVerdict: () => false },
         handleInferred: ({ id }) => inferred.push(`${vm} ${id}`),
         handleSuspicion: ({ server }: SharedSuspicion) => suspicions.push({ vm, server }),
       }),
--- a/standins/model/createModelDirectory/index.ts
+++ b/standins/model/createModelDirectory/index.ts
@@ -20,6 +20,7 @@
         availabilityZone: `z${Number(id.slice(2)) % MODEL_ZONES}`,
         slots: 64,
         isLeaving: false,
+        version: 'v1',
         warmupLeftMs: 0,
         bornMs: null,
       }),
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -6,6 +6,7 @@
   type Forwarder,
   type ServerDirectory,
 } from '../../../src/application/forwarding';
+import { createRollouts } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
 import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
 import { createModelDirectory, MODEL_SERVICE, MODEL_ZONES } from '../createModelDirectory';
@@ -121,6 +122,18 @@
       meter: { recordRequest: () => undefined, recordResume: () => undefined },
       randomness,
       retries,
+      rollouts: createRollouts({
+        decodeOrder: () => null,
+        bounds: { trialRatio: 0.1, trialExtra: 50 },
+        listServing: directory.listServing,
+        countVms: () => load.vms,
+        clock,
+        log: QUIET_LOG,
+        randomness,
+        tellVerdict: () => undefined,
+        handleChange: () => undefined,
+        handleEvidence: () => undefined,
+      }),
       lender: createRetryLender({
         retries,
         log: QUIET_LOG,
--- /dev/null
+++ b/standins/rollouts/createRolloutStore/index.ts
@@ -0,0 +1,42 @@
+import { err, ok } from 'neverthrow';
+import type { Clock, RowWrites, SharedRow } from '../../../src/application/ports';
+
+const CALL_MS = 3;
+
+/** Above the versions of all orders. */
+const FIRST_VERSION = 10;
+
+const AWAY = { kind: 'unavailable', reason: 'away' } as const;
+
+/** Creates a store of rows in virtual time, which answers nothing while it is away. */
+export const createRolloutStore = (
+  clock: Pick<Clock, 'readMonotonicMs' | 'startTimer'>,
+  isAway: () => boolean,
+) => {
+  const rows = new Map<string, SharedRow>();
+  let version = FIRST_VERSION;
+  let calls = 0;
+  const takeCall = async (): Promise<boolean> => {
+    calls += 1;
+    await new Promise<void>((resolve) => {
+      clock.startTimer(CALL_MS, resolve);
+    });
+    return !isAway();
+  };
+  return {
+    countCalls: () => calls,
+    find: (key: string) => rows.get(key) ?? null,
+    readRows: async () =>
+      (await takeCall())
+        ? ok({ rows: [...rows.values()], version, storeMs: clock.readMonotonicMs() })
+        : err(AWAY),
+    changeRows: async ({ expected = [], writes }: RowWrites) => {
+      const isTaken = await takeCall();
+      const isMet = expected.every((one) => (rows.get(one.key)?.version ?? 0) === one.version);
+      if (!isTaken || !isMet) return err(AWAY);
+      version += 1;
+      writes.forEach(({ key, value }) => rows.set(key, { key, value, version }));
+      return ok(null);
+    },
+  };
+};
--- /dev/null
+++ b/standins/rollouts/index.ts
@@ -0,0 +1,6 @@
+export {
+  runRolloutModel,
+  VersionTrait,
+  type RolloutModel,
+  type RolloutModelResult,
+} from './runRolloutModel';
--- /dev/null
+++ b/standins/rollouts/runRolloutModel/index.ts
@@ -0,0 +1,246 @@
+import { ok } from 'neverthrow';
+import { createRolloutCodec } from '../../../platform';
+import type { SharedRow } from '../../../src/application/ports';
+import {
+  createRolloutJudge,
+  createRolloutRows,
+  createRollouts,
+  createTrialReporter,
+  type RolloutJudge,
+  type RolloutPeer,
+  type Rollouts,
+  type TrialReporter,
+} from '../../../src/application/rollouts';
+import type { ServerStatus } from '../../../src/domain/forwarding';
+import { RolloutState, type RolloutVerdict } from '../../../src/domain/rollouts';
+import { buildServerStatus, createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
+import { createRolloutStore } from '../createRolloutStore';
+
+/** How servers of the new version answer, beside what both versions do. */
+export const VersionTrait = {
+  Good: 'good',
+  FailsHalf: 'fails-half',
+  Slow: 'slow',
+  FailsLater: 'fails-later',
+  FailsOneRoute: 'fails-one-route',
+} as const;
+
+export type VersionTrait = (typeof VersionTrait)[keyof typeof VersionTrait];
+
+/** A roll-out in virtual time. */
+export interface RolloutModel {
+  readonly seed: number;
+  readonly vms: number;
+  readonly trait: VersionTrait;
+  readonly requestsPerS: number;
+  readonly durationMs: number;
+  /** Part of the requests that fail at either version. */
+  readonly failing: number;
+  /** When the VM that judges is lost for good; null: never. */
+  readonly judgeLostAtMs?: number | null;
+  /** When all processes start anew; null: never. */
+  readonly restartAtMs?: number | null;
+  /** The store answers nothing from one time to another. */
+  readonly storeAway?: { readonly fromMs: number; readonly untilMs: number };
+}
+
+/** What became of it. */
+export interface RolloutModelResult {
+  /** What the operator reads at the end of the time; null: nothing was written. */
+  readonly state: RolloutState | null;
+  readonly requests: number;
+  /** Requests that reached the new version before it was completed. */
+  readonly trials: number;
+  /** From the 50th poor answer of the new version to the last request sent there; 0 if there was none. */
+  readonly lateMs: number;
+  readonly storeCalls: number;
+}
+
+const SERVICE = 's';
+const ROUTES = ['r-1', 'r-2', 'r-3'];
+const SERVERS = 4;
+
+/** All VMs have run for a while when the order comes. */
+const ORDER_AT_MS = 12_000;
+const LATER_MS = 4000;
+const LATENCY_MS = 40;
+const SLOW_FACTOR = 4;
+const CALL_MS = 3;
+
+/** A verdict reaches each VM by way of others. */
+const MAX_TOLD_MS = 1500;
+
+const MANY_POOR = 50;
+const STEP_MS = 50;
+
+interface Vm {
+  readonly peer: RolloutPeer;
+  readonly rollouts: Rollouts;
+  readonly judge: RolloutJudge;
+  isUp: boolean;
+}
+
+const listServers = (version: string): readonly ServerStatus[] =>
+  Array.from({ length: SERVERS }, (_, index) => {
+    const status = buildServerStatus(`${version}-${index}`, 'z1');
+    return { ...status, entry: { ...status.entry, version } };
+  });
+
+/** Plays a roll-out over the gateways' own decisions and reports in virtual time. */
+export const runRolloutModel = async (model: RolloutModel): Promise<RolloutModelResult> => {
+  const clock = createFakeClock();
+  const randomness = createSeededRandomness(model.seed);
+  const draw = (): number => randomness.readFraction();
+  const isStoreAway = (): boolean => {
+    const sinceMs = clock.readMonotonicMs() - ORDER_AT_MS;
+    const { fromMs = Infinity, untilMs = Infinity } = model.storeAway ?? {};
+    return sinceMs >= fromMs && sinceMs < untilMs;
+  };
+  const store = createRolloutStore(clock, isStoreAway);
+  const codec = createRolloutCodec();
+  const established = listServers('v1');
+  const all = [...established, ...listServers('v2')];
+  /** Servers of the new version start with the order. */
+  const isOrdered = (): boolean => clock.readMonotonicMs() >= ORDER_AT_MS;
+  const order: SharedRow = { key: `rollout/${SERVICE}`, value: Buffer.from('x'), version: 7 };
+  const vms = new Map<string, Vm>();
+
+  const listPeers = (self: string): readonly RolloutPeer[] =>
+    [...vms.values()].filter(({ isUp, peer }) => isUp && peer.vm !== self).map(({ peer }) => peer);
+
+  const startVm = (name: string, isOld: boolean): void => {
+    let watch: RolloutJudge['watch'] = () => undefined;
+    let recordEvidence: TrialReporter['recordEvidence'] = () => undefined;
+    const rollouts: Rollouts = createRollouts({
+      decodeOrder: ({ version }) =>
+        ok({ service: SERVICE, to: 'v2', durationMs: model.durationMs, sequence: version }),
+      bounds: { trialRatio: 0.1, trialExtra: 50 },
+      listServing: () => (isOrdered() ? all : established),
+      countVms: () => listPeers(name).length + 1,
+      clock,
+      log: QUIET_LOG,
+      randomness,
+      tellVerdict: (verdict: RolloutVerdict) =>
+        listPeers(name).forEach(({ vm }) =>
+          clock.startTimer(draw() * MAX_TOLD_MS, () => vms.get(vm)?.rollouts.mergeVerdict(verdict)),
+        ),
+      handleChange: (service) => watch(service),
+      handleEvidence: (service) => recordEvidence(service),
+    });
+    const rows = createRolloutRows({ codec, store, rollouts, clock, log: QUIET_LOG });
+    const judge = createRolloutJudge({
+      self: name,
+      listPeers: () => listPeers(name),
+      rollouts,
+      rows,
+      clock,
+      log: QUIET_LOG,
+    });
+    const reporter = createTrialReporter({
+      self: name,
+      incarnation: String(clock.readMonotonicMs()),
+      listPeers: () => listPeers(name),
+      sendReport: (address, report) =>
+        new Promise((resolve) => {
+          clock.startTimer(CALL_MS, () => {
+            const vm = vms.get(address);
+            resolve(vm?.isUp ? vm.judge.handleReport(report) : null);
+          });
+        }),
+      judge,
+      rollouts,
+      clock,
+      log: QUIET_LOG,
+    });
+    watch = judge.watch;
+    recordEvidence = reporter.recordEvidence;
+    vms.set(name, { peer: { vm: name, address: name }, rollouts, judge, isUp: true });
+    rollouts.applyRows(isOld ? [order] : []);
+  };
+
+  const names = Array.from({ length: model.vms }, (_, index) => `vm-${index}`);
+  names.forEach((name) => startVm(name, false));
+
+  let requests = 0;
+  let trials = 0;
+  let poor = 0;
+  let manyPoorAtMs: number | null = null;
+  let lateMs = 0;
+  const isBad = (route: string): boolean => {
+    const sinceMs = clock.readMonotonicMs() - ORDER_AT_MS;
+    if (model.trait === VersionTrait.FailsHalf) return draw() < 0.5;
+    if (model.trait === VersionTrait.FailsLater) return sinceMs > LATER_MS && draw() < 0.7;
+    return model.trait === VersionTrait.FailsOneRoute && route === ROUTES[0] && draw() < 0.8;
+  };
+
+  const isCompleted = (): boolean => {
+    const row = store.find(`rollout/${SERVICE}`);
+    const read = row ? codec.decode(row) : null;
+    return read?.isOk() === true && read.value.verdict.state === RolloutState.Completed;
+  };
+
+  const sendRequest = (): void => {
+    const up = [...vms.values()].filter(({ isUp }) => isUp);
+    const vm = up[Math.floor(draw() * up.length)];
+    const route = ROUTES[Math.floor(draw() * ROUTES.length)] as string;
+    if (!vm) return;
+    const request = vm.rollouts.openRequest({ service: SERVICE, route });
+    const listed = request.list();
+    const server = listed[Math.floor(draw() * listed.length)]?.entry;
+    if (!server) return;
+    if (isOrdered()) requests += 1;
+    request.recordSent(server);
+    const isCandidate = server.version === 'v2';
+    const isMoved = vm.rollouts.find(SERVICE)?.verdict.state === RolloutState.Switching;
+    if (isCandidate && !isCompleted() && (model.trait !== VersionTrait.Good || !isMoved)) {
+      trials += 1;
+      if (manyPoorAtMs !== null) lateMs = Math.max(lateMs, clock.readMonotonicMs() - manyPoorAtMs);
+    }
+    const isFailure = draw() < model.failing || (isCandidate && isBad(route));
+    const isSlow = isCandidate && model.trait === VersionTrait.Slow;
+    const took = LATENCY_MS * (0.5 + draw()) * (isSlow ? SLOW_FACTOR : 1);
+    clock.startTimer(took, () => {
+      if (isCandidate && (isFailure || isSlow)) poor += 1;
+      if (poor >= MANY_POOR) manyPoorAtMs ??= clock.readMonotonicMs();
+      request.recordOutcome(server, { isFailure, took: isFailure ? null : took });
+    });
+  };
+
+  clock.startTimer(ORDER_AT_MS, () =>
+    vms.forEach(({ rollouts }) =>
+      // The store's feed and the readers of the zones bring it to each VM at another time.
+      clock.startTimer(draw() * 300, () => rollouts.applyRows([order])),
+    ),
+  );
+  const startAt = (atMs: number | null | undefined, run: () => void): void => {
+    if (atMs !== null && atMs !== undefined) clock.startTimer(ORDER_AT_MS + atMs, run);
+  };
+  startAt(model.judgeLostAtMs, () => {
+    const judging = names.find((name) => vms.get(name)?.judge.isJudge(SERVICE)) ?? names[0];
+    const vm = vms.get(judging ?? '');
+    vm?.judge.stop();
+    if (vm) vm.isUp = false;
+  });
+  startAt(model.restartAtMs, () => {
+    vms.forEach(({ judge }) => judge.stop());
+    names.forEach((name) => startVm(name, true));
+  });
+  const untilMs = ORDER_AT_MS + model.durationMs;
+  for (let atMs = 0; atMs < untilMs; atMs += STEP_MS) {
+    const count = (model.requestsPerS * STEP_MS) / 1000;
+    for (let index = 0; index < count; index += 1) {
+      if (index + 1 <= count || draw() < count % 1) clock.startTimer(draw() * STEP_MS, sendRequest);
+    }
+    await clock.advanceAsync(STEP_MS);
+  }
+  const row = store.find(`rollout/${SERVICE}`);
+  const stored = row ? codec.decode(row) : null;
+  vms.forEach(({ judge }) => judge.stop());
+  return {
+    state: stored?.isOk() ? stored.value.verdict.state : null,
+    requests,
+    trials,
+    lateMs,
+    storeCalls: store.countCalls(),
+  };
+};
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -79,6 +79,7 @@
     },
     recordToldPrompt: () => undefined,
     handleReservation: () => 0,
+    handleReport: () => null,
     handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
   });
   const peer = readOk(
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -12,6 +12,7 @@
     availabilityZone: 'z1',
     slots: 1,
     isLeaving: false,
+    version: 'v1',
     warmupLeftMs: 0,
     bornMs: null,
   },
--- a/tests/gateway/sharedRows.test.ts
+++ b/tests/gateway/sharedRows.test.ts
@@ -34,6 +34,7 @@
     lendRetry: () => false,
     recordToldPrompt: () => undefined,
     handleReservation: () => 0,
+    handleReport: () => null,
     handleRequest: answer,
   });
   const server = readOk(
