--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -68,14 +68,18 @@
   return Buffer.concat(chunks).toString('utf8');
 };
 
+/** Node.js' own limit. */
+const IDLE_CONNECTION_MS = 5000;
+
 /**
  * Starts a stand-in of a backend server, on a free port unless one is given.
  *
  * @param id - its id; requests that expect another one get 421
+ * @param options.idleMs - connections that are idle for this long are closed
  */
 export const createStandInServer = async (
   id: string,
-  { port = 0 }: { readonly port?: number } = {},
+  options: { readonly port?: number; readonly idleMs?: number } = {},
 ): Promise<StandInServer> => {
   const sockets = new Set<Socket>();
   const received: ReceivedRequest[] = [];
@@ -156,6 +160,7 @@
   const server = createServer((request, response) => {
     receive(request, response);
   });
+  server.keepAliveTimeout = options.idleMs ?? IDLE_CONNECTION_MS;
   server.on('connection', (socket) => {
     connections += 1;
     sockets.add(socket);
@@ -164,7 +169,7 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => sockets.delete(socket));
   });
-  server.listen(port, '127.0.0.1');
+  server.listen(options.port ?? 0, '127.0.0.1');
   await once(server, 'listening');
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 
--- /dev/null
+++ b/tools/vm-cost/main.ts
@@ -0,0 +1,50 @@
+// What the process of one VM costs, natively, by phase: start, idle, under load. After a build of the
+// gateway: `npx tsx tools/vm-cost/main.ts [vms] [lookups a second and VM] [streams a second and VM]`.
+// The profile of one process is left in the folder that is named at the end.
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { readProcessorMs } from './readProcessorMs';
+import { sendCostLoad } from './sendCostLoad';
+import { startCostFleet } from './startCostFleet';
+
+const START_MS = 4000;
+const IDLE_MS = 20_000;
+const LOAD_S = 30;
+
+const [vms = 14, lookupsPerS = 2, streamsPerS = 0.5] = process.argv.slice(2).map(Number);
+
+const wait = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+const write = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+const folder = mkdtempSync(join(tmpdir(), 'vm-cost-'));
+const fleet = await startCostFleet(vms, folder);
+let before = 0;
+
+/** Writes what a process has used since the last phase, on average. */
+const report = (phase: string): void => {
+  const used = fleet.pids.map(readProcessorMs).reduce((sum, one) => sum + one, 0) / vms;
+  write(`${phase}: ${Math.round(used - before)} ms of processor time a VM`);
+  before = used;
+};
+
+await wait(START_MS);
+report(`start, ${START_MS / 1000} s`);
+await wait(IDLE_MS);
+report(`idle, ${IDLE_MS / 1000} s`);
+const connections = fleet.countConnections();
+const { answered, sent } = await sendCostLoad(fleet.callerPorts, {
+  lookupsPerS,
+  streamsPerS,
+  seconds: LOAD_S,
+});
+report(`load, ${LOAD_S} s and until all have ended`);
+write(`${answered} of ${sent} answered, ${fleet.countConnections() - connections} connections`);
+await fleet.stop();
+write(`profile: ${folder}`);
--- /dev/null
+++ b/tools/vm-cost/sendCostLoad/index.ts
@@ -0,0 +1,81 @@
+import { once } from 'node:events';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { HEADERS } from '../../../platform';
+import { TEST_KEY } from '../../../standins/gateway';
+
+/** What callers send to each gateway, a second. */
+export interface CostLoad {
+  readonly lookupsPerS: number;
+  readonly streamsPerS: number;
+  readonly seconds: number;
+}
+
+/** What became of it. */
+export interface CostLoadResult {
+  readonly sent: number;
+  readonly answered: number;
+}
+
+const OK_STATUS = 200;
+const BODY_BYTES = 5000;
+const CALL_MS = 1500;
+const STREAM_MS = 25_000;
+
+const wait = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+/** Sends one request on a connection of its own; true if it is answered whole. */
+const send = async (port: number, path: string, id: number): Promise<boolean> => {
+  const isStream = path.startsWith('/stream/');
+  const sent = sendRequest({
+    host: '127.0.0.1',
+    port,
+    path,
+    method: path.startsWith('/safe/') ? 'GET' : 'POST',
+    agent: false,
+    headers: {
+      host: 'a.example',
+      [HEADERS.requestId]: `request-${id}`,
+      [HEADERS.deadlineMs]: String(isStream ? STREAM_MS : CALL_MS),
+      [HEADERS.authorization]: `Bearer ${TEST_KEY}`,
+      [HEADERS.tokenSizes]: '5000,700',
+      [HEADERS.promptPrefix]: `a${id % 50}:200,${id.toString(16)}f:4800`,
+    },
+  });
+  sent.end(isStream ? 'x'.repeat(BODY_BYTES) : undefined);
+  try {
+    const [answer] = (await once(sent, 'response')) as [IncomingMessage];
+    answer.resume();
+    await once(answer, 'close');
+    return answer.statusCode === OK_STATUS && answer.complete;
+  } catch {
+    return false;
+  }
+};
+
+/** Sends requests at random times to each port; resolves when all have ended. */
+export const sendCostLoad = async (
+  ports: readonly number[],
+  { lookupsPerS, seconds, streamsPerS }: CostLoad,
+): Promise<CostLoadResult> => {
+  const untilMs = Date.now() + seconds * 1000;
+  const ends: Promise<boolean>[] = [];
+  const sendAt = async (port: number, path: string, perS: number): Promise<void> => {
+    while (perS > 0) {
+      await wait((-Math.log(Math.random()) / perS) * 1000);
+      if (Date.now() >= untilMs) return;
+      ends.push(send(port, path, ends.length));
+    }
+  };
+  await Promise.all(
+    ports.flatMap((port) => [
+      sendAt(port, '/safe/x', lookupsPerS / 2),
+      sendAt(port, '/unsafe/x', lookupsPerS / 2),
+      sendAt(port, '/stream/x', streamsPerS),
+    ]),
+  );
+  const answered = (await Promise.all(ends)).filter(Boolean).length;
+  return { sent: ends.length, answered };
+};
--- /dev/null
+++ b/tools/vm-cost/startCostFleet/index.ts
@@ -0,0 +1,151 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { createServer, type AddressInfo } from 'node:net';
+import { join } from 'node:path';
+import { CONFIGURATION_KEY, TABLES } from '../../../platform';
+import {
+  buildWireConfiguration,
+  buildWireEntry,
+  createStandInServer,
+  createStandInStore,
+  type ReceivedRequest,
+  type StandInServer,
+} from '../../../standins/gateway';
+
+/** Gateways as processes of their own, before a store and servers in this one. */
+export interface CostFleet {
+  /** Port for callers of each gateway. */
+  readonly callerPorts: readonly number[];
+  readonly pids: readonly number[];
+  /** Connections that the servers have taken so far. */
+  countConnections(): number;
+  stop(): Promise<void>;
+}
+
+const ENGINES = 60;
+const DESKS = 4;
+const ZONES = 4;
+
+/** Servers close connections that are idle for this long. */
+const IDLE_MS = 1500;
+const LOOKUP_MS = 20;
+const LOOKUP_BYTES = 800;
+const PREFILL_MS = 1000;
+const EVENT_MS = 35;
+const EVENTS = 140;
+const ROUTE_MS = 25_000;
+const SEEDS = 3;
+
+const wait = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+const findFreePort = async (): Promise<number> => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+};
+
+const sendStream = async (server: StandInServer, request: ReceivedRequest): Promise<void> => {
+  await wait(PREFILL_MS);
+  server.begin(request);
+  for (let id = 1; id <= EVENTS && !request.response.destroyed; id += 1) {
+    server.emit(request, id, id);
+    await wait(EVENT_MS);
+  }
+  request.response.end();
+};
+
+const serve = (server: StandInServer): void =>
+  server.addListener(() => {
+    const request = server.takeRequest();
+    if (!request) return;
+    if (request.target.startsWith('/stream/')) sendStream(server, request);
+    else setTimeout(() => server.answer(request, 200, 'x'.repeat(LOOKUP_BYTES)), LOOKUP_MS);
+  });
+
+const startServers = (service: string, count: number) =>
+  Promise.all(
+    Array.from({ length: count }, async (_, index) => {
+      const server = await createStandInServer(`${service}-${index}`, { idleMs: IDLE_MS });
+      serve(server);
+      return { server, entry: buildWireEntry(server, { zone: `z${index % ZONES}`, service }) };
+    }),
+  );
+
+const buildConfiguration = (): object => {
+  const { routes, services } = buildWireConfiguration() as {
+    routes: { name: string }[];
+    services: object[];
+  };
+  return buildWireConfiguration({
+    routes: routes.map((route) => ({
+      ...route,
+      service: route.name === 'stream' ? 's' : 'desk',
+      timeout_ms: ROUTE_MS,
+    })),
+    services: [...services, { name: 'desk', health_path: '/healthz' }],
+  });
+};
+
+/**
+ * Starts gateways, and writes the processor profile of one of them to `folder` when it ends.
+ *
+ * @param vms - how many
+ */
+export const startCostFleet = async (vms: number, folder: string): Promise<CostFleet> => {
+  mkdirSync(folder, { recursive: true });
+  const store = await createStandInStore();
+  const servers = [...(await startServers('s', ENGINES)), ...(await startServers('desk', DESKS))];
+  servers.forEach(({ entry, server }) => store.writeRow(TABLES.servers, server.id, entry));
+  store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildConfiguration());
+  const ports: { readonly callers: number; readonly peers: number }[] = [];
+  for (let index = 0; index < vms; index += 1) {
+    ports.push({ callers: await findFreePort(), peers: await findFreePort() });
+  }
+  const seeds = ports.slice(0, SEEDS).map(({ peers }) => `"127.0.0.1:${peers}"`);
+  const children: ChildProcess[] = ports.map(({ callers, peers }, index) => {
+    const file = join(folder, `vm-${index}.toml`);
+    writeFileSync(
+      file,
+      `node_name = "vm-${index}"
+ip = "127.0.0.1"
+zone = "z${index % ZONES}"
+internal_ports = [0, 0]
+seeds = [${seeds.join(',')}]
+bootstrap = true
+[listen]
+frontend = "127.0.0.1:${callers}"
+readiness = "127.0.0.1:0"
+control_plane = "127.0.0.1:${peers}"
+[bounds]
+contact_ms = 4000
+config_apply_ms = 3000
+drain_ms = 3000
+[platform]
+address = "${new URL(store.url).host}"
+`,
+    );
+    const profile = index === vms - 1 ? ['--cpu-prof', `--cpu-prof-dir=${folder}`] : [];
+    const words = [...profile, 'target/jackdaw-gateway.cjs', '--settings', file];
+    return spawn(process.execPath, words, { stdio: ['ignore', 'ignore', 'inherit'] });
+  });
+  // A fleet must not outlive a tool that fails.
+  process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+  return {
+    callerPorts: ports.map(({ callers }) => callers),
+    pids: children.map(({ pid }) => pid ?? 0),
+    countConnections: () => servers.reduce((sum, { server }) => sum + server.countConnections(), 0),
+    stop: async () => {
+      const ends = children.map((child) => once(child, 'exit'));
+      children.forEach((child) => child.kill('SIGTERM'));
+      await Promise.all(ends);
+      await Promise.all([store.stop(), ...servers.map(({ server }) => server.stop())]);
+    },
+  };
+};
