--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -68,8 +68,7 @@
   return Buffer.concat(chunks).toString('utf8');
 };
 
-/** Node.js' own limit. */
-const IDLE_CONNECTION_MS = 5000;
+const NODE_IDLE_MS = 5000;
 
 /**
  * Starts a stand-in of a backend server, on a free port unless one is given.
@@ -160,7 +159,7 @@
   const server = createServer((request, response) => {
     receive(request, response);
   });
-  server.keepAliveTimeout = options.idleMs ?? IDLE_CONNECTION_MS;
+  server.keepAliveTimeout = options.idleMs ?? NODE_IDLE_MS;
   server.on('connection', (socket) => {
     connections += 1;
     sockets.add(socket);
