Count a trial only where the new version has a server

Cause: the allowance of trials was drawn on from the order on, also before the first server of the new version was known: what had no server to go to counted as tried, and the new version then got too few requests to be judged by. Change: a request tries the new version only if it has a server then. Test: 'requests before the new version has servers use up none of its trials' fails before (0 trials in place of 5); five more of what a VM lets requests do under a roll-out, which pass before.

--- a/src/application/rollouts/createRollouts/index.ts
+++ b/src/application/rollouts/createRollouts/index.ts
@@ -138,7 +138,8 @@
     const { draw, requests } = held;
     const vms = countVms();
     const options = { bounds, requests, vms, ageMs, durationMs, draw };
-    return held.trials < computeTrialAllowance(options);
+    if (held.trials >= computeTrialAllowance(options)) return false;
+    return listServing(held.order.service).some(({ entry }) => entry.version === held.order.to);
   };
 
   const openRequest: Rollouts['openRequest'] = ({ route, service }) => {
