Find free ports and wait in one way in tools and tests

Cause: the tool for a VM's cost wrote findFreePort and a promise around a timer again, which stood in the warm-up and in the gateway tests already. Change: findFreePort stands once, in standins/_lib; the tools wait with node:timers/promises. Nothing of the product changes, nor any assertion.

--- a/tools/vm-cost/main.ts
+++ b/tools/vm-cost/main.ts
@@ -4,6 +4,7 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
 import { readProcessorMs } from './readProcessorMs';
 import { sendCostLoad } from './sendCostLoad';
 import { startCostFleet } from './startCostFleet';
@@ -14,11 +15,6 @@
 
 const [vms = 14, lookupsPerS = 2, streamsPerS = 0.5] = process.argv.slice(2).map(Number);
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 const write = (text: string): void => {
   process.stdout.write(`${text}\n`);
 };
--- a/tools/vm-cost/sendCostLoad/index.ts
+++ b/tools/vm-cost/sendCostLoad/index.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
 import { HEADERS } from '../../../platform';
 import { TEST_KEY } from '../../../standins/gateway';
 
@@ -21,11 +22,6 @@
 const CALL_MS = 1500;
 const STREAM_MS = 25_000;
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Sends one request on a connection of its own; true if it is answered whole. */
 const send = async (port: number, path: string, id: number): Promise<boolean> => {
   const isStream = path.startsWith('/stream/');
--- a/tools/vm-cost/startCostFleet/index.ts
+++ b/tools/vm-cost/startCostFleet/index.ts
@@ -1,9 +1,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdirSync, writeFileSync } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
 import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
 import { CONFIGURATION_KEY, TABLES } from '../../../platform';
+import { findFreePort } from '../../../standins/_lib/findFreePort';
 import {
   buildWireConfiguration,
   buildWireEntry,
@@ -37,20 +38,6 @@
 const ROUTE_MS = 25_000;
 const SEEDS = 3;
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
-const findFreePort = async (): Promise<number> => {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-};
-
 const sendStream = async (server: StandInServer, request: ReceivedRequest): Promise<void> => {
   await wait(PREFILL_MS);
   server.begin(request);
--- a/tools/warm-up/main.ts
+++ b/tools/warm-up/main.ts
@@ -1,11 +1,11 @@
 // What the build has the bundled gateway do before its code cache is written: lookups, streams, one
 // that goes on at another server, and calls between VMs. Bundled into target/ for it.
 import { once } from 'node:events';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { request as sendRequest, type IncomingMessage } from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
 import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
 import { startGateway } from '../../src/programs/gateway';
+import { findFreePort } from '../../standins/_lib/findFreePort';
 import {
   buildGatewaySettings,
   buildWireConfiguration,
@@ -33,21 +33,6 @@
 const RETRY_MS = 50;
 const MAX_TRIES = 100;
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
-const findFreePort = async (): Promise<number> => {
-  const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-};
-
 /** Answers a stream event by event, from where the caller is. */
 const sendStream = async (server: StandInServer, request: ReceivedRequest): Promise<void> => {
   server.begin(request);
