Log which rate limit a server's answers name

Ruled out: taking the end of a limit from reports and health answers: only answers to requests are said to name it. An answer ends a limit only if its request was sent after the last one that named it, as answers cross. Change: platform/ decodes Server-Limit with Server-Leaving (decodeServerSignals); createServerLimits holds what servers say and logs each change. Nothing decides by it yet.

--- a/src/application/forwarding/_lib/askServers/index.ts
+++ b/src/application/forwarding/_lib/askServers/index.ts
@@ -21,7 +21,7 @@
   candidates: readonly ServerStatus[],
 ): Promise<readonly AnsweringServer[]> =>
   new Promise((resolve) => {
-    const { client, clock, directory } = run.dependencies;
+    const { client, clock, directory, limits } = run.dependencies;
     const answers: AnsweringServer[] = [];
     let left = candidates.length;
     let cancelTimer: (() => void) | null = null;
@@ -31,10 +31,13 @@
     };
     if (left === 0) end();
     candidates.forEach(async ({ copies, entry }) => {
+      const sentAtMs = clock.readMonotonicMs();
       const report = await client.readReport(entry);
       left -= 1;
       if (report) {
         directory.recordBorn(entry.id, report.bornMs);
+        const { limitPerS } = report;
+        if (limitPerS !== null) limits.recordStatement(entry.id, { limitPerS, sentAtMs });
         if (report.isLeaving) directory.recordLeaving(entry.id);
         else answers.push({ entry, report, copies });
       } else directory.recordSuspicion(entry.id, 'silent');
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -201,7 +201,7 @@
     );
   }
   const { head } = sent.value;
-  recordAnswerHead(directory, server, head);
+  recordAnswerHead(run.dependencies, server, head, attempt);
   if (head.status !== OK_STATUS || !head.isGenuine) {
     recordDecision(
       run.dependencies,
--- a/src/application/forwarding/_lib/recordAnswerHead/index.ts
+++ b/src/application/forwarding/_lib/recordAnswerHead/index.ts
@@ -1,11 +1,12 @@
 import type { AnswerHead, ServerEntry } from '../../../../domain/forwarding';
-import type { ServerDirectory } from '../../createServerDirectory';
+import type { ForwardingDependencies } from '../../types';
 
 /** Takes what an answer's head says of its server; another server at its address speaks for itself. */
 export const recordAnswerHead = (
-  directory: ServerDirectory,
+  { directory, limits }: Pick<ForwardingDependencies, 'directory' | 'limits'>,
   server: ServerEntry,
   head: AnswerHead,
+  { sentAtMs }: { readonly sentAtMs: number },
 ): void => {
   if (head.isOtherServer) {
     directory.recordReplaced(server.id, head.serverId);
@@ -14,4 +15,8 @@
   if (head.load) directory.recordLoad(server.id, head.load);
   if (head.isLeaving) directory.recordLeaving(server.id);
   if (head.pauseMs > 0) directory.recordPause(server.id, head.pauseMs);
+  const { limitPerS } = head;
+  if (head.isGenuine || limitPerS !== null) {
+    limits.recordStatement(server.id, { limitPerS, sentAtMs });
+  }
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -56,6 +56,7 @@
   const { holder, reply, request } = context;
   const timeout = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeout.abort());
+  const sentAtMs = clock.readMonotonicMs();
   const work = directory.startWork(server.id, { prefillTokens: 0 });
   try {
     const sent = await client.sendAttempt(
@@ -77,7 +78,7 @@
       return convertError(sent.error, timeout.signal.aborted);
     }
     const { body, head } = sent.value;
-    recordAnswerHead(directory, server, head);
+    recordAnswerHead(dependencies, server, head, { sentAtMs });
     if (!head.isGenuine && !head.isNotRun) {
       // The answer that is due may still follow on this connection: it is not used again.
       timeout.abort();
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { ServerLimits } from '../../limits';
 import type { Rollouts } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
@@ -17,6 +18,7 @@
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
+  readonly limits: ServerLimits;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
   readonly randomness: Randomness;
--- /dev/null
+++ b/src/application/limits/index.ts
@@ -0,0 +1,1 @@
+export { createServerLimits, type LimitStatement, type ServerLimits } from './createServerLimits';
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -4,6 +4,7 @@
   ForwardedRequest,
   ServerEntry,
   ServerReport,
+  ServerSignals,
 } from '../../domain/forwarding';
 
 /** Where a copy of a run's KV memory lies. */
@@ -56,10 +57,8 @@
 }
 
 /** Who serves at an address. */
-export interface ServerIdentity {
+export interface ServerIdentity extends ServerSignals {
   readonly id: string;
-  /** True: it takes no new work and will be gone soon. */
-  readonly isLeaving: boolean;
 }
 
 /** Calls to backend servers. Sends each attempt once: repeating is the caller's decision. */
--- a/src/domain/forwarding/types/ServerAnswer.ts
+++ b/src/domain/forwarding/types/ServerAnswer.ts
@@ -1,3 +1,5 @@
+import type { ServerSignals } from './ServerSignals';
+
 /** Load that a server tells with an answer. */
 export interface ServerLoad {
   readonly running: number;
@@ -6,7 +8,7 @@
 }
 
 /** What a server's answer says before its body. */
-export interface AnswerHead {
+export interface AnswerHead extends ServerSignals {
   readonly status: number;
   /** Headers that are handed on: name, value, name, value. */
   readonly passedHeaders: readonly string[];
@@ -21,8 +23,6 @@
   /** Id of the server that answered, where it says so. */
   readonly serverId: string | null;
   readonly load: ServerLoad | null;
-  /** True: the server says that it takes no new work and will be gone soon. */
-  readonly isLeaving: boolean;
   /** For how long the server wants nothing of this VM, in milliseconds; 0 if it does not say so. */
   readonly pauseMs: number;
 }
--- a/src/domain/forwarding/types/ServerReport.ts
+++ b/src/domain/forwarding/types/ServerReport.ts
@@ -1,5 +1,7 @@
+import type { ServerSignals } from './ServerSignals';
+
 /** What a server says of itself; late by some hundred milliseconds. */
-export interface ServerReport {
+export interface ServerReport extends ServerSignals {
   /** Requests that have not begun to run. */
   readonly waiting: number;
   readonly running: number;
@@ -8,8 +10,6 @@
   readonly kvTotalTokens: number;
   /** Events made so far, by the id of each request that runs; null if it does not tell. */
   readonly eventsByRun: ReadonlyMap<string, number> | null;
-  /** True: it takes no new work and will be gone soon. */
-  readonly isLeaving: boolean;
   /** When it started, in Unix milliseconds; null if it does not tell. */
   readonly bornMs: number | null;
 }
--- a/src/domain/forwarding/types/index.ts
+++ b/src/domain/forwarding/types/index.ts
@@ -9,4 +9,5 @@
 export type { AnswerHead, ServerLoad } from './ServerAnswer';
 export type { ServerEntry } from './ServerEntry';
 export type { ServerReport } from './ServerReport';
+export type { ServerSignals } from './ServerSignals';
 export type { ServerStatus } from './ServerStatus';
--- a/src/programs/gateway/_lib/recordReady/index.ts
+++ b/src/programs/gateway/_lib/recordReady/index.ts
@@ -1,4 +1,4 @@
-import type { GatewayParts } from '../wireGateway';
+import type { GatewayParts } from '../../types';
 
 const LOOK_MS = 50;
 
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -4,7 +4,7 @@
 import { createGatewayHandlers, startGatewayServer } from '../../../../adapters/connect';
 import { CALLS } from '../../../../../platform';
 import type { GatewaySettings } from '../../../../domain/forwarding';
-import type { GatewayParts } from '../wireGateway';
+import type { GatewayParts } from '../../types';
 import { parseAddress } from '../parseAddress';
 
 /** What the endpoints tell of. */
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -1,28 +1,17 @@
 import { createGatewayClient } from '../../../../adapters/connect';
 import { createSilentLog } from '../../../../adapters/log';
-import { createGatewayMetrics, type GatewayMetrics } from '../../../../adapters/metrics';
+import { createGatewayMetrics } from '../../../../adapters/metrics';
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
   createForwarder,
   createIdentityWatch,
   createPromptPlaces,
-  type QuarantineRows,
-  type PromptPlaces,
   createRouteTableHolder,
   createServerDirectory,
-  type Forwarder,
-  type RetryLender,
-  type ServerDirectory,
-  type RouteTableHolder,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
-import type { Clock, EventLog, Randomness } from '../../../../application/ports';
-import {
-  createFollowerPair,
-  createSharedReading,
-  type RowFollower,
-  type SharedReading,
-} from '../../../../application/rows';
+import { createServerLimits } from '../../../../application/limits';
+import { createFollowerPair, createSharedReading } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
   createServerClient,
@@ -30,11 +19,11 @@
   decodeRouteTable,
   decodeServerEntry,
   TABLES,
-  type StoreClient,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
 import { wireRetries } from '../wireRetries';
-import { wireRollouts, type RolloutParts } from '../wireRollouts';
+import { wireRollouts } from '../wireRollouts';
+import type { GatewayOverrides, GatewayParts } from '../../types';
 import {
   computeBurstPause,
   computeFollowWait,
@@ -42,36 +31,6 @@
   type GatewaySettings,
 } from '../../../../domain/forwarding';
 
-/** What tests pass in. */
-export interface GatewayOverrides {
-  readonly clock?: Clock;
-  readonly randomness?: Randomness;
-  readonly log?: EventLog;
-  /** In place of the platform's store. */
-  readonly store?: StoreClient;
-  /** Log lines that were dropped, for the metrics. */
-  readonly countDroppedLines?: () => number;
-}
-
-/** The parts of a gateway. */
-export interface GatewayParts {
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly metrics: GatewayMetrics;
-  readonly tables: RouteTableHolder;
-  readonly directory: ServerDirectory;
-  readonly forwarder: Forwarder;
-  readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
-  readonly gossip: Gossip;
-  readonly sharing: SharedReading;
-  readonly lender: RetryLender;
-  readonly quarantineRows: QuarantineRows;
-  readonly places: PromptPlaces;
-  readonly rolloutJudge: RolloutParts['judge'];
-  /** Closes all connections to servers and the store. */
-  stop(): Promise<void>;
-}
-
 /** Wires the parts of a gateway; nothing runs yet. */
 export const wireGateway = (
   settings: GatewaySettings,
@@ -89,11 +48,15 @@
   let sendInferred: Gossip['sendInferred'] = () => undefined;
   let sendOutcome: Gossip['sendOutcome'] = () => undefined;
   let startIdentityWatch = (): void => undefined;
+  const limits = createServerLimits({ clock, log });
   const directory = createServerDirectory({
     decode: decodeServerEntry,
     clock,
     log,
-    handleGone: client.removeServer,
+    handleGone: (id) => {
+      client.removeServer(id);
+      limits.drop(id);
+    },
     reuseAfterMs: settings.bounds.reuseAfterMs,
     handleSuspected: (id, cause) => {
       sendSuspicion(id, cause);
@@ -214,6 +177,7 @@
     crashes,
     crashProbe,
     directory,
+    limits,
     log,
     meter: metrics,
     randomness,
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -10,7 +10,8 @@
 import { parseAddress } from '../_lib/parseAddress';
 import { recordReady } from '../_lib/recordReady';
 import { startEndpoints } from '../_lib/startEndpoints';
-import { wireGateway, type GatewayOverrides } from '../_lib/wireGateway';
+import { wireGateway } from '../_lib/wireGateway';
+import type { GatewayOverrides } from '../types';
 
 /** A running gateway. */
 export interface Gateway {
--- /dev/null
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -0,0 +1,32 @@
+import type { GatewayMetrics } from '../../../adapters/metrics';
+import type {
+  Forwarder,
+  PromptPlaces,
+  QuarantineRows,
+  RetryLender,
+  RouteTableHolder,
+  ServerDirectory,
+} from '../../../application/forwarding';
+import type { Gossip } from '../../../application/gossip';
+import type { Clock, EventLog } from '../../../application/ports';
+import type { RolloutJudge } from '../../../application/rollouts';
+import type { RowFollower, SharedReading } from '../../../application/rows';
+
+/** The parts of a gateway. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly tables: RouteTableHolder;
+  readonly directory: ServerDirectory;
+  readonly forwarder: Forwarder;
+  readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
+  readonly gossip: Gossip;
+  readonly sharing: SharedReading;
+  readonly lender: RetryLender;
+  readonly quarantineRows: QuarantineRows;
+  readonly places: PromptPlaces;
+  readonly rolloutJudge: RolloutJudge;
+  /** Closes all connections to servers and the store. */
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/src/programs/gateway/types/index.ts
@@ -0,0 +1,2 @@
+export type { GatewayOverrides } from './GatewayOverrides';
+export type { GatewayParts } from './GatewayParts';
--- a/standins/fakes/buildServerReport/index.ts
+++ b/standins/fakes/buildServerReport/index.ts
@@ -8,6 +8,7 @@
   kvTotalTokens: 88_000,
   eventsByRun: new Map(),
   isLeaving: false,
+  limitPerS: null,
   bornMs: null,
   ...change,
 });
--- a/standins/model/createModelClient/index.ts
+++ b/standins/model/createModelClient/index.ts
@@ -21,6 +21,7 @@
   serverId: null,
   load: null,
   isLeaving: false,
+  limitPerS: null,
   pauseMs: 0,
 };
 
@@ -96,7 +97,7 @@
       );
       return { ...report, eventsByRun };
     },
-    readIdentity: async ({ id }) => ({ id, isLeaving: false }),
+    readIdentity: async ({ id }) => ({ id, isLeaving: false, limitPerS: null }),
     readHeldParts: async () => new Map(),
     removeServer: () => undefined,
   };
--- a/standins/model/createModelEngine/index.ts
+++ b/standins/model/createModelEngine/index.ts
@@ -98,6 +98,7 @@
     kvTotalTokens: MEMORY_TOKENS,
     eventsByRun: new Map(running.map(({ events, run }) => [run.id, Math.floor(events)])),
     isLeaving: false,
+    limitPerS: null,
     bornMs: null,
   });
 
--- a/standins/model/runModelLoad/index.ts
+++ b/standins/model/runModelLoad/index.ts
@@ -6,6 +6,7 @@
   type Forwarder,
   type ServerDirectory,
 } from '../../../src/application/forwarding';
+import { createServerLimits } from '../../../src/application/limits';
 import { createRollouts } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
 import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
@@ -118,6 +119,7 @@
       }),
       crashProbe: { startProbe: () => undefined },
       directory,
+      limits: createServerLimits({ clock, log: QUIET_LOG }),
       log: QUIET_LOG,
       meter: { recordRequest: () => undefined, recordResume: () => undefined },
       randomness,
--- a/tests/gateway/foreignEntries.test.ts
+++ b/tests/gateway/foreignEntries.test.ts
@@ -80,15 +80,21 @@
   t.is(decodeServerEntry('i-1', encode(SOUND))._unsafeUnwrap().bornMs, 1000);
 });
 
+const NO_SIGNALS = { isLeaving: false, limitPerS: null };
+
 test('reports, lists and answers that are malformed are read without a throw', (t) => {
   fc.assert(
     fc.property(fc.oneof(fc.string(), fc.json()), (text) => {
-      const report = decodeServerReport(text, false);
+      const report = decodeServerReport(text, NO_SIGNALS);
       t.true(report.waiting >= 0 && report.running >= 0);
       decodeHeldParts(text);
       decodeServerAnswer(
         421,
-        { 'jackdawmount-server-load': text, 'jackdawmount-instance-id': text },
+        {
+          'jackdawmount-server-load': text,
+          'jackdawmount-instance-id': text,
+          'server-limit': text,
+        },
         'r',
       );
     }),
@@ -98,7 +104,7 @@
 test('a report keeps the fields that are sound', (t) => {
   const report = decodeServerReport(
     JSON.stringify({ queued: 3, active: 'x', runs: 7, born: -1 }),
-    false,
+    NO_SIGNALS,
   );
   t.is(report.waiting, 3);
   t.is(report.running, 0);
--- a/tests/gateway/leavingServers.test.ts
+++ b/tests/gateway/leavingServers.test.ts
@@ -6,6 +6,7 @@
 import { createFakeClock } from '../../standins/fakes';
 import { buildWireEntry, type StandInServer } from '../../standins/gateway';
 import { buildStream } from './_lib/buildStream';
+import { callServer } from './_lib/callServer';
 import { nextAnywhere } from './_lib/nextAnywhere';
 import { sendEvents } from './_lib/sendEvents';
 import {
@@ -20,19 +21,6 @@
 /** Enough that one of two equal servers gets none by chance once in a million runs. */
 const CALLS = 20;
 
-/** Sends a lookup, and answers it where it arrives; returns that server. */
-const callOnce = async (
-  bench: TestGateway,
-  id: string,
-  headers: Readonly<Record<string, string>> = {},
-): Promise<StandInServer> => {
-  const answered = bench.send({ target: '/safe/x', id });
-  const { request, server } = await nextAnywhere(bench.servers);
-  server.answer(request, 200, 'yes', headers);
-  await answered;
-  return server;
-};
-
 /** Sends a request that no server is to get; null if one did. */
 const sendInVain = (bench: TestGateway, request: TestRequest): Promise<TestAnswer | null> =>
   Promise.race([bench.send(request), nextAnywhere(bench.servers).then(() => null)]);
@@ -41,7 +29,7 @@
 const listUsed = async (bench: TestGateway, name: string): Promise<ReadonlySet<string>> => {
   const used = new Set<string>();
   for (let call = 0; call < CALLS; call += 1) {
-    const { id } = await callOnce(bench, `${name}-${call}`);
+    const { id } = await callServer(bench, { id: `${name}-${call}` });
     used.add(id);
   }
   return used;
@@ -50,7 +38,7 @@
 test('a server that said in an answer that it leaves gets nothing more while the store is away', async (t) => {
   const bench = await startTestGateway({ clock: createFakeClock() });
   bench.store.setMode('silent');
-  const leaving = await callOnce(bench, 'first', LEAVING);
+  const leaving = await callServer(bench, { id: 'first', headers: LEAVING });
   t.false((await listUsed(bench, 'call')).has(leaving.id));
   const followed = bench.follow(buildStream());
   const taken = await nextAnywhere(bench.servers);
@@ -62,7 +50,7 @@
 
 test('an entry that was written before does not bring a server back that leaves', async (t) => {
   const bench = await startTestGateway();
-  const leaving = await callOnce(bench, 'first', LEAVING);
+  const leaving = await callServer(bench, { id: 'first', headers: LEAVING });
   bench.store.writeRow(TABLES.servers, leaving.id, null);
   await bench.waitForLine('server gone', ({ server }) => server === leaving.id);
   const known = bench.lines.length;
