--- a/tests/gateway/leavingServers.test.ts
+++ b/tests/gateway/leavingServers.test.ts
@@ -9,22 +9,14 @@
 import { callServer } from './_lib/callServer';
 import { nextAnywhere } from './_lib/nextAnywhere';
 import { sendEvents } from './_lib/sendEvents';
-import {
-  startTestGateway,
-  type TestAnswer,
-  type TestGateway,
-  type TestRequest,
-} from './_lib/startTestGateway';
+import { sendInVain } from './_lib/sendInVain';
+import { startTestGateway, type TestGateway } from './_lib/startTestGateway';
 
 const LEAVING = { [HEADERS.leaving]: '1' };
 
 /** Enough that one of two equal servers gets none by chance once in a million runs. */
 const CALLS = 20;
 
-/** Sends a request that no server is to get; null if one did. */
-const sendInVain = (bench: TestGateway, request: TestRequest): Promise<TestAnswer | null> =>
-  Promise.race([bench.send(request), nextAnywhere(bench.servers).then(() => null)]);
-
 /** Servers that lookups one after the other arrive at. */
 const listUsed = async (bench: TestGateway, name: string): Promise<ReadonlySet<string>> => {
   const used = new Set<string>();
--- a/tests/gateway/serverLimits.test.ts
+++ b/tests/gateway/serverLimits.test.ts
@@ -2,13 +2,27 @@
 import test from 'ava';
 import { HEADERS } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
+import { buildStream } from './_lib/buildStream';
 import { callServer } from './_lib/callServer';
+import { nextAnywhere } from './_lib/nextAnywhere';
+import { sendEvents } from './_lib/sendEvents';
+import { sendInVain } from './_lib/sendInVain';
 import { startTestGateway } from './_lib/startTestGateway';
 
+/** What a limit allows in this time, and by how much arrivals may exceed it. */
+const WINDOW_S = 4;
+const MAX_EXCESS = 1.2;
+
+const LIMIT_PER_S = 2;
+
+/** Enough that one of two equal servers gets far more than the limit allows unless it is heeded. */
+const CALLS = 40;
+
 const nameLimit = (limit: string) => ({ [HEADERS.limit]: limit });
 
 test('the log says which limit an answer named, and when one named none any more', async (t) => {
   const bench = await startTestGateway({ clock: createFakeClock(), serverIds: ['i-1'] });
+  t.teardown(bench.stop);
   await callServer(bench, { id: 'first', headers: nameLimit('3.7') });
   await callServer(bench, { id: 'same', headers: nameLimit('3.7') });
   await callServer(bench, { id: 'none' });
@@ -20,5 +34,65 @@
       { before: 3.7, limitPerS: 'none', server: 'i-1' },
     ],
   );
-  await bench.stop();
+});
+
+test('a server gets no more lookups than the limit that it names, and the others get the rest', async (t) => {
+  const bench = await startTestGateway({ clock: createFakeClock() });
+  t.teardown(bench.stop);
+  const limited = await callServer(bench, {
+    id: 'first',
+    headers: nameLimit(String(LIMIT_PER_S)),
+  });
+  let arrived = 1;
+  for (let call = 0; call < CALLS; call += 1) {
+    const answered = bench.send({ target: '/safe/x', id: `call-${call}` });
+    const { request, server } = await nextAnywhere(bench.servers);
+    const isLimited = server === limited;
+    if (isLimited) arrived += 1;
+    server.answer(request, 200, 'yes', isLimited ? nameLimit(String(LIMIT_PER_S)) : {});
+    t.is((await answered).status, 200);
+  }
+  t.true(arrived <= LIMIT_PER_S * WINDOW_S * MAX_EXCESS, `${arrived} arrived`);
+});
+
+test('prompts count for the limit that a server names', async (t) => {
+  const bench = await startTestGateway({ clock: createFakeClock() });
+  t.teardown(bench.stop);
+  const first = bench.follow({ ...buildStream(), id: 'first' });
+  const taken = await nextAnywhere(bench.servers);
+  taken.request.response.setHeader(HEADERS.limit, String(LIMIT_PER_S));
+  sendEvents(taken, 1, 2);
+  await first.done;
+  let arrived = 1;
+  for (let stream = 0; stream < CALLS; stream += 1) {
+    const followed = bench.follow({ ...buildStream(), id: `stream-${stream}` });
+    const next = await nextAnywhere(bench.servers);
+    if (next.server === taken.server) {
+      arrived += 1;
+      next.request.response.setHeader(HEADERS.limit, String(LIMIT_PER_S));
+    }
+    sendEvents(next, 1, 2);
+    t.true((await followed.done).isWhole);
+  }
+  t.true(arrived <= LIMIT_PER_S * WINDOW_S * MAX_EXCESS, `${arrived} arrived`);
+});
+
+test('a lookup beyond the limits of all servers is refused at once, with a time to come back', async (t) => {
+  const bench = await startTestGateway({ clock: createFakeClock(), serverIds: ['i-1'] });
+  t.teardown(bench.stop);
+  await callServer(bench, { id: 'first', headers: nameLimit('0.5') });
+  const refused = await sendInVain(bench, { target: '/unsafe/x', id: 'second' });
+  t.is(refused?.status, 503);
+  t.true(Number(refused?.headers['retry-after']) > 0);
+});
+
+test('a server that names no limit any more gets as many requests as before', async (t) => {
+  const clock = createFakeClock();
+  const bench = await startTestGateway({ clock, serverIds: ['i-1'] });
+  t.teardown(bench.stop);
+  await callServer(bench, { id: 'first', headers: nameLimit('0.5') });
+  clock.advance(WINDOW_S * 1000);
+  await callServer(bench, { id: 'last of the limit' });
+  for (let call = 0; call < CALLS; call += 1) await callServer(bench, { id: `call-${call}` });
+  t.is(bench.servers[0]?.countRequests(), CALLS + 2);
 });
