--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -8,6 +8,7 @@
   KnowledgeSchema,
   MemberSchema,
   RunOutcomeSchema,
+  ServerLimitSchema,
   SuspicionSchema,
   TableVersionSchema,
   type InferredServer,
@@ -47,6 +48,13 @@
     ),
     outcomesDigest: knowledge.outcomesDigest,
     verdicts: knowledge.verdicts.map(buildVerdictMessage),
+    limits: knowledge.limits.map(({ ageMs, limitPerS, server }) =>
+      create(ServerLimitSchema, {
+        server,
+        ageMs: Math.round(ageMs),
+        ...(limitPerS === null ? {} : { perS: limitPerS }),
+      }),
+    ),
   });
 
 const readMember = (message: MemberMessage): Member => ({
@@ -94,5 +102,10 @@
         })),
         outcomesDigest: message.outcomesDigest,
         verdicts: message.verdicts.map(readVerdictMessage).filter((verdict) => verdict !== null),
+        limits: message.limits.map(({ ageMs, perS, server }) => ({
+          server,
+          limitPerS: perS ?? null,
+          ageMs,
+        })),
       }
     : null;
--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,8 +1,10 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { PlacedPrompt } from '../../../application/forwarding';
 import type { GossipCalls } from '../../../application/gossip';
+import type { PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { Statements, StatementsRequest } from '../../../application/rows';
+import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildReportMessage, readVerdictMessage } from '../_lib/convertRollouts';
@@ -18,6 +20,10 @@
   tellPrompt(address: string, prompt: PlacedPrompt): void;
   /** Takes a place for a prompt; null if the gateway does not answer in time. */
   reservePrompt(address: string, prompt: PlacedPrompt): Promise<number | null>;
+  /** Asks a gateway for a permit; null if it does not answer in time. */
+  acquirePermit(address: string, request: PermitRequest): Promise<PermitDecision | null>;
+  /** Gives a permit back; nothing depends on its arrival. */
+  releasePermit(address: string, server: string): void;
   /** Asks for what a gateway holds of the store's tables; null if it does not answer in time. */
   followTables(
     address: string,
@@ -45,6 +51,9 @@
 /** A prompt waits for this answer; sound gateways take some milliseconds. */
 const RESERVE_WAIT_MS = 30;
 
+/** A lookup waits for this answer, and may ask three more. */
+const PERMIT_WAIT_MS = 40;
+
 const METHODS = GatewayService.method;
 
 /** Creates the client of other gateways. */
@@ -66,6 +75,15 @@
       const answer = await Promise.race([asked, wait(RESERVE_WAIT_MS, null, { ref: false })]);
       return answer?.othersTokens ?? null;
     },
+    acquirePermit: async (address, request) => {
+      const message = { ...request, sentAgesMs: [...request.sentAgesMs] };
+      const asked = call(address, METHODS.acquirePermit, message, CALL_TIMEOUT_MS);
+      const answer = await Promise.race([asked, wait(PERMIT_WAIT_MS, null, { ref: false })]);
+      return answer && { isGranted: answer.isGranted, waitMs: answer.waitMs };
+    },
+    releasePermit: (address, server) => {
+      call(address, METHODS.releasePermit, { server }, CALL_TIMEOUT_MS);
+    },
     tellPrompt: (address, prompt) => {
       call(address, METHODS.tellPrompt, prompt, CALL_TIMEOUT_MS);
     },
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,7 +1,9 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
 import type { Knowledge } from '../../../application/gossip';
+import type { PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { Statements, StatementsRequest } from '../../../application/rows';
+import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildVerdictMessage, readReportMessage } from '../_lib/convertRollouts';
@@ -14,6 +16,8 @@
   readonly lendRetry: (service: string) => boolean;
   readonly recordToldPrompt: (server: string, tokens: number) => void;
   readonly handleReservation: (server: string, tokens: number) => number;
+  readonly handlePermit: (request: PermitRequest) => PermitDecision;
+  readonly releasePermit: (server: string) => void;
   readonly handleRequest: (request: StatementsRequest) => Promise<Statements>;
   /** Null if the order is not known here. */
   readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
@@ -31,16 +35,23 @@
 /** Creates the handlers of the calls between gateways. */
 export const createGatewayHandlers = ({
   handleKnowledge,
+  handlePermit,
   handleReport,
   handleRequest,
   handleReservation,
   lendRetry,
   recordToldPrompt,
+  releasePermit,
 }: GatewayServices): GatewayHandlers => ({
   lendRetry: async ({ service }) => ({ isLent: lendRetry(service) }),
   reservePrompt: async ({ server, tokens }) => ({
     othersTokens: handleReservation(server, tokens),
   }),
+  acquirePermit: async (request) => handlePermit(request),
+  releasePermit: async ({ server }) => {
+    releasePermit(server);
+    return {};
+  },
   tellPrompt: async ({ server, tokens }) => {
     recordToldPrompt(server, tokens);
     return {};
--- a/src/adapters/connect/index.ts
+++ b/src/adapters/connect/index.ts
@@ -1,5 +1,9 @@
 export { createGatewayClient, type GatewayClient } from './createGatewayClient';
-export { createGatewayHandlers, type GatewayHandlers } from './createGatewayHandlers';
+export {
+  createGatewayHandlers,
+  type GatewayHandlers,
+  type GatewayServices,
+} from './createGatewayHandlers';
 export { createPeerClient } from './createPeerClient';
 export type { PeerClient, PeerClientDependencies } from './createPeerClient';
 export type { PeerServer, PeerServerError } from './startConnectServer';
--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -29,6 +29,8 @@
   isInferred: boolean;
   /** Until then it wants no request of this VM. */
   pausedUntilMs: number;
+  /** Until then its rate limit leaves nothing to this VM. */
+  limitedUntilMs: number;
   /** Called when the server is surely not the one any more that the work was sent to. */
   readonly voidHandlers: Set<() => void>;
 }
@@ -49,5 +51,6 @@
   goneAtMs: Infinity,
   isInferred: false,
   pausedUntilMs: -Infinity,
+  limitedUntilMs: -Infinity,
   voidHandlers: new Set(),
 });
--- a/src/application/forwarding/_lib/chooseStreamServers/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamServers/index.ts
@@ -35,7 +35,8 @@
   const servers = copy.holders
     .map(directory.findServing)
     .filter((entry) => entry !== null)
-    .filter(context.servers.isAllowed);
+    .filter(context.servers.isAllowed)
+    .filter(({ id }) => !directory.isLimited(id));
   return servers.find(({ id }) => directory.isTrusted(id)) ?? servers[0] ?? null;
 };
 
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -19,6 +19,8 @@
 
 const RETRY_AFTER_MS = 150;
 
+const LIMIT_REASON = 'the rate limit of the servers leaves nothing';
+
 const computeAttemptMs = ({ route }: ForwardContext, leftMs: number, isLast: boolean): number => {
   if (route.kind !== RouteKind.Repeatable || isLast) return leftMs;
   const goalMs = Math.max(MIN_ATTEMPT_MS, route.latencyGoalMs * ATTEMPT_GOALS);
@@ -42,7 +44,7 @@
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
-  const { clock, directory, lender, randomness, retries } = dependencies;
+  const { clock, directory, lender, permits, randomness, retries } = dependencies;
   const { deadlineAtMs, reply, route, servers, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -68,14 +70,23 @@
       draw: randomness.readFraction(),
     });
     if (!status) break;
+    const permit = await permits.acquirePermit(status.entry.id);
+    if (typeof permit === 'number') {
+      directory.recordLimited(status.entry.id, permit);
+      excludedIds.add(status.entry.id);
+      lastReason = LIMIT_REASON;
+      continue;
+    }
     const isRepeat = arrivals > 0;
     if (isRepeat && !(await lender.acquireRetry(service))) {
+      permit.release();
       lastReason = `no retry left after: ${lastReason}`;
       break;
     }
-    // Another VM may have been asked for the repeat: time has passed, and the caller may have left.
+    // Other VMs may have been asked: time has passed, and the caller may have left.
     const remainingMs = deadlineAtMs - clock.readMonotonicMs();
     if (remainingMs <= 1 || !reply.isOpen() || crashes.readQuarantineMs() > 0) {
+      permit.release();
       if (isRepeat) retries.releaseRetry(service);
       continue;
     }
@@ -107,7 +118,10 @@
       servers.recordOutcome(status.entry, { isFailure, took: isFailure ? null : tookMs });
     }
     if (end.kind !== 'not-run' || end.hasArrived) arrivals += 1;
-    else if (isRepeat) retries.releaseRetry(service);
+    else {
+      permit.release();
+      if (isRepeat) retries.releaseRetry(service);
+    }
     if (end.kind === 'answered') {
       crashes.recordAnswer(status.entry);
       sendAnswer(context, end.answer);
--- a/src/application/forwarding/_lib/moveRun/index.ts
+++ b/src/application/forwarding/_lib/moveRun/index.ts
@@ -19,8 +19,12 @@
 const MOVES_PART = 0.6;
 
 const chooseHolder = (run: StreamRun, source: ServerEntry): ServerEntry | null => {
-  const { randomness } = run.dependencies;
-  const status = chooseForwardServer(run.context.servers.listHolders(source), {
+  const { limits, randomness } = run.dependencies;
+  // Where the limit leaves nothing to it, a run that was stopped would stand still.
+  const holders = run.context.servers
+    .listHolders(source)
+    .filter(({ entry }) => limits.readLimitPerS(entry.id) === null);
+  const status = chooseForwardServer(holders, {
     excludedIds: new Set([source.id]),
     avoidedZone: null,
     preferredZone: source.availabilityZone,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,43 +1,22 @@
 import { countPromptTokens, type AnswerHead } from '../../../../domain/forwarding';
-import type { GenerationEffect, Reader } from '../../../../domain/generation';
-import { RefusalCode } from '../../../../domain/types';
+import type { Reader } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun, StreamServers } from '../../types';
-import { checkStreamStart } from '../checkStreamStart';
-import { chooseStreamServers } from '../chooseStreamServers';
 import { closeStreamAttempt } from '../closeStreamAttempt';
+import { prepareStreamAttempt, type OpenAttempt } from '../prepareStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readWholeBody } from '../readWholeBody';
 import { recordAnswerHead } from '../recordAnswerHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 import { recordDecision } from '../recordDecision';
-import { refuseQuarantined } from '../refuseQuarantined';
 import { releaseCopy } from '../releaseCopy';
 import { startCopyWatch } from '../startCopyWatch';
 import { startSilenceWatch } from '../startSilenceWatch';
 import { updateCopy } from '../updateCopy';
 
-type OpenAttempt = Extract<GenerationEffect, { kind: 'open-attempt' }>;
-
-/** When a caller that got no server may come back: a crashed server is back or gone by then. */
-const RETRY_AFTER_MS = 300;
-
 const OK_STATUS = 200;
 const SERVER_ERROR_STATUS = 500;
 
-/** A caller who waits here is served by whichever server is there first; a new one comes back later. */
-const computeRetryMs = ({ arrivals, context, dependencies }: StreamRun): number =>
-  arrivals > 0
-    ? RETRY_AFTER_MS
-    : Math.max(RETRY_AFTER_MS, dependencies.directory.readPauseMs(context.service));
-
-const refuse = (run: StreamRun, reader: Reader, message: string): void =>
-  run.dispatch({
-    kind: 'slot-refused',
-    reader,
-    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: computeRetryMs(run) },
-  });
-
 /** Counts the prompt tokens that the server has to read before others. */
 const countTokensToRead = (run: StreamRun, { copy, hasPrompt }: StreamServers): number =>
   copy || hasPrompt ? 0 : countPromptTokens(run.context.request);
@@ -97,42 +76,14 @@
 };
 
 /** Sends one attempt of a stream and reads what comes of it. */
-export const openStreamAttempt = async (
-  run: StreamRun,
-  { excludedServers, reader }: OpenAttempt,
-): Promise<void> => {
-  const { client, clock, directory, lender, retries } = run.dependencies;
+export const openStreamAttempt = async (run: StreamRun, opening: OpenAttempt): Promise<void> => {
+  const { client, clock, directory, retries } = run.dependencies;
   const { context } = run;
-  const servers = await chooseStreamServers(run, new Set(excludedServers));
-  // The caller may have left, or the deadline passed, while servers were asked.
-  const isWanted = (): boolean =>
-    !run.isEnded() && run.readState().attempts.some(({ attempt }) => attempt === reader.attempt);
-  if (!isWanted()) {
-    recordDecision(run.dependencies, context, 'stream not sent', { attempt: reader.attempt });
-    return undefined;
-  }
-  const refusal = servers && run.arrivals === 0 ? checkStreamStart(run, servers) : null;
-  if (refusal) return run.refuse(refusal);
-  if (!servers) return refuse(run, reader, 'no server takes work');
-  const isRepeat = run.arrivals > 0;
-  if (isRepeat && !run.hasRetry && !(await lender.acquireRetry(context.service))) {
-    return refuse(run, reader, 'no retry left');
-  }
-  // The caller may have left while another VM was asked.
-  if (!isWanted()) {
-    if (isRepeat) retries.releaseRetry(context.service);
-    return undefined;
-  }
-  if (refuseQuarantined(run)) {
-    if (isRepeat) retries.releaseRetry(context.service);
-    return undefined;
-  }
-  Object.assign(run, { hasRetry: false });
+  const prepared = await prepareStreamAttempt(run, opening);
+  if (!prepared) return undefined;
+  const { reader } = opening;
+  const { isRepeat, permit, servers } = prepared;
   const { backup, copy, server } = servers;
-  if (!copy && run.prompts >= context.route.maxAttempts) {
-    return refuse(run, reader, 'the request went to as many servers as it may');
-  }
-  if (!copy) Object.assign(run, { prompts: run.prompts + 1 });
   const attempt = buildAttempt(run, servers, reader);
   run.attempts.set(reader.attempt, attempt);
   updateCopy(run, backup);
@@ -194,6 +145,7 @@
     }
     if (isRefused) {
       releaseCopy(run, copy, server.id);
+      permit.release();
       if (isRepeat) retries.releaseRetry(context.service);
     }
     return run.dispatch(
--- a/src/application/forwarding/_lib/recordAttemptFailure/index.ts
+++ b/src/application/forwarding/_lib/recordAttemptFailure/index.ts
@@ -1,5 +1,5 @@
 import type { AttemptError } from '../../../ports';
-import type { ServerDirectory } from '../../createServerDirectory';
+import type { ServerDirectory } from '../../types';
 
 /** Takes the failure of an attempt as evidence about its server, where it is some. */
 export const recordAttemptFailure = (
--- a/src/application/forwarding/createCrashProbe/index.ts
+++ b/src/application/forwarding/createCrashProbe/index.ts
@@ -7,7 +7,7 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { CrashHistory } from '../createCrashHistory';
 import type { RouteTableHolder } from '../createRouteTableHolder';
-import type { ServerDirectory } from '../createServerDirectory';
+import type { ServerDirectory } from '../types';
 
 /** What the probe needs. */
 export interface CrashProbeDependencies {
--- a/src/application/forwarding/createIdentityWatch/index.ts
+++ b/src/application/forwarding/createIdentityWatch/index.ts
@@ -1,7 +1,7 @@
 import type { Clock, EventLog, ForwardClient } from '../../ports';
 import { startLoop } from '../../time';
 import type { RouteTableHolder } from '../createRouteTableHolder';
-import type { ServerDirectory } from '../createServerDirectory';
+import type { ServerDirectory } from '../types';
 
 /** What the watch needs. */
 export interface IdentityWatchDependencies {
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -1,16 +1,9 @@
-import {
-  formatIncarnation,
-  isAddressKept,
-  type ServerEntry,
-  type ServerLoad,
-  type ServerStatus,
-} from '../../../domain/forwarding';
-import type { SharedRow } from '../../ports';
-import type { RowsInfo } from '../../rows';
+import { formatIncarnation, isAddressKept, type ServerEntry } from '../../../domain/forwarding';
 import type { ServerRecord, ToldPrompt } from '../_lib/buildServerRecord';
 import { buildServerStatus } from '../_lib/buildServerStatus';
 import { createServerRecords, type ServerRecordsDependencies } from '../_lib/createServerRecords';
-import { startServerWork, type ServerWork, type ServerWorkOptions } from '../_lib/startServerWork';
+import { startServerWork } from '../_lib/startServerWork';
+import type { ServerDirectory, SuspicionCause } from '../types';
 
 /** What a directory needs. */
 export interface ServerDirectoryDependencies extends ServerRecordsDependencies {
@@ -22,55 +15,6 @@
   readonly handleInferred: (entry: ServerEntry) => void;
 }
 
-/** Why a server is believed to have failed. */
-export type SuspicionCause = 'not-connected' | 'broken' | 'silent' | 'failing' | 'told';
-
-/** Knows the backend servers, and what this VM has at each. */
-export interface ServerDirectory {
-  applyRows(rows: readonly SharedRow[], info: RowsInfo): void;
-  /** Servers of a service that may take new work. */
-  listServing(service: string): readonly ServerStatus[];
-  /** A server that may take new work; null if it is leaving or gone. */
-  findServing(id: string): ServerEntry | null;
-  /** True: it is there, stays, and did not fail lately. */
-  isTrusted(id: string): boolean;
-  startWork(id: string, options: ServerWorkOptions): ServerWork;
-  /** Prompt tokens that are known to have been sent to a server and are still to be read. */
-  countUnreadTokens(id: string): number;
-  /** Another VM sent a prompt there. */
-  recordToldPrompt(id: string, tokens: number): void;
-  /** Counts a copy of a run's memory that a server holds; the returned function ends it. */
-  addCopy(id: string): () => void;
-  recordLoad(id: string, load: ServerLoad): void;
-  /** The server said in an answer that it takes no new work. */
-  recordLeaving(id: string): void;
-  /** The server said for how long it wants no request of this VM. */
-  recordPause(id: string, pauseMs: number): void;
-  /** Time until the first server of a service that paused takes work again; 0 if none paused. */
-  readPauseMs(service: string): number;
-  recordSuspicion(id: string, cause: SuspicionCause): void;
-  /** The server answered a request under its id. */
-  recordSuccess(id: string): void;
-  /** The server gave a sign of life under its id: also while it fails requests. */
-  recordAlive(id: string): void;
-  /** Another server has its address now; `successorId` is null where that did not say its id. */
-  recordReplaced(id: string, successorId: string | null): void;
-  /** True: this incarnation (`formatIncarnation`) answered this VM after that time. */
-  hasAnsweredSince(incarnation: string, atMs: number): boolean;
-  /** The server said when it was born; null if it did not. */
-  recordBorn(id: string, bornMs: number | null): void;
-  /** Takes a server that another VM met. */
-  applyInferred(entry: ServerEntry): void;
-  /**
-   * Servers whose ids are to be asked for: who is at the address of one that failed just now, and is
-   * one without an entry still there?
-   */
-  listUncertain(): readonly ServerEntry[];
-  /** Servers without an entry; those that have not answered for long are forgotten first. */
-  countInferred(): number;
-  countServing(): number;
-}
-
 /** For this long an answer to this VM weighs more than what another VM says. */
 const OWN_EVIDENCE_MS = 200;
 
@@ -110,6 +54,9 @@
   const isServing = (record: ServerRecord): boolean =>
     isThere(record) && record.pausedUntilMs <= clock.readMonotonicMs();
 
+  const isLimited = ({ limitedUntilMs }: ServerRecord): boolean =>
+    limitedUntilMs > clock.readMonotonicMs();
+
   const listTold = ({ told }: ServerRecord): readonly ToldPrompt[] => {
     const sinceMs = clock.readMonotonicMs() - TOLD_MS;
     return told.filter(({ toldAtMs }) => toldAtMs > sinceMs);
@@ -126,7 +73,8 @@
       const nowMs = clock.readMonotonicMs();
       return records
         .list()
-        .filter((record) => record.entry.service === service && isServing(record))
+        .filter((record) => record.entry.service === service)
+        .filter((record) => isServing(record) && !isLimited(record))
         .map((record) => buildServerStatus(record, nowMs));
     },
     findServing: (id) => {
@@ -171,12 +119,20 @@
       record.pausedUntilMs = Math.max(record.pausedUntilMs, untilMs);
       log.info('server paused', { server: id, pauseMs: Math.round(pauseMs) });
     },
+    recordLimited: (id, waitMs) => {
+      const record = records.find(id);
+      if (record) record.limitedUntilMs = clock.readMonotonicMs() + waitMs;
+    },
+    isLimited: (id) => {
+      const record = records.find(id);
+      return record !== undefined && isLimited(record);
+    },
     readPauseMs: (service) => {
       const nowMs = clock.readMonotonicMs();
       const pauses = records
         .list()
         .filter((record) => record.entry.service === service && isThere(record))
-        .map(({ pausedUntilMs }) => pausedUntilMs - nowMs)
+        .map(({ limitedUntilMs, pausedUntilMs }) => Math.max(limitedUntilMs, pausedUntilMs) - nowMs)
         .filter((pauseMs) => pauseMs > 0);
       return pauses.length === 0 ? 0 : Math.min(...pauses);
     },
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -12,7 +12,7 @@
 export { createRouteTableHolder, type RouteTableHolder } from './createRouteTableHolder';
 export { createIdentityWatch, type IdentityWatch } from './createIdentityWatch';
 export { createRetryLender, type RetryLender } from './createRetryLender';
-export { createServerDirectory, type ServerDirectory } from './createServerDirectory';
+export { createServerDirectory } from './createServerDirectory';
 export type {
   CallerReply,
   ForwardContext,
@@ -20,4 +20,5 @@
   ForwardingMeter,
   Refusal,
   RefusalKind,
+  ServerDirectory,
 } from './types';
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,12 +1,12 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
-import type { ServerLimits } from '../../limits';
+import type { Permits, ServerLimits } from '../../limits';
 import type { Rollouts } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
 import type { RetryAllowance } from '../createRetryAllowance';
 import type { RetryLender } from '../createRetryLender';
 import type { RouteTableHolder } from '../createRouteTableHolder';
-import type { ServerDirectory } from '../createServerDirectory';
+import type { ServerDirectory } from './ServerDirectory';
 import type { ForwardingMeter } from './ForwardingMeter';
 
 /** What forwarding works with. */
@@ -19,6 +19,7 @@
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
   readonly limits: ServerLimits;
+  readonly permits: Pick<Permits, 'acquirePermit'>;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
   readonly randomness: Randomness;
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -4,3 +4,5 @@
 export type { ForwardingMeter } from './ForwardingMeter';
 export type { StreamServers } from './StreamServers';
 export type { HeldCopy, StreamAttempt, StreamRun } from './StreamRun';
+export type { ServerDirectory } from './ServerDirectory';
+export type { SuspicionCause } from './SuspicionCause';
--- a/src/application/gossip/_lib/createNewsGatherer/index.ts
+++ b/src/application/gossip/_lib/createNewsGatherer/index.ts
@@ -1,10 +1,14 @@
 import type { SharedOutcome } from '../../../../domain/forwarding';
+import type { SharedLimit } from '../../../../domain/limits';
 import type { RolloutVerdict } from '../../../../domain/rollouts';
 import type { Clock } from '../../../ports';
 import type { Knowledge } from '../../types';
 
 /** What is told at once. */
-export type News = Pick<Knowledge, 'inferred' | 'members' | 'outcomes' | 'suspicions' | 'verdicts'>;
+export type News = Pick<
+  Knowledge,
+  'inferred' | 'limits' | 'members' | 'outcomes' | 'suspicions' | 'verdicts'
+>;
 
 /** Nothing to tell. */
 export const NO_NEWS: News = {
@@ -13,6 +17,7 @@
   members: [],
   outcomes: [],
   verdicts: [],
+  limits: [],
 };
 
 /** What a gatherer needs. */
@@ -49,12 +54,22 @@
 const buildVerdictKey = ({ isStored, sequence, service, state }: RolloutVerdict): string =>
   `${service} ${sequence} ${state} ${isStored}`;
 
-const listKeys = ({ inferred, members, outcomes, suspicions, verdicts }: News): string[] => [
+const buildLimitKey = ({ limitPerS, server }: SharedLimit): string => `${server} ${limitPerS}`;
+
+const listKeys = ({
+  inferred,
+  limits,
+  members,
+  outcomes,
+  suspicions,
+  verdicts,
+}: News): string[] => [
   ...suspicions.map(({ server }) => server),
   ...inferred.map(({ id }) => id),
   ...members.map(({ vm }) => vm),
   ...outcomes.map(buildOutcomeKey),
   ...verdicts.map(buildVerdictKey),
+  ...limits.map(buildLimitKey),
 ];
 
 const countNews = (news: News): number => listKeys(news).length;
@@ -84,12 +99,20 @@
       .forEach((key) => passedAtMs.set(key, nowMs));
   };
 
-  const filterNew = ({ inferred, members, outcomes, suspicions, verdicts }: News): News => ({
+  const filterNew = ({
+    inferred,
+    limits,
+    members,
+    outcomes,
+    suspicions,
+    verdicts,
+  }: News): News => ({
     suspicions: suspicions.filter(({ server }) => !passedAtMs.has(server)),
     inferred: inferred.filter(({ id }) => !passedAtMs.has(id)),
     members: members.filter(({ vm }) => !passedAtMs.has(vm)),
     outcomes: outcomes.filter((outcome) => !passedAtMs.has(buildOutcomeKey(outcome))),
     verdicts: verdicts.filter((verdict) => !passedAtMs.has(buildVerdictKey(verdict))),
+    limits: limits.filter((limit) => !passedAtMs.has(buildLimitKey(limit))),
   });
 
   const schedule = (delayMs: number): void => {
@@ -118,6 +141,7 @@
         members: [...waiting.members, ...fresh.members],
         outcomes: [...waiting.outcomes, ...fresh.outcomes],
         verdicts: [...waiting.verdicts, ...fresh.verdicts],
+        limits: [...waiting.limits, ...fresh.limits],
       };
       schedule(countNews(fresh) > fresh.members.length ? GATHER_MS : GATHER_MEMBERS_MS);
     },
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -1,7 +1,6 @@
 import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
+import type { SharedLimit } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
-import type { Clock, EventLog, Randomness } from '../../ports';
-import type { PassedVerdicts } from '../../rollouts';
 import { startLoop } from '../../time';
 import { computeOutcomesDigest } from '../_lib/computeOutcomesDigest';
 import { createMemberList } from '../_lib/createMemberList';
@@ -9,35 +8,7 @@
 import { drawSome } from '../_lib/drawSome';
 import { listTableChanges } from '../_lib/listTableChanges';
 import { recordJoined } from '../_lib/recordJoined';
-import type {
-  GossipCalls,
-  Knowledge,
-  Member,
-  PassedOutcomes,
-  PassedRows,
-  SharedSuspicion,
-} from '../types';
-
-/** What gossip needs. */
-export interface GossipDependencies {
-  readonly self: Omit<Member, 'ageMs'>;
-  /** Peer addresses to begin with; some may be stale. */
-  readonly seedAddresses: readonly string[];
-  readonly calls: GossipCalls;
-  /** Followers whose rows are passed on, by table. */
-  readonly followers: ReadonlyMap<string, PassedRows>;
-  /** What is known of requests that end their servers. */
-  readonly outcomes: PassedOutcomes;
-  /** What is known of roll-outs. */
-  readonly verdicts: PassedVerdicts;
-  readonly clock: Clock;
-  readonly randomness: Randomness;
-  readonly log: EventLog;
-  /** Takes a suspicion that another VM has. */
-  readonly handleSuspicion: (suspicion: SharedSuspicion) => void;
-  /** Takes a server without an entry that another VM met. */
-  readonly handleInferred: (server: ServerEntry) => void;
-}
+import type { GossipDependencies, Knowledge, Member } from '../types';
 
 /** Passes on what this VM knows, and learns what others know. */
 export interface Gossip {
@@ -55,6 +26,8 @@
   sendOutcome(outcome: SharedOutcome): void;
   /** Tells others of a verdict on a roll-out. */
   sendVerdict(verdict: RolloutVerdict): void;
+  /** Tells others of a server's rate limit. */
+  sendLimit(limit: SharedLimit): void;
   /** Other VMs heard lately. */
   listMembers(): readonly Member[];
   /** VMs heard lately, this one included. */
@@ -86,6 +59,7 @@
     followers,
     handleInferred,
     handleSuspicion,
+    limits,
     log,
     outcomes,
     randomness,
@@ -121,6 +95,7 @@
     outcomesDigest: computeOutcomesDigest(outcomes.listOutcomes()),
     ...told,
     verdicts: verdicts.listVerdicts(),
+    limits: limits.listLimits(),
   });
 
   let tell: (gathered: News) => void = () => undefined;
@@ -139,8 +114,15 @@
     // Where all VMs are told at once, nobody needs to pass it on.
     const fresh = taken.outcomes.filter(outcomes.mergeOutcome);
     const changed = taken.verdicts.filter(verdicts.mergeVerdict);
+    const limited = taken.limits.filter(limits.mergeLimit);
     if (members.isLarge()) {
-      gatherer.gather({ ...taken, members: joined, outcomes: fresh, verdicts: changed });
+      gatherer.gather({
+        ...taken,
+        members: joined,
+        outcomes: fresh,
+        verdicts: changed,
+        limits: limited,
+      });
     } else gatherer.recordPassed({ ...taken, members: [] });
   };
 
@@ -154,7 +136,7 @@
     const versions = vm === null ? undefined : versionsOf.get(vm);
     const knowledge = buildKnowledge(versions, told);
     // News of servers comes by the dozen when an availability zone is lost.
-    const news = [told.suspicions, told.inferred, told.outcomes, told.verdicts];
+    const news = [told.suspicions, told.inferred, told.outcomes, told.verdicts, told.limits];
     const sent = news.some((some) => some.length > 0) ? knowledge : askMembers(knowledge);
     const taken = await calls.exchangeKnowledge(address, sent);
     if (vm !== null) members.recordCall(vm, { hasAnswered: taken !== null });
@@ -233,6 +215,7 @@
     sendInferred: (server) => gatherer.gather({ ...NO_NEWS, inferred: [server] }),
     sendOutcome: (outcome) => gatherer.gather({ ...NO_NEWS, outcomes: [outcome] }),
     sendVerdict: (verdict) => gatherer.gather({ ...NO_NEWS, verdicts: [verdict] }),
+    sendLimit: (limit) => gatherer.gather({ ...NO_NEWS, limits: [limit] }),
     drawAddresses: (count) =>
       drawSome(members.listLive(), count, randomness).map(({ address }) => address),
     listMembers: members.listLive,
--- a/src/application/gossip/index.ts
+++ b/src/application/gossip/index.ts
@@ -1,4 +1,4 @@
-export { createGossip, type Gossip, type GossipDependencies } from './createGossip';
+export { createGossip, type Gossip } from './createGossip';
 export type {
   GossipCalls,
   Knowledge,
--- /dev/null
+++ b/src/application/gossip/types/GossipDependencies.ts
@@ -0,0 +1,28 @@
+import type { ServerEntry } from '../../../domain/forwarding';
+import type { PassedLimits } from '../../limits';
+import type { Clock, EventLog, Randomness } from '../../ports';
+import type { PassedVerdicts } from '../../rollouts';
+import type { GossipCalls, Member, PassedOutcomes, PassedRows, SharedSuspicion } from '.';
+
+/** What gossip needs. */
+export interface GossipDependencies {
+  readonly self: Omit<Member, 'ageMs'>;
+  /** Peer addresses to begin with; some may be stale. */
+  readonly seedAddresses: readonly string[];
+  readonly calls: GossipCalls;
+  /** Followers whose rows are passed on, by table. */
+  readonly followers: ReadonlyMap<string, PassedRows>;
+  /** What is known of requests that end their servers. */
+  readonly outcomes: PassedOutcomes;
+  /** What is known of roll-outs. */
+  readonly verdicts: PassedVerdicts;
+  /** What is known of servers' rate limits. */
+  readonly limits: PassedLimits;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly log: EventLog;
+  /** Takes a suspicion that another VM has. */
+  readonly handleSuspicion: (suspicion: SharedSuspicion) => void;
+  /** Takes a server without an entry that another VM met. */
+  readonly handleInferred: (server: ServerEntry) => void;
+}
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -1,8 +1,11 @@
+import type { SharedLimit } from '../../../domain/limits';
 import type { ServerEntry, SharedOutcome } from '../../../domain/forwarding';
 import type { SharedRow } from '../../ports';
 import type { RolloutVerdict } from '../../../domain/rollouts';
 import type { RowFollower } from '../../rows';
 
+export type { GossipDependencies } from './GossipDependencies';
+
 /** A VM as others know it. */
 export interface Member {
   readonly vm: string;
@@ -51,6 +54,8 @@
   readonly outcomesDigest: number;
   /** Roll-outs that have come to another state lately. */
   readonly verdicts: readonly RolloutVerdict[];
+  /** Rate limits that servers name, and those that ended lately. */
+  readonly limits: readonly SharedLimit[];
 }
 
 /** Calls to other VMs. */
--- /dev/null
+++ b/src/application/limits/createPermits/index.ts
@@ -0,0 +1,185 @@
+import {
+  PERMIT_WINDOW_MS,
+  rankLimitKeepers,
+  type KeeperCandidate,
+  type PermitDecision,
+} from '../../../domain/limits';
+import type { Clock, EventLog } from '../../ports';
+import type { LimitKeeper } from '../createLimitKeeper';
+import type { ServerLimits } from '../createServerLimits';
+import type { LimitPeer, PermitRequest } from '../types';
+
+/** What permits need. */
+export interface PermitsDependencies {
+  /** This VM. */
+  readonly self: KeeperCandidate;
+  readonly listPeers: () => readonly LimitPeer[];
+  /** Asks another VM; null if it does not answer in time. */
+  readonly askPeer: (address: string, request: PermitRequest) => Promise<PermitDecision | null>;
+  /** Gives a permit back to another VM; nothing depends on its arrival. */
+  readonly tellReleased: (address: string, server: string) => void;
+  readonly keeper: LimitKeeper;
+  readonly limits: Pick<ServerLimits, 'readLimitPerS'>;
+  readonly clock: Pick<Clock, 'readMonotonicMs'>;
+  readonly log: EventLog;
+}
+
+/** The right to send one request to a server. */
+export interface Permit {
+  /** Gives it back: no request was sent. */
+  release(): void;
+}
+
+/** Asks for the right to send requests to servers with a rate limit. */
+export interface Permits {
+  /** Resolves with a permit, or with the time in milliseconds after which to ask again. */
+  acquirePermit(server: string): Promise<Permit | number>;
+  /** Forgets a server that is gone. */
+  drop(server: string): void;
+}
+
+/** A request that this VM sent, and the keepers that know of it. */
+interface Send {
+  readonly atMs: number;
+  readonly knownTo: Set<string>;
+}
+
+const MS_PER_S = 1000;
+
+/** Keepers that must agree: VMs that know different others still have one in common. */
+const NEEDED_KEEPERS = 2;
+
+/** A keeper that did not answer is passed over for this long. */
+const UNREACHABLE_MS = 2000;
+
+/** Distinguishes the part that this VM takes by itself from what it keeps for others. */
+const ALONE_SUFFIX = ' alone';
+
+/** A part below one request in the window is none. */
+const MIN_PART_PER_S = MS_PER_S / PERMIT_WINDOW_MS;
+
+/** When to ask again while too few keepers answer. */
+const ALONE_WAIT_MS = 500;
+
+/**
+ * Creates the permits of this VM.
+ *
+ * A limit of some requests a second holds for hundreds of VMs together: each VM's even part of it is less
+ * than one request in the time that is looked at. So VMs ask the one that keeps the server's limit, and
+ * a second one confirms it: where VMs know different others, for example after a loss, or a keeper is
+ * silent, the two that they ask still have one in common.
+ */
+export const createPermits = (dependencies: PermitsDependencies): Permits => {
+  const { askPeer, clock, keeper, limits, listPeers, log, self, tellReleased } = dependencies;
+  const sendsOf = new Map<string, Send[]>();
+  const unreachableUntilMs = new Map<string, number>();
+
+  const addSend = (server: string): Send => {
+    const nowMs = clock.readMonotonicMs();
+    const kept = (sendsOf.get(server) ?? []).filter(({ atMs }) => atMs > nowMs - PERMIT_WINDOW_MS);
+    const send = { atMs: nowMs, knownTo: new Set<string>() };
+    sendsOf.set(server, [...kept, send]);
+    return send;
+  };
+
+  const removeSend = (server: string, send: Send): void => {
+    const kept = sendsOf.get(server)?.filter((one) => one !== send);
+    if (kept) sendsOf.set(server, kept);
+  };
+
+  const listReachable = (): readonly (KeeperCandidate & { readonly address: string | null })[] => {
+    const nowMs = clock.readMonotonicMs();
+    const peers = listPeers().filter(({ vm }) => (unreachableUntilMs.get(vm) ?? 0) <= nowMs);
+    return [{ ...self, address: null }, ...peers];
+  };
+
+  const askKeeper = async (
+    vm: string,
+    address: string | null,
+    request: Omit<PermitRequest, 'sender' | 'sentAgesMs'>,
+  ): Promise<PermitDecision | null> => {
+    const nowMs = clock.readMonotonicMs();
+    const untold = (sendsOf.get(request.server) ?? []).filter(
+      ({ atMs, knownTo }) => !knownTo.has(vm) && atMs > nowMs - PERMIT_WINDOW_MS,
+    );
+    const sent = {
+      ...request,
+      sender: self.vm,
+      sentAgesMs: untold.map(({ atMs }) => Math.round(nowMs - atMs)),
+    };
+    // Before the answer: what is asked meanwhile must not count twice.
+    untold.forEach(({ knownTo }) => knownTo.add(vm));
+    const decision = address === null ? keeper.handlePermit(sent) : await askPeer(address, sent);
+    if (!decision) {
+      untold.forEach(({ knownTo }) => knownTo.delete(vm));
+      unreachableUntilMs.set(vm, clock.readMonotonicMs() + UNREACHABLE_MS);
+      log.info('limit keeper silent', { server: request.server, keeper: vm });
+    }
+    return decision;
+  };
+
+  const releaseAt = (vms: ReadonlySet<string>, server: string): void => {
+    if (vms.has(self.vm)) keeper.releasePermit(server);
+    listPeers()
+      .filter(({ vm }) => vms.has(vm))
+      .forEach(({ address }) => tellReleased(address, server));
+  };
+
+  /** Without enough keepers that answer, this VM keeps to its even part. */
+  const decideAlone = (server: string, limitPerS: number): PermitDecision => {
+    const partPerS = limitPerS / (listPeers().length + 1);
+    if (partPerS < MIN_PART_PER_S) return { isGranted: false, waitMs: ALONE_WAIT_MS };
+    return keeper.handlePermit({
+      sender: self.vm,
+      server: `${server}${ALONE_SUFFIX}`,
+      limitPerS: partPerS,
+      sentAgesMs: [],
+      isConfirmation: false,
+    });
+  };
+
+  const buildPermit = (server: string, knownTo: ReadonlySet<string>): Permit => {
+    const send = addSend(server);
+    knownTo.forEach((vm) => send.knownTo.add(vm));
+    return {
+      release: () => {
+        removeSend(server, send);
+        releaseAt(knownTo, server);
+      },
+    };
+  };
+
+  const askKeepers = async (server: string, limitPerS: number): Promise<Permit | number> => {
+    const granted = new Set<string>();
+    const candidates = listReachable();
+    const needed = Math.min(NEEDED_KEEPERS, listPeers().length + 1);
+    for (const { address, vm } of rankLimitKeepers(candidates, server)) {
+      const isConfirmation = granted.size > 0;
+      const decision = await askKeeper(vm, address, { server, limitPerS, isConfirmation });
+      if (decision && !decision.isGranted) {
+        releaseAt(granted, server);
+        return decision.waitMs;
+      }
+      if (decision) granted.add(vm);
+      if (granted.size >= needed) return buildPermit(server, granted);
+    }
+    releaseAt(granted, server);
+    const alone = decideAlone(server, limitPerS);
+    return alone.isGranted ? buildPermit(server, new Set()) : alone.waitMs;
+  };
+
+  return {
+    acquirePermit: async (server) => {
+      const limitPerS = limits.readLimitPerS(server);
+      if (limitPerS === null) return buildPermit(server, new Set());
+      const permit = await askKeepers(server, limitPerS);
+      if (typeof permit === 'number') {
+        log.info('server limit reached', { server, limitPerS, waitMs: permit });
+      }
+      return permit;
+    },
+    drop: (server) => {
+      sendsOf.delete(server);
+    },
+  };
+};
--- a/src/application/limits/createServerLimits/index.ts
+++ b/src/application/limits/createServerLimits/index.ts
@@ -1,9 +1,13 @@
+import { PERMIT_WINDOW_MS, type SharedLimit } from '../../../domain/limits';
 import type { Clock, EventLog } from '../../ports';
+import type { PassedLimits } from '../types';
 
 /** What knowing of limits needs. */
 export interface ServerLimitsDependencies {
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly log: EventLog;
+  /** Tells other VMs that a server named another limit than before, or none any more. */
+  readonly tellLimit: (limit: SharedLimit) => void;
 }
 
 /** What one answer of a server says of its rate limit. */
@@ -15,9 +19,9 @@
 }
 
 /** Knows the rate limits that servers name in their answers. */
-export interface ServerLimits {
+export interface ServerLimits extends PassedLimits {
   recordStatement(server: string, statement: LimitStatement): void;
-  /** Requests a second that a server takes from all VMs together; null if it has no limit. */
+  /** Requests a second that a server takes from all VMs together, above 0; null if it has no limit. */
   readLimitPerS(server: string): number | null;
   /** Forgets a server that is gone, or that started again. */
   drop(server: string): void;
@@ -28,25 +32,56 @@
   readonly atMs: number;
 }
 
+/** A server that names less still gets this, so that the end of its limit is noticed. */
+const MIN_LIMIT_PER_S = 1000 / PERMIT_WINDOW_MS;
+
+/** A limit that ended is told for this long; it is stated again with each answer while it holds. */
+const TOLD_MS = 60_000;
+
 /** Creates what knows the rate limits of servers; there are none. */
-export const createServerLimits = ({ clock, log }: ServerLimitsDependencies): ServerLimits => {
+export const createServerLimits = ({
+  clock,
+  log,
+  tellLimit,
+}: ServerLimitsDependencies): ServerLimits => {
   const held = new Map<string, Held>();
+
+  /** Takes what is newer than before; true if it differs. */
+  const merge = (server: string, { atMs, limitPerS }: Held, source: string): boolean => {
+    const before = held.get(server);
+    if (before ? atMs < before.atMs : limitPerS === null) return false;
+    held.set(server, { limitPerS, atMs });
+    if (before?.limitPerS === limitPerS) return false;
+    log.info('server limit', {
+      server,
+      limitPerS: limitPerS ?? 'none',
+      before: before?.limitPerS ?? 'none',
+      source,
+    });
+    return true;
+  };
+
   return {
     recordStatement: (server, { limitPerS, sentAtMs }) => {
-      const before = held.get(server);
-      if (!before && limitPerS === null) return;
+      const nowMs = clock.readMonotonicMs();
       // Answers cross: one without a limit ends it only if it was surely made after the last that named it.
-      const atMs = limitPerS === null ? sentAtMs : clock.readMonotonicMs();
-      if (before && atMs < before.atMs) return;
-      held.set(server, { limitPerS, atMs });
-      if (before?.limitPerS === limitPerS) return;
-      log.info('server limit', {
-        server,
-        limitPerS: limitPerS ?? 'none',
-        before: before?.limitPerS ?? 'none',
-      });
+      const atMs = limitPerS === null ? sentAtMs : nowMs;
+      if (merge(server, { limitPerS, atMs }, 'own')) {
+        tellLimit({ server, limitPerS, ageMs: nowMs - atMs });
+      }
+    },
+    mergeLimit: ({ ageMs, limitPerS, server }) =>
+      merge(server, { limitPerS, atMs: clock.readMonotonicMs() - ageMs }, 'told'),
+    listLimits: () => {
+      const nowMs = clock.readMonotonicMs();
+      return [...held]
+        .filter(([, { atMs, limitPerS }]) => limitPerS !== null || nowMs - atMs < TOLD_MS)
+        .map(([server, { atMs, limitPerS }]) => ({ server, limitPerS, ageMs: nowMs - atMs }));
+    },
+    readLimitPerS: (server) => {
+      const limitPerS = held.get(server)?.limitPerS ?? null;
+      return limitPerS === null ? null : Math.max(MIN_LIMIT_PER_S, limitPerS);
     },
-    readLimitPerS: (server) => held.get(server)?.limitPerS ?? null,
     drop: (server) => {
       held.delete(server);
     },
--- /dev/null
+++ b/src/application/limits/types/PassedLimits.ts
@@ -0,0 +1,8 @@
+import type { SharedLimit } from '../../../domain/limits';
+
+/** What gossip asks of those who know limits. */
+export interface PassedLimits {
+  /** True if it was news. */
+  mergeLimit(limit: SharedLimit): boolean;
+  listLimits(): readonly SharedLimit[];
+}
--- /dev/null
+++ b/src/domain/limits/types/index.ts
@@ -0,0 +1,2 @@
+export type { PermitDecision } from './PermitDecision';
+export type { SharedLimit } from './SharedLimit';
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -10,7 +10,15 @@
 /** What the endpoints tell of. */
 export interface EndpointParts extends Pick<
   GatewayParts,
-  'directory' | 'gossip' | 'lender' | 'log' | 'metrics' | 'places' | 'rolloutJudge' | 'sharing'
+  | 'directory'
+  | 'gossip'
+  | 'lender'
+  | 'limitKeeper'
+  | 'log'
+  | 'metrics'
+  | 'places'
+  | 'rolloutJudge'
+  | 'sharing'
 > {
   readonly isReady: () => boolean;
 }
@@ -33,6 +41,7 @@
     gossip,
     isReady,
     lender,
+    limitKeeper,
     log,
     metrics,
     places,
@@ -72,6 +81,8 @@
         lendRetry: lender.lendRetry,
         recordToldPrompt: directory.recordToldPrompt,
         handleReservation: places.handleReservation,
+        handlePermit: limitKeeper.handlePermit,
+        releasePermit: limitKeeper.releasePermit,
         handleReport: rolloutJudge.handleReport,
         handleRequest: sharing.handleRequest,
       }),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -10,7 +10,6 @@
   createServerDirectory,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
-import { createServerLimits } from '../../../../application/limits';
 import { createFollowerPair, createSharedReading } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
@@ -21,6 +20,7 @@
   TABLES,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireLimits } from '../wireLimits';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import type { GatewayOverrides, GatewayParts } from '../../types';
@@ -48,7 +48,22 @@
   let sendInferred: Gossip['sendInferred'] = () => undefined;
   let sendOutcome: Gossip['sendOutcome'] = () => undefined;
   let startIdentityWatch = (): void => undefined;
-  const limits = createServerLimits({ clock, log });
+  const calls = createGatewayClient();
+  let listMembers: Gossip['listMembers'] = () => [];
+  let sendLimit: Gossip['sendLimit'] = () => undefined;
+  const {
+    keeper: limitKeeper,
+    limits,
+    permits,
+  } = wireLimits({
+    self: settings,
+    listPeers: () => listMembers(),
+    calls,
+    tellLimit: (limit) => sendLimit(limit),
+    clock,
+    log,
+    randomness,
+  });
   const directory = createServerDirectory({
     decode: decodeServerEntry,
     clock,
@@ -56,6 +71,7 @@
     handleGone: (id) => {
       client.removeServer(id);
       limits.drop(id);
+      permits.drop(id);
     },
     reuseAfterMs: settings.bounds.reuseAfterMs,
     handleSuspected: (id, cause) => {
@@ -69,8 +85,6 @@
   });
   const identities = createIdentityWatch({ client, clock, directory, log, tables });
   startIdentityWatch = identities.start;
-  const calls = createGatewayClient();
-  let listMembers: Gossip['listMembers'] = () => [];
   let sendVerdict: Gossip['sendVerdict'] = () => undefined;
   const { judge: rolloutJudge, rollouts } = wireRollouts({
     settings,
@@ -133,6 +147,7 @@
     followers,
     outcomes: crashes,
     verdicts: rollouts,
+    limits,
     clock,
     randomness,
     log,
@@ -146,6 +161,7 @@
   sendInferred = gossip.sendInferred;
   sendOutcome = gossip.sendOutcome;
   sendVerdict = gossip.sendVerdict;
+  sendLimit = gossip.sendLimit;
   listMembers = gossip.listMembers;
   const sharing = createSharedReading({
     self,
@@ -178,6 +194,7 @@
     crashProbe,
     directory,
     limits,
+    permits,
     log,
     meter: metrics,
     randomness,
@@ -198,6 +215,7 @@
     gossip,
     sharing,
     lender,
+    limitKeeper,
     quarantineRows,
     places,
     rolloutJudge,
--- /dev/null
+++ b/src/programs/gateway/_lib/wireLimits/index.ts
@@ -0,0 +1,55 @@
+import type { GatewayClient } from '../../../../adapters/connect';
+import {
+  createLimitKeeper,
+  createPermits,
+  createServerLimits,
+  type LimitKeeper,
+  type LimitPeer,
+  type Permits,
+  type ServerLimits,
+} from '../../../../application/limits';
+import type { Clock, EventLog, Randomness } from '../../../../application/ports';
+import type { KeeperCandidate, SharedLimit } from '../../../../domain/limits';
+
+/** What the parts work with. */
+export interface LimitPartsDependencies {
+  readonly self: KeeperCandidate;
+  readonly listPeers: () => readonly LimitPeer[];
+  readonly calls: Pick<GatewayClient, 'acquirePermit' | 'releasePermit'>;
+  readonly tellLimit: (limit: SharedLimit) => void;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly randomness: Randomness;
+}
+
+/** The parts that keep servers' rate limits. */
+export interface LimitParts {
+  readonly limits: ServerLimits;
+  readonly keeper: LimitKeeper;
+  readonly permits: Permits;
+}
+
+/** Wires what keeps servers' rate limits. */
+export const wireLimits = ({
+  calls,
+  clock,
+  listPeers,
+  log,
+  randomness,
+  self,
+  tellLimit,
+}: LimitPartsDependencies): LimitParts => {
+  const limits = createServerLimits({ clock, log, tellLimit });
+  const keeper = createLimitKeeper({ clock, limits, randomness });
+  const permits = createPermits({
+    self,
+    listPeers,
+    askPeer: calls.acquirePermit,
+    tellReleased: calls.releasePermit,
+    keeper,
+    limits,
+    clock,
+    log,
+  });
+  return { limits, keeper, permits };
+};
--- a/standins/gossip/createGossipFleet/index.ts
+++ b/standins/gossip/createGossipFleet/index.ts
@@ -56,6 +56,7 @@
       createGossip({
         self: { vm, address: vm, availabilityZone: 'z1', cores: 0.3 },
         seedAddresses: [names[0] as string],
+        limits: { mergeLimit: () => false, listLimits: () => [] },
         calls: {
           exchangeKnowledge: async (address: string, knowledge: Knowledge) => {
             calls += 1;
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -6,6 +6,7 @@
 import { buildGatewaySettings, type StandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
 import { buildWireEntry } from '../../standins/gateway';
+import { buildIdleServices } from './_lib/buildIdleServices';
 import { countRequests } from './_lib/countRequests';
 import { startTestGateway } from './_lib/startTestGateway';
 import { nextAnywhere } from './_lib/nextAnywhere';
@@ -67,6 +68,7 @@
   let lent = 0;
   let address = '';
   const handlers = createGatewayHandlers({
+    ...buildIdleServices(),
     handleKnowledge: (taken) => ({
       ...taken,
       sender: { ...self, address },
@@ -77,10 +79,6 @@
       lent += 1;
       return true;
     },
-    recordToldPrompt: () => undefined,
-    handleReservation: () => 0,
-    handleReport: () => null,
-    handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
   });
   const peer = readOk(
     await startGatewayServer({ handlers, log: QUIET_LOG }, { host: '127.0.0.1', port: 0 }),
--- a/tests/gateway/serverLimits.test.ts
+++ b/tests/gateway/serverLimits.test.ts
@@ -2,7 +2,9 @@
 import test from 'ava';
 import { HEADERS } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
+import type { StandInServer } from '../../standins/gateway';
 import { buildStream } from './_lib/buildStream';
+import { findFreePort } from '../../standins/_lib/findFreePort';
 import { callServer } from './_lib/callServer';
 import { nextAnywhere } from './_lib/nextAnywhere';
 import { sendEvents } from './_lib/sendEvents';
@@ -21,10 +23,13 @@
 const nameLimit = (limit: string) => ({ [HEADERS.limit]: limit });
 
 test('the log says which limit an answer named, and when one named none any more', async (t) => {
-  const bench = await startTestGateway({ clock: createFakeClock(), serverIds: ['i-1'] });
+  const clock = createFakeClock();
+  const bench = await startTestGateway({ clock, serverIds: ['i-1'] });
   t.teardown(bench.stop);
   await callServer(bench, { id: 'first', headers: nameLimit('3.7') });
+  clock.advance(1000);
   await callServer(bench, { id: 'same', headers: nameLimit('3.7') });
+  clock.advance(1000);
   await callServer(bench, { id: 'none' });
   const named = bench.lines.filter(({ message }) => message === 'server limit');
   t.deepEqual(
@@ -96,3 +101,33 @@
   for (let call = 0; call < CALLS; call += 1) await callServer(bench, { id: `call-${call}` });
   t.is(bench.servers[0]?.countRequests(), CALLS + 2);
 });
+
+test('gateways keep a limit together, also one that has not heard of it from the server', async (t) => {
+  const peerAddress = `127.0.0.1:${await findFreePort()}`;
+  const first = await startTestGateway({ serverIds: ['i-1'], settings: { peerAddress } });
+  t.teardown(first.stop);
+  const second = await startTestGateway({
+    beside: first,
+    settings: { vm: 'vm-2', availabilityZone: 'z2', seedAddresses: [peerAddress] },
+  });
+  t.teardown(second.stop);
+  await second.waitForLine('peers known');
+  await callServer(first, { id: 'first', headers: nameLimit(String(LIMIT_PER_S)) });
+  await second.waitForLine('server limit', ({ source }) => source === 'told');
+  const [server] = first.servers as [StandInServer];
+  server.addListener(() => {
+    const request = server.takeRequest();
+    if (request) server.answer(request, 200, 'yes', nameLimit(String(LIMIT_PER_S)));
+  });
+  const answers = await Promise.all(
+    [first, second].flatMap((bench, index) =>
+      Array.from({ length: CALLS }, (_, call) =>
+        bench.send({ target: '/unsafe/x', id: `call-${index}-${call}` }),
+      ),
+    ),
+  );
+  const arrived = server.countRequests();
+  t.true(arrived <= LIMIT_PER_S * WINDOW_S * MAX_EXCESS, `${arrived} arrived`);
+  t.is(answers.filter(({ status }) => status === 200).length, arrived - 1);
+  t.is(answers.filter(({ status }) => status === 503).length, answers.length - arrived + 1);
+});
--- a/tests/gateway/sharedRows.test.ts
+++ b/tests/gateway/sharedRows.test.ts
@@ -7,6 +7,7 @@
 import type { Statements, StatementsRequest } from '../../src/application/rows';
 import { QUIET_LOG } from '../../standins/fakes';
 import { readOk } from '../_lib/readOk';
+import { buildIdleServices } from './_lib/buildIdleServices';
 
 const STATEMENTS: Statements = {
   heldMs: 12.5,
@@ -30,11 +31,8 @@
 /** A gateway that answers as the test says, and a client that calls it. */
 const setUp = async (answer: (request: StatementsRequest) => Promise<Statements>) => {
   const handlers = createGatewayHandlers({
+    ...buildIdleServices(),
     handleKnowledge: (knowledge) => knowledge,
-    lendRetry: () => false,
-    recordToldPrompt: () => undefined,
-    handleReservation: () => 0,
-    handleReport: () => null,
     handleRequest: answer,
   });
   const server = readOk(
