Log the era of the store's answers

Ruled out: nothing further. Change: the client of the store decodes Store-Era; a follower logs each change, with the version of the answer. Nothing decides by it yet.

--- a/src/application/ports/RowSource.ts
+++ b/src/application/ports/RowSource.ts
@@ -15,6 +15,8 @@
   readonly version: number;
   /** The store's own steady clock at its answer, in milliseconds, if it told it. */
   readonly storeMs?: number;
+  /** Grows each time that the store comes back from a copy, which may lack changes; if it told it. */
+  readonly era?: number;
 }
 
 /** Failure of a read of shared rows. */
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -33,6 +33,7 @@
   let mustReadAll = false;
   /** The store answered, but nothing was ever written to it: its first rows are waited for. */
   let isStoreEmpty = false;
+  let era: number | null = null;
   /** Monotonic time of the end of an outage that another VM told of. */
   let toldOutageEndedAtMs: number | null = null;
   const calls = createCallRecord({
@@ -62,6 +63,11 @@
   /** Takes an answer of the store; `isWhole`: all rows, not changes. */
   const takeAnswer = (call: StoreCall, answer: RowChanges, isWhole: boolean): void => {
     calls.recordSuccess(call);
+    if (answer.era !== undefined && answer.era !== era) {
+      const { version } = answer;
+      log.info('store era', { table, era: answer.era, before: era ?? 'none', version });
+      ({ era } = answer);
+    }
     const asOfMs = storeTime.convertAnswer({
       sentAtMs: call.sentAtMs,
       storeMs: answer.storeMs ?? null,
