--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { z } from 'zod';
-import { CALLS } from '../../../platform';
+import { CALLS, HEADERS } from '../../../platform';
 
 /** How the store treats calls. */
 export type StoreMode = 'up' | 'refuse' | 'reset' | 'silent';
@@ -16,6 +16,10 @@
   setMode(mode: StoreMode): void;
   /** Feeds that follow an older version get 410 from now on. */
   dropHistory(): void;
+  /** Keeps a copy of all rows. */
+  saveCopy(): void;
+  /** Comes back from the copy in a new era: what was written since is gone, and versions go back. */
+  restoreCopy(): void;
   /** Resolves when another call for the path has come. */
   waitForCall(path: string): Promise<void>;
   stop(): Promise<void>;
@@ -39,11 +43,6 @@
 const REFUSED_STATUS = 503;
 const HISTORY_LOST_STATUS = 410;
 
-const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-};
-
 const encodeRow = ({ value, ...row }: Row) => ({
   ...row,
   part: '',
@@ -60,6 +59,19 @@
   let mode: StoreMode = 'up';
   let version = 0;
   let historyFrom = 0;
+  let era = 1;
+  let copy: { readonly rows: readonly (readonly [string, Row])[]; readonly version: number } = {
+    rows: [],
+    version: 0,
+  };
+
+  const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      [HEADERS.storeEra]: String(era),
+    });
+    response.end(JSON.stringify(body));
+  };
 
   const listRows = (table: string, after: number): Row[] =>
     [...rows.values()]
@@ -69,7 +81,7 @@
   const handleFeed = (query: URLSearchParams, response: ServerResponse): void => {
     const after = Number(query.get('after_revision'));
     const table = query.get('table') ?? '';
-    if (after < historyFrom) {
+    if (after < historyFrom || after > version) {
       sendJson(response, HISTORY_LOST_STATUS, {});
       return;
     }
@@ -177,6 +189,16 @@
       version += 1;
       sockets.forEach((socket) => socket.destroy());
     },
+    saveCopy: () => {
+      copy = { rows: [...rows], version };
+    },
+    restoreCopy: () => {
+      rows.clear();
+      copy.rows.forEach(([key, row]) => rows.set(key, row));
+      version = copy.version;
+      era += 1;
+      sockets.forEach((socket) => socket.destroy());
+    },
     waitForCall: (path) =>
       new Promise((resolve) => {
         callers.push({ path, resolve });
