Put off whole reads that the store can't go on from

Cause: after each 410 all rows are read at once, whatever the read before had led to. The class: a loop whose pause depends on calls that fail, not on calls that lead nowhere. Ruled out: counting a 410 as a failure of the store: it answers, and an outage would be logged. Change: whole reads in a row from which the store could not go on are put off like failures, 0.1 s up to 1 s; the first one is not.

--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -36,6 +36,8 @@
   let era: number | null = null;
   /** Monotonic time of the end of an outage that another VM told of. */
   let toldOutageEndedAtMs: number | null = null;
+  /** Whole reads in a row that the store could not go on from. */
+  let vainReads = 0;
   const calls = createCallRecord({
     table,
     clock,
@@ -102,6 +104,7 @@
     const answered = await store.followRows(table, { version, waitMs: call.waitMs }, signal);
     if (abort.signal.aborted) return null;
     if (answered.isOk()) {
+      vainReads = 0;
       takeAnswer(call, answered.value, false);
       return answered.value;
     }
@@ -109,7 +112,10 @@
     const told =
       error.kind === 'unavailable' ? { ...error, reason: readFailure(error.reason) } : error;
     calls.recordFailure(call, told, version);
-    if (error.kind === 'history-lost') mustReadAll = true;
+    if (error.kind === 'history-lost') {
+      mustReadAll = true;
+      vainReads += 1;
+    }
     return null;
   };
 
@@ -140,7 +146,8 @@
         if (!isNew) await dependencies.waitForTurn();
         if (!abort.signal.aborted) await followOnce();
       }
-      const failures = calls.countFailures();
+      // The first whole read after a loss is not put off.
+      const failures = Math.max(calls.countFailures(), vainReads - 1);
       if (failures > 0) {
         const boundMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1));
         await waitDelay(clock, boundMs * (0.5 + randomness.readFraction() / 2));
