Order the store's rows by era, then by version

What callers saw: a key that had been revoked was still served and an added route was answered with 404, 2.3 to 2.5 s after the acknowledgement (2.0 s are allowed); a server got requests 3.1 s after the store had acknowledged that it leaves (3.0 s are allowed). The class: an order that holds within one life of its source is used across its lives. Ruled out: dropping all that is held at a new era: servers that the copy lacks would be gone at once, and one that left or went would come back with the copy. Change: the client of the store gives era and version as one number that only grows (computeRowVersion), so that rows, statements between VMs and gossip compare as before; a feed that an answer of a later era overtakes, and a condition on a row of an earlier one, are refused. All rows of a new era are marked: of these an entry does not bring a leaving or gone server back unless it was written later (its sequence), and a server that is missing is kept as after an outage.

--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -75,6 +75,7 @@
   warmupLeftMs: 0,
   version: message.version,
   bornMs: null,
+  sequence: 0,
 });
 
 /** Converts a message to knowledge; null if it names no sender. */
--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -2,6 +2,7 @@
 import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
 import type { Clock, EventLog, SharedRow } from '../../../ports';
 import type { RowsInfo } from '../../../rows';
+import { createGoneEntries } from '../createGoneEntries';
 import { createIncarnationSet } from '../createIncarnationSet';
 import { buildServerRecord, type ServerRecord } from '../buildServerRecord';
 
@@ -47,12 +48,15 @@
   const records = new Map<string, ServerRecord>();
   /** Servers that surely ended: late entries do not bring them back. */
   const ended = createIncarnationSet();
+  /** Servers whose entries went: a copy of the store does not bring them back. */
+  const gone = createGoneEntries();
   /** Servers that said in an answer that they leave: entries that were written before do not count. */
   const leaving = createIncarnationSet();
 
   const dropGone = (id: string, record: ServerRecord): void => {
     if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
     records.delete(id);
+    gone.add(record.entry);
     log.info('server gone', { server: id, service: record.entry.service });
     handleGone(id);
   };
@@ -112,7 +116,18 @@
   const markLeaving = (entry: ServerEntry): ServerEntry =>
     leaving.has(entry) ? { ...entry, isLeaving: true } : entry;
 
-  const applyEntry = (read: ServerEntry): void => {
+  /** True: a copy of the store holds less of the server than is known here. */
+  const isSuperseded = (entry: ServerEntry): boolean => {
+    const known = records.get(entry.id);
+    if (!known) return gone.has(entry);
+    return known.entry.isLeaving && !entry.isLeaving && entry.sequence <= known.entry.sequence;
+  };
+
+  const applyEntry = (read: ServerEntry, { isRestored }: RowsInfo): void => {
+    if (isRestored && isSuperseded(read)) {
+      log.info('server entry of a copy ignored', { server: read.id, sequence: read.sequence });
+      return;
+    }
     const entry = markLeaving(read);
     const { bornMs, id, isLeaving, service } = entry;
     const known = records.get(id);
@@ -133,10 +148,10 @@
     }
   };
 
-  const applyValue = (id: string, value: Buffer): void => {
+  const applyValue = (id: string, value: Buffer, info: RowsInfo): void => {
     const decoded = decode(id, value);
     if (decoded.isOk()) {
-      applyEntry(decoded.value);
+      applyEntry(decoded.value, info);
       return;
     }
     // Also of a server that was known: whoever wrote this, it names no server to use.
@@ -160,7 +175,7 @@
     list: () => [...records.values()],
     applyRows: (rows, info) =>
       rows.forEach(({ key, value }) =>
-        value === null ? removeEntry(key, info) : applyValue(key, value),
+        value === null ? removeEntry(key, info) : applyValue(key, value, info),
       ),
     end: (id) => {
       const record = records.get(id);
--- a/src/application/forwarding/createServerDirectory/test.ts
+++ b/src/application/forwarding/createServerDirectory/test.ts
@@ -23,7 +23,11 @@
 test('an entry that lapsed in an outage counts until it should be back, then is gone', (t) => {
   const { clock, directory, listIds } = setUp();
   directory.applyRows([buildRow('a', 'x:1'), buildRow('b', 'x:2')], STORE);
-  const info = { source: 'store', outageEndedAtMs: clock.readMonotonicMs() } as const;
+  const info = {
+    source: 'store',
+    outageEndedAtMs: clock.readMonotonicMs(),
+    isRestored: false,
+  } as const;
   directory.applyRows([buildRow('a', null), buildRow('b', null)], info);
   t.deepEqual(listIds(), ['a', 'b']);
   clock.advance(1000);
--- a/src/application/ports/RowSource.ts
+++ b/src/application/ports/RowSource.ts
@@ -5,7 +5,7 @@
   readonly key: string;
   /** Null: the row was removed. */
   readonly value: Buffer | null;
-  /** Grows with each change of any row. */
+  /** Grows with each change of any row, also when the store comes back from a copy (`computeRowVersion`). */
   readonly version: number;
 }
 
@@ -15,15 +15,13 @@
   readonly version: number;
   /** The store's own steady clock at its answer, in milliseconds, if it told it. */
   readonly storeMs?: number;
-  /** Grows each time that the store comes back from a copy, which may lack changes; if it told it. */
-  readonly era?: number;
 }
 
 /** Failure of a read of shared rows. */
 export type RowError =
   /** It may work again later, also at another source. */
   | { readonly kind: 'unavailable'; readonly reason: string }
-  /** Changes since that version are no longer known: read all rows anew. */
+  /** Changes since that version are not known, or the store came back from a copy: read all rows anew. */
   | { readonly kind: 'history-lost' };
 
 /** Gives the rows of shared tables: the platform's store, or another VM that follows it. */
--- a/src/application/rows/createFollowerPair/index.ts
+++ b/src/application/rows/createFollowerPair/index.ts
@@ -3,7 +3,10 @@
 import type { RowFollower, RowFollowerDependencies } from '../types';
 
 /** A table and who takes its rows. */
-export type FollowedTable = Pick<RowFollowerDependencies, 'handleRows' | 'table'>;
+export type FollowedTable = Pick<
+  RowFollowerDependencies,
+  'handleRestored' | 'handleRows' | 'table'
+>;
 
 /** What a pair needs. */
 export interface FollowerPairDependencies extends Pick<
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -3,6 +3,7 @@
 import { waitDelay } from '../../time';
 import { createAgeRecord } from '../_lib/createAgeRecord';
 import { createCallRecord, type StoreCall } from '../_lib/createCallRecord';
+import { createEraRecord } from '../_lib/createEraRecord';
 import { createHeldRows } from '../_lib/createHeldRows';
 import type { RowFollower, RowFollowerDependencies, RowsInfo } from '../types';
 
@@ -26,6 +27,7 @@
   const { clock, handleRows, isFollowing, log, randomness, store, storeTime, table } = dependencies;
   const held = createHeldRows();
   const age = createAgeRecord(clock);
+  const eras = createEraRecord({ table, clock, log });
   const abort = new AbortController();
   /** The call that waits, and why it is given up, if it is. */
   let waiting: StoreCall | null = null;
@@ -33,7 +35,6 @@
   let mustReadAll = false;
   /** The store answered, but nothing was ever written to it: its first rows are waited for. */
   let isStoreEmpty = false;
-  let era: number | null = null;
   /** Monotonic time of the end of an outage that another VM told of. */
   let toldOutageEndedAtMs: number | null = null;
   /** Whole reads in a row that the store could not go on from. */
@@ -46,15 +47,23 @@
   });
 
   const readOutageEndedAtMs = (): number | null => {
-    const known = [calls.readOutageEndedAtMs(), toldOutageEndedAtMs].filter((at) => at !== null);
+    const known = [
+      calls.readOutageEndedAtMs(),
+      toldOutageEndedAtMs,
+      eras.readRestoredAtMs(),
+    ].filter((at) => at !== null);
     return known.length === 0 ? null : Math.max(...known);
   };
 
-  const tellRows = (news: readonly SharedRow[], source: RowsInfo['source']): void => {
-    if (news.length === 0) return;
-    const version = held.readVersion();
-    log.info('rows taken', { table, source, rows: news.length, version });
-    handleRows(news, { source, outageEndedAtMs: readOutageEndedAtMs() });
+  const tellRows = (
+    news: readonly SharedRow[],
+    { isRestored, source }: Pick<RowsInfo, 'isRestored' | 'source'>,
+  ): void => {
+    if (news.length > 0) {
+      log.info('rows taken', { table, source, rows: news.length, version: held.readVersion() });
+      handleRows(news, { source, isRestored, outageEndedAtMs: readOutageEndedAtMs() });
+    }
+    if (isRestored) dependencies.handleRestored?.();
   };
 
   const recordAsOf = (atMs: number): void => {
@@ -65,18 +74,14 @@
   /** Takes an answer of the store; `isWhole`: all rows, not changes. */
   const takeAnswer = (call: StoreCall, answer: RowChanges, isWhole: boolean): void => {
     calls.recordSuccess(call);
-    if (answer.era !== undefined && answer.era !== era) {
-      const { version } = answer;
-      log.info('store era', { table, era: answer.era, before: era ?? 'none', version });
-      ({ era } = answer);
-    }
     const asOfMs = storeTime.convertAnswer({
       sentAtMs: call.sentAtMs,
       storeMs: answer.storeMs ?? null,
     });
+    const isRestored = isWhole && eras.recordWhole(answer.version, held.readVersion());
     const news = isWhole ? held.mergeWhole(answer) : held.mergeRows(answer.rows);
     held.recordComplete(answer.version);
-    tellRows(news, 'store');
+    tellRows(news, { source: 'store', isRestored });
     recordAsOf(asOfMs);
     dependencies.handleAnswer?.(answer, asOfMs);
   };
@@ -162,10 +167,12 @@
   };
 
   const mergeChanges = (changes: RowChanges, afterVersion: number): void => {
-    const news = afterVersion === 0 ? held.mergeWhole(changes) : held.mergeRows(changes.rows);
+    const isWhole = afterVersion === 0;
+    const isRestored = isWhole && eras.recordWhole(changes.version, held.readVersion());
+    const news = isWhole ? held.mergeWhole(changes) : held.mergeRows(changes.rows);
     // Only news that begin where this VM stands leave no gap.
     if (afterVersion <= held.readVersion()) held.recordComplete(changes.version);
-    tellRows(news, 'peer');
+    tellRows(news, { source: 'peer', isRestored });
   };
 
   return {
--- a/src/application/rows/types/RowFollower.ts
+++ b/src/application/rows/types/RowFollower.ts
@@ -26,6 +26,8 @@
   readonly handleRows: (rows: readonly SharedRow[], info: RowsInfo) => void;
   /** Takes each answer of the store: it also tells of changes in other tables. */
   readonly handleAnswer?: (answer: RowChanges, asOfMs: number) => void;
+  /** Called when the store came back from a copy, after its rows were taken. */
+  readonly handleRestored?: () => void;
   /** Called when an outage begins here. */
   readonly handleLost?: () => void;
   /** Called when more is known, or the same of a later moment. */
--- a/src/domain/forwarding/types/ServerEntry.ts
+++ b/src/domain/forwarding/types/ServerEntry.ts
@@ -15,6 +15,8 @@
   readonly warmupLeftMs: number;
   /** Version of its software; empty if it does not tell. */
   readonly version: string;
+  /** Grows each time that it writes its entry; 0 if it does not tell. */
+  readonly sequence: number;
   /** When it started, in Unix milliseconds; null if it does not tell. */
   readonly bornMs: number | null;
 }
--- /dev/null
+++ b/src/domain/rows/index.ts
@@ -0,0 +1,2 @@
+export { computeRowVersion, type RowPosition } from './computeRowVersion';
+export { parseRowVersion } from './parseRowVersion';
--- a/standins/fakes/buildServerStatus/index.ts
+++ b/standins/fakes/buildServerStatus/index.ts
@@ -16,6 +16,7 @@
     version: 'v1',
     warmupLeftMs: 0,
     bornMs: null,
+    sequence: 0,
   },
   running: 0,
   prefillTokens: 0,
--- a/standins/fakes/createDirectoryFixture/index.ts
+++ b/standins/fakes/createDirectoryFixture/index.ts
@@ -4,7 +4,7 @@
 import { createServerDirectory } from '../../../src/application/forwarding';
 
 /** Rows that the store told, which was never away. */
-export const STORE = { source: 'store', outageEndedAtMs: null } as const;
+export const STORE = { source: 'store', outageEndedAtMs: null, isRestored: false } as const;
 
 /** Creates a directory for tests, with what it reported. */
 export const createDirectoryFixture = () => {
@@ -26,6 +26,7 @@
         version: 'v1',
         warmupLeftMs: 0,
         bornMs: born === undefined ? null : Number(born),
+        sequence: 0,
       });
     },
     clock,
--- a/standins/gateway/createVirtualStore/index.ts
+++ b/standins/gateway/createVirtualStore/index.ts
@@ -1,6 +1,12 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { StoreClient } from '../../../platform';
 import type { Clock, RowChanges, RowError, SharedRow } from '../../../src/application/ports';
+import { computeRowVersion, parseRowVersion } from '../../../src/domain/rows';
+
+/** A row of a table. */
+export interface TableRow extends SharedRow {
+  readonly table: string;
+}
 
 /** A store in virtual time whose calls can be lost without a word. */
 export interface VirtualStore extends StoreClient {
@@ -12,6 +18,8 @@
   loseWaiting(table: string): void;
   /** Feeds that follow an older version than the present one are told so from now on. */
   dropHistory(): void;
+  /** Comes back in a new era, without the newest changes; returns these, in order. */
+  restoreCopy(lostChanges: number): readonly TableRow[];
   /** Rows that there were at a version, by key. */
   listRowsAt(table: string, version: number): ReadonlyMap<string, number>;
   /** The newest version. */
@@ -35,7 +43,10 @@
 
 /** Creates a store in virtual time. */
 export const createVirtualStore = (clock: Clock): VirtualStore => {
-  const changes: (SharedRow & { readonly table: string })[] = [];
+  let changes: TableRow[] = [];
+  /** Changes of each era, as they stood at its end. */
+  const past = new Map<number, readonly TableRow[]>();
+  let era = 1;
   let waiting: Waiting[] = [];
   let version = 0;
   let historyFrom = 0;
@@ -89,7 +100,7 @@
     });
 
   const addChange = (table: string, key: string, value: Buffer | null): void => {
-    version += 1;
+    version = computeRowVersion({ era, revision: parseRowVersion(version).revision + 1 });
     changes.push({ table, key, value, version });
     waiting.forEach(({ wake }) => wake());
   };
@@ -99,7 +110,7 @@
       call(table, 0, null, () => answer(listRows(table, 0).filter(({ value }) => value !== null))),
     followRows: (table, { version: after, waitMs }, signal) =>
       call(table, waitMs, signal, (isDue) => {
-        if (after < historyFrom) return err({ kind: 'history-lost' });
+        if (after < historyFrom || after > version) return err({ kind: 'history-lost' });
         const rows = listRows(table, after);
         return rows.length > 0 || isDue ? answer(rows) : null;
       }),
@@ -121,11 +132,25 @@
         .filter((one) => one.table === table)
         .forEach((one) => Object.assign(one, { isLost: true })),
     dropHistory: () => {
-      historyFrom = version;
+      historyFrom = Math.max(historyFrom, version);
+    },
+    restoreCopy: (lostChanges) => {
+      const kept = changes.slice(0, Math.max(0, changes.length - lostChanges));
+      const lost = changes.slice(kept.length);
+      past.set(era, changes);
+      era += 1;
+      changes = kept.map((row) => ({
+        ...row,
+        version: computeRowVersion({ era, revision: parseRowVersion(row.version).revision }),
+      }));
+      version = changes.at(-1)?.version ?? 0;
+      historyFrom = computeRowVersion({ era, revision: 1 });
+      waiting.forEach((one) => Object.assign(one, { isLost: true }));
+      return lost;
     },
     listRowsAt: (table, at) => {
       const present = new Map<string, number>();
-      changes
+      (past.get(parseRowVersion(at).era) ?? changes)
         .filter((row) => row.table === table && row.version <= at)
         .forEach(({ key, value, version: rowVersion }) => {
           if (value === null) present.delete(key);
--- a/standins/model/createModelDirectory/index.ts
+++ b/standins/model/createModelDirectory/index.ts
@@ -23,6 +23,7 @@
         version: 'v1',
         warmupLeftMs: 0,
         bornMs: null,
+        sequence: 0,
       }),
     clock,
     log: QUIET_LOG,
@@ -33,7 +34,7 @@
   });
   directory.applyRows(
     ids.map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
-    { source: 'store', outageEndedAtMs: null },
+    { source: 'store', outageEndedAtMs: null, isRestored: false },
   );
   return directory;
 };
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -15,6 +15,7 @@
     version: 'v1',
     warmupLeftMs: 0,
     bornMs: null,
+    sequence: 0,
   },
   request: {
     requestId: 'request-1',
--- a/tests/model/_lib/playRowsSchedule/index.ts
+++ b/tests/model/_lib/playRowsSchedule/index.ts
@@ -6,6 +6,8 @@
 /** A schedule of changes and disturbances, drawn from its seed. */
 export interface ScheduleOptions {
   readonly seed: number;
+  /** True: the store may come back from a copy. */
+  readonly hasRestores?: boolean;
   readonly log?: (vm: string) => EventLog;
 }
 
@@ -29,6 +31,10 @@
 const DISTURBED_MS = 22_000;
 const STEPS = 30;
 
+/** Changes that a copy lacks at the most, and the time until they are written again. */
+const MAX_LOST = 9;
+const MAX_REWRITE_MS = 1500;
+
 interface Step {
   readonly atMs: number;
   readonly name: string;
@@ -36,7 +42,11 @@
 }
 
 /** Plays a schedule. */
-export const playRowsSchedule = async ({ log, seed }: ScheduleOptions): Promise<SchedulePlay> => {
+export const playRowsSchedule = async ({
+  hasRestores = false,
+  log,
+  seed,
+}: ScheduleOptions): Promise<SchedulePlay> => {
   const randomness = createSeededRandomness(seed);
   const draw = (least: number, most: number): number =>
     Math.floor(least + randomness.readFraction() * (most - least));
@@ -159,10 +169,29 @@
       }),
   ];
 
+  /** What was lost is written again a little later, as it stood last. */
+  const restoreStore = (): void => {
+    const lost = store.restoreCopy(draw(1, MAX_LOST));
+    // While it is silent it stays disturbed.
+    disturbedMs.set(STORE, Math.max(disturbedMs.get(STORE) ?? 0, clock.readMonotonicMs()));
+    const last = new Map(lost.map((row) => [`${row.table}/${row.key}`, row]));
+    last.forEach(({ key, table, value }) =>
+      clock.startTimer(draw(50, MAX_REWRITE_MS), () =>
+        write(table, key, value === null ? null : (JSON.parse(value.toString('utf8')) as object)),
+      ),
+    );
+  };
+  const addRestores = (): void => {
+    for (let count = draw(1, 4); count > 0; count -= 1) {
+      add(draw(3000, DISTURBED_MS), 'store restored', restoreStore);
+    }
+  };
+
   world.vms.forEach((vm) => disturbedMs.set(vm.name, 0));
   write('op', 'config', { version: 1 });
   write('servers', 's0', { version: 1 });
   for (let count = draw(1, 7); count > 0; count -= 1) pick(DISTURBANCES)();
+  if (hasRestores) addRestores();
   for (let count = 0; count < STEPS; count += 1) {
     const key = `s${draw(0, 4)}`;
     const isRemoved = randomness.readFraction() < 0.4;
--- a/tests/model/sharedRows.test.ts
+++ b/tests/model/sharedRows.test.ts
@@ -12,10 +12,13 @@
  */
 const FOUND_SEEDS: readonly number[] = [150, 162, 182, 454, 494, 1234, 1438, 1494, 1826, 1974];
 
-const listBroken = async (seeds: readonly number[]): Promise<string[]> => {
+const listBroken = async (
+  seeds: readonly number[],
+  options: { readonly hasRestores?: boolean } = {},
+): Promise<string[]> => {
   const found: string[] = [];
   for (const seed of seeds) {
-    const { broken } = await playRowsSchedule({ seed });
+    const { broken } = await playRowsSchedule({ seed, ...options });
     if (broken.length > 0) found.push(`seed ${seed}: ${broken.join('; ')}`);
   }
   return found;
@@ -30,6 +33,15 @@
     t.timeout(3_600_000);
     t.deepEqual(await listBroken(seeds), []);
   });
+
+  test(`VMs in touch follow a store that comes back from copies: part ${part}`, async (t) => {
+    const seeds = Array.from(
+      { length: Math.ceil(SCHEDULES / PARTS / 2) },
+      (_, at) => at * PARTS + part,
+    );
+    t.timeout(3_600_000);
+    t.deepEqual(await listBroken(seeds, { hasRestores: true }), []);
+  });
 }
 
 test('schedules that once broke a rule break none', async (t) => {
