A removal of an earlier era does not hide that a row is gone

Cause: among all rows of a table another VM also tells removals that it remembers. Whoever has such a row in a later era took it for present, as its key was told, and the removal for old, as its version is lower: the row stayed. Change: a row that is held is missing if it is not told, or if what is told is an older removal.

--- a/src/application/rows/_lib/createHeldRows/index.ts
+++ b/src/application/rows/_lib/createHeldRows/index.ts
@@ -47,11 +47,14 @@
     readVersion: () => version,
     mergeRows,
     mergeWhole: (whole) => {
-      const present = new Set(whole.rows.map(({ key }) => key));
+      const told = new Map(whole.rows.map((row) => [row.key, row]));
+      // Another VM's rows may have a removal of an earlier era, which is older than the row held.
+      const isMissing = ({ key, version: heldVersion }: SharedRow): boolean => {
+        const row = told.get(key);
+        return row === undefined || (row.value === null && row.version <= heldVersion);
+      };
       const removed = [...rows.values()]
-        .filter(
-          (row) => row.value !== null && row.version <= whole.version && !present.has(row.key),
-        )
+        .filter((row) => row.value !== null && row.version <= whole.version && isMissing(row))
         .map(({ key }) => ({ key, value: null, version: whole.version }));
       // From the newest row on, as a read gives them by key.
       const sorted = [...whole.rows].sort((left, right) => left.version - right.version);
--- a/tests/model/sharedRows.test.ts
+++ b/tests/model/sharedRows.test.ts
@@ -12,6 +12,9 @@
  */
 const FOUND_SEEDS: readonly number[] = [150, 162, 182, 454, 494, 1234, 1438, 1494, 1826, 1974];
 
+/** Seeds with a store that comes back from copies: a removal of an earlier era hid that a row was gone. */
+const FOUND_RESTORE_SEEDS: readonly number[] = [631, 664, 907];
+
 const listBroken = async (
   seeds: readonly number[],
   options: { readonly hasRestores?: boolean } = {},
@@ -47,3 +50,7 @@
 test('schedules that once broke a rule break none', async (t) => {
   t.deepEqual(await listBroken(FOUND_SEEDS), []);
 });
+
+test('schedules with a restored store that once broke a rule break none', async (t) => {
+  t.deepEqual(await listBroken(FOUND_RESTORE_SEEDS, { hasRestores: true }), []);
+});
