A roll-out keeps its verdict when the store came back from a copy

Cause: an order is told from the one before by its row's version, which is higher in a new era. The same order, still held by the copy or written again by the operator, began anew: trials of a version that had been reverted, and no verdict for the operator to read. Ruled out: comparing the revision alone: what the operator writes again has another one. Change: an order of a later era with the same service, version and time is the one that was known; its verdict stands, and is written again, as the store may have lost it. Test: src/application/rollouts/createRollouts: the first one failed before.

--- a/src/application/rollouts/createRollouts/index.ts
+++ b/src/application/rollouts/createRollouts/index.ts
@@ -2,6 +2,7 @@
 import type { ServerStatus } from '../../../domain/forwarding';
 import {
   compareVerdicts,
+  isSameOrder,
   computeTrialAllowance,
   RolloutState,
   type RolloutOrder,
@@ -106,9 +107,27 @@
     return true;
   };
 
+  const mergeEarly = ({ sequence, service }: RolloutOrder): void => {
+    const verdict = early.get(service);
+    early.delete(service);
+    if (verdict?.sequence === sequence) merge(verdict, 'early');
+  };
+
+  /** What is known of the order holds; what was written for it may be gone. */
+  const renewOrder = (held: HeldRollout, order: RolloutOrder): void => {
+    log.info('rollout order renewed', { ...order, state: held.state });
+    Object.assign(held, { order, isStored: false, changedAtMs: clock.readMonotonicMs() });
+    mergeEarly(order);
+    handleChange(order.service);
+  };
+
   const applyOrder = (order: RolloutOrder): void => {
     const before = heldOf.get(order.service);
     if (before && before.order.sequence >= order.sequence) return;
+    if (before && isSameOrder(before.order, order)) {
+      renewOrder(before, order);
+      return;
+    }
     const nowMs = clock.readMonotonicMs();
     heldOf.set(order.service, {
       order,
@@ -124,9 +143,7 @@
       tallies: createTrialTallies(),
     });
     log.info('rollout ordered', { ...order, isOld: !hasRows, before: before?.state ?? 'none' });
-    const verdict = early.get(order.service);
-    early.delete(order.service);
-    if (verdict?.sequence === order.sequence) merge(verdict, 'early');
+    mergeEarly(order);
     handleChange(order.service);
   };
 
--- a/src/application/rollouts/types/HeldRollout.ts
+++ b/src/application/rollouts/types/HeldRollout.ts
@@ -3,7 +3,7 @@
 
 /** A roll-out as a VM holds it; it changes as verdicts come. */
 export interface HeldRollout {
-  readonly order: RolloutOrder;
+  order: RolloutOrder;
   /** Monotonic; null if the order is older than this process and nobody said how old. */
   startedAtMs: number | null;
   state: RolloutState;
--- a/src/domain/rollouts/index.ts
+++ b/src/domain/rollouts/index.ts
@@ -3,6 +3,7 @@
 export { compareVerdicts } from './compareVerdicts';
 export { computeTrialAllowance } from './computeTrialAllowance';
 export { decideRollout, SWITCH_MS } from './decideRollout';
+export { isSameOrder } from './isSameOrder';
 export { judgeVersion } from './judgeVersion';
 export {
   RolloutState,
