Write quarantines again that a restored store may have lost

Cause: a quarantine is written once. A store that came back from a copy may lack it, and when all VMs are lost at once nobody knows it any more. Ruled out: writing from every VM that knows it: 195 writes for each quarantine. Change: the VM that wrote a quarantine writes it again once the configuration's table shows a new era, unless it is over by then. Test: src/application/forwarding/createQuarantineRows, last one.

--- a/src/application/forwarding/createQuarantineRows/index.ts
+++ b/src/application/forwarding/createQuarantineRows/index.ts
@@ -20,6 +20,8 @@
   startRead(): void;
   /** Writes a quarantine that began here, unless it is void a moment later. */
   startWrite(fingerprint: string): void;
+  /** Writes those again that this process wrote, as the store may have lost them. */
+  startRewrite(): void;
   stop(): void;
 }
 
@@ -43,6 +45,7 @@
   table,
 }: QuarantineRowsDependencies): QuarantineRows => {
   const stops = new Set<() => void>();
+  const written = new Set<string>();
 
   /** Repeats a call until it works; `runOnce` returns why it did not, or null. */
   const startTries = (
@@ -107,16 +110,20 @@
 
   const write = async (fingerprint: string): Promise<string | null> => {
     const quarantine = crashes.findQuarantine(fingerprint);
-    if (!quarantine) return null;
+    if (!quarantine) {
+      written.delete(fingerprint);
+      return null;
+    }
     const monotonicToWallMs = clock.readWallMs() - clock.readMonotonicMs();
     const lastCrashAtMs = quarantine.lastCrashAtMs + monotonicToWallMs;
     const value = encodeQuarantine({ ...quarantine, lastCrashAtMs });
-    const written = await store.changeRows({
+    const answered = await store.changeRows({
       table,
       writes: [{ key: fingerprint, value }],
       removed: [],
     });
-    if (written.isErr()) return written.error.kind;
+    if (answered.isErr()) return answered.error.kind;
+    written.add(fingerprint);
     log.info('quarantine written', { fingerprint, servers: quarantine.servers.join(', ') });
     return null;
   };
@@ -124,6 +131,8 @@
   return {
     startRead: () => startTries('read', 0, readAll),
     startWrite: (fingerprint) => startTries('write', CONFIRM_MS, () => write(fingerprint)),
+    startRewrite: () =>
+      written.forEach((fingerprint) => startTries('rewrite', 0, () => write(fingerprint))),
     stop: () => stops.forEach((stop) => stop()),
   };
 };
--- a/src/application/forwarding/createQuarantineRows/test.ts
+++ b/src/application/forwarding/createQuarantineRows/test.ts
@@ -91,3 +91,19 @@
   t.is(merged.length, 3);
   t.deepEqual(await readKeys(), ['spoiled', 'young']);
 });
+
+test('a quarantine is written again when the store came back without it, unless it is over', async (t) => {
+  const { clock, quarantined, readKeys, rows, store } = setUp();
+  rows.startWrite('f');
+  await clock.advanceAsync(600);
+  store.restoreCopy(1);
+  t.deepEqual(await readKeys(), []);
+  rows.startRewrite();
+  await clock.advanceAsync(100);
+  t.deepEqual(await readKeys(), ['f']);
+  store.restoreCopy(1);
+  quarantined.clear();
+  rows.startRewrite();
+  await clock.advanceAsync(5000);
+  t.deepEqual(await readKeys(), []);
+});
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -97,6 +97,16 @@
     store,
     tellVerdict: (verdict) => sendVerdict(verdict),
   });
+  const { crashes, crashProbe, quarantineRows } = wireCrashes({
+    client,
+    clock,
+    directory,
+    log,
+    randomness,
+    store,
+    tables,
+    tellOutcome: (outcome) => sendOutcome(outcome),
+  });
   // The configuration guards the servers' table: its changes are the rarer ones, and it is always there.
   const shared = computeSharing(settings.bounds);
   let handleAdvance = (): void => undefined;
@@ -116,6 +126,7 @@
         tables.applyRows(rows);
         rollouts.applyRows(rows);
       },
+      handleRestored: quarantineRows.startRewrite,
     },
     guarded: { table: TABLES.servers, handleRows: directory.applyRows },
   });
@@ -124,16 +135,6 @@
     [TABLES.operator, configuration],
     [TABLES.servers, servers],
   ]);
-  const { crashes, crashProbe, quarantineRows } = wireCrashes({
-    client,
-    clock,
-    directory,
-    log,
-    randomness,
-    store,
-    tables,
-    tellOutcome: (outcome) => sendOutcome(outcome),
-  });
   const self = {
     vm: settings.vm,
     address: settings.peerAddress,
