Name limit owners apart from keepers, and log limits with the request they touch

Cause: a keeper is a process of the product already (glossary), and 'server limit reached' named no request. Ruled out: nothing further.

--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -2,6 +2,7 @@
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
 import { createCallCrashes } from '../createCallCrashes';
+import { passOverLimited } from '../passOverLimited';
 import { recordDecision } from '../recordDecision';
 import { sendCallAttempt, type WholeAnswer } from '../sendCallAttempt';
 
@@ -72,7 +73,7 @@
     if (!status) break;
     const permit = await permits.acquirePermit(status.entry.id);
     if (typeof permit === 'number') {
-      directory.recordLimited(status.entry.id, permit);
+      passOverLimited(dependencies, context, status.entry, permit);
       excludedIds.add(status.entry.id);
       lastReason = LIMIT_REASON;
       continue;
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -4,6 +4,7 @@
 import type { StreamRun, StreamServers } from '../../types';
 import { checkStreamStart } from '../checkStreamStart';
 import { chooseStreamServers } from '../chooseStreamServers';
+import { passOverLimited } from '../passOverLimited';
 import { recordDecision } from '../recordDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
 
@@ -42,7 +43,7 @@
   run: StreamRun,
   excludedIds: ReadonlySet<string>,
 ): Promise<Pick<PreparedAttempt, 'permit' | 'servers'> | null> => {
-  const { directory, permits } = run.dependencies;
+  const { permits } = run.dependencies;
   const limitedIds = new Set<string>();
   while (limitedIds.size < MAX_LIMITED) {
     const servers = await chooseStreamServers(run, new Set([...excludedIds, ...limitedIds]));
@@ -50,7 +51,7 @@
     const { id } = servers.server;
     const permit = await permits.acquirePermit(id);
     if (typeof permit !== 'number') return { servers, permit };
-    directory.recordLimited(id, permit);
+    passOverLimited(run.dependencies, run.context, servers.server, permit);
     limitedIds.add(id);
   }
   return null;
--- a/src/application/limits/createLimitKeeper/index.ts
+++ b/src/application/limits/createLimitOwner/index.ts
@@ -3,22 +3,22 @@
 import type { ServerLimits } from '../createServerLimits';
 import type { PermitRequest } from '../types';
 
-/** What a keeper needs. */
-export interface LimitKeeperDependencies {
+/** What a owner needs. */
+export interface LimitOwnerDependencies {
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly randomness: Randomness;
   readonly limits: Pick<ServerLimits, 'readLimitPerS'>;
 }
 
 /** Keeps the rate limits of some servers for all VMs. */
-export interface LimitKeeper {
+export interface LimitOwner {
   /** Decides on a permit; one that is granted counts as a request that was sent. */
   handlePermit(request: PermitRequest): PermitDecision;
   /** Takes a permit back that was not used. */
   releasePermit(server: string): void;
 }
 
-/** Requests and VMs that a keeper knows of at one server. */
+/** Requests and VMs that a owner knows of at one server. */
 interface Window {
   sentAtMs: readonly number[];
   readonly askedAtMs: Map<string, number>;
@@ -33,12 +33,12 @@
 /** A confirmation comes some milliseconds after the permit. */
 const CONFIRMATION_SLACK = 1;
 
-/** Creates the keeper of this VM; it keeps nothing yet. */
-export const createLimitKeeper = ({
+/** Creates the owner of this VM; it keeps nothing yet. */
+export const createLimitOwner = ({
   clock,
   limits,
   randomness,
-}: LimitKeeperDependencies): LimitKeeper => {
+}: LimitOwnerDependencies): LimitOwner => {
   const windows = new Map<string, Window>();
 
   const dropIdle = (nowMs: number): void =>
--- a/src/application/limits/createPermits/index.ts
+++ b/src/application/limits/createPermits/index.ts
@@ -1,24 +1,24 @@
 import {
   PERMIT_WINDOW_MS,
-  rankLimitKeepers,
-  type KeeperCandidate,
+  rankLimitOwners,
+  type OwnerCandidate,
   type PermitDecision,
 } from '../../../domain/limits';
 import type { Clock, EventLog } from '../../ports';
-import type { LimitKeeper } from '../createLimitKeeper';
+import type { LimitOwner } from '../createLimitOwner';
 import type { ServerLimits } from '../createServerLimits';
 import type { LimitPeer, PermitRequest } from '../types';
 
 /** What permits need. */
 export interface PermitsDependencies {
   /** This VM. */
-  readonly self: KeeperCandidate;
+  readonly self: OwnerCandidate;
   readonly listPeers: () => readonly LimitPeer[];
   /** Asks another VM; null if it does not answer in time. */
   readonly askPeer: (address: string, request: PermitRequest) => Promise<PermitDecision | null>;
   /** Gives a permit back to another VM; nothing depends on its arrival. */
   readonly tellReleased: (address: string, server: string) => void;
-  readonly keeper: LimitKeeper;
+  readonly owner: LimitOwner;
   readonly limits: Pick<ServerLimits, 'readLimitPerS'>;
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly log: EventLog;
@@ -38,7 +38,7 @@
   drop(server: string): void;
 }
 
-/** A request that this VM sent, and the keepers that know of it. */
+/** A request that this VM sent, and the owners that know of it. */
 interface Send {
   readonly atMs: number;
   readonly knownTo: Set<string>;
@@ -46,10 +46,10 @@
 
 const MS_PER_S = 1000;
 
-/** Keepers that must agree: VMs that know different others still have one in common. */
-const NEEDED_KEEPERS = 2;
+/** Owners that must agree: VMs that know different others still have one in common. */
+const NEEDED_OWNERS = 2;
 
-/** A keeper that did not answer is passed over for this long. */
+/** A owner that did not answer is passed over for this long. */
 const UNREACHABLE_MS = 2000;
 
 /** Distinguishes the part that this VM takes by itself from what it keeps for others. */
@@ -58,7 +58,7 @@
 /** A part below one request in the window is none. */
 const MIN_PART_PER_S = MS_PER_S / PERMIT_WINDOW_MS;
 
-/** When to ask again while too few keepers answer. */
+/** When to ask again while too few owners answer. */
 const ALONE_WAIT_MS = 500;
 
 /**
@@ -66,11 +66,11 @@
  *
  * A limit of some requests a second holds for hundreds of VMs together: each VM's even part of it is less
  * than one request in the time that is looked at. So VMs ask the one that keeps the server's limit, and
- * a second one confirms it: where VMs know different others, for example after a loss, or a keeper is
+ * a second one confirms it: where VMs know different others, for example after a loss, or a owner is
  * silent, the two that they ask still have one in common.
  */
 export const createPermits = (dependencies: PermitsDependencies): Permits => {
-  const { askPeer, clock, keeper, limits, listPeers, log, self, tellReleased } = dependencies;
+  const { askPeer, clock, owner, limits, listPeers, log, self, tellReleased } = dependencies;
   const sendsOf = new Map<string, Send[]>();
   const unreachableUntilMs = new Map<string, number>();
 
@@ -87,13 +87,13 @@
     if (kept) sendsOf.set(server, kept);
   };
 
-  const listReachable = (): readonly (KeeperCandidate & { readonly address: string | null })[] => {
+  const listReachable = (): readonly (OwnerCandidate & { readonly address: string | null })[] => {
     const nowMs = clock.readMonotonicMs();
     const peers = listPeers().filter(({ vm }) => (unreachableUntilMs.get(vm) ?? 0) <= nowMs);
     return [{ ...self, address: null }, ...peers];
   };
 
-  const askKeeper = async (
+  const askOwner = async (
     vm: string,
     address: string | null,
     request: Omit<PermitRequest, 'sender' | 'sentAgesMs'>,
@@ -109,27 +109,27 @@
     };
     // Before the answer: what is asked meanwhile must not count twice.
     untold.forEach(({ knownTo }) => knownTo.add(vm));
-    const decision = address === null ? keeper.handlePermit(sent) : await askPeer(address, sent);
+    const decision = address === null ? owner.handlePermit(sent) : await askPeer(address, sent);
     if (!decision) {
       untold.forEach(({ knownTo }) => knownTo.delete(vm));
       unreachableUntilMs.set(vm, clock.readMonotonicMs() + UNREACHABLE_MS);
-      log.info('limit keeper silent', { server: request.server, keeper: vm });
+      log.info('limit owner silent', { server: request.server, owner: vm });
     }
     return decision;
   };
 
   const releaseAt = (vms: ReadonlySet<string>, server: string): void => {
-    if (vms.has(self.vm)) keeper.releasePermit(server);
+    if (vms.has(self.vm)) owner.releasePermit(server);
     listPeers()
       .filter(({ vm }) => vms.has(vm))
       .forEach(({ address }) => tellReleased(address, server));
   };
 
-  /** Without enough keepers that answer, this VM keeps to its even part. */
+  /** Without enough owners that answer, this VM keeps to its even part. */
   const decideAlone = (server: string, limitPerS: number): PermitDecision => {
     const partPerS = limitPerS / (listPeers().length + 1);
     if (partPerS < MIN_PART_PER_S) return { isGranted: false, waitMs: ALONE_WAIT_MS };
-    return keeper.handlePermit({
+    return owner.handlePermit({
       sender: self.vm,
       server: `${server}${ALONE_SUFFIX}`,
       limitPerS: partPerS,
@@ -149,13 +149,13 @@
     };
   };
 
-  const askKeepers = async (server: string, limitPerS: number): Promise<Permit | number> => {
+  const askOwners = async (server: string, limitPerS: number): Promise<Permit | number> => {
     const granted = new Set<string>();
     const candidates = listReachable();
-    const needed = Math.min(NEEDED_KEEPERS, listPeers().length + 1);
-    for (const { address, vm } of rankLimitKeepers(candidates, server)) {
+    const needed = Math.min(NEEDED_OWNERS, listPeers().length + 1);
+    for (const { address, vm } of rankLimitOwners(candidates, server)) {
       const isConfirmation = granted.size > 0;
-      const decision = await askKeeper(vm, address, { server, limitPerS, isConfirmation });
+      const decision = await askOwner(vm, address, { server, limitPerS, isConfirmation });
       if (decision && !decision.isGranted) {
         releaseAt(granted, server);
         return decision.waitMs;
@@ -172,11 +172,7 @@
     acquirePermit: async (server) => {
       const limitPerS = limits.readLimitPerS(server);
       if (limitPerS === null) return buildPermit(server, new Set());
-      const permit = await askKeepers(server, limitPerS);
-      if (typeof permit === 'number') {
-        log.info('server limit reached', { server, limitPerS, waitMs: permit });
-      }
-      return permit;
+      return askOwners(server, limitPerS);
     },
     drop: (server) => {
       sendsOf.delete(server);
--- a/src/application/limits/types/LimitPeer.ts
+++ b/src/application/limits/types/LimitPeer.ts
@@ -1,7 +1,7 @@
-import type { KeeperCandidate } from '../../../domain/limits';
+import type { OwnerCandidate } from '../../../domain/limits';
 
 /** Another VM that may keep limits. */
-export interface LimitPeer extends KeeperCandidate {
+export interface LimitPeer extends OwnerCandidate {
   /** IP:PORT of its peer address. */
   readonly address: string;
 }
--- a/src/application/limits/types/PermitRequest.ts
+++ b/src/application/limits/types/PermitRequest.ts
@@ -5,8 +5,8 @@
   readonly server: string;
   /** Requests a second that the server takes, as the sender knows it. */
   readonly limitPerS: number;
-  /** How long ago the sender sent requests there that the keeper does not know of, in milliseconds. */
+  /** How long ago the sender sent requests there that the owner does not know of, in milliseconds. */
   readonly sentAgesMs: readonly number[];
-  /** True: another keeper has granted it. */
+  /** True: another owner has granted it. */
   readonly isConfirmation: boolean;
 }
--- a/src/domain/limits/index.ts
+++ b/src/domain/limits/index.ts
@@ -4,5 +4,5 @@
   type PermitLevelOptions,
 } from './computePermitLevel';
 export { decidePermit, type PermitOptions } from './decidePermit';
-export { rankLimitKeepers, type KeeperCandidate } from './rankLimitKeepers';
+export { rankLimitOwners, type OwnerCandidate } from './rankLimitOwners';
 export type { PermitDecision, SharedLimit } from './types';
--- a/src/domain/limits/rankLimitKeepers/index.ts
+++ b/src/domain/limits/rankLimitOwners/index.ts
@@ -1,21 +1,21 @@
 import { chooseOwners } from '../../membership';
 
 /** A VM that may keep limits. */
-export interface KeeperCandidate {
+export interface OwnerCandidate {
   readonly vm: string;
   readonly availabilityZone: string;
 }
 
-/** Keepers that are asked, one after the other, while some do not answer. */
-const MAX_KEEPERS = 8;
+/** Owners that are asked, one after the other, while some do not answer. */
+const MAX_OWNERS = 8;
 
 /**
  * Ranks the VMs that keep a server's limit: by rendezvous hashing, so that VMs that know the same
  * others agree; the second one is in another availability zone than the first, if there is one.
  *
- * @returns at most eight, first keeper first
+ * @returns at most eight, first owner first
  */
-export const rankLimitKeepers = <Candidate extends KeeperCandidate>(
+export const rankLimitOwners = <Candidate extends OwnerCandidate>(
   candidates: readonly Candidate[],
   server: string,
 ): readonly Candidate[] => {
@@ -28,5 +28,5 @@
     ranked.find(({ availabilityZone }) => availabilityZone !== first?.availabilityZone) ??
     ranked[1];
   const others = ranked.filter((one) => one !== first && one !== second);
-  return [first, second, ...others].filter((one) => one !== undefined).slice(0, MAX_KEEPERS);
+  return [first, second, ...others].filter((one) => one !== undefined).slice(0, MAX_OWNERS);
 };
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -13,7 +13,7 @@
   | 'directory'
   | 'gossip'
   | 'lender'
-  | 'limitKeeper'
+  | 'limitOwner'
   | 'log'
   | 'metrics'
   | 'places'
@@ -41,7 +41,7 @@
     gossip,
     isReady,
     lender,
-    limitKeeper,
+    limitOwner,
     log,
     metrics,
     places,
@@ -81,8 +81,8 @@
         lendRetry: lender.lendRetry,
         recordToldPrompt: directory.recordToldPrompt,
         handleReservation: places.handleReservation,
-        handlePermit: limitKeeper.handlePermit,
-        releasePermit: limitKeeper.releasePermit,
+        handlePermit: limitOwner.handlePermit,
+        releasePermit: limitOwner.releasePermit,
         handleReport: rolloutJudge.handleReport,
         handleRequest: sharing.handleRequest,
       }),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -52,7 +52,7 @@
   let listMembers: Gossip['listMembers'] = () => [];
   let sendLimit: Gossip['sendLimit'] = () => undefined;
   const {
-    keeper: limitKeeper,
+    owner: limitOwner,
     limits,
     permits,
   } = wireLimits({
@@ -216,7 +216,7 @@
     gossip,
     sharing,
     lender,
-    limitKeeper,
+    limitOwner,
     quarantineRows,
     places,
     rolloutJudge,
--- a/src/programs/gateway/_lib/wireLimits/index.ts
+++ b/src/programs/gateway/_lib/wireLimits/index.ts
@@ -1,19 +1,19 @@
 import type { GatewayClient } from '../../../../adapters/connect';
 import {
-  createLimitKeeper,
+  createLimitOwner,
   createPermits,
   createServerLimits,
-  type LimitKeeper,
+  type LimitOwner,
   type LimitPeer,
   type Permits,
   type ServerLimits,
 } from '../../../../application/limits';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
-import type { KeeperCandidate, SharedLimit } from '../../../../domain/limits';
+import type { OwnerCandidate, SharedLimit } from '../../../../domain/limits';
 
 /** What the parts work with. */
 export interface LimitPartsDependencies {
-  readonly self: KeeperCandidate;
+  readonly self: OwnerCandidate;
   readonly listPeers: () => readonly LimitPeer[];
   readonly calls: Pick<GatewayClient, 'acquirePermit' | 'releasePermit'>;
   readonly tellLimit: (limit: SharedLimit) => void;
@@ -25,7 +25,7 @@
 /** The parts that keep servers' rate limits. */
 export interface LimitParts {
   readonly limits: ServerLimits;
-  readonly keeper: LimitKeeper;
+  readonly owner: LimitOwner;
   readonly permits: Permits;
 }
 
@@ -40,16 +40,16 @@
   tellLimit,
 }: LimitPartsDependencies): LimitParts => {
   const limits = createServerLimits({ clock, log, tellLimit });
-  const keeper = createLimitKeeper({ clock, limits, randomness });
+  const owner = createLimitOwner({ clock, limits, randomness });
   const permits = createPermits({
     self,
     listPeers,
     askPeer: calls.acquirePermit,
     tellReleased: calls.releasePermit,
-    keeper,
+    owner,
     limits,
     clock,
     log,
   });
-  return { limits, keeper, permits };
+  return { limits, owner, permits };
 };
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -8,7 +8,7 @@
   ServerDirectory,
 } from '../../../application/forwarding';
 import type { Gossip } from '../../../application/gossip';
-import type { LimitKeeper } from '../../../application/limits';
+import type { LimitOwner } from '../../../application/limits';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
 import type { RowFollower, SharedReading } from '../../../application/rows';
@@ -25,7 +25,7 @@
   readonly gossip: Gossip;
   readonly sharing: SharedReading;
   readonly lender: RetryLender;
-  readonly limitKeeper: LimitKeeper;
+  readonly limitOwner: LimitOwner;
   readonly quarantineRows: QuarantineRows;
   readonly places: PromptPlaces;
   readonly rolloutJudge: RolloutJudge;
--- a/standins/limits/runLimitModel/index.ts
+++ b/standins/limits/runLimitModel/index.ts
@@ -1,8 +1,8 @@
 import {
-  createLimitKeeper,
+  createLimitOwner,
   createPermits,
   createServerLimits,
-  type LimitKeeper,
+  type LimitOwner,
   type LimitPeer,
   type Permit,
   type Permits,
@@ -38,7 +38,7 @@
   readonly zone: string;
   clock: Clock;
   limits: ServerLimits;
-  keeper: LimitKeeper;
+  owner: LimitOwner;
   permits: Permits;
   startedAtMs: number;
   downSinceMs: number | null;
@@ -88,7 +88,7 @@
       });
     });
 
-  const buildParts = (vm: Vm): Pick<Vm, 'keeper' | 'limits' | 'permits'> => {
+  const buildParts = (vm: Vm): Pick<Vm, 'owner' | 'limits' | 'permits'> => {
     const limits: ServerLimits = createServerLimits({
       clock,
       log: QUIET_LOG,
@@ -101,10 +101,10 @@
             }),
           ),
     });
-    const keeper = createLimitKeeper({ clock, limits, randomness });
+    const owner = createLimitOwner({ clock, limits, randomness });
     const peersOf: Record<LimitPolicy, () => readonly LimitPeer[]> = {
       [LimitPolicy.Confirmed]: () => listPeers(vm.name),
-      [LimitPolicy.OneKeeper]: () => listPeers(vm.name),
+      [LimitPolicy.OneOwner]: () => listPeers(vm.name),
       [LimitPolicy.EvenParts]: () => [],
       [LimitPolicy.Alone]: () => [],
     };
@@ -113,13 +113,13 @@
       self: { vm: vm.name, availabilityZone: vm.zone },
       listPeers: peersOf[policy],
       askPeer: (address, request) =>
-        policy === LimitPolicy.OneKeeper && request.isConfirmation
+        policy === LimitPolicy.OneOwner && request.isConfirmation
           ? Promise.resolve({ isGranted: true, waitMs: 0 })
-          : callVm(vm, address, (other) => other.keeper.handlePermit(request)),
+          : callVm(vm, address, (other) => other.owner.handlePermit(request)),
       tellReleased: (address, server) => {
-        callVm(vm, address, (other) => other.keeper.releasePermit(server));
+        callVm(vm, address, (other) => other.owner.releasePermit(server));
       },
-      keeper,
+      owner,
       limits: {
         readLimitPerS: (server) => {
           const limitPerS = limits.readLimitPerS(server);
@@ -129,7 +129,7 @@
       clock,
       log: QUIET_LOG,
     });
-    return { limits, keeper, permits };
+    return { limits, owner, permits };
   };
 
   const startVm = (name: string, zone: string): void => {
--- a/standins/limits/types/index.ts
+++ b/standins/limits/types/index.ts
@@ -1,9 +1,9 @@
 /** How VMs keep a limit: the way that stands, and those that it is compared with. */
 export const LimitPolicy = {
-  /** A keeper for each server, and a second one that confirms. */
+  /** A owner for each server, and a second one that confirms. */
   Confirmed: 'confirmed',
-  /** One keeper, whom nobody confirms. */
-  OneKeeper: 'one-keeper',
+  /** One owner, whom nobody confirms. */
+  OneOwner: 'one-owner',
   /** Each VM keeps to its even part. */
   EvenParts: 'even-parts',
   /** Each VM keeps to the whole limit by itself. */
