--- a/src/application/limits/createLimitOwner/index.ts
+++ b/src/application/limits/createLimitOwner/index.ts
@@ -3,7 +3,7 @@
 import type { ServerLimits } from '../createServerLimits';
 import type { PermitRequest } from '../types';
 
-/** What a owner needs. */
+/** What an owner needs. */
 export interface LimitOwnerDependencies {
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly randomness: Randomness;
@@ -18,7 +18,7 @@
   releasePermit(server: string): void;
 }
 
-/** Requests and VMs that a owner knows of at one server. */
+/** Requests and VMs that an owner knows of at one server. */
 interface Window {
   sentAtMs: readonly number[];
   readonly askedAtMs: Map<string, number>;
--- a/src/application/limits/createPermits/index.ts
+++ b/src/application/limits/createPermits/index.ts
@@ -66,7 +66,7 @@
  *
  * A limit of some requests a second holds for hundreds of VMs together: each VM's even part of it is less
  * than one request in the time that is looked at. So VMs ask the one that keeps the server's limit, and
- * a second one confirms it: where VMs know different others, for example after a loss, or a owner is
+ * a second one confirms it: where VMs know different others, for example after a loss, or an owner is
  * silent, the two that they ask still have one in common.
  */
 export const createPermits = (dependencies: PermitsDependencies): Permits => {
