--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -7,6 +7,9 @@
 
 const BUNDLE = 'target/jackdaw-gateway-bundle.cjs';
 
+/** Seconds on an idle machine; a build server may be overloaded. */
+const WRITE_TIMEOUT_MS = 240_000;
+
 await build({
   entryPoints: {
     'jackdaw-gateway-bundle': 'src/programs/gateway/main.ts',
@@ -31,7 +34,7 @@
 rmSync(`${BUNDLE}.cache`, { force: true });
 const written = spawnSync(process.execPath, [...flags, 'scripts/write-code-cache.cjs'], {
   stdio: ['ignore', 'ignore', 'inherit'],
-  timeout: 60_000,
+  timeout: WRITE_TIMEOUT_MS,
 });
 // A gateway without a code cache starts more slowly, and says so.
 if (written.status !== 0) console.warn('the code cache could not be written');
