Permits: list the other VMs once for each question

Found on reading the change again: the members were listed and copied up to four times for one permit, and released permits looked their owners up by name among them. Change: the VMs are listed once, owners that granted are kept with their addresses. Behaviour stays; no test changed. Tests of limits, of gateways and of the model: all pass. Conclusion: simpler, and less work on the way of a request.

--- a/src/application/limits/createPermits/index.ts
+++ b/src/application/limits/createPermits/index.ts
@@ -38,6 +38,11 @@
   drop(server: string): void;
 }
 
+/** A VM that may be asked; without an address it is this one. */
+interface Owner extends OwnerCandidate {
+  readonly address: string | null;
+}
+
 /** A request that this VM sent, and the owners that know of it. */
 interface Send {
   readonly atMs: number;
@@ -71,6 +76,8 @@
  */
 export const createPermits = (dependencies: PermitsDependencies): Permits => {
   const { askPeer, clock, owner, limits, listPeers, log, self, tellReleased } = dependencies;
+  const { availabilityZone, vm: name } = self;
+  const here: Owner = { vm: name, availabilityZone, address: null };
   const sendsOf = new Map<string, Send[]>();
   const unreachableUntilMs = new Map<string, number>();
 
@@ -87,15 +94,11 @@
     if (kept) sendsOf.set(server, kept);
   };
 
-  const listReachable = (): readonly (OwnerCandidate & { readonly address: string | null })[] => {
-    const nowMs = clock.readMonotonicMs();
-    const peers = listPeers().filter(({ vm }) => (unreachableUntilMs.get(vm) ?? 0) <= nowMs);
-    return [{ ...self, address: null }, ...peers];
-  };
+  const isReachable = ({ vm }: Owner): boolean =>
+    (unreachableUntilMs.get(vm) ?? 0) <= clock.readMonotonicMs();
 
   const askOwner = async (
-    vm: string,
-    address: string | null,
+    { address, vm }: Owner,
     request: Omit<PermitRequest, 'sender' | 'sentAgesMs'>,
   ): Promise<PermitDecision | null> => {
     const nowMs = clock.readMonotonicMs();
@@ -104,7 +107,7 @@
     );
     const sent = {
       ...request,
-      sender: self.vm,
+      sender: name,
       sentAgesMs: untold.map(({ atMs }) => Math.round(nowMs - atMs)),
     };
     // Before the answer: what is asked meanwhile must not count twice.
@@ -118,19 +121,17 @@
     return decision;
   };
 
-  const releaseAt = (vms: ReadonlySet<string>, server: string): void => {
-    if (vms.has(self.vm)) owner.releasePermit(server);
-    listPeers()
-      .filter(({ vm }) => vms.has(vm))
-      .forEach(({ address }) => tellReleased(address, server));
-  };
+  const releaseAt = (owners: readonly Owner[], server: string): void =>
+    owners.forEach(({ address }) => {
+      if (address === null) owner.releasePermit(server);
+      else tellReleased(address, server);
+    });
 
   /** Without enough owners that answer, this VM keeps to its even part. */
-  const decideAlone = (server: string, limitPerS: number): PermitDecision => {
-    const partPerS = limitPerS / (listPeers().length + 1);
+  const decideAlone = (server: string, partPerS: number): PermitDecision => {
     if (partPerS < MIN_PART_PER_S) return { isGranted: false, waitMs: ALONE_WAIT_MS };
     return owner.handlePermit({
-      sender: self.vm,
+      sender: name,
       server: `${server}${ALONE_SUFFIX}`,
       limitPerS: partPerS,
       sentAgesMs: [],
@@ -138,40 +139,40 @@
     });
   };
 
-  const buildPermit = (server: string, knownTo: ReadonlySet<string>): Permit => {
+  const buildPermit = (server: string, granted: readonly Owner[]): Permit => {
     const send = addSend(server);
-    knownTo.forEach((vm) => send.knownTo.add(vm));
+    granted.forEach(({ vm }) => send.knownTo.add(vm));
     return {
       release: () => {
         removeSend(server, send);
-        releaseAt(knownTo, server);
+        releaseAt(granted, server);
       },
     };
   };
 
   const askOwners = async (server: string, limitPerS: number): Promise<Permit | number> => {
-    const granted = new Set<string>();
-    const candidates = listReachable();
-    const needed = Math.min(NEEDED_OWNERS, listPeers().length + 1);
-    for (const { address, vm } of rankLimitOwners(candidates, server)) {
-      const isConfirmation = granted.size > 0;
-      const decision = await askOwner(vm, address, { server, limitPerS, isConfirmation });
+    const granted: Owner[] = [];
+    const vms: readonly Owner[] = [here, ...listPeers()];
+    const needed = Math.min(NEEDED_OWNERS, vms.length);
+    for (const candidate of rankLimitOwners(vms.filter(isReachable), server)) {
+      const isConfirmation = granted.length > 0;
+      const decision = await askOwner(candidate, { server, limitPerS, isConfirmation });
       if (decision && !decision.isGranted) {
         releaseAt(granted, server);
         return decision.waitMs;
       }
-      if (decision) granted.add(vm);
-      if (granted.size >= needed) return buildPermit(server, granted);
+      if (decision) granted.push(candidate);
+      if (granted.length >= needed) return buildPermit(server, granted);
     }
     releaseAt(granted, server);
-    const alone = decideAlone(server, limitPerS);
-    return alone.isGranted ? buildPermit(server, new Set()) : alone.waitMs;
+    const alone = decideAlone(server, limitPerS / vms.length);
+    return alone.isGranted ? buildPermit(server, []) : alone.waitMs;
   };
 
   return {
     acquirePermit: async (server) => {
       const limitPerS = limits.readLimitPerS(server);
-      if (limitPerS === null) return buildPermit(server, new Set());
+      if (limitPerS === null) return buildPermit(server, []);
       return askOwners(server, limitPerS);
     },
     drop: (server) => {
