One bounded map for what is remembered of servers

Found on reading the change again: createGoneEntries wrote the bounded memory of createIncarnationSet anew. Both stand on createBoundedMap now. Conclusion: the same logic once.

--- a/src/application/forwarding/_lib/createGoneEntries/index.ts
+++ b/src/application/forwarding/_lib/createGoneEntries/index.ts
@@ -1,4 +1,5 @@
 import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
+import { createBoundedMap } from '../../../_lib/createBoundedMap';
 
 type Entry = Pick<ServerEntry, 'bornMs' | 'id' | 'sequence'>;
 
@@ -14,15 +15,9 @@
 
 /** Creates the memory of entries that went; it is empty. */
 export const createGoneEntries = (): GoneEntries => {
-  const lastOf = new Map<string, Entry>();
+  const lastOf = createBoundedMap<Entry>(MAX_ENTRIES);
   return {
-    add: ({ bornMs, id, sequence }) => {
-      lastOf.delete(id);
-      lastOf.set(id, { bornMs, id, sequence });
-      if (lastOf.size <= MAX_ENTRIES) return;
-      const [oldest = ''] = lastOf.keys();
-      lastOf.delete(oldest);
-    },
+    add: ({ bornMs, id, sequence }) => lastOf.set(id, { bornMs, id, sequence }),
     has: ({ bornMs, id, sequence }) => {
       const last = lastOf.get(id);
       if (!last || compareIncarnations(last.bornMs, bornMs) === 'newer') return false;
--- a/src/application/forwarding/_lib/createIncarnationSet/index.ts
+++ b/src/application/forwarding/_lib/createIncarnationSet/index.ts
@@ -1,4 +1,5 @@
 import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
+import { createBoundedMap } from '../../../_lib/createBoundedMap';
 
 type Incarnation = Pick<ServerEntry, 'bornMs' | 'id'>;
 
@@ -14,15 +15,9 @@
 
 /** Creates a set of starts of servers; it is empty. */
 export const createIncarnationSet = (): IncarnationSet => {
-  const bornMsOf = new Map<string, number | null>();
+  const bornMsOf = createBoundedMap<number | null>(MAX_INCARNATIONS);
   return {
-    add: ({ bornMs, id }) => {
-      bornMsOf.delete(id);
-      bornMsOf.set(id, bornMs);
-      if (bornMsOf.size <= MAX_INCARNATIONS) return;
-      const [oldest = ''] = bornMsOf.keys();
-      bornMsOf.delete(oldest);
-    },
+    add: ({ bornMs, id }) => bornMsOf.set(id, bornMs),
     has: ({ bornMs, id }) => {
       const addedMs = bornMsOf.get(id);
       return addedMs !== undefined && compareIncarnations(addedMs, bornMs) !== 'newer';
