Gossip: one table of what tells news apart, and one wait for late answers

Found on reading the change again: each kind of news was named in four lists of the gatherer, so that a new one (rate limits) meant four changes; and the client of other gateways raced two calls against a timer by the same lines. The comment on the wait for permits counted three more questions, where seven may follow. Conclusion: a new kind of news is one line.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -51,11 +51,17 @@
 /** A prompt waits for this answer; sound gateways take some milliseconds. */
 const RESERVE_WAIT_MS = 30;
 
-/** A lookup waits for this answer, and may ask three more. */
+/** A lookup waits for this answer, and may ask seven more. */
 const PERMIT_WAIT_MS = 40;
 
 const METHODS = GatewayService.method;
 
+/** Waits for an answer so long; null if it is late, which is no failure: the connection is kept. */
+const waitAtMost = <Answer>(
+  asked: Promise<Answer | null>,
+  waitMs: number,
+): Promise<Answer | null> => Promise.race([asked, wait(waitMs, null, { ref: false })]);
+
 /** Creates the client of other gateways. */
 export const createGatewayClient = (): GatewayClient => {
   const { call, close } = createUnaryCaller();
@@ -71,14 +77,13 @@
     },
     reservePrompt: async (address, prompt) => {
       const asked = call(address, METHODS.reservePrompt, prompt, CALL_TIMEOUT_MS);
-      // Late is no failure: the connection is kept.
-      const answer = await Promise.race([asked, wait(RESERVE_WAIT_MS, null, { ref: false })]);
+      const answer = await waitAtMost(asked, RESERVE_WAIT_MS);
       return answer?.othersTokens ?? null;
     },
     acquirePermit: async (address, request) => {
       const message = { ...request, sentAgesMs: [...request.sentAgesMs] };
       const asked = call(address, METHODS.acquirePermit, message, CALL_TIMEOUT_MS);
-      const answer = await Promise.race([asked, wait(PERMIT_WAIT_MS, null, { ref: false })]);
+      const answer = await waitAtMost(asked, PERMIT_WAIT_MS);
       return answer && { isGranted: answer.isGranted, waitMs: answer.waitMs };
     },
     releasePermit: (address, server) => {
--- a/src/application/gossip/_lib/createNewsGatherer/index.ts
+++ b/src/application/gossip/_lib/createNewsGatherer/index.ts
@@ -1,6 +1,3 @@
-import type { SharedOutcome } from '../../../../domain/forwarding';
-import type { SharedLimit } from '../../../../domain/limits';
-import type { RolloutVerdict } from '../../../../domain/rollouts';
 import type { Clock } from '../../../ports';
 import type { Knowledge } from '../../types';
 
@@ -48,29 +45,28 @@
  */
 const PASS_AGAIN_MS = 1000;
 
-const buildOutcomeKey = ({ fingerprint, hasCrashed, server }: SharedOutcome): string =>
-  `${fingerprint} ${server} ${hasCrashed}`;
-
-const buildVerdictKey = ({ isStored, sequence, service, state }: RolloutVerdict): string =>
-  `${service} ${sequence} ${state} ${isStored}`;
-
-const buildLimitKey = ({ limitPerS, server }: SharedLimit): string => `${server} ${limitPerS}`;
-
-const listKeys = ({
-  inferred,
-  limits,
-  members,
-  outcomes,
-  suspicions,
-  verdicts,
-}: News): string[] => [
-  ...suspicions.map(({ server }) => server),
-  ...inferred.map(({ id }) => id),
-  ...members.map(({ vm }) => vm),
-  ...outcomes.map(buildOutcomeKey),
-  ...verdicts.map(buildVerdictKey),
-  ...limits.map(buildLimitKey),
-];
+/** What tells two news of a kind apart. */
+const KEYS: { readonly [Kind in keyof News]: (one: News[Kind][number]) => string } = {
+  suspicions: ({ server }) => server,
+  inferred: ({ id }) => id,
+  members: ({ vm }) => vm,
+  outcomes: ({ fingerprint, hasCrashed, server }) => `${fingerprint} ${server} ${hasCrashed}`,
+  verdicts: ({ isStored, sequence, service, state }) =>
+    `${service} ${sequence} ${state} ${isStored}`,
+  limits: ({ limitPerS, server }) => `${server} ${limitPerS}`,
+};
+
+const KINDS = Object.keys(KEYS) as (keyof News)[];
+
+/** Builds news kind by kind. */
+const buildNews = (
+  build: <Kind extends keyof News>(kind: Kind) => readonly News[Kind][number][],
+): News => Object.assign({}, NO_NEWS, ...KINDS.map((kind) => ({ [kind]: build(kind) }))) as News;
+
+const listKeysOf = <Kind extends keyof News>(news: News, kind: Kind): string[] =>
+  (news[kind] as readonly News[Kind][number][]).map(KEYS[kind]);
+
+const listKeys = (news: News): string[] => KINDS.flatMap((kind) => listKeysOf(news, kind));
 
 const countNews = (news: News): number => listKeys(news).length;
 
@@ -99,21 +95,11 @@
       .forEach((key) => passedAtMs.set(key, nowMs));
   };
 
-  const filterNew = ({
-    inferred,
-    limits,
-    members,
-    outcomes,
-    suspicions,
-    verdicts,
-  }: News): News => ({
-    suspicions: suspicions.filter(({ server }) => !passedAtMs.has(server)),
-    inferred: inferred.filter(({ id }) => !passedAtMs.has(id)),
-    members: members.filter(({ vm }) => !passedAtMs.has(vm)),
-    outcomes: outcomes.filter((outcome) => !passedAtMs.has(buildOutcomeKey(outcome))),
-    verdicts: verdicts.filter((verdict) => !passedAtMs.has(buildVerdictKey(verdict))),
-    limits: limits.filter((limit) => !passedAtMs.has(buildLimitKey(limit))),
-  });
+  const filterNew = (news: News): News =>
+    buildNews((kind) => {
+      const keys = listKeysOf(news, kind);
+      return news[kind].filter((_, index) => !passedAtMs.has(keys[index] ?? ''));
+    });
 
   const schedule = (delayMs: number): void => {
     const nextMs = clock.readMonotonicMs() + delayMs;
@@ -135,14 +121,8 @@
       const fresh = filterNew(news);
       if (countNews(fresh) === 0) return;
       recordPassed(fresh);
-      waiting = {
-        suspicions: [...waiting.suspicions, ...fresh.suspicions],
-        inferred: [...waiting.inferred, ...fresh.inferred],
-        members: [...waiting.members, ...fresh.members],
-        outcomes: [...waiting.outcomes, ...fresh.outcomes],
-        verdicts: [...waiting.verdicts, ...fresh.verdicts],
-        limits: [...waiting.limits, ...fresh.limits],
-      };
+      const before = waiting;
+      waiting = buildNews((kind) => [...before[kind], ...fresh[kind]]);
       schedule(countNews(fresh) > fresh.members.length ? GATHER_MS : GATHER_MEMBERS_MS);
     },
     recordPassed,
