Let jackdaw explain follow a request's ticket to the lines of schedulers

Cause: schedulers know a stream by its ticket, so that their lines name no request and a wait could not be explained.

Change: the timeline holds lines of any VM that carry a ticket which the request's own lines name, whatever their message.

--- a/src/programs/jackdaw/explainLog/test.ts
+++ b/src/programs/jackdaw/explainLog/test.ts
@@ -47,6 +47,32 @@
   ]);
 });
 
+// Guards against a wait that cannot be explained, as the scheduler's lines name no request.
+test('a timeline follows the tickets of a request to the lines of schedulers on other VMs', async (t) => {
+  const files = await writeLogs(t, {
+    'vm-9.log': [
+      buildLine('vm-9', 1010, 'stream queued', { ticket: 'vm-1/7', position: 3 }),
+      buildLine('vm-9', 1011, 'stream queued', { ticket: 'vm-1/8' }),
+      buildLine('vm-9', 2000, 'any other message', { ticket: 'vm-1/7', server: 'i-1' }),
+    ],
+    'vm-1.log': [
+      buildLine('vm-1', 1000, 'stream waits', { requestId: 'r-1', ticket: 'vm-1/7' }),
+      buildLine('vm-1', 1000, 'stream waits', { requestId: 'r-2', ticket: 'vm-1/8' }),
+      buildLine('vm-1', 2010, 'stream sent', { requestId: 'r-1', ticket: 'vm-1/7', server: 'i-1' }),
+      buildLine('vm-1', 2020, 'stream ended', { requestId: 'r-1', ticket: '' }),
+    ],
+    'vm-3.log': [buildLine('vm-3', 1500, 'no demand of anyone', { ticket: '' })],
+  });
+  const timeline = (await explainLog('r-1', files))._unsafeUnwrap();
+  t.deepEqual(renderTimeline(timeline), [
+    '00:00:01.000 vm-1: stream waits  ticket=vm-1/7',
+    '00:00:01.010 vm-9: stream queued  ticket=vm-1/7 position=3',
+    '00:00:02.000 vm-9: any other message  ticket=vm-1/7 server=i-1',
+    '00:00:02.010 vm-1: stream sent  ticket=vm-1/7 server=i-1',
+    '00:00:02.020 vm-1: stream ended  ticket=',
+  ]);
+});
+
 test('the timeline of a request without log lines is empty', async (t) => {
   const files = await writeLogs(t, { 'vm-1.log': [buildLine('vm-1', 1, 'gateway started')] });
   t.deepEqual((await explainLog('r-1', files))._unsafeUnwrap(), []);
