Keep the schedulers of a VM by service

Cause: any VM may be asked to schedule any service, and must stop doing so once another VM does or it shuts down.

--- a/src/application/scheduling/index.ts
+++ b/src/application/scheduling/index.ts
@@ -1,3 +1,8 @@
+export {
+  createSchedulerRegistry,
+  type SchedulerRegistry,
+  type SchedulerRegistryDependencies,
+} from './createSchedulerRegistry';
 export type {
   DeliverDecision,
   DeliveredDecision,
