Connect VMs with schedulers: calls, transport and metrics

Cause: nothing carried a demand from a VM to the scheduler of its service, nor a decision back, and an operator could not see who waits.

Change: GatewayService has Schedule and DeliverDecision. A malformed demand, run, sample or decision is dropped; a message without a service or a sender is an error. The client's schedule resolves with whatever comes within 1 s, so that the grants of a late response can be cancelled; deliverDecision is false after 150 ms. wireScheduling joins registry, client and transport from factories; calls of a VM to itself skip the network. Until factories are given (buildDisabledScheduling) a VM answers that it schedules nothing, and decides by itself as before. A draining VM stops its schedulers at once. Metrics by class and by eight buckets of workspaces.

buildStubServices and startTestGateway of the tests got the new services and an override; no check changed.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -4,10 +4,17 @@
 import type { PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
+import type {
+  DeliveredDecision,
+  ScheduleRequest,
+  ScheduleResponse,
+} from '../../../application/scheduling';
 import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildReportMessage, readVerdictMessage } from '../_lib/convertRollouts';
+import { buildDeliveryMessage, readScheduleResponseMessage } from '../_lib/convertScheduleDecision';
+import { buildScheduleRequestMessage } from '../_lib/convertScheduling';
 import { buildStatementsRequestMessage, readStatementsMessage } from '../_lib/convertStatements';
 import { createUnaryCaller } from '../_lib/createUnaryCaller';
 import { GatewayService } from '../gen/gateway_pb';
@@ -32,6 +39,13 @@
   ): Promise<StatementsResponse | null>;
   /** Reports the results of a new version; null without a verdict, or if the gateway times out. */
   reportTrial(address: string, report: TrialReport): Promise<RolloutVerdict | null>;
+  /**
+   * Asks the scheduler of a service; null if the gateway times out. The timeout is longer than
+   * streams wait, so that the caller learns of grants in a late response and can cancel them.
+   */
+  schedule(address: string, request: ScheduleRequest): Promise<ScheduleResponse | null>;
+  /** Delivers a scheduler's decision; false if it is not needed, or if the gateway times out. */
+  deliverDecision(address: string, delivered: DeliveredDecision): Promise<boolean>;
   /** Closes every connection. */
   close(): void;
 }
@@ -57,6 +71,9 @@
 /** A lookup waits for the response, and may ask seven more gateways. */
 const PERMIT_TIMEOUT_MS = 40;
 
+/** Room at a server is held for the response; afterwards another waiting stream gets it. */
+const DELIVER_TIMEOUT_MS = 150;
+
 const METHODS = GatewayService.method;
 
 /**
@@ -107,6 +124,17 @@
       const answer = await call(address, METHODS.reportTrial, message, REPORT_TIMEOUT_MS);
       return answer?.verdict ? readVerdictMessage(answer.verdict) : null;
     },
+    schedule: async (address, request) => {
+      const message = buildScheduleRequestMessage(request);
+      const answer = await call(address, METHODS.schedule, message, CALL_TIMEOUT_MS);
+      return answer && readScheduleResponseMessage(answer);
+    },
+    deliverDecision: async (address, delivered) => {
+      const message = buildDeliveryMessage(delivered);
+      const pending = call(address, METHODS.deliverDecision, message, CALL_TIMEOUT_MS);
+      const answer = await waitWithTimeout(pending, DELIVER_TIMEOUT_MS);
+      return answer?.isAccepted ?? false;
+    },
     close,
   };
 };
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -3,10 +3,17 @@
 import type { PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
+import type {
+  DeliveredDecision,
+  ScheduleRequest,
+  ScheduleResponse,
+} from '../../../application/scheduling';
 import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildVerdictMessage, readReportMessage } from '../_lib/convertRollouts';
+import { buildScheduleResponseMessage, readDeliveryMessage } from '../_lib/convertScheduleDecision';
+import { readScheduleRequestMessage } from '../_lib/convertScheduling';
 import { buildStatementsMessage, readStatementsRequestMessage } from '../_lib/convertStatements';
 import { GatewayService } from '../gen/gateway_pb';
 
@@ -21,6 +28,9 @@
   readonly handleRequest: (request: StatementsRequest) => Promise<StatementsResponse>;
   /** Null if this gateway does not know the rollout order. */
   readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
+  readonly handleScheduleRequest: (request: ScheduleRequest) => ScheduleResponse;
+  /** False if this gateway no longer needs the decision. */
+  readonly handleDelivery: (delivered: DeliveredDecision) => boolean;
 }
 
 type Methods = typeof GatewayService.method;
@@ -34,11 +44,13 @@
 
 /** Creates the handlers of the calls between gateways. */
 export const createGatewayHandlers = ({
+  handleDelivery,
   handleKnowledge,
   handlePermit,
   handleReport,
   handleRequest,
   handleReservation,
+  handleScheduleRequest,
   lendRetry,
   recordToldPrompt,
   releasePermit,
@@ -60,6 +72,16 @@
     const verdict = handleReport(readReportMessage(request));
     return verdict ? { verdict: buildVerdictMessage(verdict) } : {};
   },
+  schedule: async (message) => {
+    const request = readScheduleRequestMessage(message);
+    if (request === null) throw new Error('schedule request without a service or a sender');
+    return buildScheduleResponseMessage(handleScheduleRequest(request));
+  },
+  deliverDecision: async (message) => {
+    const delivered = readDeliveryMessage(message);
+    if (delivered === null) throw new Error('delivery without a service or a decision');
+    return { isAccepted: handleDelivery(delivered) };
+  },
   followTables: async (request) =>
     buildStatementsMessage(await handleRequest(readStatementsRequestMessage(request))),
   exchange: async (request) => {
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -1,7 +1,9 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { ForwardingMeter } from '../../../application/forwarding';
+import type { SchedulingMeter } from '../../../application/scheduling';
 import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
+import { createSchedulingMeter } from '../_lib/createSchedulingMeter';
 
 /** Sources of a gateway's gauges, read when the metrics are collected. */
 export interface GatewayGauges {
@@ -14,10 +16,15 @@
   /** Whether this VM follows the store directly, not through another VM. */
   readonly isReader: () => boolean;
   readonly isReady: () => boolean;
+  /** Streams of this VM's callers that wait for a server. */
+  readonly countWaitingStreams: () => number;
+  /** Streams of all VMs that wait at the schedulers of this VM. */
+  readonly countSchedulerWaitingStreams: () => number;
+  readonly countScheduledServices: () => number;
 }
 
 /** Metrics of one gateway, with their own registry. */
-export interface GatewayMetrics extends ForwardingMeter {
+export interface GatewayMetrics extends ForwardingMeter, SchedulingMeter {
   readonly contentType: string;
   addGauges(gauges: GatewayGauges): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -57,6 +64,7 @@
     buckets: PAUSE_BUCKETS_S,
     registers,
   });
+  const scheduling = createSchedulingMeter(registry);
   return {
     contentType: registry.contentType,
     recordRequest: (kind, outcome, durationMs) => {
@@ -64,6 +72,7 @@
       durations.observe({ kind }, durationMs / MS_PER_S);
     },
     recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
+    recordDecision: scheduling.recordDecision,
     addGauges: (gauges) => {
       addGauge(
         registry,
@@ -106,6 +115,24 @@
       addGauge(registry, 'jackdaw_ready', '1 if this VM takes new connections.', () =>
         Number(gauges.isReady()),
       );
+      addGauge(
+        registry,
+        'jackdaw_waiting_streams',
+        'Streams of callers of this VM that wait for a server.',
+        gauges.countWaitingStreams,
+      );
+      addGauge(
+        registry,
+        'jackdaw_scheduler_waiting_streams',
+        'Streams of all VMs that wait at the schedulers of this VM.',
+        gauges.countSchedulerWaitingStreams,
+      );
+      addGauge(
+        registry,
+        'jackdaw_scheduled_services',
+        'Services whose scheduler is this VM.',
+        gauges.countScheduledServices,
+      );
     },
     render: () => registry.metrics(),
   };
--- /dev/null
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+import { createGatewayMetrics } from '.';
+
+const CLASS = { priority: 0, routePriority: 2 };
+
+const listLines = async (
+  metrics: ReturnType<typeof createGatewayMetrics>,
+  name: string,
+): Promise<string[]> =>
+  (await metrics.render()).split('\n').filter((line) => line.startsWith(name));
+
+test('decisions are counted by class, and only streams that are sent count as waits', async (t) => {
+  const metrics = createGatewayMetrics();
+  metrics.recordDecision(CLASS, '', 'wait', 0);
+  metrics.recordDecision(CLASS, '', 'send', 300);
+  metrics.recordDecision({ priority: 2, routePriority: 2 }, '', 'refuse', 5000);
+  t.deepEqual(await listLines(metrics, 'jackdaw_scheduled_streams_total'), [
+    'jackdaw_scheduled_streams_total{class="0/2",workspace_bucket="none",decision="wait"} 1',
+    'jackdaw_scheduled_streams_total{class="0/2",workspace_bucket="none",decision="send"} 1',
+    'jackdaw_scheduled_streams_total{class="2/2",workspace_bucket="none",decision="refuse"} 1',
+  ]);
+  t.deepEqual(await listLines(metrics, 'jackdaw_schedule_wait_seconds_sum'), [
+    'jackdaw_schedule_wait_seconds_sum{class="0/2"} 0.3',
+  ]);
+});
+
+// Guards against one time series for each workspace, which exhausts the memory of the collector.
+test('hundreds of workspaces share eight buckets, and a workspace keeps its own', async (t) => {
+  const metrics = createGatewayMetrics();
+  Array.from({ length: 300 }, (_, index) =>
+    metrics.recordDecision(CLASS, `workspace-${index}`, 'send', 1),
+  );
+  const before = await listLines(metrics, 'jackdaw_scheduled_streams_total');
+  t.is(before.length, 8);
+  metrics.recordDecision(CLASS, 'workspace-7', 'send', 1);
+  metrics.recordDecision(CLASS, 'workspace-7', 'send', 1);
+  const after = await listLines(metrics, 'jackdaw_scheduled_streams_total');
+  t.is(after.filter((line) => !before.includes(line)).length, 1);
+});
+
+test('gauges of waiting streams and of scheduled services are read when they are collected', async (t) => {
+  const metrics = createGatewayMetrics();
+  let waiting = 1;
+  metrics.addGauges({
+    countRunningRequests: () => 0,
+    countServingServers: () => 0,
+    countDroppedLines: () => 0,
+    readConfigurationVersion: () => 0,
+    readTableAgesMs: () => new Map(),
+    isReader: () => false,
+    isReady: () => true,
+    countWaitingStreams: () => waiting,
+    countSchedulerWaitingStreams: () => 10 * waiting,
+    countScheduledServices: () => 2,
+  });
+  waiting = 3;
+  t.deepEqual(await listLines(metrics, 'jackdaw_waiting_streams'), ['jackdaw_waiting_streams 3']);
+  t.deepEqual(await listLines(metrics, 'jackdaw_scheduler_waiting_streams'), [
+    'jackdaw_scheduler_waiting_streams 30',
+  ]);
+  t.deepEqual(await listLines(metrics, 'jackdaw_scheduled_services'), [
+    'jackdaw_scheduled_services 2',
+  ]);
+});
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -22,6 +22,7 @@
   | 'metrics'
   | 'places'
   | 'rolloutJudge'
+  | 'scheduling'
   | 'sharing'
 > {
   readonly isReady: () => boolean;
@@ -50,6 +51,7 @@
     metrics,
     places,
     rolloutJudge,
+    scheduling,
     sharing,
   }: EndpointParts,
 ): Promise<Result<Endpoints, ListenError>> => {
@@ -89,6 +91,8 @@
         releasePermit: limitOwner.releasePermit,
         handleReport: rolloutJudge.handleReport,
         handleRequest: sharing.handleRequest,
+        handleScheduleRequest: scheduling.registry.handleRequest,
+        handleDelivery: scheduling.client.handleDelivery,
       }),
     },
     parseAddress(settings.peerAddress),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -23,6 +23,8 @@
 import { wireLimits } from '../wireLimits';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
+import { buildDisabledScheduling } from '../buildDisabledScheduling';
+import { wireScheduling } from '../wireScheduling';
 import type { GatewayOverrides, GatewayParts } from '../../types';
 import {
   computeBatchDelayMs,
@@ -186,6 +188,15 @@
     countPendingPrefillTokens: directory.countPendingPrefillTokens,
     recordPeerPrompt: directory.recordPeerPrompt,
   });
+  const scheduling = wireScheduling({
+    self,
+    listPeers: gossip.listMembers,
+    calls,
+    hasService: (service) => tables.readCurrent()?.services.has(service) ?? false,
+    factories: overrides.scheduling ?? buildDisabledScheduling(),
+    clock,
+    log,
+  });
   const forwarder = createForwarder({
     lender,
     availabilityZone: settings.availabilityZone,
@@ -220,7 +231,9 @@
     quarantineRows,
     places,
     rolloutJudge,
+    scheduling,
     stop: async () => {
+      scheduling.stop();
       quarantineRows.stop();
       rolloutJudge.stop();
       sharing.stop();
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -67,7 +67,7 @@
   overrides: GatewayOverrides = {},
 ): Promise<Result<Gateway, ListenError>> => {
   const parts = wireGateway(settings, overrides);
-  const { clock, followers, forwarder, log, tables } = parts;
+  const { clock, followers, forwarder, log, scheduling, tables } = parts;
   let isDraining = false;
   const isReady = (): boolean =>
     !isDraining && tables.readCurrent() !== null && followers.servers.readVersion() > 0;
@@ -100,6 +100,9 @@
       new Map(Object.entries(followers).map(([table, follower]) => [table, follower.readAgeMs()])),
     isReader: parts.sharing.isReader,
     isReady,
+    countWaitingStreams: scheduling.client.countWaiting,
+    countSchedulerWaitingStreams: scheduling.registry.countWaiting,
+    countScheduledServices: () => scheduling.registry.listServices().length,
   });
   followers.configuration.start();
   followers.servers.start();
@@ -119,6 +122,7 @@
       stopReadyLog();
       const startedAtMs = clock.readMonotonicMs();
       const readElapsedMs = (): number => clock.readMonotonicMs() - startedAtMs;
+      scheduling.registry.stopAccepting();
       log.info('gateway draining', { running: forwarder.countRunning() });
       while (
         readElapsedMs() < READINESS_PROPAGATION_MS ||
--- a/src/programs/gateway/types/GatewayOverrides.ts
+++ b/src/programs/gateway/types/GatewayOverrides.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, Randomness } from '../../../application/ports';
 import type { StoreClient } from '../../../../platform';
+import type { SchedulingFactories } from './SchedulingFactories';
 
 /** Replacements of a gateway's parts, for tests. */
 export interface GatewayOverrides {
@@ -8,6 +9,7 @@
   readonly log?: EventLog;
   /** Replaces the client of the platform's store. */
   readonly store?: StoreClient;
+  readonly scheduling?: SchedulingFactories;
   /** Counts dropped log lines, for the metrics. */
   readonly countDroppedLines?: () => number;
 }
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -11,6 +11,7 @@
 import type { LimitOwner } from '../../../application/limits';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
+import type { SchedulerClient, SchedulerRegistry } from '../../../application/scheduling';
 import type { RowFollower, ZoneReplication } from '../../../application/rows';
 
 /** Wired parts of a gateway. */
@@ -29,6 +30,7 @@
   readonly quarantineRows: QuarantineRows;
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
+  readonly scheduling: { readonly client: SchedulerClient; readonly registry: SchedulerRegistry };
   /** Closes all connections to servers and the store. */
   stop(): Promise<void>;
 }
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -9,4 +9,6 @@
   releasePermit: () => undefined,
   handleReport: () => null,
   handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
+  handleScheduleRequest: () => ({ isOwner: false, decisions: [] }),
+  handleDelivery: () => false,
 });
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -3,6 +3,7 @@
 import type { GatewaySettings } from '../../../../src/domain/forwarding';
 import type { Clock, EventFields, EventLog } from '../../../../src/application/ports';
 import { startGateway, type Gateway } from '../../../../src/programs/gateway';
+import type { SchedulingFactories } from '../../../../src/programs/gateway/types';
 import {
   buildGatewaySettings,
   createStandInServer,
@@ -62,6 +63,7 @@
   readonly isConfigured?: boolean;
   readonly settings?: Partial<GatewaySettings>;
   readonly clock?: Clock;
+  readonly scheduling?: SchedulingFactories;
   /** Another test gateway whose store and servers are shared, and which stops them. */
   readonly sharedWith?: Pick<TestGateway, 'servers' | 'store'>;
 }
@@ -162,7 +164,11 @@
   const gateway = readOk(
     await startGateway(
       { ...buildGatewaySettings(store.url), ...options.settings },
-      { log, ...(options.clock ? { clock: options.clock } : {}) },
+      {
+        log,
+        ...(options.clock ? { clock: options.clock } : {}),
+        ...(options.scheduling ? { scheduling: options.scheduling } : {}),
+      },
     ),
   );
   if (options.isConfigured !== false) await waitForLine('configuration in force');
