Pass requests of a VM to its own schedulers as the client expects them

Change: the transport has handleLocally; a failure of the own scheduler is logged and answered as not scheduling, so that the next VM by rank is asked. Deliveries of a VM to itself come after the scheduler's current step.

--- a/src/adapters/connect/_lib/convertScheduleDecision/index.ts
+++ b/src/adapters/connect/_lib/convertScheduleDecision/index.ts
@@ -66,7 +66,7 @@
 /**
  * Converts a protobuf message to a scheduler's response.
  *
- * Malformed decisions are dropped: the next renewal of the demand asks for another one.
+ * Malformed decisions are dropped: their demands count as not answered.
  */
 export const readScheduleResponseMessage = ({
   decisions,
--- a/src/programs/gateway/_lib/wireScheduling/index.ts
+++ b/src/programs/gateway/_lib/wireScheduling/index.ts
@@ -53,25 +53,25 @@
   // The schedulers deliver to the client, which calls the schedulers.
   let handleDelivery: SchedulerClient['handleDelivery'] = () => false;
 
-  /**
-   * Handles a message of this VM to itself after the sender's current step, as if it had come from
-   * another VM. A failure counts as no response.
-   */
-  const callSelf = async <Answer>(handle: () => Answer, noAnswer: Answer): Promise<Answer> => {
-    await Promise.resolve();
+  /** Calls a part of this VM as if it were another VM, where a failure ends no process. */
+  const callSelf = <Answer>(handle: () => Answer, failed: Answer): Answer => {
     try {
       return handle();
     } catch (error) {
       const reason = error instanceof Error ? error.message : 'unknown';
       log.error('scheduling call failed unexpectedly', { reason });
-      return noAnswer;
+      return failed;
     }
   };
 
+  /** Delivers after the scheduler's current step, so that a stream is not sent within it. */
+  const deliverToSelf = async (delivered: DeliveredDecision): Promise<boolean> => {
+    await Promise.resolve();
+    return callSelf(() => handleDelivery(delivered), false);
+  };
+
   const deliver = (address: string, delivered: DeliveredDecision): Promise<boolean> =>
-    address === self.address
-      ? callSelf(() => handleDelivery(delivered), false)
-      : calls.deliverDecision(address, delivered);
+    address === self.address ? deliverToSelf(delivered) : calls.deliverDecision(address, delivered);
 
   const registry = createSchedulerRegistry({
     createScheduler: (service) => factories.createScheduler(service, deliver),
@@ -89,10 +89,9 @@
         .filter((one) => one !== undefined)
         .map(buildVm);
     },
-    askPeer: (address, request) =>
-      address === self.address
-        ? callSelf(() => registry.handleRequest(request), null)
-        : calls.schedule(address, request),
+    askPeer: calls.schedule,
+    handleLocally: (request) =>
+      callSelf(() => registry.handleRequest(request), { isOwner: false, decisions: [] }),
   });
   handleDelivery = client.handleDelivery;
   return {
--- a/src/programs/gateway/types/SchedulingFactories.ts
+++ b/src/programs/gateway/types/SchedulingFactories.ts
@@ -21,12 +21,14 @@
   /** Lists the VMs that may schedule a service, the first by rank first; may include this one. */
   readonly listSchedulers: (service: string) => readonly SchedulingVm[];
   /**
-   * Sends a request to a VM, also to this one.
+   * Sends a request to another VM.
    *
    * @returns the response, also if it is later than streams wait for it, as it may hold grants that
    * have to be cancelled; null if the VM does not respond
    */
   readonly askPeer: (address: string, request: ScheduleRequest) => Promise<ScheduleResponse | null>;
+  /** Passes a request to the schedulers of this VM. */
+  readonly handleLocally: (request: ScheduleRequest) => ScheduleResponse;
 }
 
 /** Creates the parts of scheduling from their transport. */
