--- a/src/application/_lib/createBoundedMap/index.ts
+++ b/src/application/_lib/createBoundedMap/index.ts
@@ -3,6 +3,7 @@
   get(key: string): Value | undefined;
   /** Sets an entry and makes it the newest one. */
   set(key: string, value: Value): void;
+  delete(key: string): void;
 }
 
 /** Creates a map that evicts its oldest entry when it exceeds `maxEntries`. */
@@ -17,5 +18,8 @@
       const [oldest = ''] = entries.keys();
       entries.delete(oldest);
     },
+    delete: (key) => {
+      entries.delete(key);
+    },
   };
 };
--- /dev/null
+++ b/src/application/paces/index.ts
@@ -0,0 +1,2 @@
+export { createServerPaces } from './createServerPaces';
+export type { PacedServer, ServerPaces } from './types';
--- /dev/null
+++ b/src/domain/paces/types/index.ts
@@ -0,0 +1,3 @@
+export type { PaceEstimate } from './PaceEstimate';
+export type { PaceSample } from './PaceSample';
+export type { ServerPace } from './ServerPace';
