Choose servers by the time that work takes on them

Cause: all servers of a service counted as equally fast, so that fast ones idled while requests queued at slow ones, and a machine that was slow for a moment got as many requests as before.

Change: the load header's fourth figure is decoded from every answer. In a service whose servers state it, calls go to the server on which they are expected to end first, prompts are ranked and predicted by the server's pace, copies go where there is room by pace, and timeouts grow with it. A server that joined counts as loaded like the others for its first second. Elsewhere every choice is the earlier one (property tests).

--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -32,6 +32,12 @@
 /** Around the pauses that readers of a stream notice. */
 const PAUSE_BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 2, 5];
 
+/** Relative to the service: from a server twice as fast to a slow one on a busy machine. */
+const PACE_RATIO_BUCKETS = [0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5];
+
+/** A work factor counts for 0.6 s. */
+const LOAD_AGE_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5];
+
 /** Creates the metrics of one gateway. */
 export const createGatewayMetrics = (): GatewayMetrics => {
   const registry = new Registry();
@@ -57,12 +63,30 @@
     buckets: PAUSE_BUCKETS_S,
     registers,
   });
+  const paceRatios = new Histogram({
+    name: 'jackdaw_server_pace_ratio',
+    help: 'Time of a call on the chosen server relative to its service, where servers differ.',
+    labelNames: ['service'],
+    buckets: PACE_RATIO_BUCKETS,
+    registers,
+  });
+  const loadAges = new Histogram({
+    name: 'jackdaw_server_load_age_seconds',
+    help: 'Age of the load that the chosen server last reported, where servers differ.',
+    labelNames: ['service'],
+    buckets: LOAD_AGE_BUCKETS_S,
+    registers,
+  });
   return {
     contentType: registry.contentType,
     recordRequest: (kind, outcome, durationMs) => {
       requests.inc({ kind, outcome });
       durations.observe({ kind }, durationMs / MS_PER_S);
     },
+    recordServerPace: (service, slowness, loadAgeMs) => {
+      paceRatios.observe({ service }, slowness);
+      if (Number.isFinite(loadAgeMs)) loadAges.observe({ service }, loadAgeMs / MS_PER_S);
+    },
     recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
     addGauges: (gauges) => {
       addGauge(
--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -17,6 +17,8 @@
   load: ServerLoad | null;
   loadAtMs: number;
   suspectedUntilMs: number;
+  /** When the server became known, or answered again after a suspicion. */
+  availableAtMs: number;
   /** When the server last answered this VM under its own id. */
   aliveAtMs: number;
   /** Suspicions in a row without a successful response in between. */
@@ -36,7 +38,7 @@
 }
 
 /** Builds the record of a newly known server. */
-export const buildServerRecord = (entry: ServerEntry): ServerRecord => ({
+export const buildServerRecord = (entry: ServerEntry, availableAtMs: number): ServerRecord => ({
   entry,
   running: 0,
   prefillTokens: 0,
@@ -45,6 +47,7 @@
   load: null,
   loadAtMs: 0,
   suspectedUntilMs: 0,
+  availableAtMs,
   aliveAtMs: -Infinity,
   consecutiveSuspicions: 0,
   probeRequests: 0,
--- a/src/application/forwarding/_lib/buildServerStatus/index.ts
+++ b/src/application/forwarding/_lib/buildServerStatus/index.ts
@@ -14,6 +14,8 @@
     pendingPrefillTokens: record.prefillTokens,
     copies: record.copies,
     reported: isFresh ? load.running + load.waiting : 0,
+    reportedAgeMs: load === null ? Infinity : nowMs - record.loadAtMs,
+    availableMs: Math.max(0, nowMs - Math.max(record.availableAtMs, record.pausedUntilMs)),
     // As in a half-open circuit breaker, one request tests the server; others go elsewhere
     // meanwhile.
     isSuspected: record.suspectedUntilMs > nowMs || record.probeRequests > 0,
--- a/src/application/forwarding/_lib/checkStreamStart/index.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -5,6 +5,7 @@
   type StreamAdmission,
 } from '../../../../domain/forwarding';
 import type { Refusal, StreamRun, StreamPlacement } from '../../types';
+import { buildSlownessReader } from '../buildSlownessReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { logDecision } from '../logDecision';
 
@@ -21,7 +22,14 @@
     const hasBegun = context.request.lastEventId !== null;
     if (predictedMs === null || isPromptCached || hasBegun) {
       const prefillMs = estimateRunPrefill(run).ownMs;
-      const hasTime = isPromptCached || hasTimeForPrefill({ leftMs, latencyGoalMs, prefillMs });
+      const readSlowness = buildSlownessReader(
+        dependencies.serverPaces,
+        context.service,
+        'prefillMsPerToken',
+      );
+      const slowness = readSlowness?.(placement.server) ?? 1;
+      const hasTime =
+        isPromptCached || hasTimeForPrefill({ leftMs, latencyGoalMs, prefillMs, slowness });
       if (hasTime) return { kind: 'send' };
       const reason = 'the prompt takes longer to process than the time left';
       const returnMs = computeRetryAfterMs({ waitMs: 0, outageMs: overloadMs, leftMs, draw });
--- a/src/application/forwarding/_lib/checkStreamStart/test.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { buildServerStatus, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
+import { createServerPaces } from '../../../paces';
 import type { StreamRun } from '../../types';
 import { createOverloadTracker } from '../createOverloadTracker';
 import { checkStreamStart } from '.';
@@ -8,7 +9,12 @@
 const build = (lastEventId: number | null): StreamRun => {
   const clock = createFakeClock();
   return {
-    dependencies: { clock, log: QUIET_LOG, randomness: { readFraction: () => 0.5 } },
+    dependencies: {
+      clock,
+      log: QUIET_LOG,
+      randomness: { readFraction: () => 0.5 },
+      serverPaces: createServerPaces({ clock }),
+    },
     context: {
       request: { requestId: 'r-1', arrivedAtMs: 0, lastEventId, tokens: null },
       route: { name: 'r', latencyGoalMs: 4500 },
--- a/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
@@ -1,11 +1,13 @@
 import {
   countPromptTokens,
-  chooseLeastLoadedServer,
+  chooseServerByLoad,
   rankServersByPrompt,
   type ServerEntry,
   type ServerStatus,
 } from '../../../../domain/forwarding';
 import type { HeldCopy, StreamRun, StreamPlacement } from '../../types';
+import { buildSlownessReader } from '../buildSlownessReader';
+import { buildSpeedReader } from '../buildSpeedReader';
 import { queryServers, type RespondingServer } from '../queryServers';
 import { findPromptHolder } from '../findPromptHolder';
 import { keepsBackups } from '../keepsBackups';
@@ -51,9 +53,10 @@
   copy: HeldCopy | null,
   excludedIds: ReadonlySet<string>,
 ): StreamPlacement => {
-  const { randomness } = run.dependencies;
+  const { randomness, serverPaces } = run.dependencies;
   const backup = keepsBackups(run, server)
-    ? chooseLeastLoadedServer(run.context.servers.listHolders(server), {
+    ? chooseServerByLoad(run.context.servers.listHolders(server), {
+        readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
         excludedIds: new Set([...excludedIds, server.id]),
         avoidedZone: server.availabilityZone,
         preferredZone: null,
@@ -81,8 +84,9 @@
   run: StreamRun,
   excludedIds: ReadonlySet<string>,
 ): StreamPlacement | null => {
-  const { availabilityZone, randomness } = run.dependencies;
-  const status = chooseLeastLoadedServer(run.context.servers.list(), {
+  const { availabilityZone, randomness, serverPaces } = run.dependencies;
+  const status = chooseServerByLoad(run.context.servers.list(), {
+    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'prefillMsPerToken'),
     excludedIds,
     avoidedZone: null,
     preferredZone: availabilityZone,
@@ -122,9 +126,11 @@
   excludedIds: ReadonlySet<string>,
   count: number,
 ): readonly ServerStatus[] => {
-  const { request, servers } = run.context;
+  const { request, servers, service } = run.context;
   const allowed = servers.list().filter(({ entry }) => !excludedIds.has(entry.id));
-  return rankServersByPrompt(allowed, request.promptParts.at(-1)?.id ?? request.requestId, count);
+  const key = request.promptParts.at(-1)?.id ?? request.requestId;
+  const readSpeed = buildSpeedReader(run.dependencies.serverPaces, service);
+  return rankServersByPrompt(allowed, key, count, readSpeed);
 };
 
 /**
--- a/src/application/forwarding/_lib/chooseStreamPlacement/test.ts
+++ b/src/application/forwarding/_lib/chooseStreamPlacement/test.ts
@@ -6,6 +6,7 @@
   createSeededRandomness,
 } from '../../../../../standins/fakes';
 import { createSimulatedDirectory, SIMULATED_SERVICE } from '../../../../../standins/model';
+import { createServerPaces } from '../../../paces';
 import type { StreamRun } from '../../types';
 import { chooseStreamPlacement } from '.';
 
@@ -24,6 +25,7 @@
       clock,
       directory,
       randomness: createSeededRandomness(1),
+      serverPaces: createServerPaces({ clock }),
       tables: { readCurrent: () => null },
       reservePrompt: async () => 0,
       client: {
--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -1,5 +1,9 @@
 import type { Result } from 'neverthrow';
-import { compareIncarnations, type ServerEntry } from '../../../../domain/forwarding';
+import {
+  compareIncarnations,
+  formatIncarnation,
+  type ServerEntry,
+} from '../../../../domain/forwarding';
 import type { Clock, EventLog, SharedRow } from '../../../ports';
 import type { RowsOrigin } from '../../../rows';
 import { createEntryTombstones } from '../createEntryTombstones';
@@ -11,8 +15,8 @@
   readonly decode: (id: string, value: Buffer) => Result<ServerEntry, string>;
   readonly clock: Clock;
   readonly log: EventLog;
-  /** Called with the id of a server that is gone or that was restarted. */
-  readonly handleGone: (id: string) => void;
+  /** Called with a server that is gone or that was restarted, and its incarnation until then. */
+  readonly handleGone: (id: string, incarnation: string) => void;
 }
 
 /** Keeps a record of each known server, and distinguishes its incarnations. */
@@ -60,7 +64,7 @@
     records.delete(id);
     tombstones.add(record.entry);
     log.info('server gone', { server: id, service: record.entry.service });
-    handleGone(id);
+    handleGone(id, formatIncarnation(record.entry));
   };
 
   /** Marks a server as gone from now on, unless it is already. */
@@ -95,7 +99,7 @@
    * it.
    */
   const addRecord = (entry: ServerEntry): ServerRecord => {
-    const record = buildServerRecord(entry);
+    const record = buildServerRecord(entry, clock.readMonotonicMs());
     records.set(entry.id, record);
     records.forEach((other, id) => {
       if (id !== entry.id && other.entry.address === entry.address) removeRecord(id, other);
@@ -111,8 +115,8 @@
       before: previous.entry.bornMs ?? 0,
       running: previous.running,
     });
-    records.set(entry.id, buildServerRecord(entry));
-    handleGone(entry.id);
+    records.set(entry.id, buildServerRecord(entry, clock.readMonotonicMs()));
+    handleGone(entry.id, formatIncarnation(previous.entry));
     [...previous.lossHandlers].forEach((handleLoss) => handleLoss());
   };
 
@@ -189,8 +193,10 @@
       if (record) endIncarnation(id, record);
     },
     forgetServer: (id) => {
+      const record = records.get(id);
+      if (!record) return;
       records.delete(id);
-      handleGone(id);
+      handleGone(id, formatIncarnation(record.entry));
     },
     addInferred,
     recordLeaving: (id) => {
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,8 +1,10 @@
-import { chooseLeastLoadedServer, RouteKind } from '../../../../domain/forwarding';
+import { chooseServerByLoad, RouteKind } from '../../../../domain/forwarding';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
+import { buildSlownessReader } from '../buildSlownessReader';
 import { createCallCrashTracker } from '../createCallCrashTracker';
 import { skipRateLimited } from '../skipRateLimited';
+import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
 import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
 
@@ -24,10 +26,20 @@
 
 const RATE_LIMIT_REASON = 'all servers have reached their rate limit';
 
-const computeAttemptMs = ({ route }: ForwardContext, leftMs: number, isLast: boolean): number => {
+interface AttemptTimeOptions {
+  readonly leftMs: number;
+  readonly isLast: boolean;
+  /** How long work takes on the server now, relative to what is usual for its service. */
+  readonly slowness: number;
+}
+
+const computeAttemptMs = (
+  { route }: ForwardContext,
+  { isLast, leftMs, slowness }: AttemptTimeOptions,
+): number => {
   if (route.kind !== RouteKind.Repeatable || isLast) return leftMs;
   const goalMs = Math.max(MIN_ATTEMPT_MS, route.latencyGoalMs * ATTEMPT_GOAL_FACTOR);
-  return Math.min(goalMs, leftMs * ATTEMPT_TIME_FRACTION);
+  return Math.min(goalMs * Math.max(1, slowness), leftMs * ATTEMPT_TIME_FRACTION);
 };
 
 const sendResponse = ({ reply }: ForwardContext, { body, head }: BufferedResponse): void =>
@@ -47,7 +59,7 @@
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
-  const { clock, directory, lender, permits, randomness, retries } = dependencies;
+  const { clock, directory, lender, permits, randomness, retries, serverPaces } = dependencies;
   const { deadlineAtMs, reply, route, servers, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -66,7 +78,9 @@
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
     if (crashes.hasReachedCrashLimit() || crashes.readQuarantineMs() > 0) break;
-    const status = chooseLeastLoadedServer(servers.list(), {
+    const readSlowness = buildSlownessReader(serverPaces, service, 'callMs');
+    const status = chooseServerByLoad(servers.list(), {
+      readSlowness,
       excludedIds,
       avoidedZone: null,
       preferredZone: dependencies.availabilityZone,
@@ -95,7 +109,8 @@
       continue;
     }
     const isLast = startedAttempts + 1 >= route.maxAttempts;
-    const attemptMs = computeAttemptMs(context, remainingMs, isLast);
+    const slowness = readSlowness?.(status.entry) ?? 1;
+    const attemptMs = computeAttemptMs(context, { leftMs: remainingMs, isLast, slowness });
     logDecision(
       dependencies,
       context,
@@ -106,6 +121,7 @@
         reported: status.reported,
         suspected: status.isSuspected,
         leftMs: Math.round(remainingMs),
+        ...(readSlowness ? recordServerPace(dependencies, context, status, slowness) : {}),
       },
       status.entry,
     );
--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -1,12 +1,13 @@
 import { ok, type Result } from 'neverthrow';
 import {
-  chooseLeastLoadedServer,
+  chooseServerByLoad,
   countNeededKvTokens,
   hasMemoryForCopy,
   type ServerEntry,
 } from '../../../../domain/forwarding';
 import type { CopyError, KvCopy } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
+import { buildSlownessReader } from '../buildSlownessReader';
 import { logDecision } from '../logDecision';
 
 /**
@@ -20,12 +21,13 @@
 const MIGRATION_RETRY_FRACTION = 0.6;
 
 const chooseHolder = (run: StreamRun, source: ServerEntry): ServerEntry | null => {
-  const { limits, randomness } = run.dependencies;
+  const { limits, randomness, serverPaces } = run.dependencies;
   // A stopped run would stall at a server whose rate limit leaves no permit.
   const holders = run.context.servers
     .listHolders(source)
     .filter(({ entry }) => limits.readLimitPerS(entry.id) === null);
-  const status = chooseLeastLoadedServer(holders, {
+  const status = chooseServerByLoad(holders, {
+    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
     excludedIds: new Set([source.id]),
     avoidedZone: null,
     preferredZone: source.availabilityZone,
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -10,7 +10,9 @@
 } from '../../../../domain/forwarding';
 import type { StreamRun, StreamPlacement } from '../../types';
 import type { RespondingServer } from '../queryServers';
+import { buildSlownessReader } from '../buildSlownessReader';
 import { keepsBackups } from '../keepsBackups';
+import { readRunPaces } from '../readRunPaces';
 
 /** Resources that a request needs at a server. */
 type RequestNeeds = Pick<ServerByReportOptions, 'neededKvTokens' | 'promptTokens'>;
@@ -43,14 +45,19 @@
   options: PlacementOptions,
 ): StreamPlacement => {
   const { isPromptCached, needs, predictedMs, reported } = options;
-  const isPaceKnown = run.paces.readEnginePaces(run.context.service).prefillMsPerToken > 0;
+  const isPaceKnown = readRunPaces(run, chosen.entry).prefillMsPerToken > 0;
   const readingMs = isPaceKnown ? predictedMs : run.context.route.latencyGoalMs;
   const others = reported.filter(
     ({ entry, report }) =>
       entry.availabilityZone !== chosen.entry.availabilityZone &&
       hasMemoryForCopy(report, needs.neededKvTokens),
   );
-  const backup = chooseServerByReport(others, { ...needs, preferredZone: null });
+  const { serverPaces } = run.dependencies;
+  const backup = chooseServerByReport(others, {
+    ...needs,
+    preferredZone: null,
+    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
+  });
   return {
     server: chosen.entry,
     copy: null,
@@ -86,19 +93,20 @@
     neededKvTokens: countNeededKvTokens(run.context.request),
     promptTokens: countPromptTokens(run.context.request),
   };
-  const predict = ({ report, pendingPrefillTokens }: ReportedServer): number =>
+  const predict = ({ entry, report, pendingPrefillTokens }: ReportedServer): number =>
     predictFirstEventMs(report, {
       ...needs,
       pendingPrefillTokens,
-      paces: run.paces.readEnginePaces(run.context.service),
+      paces: readRunPaces(run, entry),
       latencyGoalMs: run.context.route.latencyGoalMs,
     });
   const reported = responding.map((one) => addPendingTokens(run, one));
   const isPromptCached = promptHolder !== null;
-  const { availabilityZone: preferredZone } = run.dependencies;
+  const { availabilityZone: preferredZone, serverPaces } = run.dependencies;
+  const readSlowness = buildSlownessReader(serverPaces, run.context.service, 'prefillMsPerToken');
   const chosen = promptHolder
     ? addPendingTokens(run, promptHolder)
-    : chooseServerByReport(reported, { ...needs, preferredZone });
+    : chooseServerByReport(reported, { ...needs, preferredZone, readSlowness });
   if (!chosen) return null;
   const initial = { server: chosen, predictedMs: predict(chosen) };
   const { predictedMs, server } =
--- a/src/application/forwarding/_lib/queryServers/index.ts
+++ b/src/application/forwarding/_lib/queryServers/index.ts
@@ -1,5 +1,6 @@
 import type { ReportedServer, ServerStatus } from '../../../../domain/forwarding';
 import type { StreamRun } from '../../types';
+import { recordWorkFactor } from '../recordWorkFactor';
 
 /** A queried server and its report. Unread tokens are added when a server is picked. */
 export type RespondingServer = Omit<ReportedServer, 'pendingPrefillTokens'>;
@@ -21,7 +22,7 @@
   candidates: readonly ServerStatus[],
 ): Promise<readonly RespondingServer[]> =>
   new Promise((resolve) => {
-    const { client, clock, directory, limits } = run.dependencies;
+    const { client, clock, directory, limits, serverPaces } = run.dependencies;
     const responding: RespondingServer[] = [];
     let pending = candidates.length;
     let cancelTimer: (() => void) | null = null;
@@ -36,7 +37,8 @@
       pending -= 1;
       if (report) {
         directory.recordStartTime(entry.id, report.bornMs);
-        const { limitPerS } = report;
+        const { limitPerS, load } = report;
+        recordWorkFactor(serverPaces, entry, load);
         if (limitPerS !== null) limits.recordAdvertisedLimit(entry.id, { limitPerS, sentAtMs });
         if (report.isLeaving) directory.recordLeaving(entry.id);
         else responding.push({ entry, report, copies });
--- a/src/application/forwarding/_lib/recordResponseHead/index.ts
+++ b/src/application/forwarding/_lib/recordResponseHead/index.ts
@@ -1,9 +1,12 @@
 import type { AnswerHead, ServerEntry } from '../../../../domain/forwarding';
 import type { ForwardingDependencies } from '../../types';
+import { recordWorkFactor } from '../recordWorkFactor';
+
+type RecordDependencies = Pick<ForwardingDependencies, 'directory' | 'limits' | 'serverPaces'>;
 
 /** Records what a response head says about its server, unless another server sent it. */
 export const recordResponseHead = (
-  { directory, limits }: Pick<ForwardingDependencies, 'directory' | 'limits'>,
+  { directory, limits, serverPaces }: RecordDependencies,
   server: ServerEntry,
   head: AnswerHead,
   { sentAtMs }: { readonly sentAtMs: number },
@@ -13,6 +16,7 @@
     return;
   }
   if (head.load) directory.recordLoad(server.id, head.load);
+  recordWorkFactor(serverPaces, server, head.load);
   if (head.isLeaving) directory.recordLeaving(server.id);
   if (head.pauseMs > 0) directory.recordPause(server.id, head.pauseMs);
   const { limitPerS } = head;
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -1,4 +1,8 @@
-import type { AnswerHead, ServerEntry } from '../../../../domain/forwarding';
+import {
+  formatIncarnation,
+  type AnswerHead,
+  type ServerEntry,
+} from '../../../../domain/forwarding';
 import type { AttemptError } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
 import { readBody } from '../readBody';
@@ -26,6 +30,8 @@
     }
   | { readonly kind: 'left' };
 
+/** From this status on, the server refused the call or failed: the time says nothing of its work. */
+const CLIENT_ERROR_STATUS = 400;
 const SERVER_ERROR_STATUS = 500;
 
 const NO_RESPONSE = { kind: 'failed', response: null } as const;
@@ -52,7 +58,7 @@
   server: ServerEntry,
   options: { readonly leftMs: number; readonly attemptMs: number },
 ): Promise<CallAttemptResult> => {
-  const { client, clock, directory } = dependencies;
+  const { client, clock, directory, serverPaces } = dependencies;
   const { holder, reply, request } = context;
   const timeoutController = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
@@ -109,6 +115,16 @@
       };
     }
     directory.recordSuccess(server.id);
+    if (head.status < CLIENT_ERROR_STATUS) {
+      serverPaces.record(
+        { service: server.service, incarnation: formatIncarnation(server) },
+        {
+          kind: 'call',
+          tookMs: clock.readMonotonicMs() - sentAtMs,
+          workFactor: head.load?.workFactor ?? 1,
+        },
+      );
+    }
     return { kind: 'answered', response };
   } finally {
     cancelTimer();
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -8,9 +8,11 @@
 import type { ReaderId } from '../../../../domain/generation';
 import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { buildSlownessReader } from '../buildSlownessReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { logDecision } from '../logDecision';
+import { recordWorkFactor } from '../recordWorkFactor';
 
 /** Fraction of the gap goal after which a silent server is probed. */
 const PROBE_GAP_FRACTION = 0.35;
@@ -36,12 +38,17 @@
 
 const computeSilenceTimeoutMs = (
   run: StreamRun,
-  { expectedFirstEventMs, hasDeliveredEvent }: StreamAttempt,
+  { expectedFirstEventMs, hasDeliveredEvent, server }: StreamAttempt,
   report: ServerReport | null,
 ): number => {
   const { request, route, service } = run.context;
   const samples = run.paces.listFirstTokens(service);
   const slowest = computePrefillLimits(samples, countPromptTokens(request), { isServerDead: true });
+  const readSlowness = buildSlownessReader(
+    run.dependencies.serverPaces,
+    service,
+    'prefillMsPerToken',
+  );
   return computeEventTimeoutMs({
     hasDelivered: hasDeliveredEvent,
     hasCopy: hasHealthyCopy(run),
@@ -50,6 +57,7 @@
     latencyGoalMs: route.latencyGoalMs,
     slowestPrefillMs: slowest.confirmMs,
     expectedFirstEventMs,
+    slowness: readSlowness?.(server) ?? 1,
   });
 };
 
@@ -111,6 +119,7 @@
     const report = await client.readReport(attempt.server);
     const tookMs = clock.readMonotonicMs() - probedAtMs;
     directory.recordStartTime(attempt.server.id, report?.bornMs ?? null);
+    recordWorkFactor(run.dependencies.serverPaces, attempt.server, report?.load ?? null);
     if (isStopped) return null;
     if (attempt.lastActivityMs !== activityBeforeMs) {
       missedProbes = 0;
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -2,6 +2,7 @@
 import { NO_GAPS } from '../../../../domain/detection';
 import { buildOpenServers, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { GenerationInput } from '../../../../domain/generation';
+import { createServerPaces } from '../../../paces';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { startSilenceWatch } from '.';
 
@@ -35,6 +36,7 @@
       clock,
       directory: { recordStartTime: () => undefined },
       log: QUIET_LOG,
+      serverPaces: createServerPaces({ clock }),
       client: {
         readReport: () => {
           probes += 1;
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -162,6 +162,8 @@
     },
     recordSuccess: (id) => {
       const record = records.find(id);
+      if (record && record.consecutiveSuspicions > 0)
+        record.availableAtMs = clock.readMonotonicMs();
       if (record)
         Object.assign(record, { consecutiveSuspicions: 0, suspectedUntilMs: 0, probeRequests: 0 });
       recordAlive(id);
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { ServerPaces } from '../../paces';
 import type { PermitClient, ServerLimits } from '../../limits';
 import type { RolloutRegistry } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
@@ -26,6 +27,7 @@
   readonly retries: RetryBudget;
   readonly rollouts: Pick<RolloutRegistry, 'openRequest'>;
   readonly lender: RetryLender;
+  readonly serverPaces: ServerPaces;
   readonly tables: RouteTableHolder;
   /** Tells other VMs that a prompt was just sent to a server. */
   readonly tellPrompt: (server: string, tokens: number) => void;
--- a/src/application/forwarding/types/ForwardingMeter.ts
+++ b/src/application/forwarding/types/ForwardingMeter.ts
@@ -1,6 +1,13 @@
 /** Records metrics of forwarded requests. */
 export interface ForwardingMeter {
   recordRequest(kind: string, outcome: string, durationMs: number): void;
+  /**
+   * Records a call's server in a service whose servers differ in speed.
+   *
+   * @param slowness - how long a call takes on it now, relative to the service
+   * @param loadAgeMs - time since it reported its load; infinite if it never did
+   */
+  recordServerPace(service: string, slowness: number, loadAgeMs: number): void;
   /** Records a stream that resumed at another server after a pause of `pauseMs`. */
   recordResume(pauseMs: number, source: 'copy' | 'prompt'): void;
 }
--- a/src/domain/forwarding/chooseServerByReport/index.ts
+++ b/src/domain/forwarding/chooseServerByReport/index.ts
@@ -38,9 +38,14 @@
   readonly neededKvTokens: number;
   readonly promptTokens: number;
   readonly preferredZone: string | null;
+  /**
+   * Reads how long work takes on a server now, relative to what is usual for its service; null if
+   * the servers are equally fast.
+   */
+  readonly readSlowness?: ((server: ServerEntry) => number) | null;
 }
 
-const computeLoad = (
+const computeWaitingPrompts = (
   { copies, entry, report, pendingPrefillTokens }: ReportedServer,
   { neededKvTokens, preferredZone, promptTokens }: ServerByReportOptions,
 ): number => {
@@ -62,6 +67,13 @@
   );
 };
 
+/** The new prompt itself takes longer on a slow server, as do those before it. */
+const computeLoad = (server: ReportedServer, options: ServerByReportOptions): number => {
+  const waitingPrompts = computeWaitingPrompts(server, options);
+  if (!options.readSlowness) return waitingPrompts;
+  return (waitingPrompts + 1) * options.readSlowness(server.entry);
+};
+
 /**
  * Chooses the server that is expected to start a new prompt first, from the servers' reports.
  *
--- a/src/domain/forwarding/chooseServerByReport/test.ts
+++ b/src/domain/forwarding/chooseServerByReport/test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import { buildServerReport, buildServerStatus } from '../../../../standins/fakes';
 import type { ServerReport } from '../types';
 import { chooseServerByReport, type ReportedServer } from '.';
@@ -55,3 +56,26 @@
 test('no server is chosen if there are none', (t) => {
   t.is(choose([]), null);
 });
+
+test('with servers of one speed, the choice is the one without speeds', (t) => {
+  const count = fc.integer({ min: 0, max: 20 });
+  const servers = fc.array(fc.record({ waiting: count, running: count }), { maxLength: 6 });
+  fc.assert(
+    fc.property(servers, (changes) => {
+      const built = changes.map((change, index) => build(`i-${index}`, `z${index % 3}`, change));
+      const paced = chooseServerByReport(built, { ...NONE, readSlowness: () => 1 });
+      t.is(paced?.entry.id ?? null, choose(built));
+    }),
+  );
+});
+
+test('a slow server is chosen once the fast one has more prompts than its speed makes up for', (t) => {
+  const readSlowness = ({ id }: { readonly id: string }): number => (id === 'fast' ? 0.5 : 1);
+  const chooseBeside = (waiting: number): string | undefined =>
+    chooseServerByReport([build('fast', 'z1', { waiting }), build('slow', 'z1')], {
+      ...NONE,
+      readSlowness,
+    })?.entry.id;
+  t.is(chooseBeside(0), 'fast');
+  t.is(chooseBeside(2), 'slow');
+});
--- a/src/domain/forwarding/computeEventTimeoutMs/index.ts
+++ b/src/domain/forwarding/computeEventTimeoutMs/index.ts
@@ -12,6 +12,8 @@
   readonly slowestPrefillMs: number;
   /** Time to the first event as predicted when the prompt was sent; 0 if unknown. */
   readonly expectedFirstEventMs: number;
+  /** How long work takes on the server now, relative to what is usual for its service; 1 by default. */
+  readonly slowness?: number;
 }
 
 /**
@@ -64,6 +66,7 @@
   latencyGoalMs,
   expectedFirstEventMs,
   slowestPrefillMs,
+  slowness = 1,
 }: EventTimeoutOptions): number => {
   if (hasDelivered && hasCopy) return gapGoalMs * COPIED_GAP_GOALS;
   if (isQueued) return latencyGoalMs * QUEUED_GOALS;
@@ -71,7 +74,7 @@
   // Prefill of a long prompt may take longer than the latency goal allows.
   return Math.max(
     latencyGoalMs * FIRST_EVENT_GOALS,
-    slowestPrefillMs,
+    slowestPrefillMs * Math.max(1, slowness),
     expectedFirstEventMs * PREDICTION_FACTOR,
   );
 };
--- a/src/domain/forwarding/computeEventTimeoutMs/test.ts
+++ b/src/domain/forwarding/computeEventTimeoutMs/test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import { computeEventTimeoutMs } from '.';
 
 const PREFILLING = {
@@ -37,3 +38,25 @@
     computeEventTimeoutMs(PREFILLING),
   );
 });
+
+test('a slow server gets more time for its first event, a fast one no less than before', (t) => {
+  const slow = { ...PREFILLING, slowestPrefillMs: 3000, slowness: 2 };
+  t.is(computeEventTimeoutMs(slow), 6000);
+  fc.assert(
+    fc.property(
+      fc.record({
+        hasDelivered: fc.boolean(),
+        hasCopy: fc.boolean(),
+        isQueued: fc.boolean(),
+        slowestPrefillMs: fc.nat(20_000),
+        expectedFirstEventMs: fc.nat(20_000),
+      }),
+      fc.double({ min: 0.01, max: 10, noNaN: true }),
+      (change, slowness) => {
+        const state = { ...PREFILLING, ...change };
+        t.true(computeEventTimeoutMs({ ...state, slowness }) >= computeEventTimeoutMs(state));
+        t.is(computeEventTimeoutMs({ ...state, slowness: 1 }), computeEventTimeoutMs(state));
+      },
+    ),
+  );
+});
--- a/src/domain/forwarding/hasTimeForPrefill/index.ts
+++ b/src/domain/forwarding/hasTimeForPrefill/index.ts
@@ -11,6 +11,8 @@
   readonly latencyGoalMs: number;
   /** Prefill time on an otherwise idle server; infinite if unknown. */
   readonly prefillMs: number;
+  /** How long work takes on the server now, relative to what is usual for its service; 1 by default. */
+  readonly slowness?: number;
 }
 
 /**
@@ -26,5 +28,6 @@
   latencyGoalMs,
   leftMs,
   prefillMs,
+  slowness = 1,
 }: PrefillTimeOptions): boolean =>
-  leftMs >= Math.min(prefillMs, latencyGoalMs * ASSUMED_GOAL_FRACTION);
+  leftMs >= Math.min(prefillMs * slowness, latencyGoalMs * ASSUMED_GOAL_FRACTION);
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -1,5 +1,7 @@
 export { checkRequestKey, type RequestAccess } from './checkRequestKey';
-export { chooseLeastLoadedServer, type LeastLoadedServerOptions } from './chooseLeastLoadedServer';
+export { chooseLeastLoadedServer } from './chooseLeastLoadedServer';
+export { choosePacedServer, type PacedServerOptions } from './choosePacedServer';
+export { chooseServerByLoad, type ServerByLoadOptions } from './chooseServerByLoad';
 export {
   chooseServerByReport,
   type ServerByReportOptions,
@@ -7,6 +9,7 @@
 } from './chooseServerByReport';
 export { chooseTarget } from './chooseTarget';
 export { compareIncarnations, type IncarnationOrder } from './compareIncarnations';
+export { computeEnginePaces } from './computeEnginePaces';
 export { computeFingerprint } from './computeFingerprint';
 export { computeEventTimeoutMs, type EventTimeoutOptions } from './computeEventTimeoutMs';
 export { computeRetryAfterMs, type RetryAfterOptions } from './computeRetryAfterMs';
--- a/src/domain/forwarding/rankServersByPrompt/test.ts
+++ b/src/domain/forwarding/rankServersByPrompt/test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import fc from 'fast-check';
 import type { ServerStatus } from '../types';
 import { buildServerStatus } from '../../../../standins/fakes';
 import { rankServersByPrompt } from '.';
@@ -38,3 +39,24 @@
   );
   t.deepEqual(listIds([buildServerStatus('a', 'z1', { isSuspected: true })], 'p'), ['a']);
 });
+
+test('with servers of one speed, the rank is the one without speeds', (t) => {
+  fc.assert(
+    fc.property(fc.string(), fc.integer({ min: 1, max: 12 }), (key, count) => {
+      t.deepEqual(
+        rankServersByPrompt(SERVERS, key, count, () => 1),
+        rankServersByPrompt(SERVERS, key, count),
+      );
+    }),
+  );
+});
+
+test('servers are first by rank in proportion to their speed', (t) => {
+  const readSpeed = ({ id }: { readonly id: string }): number => (id === 'i-0' ? 3 : 1);
+  const first = Array.from(
+    { length: 4000 },
+    (_, index) => rankServersByPrompt(SERVERS, `p${index}`, 1, readSpeed)[0]?.entry.id,
+  );
+  const share = first.filter((id) => id === 'i-0').length / first.length;
+  t.true(Math.abs(share - 3 / 14) < 0.03);
+});
--- a/src/domain/forwarding/types/ServerAnswer.ts
+++ b/src/domain/forwarding/types/ServerAnswer.ts
@@ -1,12 +1,5 @@
 import type { ServerSignals } from './ServerSignals';
 
-/** Load that a server reports with an answer. */
-export interface ServerLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** Head of a server's answer. */
 export interface AnswerHead extends ServerSignals {
   readonly status: number;
@@ -22,8 +15,6 @@
   readonly isFromOtherServer: boolean;
   /** Id of the server that answered; null if unknown. */
   readonly serverId: string | null;
-  /** Load of the server; null if unknown. */
-  readonly load: ServerLoad | null;
   /** Time for which the server asks this VM to send nothing, in milliseconds; 0 if it does not. */
   readonly pauseMs: number;
 }
--- a/src/domain/forwarding/types/ServerSignals.ts
+++ b/src/domain/forwarding/types/ServerSignals.ts
@@ -1,7 +1,11 @@
+import type { ServerLoad } from './ServerLoad';
+
 /** State that a server reports in the head of any answer. */
 export interface ServerSignals {
   /** True if the server accepts no new work and shuts down soon. */
   readonly isLeaving: boolean;
   /** Rate limit over all VMs, in requests per second; null if the server has none. */
   readonly limitPerS: number | null;
+  /** Load of the server; null if it states none. */
+  readonly load: ServerLoad | null;
 }
--- a/src/domain/forwarding/types/ServerStatus.ts
+++ b/src/domain/forwarding/types/ServerStatus.ts
@@ -13,6 +13,10 @@
    * Requests last reported by the server, including those of other VMs; 0 if unknown or outdated.
    */
   readonly reported: number;
+  /** Time since the server last reported its load, in milliseconds; infinite if it never did. */
+  readonly reportedAgeMs: number;
+  /** Time for which this VM has known the server without a suspicion, in milliseconds. */
+  readonly availableMs: number;
   /** True if the server failed recently or stopped answering. */
   readonly isSuspected: boolean;
 }
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -10,6 +10,7 @@
   createServerDirectory,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
+import { createServerPaces } from '../../../../application/paces';
 import { createFollowerPair, createZoneReplication } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
@@ -64,11 +65,13 @@
     log,
     randomness,
   });
+  const serverPaces = createServerPaces({ clock });
   const directory = createServerDirectory({
     decode: decodeServerEntry,
     clock,
     log,
-    handleGone: (id) => {
+    handleGone: (id, incarnation) => {
+      serverPaces.forgetServer(incarnation);
       client.removeServer(id);
       limits.forgetServer(id);
       permits.forgetServer(id);
@@ -188,6 +191,7 @@
   });
   const forwarder = createForwarder({
     lender,
+    serverPaces,
     availabilityZone: settings.availabilityZone,
     client,
     clock,
--- a/standins/fakes/buildServerStatus/index.ts
+++ b/standins/fakes/buildServerStatus/index.ts
@@ -22,6 +22,8 @@
   pendingPrefillTokens: 0,
   copies: 0,
   reported: 0,
+  reportedAgeMs: Infinity,
+  availableMs: Infinity,
   isSuspected: false,
   ...change,
 });
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -98,7 +98,7 @@
       );
       return { ...report, eventsByRun };
     },
-    readIdentity: async ({ id }) => ({ id, isLeaving: false, limitPerS: null }),
+    readIdentity: async ({ id }) => ({ id, isLeaving: false, limitPerS: null, load: null }),
     readCachedPromptParts: async () => new Map(),
     removeServer: () => undefined,
   };
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -7,6 +7,7 @@
   type ServerDirectory,
 } from '../../../src/application/forwarding';
 import { createServerLimits } from '../../../src/application/limits';
+import { createServerPaces } from '../../../src/application/paces';
 import { createRolloutRegistry } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
 import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
@@ -131,9 +132,14 @@
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
       permits: { acquirePermit: async () => ({ release: () => undefined }) },
       log: QUIET_LOG,
-      meter: { recordRequest: () => undefined, recordResume: () => undefined },
+      meter: {
+        recordRequest: () => undefined,
+        recordResume: () => undefined,
+        recordServerPace: () => undefined,
+      },
       randomness,
       retries,
+      serverPaces: createServerPaces({ clock }),
       rollouts: createRolloutRegistry({
         decodeOrder: () => null,
         bounds: { trialRatio: 0.1, trialExtra: 50 },
--- /dev/null
+++ b/tests/paces/runPacedCalls.ts
@@ -0,0 +1,160 @@
+import { buildSlownessReader } from '../../src/application/forwarding/_lib/buildSlownessReader';
+import type { ServerDirectory } from '../../src/application/forwarding';
+import { createServerPaces, type ServerPaces } from '../../src/application/paces';
+import { chooseServerByLoad } from '../../src/domain/forwarding';
+import { createFakeClock, createSeededRandomness } from '../../standins/fakes';
+import {
+  createSimulatedDirectory,
+  SIMULATED_SERVICE,
+} from '../../standins/model/createSimulatedDirectory';
+
+/** Calls that several VMs send to servers of different speeds. */
+export interface PacedCalls {
+  readonly seed: number;
+  /** Speed of each server; 1 takes `CALL_MS` for a call. */
+  readonly speeds: readonly number[];
+  /** Calls, as a fraction of what the servers can do on average. */
+  readonly utilization: number;
+  readonly vms: number;
+  readonly durationMs: number;
+  /** Whether the servers state how long work takes. */
+  readonly statesFactor: boolean;
+  /** Servers by index that join the others later, and when. */
+  readonly joinsAtMs?: ReadonlyMap<number, number>;
+  /** Spells of slowness are left out, but for these: by index of the server, from when on. */
+  readonly onlySpells?: ReadonlyMap<number, number>;
+}
+
+/** One answered call. */
+export interface PacedCall {
+  readonly server: number;
+  readonly sentAtMs: number;
+  readonly tookMs: number;
+}
+
+const CALL_MS = 21;
+const SLOTS = 6;
+const HOP_MS = 1;
+const SLOW_FACTOR = 2.5;
+const SPELL_MS = 600;
+const SLOW_FRACTION = 0.15;
+const USUAL_FRACTION = 1 - SLOW_FRACTION + SLOW_FRACTION / SLOW_FACTOR;
+
+/** Runs the calls in virtual time. Every VM sees only the answers to its own calls. */
+export const runPacedCalls = async (options: PacedCalls): Promise<readonly PacedCall[]> => {
+  const { durationMs, joinsAtMs, onlySpells, seed, speeds, statesFactor, vms } = options;
+  const clock = createFakeClock();
+  const { readFraction } = createSeededRandomness(seed);
+  // Spells do not depend on the calls, so that two runs of one seed have the same ones.
+  const spells = createSeededRandomness(seed + 1000);
+  const drawExponential = (mean: number, randomness = { readFraction }): number =>
+    -mean * Math.log(1 - randomness.readFraction());
+  const calls: PacedCall[] = [];
+
+  const servers = speeds.map((speed, index) => {
+    const state = { factor: 1, running: 0, queue: [] as (() => void)[] };
+    const startSpell = (): void => {
+      state.factor = SLOW_FACTOR;
+      clock.startTimer(SPELL_MS, () => {
+        state.factor = 1;
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define
+        if (!onlySpells) scheduleSpell();
+      });
+    };
+    const scheduleSpell = (): void => {
+      clock.startTimer(drawExponential(SPELL_MS / SLOW_FRACTION - SPELL_MS, spells), startSpell);
+    };
+    const spellAtMs = onlySpells?.get(index);
+    if (!onlySpells) scheduleSpell();
+    else if (spellAtMs !== undefined) clock.startTimer(spellAtMs, startSpell);
+    const start = (handleEnd: () => void): void => {
+      state.running += 1;
+      const workMs = (CALL_MS * (0.7 + 0.6 * readFraction()) * state.factor) / speed;
+      clock.startTimer(workMs, () => {
+        state.running -= 1;
+        const next = state.queue.shift();
+        if (next) start(next);
+        handleEnd();
+      });
+    };
+    const readLoad = () => ({
+      running: state.running,
+      waiting: state.queue.length,
+      slots: SLOTS,
+      workFactor: statesFactor ? state.factor : null,
+    });
+    const accept = (handleEnd: () => void): void => {
+      if (state.running < SLOTS) start(handleEnd);
+      else state.queue.push(handleEnd);
+    };
+    return { accept, readLoad };
+  });
+
+  const listIds = (isListed: (index: number) => boolean): string[] =>
+    speeds.map((_, index) => `e-${index}`).filter((_, index) => isListed(index));
+  const directories: { readonly directory: ServerDirectory; readonly paces: ServerPaces }[] =
+    Array.from({ length: vms }, () => ({
+      directory: createSimulatedDirectory(
+        clock,
+        listIds((index) => !joinsAtMs?.has(index)),
+      ),
+      paces: createServerPaces({ clock }),
+    }));
+  joinsAtMs?.forEach((atMs, joining) =>
+    clock.startTimer(atMs, () =>
+      directories.forEach(({ directory }) =>
+        directory.applyRows([{ key: `e-${joining}`, value: Buffer.from('x'), version: 2 }], {
+          source: 'store',
+          outageEndedAtMs: null,
+          isRestored: false,
+        }),
+      ),
+    ),
+  );
+
+  const sendCall = (): void => {
+    const vm = Math.floor(readFraction() * vms);
+    const { directory, paces } = directories[vm] as (typeof directories)[number];
+    const sentAtMs = clock.readMonotonicMs();
+    const status = chooseServerByLoad(directory.listServing(SIMULATED_SERVICE), {
+      excludedIds: new Set(),
+      avoidedZone: null,
+      preferredZone: `z${vm % 3}`,
+      draw: readFraction(),
+      readSlowness: buildSlownessReader(paces, SIMULATED_SERVICE, 'callMs'),
+    });
+    if (!status) throw new Error('no server was chosen');
+    const { id } = status.entry;
+    const index = Number(id.slice(2));
+    const work = directory.startWork(id, { prefillTokens: 0 });
+    const server = servers[index] as (typeof servers)[number];
+    const handleAnswer = (load: ReturnType<typeof server.readLoad>): void => {
+      const tookMs = clock.readMonotonicMs() - sentAtMs;
+      const paced = { service: SIMULATED_SERVICE, incarnation: id };
+      directory.recordLoad(id, load);
+      if (load.workFactor !== null) paces.recordWorkFactor(paced, load.workFactor);
+      paces.record(paced, { kind: 'call', tookMs, workFactor: load.workFactor ?? 1 });
+      work.release();
+      calls.push({ server: index, sentAtMs, tookMs });
+    };
+    clock.startTimer(HOP_MS, () =>
+      server.accept(() => {
+        const load = server.readLoad();
+        clock.startTimer(HOP_MS, () => handleAnswer(load));
+      }),
+    );
+  };
+
+  const totalSpeed = speeds.reduce((sum, speed) => sum + speed, 0);
+  const callsPerMs = ((totalSpeed * SLOTS) / CALL_MS) * USUAL_FRACTION * options.utilization;
+  const scheduleCall = (): void => {
+    clock.startTimer(drawExponential(1 / callsPerMs), () => {
+      if (clock.readMonotonicMs() > durationMs) return;
+      scheduleCall();
+      sendCall();
+    });
+  };
+  scheduleCall();
+  clock.advance(durationMs + 5000);
+  return calls;
+};
