Weigh the pace of a server less than its work factor, and test calls under load

Change: the choice takes pace^0.7 x factor. RelativePace carries ratio, factor and their product (slowness), in place of one number.

--- a/src/application/forwarding/_lib/checkStreamStart/index.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/index.ts
@@ -5,7 +5,7 @@
   type StreamAdmission,
 } from '../../../../domain/forwarding';
 import type { Refusal, StreamRun, StreamPlacement } from '../../types';
-import { buildSlownessReader } from '../buildSlownessReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { logDecision } from '../logDecision';
 
@@ -22,12 +22,12 @@
     const hasBegun = context.request.lastEventId !== null;
     if (predictedMs === null || isPromptCached || hasBegun) {
       const prefillMs = estimateRunPrefill(run).ownMs;
-      const readSlowness = buildSlownessReader(
+      const readPace = buildPaceReader(
         dependencies.serverPaces,
         context.service,
         'prefillMsPerToken',
       );
-      const slowness = readSlowness?.(placement.server) ?? 1;
+      const slowness = readPace?.(placement.server).slowness ?? 1;
       const hasTime =
         isPromptCached || hasTimeForPrefill({ leftMs, latencyGoalMs, prefillMs, slowness });
       if (hasTime) return { kind: 'send' };
--- a/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
@@ -6,8 +6,7 @@
   type ServerStatus,
 } from '../../../../domain/forwarding';
 import type { HeldCopy, StreamRun, StreamPlacement } from '../../types';
-import { buildSlownessReader } from '../buildSlownessReader';
-import { buildSpeedReader } from '../buildSpeedReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { queryServers, type RespondingServer } from '../queryServers';
 import { findPromptHolder } from '../findPromptHolder';
 import { keepsBackups } from '../keepsBackups';
@@ -56,7 +55,7 @@
   const { randomness, serverPaces } = run.dependencies;
   const backup = keepsBackups(run, server)
     ? chooseServerByLoad(run.context.servers.listHolders(server), {
-        readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
+        readPace: buildPaceReader(serverPaces, run.context.service, 'decodeMsPerToken'),
         excludedIds: new Set([...excludedIds, server.id]),
         avoidedZone: server.availabilityZone,
         preferredZone: null,
@@ -86,7 +85,7 @@
 ): StreamPlacement | null => {
   const { availabilityZone, randomness, serverPaces } = run.dependencies;
   const status = chooseServerByLoad(run.context.servers.list(), {
-    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'prefillMsPerToken'),
+    readPace: buildPaceReader(serverPaces, run.context.service, 'prefillMsPerToken'),
     excludedIds,
     avoidedZone: null,
     preferredZone: availabilityZone,
@@ -129,7 +128,9 @@
   const { request, servers, service } = run.context;
   const allowed = servers.list().filter(({ entry }) => !excludedIds.has(entry.id));
   const key = request.promptParts.at(-1)?.id ?? request.requestId;
-  const readSpeed = buildSpeedReader(run.dependencies.serverPaces, service);
+  // VMs know different work factors, and a factor changes too often to rank by it.
+  const readPace = buildPaceReader(run.dependencies.serverPaces, service, 'prefillMsPerToken');
+  const readSpeed = readPace && ((server: ServerEntry) => 1 / readPace(server).ratio);
   return rankServersByPrompt(allowed, key, count, readSpeed);
 };
 
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,24 +1,13 @@
-import { chooseServerByLoad, RouteKind } from '../../../../domain/forwarding';
+import { chooseServerByLoad, computeAttemptMs, RouteKind } from '../../../../domain/forwarding';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
-import { buildSlownessReader } from '../buildSlownessReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { createCallCrashTracker } from '../createCallCrashTracker';
 import { skipRateLimited } from '../skipRateLimited';
 import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
 import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
 
-/** Timeout of an attempt of a repeatable call, as a multiple of the latency goal. */
-const ATTEMPT_GOAL_FACTOR = 1.5;
-
-/**
- * Minimum timeout of an attempt: servers take up to five times the usual time for some requests.
- */
-const MIN_ATTEMPT_MS = 120;
-
-/** Fraction of the remaining time that an attempt may take while another attempt can follow. */
-const ATTEMPT_TIME_FRACTION = 0.6;
-
 /** Maximum number of servers that may refuse the call while the caller waits. */
 const MAX_REFUSALS = 6;
 
@@ -26,22 +15,6 @@
 
 const RATE_LIMIT_REASON = 'all servers have reached their rate limit';
 
-interface AttemptTimeOptions {
-  readonly leftMs: number;
-  readonly isLast: boolean;
-  /** How long work takes on the server now, relative to what is usual for its service. */
-  readonly slowness: number;
-}
-
-const computeAttemptMs = (
-  { route }: ForwardContext,
-  { isLast, leftMs, slowness }: AttemptTimeOptions,
-): number => {
-  if (route.kind !== RouteKind.Repeatable || isLast) return leftMs;
-  const goalMs = Math.max(MIN_ATTEMPT_MS, route.latencyGoalMs * ATTEMPT_GOAL_FACTOR);
-  return Math.min(goalMs * Math.max(1, slowness), leftMs * ATTEMPT_TIME_FRACTION);
-};
-
 const sendResponse = ({ reply }: ForwardContext, { body, head }: BufferedResponse): void =>
   reply.sendResponse(head, body);
 
@@ -78,9 +51,9 @@
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
     if (crashes.hasReachedCrashLimit() || crashes.readQuarantineMs() > 0) break;
-    const readSlowness = buildSlownessReader(serverPaces, service, 'callMs');
+    const readPace = buildPaceReader(serverPaces, service, 'callMs');
     const status = chooseServerByLoad(servers.list(), {
-      readSlowness,
+      readPace,
       excludedIds,
       avoidedZone: null,
       preferredZone: dependencies.availabilityZone,
@@ -109,8 +82,12 @@
       continue;
     }
     const isLast = startedAttempts + 1 >= route.maxAttempts;
-    const slowness = readSlowness?.(status.entry) ?? 1;
-    const attemptMs = computeAttemptMs(context, { leftMs: remainingMs, isLast, slowness });
+    const slowness = readPace?.(status.entry).slowness ?? 1;
+    const { latencyGoalMs } = route;
+    const attemptMs =
+      isRepeatable && !isLast
+        ? computeAttemptMs({ leftMs: remainingMs, latencyGoalMs, slowness })
+        : remainingMs;
     logDecision(
       dependencies,
       context,
@@ -121,7 +98,7 @@
         reported: status.reported,
         suspected: status.isSuspected,
         leftMs: Math.round(remainingMs),
-        ...(readSlowness ? recordServerPace(dependencies, context, status, slowness) : {}),
+        ...(readPace ? recordServerPace(dependencies, context, status, slowness) : {}),
       },
       status.entry,
     );
--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -7,7 +7,7 @@
 } from '../../../../domain/forwarding';
 import type { CopyError, KvCopy } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
-import { buildSlownessReader } from '../buildSlownessReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { logDecision } from '../logDecision';
 
 /**
@@ -27,7 +27,7 @@
     .listHolders(source)
     .filter(({ entry }) => limits.readLimitPerS(entry.id) === null);
   const status = chooseServerByLoad(holders, {
-    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
+    readPace: buildPaceReader(serverPaces, run.context.service, 'decodeMsPerToken'),
     excludedIds: new Set([source.id]),
     avoidedZone: null,
     preferredZone: source.availabilityZone,
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -10,7 +10,7 @@
 } from '../../../../domain/forwarding';
 import type { StreamRun, StreamPlacement } from '../../types';
 import type { RespondingServer } from '../queryServers';
-import { buildSlownessReader } from '../buildSlownessReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { keepsBackups } from '../keepsBackups';
 import { readRunPaces } from '../readRunPaces';
 
@@ -56,7 +56,7 @@
   const backup = chooseServerByReport(others, {
     ...needs,
     preferredZone: null,
-    readSlowness: buildSlownessReader(serverPaces, run.context.service, 'decodeMsPerToken'),
+    readPace: buildPaceReader(serverPaces, run.context.service, 'decodeMsPerToken'),
   });
   return {
     server: chosen.entry,
@@ -103,10 +103,10 @@
   const reported = responding.map((one) => addPendingTokens(run, one));
   const isPromptCached = promptHolder !== null;
   const { availabilityZone: preferredZone, serverPaces } = run.dependencies;
-  const readSlowness = buildSlownessReader(serverPaces, run.context.service, 'prefillMsPerToken');
+  const readPace = buildPaceReader(serverPaces, run.context.service, 'prefillMsPerToken');
   const chosen = promptHolder
     ? addPendingTokens(run, promptHolder)
-    : chooseServerByReport(reported, { ...needs, preferredZone, readSlowness });
+    : chooseServerByReport(reported, { ...needs, preferredZone, readPace });
   if (!chosen) return null;
   const initial = { server: chosen, predictedMs: predict(chosen) };
   const { predictedMs, server } =
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -8,7 +8,7 @@
 import type { ReaderId } from '../../../../domain/generation';
 import { startLoop } from '../../../time';
 import type { StreamAttempt, StreamRun } from '../../types';
-import { buildSlownessReader } from '../buildSlownessReader';
+import { buildPaceReader } from '../buildPaceReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { logDecision } from '../logDecision';
@@ -44,11 +44,7 @@
   const { request, route, service } = run.context;
   const samples = run.paces.listFirstTokens(service);
   const slowest = computePrefillLimits(samples, countPromptTokens(request), { isServerDead: true });
-  const readSlowness = buildSlownessReader(
-    run.dependencies.serverPaces,
-    service,
-    'prefillMsPerToken',
-  );
+  const readPace = buildPaceReader(run.dependencies.serverPaces, service, 'prefillMsPerToken');
   return computeEventTimeoutMs({
     hasDelivered: hasDeliveredEvent,
     hasCopy: hasHealthyCopy(run),
@@ -57,7 +53,7 @@
     latencyGoalMs: route.latencyGoalMs,
     slowestPrefillMs: slowest.confirmMs,
     expectedFirstEventMs,
-    slowness: readSlowness?.(server) ?? 1,
+    slowness: readPace?.(server).slowness ?? 1,
   });
 };
 
--- a/src/domain/forwarding/choosePacedServer/index.ts
+++ b/src/domain/forwarding/choosePacedServer/index.ts
@@ -1,11 +1,11 @@
+import type { RelativePace } from '../../paces';
 import { computeRequestLoad } from '../_lib/computeRequestLoad';
 import { filterCandidates } from '../_lib/filterCandidates';
 import type { LeastLoadedServerOptions, ServerEntry, ServerStatus } from '../types';
 
 /** Options of the choice among servers that differ in speed. */
 export interface PacedServerOptions extends LeastLoadedServerOptions {
-  /** Reads how long work takes on a server now, relative to what is usual for its service. */
-  readonly readSlowness: (server: ServerEntry) => number;
+  readonly readPace: (server: ServerEntry) => RelativePace;
 }
 
 /** Expected ends that differ by at most this fraction count as equal. */
@@ -20,6 +20,16 @@
 /** Time in which a reported load loses its meaning, unless a newer answer confirms it. */
 const REPORT_TTL_MS = 600;
 
+/**
+ * Weight of the pace of a server: 1 minimizes the time of the one request, which takes the slots of
+ * fast servers from the next ones; 0 spreads the requests as among equal servers.
+ */
+const PACE_EXPONENT = 0.7;
+
+/** The work factor counts in full: it is over before slots run out. */
+const weighPace = ({ ratio, workFactor }: RelativePace): number =>
+  ratio ** PACE_EXPONENT * workFactor;
+
 /** Ages a report: other requests than those of this VM have ended since, as far as it knows. */
 const ageReport = (status: ServerStatus): ServerStatus => {
   const freshness = Math.max(0, 1 - status.reportedAgeMs / REPORT_TTL_MS);
@@ -42,7 +52,7 @@
  */
 export const choosePacedServer = (
   servers: readonly ServerStatus[],
-  { draw, preferredZone, readSlowness, ...options }: PacedServerOptions,
+  { draw, preferredZone, readPace, ...options }: PacedServerOptions,
 ): ServerStatus | null => {
   const candidates = filterCandidates(servers, options);
   const loads = candidates.map((status) => computeRequestLoad(ageReport(status), preferredZone));
@@ -52,7 +62,7 @@
   const endsByServer = candidates.map((status, index) => {
     const unknownFraction = Math.max(0, 1 - status.availableMs / SLOW_START_MS);
     const load = Math.max(loads[index] ?? 0, usualLoad * unknownFraction);
-    return { status, end: (load + 1) * readSlowness(status.entry) };
+    return { status, end: (load + 1) * weighPace(readPace(status.entry)) };
   });
   const earliestEnd = endsByServer.reduce((low, { end }) => Math.min(low, end), Infinity);
   const earliest = endsByServer.filter(({ end }) => end <= earliestEnd * (1 + END_TOLERANCE));
--- a/src/domain/forwarding/choosePacedServer/test.ts
+++ b/src/domain/forwarding/choosePacedServer/test.ts
@@ -3,12 +3,14 @@
 import type { ServerStatus } from '../types';
 import { choosePacedServer } from '.';
 
+const AS_USUAL = { ratio: 1, workFactor: 1, slowness: 1 };
+
 const NONE = {
   excludedIds: new Set<string>(),
   avoidedZone: null,
   preferredZone: null,
   draw: 0,
-  readSlowness: () => 1,
+  readPace: (_: { readonly id: string }) => AS_USUAL,
 };
 
 const choose = (servers: readonly ServerStatus[], change: Partial<typeof NONE> = {}) =>
@@ -17,9 +19,12 @@
 test('the random number decides between servers whose expected ends differ by a tenth', (t) => {
   const servers = ['a', 'b', 'c'].map((id) => buildServerStatus(id, 'z1'));
   const slowness = new Map([['a', 1], ['b', 1.08], ['c', 1.5]]); // prettier-ignore
-  const readSlowness = ({ id }: { readonly id: string }) => slowness.get(id) ?? 1;
-  t.is(choose(servers, { readSlowness, draw: 0.1 } as never), 'a');
-  t.is(choose(servers, { readSlowness, draw: 0.99 } as never), 'b');
+  const readPace = ({ id }: { readonly id: string }) => ({
+    ...AS_USUAL,
+    workFactor: slowness.get(id) ?? 1,
+  });
+  t.is(choose(servers, { readPace, draw: 0.1 }), 'a');
+  t.is(choose(servers, { readPace, draw: 0.99 }), 'b');
 });
 
 test('suspected and excluded servers are treated as in the choice by load', (t) => {
--- a/src/domain/forwarding/chooseServerByLoad/test.ts
+++ b/src/domain/forwarding/chooseServerByLoad/test.ts
@@ -4,6 +4,8 @@
 import { chooseLeastLoadedServer } from '../chooseLeastLoadedServer';
 import { chooseServerByLoad } from '.';
 
+const buildRelativePace = (ratio: number) => ({ ratio, workFactor: 1, slowness: ratio });
+
 const ZONES = ['z1', 'z2', 'z3'];
 const SERVERS = fc.array(
   fc.record({
@@ -29,7 +31,7 @@
       const excludedIds = new Set(['i-0']);
       const options = { excludedIds, avoidedZone, preferredZone, draw };
       t.is(
-        chooseServerByLoad(servers, { ...options, readSlowness: null }),
+        chooseServerByLoad(servers, { ...options, readPace: null }),
         chooseLeastLoadedServer(servers, options),
       );
     }),
@@ -46,7 +48,7 @@
     avoidedZone: null,
     preferredZone: null,
     draw: 0,
-    readSlowness: ({ id }) => (id === 'fast' ? 0.2 : 1),
+    readPace: ({ id }) => buildRelativePace(id === 'fast' ? 0.2 : 1),
   });
   t.is(chosen?.entry.id, 'fast');
 });
--- a/src/domain/forwarding/chooseServerByReport/index.ts
+++ b/src/domain/forwarding/chooseServerByReport/index.ts
@@ -1,3 +1,4 @@
+import type { RelativePace } from '../../paces';
 import { countPrefillingRuns } from '../countPrefillingRuns';
 import type { ServerEntry, ServerReport } from '../types';
 
@@ -38,11 +39,8 @@
   readonly neededKvTokens: number;
   readonly promptTokens: number;
   readonly preferredZone: string | null;
-  /**
-   * Reads how long work takes on a server now, relative to what is usual for its service; null if
-   * the servers are equally fast.
-   */
-  readonly readSlowness?: ((server: ServerEntry) => number) | null;
+  /** Reads the pace of a server; null if the servers are equally fast. */
+  readonly readPace?: ((server: ServerEntry) => RelativePace) | null;
 }
 
 const computeWaitingPrompts = (
@@ -70,8 +68,8 @@
 /** The new prompt itself takes longer on a slow server, as do those before it. */
 const computeLoad = (server: ReportedServer, options: ServerByReportOptions): number => {
   const waitingPrompts = computeWaitingPrompts(server, options);
-  if (!options.readSlowness) return waitingPrompts;
-  return (waitingPrompts + 1) * options.readSlowness(server.entry);
+  if (!options.readPace) return waitingPrompts;
+  return (waitingPrompts + 1) * options.readPace(server.entry).slowness;
 };
 
 /**
--- a/src/domain/forwarding/chooseServerByReport/test.ts
+++ b/src/domain/forwarding/chooseServerByReport/test.ts
@@ -4,6 +4,8 @@
 import type { ServerReport } from '../types';
 import { chooseServerByReport, type ReportedServer } from '.';
 
+const buildRelativePace = (ratio: number) => ({ ratio, workFactor: 1, slowness: ratio });
+
 const NONE = { neededKvTokens: 9000, promptTokens: 8000, preferredZone: null };
 
 const build = (
@@ -63,18 +65,18 @@
   fc.assert(
     fc.property(servers, (changes) => {
       const built = changes.map((change, index) => build(`i-${index}`, `z${index % 3}`, change));
-      const paced = chooseServerByReport(built, { ...NONE, readSlowness: () => 1 });
+      const paced = chooseServerByReport(built, { ...NONE, readPace: () => buildRelativePace(1) });
       t.is(paced?.entry.id ?? null, choose(built));
     }),
   );
 });
 
 test('a slow server is chosen once the fast one has more prompts than its speed makes up for', (t) => {
-  const readSlowness = ({ id }: { readonly id: string }): number => (id === 'fast' ? 0.5 : 1);
+  const readPace = ({ id }: { readonly id: string }) => buildRelativePace(id === 'fast' ? 0.5 : 1);
   const chooseBeside = (waiting: number): string | undefined =>
     chooseServerByReport([build('fast', 'z1', { waiting }), build('slow', 'z1')], {
       ...NONE,
-      readSlowness,
+      readPace,
     })?.entry.id;
   t.is(chooseBeside(0), 'fast');
   t.is(chooseBeside(2), 'slow');
--- a/src/domain/forwarding/computeEnginePaces/index.ts
+++ b/src/domain/forwarding/computeEnginePaces/index.ts
@@ -1,4 +1,4 @@
-import { computeSlowness, type ServerPace } from '../../paces';
+import { computeRelativePace, type ServerPace } from '../../paces';
 import type { EnginePaces } from '../predictFirstEventMs';
 
 /**
@@ -14,5 +14,5 @@
   usual: ServerPace,
 ): EnginePaces => ({
   prefillMsPerToken: (own.prefillMsPerToken || base.prefillMsPerToken) * own.workFactor,
-  runMs: base.runMs * computeSlowness(own, usual, 'decodeMsPerToken'),
+  runMs: base.runMs * computeRelativePace(own, usual, 'decodeMsPerToken').slowness,
 });
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -9,6 +9,7 @@
 } from './chooseServerByReport';
 export { chooseTarget } from './chooseTarget';
 export { compareIncarnations, type IncarnationOrder } from './compareIncarnations';
+export { computeAttemptMs, type AttemptTimeOptions } from './computeAttemptMs';
 export { computeEnginePaces } from './computeEnginePaces';
 export { computeFingerprint } from './computeFingerprint';
 export { computeEventTimeoutMs, type EventTimeoutOptions } from './computeEventTimeoutMs';
--- a/src/domain/paces/index.ts
+++ b/src/domain/paces/index.ts
@@ -1,5 +1,5 @@
 export { computePaceValue } from './computePaceValue';
-export { computeSlowness, type PacedWork } from './computeSlowness';
+export { computeRelativePace, type PacedWork } from './computeRelativePace';
 export { computeWorkFactor } from './computeWorkFactor';
 export { mergePaceEstimates } from './mergePaceEstimates';
 export { updatePaceEstimate } from './updatePaceEstimate';
--- a/tests/paces/runPacedCalls.ts
+++ b/tests/paces/runPacedCalls.ts
@@ -1,4 +1,4 @@
-import { buildSlownessReader } from '../../src/application/forwarding/_lib/buildSlownessReader';
+import { buildPaceReader } from '../../src/application/forwarding/_lib/buildPaceReader';
 import type { ServerDirectory } from '../../src/application/forwarding';
 import { createServerPaces, type ServerPaces } from '../../src/application/paces';
 import { chooseServerByLoad } from '../../src/domain/forwarding';
@@ -121,7 +121,7 @@
       avoidedZone: null,
       preferredZone: `z${vm % 3}`,
       draw: readFraction(),
-      readSlowness: buildSlownessReader(paces, SIMULATED_SERVICE, 'callMs'),
+      readPace: buildPaceReader(paces, SIMULATED_SERVICE, 'callMs'),
     });
     if (!status) throw new Error('no server was chosen');
     const { id } = status.entry;
