--- a/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
@@ -1,11 +1,12 @@
 import {
   countPromptTokens,
-  chooseLeastLoadedServer,
+  chooseServerByLoad,
   rankServersByPrompt,
   type ServerEntry,
   type ServerStatus,
 } from '../../../../domain/forwarding';
 import type { HeldCopy, StreamRun, StreamPlacement } from '../../types';
+import { buildPaceReader } from '../buildPaceReader';
 import { queryServers, type RespondingServer } from '../queryServers';
 import { findPromptHolder } from '../findPromptHolder';
 import { keepsBackups } from '../keepsBackups';
@@ -51,9 +52,10 @@
   copy: HeldCopy | null,
   excludedIds: ReadonlySet<string>,
 ): StreamPlacement => {
-  const { randomness } = run.dependencies;
+  const { randomness, serverPaces } = run.dependencies;
   const backup = keepsBackups(run, server)
-    ? chooseLeastLoadedServer(run.context.servers.listHolders(server), {
+    ? chooseServerByLoad(run.context.servers.listHolders(server), {
+        readPace: buildPaceReader(serverPaces, run.context.service, 'decodeMsPerToken'),
         excludedIds: new Set([...excludedIds, server.id]),
         avoidedZone: server.availabilityZone,
         preferredZone: null,
@@ -81,8 +83,9 @@
   run: StreamRun,
   excludedIds: ReadonlySet<string>,
 ): StreamPlacement | null => {
-  const { availabilityZone, randomness } = run.dependencies;
-  const status = chooseLeastLoadedServer(run.context.servers.list(), {
+  const { availabilityZone, randomness, serverPaces } = run.dependencies;
+  const status = chooseServerByLoad(run.context.servers.list(), {
+    readPace: buildPaceReader(serverPaces, run.context.service, 'prefillMsPerToken'),
     excludedIds,
     avoidedZone: null,
     preferredZone: availabilityZone,
@@ -122,9 +125,13 @@
   excludedIds: ReadonlySet<string>,
   count: number,
 ): readonly ServerStatus[] => {
-  const { request, servers } = run.context;
+  const { request, servers, service } = run.context;
   const allowed = servers.list().filter(({ entry }) => !excludedIds.has(entry.id));
-  return rankServersByPrompt(allowed, request.promptParts.at(-1)?.id ?? request.requestId, count);
+  const key = request.promptParts.at(-1)?.id ?? request.requestId;
+  // VMs know different work factors, and a factor changes too often to rank by it.
+  const readPace = buildPaceReader(run.dependencies.serverPaces, service, 'prefillMsPerToken');
+  const readSpeed = readPace && ((server: ServerEntry) => 1 / readPace(server).ratio);
+  return rankServersByPrompt(allowed, key, count, readSpeed);
 };
 
 /**
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,22 +1,13 @@
-import { chooseLeastLoadedServer, RouteKind } from '../../../../domain/forwarding';
+import { chooseServerByLoad, computeAttemptMs, RouteKind } from '../../../../domain/forwarding';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
+import { buildPaceReader } from '../buildPaceReader';
 import { createCallCrashTracker } from '../createCallCrashTracker';
 import { skipRateLimited } from '../skipRateLimited';
+import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
 import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
 
-/** Timeout of an attempt of a repeatable call, as a multiple of the latency goal. */
-const ATTEMPT_GOAL_FACTOR = 1.5;
-
-/**
- * Minimum timeout of an attempt: servers take up to five times the usual time for some requests.
- */
-const MIN_ATTEMPT_MS = 120;
-
-/** Fraction of the remaining time that an attempt may take while another attempt can follow. */
-const ATTEMPT_TIME_FRACTION = 0.6;
-
 /** Maximum number of servers that may refuse the call while the caller waits. */
 const MAX_REFUSALS = 6;
 
@@ -24,12 +15,6 @@
 
 const RATE_LIMIT_REASON = 'all servers have reached their rate limit';
 
-const computeAttemptMs = ({ route }: ForwardContext, leftMs: number, isLast: boolean): number => {
-  if (route.kind !== RouteKind.Repeatable || isLast) return leftMs;
-  const goalMs = Math.max(MIN_ATTEMPT_MS, route.latencyGoalMs * ATTEMPT_GOAL_FACTOR);
-  return Math.min(goalMs, leftMs * ATTEMPT_TIME_FRACTION);
-};
-
 const sendResponse = ({ reply }: ForwardContext, { body, head }: BufferedResponse): void =>
   reply.sendResponse(head, body);
 
@@ -47,7 +32,7 @@
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
-  const { clock, directory, lender, permits, randomness, retries } = dependencies;
+  const { clock, directory, lender, permits, randomness, retries, serverPaces } = dependencies;
   const { deadlineAtMs, reply, route, servers, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -66,7 +51,9 @@
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
     if (crashes.hasReachedCrashLimit() || crashes.readQuarantineMs() > 0) break;
-    const status = chooseLeastLoadedServer(servers.list(), {
+    const readPace = buildPaceReader(serverPaces, service, 'callMs');
+    const status = chooseServerByLoad(servers.list(), {
+      readPace,
       excludedIds,
       avoidedZone: null,
       preferredZone: dependencies.availabilityZone,
@@ -95,7 +82,12 @@
       continue;
     }
     const isLast = startedAttempts + 1 >= route.maxAttempts;
-    const attemptMs = computeAttemptMs(context, remainingMs, isLast);
+    const slowness = readPace?.(status.entry).slowness ?? 1;
+    const { latencyGoalMs } = route;
+    const attemptMs =
+      isRepeatable && !isLast
+        ? computeAttemptMs({ leftMs: remainingMs, latencyGoalMs, slowness })
+        : remainingMs;
     logDecision(
       dependencies,
       context,
@@ -106,6 +98,7 @@
         reported: status.reported,
         suspected: status.isSuspected,
         leftMs: Math.round(remainingMs),
+        ...(readPace ? recordServerPace(dependencies, context, status, slowness) : {}),
       },
       status.entry,
     );
--- a/src/domain/forwarding/chooseServerByReport/index.ts
+++ b/src/domain/forwarding/chooseServerByReport/index.ts
@@ -1,3 +1,4 @@
+import type { RelativePace } from '../../paces';
 import { countPrefillingRuns } from '../countPrefillingRuns';
 import type { ServerEntry, ServerReport } from '../types';
 
@@ -38,9 +39,11 @@
   readonly neededKvTokens: number;
   readonly promptTokens: number;
   readonly preferredZone: string | null;
+  /** Reads the pace of a server; null if the servers are equally fast. */
+  readonly readPace?: ((server: ServerEntry) => RelativePace) | null;
 }
 
-const computeLoad = (
+const computeWaitingPrompts = (
   { copies, entry, report, pendingPrefillTokens }: ReportedServer,
   { neededKvTokens, preferredZone, promptTokens }: ServerByReportOptions,
 ): number => {
@@ -62,6 +65,13 @@
   );
 };
 
+/** The new prompt itself takes longer on a slow server, as do those before it. */
+const computeLoad = (server: ReportedServer, options: ServerByReportOptions): number => {
+  const waitingPrompts = computeWaitingPrompts(server, options);
+  if (!options.readPace) return waitingPrompts;
+  return (waitingPrompts + 1) * options.readPace(server.entry).slowness;
+};
+
 /**
  * Chooses the server that is expected to start a new prompt first, from the servers' reports.
  *
