Let two gateway tests wait for events in place of real time

Cause: report requests time out after 150 ms, and the gateway, its servers and the test share one process. When the process stalls for longer than that, two reports in a row are late, so that the lost run is given up with the cause 'no answer' and not 'run lost'; and the prompt of the caller that has left is already sent when its disconnection arrives, so that the test waits for a log line that never comes.

Change: both tests stop the clock. The first advances it by the interval between two probes and waits until the report was received, which undici tells on its diagnostics channel; the second waits for 'stream ended' with the outcome 'left' before the reports time out. All assertions stand, one is added. The gateway itself is unchanged.

--- a/tests/gateway/streamLosses.test.ts
+++ b/tests/gateway/streamLosses.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { HEADERS } from '../../platform';
+import { createFakeClock } from '../../standins/fakes';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { countRequests } from './_lib/countRequests';
 import { sendEvents } from './_lib/sendEvents';
@@ -82,12 +83,16 @@
 // Guards against prefill for a caller that disconnected while servers were asked for their load:
 // the state of the stream does not end with its caller.
 test('a prompt is not sent once its caller has left', async (t) => {
-  const harness = await startTestGateway();
+  const clock = createFakeClock();
+  const harness = await startTestGateway({ clock });
   harness.servers.forEach((server) => server.ignoreStatusRequests());
-  const followed = harness.follow(buildStreamRequest());
   const asked = harness.servers.map((server) => server.nextStatusRequest());
+  const followed = harness.follow(buildStreamRequest());
   await Promise.all(asked);
   followed.disconnect();
+  t.is((await harness.waitForLine('stream ended')).outcome, 'left');
+  // Only now do the report requests time out.
+  clock.advance(150);
   await harness.waitForLine('stream not sent');
   t.is(countRequests(harness), 0);
   await harness.stop();
--- a/tests/gateway/streams.test.ts
+++ b/tests/gateway/streams.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
+import { createFakeClock } from '../../standins/fakes';
 import { formatStandInEvent, buildWireConfiguration, buildWireEntry } from '../../standins/gateway';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { countRequests } from './_lib/countRequests';
@@ -10,6 +11,7 @@
 import { startTestGateway } from './_lib/startTestGateway';
 import { removeBackup } from './_lib/removeBackup';
 import { takeNextRequest } from './_lib/takeNextRequest';
+import { waitForReport } from './_lib/waitForReport';
 
 test('a stream is forwarded event by event with the headers of its server', async (t) => {
   const harness = await startTestGateway();
@@ -106,11 +108,18 @@
 // Guards against a stream that stalls until its deadline: its server loses the answer of the run,
 // but keeps the connection open and answers report requests.
 test('a run that its server no longer lists is restarted elsewhere', async (t) => {
-  const harness = await startTestGateway();
+  const clock = createFakeClock();
+  const harness = await startTestGateway({ clock });
   const followed = harness.follow(buildStreamRequest());
   const first = await takeNextRequest(harness.servers);
   // The fake server lists runs by their open answers, so that it no longer lists this run.
   first.request.response.emit('close');
+  // With time at a stop, no report is late, however slow the machine is.
+  for (const intervalMs of [400, 150]) {
+    const report = waitForReport(first.server);
+    await clock.advanceAsync(intervalMs);
+    await report;
+  }
   const second = await takeNextRequest(harness.servers);
   sendEvents(second, 1, 2);
   t.is((await followed.done).body, formatEvents(1, 2));
