Heed a signal that was aborted before a wait or a leg begins

Cause: an aborted signal sends no further event, and createWaitQueue and runHedged only listened for one. A request whose caller had left, or whose deadline had passed, just before it was queued kept its place until the deadline and could take a slot; a leg whose slot arrived that late ran to its end for nobody.

Change: waitForSlot refuses such a request at once, without charging its workspace; startLeg starts the leg with an aborted signal, which the clients answer with 'cancelled' without sending.

--- a/src/application/routing/createRouter/test.ts
+++ b/src/application/routing/createRouter/test.ts
@@ -69,6 +69,17 @@
   t.is(fixture.router.countWaiting(), 0);
 });
 
+// Guards against a slot for a caller that has left: a signal that aborted earlier sends no event.
+test('a call that was aborted before it waits gets no place in the queue', async (t) => {
+  const fixture = createRouterFixture([buildServer('a', ['long'], 1)]);
+  const running = (await fixture.acquire('long'))._unsafeUnwrap();
+  const gone = fixture.acquire('long', {}, AbortSignal.abort());
+  t.is(fixture.router.countWaiting(), 0);
+  running.release(FINISHED);
+  t.is((await gone)._unsafeUnwrapErr().code, 'deadline_too_short');
+  t.true((await fixture.acquire('long')).isOk());
+});
+
 test('a server recovery or a change of peer load serves the waiting demands', async (t) => {
   const fixture = createRouterFixture([
     buildServer('a', ['long'], 1),
--- a/src/application/routing/createWaitQueue/index.ts
+++ b/src/application/routing/createWaitQueue/index.ts
@@ -60,6 +60,8 @@
   return { code: RefusalCode.DeadlineTooShort, message, retryAfterMs: Math.ceil(retryAfterMs) };
 }
 
+const ABORTED_MESSAGE = 'the request was aborted while it waited in the queue';
+
 /** Creates a bounded queue that serves workspaces by weighted fair queueing. */
 export function createWaitQueue({ clock }: { readonly clock: Clock }): WaitQueue {
   let shares: FairQueueState = { virtualTime: 0, finishTags: new Map() };
@@ -143,6 +145,10 @@
     },
     waitForSlot: (queued, signal) =>
       new Promise((resolve) => {
+        if (signal.aborted) {
+          resolve(err(buildDeadlineRefusal(ABORTED_MESSAGE, readInterval(queued))));
+          return;
+        }
         const { demand } = queued;
         const id = nextId;
         nextId += 1;
@@ -158,8 +164,7 @@
             resolve(result);
           },
         };
-        const handleAbort = (): void =>
-          rejectWaiter(waiter, 'the request was aborted while it waited in the queue');
+        const handleAbort = (): void => rejectWaiter(waiter, ABORTED_MESSAGE);
         signal.addEventListener('abort', handleAbort, { once: true });
         cleanups.push(() => signal.removeEventListener('abort', handleAbort));
         const waitMs = Math.max(0, demand.deadlineMs - clock.readMonotonicMs());
--- a/src/application/routing/runHedged/index.ts
+++ b/src/application/routing/runHedged/index.ts
@@ -51,7 +51,8 @@
 function startLeg<T, E>(slot: Slot, { runLeg, signal }: HedgedRequest<T, E>): RunningLeg<T, E> {
   const controller = new AbortController();
   const handleAbort = (): void => controller.abort();
-  signal.addEventListener('abort', handleAbort, { once: true });
+  if (signal.aborted) handleAbort();
+  else signal.addEventListener('abort', handleAbort, { once: true });
   return { slot, result: runLeg(slot, controller.signal), cancel: handleAbort };
 }
 
--- a/src/application/routing/runHedged/test.ts
+++ b/src/application/routing/runHedged/test.ts
@@ -20,7 +20,11 @@
 };
 
 /** Runs a hedged request whose delay passes at once; `finishes` ends the leg of a server. */
-const startHedge = (mayHedge: boolean, servers: readonly string[]) => {
+const startHedge = (
+  mayHedge: boolean,
+  servers: readonly string[],
+  signal = new AbortController().signal,
+) => {
   const released: string[] = [];
   const cancelled: string[] = [];
   const demands: Demand[] = [];
@@ -53,14 +57,16 @@
       demand: DEMAND,
       mayHedge,
       hedgeDelayMs: 10,
-      signal: new AbortController().signal,
-      runLeg: ({ server }, signal) =>
+      signal,
+      runLeg: ({ server }, legSignal) =>
         new Promise((resolve) => {
           finishes.set(server.name, resolve);
-          signal.addEventListener('abort', () => {
+          const cancel = (): void => {
             cancelled.push(server.name);
             resolve(err('cancelled'));
-          });
+          };
+          if (legSignal.aborted) cancel();
+          else legSignal.addEventListener('abort', cancel);
         }),
     },
   );
@@ -107,3 +113,12 @@
   t.like((await full.outcome)._unsafeUnwrapErr(), { kind: 'failed', error: 'broken' });
   t.like((await startHedge(true, []).outcome)._unsafeUnwrapErr(), { kind: 'refused' });
 });
+
+// Guards against a leg that runs to its end for nobody: the caller left while the leg's slot was
+// acquired, and an aborted signal sends no further event.
+test('a leg whose request was aborted before it starts is cancelled', async (t) => {
+  const hedge = startHedge(false, ['a'], AbortSignal.abort());
+  await settle();
+  t.deepEqual(hedge.cancelled, ['a']);
+  t.like((await hedge.outcome)._unsafeUnwrapErr(), { kind: 'failed', error: 'cancelled' });
+});
