Don't count a waiter that is refused as served

Cause: createWaitQueue.serve treated every result of trySend as a slot. A waiter that a new configuration no longer allows advanced the virtual time, kept its cost in the fair share of its workspace, and went into the measured interval between two served waiters, from which admission estimates waits.

Change: serve gives back the cost of a refused waiter, as for one whose deadline passes, and measures only served ones.

--- a/src/application/routing/createWaitQueue/index.ts
+++ b/src/application/routing/createWaitQueue/index.ts
@@ -91,11 +91,13 @@
     return tag.startTag;
   };
 
-  const rejectWaiter = (waiter: WaitingDemand, message: string): void => {
+  const refuseWaiter = (waiter: WaitingDemand, refusal: Refusal): void => {
     removeWaiter(waiter);
     shares = removeQueuedCost(shares, waiter.workspace, waiter.pool.weight, waiter.cost);
-    waiter.finish(err(buildDeadlineRefusal(message, readInterval(waiter))));
+    waiter.finish(err(refusal));
   };
+  const rejectWaiter = (waiter: WaitingDemand, message: string): void =>
+    refuseWaiter(waiter, buildDeadlineRefusal(message, readInterval(waiter)));
 
   return {
     serve: (trySend) => {
@@ -108,6 +110,10 @@
           if (waiter.demand.excludedServers.length === 0) fullPools.add(waiter.pool);
           return;
         }
+        if (result.isErr()) {
+          refuseWaiter(waiter, result.error);
+          return;
+        }
         removeWaiter(waiter);
         recordServed(waiter.startTag);
         measureInterval();
