Send Retry-After only with errors that may be retried

Cause: sendError gave every 429 and 503 a Retry-After of at least 1, also where the error has no retry time and x-should-retry is false: a client that doesn't know that header came back with a request that can't succeed, or that may have run.

--- a/src/adapters/http/_lib/sendError/index.ts
+++ b/src/adapters/http/_lib/sendError/index.ts
@@ -38,15 +38,13 @@
   readonly runState?: RunState;
 }
 
-const buildRetryHeaders = (error: GenerationError): Record<string, string> => {
-  const isOverload = error.status === 429 || error.status === 503;
-  if (!isOverload && error.retryAfterMs === 0) return {};
-  const retryAfterMs = Math.max(error.retryAfterMs, 1);
-  return {
-    'Retry-After': String(Math.ceil(retryAfterMs / MS_PER_S)),
-    'Retry-After-Ms': String(Math.ceil(retryAfterMs)),
-  };
-};
+const buildRetryHeaders = ({ retryAfterMs }: GenerationError): Record<string, string> =>
+  retryAfterMs > 0
+    ? {
+        'Retry-After': String(Math.ceil(retryAfterMs / MS_PER_S)),
+        'Retry-After-Ms': String(Math.ceil(retryAfterMs)),
+      }
+    : {};
 
 /**
  * Sends an error to the caller.
--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -146,6 +146,25 @@
   await server.stop();
 });
 
+// Guards against repeated requests that cannot help: clients that don't know `x-should-retry` obey
+// `Retry-After`.
+test('an error that must not be retried has no retry time', async (t) => {
+  const server = await startTestCallerServer();
+  server.generations.failNextStart({
+    code: 'answer_unavailable',
+    message: 'not readable',
+    status: 503,
+    runState: 'ran',
+    retryAfterMs: 0,
+  });
+  const refused = await server.post('/v1/chat/completions', BODY);
+  t.is(refused.status, 503);
+  t.is(refused.headers.get('x-should-retry'), 'false');
+  t.is(refused.headers.get('retry-after'), null);
+  t.is(refused.headers.get('retry-after-ms'), null);
+  await server.stop();
+});
+
 test('a failure before the first token sets the HTTP status; a later one is an error event', async (t) => {
   const error = {
     code: 'queue_full',
