Reword the tests of failures to one line each

Cause: 46 tests in tests/ and client/ still opened with headed lines of symptom, sequence and cause, and docs/style.md asked for that; the house rule is a name and one line that says which failure the test guards against.

--- a/client/streamGeneration/test.ts
+++ b/client/streamGeneration/test.ts
@@ -65,9 +65,8 @@
   return { sent, waits, error, tokens: batches.flatMap((batch) => batch.tokenIds) };
 };
 
-// Symptom: after a broken connection the caller gets a token twice or misses one.
-// Sequence: entry-1 sends two tokens and half of the third event, then fails; entry-2 continues.
-// Cause: the client repeats the request, or counts an incomplete event.
+// Guards against tokens that come twice or are missing after an entry failed within an event: the
+// client repeats the request, or counts an incomplete event.
 test('resumes at the next entry with cursor and prefix, each token once', async (t) => {
   const run = await runClient([
     { body: buildEvent(1, 11) + buildEvent(2, 12) + buildEvent(3, 13).slice(0, -9), cut: true },
@@ -84,9 +83,8 @@
   t.deepEqual(second?.body.request, { model: 'review', messages: [], stream: true });
 });
 
-// Symptom: a generation is started a second time under another key.
-// Sequence: entry-1 refuses the connection, entry-2 is full and sends Retry-After, entry-1 serves.
-// Cause: there is no cursor before the first token; only the key identifies the same work.
+// Guards against a second generation under another key: before the first token there is no cursor,
+// and only the key identifies work that is retried at another entry.
 test('retries under the same idempotency key and not before Retry-After', async (t) => {
   const run = await runClient([
     'refused',
--- a/tests/callers/backpressure.test.ts
+++ b/tests/callers/backpressure.test.ts
@@ -68,9 +68,8 @@
   }
 };
 
-// Symptom: the memory of an entry grows until the entry is killed, and all its streams break.
-// Sequence: a caller stops reading; the engine continues; each event is queued for the caller.
-// Cause: events were written without regard to backpressure.
+// Guards against an entry whose memory grows until it is killed: a caller stops reading, and the
+// events of its stream are written without regard to backpressure.
 test('a caller that does not read stalls only its own feed, and detaches when it disconnects', async (t) => {
   const { counts, feed } = createEndlessFeed();
   const generations = { ...createScriptedGenerations(), startGeneration: async () => ok(feed) };
--- a/tests/callers/generation.test.ts
+++ b/tests/callers/generation.test.ts
@@ -198,9 +198,8 @@
   await broken.stop();
 });
 
-// Symptom: a caller treats a truncated answer as complete.
-// Sequence: the feed ends without a finish reason.
-// Cause: the end of the feed was treated as the end of the generation.
+// Guards against a truncated answer that looks complete: the feed ends without a finish reason, and
+// its end is treated as the end of the generation.
 test('a feed that ends without a finish reason is an error, streamed and unstreamed', async (t) => {
   const server = await startTestCallerServer();
   server.generations.push({
--- a/tests/callers/shutdown.test.ts
+++ b/tests/callers/shutdown.test.ts
@@ -54,9 +54,8 @@
   await server.stop();
 });
 
-// Symptom: a review that still runs at the drain timeout is cut off.
-// Sequence: SIGTERM; the timeout passes; the process exits during the generation.
-// Cause: a stream that ends with its process gives the caller no cursor to resume from.
+// Guards against a review that is cut off at the drain timeout: its stream ends with its process
+// and gives the caller no cursor to resume from.
 test('at the drain timeout a stream is handed over by cursor and not cancelled', async (t) => {
   const server = await startTestCallerServer();
   pushToken(server, 0);
@@ -125,10 +124,8 @@
   await server.stop();
 });
 
-// Symptom: the end of an answer is missing after a restart of the entry.
-// Sequence: the answer is complete but not yet sent to a slow caller; the drain ends; the process
-//   closes its connections.
-// Cause: work counted as finished when the answer was written to the socket, not when it was sent.
+// Guards against an answer whose end is missing after a restart: work counted as finished once it
+// was written to the socket of a slow caller, not once it was sent.
 test('a drain waits until the whole answer is sent to a slow caller', async (t) => {
   const server = await startTestCallerServer();
   const length = 32_000_000;
@@ -154,10 +151,9 @@
   await server.stop();
 });
 
-// Symptom: one dossier gets two generations.
-// Sequence: a stream breaks; its caller sends the cursor to an entry in shutdown, gets `not-run`
-//   and sends the dossier as a new request.
-// Cause: the run state in the refusal described the resume request, not the generation.
+// Guards against two generations of one dossier: an entry in shutdown refuses a resume with
+// `not-run`, which describes the resume request and not the generation, and the caller sends the
+// dossier as a new request.
 test('an entry that shuts down refuses a resume with run state unknown', async (t) => {
   const server = await startTestCallerServer();
   server.shutdown.drain(1000);
--- a/tests/entry/wholePath.test.ts
+++ b/tests/entry/wholePath.test.ts
@@ -45,9 +45,8 @@
   await system.stop();
 });
 
-// Symptom: a review breaks off, restarts from the first word, or repeats words.
-// Sequence: the engine fails after 12 tokens; the entry resumes at the other engine.
-// Cause: the connection of the caller depended on the connection to one engine.
+// Guards against a review that breaks off, restarts or repeats words when its engine fails: the
+// connection of the caller depended on the connection to one engine.
 test('an unmodified OpenAI client gets a complete generation although its engine fails', async (t) => {
   const system = await startTestSystem({ engines: [{}, {}] });
   const running = Promise.race(
@@ -72,9 +71,8 @@
   await system.stop();
 });
 
-// Symptom: a review that runs while its entry is replaced is cut off or starts again.
-// Sequence: after 10 tokens the entry drains with a timeout of 0; its process exits.
-// Cause: the stream ended with the process and gave the caller no cursor for another entry.
+// Guards against a review that is cut off or starts again when its entry is replaced: the stream
+// ended with the process and gave the caller no cursor for another entry.
 test('a drained entry hands its stream over to another entry, with each token once', async (t) => {
   const { limits } = buildTestConfiguration();
   const system = await startTestSystem({
@@ -96,9 +94,8 @@
   await system.stop();
 });
 
-// Symptom: a dossier is processed in a place that is not allowed.
-// Sequence: no server in the allowed places serves; another place has a free server.
-// Cause: routing falls back to servers outside the allowed places.
+// Guards against work in a place that is not allowed: no server in the allowed places serves, and
+// routing falls back to a free one elsewhere.
 test('work without a server in its allowed places is refused and reaches no other engine', async (t) => {
   const system = await startTestSystem({
     configuration: { places: [{ name: 'here', region: 'r1', availabilityZones: ['z2'] }] },
@@ -115,10 +112,8 @@
   await system.stop();
 });
 
-// Symptom: a process that was asked to leave never exits.
-// Sequence: the platform's list marks the VM as leaving while it starts; the drain ends; then the
-//   program starts to wait for a drain.
-// Cause: only a drain that started after the wait was noticed.
+// Guards against a process that was asked to leave and never exits: it drains while it still
+// starts, and only a drain that began after the wait for one was noticed.
 test('waiting for a drain that has already started or ended resolves', async (t) => {
   const system = await startTestSystem();
   await system.entries[0]!.drain();
--- a/tests/generations/crashingGenerations.test.ts
+++ b/tests/generations/crashingGenerations.test.ts
@@ -1,7 +1,5 @@
-// Symptom: one generation crashes up to 24 engines and breaks the other streams on them.
-// Sequence: each engine that starts the generation crashes before the first token; the generation
-//   is then sent to the next engine.
-// Cause: the limit on attempts without a token does not tell crashes from refused connections.
+// Guards against a generation that crashes up to 24 engines, and breaks the other streams on them:
+// the limit on attempts without a token does not tell crashes from refused connections.
 import test from 'ava';
 import { createFakeClock } from '../../standins/fakes';
 import { createScriptedEngines } from '../support/createScriptedEngines';
--- a/tests/generations/engineLoss.test.ts
+++ b/tests/generations/engineLoss.test.ts
@@ -28,9 +28,8 @@
   return { clock, engines, entry, signal, start };
 };
 
-// Symptom: the caller's stream ends in the middle of an answer.
-// Sequence: the engine is killed after 3 tokens; its port refuses connections.
-// Cause: only the engine has a copy of the tokens.
+// Guards against a stream that ends in the middle of an answer when its engine is killed, which has
+// the only copy of the tokens.
 test('a generation resumes on another engine with the received tokens as prefix', async (t) => {
   const { engines, entry, start } = setUp();
   const { reader } = await start();
@@ -48,9 +47,8 @@
   );
 });
 
-// Symptom: tokens are generated and billed twice.
-// Sequence: only the connection breaks; the engine continues the stream.
-// Cause: the entry treats every broken connection as a dead engine.
+// Guards against tokens that are generated and billed twice: only the connection breaks, and the
+// entry treats the engine as dead.
 test('after a broken connection the same stream is resumed', async (t) => {
   const { engines, start } = setUp();
   const { first, reader } = await start();
@@ -64,9 +62,8 @@
   t.is(engines.starts.length, 1);
 });
 
-// Symptom: the caller waits indefinitely, or gets the text of two attempts mixed.
-// Sequence: the engine freezes; another engine continues; the first thaws and sends late tokens.
-// Cause: the silence is not detected, or late tokens are accepted because their offsets match.
+// Guards against an endless wait, or text of two attempts mixed: an engine freezes and its silence
+// is not detected, or its late tokens are accepted because their offsets match.
 for (const mode of Object.values(SurvivalMode)) {
   test(`a frozen engine is replaced and its late tokens are dropped: ${mode}`, async (t) => {
     const { clock, engines, start, entry } = setUp(mode);
@@ -94,9 +91,8 @@
   });
 }
 
-// Symptom: one caller waits five seconds for its next token, other callers half a second.
-// Sequence: a stream freezes after its first token; other streams of the service ran steadily.
-// Cause: the silence limit depends only on token gaps of the same stream, which has none yet.
+// Guards against a wait of five seconds for the next token, where other callers wait half a second:
+// a stream that freezes after its first token has no token gaps of its own for the silence limit.
 test('the silence limit of a stream with one token follows the token gaps of its service', async (t) => {
   const { clock, engines, entry, signal, start } = setUp();
   const { first, reader } = await start();
@@ -118,9 +114,8 @@
   t.truthy(replacement);
 });
 
-// Symptom: a burst of requests takes every engine out of service, and lookups are refused.
-// Sequence: an engine sends tokens on one stream while another stream waits for its prefill.
-// Cause: the limit for the first token ignores the queue inside the engine.
+// Guards against a burst of requests that takes every engine out of service, so that lookups are
+// refused: the limit for the first token ignores the queue inside the engine.
 test('a queued prefill on an engine that sends tokens does not make the engine suspected', async (t) => {
   const { clock, engines, entry, signal, start } = setUp(SurvivalMode.Latency);
   const { first, reader } = await start();
--- a/tests/generations/entryLoss.test.ts
+++ b/tests/generations/entryLoss.test.ts
@@ -2,9 +2,8 @@
 import { buildRequest } from '../support/createTestEntry';
 import { createTestDeployment } from '../support/createTestDeployment';
 
-// Symptom: a caller whose entry failed gets its text from the start again, or not at all.
-// Sequence: entry-1 fails after 3 tokens; the caller sends only its cursor to entry-22.
-// Cause: a running generation exists only in the memory of one entry.
+// Guards against text that starts again, or is lost, after the failure of an entry: the running
+// generation exists only in the memory of one entry.
 test('another entry resumes the stream on the engine', async (t) => {
   const { engines, network, first, second, open, resume, readFeed } = createTestDeployment();
   const { stream, reader } = await open(first, 3);
@@ -17,9 +16,8 @@
   t.is(engines.starts.length, 1);
 });
 
-// Symptom: the loss of an availability zone loses minutes of work.
-// Sequence: entry-1 and the engine fail together; the caller sends request and prefix to entry-22.
-// Cause: there is no copy of the tokens outside the zone.
+// Guards against minutes of work lost with an availability zone: entry and engine fail together,
+// and there is no copy of the tokens outside the zone.
 test('if entry and engine fail together, the generation resumes from the prefix of the caller', async (t) => {
   const { engines, network, first, second, open, resume, readFeed } = createTestDeployment();
   const { reader } = await open(first, 3);
@@ -48,9 +46,8 @@
   t.deepEqual([...prefixTokenIds, ...rest.tokenIds], next.tokenIds);
 });
 
-// Symptom: a caller that moved to another entry gets no more tokens when the first entry fails.
-// Sequence: entry-22 relays from entry-1, which then stops responding; the engine continues.
-// Cause: the relay cannot resume from the engine without the peer.
+// Guards against a caller that moved to another entry and gets no more tokens when the first one
+// stops responding: a relay cannot resume from the engine without the peer.
 test('a relay resumes from the engine when its peer fails', async (t) => {
   const { clock, engines, network, first, second, open, resume, readFeed } = createTestDeployment();
   const { stream, reader } = await open(first, 3);
@@ -81,10 +78,8 @@
   reading?.end();
 });
 
-// Symptom: one answer contains text of two attempts.
-// Sequence: entry-1 seems dead, so entry-22 continues from token 3 on another engine; entry-1
-//   returns with 5 tokens of the first attempt; the caller sends it the cursor of the second.
-// Cause: entry-1 checks only the offset of the cursor, not which attempt it belongs to.
+// Guards against an answer with text of two attempts: an entry that seemed dead returns with tokens
+// of the first one, and checks only the offset of a cursor, not which attempt it belongs to.
 test('tokens of another attempt are never spliced into an answer', async (t) => {
   const { engines, network, first, second, open, resume, readFeed } = createTestDeployment();
   const { stream, reader } = await open(first, 3);
--- a/tests/generations/keyed.test.ts
+++ b/tests/generations/keyed.test.ts
@@ -4,10 +4,8 @@
 
 const KEYED = { idempotencyKey: 'key' };
 
-// Symptom: one idempotency key gets two generations, and the customer two letters.
-// Sequence: the same POST reaches two entries at once.
-// Cause: the claim is read before it is written instead of atomically, or callers cannot attach to
-//   its holder yet.
+// Guards against two generations, and two letters, for one idempotency key that reaches two entries
+// at once: the claim is not written atomically, or callers cannot attach to its holder yet.
 test('simultaneous POSTs with one idempotency key give one generation', async (t) => {
   const { engines, first, second, readFeed, signal } = createTestDeployment();
   const openings = [first, second, first].map(({ generations }) =>
@@ -23,9 +21,8 @@
   t.is(engines.starts.length, 1);
 });
 
-// Symptom: a repeated request is generated again, or another body gets the first answer.
-// Sequence: the answer is stored; a request with the same key arrives at another entry.
-// Cause: keys are kept only in the memory of one entry.
+// Guards against a repeated request that is generated again, or another body that gets its answer:
+// keys are kept only in the memory of one entry.
 test('a stored answer is replayed, and a different request with its key is refused', async (t) => {
   const { clock, engines, first, second, open, readFeed, signal } = createTestDeployment();
   const { stream, reader } = await open(first, 2, KEYED);
@@ -42,9 +39,8 @@
   t.is(engines.starts.length, 1);
 });
 
-// Symptom: the answer of a request that finished during a shutdown is not found by its repeat.
-// Sequence: the store is down; the last token is sent; the entry is drained and exits.
-// Cause: the drain ends with the last token, while the answer is still being written.
+// Guards against an answer that is not found by the repeat of its request: the store is down, and a
+// drain ends with the last token while the answer is still being written.
 test('a drain waits until answers are stored, but not past its timeout', async (t) => {
   const { clock, engines, first, second, tableStore, open, readFeed, signal } =
     createTestDeployment();
@@ -71,9 +67,8 @@
   t.is(engines.starts.length, 1);
 });
 
-// Symptom: a paused entry continues work that another entry took over, and overwrites its claim.
-// Sequence: entry-1 pauses; entry-22 takes over the claim; the engine fails; entry-1 resumes.
-// Cause: the entry does not check whether it still holds the claim.
+// Guards against a paused entry that continues work which another one took over, and overwrites its
+// claim: it does not check whether it still holds the claim.
 test('an entry that lost its claim starts no further attempt', async (t) => {
   const { clock, engines, network, first, second, open, readFeed, signal } = createTestDeployment();
   const { stream, reader } = await open(first, 2, KEYED);
@@ -94,9 +89,8 @@
   t.deepEqual(own[0]!.tokenIds.slice(0, 2), stream.tokenIds);
 });
 
-// Symptom: billable work runs twice, or the caller is told "not run" about work that ran.
-// Sequence: the engine fails after the first token; the key is repeated; then the store is down.
-// Cause: work that may have started is retried.
+// Guards against billable work that runs twice, or is called "not run" although it ran: work that
+// may have started is retried, also while the store is down.
 test('non-idempotent work is sent once, and errors report the known run state', async (t) => {
   const { engines, first, second, open, signal, tableStore } = createTestDeployment();
   const once = { idempotent: false, idempotencyKey: 'once' };
--- a/tests/generations/placement.test.ts
+++ b/tests/generations/placement.test.ts
@@ -2,10 +2,8 @@
 import { createTestDeployment } from '../support/createTestDeployment';
 import { createTestEntry } from '../support/createTestEntry';
 
-// Symptom: a review continues in a place that its workspace may no longer use.
-// Sequence: entry-1 fails; a new configuration disallows the place; the caller sends entry-2 a
-//   cursor that names an engine there.
-// Cause: the stream named in a cursor was resumed without a check of its place.
+// Guards against a review that continues in a place that its workspace may no longer use: the
+// stream named in a cursor was resumed without a check of its place.
 test('a stream in a place that is no longer allowed is not resumed', async (t) => {
   const { clock, engines, network, first, open, resume } = createTestDeployment();
   const { reader } = await open(first, 3);
--- a/tests/keeper/keeper.test.ts
+++ b/tests/keeper/keeper.test.ts
@@ -32,10 +32,9 @@
   );
 
 test('a new version is loaded beside the old one, within the limit on concurrent loads', async (t) => {
-  // Symptom: no engine serves the model while all engines load the new version.
-  // Sequence: the target of all engines changes at once.
-  // Cause: an order unloads the old version before the new one serves, or more engines load at once
-  //   than the weight store allows.
+  // Guards against a model that no engine serves while all load its new version: an order unloads
+  // the old version before the new one serves, or more engines load at once than the weight store
+  // allows.
   const system = await startTestKeepers({ maxLoads: 2 });
   t.is(system.engines.flatMap(({ acceptedOrders }) => acceptedOrders).length, 0);
   system.applyTargets(buildTargets(NAMES, [V2]));
@@ -93,11 +92,9 @@
 for (const checksFencing of [true, false]) {
   const kind = checksFencing ? 'check' : 'ignore';
   test(`a keeper paused past its lease sends no order to engines that ${kind} fencing tokens`, async (t) => {
-    // Symptom: an engine loads an old version again.
-    // Sequence: a keeper is paused between two orders; the other acquires the lease; the first
-    //   resumes its plan and cannot reach the table.
-    // Cause: the first keeper acts on an expired lease. If engines ignore fencing tokens, only the
-    //   keeper's own clock can stop it.
+    // Guards against an engine that loads an old version again: a keeper that was paused between
+    // two orders acts on an expired lease. If engines ignore fencing tokens, only the keeper's own
+    // clock can stop it.
     const system = await startTestKeepers({ checksFencing });
     const [first, second] = system.keepers;
     const release = system.delayNextResponse();
--- a/tests/lease/lease.test.ts
+++ b/tests/lease/lease.test.ts
@@ -26,9 +26,8 @@
 });
 
 test('a holder that was paused past its lease sends no order after it resumes', async (t) => {
-  // Symptom: engines get orders of the old holder after those of the new one.
-  // Sequence: the holder is paused past its lease, the other acquires it, the first resumes.
-  // Cause: the old holder assumes that it holds the lease until it reads the row again.
+  // Guards against orders of an old holder after those of the new one: a holder that was paused
+  // past its lease assumes that it still has it until it reads the row again.
   const pair = await startLeasePair();
   const [first] = pair.holders;
   first.pause();
--- a/tests/openai/openai.test.ts
+++ b/tests/openai/openai.test.ts
@@ -92,9 +92,8 @@
   t.is(whole.usage?.completion_tokens, TOKENS);
 });
 
-// Symptom: the stream of an OpenAI client stops or repeats tokens when an engine fails.
-// Sequence: two streams and an unstreamed request run; a decoding engine is killed at token 20.
-// Cause: the entry does not resume after exactly the tokens that it has sent.
+// Guards against a stream of an OpenAI client that stops or repeats tokens when an engine is
+// killed: the entry does not resume after exactly the tokens that it has sent.
 test('the failure of an engine is invisible to an unmodified OpenAI client', async (t) => {
   const system = await startSystem();
   t.teardown(system.stop);
@@ -111,10 +110,8 @@
   t.deepEqual(checkReview('c', [whole.choices[0]?.message.content ?? '']), WHOLE);
 });
 
-// Symptom: a client without support for cursors gets two findings for one dossier, or none.
-// Sequence: the entry fails at token 20; the client repeats its POST with its key at another entry.
-// Cause: the claim of the key is lost with the entry, or the repeat gets tokens of another
-//   generation.
+// Guards against two findings for one dossier, or none, at a client that only repeats its POST: the
+// claim of the key is lost with the entry, or the repeat gets tokens of another generation.
 test('a client that only repeats its POST gets one complete generation', async (t) => {
   const system = await startSystem();
   t.teardown(system.stop);
--- a/tests/peers/exchange.test.ts
+++ b/tests/peers/exchange.test.ts
@@ -56,9 +56,8 @@
 }
 
 test('a suspicion, a recovery and a leaving server are pushed to the whole region at once', async (t) => {
-  // Symptom: generations on a dead engine hang at other entries until each detects the silence.
-  // Sequence: one entry sees a connection reset; the others must learn of it before the next round.
-  // Cause: news that is not pushed waits for the next gossip round (500 ms).
+  // Guards against generations on a dead engine that hang at other entries until each detects the
+  // silence: news that is not pushed waits for the next gossip round (500 ms).
   const { vms, clock, stop } = await startRegion(9);
   const [first, second] = vms;
   const readHealth = () =>
@@ -77,9 +76,8 @@
 });
 
 test('a server that reports leaving and later takes it back is serving again at all VMs', async (t) => {
-  // Symptom: a server replaced under the same name gets no work from VMs that do not poll it.
-  // Sequence: the reports of the server set `leaving` and later clear it.
-  // Cause: only the first change was applied.
+  // Guards against a server, replaced under the same name, that gets no work from VMs that do not
+  // poll it: its reports set `leaving` and later clear it, and only the first change was applied.
   const { vms, clock, stop } = await startRegion(9);
   const readHealth = () => new Set(vms.slice(1).map(({ health }) => health.readHealth('engine-1')));
   const report = (sequence: number, leaving: boolean) =>
@@ -114,9 +112,8 @@
 });
 
 test('both sides detect a network partition and recover after it heals', async (t) => {
-  // Symptom: a partitioned VM accepts work under an outdated configuration.
-  // Sequence: a partition splits 9 VMs into 4 and 5, and later heals.
-  // Cause: a VM counts as heard without news that is proven fresh.
+  // Guards against a partitioned VM that accepts work under an outdated configuration: a VM counts
+  // as heard without news that is proven fresh.
   const { vms, clock, cutNetwork, stop } = await startRegion(9);
   const names = vms.map(({ name }) => name);
   cutNetwork([names.slice(0, 4), names.slice(4)]);
@@ -132,8 +129,8 @@
 });
 
 test('a VM that boots during an outage finds its peers through a seed address', async (t) => {
-  // Symptom: a new VM finds no peer and accepts no work.
-  // Cause: the VM list and the table are unreachable.
+  // Guards against a new VM that finds no peer and accepts no work while the VM list and the table
+  // are unreachable.
   const region = await startRegion(3);
   const booted = region.startVm('vm-4', { region: 'gt', seeds: ['vm-2:1'] });
   await region.clock.advanceAsync(6_000);
@@ -143,9 +140,8 @@
 });
 
 test('a restarted VM is distinguished from its earlier incarnation', async (t) => {
-  // Symptom: peers ignore a restarted VM for as long as its predecessor ran, or restore the
-  //   `leaving` state of the predecessor.
-  // Cause: the heartbeats and counters of the new process start from zero.
+  // Guards against a restarted VM that peers ignore for as long as its predecessor ran, or that
+  // they count as `leaving` as its predecessor was: its heartbeats and counters start from zero.
   const region = await startRegion(14);
   const [old] = region.vms;
   await region.clock.advanceAsync(30_000);
@@ -162,9 +158,9 @@
 });
 
 test('a booting VM does not count dead VMs as heard because of their old heartbeats', async (t) => {
-  // Symptom: a VM that boots in the minority of a partition counts itself in the majority.
-  // Sequence: 6 of 14 VMs are cut off from the other 8; a new VM boots and gets all old heartbeats.
-  // Cause: the first heartbeat seen may be the last of a dead VM; only an increase proves liveness.
+  // Guards against a VM that boots in the minority of a partition and counts itself in the
+  // majority: the first heartbeat seen may be the last of a dead VM; only an increase proves
+  // liveness.
   const region = await startRegion(14);
   const names = region.vms.map(({ name }) => name);
   region.cutNetwork([[...names.slice(0, 6), 'vm-15'], names.slice(6)]);
@@ -180,9 +176,8 @@
 });
 
 test('news that was buffered during a pause does not count as fresh', async (t) => {
-  // Symptom: a VM that was paused treats buffered news as proof that it is not partitioned.
-  // Sequence: a peer sends news; the receiver pauses for a minute before it reads the news.
-  // Cause: an age in a message does not include the time that the message spent in a buffer.
+  // Guards against buffered news that a paused VM takes as proof that it is not partitioned: an age
+  // in a message does not include the time that the message spent in a buffer.
   const { vms, clock, cutNetwork, readLastNews, stop } = await startRegion(2);
   const [reader, writer] = vms;
   if (reader === undefined || writer === undefined) return;
--- a/tests/peers/goaway.test.ts
+++ b/tests/peers/goaway.test.ts
@@ -17,11 +17,9 @@
   drain: () => 0,
 };
 
-// Symptom: an entry crashes with "received GOAWAY without any open streams".
-// Sequence: a peer shuts down; its GOAWAY destroys the idle connection; before the connection
-//   emits its error, this VM calls the peer again or closes its client.
-// Cause: the library removes its error listener from a destroyed connection, so the error is
-//   unhandled.
+// Guards against an entry that crashes with "received GOAWAY without any open streams": a peer's
+// shutdown destroys the idle connection, and the library removes its error listener before the
+// error is emitted.
 test('a call or close while a peer shuts down does not crash the process', async (t) => {
   for (let round = 0; round < MAX_TURNS * REPEATS; round += 1) {
     const server = readOk(await startPeerServer({ host: '127.0.0.1', port: 0, services }));
--- a/tests/peers/membership.test.ts
+++ b/tests/peers/membership.test.ts
@@ -63,9 +63,8 @@
 });
 
 test('a backend server that the VM list marks as leaving gets no new work from any VM', async (t) => {
-  // Symptom: new work goes to a server that shuts down.
-  // Sequence: the VM list changes; only few VMs poll it at that time.
-  // Cause: without gossip each VM learns of the change only from its own next poll.
+  // Guards against new work for a server that shuts down: without gossip, each VM learns of a
+  // change of the VM list only from its own next poll.
   const records = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'].map((vm) => ({
     vm,
     peerAddress: `${vm}:1`,
--- a/tests/properties/droppedStreams.test.ts
+++ b/tests/properties/droppedStreams.test.ts
@@ -39,9 +39,8 @@
   return inputs[step];
 };
 
-// Symptom: two servers work on one request at the same time.
-// Sequence: a stream breaks or falls silent; the next attempt begins while the first still runs.
-// Cause: where a run ends with its connection only, an attempt is opened before the other is closed.
+// Guards against two servers that work on one request at the same time: where a run ends with its
+// connection only, an attempt is opened before the other is closed.
 test('where runs end with their connection, an attempt is closed before the next is opened', (t) => {
   fc.assert(
     fc.property(fc.array(fc.constantFrom(...STEPS), { maxLength: 40 }), (steps) => {
--- a/tests/properties/generation.test.ts
+++ b/tests/properties/generation.test.ts
@@ -43,9 +43,9 @@
     OPTIONS,
   );
 
-// Symptom: a caller's text changes in mid-answer, or a token comes twice.
-// Sequence: any order of losses, returns, late tokens, refusals and reconnects.
-// Cause: anything that lets a second run's token in, or runs non-idempotent work again.
+// Guards against text that changes in mid-answer, or a token that comes twice, in any order of
+// losses, returns, late tokens, refusals and reconnects: a second run's token is let in, or
+// non-idempotent work runs again.
 test('each token of one generation comes once, or the end is clear', (t) => {
   const { failed, counterexample } = check();
   t.false(failed, JSON.stringify(counterexample));
--- a/tests/services/plain.test.ts
+++ b/tests/services/plain.test.ts
@@ -85,10 +85,8 @@
   await system.stop();
 });
 
-// Symptom: a client is billed twice.
-// Sequence: the service bills; its connection breaks before the response; another server gets the
-//   call.
-// Cause: a call whose connection broke was treated as not run.
+// Guards against a client that is billed twice: a call whose connection broke before the response
+// was treated as not run, and sent to another server.
 test('a non-idempotent call is not retried after its response is lost', async (t) => {
   const system = await startTestServices();
   system.first.addFault('drop-answer', 1);
@@ -100,9 +98,8 @@
   await system.stop();
 });
 
-// Symptom: a caller gets `not-run`, repeats the call and gets `unknown` although nothing ran.
-// Sequence: no server accepts a connection; the claim stays in the store; the repeat finds it.
-// Cause: the claim of a call that was certainly not sent was not released.
+// Guards against `unknown` as the answer to the repeat of a call that was certainly not sent: its
+// claim was not released.
 test('a call that no server accepted has run state not-run, and its repeat runs', async (t) => {
   const system = await startTestServices();
   await system.first.kill();
@@ -179,9 +176,8 @@
   await system.stop();
 });
 
-// Symptom: a client is billed twice, the second time under another key.
-// Sequence: the call runs; its repeat finds no server and gets `not-run`.
-// Cause: the run state of a refusal before the claim described only the repeat.
+// Guards against a client that is billed twice, the second time under another key: the run state of
+// a refusal before the claim described only the repeat.
 test('a repeat that is refused before its claim gets the run state of the first call', async (t) => {
   const system = await startTestServices();
   const repeatedCall = buildCall({}, 'req_2');
