Give back a permit of the VM that releases it

Cause: releasePermit dropped the newest counted request of the server, whichever VM had sent it. A VM that gave back an older permit, or one that the owner no longer counted, freed the place of another VM's request, so that the server could get more than its limit.

Change: the limit owner keeps the sender of each counted request and takes back the newest one of the VM that releases.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,7 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { SentPrompt } from '../../../application/forwarding';
 import type { GossipCalls } from '../../../application/gossip';
-import type { PermitRequest } from '../../../application/limits';
+import type { PermitRelease, PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type { PermitDecision } from '../../../domain/limits';
@@ -23,7 +23,7 @@
   /** Asks a gateway for a permit; null if the gateway times out. */
   acquirePermit(address: string, request: PermitRequest): Promise<PermitDecision | null>;
   /** Returns an unused permit; best effort, no retry. */
-  releasePermit(address: string, server: string): void;
+  releasePermit(address: string, release: PermitRelease): void;
   /** Asks a gateway for newer rows of the store's tables; null if the gateway times out. */
   followTables(
     address: string,
@@ -91,8 +91,8 @@
       const answer = await waitWithTimeout(pending, PERMIT_TIMEOUT_MS);
       return answer && { isGranted: answer.isGranted, waitMs: answer.waitMs };
     },
-    releasePermit: (address, server) => {
-      call(address, METHODS.releasePermit, { server }, CALL_TIMEOUT_MS);
+    releasePermit: (address, release) => {
+      call(address, METHODS.releasePermit, release, CALL_TIMEOUT_MS);
     },
     tellPrompt: (address, prompt) => {
       call(address, METHODS.tellPrompt, prompt, CALL_TIMEOUT_MS);
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,6 +1,6 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
 import type { Knowledge } from '../../../application/gossip';
-import type { PermitRequest } from '../../../application/limits';
+import type { PermitRelease, PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type { PermitDecision } from '../../../domain/limits';
@@ -17,7 +17,7 @@
   readonly recordToldPrompt: (server: string, tokens: number) => void;
   readonly handleReservation: (server: string, tokens: number) => number;
   readonly handlePermit: (request: PermitRequest) => PermitDecision;
-  readonly releasePermit: (server: string) => void;
+  readonly releasePermit: (release: PermitRelease) => void;
   readonly handleRequest: (request: StatementsRequest) => Promise<StatementsResponse>;
   /** Null if this gateway does not know the rollout order. */
   readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
@@ -48,8 +48,8 @@
     othersTokens: handleReservation(server, tokens),
   }),
   acquirePermit: async (request) => handlePermit(request),
-  releasePermit: async ({ server }) => {
-    releasePermit(server);
+  releasePermit: async ({ sender, server }) => {
+    releasePermit({ sender, server });
     return {};
   },
   tellPrompt: async ({ server, tokens }) => {
--- a/src/application/limits/createLimitOwner/index.ts
+++ b/src/application/limits/createLimitOwner/index.ts
@@ -1,7 +1,7 @@
 import { decidePermit, PERMIT_WINDOW_MS, type PermitDecision } from '../../../domain/limits';
 import type { Clock, Randomness } from '../../ports';
 import type { ServerLimits } from '../createServerLimits';
-import type { PermitRequest } from '../types';
+import type { PermitRelease, PermitRequest } from '../types';
 
 /** Dependencies of the limit owner. */
 export interface LimitOwnerDependencies {
@@ -14,13 +14,20 @@
 export interface LimitOwner {
   /** Decides on a permit request. A granted permit counts as a sent request. */
   handlePermitRequest(request: PermitRequest): PermitDecision;
-  /** Takes back a permit that was not used. */
-  releasePermit(server: string): void;
+  /** Takes back the latest permit of a VM that the VM did not use. */
+  releasePermit(release: PermitRelease): void;
+}
+
+/** A sent request, or a permit for one. */
+interface CountedRequest {
+  readonly atMs: number;
+  /** VM that sent it. */
+  readonly sender: string;
 }
 
 /** Recent requests to one server, and the VMs that asked for permits. */
 interface ServerWindow {
-  sentAtMs: readonly number[];
+  sentRequests: readonly CountedRequest[];
   readonly lastAskedAtMsByVm: Map<string, number>;
 }
 
@@ -51,7 +58,7 @@
     const known = windows.get(server);
     if (known) return known;
     removeIdleWindows(nowMs);
-    const opened = { sentAtMs: [], lastAskedAtMsByVm: new Map<string, number>() };
+    const opened = { sentRequests: [], lastAskedAtMsByVm: new Map<string, number>() };
     windows.set(server, opened);
     return opened;
   };
@@ -61,26 +68,32 @@
       const nowMs = clock.readMonotonicMs();
       const window = findOrCreateWindow(server, nowMs);
       window.lastAskedAtMsByVm.set(sender, nowMs);
-      window.sentAtMs = [...window.sentAtMs, ...sentAgesMs.map((ageMs) => nowMs - ageMs)]
-        .filter((atMs) => atMs > nowMs - PERMIT_WINDOW_MS)
-        .sort((a, b) => a - b);
+      const reported = sentAgesMs.map((ageMs) => ({ atMs: nowMs - ageMs, sender }));
+      window.sentRequests = [...window.sentRequests, ...reported]
+        .filter(({ atMs }) => atMs > nowMs - PERMIT_WINDOW_MS)
+        .sort((a, b) => a.atMs - b.atMs);
       const recentAskers = [...window.lastAskedAtMsByVm.values()].filter(
         (atMs) => atMs > nowMs - ASKER_TTL_MS,
       );
       const decision = decidePermit({
-        sentAtMs: window.sentAtMs,
+        sentAtMs: window.sentRequests.map(({ atMs }) => atMs),
         limitPerS: Math.min(limitPerS, limits.readLimitPerS(server) ?? Infinity),
         nowMs,
         askingVms: recentAskers.length,
         draw: randomness.readFraction(),
         slack: isConfirmation ? CONFIRMATION_SLACK_REQUESTS : 0,
       });
-      if (decision.isGranted) window.sentAtMs = [...window.sentAtMs, nowMs];
+      if (decision.isGranted)
+        window.sentRequests = [...window.sentRequests, { atMs: nowMs, sender }];
       return decision;
     },
-    releasePermit: (server) => {
+    releasePermit: ({ sender, server }) => {
       const window = windows.get(server);
-      if (window) window.sentAtMs = window.sentAtMs.slice(0, -1);
+      if (!window) return;
+      const released = window.sentRequests.findLast(
+        (request) => sender === '' || request.sender === sender,
+      );
+      window.sentRequests = window.sentRequests.filter((request) => request !== released);
     },
   };
 };
--- a/src/application/limits/createPermitClient/index.ts
+++ b/src/application/limits/createPermitClient/index.ts
@@ -7,7 +7,7 @@
 import type { Clock, EventLog } from '../../ports';
 import type { LimitOwner } from '../createLimitOwner';
 import type { ServerLimits } from '../createServerLimits';
-import type { LimitPeer, PermitRequest } from '../types';
+import type { LimitPeer, PermitRelease, PermitRequest } from '../types';
 
 /** Dependencies of the permit client. */
 export interface PermitClientDependencies {
@@ -17,7 +17,7 @@
   /** Asks another VM for a permit; resolves with null if the VM does not respond in time. */
   readonly askPeer: (address: string, request: PermitRequest) => Promise<PermitDecision | null>;
   /** Returns an unused permit to another VM. Best effort: nothing depends on delivery. */
-  readonly notifyReleased: (address: string, server: string) => void;
+  readonly notifyReleased: (address: string, release: PermitRelease) => void;
   readonly owner: LimitOwner;
   readonly limits: Pick<ServerLimits, 'readLimitPerS'>;
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
@@ -130,8 +130,8 @@
 
   const releasePermits = (owners: readonly Owner[], server: string): void =>
     owners.forEach(({ address }) => {
-      if (address === null) owner.releasePermit(server);
-      else notifyReleased(address, server);
+      if (address === null) owner.releasePermit({ sender: name, server });
+      else notifyReleased(address, { sender: name, server });
     });
 
   /** Decides by this VM's even share of the limit while too few owners respond. */
--- a/standins/limits/simulateLimits/index.ts
+++ b/standins/limits/simulateLimits/index.ts
@@ -126,8 +126,8 @@
         policy === LimitPolicy.UnconfirmedOwner && request.isConfirmation
           ? Promise.resolve({ isGranted: true, waitMs: 0 })
           : callVm(vm, address, (other) => other.owner.handlePermitRequest(request)),
-      notifyReleased: (address, server) => {
-        callVm(vm, address, (other) => other.owner.releasePermit(server));
+      notifyReleased: (address, release) => {
+        callVm(vm, address, (other) => other.owner.releasePermit(release));
       },
       owner,
       limits: {
