--- a/standins/chain/checkChain/test.ts
+++ b/standins/chain/checkChain/test.ts
@@ -29,7 +29,7 @@
     skipped: [[...whole.slice(0, 2), ...whole.slice(3)], { missing: 1, repeated: 0 }],
     repeated: [[...whole.slice(0, 3), ...whole.slice(2)], { missing: 0, repeated: 1, mixed: 0 }],
     'end lost': [whole.slice(0, 4), { missing: 2, repeated: 0, mixed: 0 }],
-    spliced: [[...whole.slice(0, 3), ...other.slice(3)], { missing: 0, repeated: 0, mixed: 3 }],
+    mixed: [[...whole.slice(0, 3), ...other.slice(3)], { missing: 0, repeated: 0, mixed: 3 }],
     'foreign repeat': [
       [...whole.slice(0, 3), other[2] ?? '', ...whole.slice(3)],
       { repeated: 1, mixed: 1 },
--- a/standins/engine/createStandInEngine/test.ts
+++ b/standins/engine/createStandInEngine/test.ts
@@ -7,7 +7,7 @@
   model: 'review',
   stream: true,
   max_tokens: 12,
-  messages: [{ role: 'user', content: 'please review this dossier' }],
+  messages: [{ role: 'user', content: 'please review this document' }],
 };
 
 const PROMPT = `review\n${renderPrompt(BODY)}`;
@@ -137,12 +137,12 @@
     await answer.body.dump();
     return answer.statusCode;
   };
-  t.is(await sendOrder(5, 'letter'), 202);
+  t.is(await sendOrder(5, 'summary'), 202);
   t.is(await sendOrder(4, 'review'), 409);
   t.is((await start('e.1')).status, 503);
-  t.true((await start('e.2', { model: 'letter' })).whole);
+  t.true((await start('e.2', { model: 'summary' })).whole);
   const load = await (await request(`${engine.url}/load`)).body.json();
-  t.like(load, { running: 0, fencing_token: 5, models: [{ model: 'letter' }] });
+  t.like(load, { running: 0, fencing_token: 5, models: [{ model: 'summary' }] });
 });
 
 test('a prompt is cached, published, and found gone with the process', async (t) => {
--- a/tests/properties/configuration.test.ts
+++ b/tests/properties/configuration.test.ts
@@ -181,12 +181,12 @@
     writeItem: (item) => table.writeItem(item, { kind: 'any' }),
   }));
   t.true(unconditional.failed);
-  const forgetful = await checkRules((table) => ({
+  const withoutAmbiguity = await checkRules((table) => ({
     ...table,
     writeItem: async (item, condition) =>
       (await table.writeItem(item, condition)).mapErr((error) =>
         error.kind === 'ambiguous' ? { kind: 'invalid', reason: 'taken as failed' } : error,
       ),
   }));
-  t.true(forgetful.failed);
+  t.true(withoutAmbiguity.failed);
 });
--- a/tests/properties/generation.test.ts
+++ b/tests/properties/generation.test.ts
@@ -51,7 +51,7 @@
   t.false(failed, JSON.stringify(counterexample));
 });
 
-// Shows that the property above can fail: without the check of the attempt it finds a splice.
+// Shows that the property above can fail: without the check of the attempt it finds text of two attempts.
 test('the property finds the bug of a missing attempt check', (t) => {
   const { failed } = check((state, input) => {
     const [live] = state.attempts;
