--- a/src/application/routing/createWaitQueue/index.ts
+++ b/src/application/routing/createWaitQueue/index.ts
@@ -60,6 +60,8 @@
   return { code: RefusalCode.DeadlineTooShort, message, retryAfterMs: Math.ceil(retryAfterMs) };
 }
 
+const ABORTED_MESSAGE = 'the request was aborted while it waited in the queue';
+
 /** Creates a bounded queue that serves workspaces by weighted fair queueing. */
 export function createWaitQueue({ clock }: { readonly clock: Clock }): WaitQueue {
   let shares: FairQueueState = { virtualTime: 0, finishTags: new Map() };
@@ -89,11 +91,13 @@
     return tag.startTag;
   };
 
-  const rejectWaiter = (waiter: WaitingDemand, message: string): void => {
+  const refuseWaiter = (waiter: WaitingDemand, refusal: Refusal): void => {
     removeWaiter(waiter);
     shares = removeQueuedCost(shares, waiter.workspace, waiter.pool.weight, waiter.cost);
-    waiter.finish(err(buildDeadlineRefusal(message, readInterval(waiter))));
+    waiter.finish(err(refusal));
   };
+  const rejectWaiter = (waiter: WaitingDemand, message: string): void =>
+    refuseWaiter(waiter, buildDeadlineRefusal(message, readInterval(waiter)));
 
   return {
     serve: (trySend) => {
@@ -106,6 +110,10 @@
           if (waiter.demand.excludedServers.length === 0) fullPools.add(waiter.pool);
           return;
         }
+        if (result.isErr()) {
+          refuseWaiter(waiter, result.error);
+          return;
+        }
         removeWaiter(waiter);
         recordServed(waiter.startTag);
         measureInterval();
@@ -143,6 +151,10 @@
     },
     waitForSlot: (queued, signal) =>
       new Promise((resolve) => {
+        if (signal.aborted) {
+          resolve(err(buildDeadlineRefusal(ABORTED_MESSAGE, readInterval(queued))));
+          return;
+        }
         const { demand } = queued;
         const id = nextId;
         nextId += 1;
@@ -158,8 +170,7 @@
             resolve(result);
           },
         };
-        const handleAbort = (): void =>
-          rejectWaiter(waiter, 'the request was aborted while it waited in the queue');
+        const handleAbort = (): void => rejectWaiter(waiter, ABORTED_MESSAGE);
         signal.addEventListener('abort', handleAbort, { once: true });
         cleanups.push(() => signal.removeEventListener('abort', handleAbort));
         const waitMs = Math.max(0, demand.deadlineMs - clock.readMonotonicMs());
--- a/tests/properties/generation.test.ts
+++ b/tests/properties/generation.test.ts
@@ -43,15 +43,15 @@
     OPTIONS,
   );
 
-// Symptom: a caller's text changes in mid-answer, or a token comes twice.
-// Sequence: any order of losses, returns, late tokens, refusals and reconnects.
-// Cause: anything that lets a second run's token in, or runs non-idempotent work again.
+// Guards against text that changes in mid-answer, or a token that comes twice, in any order of
+// losses, returns, late tokens, refusals and reconnects: a second run's token is let in, or
+// non-idempotent work runs again.
 test('each token of one generation comes once, or the end is clear', (t) => {
   const { failed, counterexample } = check();
   t.false(failed, JSON.stringify(counterexample));
 });
 
-// Shows that the property above can fail: without the check of the attempt it finds a splice.
+// Shows that the property above can fail: without the check of the attempt it finds text of two attempts.
 test('the property finds the bug of a missing attempt check', (t) => {
   const { failed } = check((state, input) => {
     const [live] = state.attempts;
