Bound the bytes that a gateway holds for requests, and shed streams while its event loop is late

Cause: measured with real sockets on the code before. 40 bodies of 4 MB that arrive at once were all read and held (171 MB of buffers, resident memory +214 MB; a VM may have 160 MB). A caller that sends half of its body, or reads nothing of a buffered answer, kept its bytes as long as its connection (body: still open after 12 s). A stream event without end was kept until the deadline (33 MB in 5.7 s, 59 MB of buffers). Bounded already: a stream whose caller does not read (the server is read on only after a drain), an answer to a call (8 MiB), a server that reads no body (deadline).

Change: createMemoryBudget counts bodies, buffered answers and unsent output by request; above a fraction of limits.memory_mb less the process's base it refuses streams, then calls, then answers. createLoopDelayMonitor refuses up to three quarters of new streams while all timers of the last second are late by more than a quarter of the smallest latency goal. A caller without progress for the configured idle timeout is disconnected. Events above 1 MiB end the attempt. An answer that this process stopped reading counts no more as a lost connection, nor does the end of a stream whose caller had read nothing for 2 s, as evidence against the server.

--- a/src/adapters/http/_lib/createCallerReply/index.ts
+++ b/src/adapters/http/_lib/createCallerReply/index.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from 'node:http';
+import { MemoryUse } from '../../../../domain/overload';
 import type { AnswerHead } from '../../../../domain/forwarding';
 import type { CallerReply, Refusal, RefusalKind } from '../../../../application/forwarding';
+import type { HeldBytes } from '../../../../application/overload';
 
 /** HTTP status of each kind of refusal by this process. */
 const STATUS_BY_REFUSAL: Readonly<Record<RefusalKind, number>> = {
@@ -20,12 +22,14 @@
 export interface CallerReplyOptions {
   /** Whether the connection is closed after this answer. */
   readonly isClosing: () => boolean;
+  /** Counts the bytes that are held for the request. */
+  readonly held: Pick<HeldBytes, 'acquire' | 'recordUnsent'>;
 }
 
 /** Creates the reply to one request, on top of a response of Node's HTTP server. */
 export const createCallerReply = (
   response: ServerResponse,
-  { isClosing }: CallerReplyOptions,
+  { held, isClosing }: CallerReplyOptions,
 ): CallerReply => {
   const leaveController = new AbortController();
   response.once('close', () => {
@@ -59,6 +63,7 @@
 
   return {
     callerLeft: leaveController.signal,
+    acquireBytes: (bytes) => held.acquire(MemoryUse.Answer, bytes),
     isOpen,
     hasSentHead: () => response.headersSent,
     sendRefusal,
@@ -72,14 +77,20 @@
     sendHead: (head) => {
       if (isOpen()) writeAnswerHead(head, []);
     },
-    write: (bytes) => !isOpen() || response.write(bytes),
+    write: (bytes) => {
+      if (!isOpen() || response.write(bytes)) return true;
+      held.recordUnsent(response.writableLength);
+      return false;
+    },
     waitForDrain: () =>
       new Promise((resolve) => {
         if (!isOpen() || !response.writableNeedDrain) {
+          held.recordUnsent(response.writableLength);
           resolve();
           return;
         }
         const finish = (): void => {
+          held.recordUnsent(response.writableLength);
           response.off('drain', finish);
           response.off('close', finish);
           resolve();
--- a/src/adapters/http/_lib/readBody/index.ts
+++ b/src/adapters/http/_lib/readBody/index.ts
@@ -2,17 +2,29 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerError } from '../../types';
 
+/** Options of reading a body. */
+export interface ReadBodyOptions {
+  /** Counts bytes that will be held; false if there is no room for them. */
+  readonly acquireBytes?: (bytes: number) => boolean;
+}
+
 /**
  * Reads the complete body of a request, up to a limit.
  *
+ * A body of known length is counted before any of it is read: bodies that arrive at once would
+ * otherwise each be read in part before none fits any more.
+ *
  * @param maxBytes - reading stops at the first byte past the limit, whatever `Content-Length` says
  */
 export const readBody = async (
   incoming: IncomingMessage,
   maxBytes: number,
+  { acquireBytes = () => true }: ReadBodyOptions = {},
 ): Promise<Result<Uint8Array, CallerError>> => {
   const tooLarge: CallerError = { kind: 'body-too-large', maxBytes };
-  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge);
+  const announcedBytes = Number(incoming.headers['content-length'] ?? 0);
+  if (announcedBytes > maxBytes) return err(tooLarge);
+  if (announcedBytes > 0 && !acquireBytes(announcedBytes)) return err({ kind: 'no-memory' });
   const chunks: Buffer[] = [];
   let bytes = 0;
   try {
@@ -20,6 +32,8 @@
     for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
       bytes += (chunk as Buffer).length;
       if (bytes > maxBytes) return err(tooLarge);
+      const isCounted = bytes <= announcedBytes || acquireBytes((chunk as Buffer).length);
+      if (!isCounted) return err({ kind: 'no-memory' });
       chunks.push(chunk as Buffer);
     }
   } catch {
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -1,12 +1,15 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Result } from 'neverthrow';
-import type { Forwarder } from '../../../application/forwarding';
+import type { Forwarder, Refusal } from '../../../application/forwarding';
+import type { HeldBytes, MemoryBudget } from '../../../application/overload';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { ForwardingLimits, RequestHead } from '../../../domain/forwarding';
+import type { MemoryUse } from '../../../domain/overload';
 import { createCallerReply } from '../_lib/createCallerReply';
 import { readBody } from '../_lib/readBody';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
+import { watchStall } from '../_lib/watchStall';
 
 /** Head of a request as parsed by Node's HTTP server. */
 export interface RawRequestHead {
@@ -22,7 +25,11 @@
 export interface ForwardingServerDependencies {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly forwarder: Forwarder;
+  readonly forwarder: Pick<Forwarder, 'forwardRequest'>;
+  /** Bounds the bytes that are held for requests. */
+  readonly memory: Pick<MemoryBudget, 'openRequest'>;
+  /** Finds what the bytes of a request are held for. */
+  readonly findMemoryUse: (head: RequestHead) => MemoryUse;
   /** Decodes a head; the error is the reason why the head is malformed. */
   readonly decodeHead: (raw: RawRequestHead) => Result<RequestHead, string>;
   /** Reads the limits in force; null before the first configuration. */
@@ -56,6 +63,16 @@
   rawHeaders.reduce((sum, text) => sum + text.length, 0) +
   (rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
 
+/** Memory that a request takes besides its body: its connections, parsers and timers. */
+const REQUEST_OVERHEAD_BYTES = 16_384;
+
+const NO_MEMORY: Refusal = {
+  kind: 'not-run',
+  reason: 'this VM holds too many bytes of requests',
+  // Another VM may take the request at once.
+  retryAfterMs: 50,
+};
+
 /** Rejects a request without forwarding it, and closes the connection with the rest unread. */
 const rejectRequest = (response: ServerResponse, status: number, reason: string): void => {
   response.shouldKeepAlive = false;
@@ -81,7 +98,8 @@
   dependencies: ForwardingServerDependencies,
   listen: { readonly host: string; readonly port: number },
 ): Promise<Result<ForwardingServer, ListenError>> => {
-  const { clock, decodeHead, forwarder, isClosing, log, readLimits } = dependencies;
+  const { clock, decodeHead, findMemoryUse, forwarder, isClosing, log, memory, readLimits } =
+    dependencies;
 
   const reject = (
     incoming: IncomingMessage,
@@ -93,7 +111,11 @@
     rejectRequest(response, status, reason);
   };
 
-  const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const handleHeld = async (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    held: HeldBytes,
+  ): Promise<void> => {
     const limits = readLimits() ?? DEFAULT_LIMITS;
     const head = decodeHead({
       method: incoming.method ?? '',
@@ -105,9 +127,27 @@
       return reject(incoming, response, 431, 'the headers are too long');
     }
     if (head.isErr()) return reject(incoming, response, 400, head.error);
-    const reply = createCallerReply(response, { isClosing });
-    const body = await readBody(incoming, limits.maxBodyBytes);
+    watchStall(incoming, response, {
+      timeoutMs: limits.idleTimeoutMs,
+      handleStall: (part) => {
+        log.warn('caller stalled', { requestId: head.value.requestId, part });
+        response.destroy();
+      },
+    });
+    const reply = createCallerReply(response, { held, isClosing });
+    const use = findMemoryUse(head.value);
+    const refuse = (): void => {
+      log.info('request refused', { requestId: head.value.requestId, ...NO_MEMORY });
+      reply.sendRefusal(NO_MEMORY);
+      // The rest of the body is discarded: a reset could reach the caller before the answer.
+      incoming.resume();
+    };
+    if (!held.acquire(use, REQUEST_OVERHEAD_BYTES)) return refuse();
+    const body = await readBody(incoming, limits.maxBodyBytes, {
+      acquireBytes: (bytes) => held.acquire(use, bytes),
+    });
     if (body.isErr()) {
+      if (body.error.kind === 'no-memory') return refuse();
       if (body.error.kind !== 'body-too-large') return undefined;
       return reject(incoming, response, 413, 'the body is too long');
     }
@@ -118,6 +158,19 @@
     );
   };
 
+  const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const held = memory.openRequest();
+    const closed = new Promise<void>((resolve) => {
+      response.once('close', () => resolve());
+    });
+    try {
+      await handleHeld(incoming, response, held);
+    } finally {
+      // An answer that was written stays in memory until the caller has read it.
+      closed.then(held.release);
+    }
+  };
+
   const answeringSockets = new WeakSet<Duplex>();
   const server = createServer(
     { maxHeaderSize: MAX_PARSED_HEADER_BYTES, requireHostHeader: false, noDelay: true },
--- a/src/adapters/http/types/CallerError.ts
+++ b/src/adapters/http/types/CallerError.ts
@@ -8,6 +8,7 @@
   | RequestError
   | AccessError
   | CallerRefusal
+  | { readonly kind: 'no-memory' }
   | { readonly kind: 'body-too-large'; readonly maxBytes: number }
   | { readonly kind: 'bad-cursor'; readonly message: string }
   | { readonly kind: 'foreign-cursor' }
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -11,6 +11,12 @@
   readonly readConfigurationVersion: () => number;
   /** Time since the store was known to have no newer change, by table, in milliseconds. */
   readonly readTableAgesMs: () => ReadonlyMap<string, number>;
+  /** Bytes held for requests. */
+  readonly readHeldBytes: () => number;
+  /** Delay of the event loop, in milliseconds. */
+  readonly readLoopDelayMs: () => number;
+  /** Requests refused since the start as this VM was overloaded, by cause. */
+  readonly countOverloadRefusals: () => ReadonlyMap<string, number>;
   /** Whether this VM follows the store directly, not through another VM. */
   readonly isReader: () => boolean;
   readonly isReady: () => boolean;
@@ -97,6 +103,26 @@
         collect: () =>
           gauges.readTableAgesMs().forEach((ageMs, table) => ages.set({ table }, ageMs / MS_PER_S)),
       });
+      addGauge(
+        registry,
+        'jackdaw_held_bytes',
+        'Bytes of requests and unsent answers in memory.',
+        gauges.readHeldBytes,
+      );
+      addGauge(
+        registry,
+        'jackdaw_loop_delay_seconds',
+        'Delay that all timers of the last second had at least.',
+        () => gauges.readLoopDelayMs() / MS_PER_S,
+      );
+      const refusals: Gauge = new Gauge({
+        name: 'jackdaw_overload_refusals',
+        help: 'Requests refused since the start as this VM was overloaded.',
+        labelNames: ['cause'],
+        registers,
+        collect: () =>
+          gauges.countOverloadRefusals().forEach((count, cause) => refusals.set({ cause }, count)),
+      });
       addGauge(
         registry,
         'jackdaw_store_reader',
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -60,12 +60,12 @@
   if (head.isNotExecuted) {
     // The rest of the body is read, so that the connection is released.
     releaseCopy(run, copy, attempt.server.id);
-    await readBody(body);
+    await readBody(body, run.context.reply.acquireBytes);
     run.dispatch({ kind: 'not-started', reader, refused: false });
     return;
   }
   run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
-  const read = head.isVerified ? await readBody(body) : null;
+  const read = head.isVerified ? await readBody(body, run.context.reply.acquireBytes) : null;
   if (read?.isOk()) Object.assign(run, { failedResponse: { head, body: read.value } });
   if (read?.isOk() && head.status < SERVER_ERROR_STATUS) {
     run.dispatch({
--- a/src/application/forwarding/_lib/readBody/index.ts
+++ b/src/application/forwarding/_lib/readBody/index.ts
@@ -3,22 +3,38 @@
 /** Maximum size of a buffered response. Responses to calls are far smaller. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
-/** Reads a response body to its end; the error states why it is incomplete. */
-export const readBody = async (body: AsyncIterable<Buffer>): Promise<Result<Buffer, string>> => {
+/** Why a response body is incomplete. */
+export interface IncompleteBody {
+  readonly reason: string;
+  /** False if this process stopped reading. */
+  readonly hasLostConnection: boolean;
+}
+
+/**
+ * Reads a response body to its end.
+ *
+ * @param acquireBytes - counts bytes that are held; false if there is no room for them
+ */
+export const readBody = async (
+  body: AsyncIterable<Buffer>,
+  acquireBytes: (bytes: number) => boolean,
+): Promise<Result<Buffer, IncompleteBody>> => {
   const chunks: Buffer[] = [];
   let bytes = 0;
+  const stop = (reason: string) => err({ reason, hasLostConnection: false });
   try {
     for await (const chunk of body) {
       bytes += chunk.length;
-      if (bytes > MAX_BODY_BYTES) return err(`the answer has more than ${MAX_BODY_BYTES} bytes`);
+      if (bytes > MAX_BODY_BYTES) return stop(`the answer has more than ${MAX_BODY_BYTES} bytes`);
+      if (!acquireBytes(chunk.length)) return stop('this VM has no memory for the answer');
       chunks.push(chunk);
     }
     return ok(Buffer.concat(chunks));
   } catch (error) {
-    return err(
+    const reason =
       error instanceof Error
         ? error.message
-        : 'the connection was lost before the end of the response',
-    );
+        : 'the connection was lost before the end of the response';
+    return err({ reason, hasLostConnection: true });
   }
 };
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -2,9 +2,19 @@
 import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { logDecision } from '../logDecision';
 import { recordCrash } from '../recordCrash';
 import { startSilenceWatch } from '../startSilenceWatch';
 
+/** Maximum size of an event; an event that never ends would fill the memory. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
+/**
+ * Time in which a caller read nothing after which the end of the connection is no evidence against
+ * the server: servers cut off responses that remain unread for some seconds.
+ */
+const MAX_UNREAD_MS = 2000;
+
 /**
  * Reports the first event to the rollouts; only a prompt that was processed at once is a pace
  * sample.
@@ -70,19 +80,37 @@
   body: AsyncIterable<Buffer>,
 ): Promise<void> => {
   const { reply } = run.context;
+  const { clock } = run.dependencies;
   const isCurrent = (): boolean => run.attempts.get(reader.attempt) === attempt;
   let rest: Buffer = Buffer.alloc(0);
+  let unreadMs = 0;
   try {
     for await (const chunk of body) {
       if (!isCurrent()) return;
       const split = splitEvents(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]));
       rest = split.rest;
+      if (rest.length > MAX_EVENT_BYTES) {
+        if (!isCurrent() || attempt.isMigrating) return;
+        run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
+        logDecision(
+          run.dependencies,
+          run.context,
+          'stream event too long',
+          { bytes: rest.length },
+          attempt.server,
+        );
+        run.dispatch({ kind: 'broken', reader });
+        return;
+      }
       if (split.events.length > 0) recordActivity(run, attempt, reader);
       split.events.forEach((event) => dispatchEvent(run, reader, event));
       if (isCurrent()) {
+        const writtenAtMs = clock.readMonotonicMs();
         await reply.waitForDrain();
+        const nowMs = clock.readMonotonicMs();
+        unreadMs = nowMs - writtenAtMs;
         // Time in which the caller did not read is not silence of the server.
-        Object.assign(attempt, { lastActivityMs: run.dependencies.clock.readMonotonicMs() });
+        Object.assign(attempt, { lastActivityMs: nowMs });
       }
     }
   } catch (error) {
@@ -90,7 +118,7 @@
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
     if (attempt.isMigrating) return;
-    if (isCurrent()) {
+    if (isCurrent() && unreadMs < MAX_UNREAD_MS) {
       run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
       run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
       recordCrash(run, attempt);
@@ -101,10 +129,9 @@
       fingerprint: run.fingerprint,
       offset: run.readState().offset,
       hadEvents: attempt.hasDeliveredEvent,
-      ranMs: Math.round(
-        run.dependencies.clock.readMonotonicMs() - (attempt.headAtMs ?? attempt.sentAtMs),
-      ),
+      ranMs: Math.round(clock.readMonotonicMs() - (attempt.headAtMs ?? attempt.sentAtMs)),
       isCurrent: isCurrent(),
+      unreadMs: Math.round(unreadMs),
       reason,
     });
     run.dispatch({ kind: 'broken', reader });
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -88,7 +88,7 @@
         hasLostConnection: false,
       };
     }
-    const read = await readBody(body);
+    const read = await readBody(body, reply.acquireBytes);
     if (reply.callerLeft.aborted) return { kind: 'left' };
     if (head.isNotExecuted) {
       return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true };
@@ -96,8 +96,8 @@
     if (read.isErr())
       return {
         ...NO_RESPONSE,
-        reason: read.error,
-        hasLostConnection: !timeoutController.signal.aborted,
+        reason: read.error.reason,
+        hasLostConnection: read.error.hasLostConnection && !timeoutController.signal.aborted,
       };
     const response = { head, body: read.value };
     if (head.status >= SERVER_ERROR_STATUS) {
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -40,9 +40,12 @@
 /** Time after which to retry at another VM when this one is shutting down. */
 const LEAVING_RETRY_MS = 50;
 
+/** Time after which to retry at another VM when this one is overloaded. */
+const OVERLOAD_RETRY_MS = 50;
+
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
-  const { clock, log, meter, randomness, retries, rollouts, tables } = dependencies;
+  const { clock, log, loopDelay, meter, randomness, retries, rollouts, tables } = dependencies;
   const shared = { paces: createLatencyHistory(), overload: createOverloadTracker(clock) };
   const startedAtMs = clock.readMonotonicMs();
   /** By route: the longest time that a caller waits. */
@@ -89,17 +92,23 @@
     // like retries.
     const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, waitMs);
     longestWaitMs.set(route.name, longestMs);
+    const returning = isReturning({
+      deadlineMs: request.deadlineMs,
+      longestDeadlineMs: longestMs,
+      minRetryAfterMs: route.latencyGoalMs * SHORTEST_RETURN_FRACTION,
+    });
+    // A caller does not come back a second time, and a resumed stream would lose its tokens.
+    const isNewStream = route.kind === RouteKind.Stream && request.lastEventId === null;
+    if (isNewStream && !returning && loopDelay.refusesStream()) {
+      return { kind: 'not-run', reason: 'this VM is slow', retryAfterMs: OVERLOAD_RETRY_MS };
+    }
     return {
       request,
       route,
       service,
       holder: access.value.holder,
       priority: computePriority(route, access.value.holder),
-      isReturning: isReturning({
-        deadlineMs: request.deadlineMs,
-        longestDeadlineMs: longestMs,
-        minRetryAfterMs: route.latencyGoalMs * SHORTEST_RETURN_FRACTION,
-      }),
+      isReturning: returning,
       servers: rollouts.openRequest({ service, route: route.name }),
       reply,
       deadlineAtMs: request.arrivedAtMs + waitMs,
@@ -128,6 +137,7 @@
   return {
     forwardRequest: async (request, reply) => {
       running += 1;
+      const endRequest = loopDelay.startRequest();
       try {
         await forward(request, reply);
       } catch (error) {
@@ -137,6 +147,7 @@
         else reply.sendRefusal({ kind: 'lost', reason: 'internal error', retryAfterMs: 0 });
       } finally {
         running -= 1;
+        endRequest();
       }
     },
     countRunning: () => running,
--- a/src/application/forwarding/types/CallerReply.ts
+++ b/src/application/forwarding/types/CallerReply.ts
@@ -25,6 +25,8 @@
   /** True once the response head was sent. */
   hasSentHead(): boolean;
   sendRefusal(refusal: Refusal): void;
+  /** Counts bytes of an answer that is held for this caller; false if this VM has no room. */
+  acquireBytes(bytes: number): boolean;
   /** Sends a fully buffered response of a server. */
   sendResponse(head: AnswerHead, body: Buffer): void;
   /** Sends the response head; the body follows in chunks. */
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { PermitClient, ServerLimits } from '../../limits';
+import type { LoopDelayMonitor } from '../../overload';
 import type { RolloutRegistry } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
@@ -19,6 +20,7 @@
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
   readonly limits: ServerLimits;
+  readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
   readonly permits: Pick<PermitClient, 'acquirePermit'>;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- /dev/null
+++ b/src/application/overload/index.ts
@@ -0,0 +1,11 @@
+export {
+  createLoopDelayMonitor,
+  type LoopDelayDependencies,
+  type LoopDelayMonitor,
+} from './createLoopDelayMonitor';
+export {
+  createMemoryBudget,
+  type HeldBytes,
+  type MemoryBudget,
+  type MemoryBudgetDependencies,
+} from './createMemoryBudget';
--- a/src/domain/forwarding/types/GatewaySettings.ts
+++ b/src/domain/forwarding/types/GatewaySettings.ts
@@ -29,6 +29,8 @@
   readonly availabilityZone: string;
   /** Processor cores of this VM; 0 if unknown. */
   readonly cores: number;
+  /** Memory beyond which the process is killed; null if unknown. */
+  readonly memoryBytes: number | null;
   readonly callerAddress: string;
   readonly readinessAddress: string;
   /** Address at which other VMs reach this one. */
--- /dev/null
+++ b/src/domain/overload/index.ts
@@ -0,0 +1,5 @@
+export { computeMemoryLimits, type MemorySizes } from './computeMemoryLimits';
+export { computeRefusedShare, type LoopDelay } from './computeRefusedShare';
+export { findMemoryUse } from './findMemoryUse';
+export { findSmallestGoalMs } from './findSmallestGoalMs';
+export * from './types';
--- /dev/null
+++ b/src/domain/overload/types/index.ts
@@ -0,0 +1,2 @@
+export { MemoryUse, type MemoryLimits } from './MemoryUse';
+export { OverloadCause } from './OverloadCause';
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -21,6 +21,7 @@
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
 import { wireLimits } from '../wireLimits';
+import { wireOverload } from '../wireOverload';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import type { GatewayOverrides, GatewayParts } from '../../types';
@@ -176,6 +177,7 @@
     log,
   });
   handleUpdate = sharing.handleUpdate;
+  const { loopDelay, memory } = wireOverload({ settings, clock, log, randomness, tables });
   const { bounds } = settings;
   const { lender, retries } = wireRetries({ bounds, calls, clock, gossip, log });
   const places = createPromptReservations({
@@ -195,6 +197,7 @@
     crashProbe,
     directory,
     limits,
+    loopDelay,
     permits,
     log,
     meter: metrics,
@@ -217,6 +220,8 @@
     sharing,
     lender,
     limitOwner,
+    loopDelay,
+    memory,
     quarantineRows,
     places,
     rolloutJudge,
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -4,6 +4,7 @@
   type ForwardingServer,
   type ListenError,
 } from '../../../adapters/http';
+import { findMemoryUse, OverloadCause } from '../../../domain/overload';
 import { waitDelay } from '../../../application/time';
 import { decodeRequestHead } from '../../../../platform';
 import type { GatewaySettings } from '../../../domain/forwarding';
@@ -77,6 +78,8 @@
       clock,
       log,
       forwarder,
+      memory: parts.memory,
+      findMemoryUse: (head) => findMemoryUse(tables.readCurrent(), head),
       decodeHead: decodeRequestHead,
       readLimits: () => tables.readCurrent()?.limits ?? null,
       isClosing: () => isDraining,
@@ -98,6 +101,13 @@
     readConfigurationVersion: () => tables.readCurrent()?.version ?? 0,
     readTableAgesMs: () =>
       new Map(Object.entries(followers).map(([table, follower]) => [table, follower.readAgeMs()])),
+    readHeldBytes: parts.memory.readHeldBytes,
+    readLoopDelayMs: parts.loopDelay.readDelayMs,
+    countOverloadRefusals: () =>
+      new Map([
+        [OverloadCause.Memory, parts.memory.countRefused()],
+        [OverloadCause.LoopDelay, parts.loopDelay.countRefused()],
+      ]),
     isReader: parts.sharing.isReader,
     isReady,
   });
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -9,6 +9,7 @@
 } from '../../../application/forwarding';
 import type { Gossip } from '../../../application/gossip';
 import type { LimitOwner } from '../../../application/limits';
+import type { LoopDelayMonitor, MemoryBudget } from '../../../application/overload';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
 import type { RowFollower, ZoneReplication } from '../../../application/rows';
@@ -26,6 +27,8 @@
   readonly sharing: ZoneReplication;
   readonly lender: RetryLender;
   readonly limitOwner: LimitOwner;
+  readonly loopDelay: LoopDelayMonitor;
+  readonly memory: MemoryBudget;
   readonly quarantineRows: QuarantineRows;
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
--- a/standins/gateway/buildGatewaySettings/index.ts
+++ b/standins/gateway/buildGatewaySettings/index.ts
@@ -5,6 +5,7 @@
   vm: 'vm-1',
   availabilityZone: 'z1',
   cores: 0.675,
+  memoryBytes: null,
   callerAddress: '127.0.0.1:0',
   readinessAddress: '127.0.0.1:0',
   peerAddress: '127.0.0.1:0',
--- a/standins/model/createSimulatedCaller/index.ts
+++ b/standins/model/createSimulatedCaller/index.ts
@@ -88,6 +88,7 @@
           return true;
         },
         waitForDrain: () => Promise.resolve(),
+        acquireBytes: () => true,
         end: () => end(true),
         destroy: () => end(false),
       };
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -128,6 +128,7 @@
       }),
       crashProbe: { startProbe: () => undefined },
       directory,
+      loopDelay: { startRequest: () => () => undefined, refusesStream: () => false },
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
       permits: { acquirePermit: async () => ({ release: () => undefined }) },
       log: QUIET_LOG,
--- a/tests/gateway/decoders.test.ts
+++ b/tests/gateway/decoders.test.ts
@@ -38,6 +38,8 @@
   t.is(settings.peerAddress, '10.1.0.1:8748');
   t.is(settings.metricsAddress, '10.1.0.1:7215');
   t.is(settings.storeUrl, 'http://10.200.1.7:8742');
+  t.is(settings.memoryBytes, 200 * 1024 * 1024);
+  t.is(readOk(decodeSettings(SETTINGS.replace('memory_mb', 'other'))).memoryBytes, null);
   t.is(settings.bounds.shutdownMs, 9000);
   t.is(settings.bounds.retryWindowMs, 10_000);
 });
@@ -45,6 +47,8 @@
 for (const [name, text, key] of [
   ['without a required field', SETTINGS.replace('zone = "z1"', ''), 'zone'],
   ['with an invalid address', SETTINGS.replace('10.200.1.7:8742', 'store'), 'platform.address'],
+  ['with a negative memory', SETTINGS.replace('= 200', '= -1'), 'limits.memory_mb'],
+  ['with a memory that is no number', SETTINGS.replace('= 200', '= "much"'), 'limits.memory_mb'],
   ['without a table', SETTINGS.replace('[listen]', '[other]'), 'listen'],
 ] as const) {
   test(`settings ${name} are refused with the key`, (t) => {
