--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,6 +1,7 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { ServerPaces } from '../../paces';
 import type { PermitClient, ServerLimits } from '../../limits';
+import type { LoopDelayMonitor } from '../../overload';
 import type { RolloutRegistry } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
 import type { CrashHistory } from '../createCrashHistory';
@@ -20,6 +21,7 @@
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
   readonly limits: ServerLimits;
+  readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
   readonly permits: Pick<PermitClient, 'acquirePermit'>;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -22,6 +22,7 @@
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
 import { wireLimits } from '../wireLimits';
+import { wireOverload } from '../wireOverload';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import { buildDisabledScheduling } from '../buildDisabledScheduling';
@@ -181,6 +182,7 @@
     log,
   });
   handleUpdate = sharing.handleUpdate;
+  const { loopDelay, memory } = wireOverload({ settings, clock, log, randomness, tables });
   const { bounds } = settings;
   const { lender, retries } = wireRetries({ bounds, calls, clock, gossip, log });
   const places = createPromptReservations({
@@ -210,6 +212,7 @@
     crashProbe,
     directory,
     limits,
+    loopDelay,
     permits,
     log,
     meter: metrics,
@@ -232,6 +235,8 @@
     sharing,
     lender,
     limitOwner,
+    loopDelay,
+    memory,
     quarantineRows,
     places,
     rolloutJudge,
