--- /dev/null
+++ b/src/application/paces/types/index.ts
@@ -0,0 +1,1 @@
+export type { PacedServer, ServerPaces } from './ServerPaces';
--- /dev/null
+++ b/src/application/scheduling/index.ts
@@ -0,0 +1,14 @@
+export type {
+  DeliverDecision,
+  DeliveredDecision,
+  EndedRun,
+  ScheduleRequest,
+  ScheduleResponse,
+  SchedulerClient,
+  SchedulingMeter,
+  SchedulingOutcome,
+  SchedulingVm,
+  StartedRun,
+  StreamDemandOptions,
+  StreamScheduler,
+} from './types';
--- /dev/null
+++ b/src/application/scheduling/types/index.ts
@@ -0,0 +1,11 @@
+export type {
+  DeliveredDecision,
+  EndedRun,
+  ScheduleRequest,
+  ScheduleResponse,
+  SchedulingVm,
+  StartedRun,
+} from './ScheduleRequest';
+export type { SchedulerClient, SchedulingOutcome, StreamDemandOptions } from './SchedulerClient';
+export type { SchedulingMeter } from './SchedulingMeter';
+export type { DeliverDecision, StreamScheduler } from './StreamScheduler';
--- /dev/null
+++ b/src/domain/paces/index.ts
@@ -0,0 +1,1 @@
+export * from './types';
--- /dev/null
+++ b/src/domain/paces/types/index.ts
@@ -0,0 +1,2 @@
+export type { PaceSample } from './PaceSample';
+export type { ServerPace } from './ServerPace';
--- /dev/null
+++ b/src/domain/scheduling/types/index.ts
@@ -0,0 +1,4 @@
+export type { RequestClass } from './RequestClass';
+export type { ScheduleDecision } from './ScheduleDecision';
+export type { ScheduledServer } from './ScheduledServer';
+export type { StreamDemand } from './StreamDemand';
