Add the scheduler of a service's streams

Cause: each VM decides on its own streams and sees one in three seconds, so that nothing orders callers of several urgencies over the fleet, and nobody waits.

Change: the decisions in src/domain/scheduling (order, which server may take a stream, prediction, waiting or refusal) and the owner of the state, createStreamScheduler: server views from reports and grants, a queue in class and fair-share order, idempotent tickets, delivery, report polling. Nothing uses it yet. hasMemoryForCopy takes only the fields that it reads.

--- /dev/null
+++ b/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
@@ -0,0 +1,39 @@
+/** Counts events of the last seconds. */
+export interface EventRate {
+  record(atMs: number): void;
+  /** Counts the events of the window that ends at this time. */
+  count(nowMs: number): number;
+  /** Events per second over the window, or since the first event if that is later. */
+  readPerS(nowMs: number): number;
+}
+
+const MS_PER_S = 1000;
+
+/** Shortest time over which a rate is computed. */
+const MIN_SPAN_MS = 500;
+
+/** Creates a counter of the events in a sliding window. */
+export const createEventRate = (windowMs: number): EventRate => {
+  let times: number[] = [];
+  let firstAtMs: number | null = null;
+  const removeOld = (nowMs: number): void => {
+    const firstKept = times.findIndex((atMs) => atMs > nowMs - windowMs);
+    if (firstKept !== 0) times = firstKept < 0 ? [] : times.slice(firstKept);
+  };
+  return {
+    record: (atMs) => {
+      firstAtMs ??= atMs;
+      times.push(atMs);
+    },
+    count: (nowMs) => {
+      removeOld(nowMs);
+      return times.length;
+    },
+    readPerS: (nowMs) => {
+      removeOld(nowMs);
+      const sinceFirstMs = nowMs - (firstAtMs ?? nowMs);
+      const spanMs = Math.max(MIN_SPAN_MS, Math.min(windowMs, sinceFirstMs));
+      return (times.length * MS_PER_S) / spanMs;
+    },
+  };
+};
--- /dev/null
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -0,0 +1,82 @@
+import { hasQueueCapacity } from '../../../../../domain/admission';
+import { computeRetryAfterMs } from '../../../../../domain/forwarding';
+import type { ServerPace } from '../../../../../domain/paces';
+import {
+  compareRequestClasses,
+  computeRunMs,
+  decideWaiting,
+  type ScheduledServer,
+  type WaitingDecision,
+} from '../../../../../domain/scheduling';
+import type { QueuedDemand } from '../createDemandQueue';
+import type { StartForecast } from '../createStartForecast';
+import { readDemandAt } from '../readDemandAt';
+
+/** What the decision on a demand depends on besides the demand. */
+export interface DemandDecisionOptions {
+  /** All waiting demands, including this one, in the order in which they are served. */
+  readonly entries: readonly QueuedDemand[];
+  readonly servers: readonly ScheduledServer[];
+  readonly forecast: StartForecast;
+  readonly servicePace: ServerPace;
+  readonly startsPerS: number;
+  readonly nowMs: number;
+  readonly draw: number;
+}
+
+/** Bounds of the number of waiting demands. */
+const MAX_WAITING = 2000;
+const MIN_WAITING = 8;
+
+const MS_PER_S = 1000;
+
+/** Decides whether a demand that can't begin now waits; see `decideWaiting`. */
+export const decideDemand = (
+  entry: QueuedDemand,
+  { draw, entries, forecast, nowMs, servers, servicePace, startsPerS }: DemandDecisionOptions,
+): WaitingDecision => {
+  const demand = readDemandAt(entry, nowMs);
+  const { goalLeftMs, isResumed, isReturning, leftMs, requestClass, workspace } = demand;
+  const neededKvTokens = demand.promptTokens + demand.outputTokens;
+  const isTooLarge =
+    servers.length > 0 &&
+    servers.every(({ kvTotalTokens }) => kvTotalTokens > 0 && kvTotalTokens < neededKvTokens);
+  if (isTooLarge) return { kind: 'refuse', reason: 'no server has enough memory', returnMs: 0 };
+  // A stream that has begun is never refused for lack of room.
+  if (isResumed) return { kind: 'wait', predictedMs: 0, isLate: entry.isLate };
+
+  const ahead = entries.indexOf(entry);
+  const waitMs = forecast.predictWaitMs(requestClass, { ahead, isLate: false, startsPerS }, nowMs);
+  const lateWaitMs = forecast.predictWaitMs(
+    requestClass,
+    { ahead: entries.length - 1, isLate: true, startsPerS },
+    nowMs,
+  );
+  const others = entries.filter(
+    (one) => one !== entry && compareRequestClasses(one.requestClass, requestClass) <= 0,
+  );
+  const beginnable = Math.ceil((startsPerS * Math.max(0, goalLeftMs)) / MS_PER_S);
+  const isAccepted =
+    entry.isLate ||
+    hasQueueCapacity({
+      waiting: others.length,
+      waitingOfWorkspace: others.filter((one) => one.demand.workspace === workspace).length,
+      maxWaiting: Math.min(MAX_WAITING, Math.max(MIN_WAITING, beginnable)),
+      relativeWeight: 1,
+    });
+  if (!isAccepted) {
+    const returnMs = isReturning ? 0 : computeRetryAfterMs({ waitMs, outageMs: 0, leftMs, draw });
+    return { kind: 'refuse', reason: 'the workspace has too many waiting streams', returnMs };
+  }
+  const { goalMs, outputTokens, promptTokens } = demand;
+  const duration = computeRunMs(servicePace, { goalMs, outputTokens, promptTokens, runs: 1 });
+  return decideWaiting({
+    ...duration,
+    draw,
+    goalLeftMs,
+    isReturning,
+    lateWaitMs,
+    leftMs,
+    waitMs,
+  });
+};
--- /dev/null
+++ b/src/application/scheduling/createStreamScheduler/_lib/listOverdueDemands/index.ts
@@ -0,0 +1,19 @@
+import type { ServerPace } from '../../../../../domain/paces';
+import { computeRunMs } from '../../../../../domain/scheduling';
+import type { QueuedDemand } from '../createDemandQueue';
+import { readDemandAt } from '../readDemandAt';
+
+/** Lists the demands that can no longer begin within their goal, or no longer end in time. Streams that
+ * lost their server are not refused. */
+export const listOverdueDemands = (
+  entries: readonly QueuedDemand[],
+  servicePace: ServerPace,
+  nowMs: number,
+): readonly QueuedDemand[] =>
+  entries.filter((entry) => {
+    if (entry.isResumed) return false;
+    const { goalLeftMs, goalMs, leftMs, outputTokens, promptTokens } = readDemandAt(entry, nowMs);
+    const options = { goalMs, outputTokens, promptTokens, runs: 1 };
+    const { prefillMs, runMs } = computeRunMs(servicePace, options);
+    return leftMs < runMs || (!entry.isLate && goalLeftMs < prefillMs);
+  });
--- /dev/null
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -0,0 +1,105 @@
+import {
+  chooseScheduledServer,
+  compareRequestClasses,
+  computeRunMs,
+  isServerAllowed,
+  type RequestClass,
+  type ScheduledServer,
+  type ServerChoice,
+} from '../../../../../domain/scheduling';
+import type { ServerPace } from '../../../../../domain/paces';
+import type { QueuedDemand } from '../createDemandQueue';
+import type { StartForecast } from '../createStartForecast';
+import { readDemandAt } from '../readDemandAt';
+
+/** Inputs of one pass over the waiting demands. */
+export interface ServeOptions {
+  /** In the order in which they are served. */
+  readonly entries: readonly QueuedDemand[];
+  readonly servers: readonly ScheduledServer[];
+  readonly forecast: Pick<StartForecast, 'hasMoreUrgent' | 'isOwed'>;
+  readonly servicePace: ServerPace;
+  readonly nowMs: number;
+  /** Grants a server to a demand. */
+  readonly grant: (entry: QueuedDemand, choice: ServerChoice) => void;
+  /** Reads the state of a server after a grant. */
+  readonly readServer: (id: string) => ScheduledServer | null;
+}
+
+/**
+ * Demands of a class that are tried after the first one that does not fit: a later one may have
+ * more time left or exclude fewer servers.
+ */
+const MAX_TRIES = 8;
+
+/** Runs beside which a stream must be able to end in time for others to wait behind it. */
+const USUAL_RUNS = 2;
+
+/**
+ * Grants servers to waiting demands until no further one can begin.
+ *
+ * A demand that does not fit holds back all less urgent ones, so that they do not take the room
+ * that it waits for; unless it waits for a server of its own, or has missed its goal.
+ */
+export const serveDemands = ({
+  entries,
+  forecast,
+  grant,
+  nowMs,
+  readServer,
+  servers,
+  servicePace,
+}: ServeOptions): void => {
+  const current = [...servers];
+  const started = new Set<QueuedDemand>();
+
+  const start = (entry: QueuedDemand): boolean => {
+    if (started.has(entry)) return true;
+    const demand = readDemandAt(entry, nowMs);
+    const choice = chooseScheduledServer(current, demand, {
+      goalMs: demand.goalMs,
+      isBackupRequired: !entry.isResumed && forecast.hasMoreUrgent(entry.requestClass, nowMs),
+      ignoresLimits: entry.isResumed,
+    });
+    if (!choice) return false;
+    started.add(entry);
+    grant(entry, choice);
+    [choice.server, choice.backup].forEach((changed) => {
+      const updated = changed && readServer(changed.id);
+      if (updated) current[current.findIndex(({ id }) => id === updated.id)] = updated;
+    });
+    return true;
+  };
+
+  const isBlocking = (entry: QueuedDemand): boolean => {
+    const { goalMs, leftMs, outputTokens, promptTokens } = readDemandAt(entry, nowMs);
+    const options = { goalMs, outputTokens, promptTokens, runs: USUAL_RUNS };
+    const { runMs } = computeRunMs(servicePace, options);
+    const hasServer = current.some((server) => isServerAllowed(server, entry.demand));
+    return !entry.isLate && hasServer && 2 * runMs <= leftMs;
+  };
+
+  entries.filter(({ isResumed }) => isResumed).forEach(start);
+
+  const [first] = entries;
+  if (!first) return;
+  const owed = entries.find(
+    ({ isLate, requestClass }) =>
+      !isLate &&
+      compareRequestClasses(requestClass, first.requestClass) > 0 &&
+      forecast.isOwed(requestClass, first.requestClass, nowMs),
+  );
+  if (owed) start(owed);
+
+  let blocked: RequestClass | null = null;
+  let tries = 0;
+  for (const entry of entries) {
+    const isBehind = blocked !== null && compareRequestClasses(entry.requestClass, blocked) > 0;
+    if (isBehind) return;
+    const isTried: boolean = blocked === null || tries < MAX_TRIES;
+    if (isTried && !start(entry)) {
+      tries += 1;
+      if (blocked === null && isBlocking(entry)) blocked = entry.requestClass;
+    }
+  }
+};
--- a/src/application/scheduling/index.ts
+++ b/src/application/scheduling/index.ts
@@ -1,3 +1,4 @@
+export { createStreamScheduler } from './createStreamScheduler';
 export type {
   DeliverDecision,
   DeliveredDecision,
@@ -5,10 +6,12 @@
   ScheduleRequest,
   ScheduleResponse,
   SchedulerClient,
+  SchedulingDirectory,
   SchedulingMeter,
   SchedulingOutcome,
   SchedulingVm,
   StartedRun,
   StreamDemandOptions,
   StreamScheduler,
+  StreamSchedulerDependencies,
 } from './types';
--- a/src/application/scheduling/types/index.ts
+++ b/src/application/scheduling/types/index.ts
@@ -7,5 +7,7 @@
   StartedRun,
 } from './ScheduleRequest';
 export type { SchedulerClient, SchedulingOutcome, StreamDemandOptions } from './SchedulerClient';
+export type { SchedulingDirectory } from './SchedulingDirectory';
 export type { SchedulingMeter } from './SchedulingMeter';
 export type { DeliverDecision, StreamScheduler } from './StreamScheduler';
+export type { StreamSchedulerDependencies } from './StreamSchedulerDependencies';
--- a/src/domain/forwarding/hasMemoryForCopy/index.ts
+++ b/src/domain/forwarding/hasMemoryForCopy/index.ts
@@ -11,7 +11,10 @@
  *
  * @returns true if the server reports no memory
  */
-export const hasMemoryForCopy = (report: ServerReport, neededKvTokens: number): boolean =>
+export const hasMemoryForCopy = (
+  report: Pick<ServerReport, 'kvTotalTokens' | 'kvUsedTokens' | 'waiting'>,
+  neededKvTokens: number,
+): boolean =>
   report.kvTotalTokens === 0 ||
   report.kvUsedTokens + (report.waiting + 1) * neededKvTokens <=
     report.kvTotalTokens * MAX_MEMORY_FRACTION;
--- /dev/null
+++ b/src/domain/scheduling/computeStartRate/index.ts
@@ -0,0 +1,40 @@
+import { computeRunMs } from '../computeRunMs';
+import { isStreamStartable } from '../isStreamStartable';
+import type { ScheduledServer } from '../types';
+
+/** A stream as most of the service are. */
+export interface TypicalStream {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly leftMs: number;
+  readonly goalMs: number;
+}
+
+const MS_PER_S = 1000;
+
+/** Counts the typical streams that a server runs at most at the same time. */
+const countRuns = (server: ScheduledServer, typical: TypicalStream): number => {
+  const demand = { ...typical, excludedServers: [], versions: [] };
+  const kvTokens = typical.promptTokens + typical.outputTokens;
+  for (let runs = 0; runs < server.slots; runs += 1) {
+    const kvUsedTokens = runs * kvTokens;
+    const loaded = { ...server, runs, kvUsedTokens, pendingPrefillMs: 0 };
+    if (!isStreamStartable(loaded, demand, typical.goalMs)) return runs;
+  }
+  return server.slots;
+};
+
+/**
+ * Computes the rate at which the servers of a service can begin typical streams when all of them
+ * are kept as full as their limits allow.
+ *
+ * @returns streams per second
+ */
+export const computeStartRate = (
+  servers: readonly ScheduledServer[],
+  typical: TypicalStream,
+): number =>
+  servers.reduce((sum, server) => {
+    const runs = countRuns(server, typical);
+    return sum + (runs * MS_PER_S) / computeRunMs(server.pace, { ...typical, runs }).runMs;
+  }, 0);
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -1,1 +1,18 @@
-export * from './types';
+export { chooseScheduledServer, type ServerChoice } from './chooseScheduledServer';
+export { compareRequestClasses } from './compareRequestClasses';
+export { compareWaitingDemands } from './compareWaitingDemands';
+export { computeRunMs } from './computeRunMs';
+export { computeStartRate } from './computeStartRate';
+export { decideWaiting, type WaitingDecision } from './decideWaiting';
+export { isServerAllowed } from './isServerAllowed';
+export { isShareOwed } from './isShareOwed';
+export { isStreamStartable } from './isStreamStartable';
+export { predictQueueWaitMs } from './predictQueueWaitMs';
+export { rankSchedulers, type SchedulerCandidate } from './rankSchedulers';
+export type {
+  RequestClass,
+  ScheduleDecision,
+  ScheduledServer,
+  StreamDemand,
+  WaitingDemand,
+} from './types';
