--- a/src/application/scheduling/createStreamScheduler/_lib/createDemandQueue/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createDemandQueue/index.ts
@@ -28,6 +28,8 @@
   readonly sender: SchedulingVm;
   readonly nowMs: number;
   readonly cost: number;
+  /** True if the stream can no longer begin within its goal. */
+  readonly isLate: boolean;
 }
 
 /** The waiting demands in the order in which they are served. */
@@ -87,7 +89,7 @@
         };
 
   const add = (
-    { cost, demand, nowMs, sender }: DemandOptions,
+    { cost, demand, isLate, nowMs, sender }: DemandOptions,
     arrivedAtMs: number,
   ): QueuedDemand => {
     const { isResumed, isReturning, requestClass, workspace } = demand;
@@ -99,7 +101,7 @@
       requestClass,
       isResumed,
       isReturning,
-      isLate: false,
+      isLate,
       startTag: tagged.startTag,
       arrivedAtMs,
       demand,
--- a/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
@@ -1,8 +1,8 @@
 /** Counts events of the last seconds. */
 export interface EventRate {
   record(atMs: number): void;
-  /** Counts the events of the window that ends at this time. */
-  count(nowMs: number): number;
+  /** Counts the events of the window that ends now, without those before `sinceMs`. */
+  count(nowMs: number, sinceMs?: number): number;
   /** Events per second over the window, or since the first event if that is later. */
   readPerS(nowMs: number): number;
 }
@@ -25,9 +25,9 @@
       firstAtMs ??= atMs;
       times.push(atMs);
     },
-    count: (nowMs) => {
+    count: (nowMs, sinceMs = -Infinity) => {
       removeOld(nowMs);
-      return times.length;
+      return times.filter((atMs) => atMs >= sinceMs).length;
     },
     readPerS: (nowMs) => {
       removeOld(nowMs);
--- a/src/application/scheduling/createStreamScheduler/_lib/createServerViews/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createServerViews/index.ts
@@ -6,6 +6,7 @@
   type ServerReport,
   type ServerStatus,
 } from '../../../../../domain/forwarding';
+import type { ServerPace } from '../../../../../domain/paces';
 import { computeRunMs, type ScheduledServer } from '../../../../../domain/scheduling';
 import type { ServerPaces } from '../../../../paces';
 import type { Clock } from '../../../../ports';
@@ -40,6 +41,16 @@
   readonly changes: readonly Change[];
 }
 
+/** The state of a server as it follows from its view, which is immutable. */
+interface Projection {
+  readonly projectedAtMs: number;
+  readonly pace: ServerPace;
+  readonly prefilledAtMs: number;
+  readonly runs: number;
+  readonly kvUsedTokens: number;
+  readonly kvTotalTokens: number;
+}
+
 /** A typical stream: reports state no prompt lengths. */
 export interface PromptTimes {
   readonly promptTokens: number;
@@ -75,6 +86,8 @@
 
 /** Fraction of the current prefill that is finished, on average. */
 const FINISHED_FRACTION = 0.5;
+/** Projections are kept for this long: paces change faster than reports arrive. */
+const MAX_PROJECTION_AGE_MS = 100;
 
 /** Creates the scheduler's views of the servers of a service. */
 export const createServerViews = ({
@@ -84,6 +97,7 @@
   service,
 }: ServerViewsDependencies): ServerViews => {
   const views = new Map<string, View>();
+  const projections = new WeakMap<View, Projection>();
 
   const isFresh = ({ madeAtMs }: View): boolean =>
     clock.readMonotonicMs() - madeAtMs <= MAX_REPORT_AGE_MS;
@@ -110,7 +124,12 @@
       views.set(id, { status, bornMs, report: null, madeAtMs: -Infinity, changes: [] });
     } else if (compareIncarnations(view.bornMs, bornMs) === 'newer') {
       views.set(id, buildRestarted(view, status));
-    } else views.set(id, { ...view, status, bornMs: view.bornMs ?? bornMs });
+    } else if (view.status !== status) {
+      const projection = projections.get(view);
+      const updated = { ...view, status, bornMs: view.bornMs ?? bornMs };
+      views.set(id, updated);
+      if (projection) projections.set(updated, projection);
+    }
   };
 
   const findIncarnation = (id: string): string | null => {
@@ -118,12 +137,12 @@
     return view ? formatIncarnation({ id, bornMs: view.bornMs }) : null;
   };
 
-  const build = (view: View, typical: PromptTimes, isReportNeeded: boolean): ScheduledServer => {
-    const { availabilityZone, id, slots, version } = view.status.entry;
+  const project = (view: View, typical: PromptTimes): Projection => {
+    const nowMs = clock.readMonotonicMs();
+    const { id } = view.status.entry;
     const incarnation = formatIncarnation({ id, bornMs: view.bornMs });
     const pace = paces.readPace({ service, incarnation });
-    const nowMs = clock.readMonotonicMs();
-    const report = isReportNeeded || isFresh(view) ? view.report : null;
+    const report = isFresh(view) ? view.report : null;
     const { prefillMs } = computeRunMs(pace, { ...typical, runs: 1 });
     const promptsAhead = report
       ? report.waiting + Math.max(0, countPrefillingRuns(report) - FINISHED_FRACTION)
@@ -139,6 +158,31 @@
       if (change.prefillMs > 0)
         prefilledAtMs = Math.max(prefilledAtMs, change.atMs) + change.prefillMs;
     });
+    return {
+      projectedAtMs: nowMs,
+      pace,
+      prefilledAtMs,
+      runs: Math.max(0, runs),
+      kvUsedTokens: Math.max(0, kvUsedTokens),
+      kvTotalTokens: report?.kvTotalTokens ?? 0,
+    };
+  };
+
+  const findProjection = (view: View, typical: PromptTimes): Projection => {
+    const known = projections.get(view);
+    if (known && clock.readMonotonicMs() - known.projectedAtMs < MAX_PROJECTION_AGE_MS)
+      return known;
+    const projection = project(view, typical);
+    projections.set(view, projection);
+    return projection;
+  };
+
+  const build = (view: View, typical: PromptTimes, isReportNeeded: boolean): ScheduledServer => {
+    const { availabilityZone, id, slots, version } = view.status.entry;
+    const { kvTotalTokens, kvUsedTokens, pace, prefilledAtMs, runs } = findProjection(
+      view,
+      typical,
+    );
     return {
       id,
       availabilityZone,
@@ -148,10 +192,10 @@
         (!isReportNeeded || isFresh(view)) &&
         directory.isHealthy(id) &&
         !directory.isRateLimited(id),
-      runs: Math.max(0, runs),
-      kvUsedTokens: Math.max(0, kvUsedTokens),
-      kvTotalTokens: report?.kvTotalTokens ?? 0,
-      pendingPrefillMs: Math.max(0, prefilledAtMs - nowMs),
+      runs,
+      kvUsedTokens,
+      kvTotalTokens,
+      pendingPrefillMs: Math.max(0, prefilledAtMs - clock.readMonotonicMs()),
       pace,
     };
   };
--- a/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
@@ -37,11 +37,17 @@
   isOwed(requestClass: RequestClass, urgent: RequestClass, nowMs: number): boolean;
 }
 
-/** Time over which arrivals and starts are counted. */
+/** Time over which demands and starts are counted by class. */
 const WINDOW_MS = 3000;
 
+/** Time over which starts are measured: about a run, since runs that began together end together. */
+const BACKLOG_WINDOW_MS = 8000;
+
 /** Weight of the model beside the measured starts, in seconds of measurement. */
-const MODEL_S = 1;
+const MODEL_S = 2;
+
+/** The model is computed anew after this time. */
+const MODEL_AGE_MS = 300;
 
 const MS_PER_S = 1000;
 
@@ -60,7 +66,7 @@
 /** Creates a forecast without knowledge. */
 export const createStartForecast = (): StartForecast => {
   const classes = new Map<string, ClassRates>();
-  const backlogStarts = createEventRate(WINDOW_MS);
+  const backlogStarts = createEventRate(BACKLOG_WINDOW_MS);
   let backlogSinceMs: number | null = null;
   let typical: TypicalDemand | null = null;
   let model = { atMs: -Infinity, startsPerS: 0 };
@@ -111,15 +117,15 @@
       else backlogSinceMs ??= nowMs;
     },
     readStartsPerS: (servers, nowMs) => {
-      if (nowMs - model.atMs >= WINDOW_MS / 10) {
+      if (nowMs - model.atMs >= MODEL_AGE_MS) {
         const usable = servers.filter(({ isUsable }) => isUsable);
         // Servers that failed together mostly return together.
         const counted = usable.length > 0 ? usable : servers;
         model = { atMs: nowMs, startsPerS: computeStartRate(counted, readTypical()) };
       }
       if (backlogSinceMs === null) return model.startsPerS;
-      const measuredS = Math.min(WINDOW_MS, nowMs - backlogSinceMs) / MS_PER_S;
-      const measured = backlogStarts.count(Math.max(nowMs, backlogSinceMs));
+      const measuredS = Math.min(BACKLOG_WINDOW_MS, nowMs - backlogSinceMs) / MS_PER_S;
+      const measured = backlogStarts.count(nowMs, backlogSinceMs);
       return (measured + model.startsPerS * MODEL_S) / (measuredS + MODEL_S);
     },
     predictWaitMs: (requestClass, { ahead, isLate, startsPerS }, nowMs) => {
--- a/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -3,6 +3,7 @@
 import type { ServerPace } from '../../../../../domain/paces';
 import {
   compareRequestClasses,
+  computeMaxWaitMs,
   computeRunMs,
   decideWaiting,
   type ScheduledServer,
@@ -70,6 +71,7 @@
   }
   const { goalMs, outputTokens, promptTokens } = demand;
   const duration = computeRunMs(servicePace, { goalMs, outputTokens, promptTokens, runs: 1 });
+  const slots = Math.max(1, ...servers.map((server) => server.slots));
   return decideWaiting({
     ...duration,
     draw,
@@ -77,6 +79,7 @@
     isReturning,
     lateWaitMs,
     leftMs,
+    maxWaitMs: computeMaxWaitMs({ ...duration, leftMs, slots }),
     waitMs,
   });
 };
--- a/src/application/scheduling/createStreamScheduler/_lib/listOverdueDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/listOverdueDemands/index.ts
@@ -1,5 +1,5 @@
 import type { ServerPace } from '../../../../../domain/paces';
-import { computeRunMs } from '../../../../../domain/scheduling';
+import { computeRunMs, START_MARGIN_MS } from '../../../../../domain/scheduling';
 import type { QueuedDemand } from '../createDemandQueue';
 import { readDemandAt } from '../readDemandAt';
 
@@ -15,5 +15,5 @@
     const { goalLeftMs, goalMs, leftMs, outputTokens, promptTokens } = readDemandAt(entry, nowMs);
     const options = { goalMs, outputTokens, promptTokens, runs: 1 };
     const { prefillMs, runMs } = computeRunMs(servicePace, options);
-    return leftMs < runMs || (!entry.isLate && goalLeftMs < prefillMs);
+    return leftMs < runMs || (!entry.isLate && goalLeftMs < prefillMs + START_MARGIN_MS);
   });
--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -3,6 +3,7 @@
   compareRequestClasses,
   computeRunMs,
   isServerAllowed,
+  START_MARGIN_MS,
   type RequestClass,
   type ScheduledServer,
   type ServerChoice,
@@ -32,6 +33,9 @@
  */
 const MAX_TRIES = 8;
 
+/** A stream has its last chance to begin within its goal when this much time is left for it. */
+const LAST_CHANCE_MS = 300 + START_MARGIN_MS;
+
 /** Runs beside which a stream must be able to end in time for others to wait behind it. */
 const USUAL_RUNS = 2;
 
@@ -40,6 +44,8 @@
  *
  * A demand that does not fit holds back all less urgent ones, so that they do not take the room
  * that it waits for; unless it waits for a server of its own, or has missed its goal.
+ *
+ * @returns the servers with what was granted
  */
 export const serveDemands = ({
   entries,
@@ -49,15 +55,19 @@
   readServer,
   servers,
   servicePace,
-}: ServeOptions): void => {
+}: ServeOptions): readonly ScheduledServer[] => {
   const current = [...servers];
   const started = new Set<QueuedDemand>();
 
   const start = (entry: QueuedDemand): boolean => {
     if (started.has(entry)) return true;
     const demand = readDemandAt(entry, nowMs);
+    const { goalMs, outputTokens, promptTokens } = demand;
+    const options = { goalMs, outputTokens, promptTokens, runs: 1 };
+    const spareMs = demand.goalLeftMs - computeRunMs(servicePace, options).prefillMs;
     const choice = chooseScheduledServer(current, demand, {
-      goalMs: demand.goalMs,
+      goalMs,
+      isLastChance: !entry.isLate && spareMs < LAST_CHANCE_MS,
       isBackupRequired: !entry.isResumed && forecast.hasMoreUrgent(entry.requestClass, nowMs),
       ignoresLimits: entry.isResumed,
     });
@@ -82,7 +92,7 @@
   entries.filter(({ isResumed }) => isResumed).forEach(start);
 
   const [first] = entries;
-  if (!first) return;
+  if (!first) return current;
   const owed = entries.find(
     ({ isLate, requestClass }) =>
       !isLate &&
@@ -95,11 +105,12 @@
   let tries = 0;
   for (const entry of entries) {
     const isBehind = blocked !== null && compareRequestClasses(entry.requestClass, blocked) > 0;
-    if (isBehind) return;
+    if (isBehind) return current;
     const isTried: boolean = blocked === null || tries < MAX_TRIES;
     if (isTried && !start(entry)) {
       tries += 1;
       if (blocked === null && isBlocking(entry)) blocked = entry.requestClass;
     }
   }
+  return current;
 };
--- a/src/application/scheduling/createStreamScheduler/index.ts
+++ b/src/application/scheduling/createStreamScheduler/index.ts
@@ -1,6 +1,7 @@
 import type { ServerEntry, ServerReport } from '../../../domain/forwarding';
 import {
   computeRunMs,
+  START_MARGIN_MS,
   type ScheduleDecision,
   type ScheduledServer,
   type StreamDemand,
@@ -71,24 +72,24 @@
   };
 
   /** Grants what can begin; grants to `answered` tickets are part of the response. */
-  const serve = (answered: ReadonlySet<string> = new Set()): void => {
+  const serve = (answered: ReadonlySet<string> = new Set()): readonly ScheduledServer[] => {
     const nowMs = clock.readMonotonicMs();
-    if (queue.list().length > 0 && !isWaitingForReports()) {
-      serveDemands({
-        entries: [...queue.list()],
-        servers: listServers(),
-        forecast,
-        servicePace: paces.readServicePace(service),
-        nowMs,
-        grant: (entry, choice) => {
-          const isAnswered = answered.has(entry.demand.ticket);
-          const decision = grantServer(parts, entry, { ...choice, isAnswered });
-          if (!isAnswered) deliverGrant(entry, decision);
-        },
-        readServer: (id) => views.buildServer(id, forecast.readTypical()),
-      });
-    }
-    forecast.recordBacklog(queue.list().length > 0 && !isWaitingForReports(), nowMs);
+    if (isWaitingForReports()) return [];
+    const servers = serveDemands({
+      entries: [...queue.list()],
+      servers: listServers(),
+      forecast,
+      servicePace: paces.readServicePace(service),
+      nowMs,
+      grant: (entry, choice) => {
+        const isAnswered = answered.has(entry.demand.ticket);
+        const decision = grantServer(parts, entry, { ...choice, isAnswered });
+        if (!isAnswered) deliverGrant(entry, decision);
+      },
+      readServer: (id) => views.buildServer(id, forecast.readTypical()),
+    });
+    forecast.recordBacklog(queue.list().length > 0, nowMs);
+    return servers;
   };
 
   const decide = (entry: QueuedDemand, servers: readonly ScheduledServer[]): ScheduleDecision => {
@@ -129,11 +130,10 @@
   };
 
   /** Decides anew on demands that can no longer begin within their goal, or not end in time. */
-  const reconsider = (): void => {
+  const reconsider = (servers: readonly ScheduledServer[]): void => {
     const pace = paces.readServicePace(service);
     const overdue = listOverdueDemands(queue.list(), pace, clock.readMonotonicMs());
     if (overdue.length === 0 || isWaitingForReports()) return;
-    const servers = listServers();
     overdue.forEach((entry) => {
       const decision = decide(entry, servers);
       if (decision.kind === 'refuse') deliver(entry, decision);
@@ -148,8 +148,9 @@
     }
     directory.recordStartTime(server.id, report.bornMs);
     if (report.isLeaving) directory.recordLeaving(server.id);
+    const isFirst = !views.hasReports();
     views.recordReport(server, report);
-    serve();
+    if (isFirst) serve();
   };
   const poller = createReportPoller({ clock, randomness, readReport, handleReport });
 
@@ -167,8 +168,7 @@
         queue.remove(demand.ticket, false);
         log.info('stream demand expired', { service, ticket: demand.ticket });
       });
-    serve();
-    reconsider();
+    if (queue.list().length > 0) reconsider(serve());
   };
 
   const takeDemand = (demand: StreamDemand, { sender }: ScheduleRequest): boolean => {
@@ -176,8 +176,9 @@
     const { goalMs } = readDemandAt({ demand, renewedAtMs: nowMs }, nowMs);
     const { outputTokens, promptTokens } = demand;
     const pace = paces.readServicePace(service);
-    const cost = computeRunMs(pace, { goalMs, outputTokens, promptTokens, runs: 1 }).runMs;
-    const options = { demand, sender, nowMs, cost };
+    const times = computeRunMs(pace, { goalMs, outputTokens, promptTokens, runs: 1 });
+    const isLate = demand.goalLeftMs < times.prefillMs + START_MARGIN_MS;
+    const options = { demand, sender, nowMs, cost: times.runMs, isLate };
     const isKnown = queue.find(demand.ticket) !== null;
     if (isKnown) queue.renew(options);
     else {
@@ -199,8 +200,7 @@
     const added = new Set(
       unknown.filter((one) => takeDemand(one, request)).map(({ ticket }) => ticket),
     );
-    serve(new Set(unknown.map(({ ticket }) => ticket)));
-    const servers = listServers();
+    const servers = serve(new Set(unknown.map(({ ticket }) => ticket)));
     return request.demands.map(({ requestClass, ticket }) => {
       const granted = grants.findForResponse(ticket);
       const entry = queue.find(ticket);
--- a/src/domain/scheduling/chooseScheduledServer/index.ts
+++ b/src/domain/scheduling/chooseScheduledServer/index.ts
@@ -1,7 +1,7 @@
 import { hasMemoryForCopy } from '../../forwarding';
 import { computeRunMs } from '../computeRunMs';
 import { isServerAllowed } from '../isServerAllowed';
-import { isStreamStartable } from '../isStreamStartable';
+import { isStreamStartable, type StartOptions } from '../isStreamStartable';
 import type { ScheduledServer, StreamDemand } from '../types';
 
 /** A server for a stream, and the one that holds the copy. */
@@ -14,9 +14,7 @@
 }
 
 /** Conditions of the choice. */
-export interface ServerChoiceOptions {
-  /** Time from the call to the first event that callers accept. */
-  readonly goalMs: number;
+export interface ServerChoiceOptions extends StartOptions {
   /** Whether the stream may not begin without a backup. */
   readonly isBackupRequired: boolean;
   /** Whether the stream may begin beyond the limits of a server. */
@@ -56,10 +54,12 @@
 export const chooseScheduledServer = (
   servers: readonly ScheduledServer[],
   demand: StreamDemand,
-  { goalMs, ignoresLimits, isBackupRequired }: ServerChoiceOptions,
+  { goalMs, ignoresLimits, isBackupRequired, isLastChance }: ServerChoiceOptions,
 ): ServerChoice | null => {
   const candidates = servers.filter((server) =>
-    ignoresLimits ? isServerAllowed(server, demand) : isStreamStartable(server, demand, goalMs),
+    ignoresLimits
+      ? isServerAllowed(server, demand)
+      : isStreamStartable(server, demand, { goalMs, isLastChance }),
   );
   if (candidates.length === 0) return null;
   const backups = demand.needsBackup ? listBackups(servers, demand) : [];
--- a/src/domain/scheduling/computeStartRate/index.ts
+++ b/src/domain/scheduling/computeStartRate/index.ts
@@ -15,11 +15,12 @@
 /** Counts the typical streams that a server runs at most at the same time. */
 const countRuns = (server: ScheduledServer, typical: TypicalStream): number => {
   const demand = { ...typical, excludedServers: [], versions: [] };
+  const options = { goalMs: typical.goalMs, isLastChance: false };
   const kvTokens = typical.promptTokens + typical.outputTokens;
   for (let runs = 0; runs < server.slots; runs += 1) {
     const kvUsedTokens = runs * kvTokens;
     const loaded = { ...server, runs, kvUsedTokens, pendingPrefillMs: 0 };
-    if (!isStreamStartable(loaded, demand, typical.goalMs)) return runs;
+    if (!isStreamStartable(loaded, demand, options)) return runs;
   }
   return server.slots;
 };
--- a/src/domain/scheduling/decideWaiting/index.ts
+++ b/src/domain/scheduling/decideWaiting/index.ts
@@ -12,11 +12,16 @@
   readonly runMs: number;
   readonly goalLeftMs: number;
   readonly leftMs: number;
+  /** Longest wait that does not cost room; see `computeMaxWaitMs`. */
+  readonly maxWaitMs: number;
   readonly isReturning: boolean;
   /** Random number, from 0 inclusive to 1 exclusive. */
   readonly draw: number;
 }
 
+/** Time for the messages to the VM and the server, and for the step that makes the first event. */
+export const START_MARGIN_MS = 200;
+
 /** The demand waits, in time or after its goal, or is refused (`returnMs` 0: no retry). */
 export type WaitingDecision =
   | { readonly kind: 'wait'; readonly predictedMs: number; readonly isLate: boolean }
@@ -35,15 +40,16 @@
   isReturning,
   lateWaitMs,
   leftMs,
+  maxWaitMs,
   prefillMs,
   runMs,
   waitMs,
 }: WaitingOptions): WaitingDecision => {
-  const isInGoal = waitMs + prefillMs <= goalLeftMs;
-  if (isInGoal && waitMs + runMs <= leftMs) {
+  const isInGoal = waitMs + prefillMs + START_MARGIN_MS <= goalLeftMs;
+  if (isInGoal && waitMs <= maxWaitMs) {
     return { kind: 'wait', predictedMs: waitMs, isLate: false };
   }
-  const mayBeLate = isReturning || goalLeftMs < prefillMs;
+  const mayBeLate = isReturning || goalLeftMs < prefillMs + START_MARGIN_MS;
   if (mayBeLate && lateWaitMs + 2 * runMs <= leftMs) {
     return { kind: 'wait', predictedMs: lateWaitMs, isLate: true };
   }
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -1,9 +1,10 @@
 export { chooseScheduledServer, type ServerChoice } from './chooseScheduledServer';
 export { compareRequestClasses } from './compareRequestClasses';
 export { compareWaitingDemands } from './compareWaitingDemands';
+export { computeMaxWaitMs } from './computeMaxWaitMs';
 export { computeRunMs } from './computeRunMs';
 export { computeStartRate } from './computeStartRate';
-export { decideWaiting, type WaitingDecision } from './decideWaiting';
+export { decideWaiting, START_MARGIN_MS, type WaitingDecision } from './decideWaiting';
 export { isServerAllowed } from './isServerAllowed';
 export { isShareOwed } from './isShareOwed';
 export { isStreamStartable } from './isStreamStartable';
--- a/src/domain/scheduling/isStreamStartable/index.ts
+++ b/src/domain/scheduling/isStreamStartable/index.ts
@@ -1,3 +1,4 @@
+import { REPEATABLE_FRACTION } from '../computeMaxWaitMs';
 import { computeRunMs } from '../computeRunMs';
 import { isServerAllowed } from '../isServerAllowed';
 import type { ScheduledServer, StreamDemand } from '../types';
@@ -11,21 +12,28 @@
 /** Prefills ahead that end within this time do not delay the stream: it is on its way meanwhile. */
 const MAX_PENDING_PREFILL_MS = 100;
 
-/** Time of a run, as a fraction of the time left, after which a lost run can still be repeated. */
-const MAX_RUN_FRACTION = 0.5;
+/** Time of a run, as a fraction of the time left, if the stream would miss its goal otherwise. */
+const LAST_CHANCE_FRACTION = 0.75;
+
+/** Conditions of the start. */
+export interface StartOptions {
+  /** Time from the call to the first event that callers accept. */
+  readonly goalMs: number;
+  /** Whether the stream misses its goal unless it begins now. */
+  readonly isLastChance: boolean;
+}
 
 /**
  * Checks whether a server can begin a stream now and end it in time.
  *
  * A stream that is cut short by the loss of its server is repeated, so that a run may take half of
- * the time left. An idle server also takes a stream that has time for one run only.
- *
- * @param goalMs - time from the call to the first event that callers accept
+ * the time left. A stream that would miss its goal otherwise may take more, and an idle server takes
+ * any stream that has time to end.
  */
 export const isStreamStartable = (
   server: ScheduledServer,
   demand: StartDemand,
-  goalMs: number,
+  { goalMs, isLastChance }: StartOptions,
 ): boolean => {
   if (server.runs >= server.slots || server.pendingPrefillMs > MAX_PENDING_PREFILL_MS) return false;
   if (!isServerAllowed(server, demand)) return false;
@@ -39,5 +47,6 @@
     runs: server.runs + 1,
     goalMs,
   });
-  return runMs <= demand.leftMs * (server.runs === 0 ? 1 : MAX_RUN_FRACTION);
+  if (server.runs === 0) return runMs <= demand.leftMs;
+  return runMs <= demand.leftMs * (isLastChance ? LAST_CHANCE_FRACTION : REPEATABLE_FRACTION);
 };
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -2,6 +2,8 @@
 export { createDirectoryFixture, STORE } from './createDirectoryFixture';
 export { buildSampleConfiguration } from './buildSampleConfiguration';
 export { buildOpenServers } from './buildOpenServers';
+export { buildScheduledServer } from './buildScheduledServer';
+export { buildStreamDemand } from './buildStreamDemand';
 export { buildServerReport } from './buildServerReport';
 export { buildServerStatus } from './buildServerStatus';
 export { QUIET_LOG } from './quietLog';
