Test the scheduler's behaviour in failures

Cause: a VM that ends, a declined or lost grant, a restarted server, an old report or a changed class must neither lose room nor reorder streams.

Change: 13 tests over a fixture with fake servers and VMs. They showed two faults, mended here: the start rate was computed, and kept for 300 ms, while no server was listed; the rate of a class was taken from half a second of arrivals.

--- a/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
@@ -9,8 +9,8 @@
 
 const MS_PER_S = 1000;
 
-/** Shortest time over which a rate is computed. */
-const MIN_SPAN_MS = 500;
+/** Shortest time over which a rate is computed, as a fraction of the window. */
+const MIN_SPAN_FRACTION = 0.5;
 
 /** Creates a counter of the events in a sliding window. */
 export const createEventRate = (windowMs: number): EventRate => {
@@ -32,7 +32,7 @@
     readPerS: (nowMs) => {
       removeOld(nowMs);
       const sinceFirstMs = nowMs - (firstAtMs ?? nowMs);
-      const spanMs = Math.max(MIN_SPAN_MS, Math.min(windowMs, sinceFirstMs));
+      const spanMs = Math.min(windowMs, Math.max(windowMs * MIN_SPAN_FRACTION, sinceFirstMs));
       return (times.length * MS_PER_S) / spanMs;
     },
   };
--- a/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
@@ -117,7 +117,7 @@
       else backlogSinceMs ??= nowMs;
     },
     readStartsPerS: (servers, nowMs) => {
-      if (nowMs - model.atMs >= MODEL_AGE_MS) {
+      if (servers.length > 0 && nowMs - model.atMs >= MODEL_AGE_MS) {
         const usable = servers.filter(({ isUsable }) => isUsable);
         // Servers that failed together mostly return together.
         const counted = usable.length > 0 ? usable : servers;
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -15,4 +15,6 @@
 export type { MemoryTableStore } from './createMemoryTableStore';
 export { createScheduledTableStore } from './createScheduledTableStore';
 export type { StepScheduler, WriteFate } from './createScheduledTableStore';
+export { createSchedulerFixture } from './createSchedulerFixture';
+export type { SchedulerFixture } from './createSchedulerFixture';
 export { createSeededRandomness } from './createSeededRandomness';
