--- a/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createEventRate/index.ts
@@ -33,7 +33,8 @@
       removeOld(nowMs);
       const sinceFirstMs = nowMs - (firstAtMs ?? nowMs);
       const spanMs = Math.min(windowMs, Math.max(windowMs * MIN_SPAN_FRACTION, sinceFirstMs));
-      return (times.length * MS_PER_S) / spanMs;
+      // A single event says nothing about the rate.
+      return (Math.max(0, times.length - 1) * MS_PER_S) / spanMs;
     },
   };
 };
--- a/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
@@ -15,6 +15,14 @@
   readonly leftMs: number;
 }
 
+/** What the wait of a demand depends on besides the last seconds. */
+export interface WaitInputs {
+  readonly ahead: number;
+  readonly aheadInClass: number;
+  readonly isLate: boolean;
+  readonly startsPerS: number;
+}
+
 /** Predicts when servers can begin streams, from the last seconds. */
 export interface StartForecast {
   readTypical(): TypicalDemand;
@@ -26,11 +34,7 @@
   /** Records whether demands wait. */
   recordBacklog(isBacklogged: boolean, nowMs: number): void;
   readStartsPerS(servers: readonly ScheduledServer[], nowMs: number): number;
-  predictWaitMs(
-    requestClass: RequestClass,
-    options: { readonly ahead: number; readonly isLate: boolean; readonly startsPerS: number },
-    nowMs: number,
-  ): number;
+  predictWaitMs(requestClass: RequestClass, options: WaitInputs, nowMs: number): number;
   /** True if a more urgent class had demands in the last seconds. */
   hasMoreUrgent(requestClass: RequestClass, nowMs: number): boolean;
   /** True if the class is to get a start although the more urgent class waits. */
@@ -128,14 +132,15 @@
       const measured = backlogStarts.count(nowMs, backlogSinceMs);
       return (measured + model.startsPerS * MODEL_S) / (measuredS + MODEL_S);
     },
-    predictWaitMs: (requestClass, { ahead, isLate, startsPerS }, nowMs) => {
+    predictWaitMs: (requestClass, { ahead, aheadInClass, isLate, startsPerS }, nowMs) => {
       const moreUrgent = listMoreUrgent(requestClass);
       const overtaking = isLate ? [...moreUrgent, findRates(requestClass)] : moreUrgent;
       return predictQueueWaitMs({
         ahead,
+        aheadInClass,
         startsPerS,
         overtakingPerS: overtaking.reduce((sum, one) => sum + one.accepted.readPerS(nowMs), 0),
-        hasShare: !isLate && hasMoreUrgent(requestClass, nowMs),
+        hasShare: !isLate && moreUrgent.some(({ refused }) => refused.count(nowMs) > 0),
       });
     },
     hasMoreUrgent,
--- a/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -31,6 +31,17 @@
 
 const MS_PER_S = 1000;
 
+/** Counts the demands of the same class that are served before one. */
+export const countAheadInClass = (
+  entries: readonly QueuedDemand[],
+  entry: QueuedDemand,
+): number => {
+  const first = entries.findIndex(
+    ({ requestClass }) => compareRequestClasses(requestClass, entry.requestClass) === 0,
+  );
+  return Math.max(0, entries.indexOf(entry) - first);
+};
+
 /** Decides whether a demand that can't begin now waits; see `decideWaiting`. */
 export const decideDemand = (
   entry: QueuedDemand,
@@ -47,10 +58,15 @@
   if (isResumed) return { kind: 'wait', predictedMs: 0, isLate: entry.isLate };
 
   const ahead = entries.indexOf(entry);
-  const waitMs = forecast.predictWaitMs(requestClass, { ahead, isLate: false, startsPerS }, nowMs);
+  const aheadInClass = countAheadInClass(entries, entry);
+  const waitMs = forecast.predictWaitMs(
+    requestClass,
+    { ahead, aheadInClass, isLate: false, startsPerS },
+    nowMs,
+  );
   const lateWaitMs = forecast.predictWaitMs(
     requestClass,
-    { ahead: entries.length - 1, isLate: true, startsPerS },
+    { ahead: entries.length - 1, aheadInClass, isLate: true, startsPerS },
     nowMs,
   );
   const others = entries.filter(
--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -59,7 +59,7 @@
   const current = [...servers];
   const started = new Set<QueuedDemand>();
 
-  const start = (entry: QueuedDemand): boolean => {
+  const start = (entry: QueuedDemand, isOwed = false): boolean => {
     if (started.has(entry)) return true;
     const demand = readDemandAt(entry, nowMs);
     const { goalMs, outputTokens, promptTokens } = demand;
@@ -67,7 +67,7 @@
     const spareMs = demand.goalLeftMs - computeRunMs(servicePace, options).prefillMs;
     const choice = chooseScheduledServer(current, demand, {
       goalMs,
-      isLastChance: !entry.isLate && spareMs < LAST_CHANCE_MS,
+      isLastChance: isOwed || (!entry.isLate && spareMs < LAST_CHANCE_MS),
       isBackupRequired: !entry.isResumed && forecast.hasMoreUrgent(entry.requestClass, nowMs),
       ignoresLimits: entry.isResumed,
     });
@@ -89,17 +89,20 @@
     return !entry.isLate && hasServer && 2 * runMs <= leftMs;
   };
 
-  entries.filter(({ isResumed }) => isResumed).forEach(start);
+  entries.filter(({ isResumed }) => isResumed).forEach((entry) => start(entry));
 
   const [first] = entries;
   if (!first) return current;
+  // Once for each class: the entries are in the order of their classes.
   const owed = entries.find(
-    ({ isLate, requestClass }) =>
+    ({ isLate, requestClass }, index) =>
       !isLate &&
       compareRequestClasses(requestClass, first.requestClass) > 0 &&
+      compareRequestClasses(requestClass, entries[index - 1]?.requestClass ?? requestClass) > 0 &&
       forecast.isOwed(requestClass, first.requestClass, nowMs),
   );
-  if (owed) start(owed);
+  // The more urgent ones keep the servers beyond the limit that leaves time to repeat a run.
+  if (owed) start(owed, true);
 
   let blocked: RequestClass | null = null;
   let tries = 0;
--- a/src/application/scheduling/createStreamScheduler/index.ts
+++ b/src/application/scheduling/createStreamScheduler/index.ts
@@ -13,7 +13,7 @@
 import { createReportPoller } from './_lib/createReportPoller';
 import { createServerViews } from './_lib/createServerViews';
 import { createStartForecast } from './_lib/createStartForecast';
-import { decideDemand } from './_lib/decideDemand';
+import { countAheadInClass, decideDemand } from './_lib/decideDemand';
 import { grantServer } from './_lib/grantServer';
 import { listOverdueDemands } from './_lib/listOverdueDemands';
 import { readDemandAt } from './_lib/readDemandAt';
@@ -125,7 +125,8 @@
     const { isLate, requestClass } = entry;
     const startsPerS = forecast.readStartsPerS(servers, nowMs);
     const ahead = queue.countAhead(entry.demand.ticket);
-    const options = { ahead, isLate, startsPerS };
+    const aheadInClass = countAheadInClass(queue.list(), entry);
+    const options = { ahead, aheadInClass, isLate, startsPerS };
     return Math.round(forecast.predictWaitMs(requestClass, options, nowMs));
   };
 
--- a/src/domain/scheduling/decideWaiting/index.ts
+++ b/src/domain/scheduling/decideWaiting/index.ts
@@ -20,7 +20,7 @@
 }
 
 /** Time for the messages to the VM and the server, and for the step that makes the first event. */
-export const START_MARGIN_MS = 200;
+export const START_MARGIN_MS = 300;
 
 /** The demand waits, in time or after its goal, or is refused (`returnMs` 0: no retry). */
 export type WaitingDecision =
