Bound the demands of a class that one pass tries

Cause: demands that hold back nobody (past their goal, or without a server) were all tried against all servers.

Change: at most eight demands of a class that do not fit are tried in a pass.

--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -28,8 +28,8 @@
 }
 
 /**
- * Demands of a class that are tried after the first one that does not fit: a later one may have
- * more time left or exclude fewer servers.
+ * Demands of a class that are tried although they do not fit: a later one may have more time left or
+ * exclude fewer servers.
  */
 const MAX_TRIES = 8;
 
@@ -105,14 +105,16 @@
   if (owed) start(owed, true);
 
   let blocked: RequestClass | null = null;
+  let tried: RequestClass = first.requestClass;
   let tries = 0;
   for (const entry of entries) {
-    const isBehind = blocked !== null && compareRequestClasses(entry.requestClass, blocked) > 0;
-    if (isBehind) return current;
-    const isTried: boolean = blocked === null || tries < MAX_TRIES;
-    if (isTried && !start(entry)) {
+    const { requestClass } = entry;
+    if (blocked !== null && compareRequestClasses(requestClass, blocked) > 0) return current;
+    if (compareRequestClasses(requestClass, tried) !== 0) tries = 0;
+    tried = requestClass;
+    if (tries < MAX_TRIES && !start(entry)) {
       tries += 1;
-      if (blocked === null && isBlocking(entry)) blocked = entry.requestClass;
+      if (blocked === null && isBlocking(entry)) blocked = requestClass;
     }
   }
   return current;
