--- a/src/application/scheduling/index.ts
+++ b/src/application/scheduling/index.ts
@@ -3,6 +3,7 @@
   type SchedulerRegistry,
   type SchedulerRegistryDependencies,
 } from './createSchedulerRegistry';
+export { createStreamScheduler } from './createStreamScheduler';
 export type {
   DeliverDecision,
   DeliveredDecision,
@@ -10,10 +11,12 @@
   ScheduleRequest,
   ScheduleResponse,
   SchedulerClient,
+  SchedulingDirectory,
   SchedulingMeter,
   SchedulingOutcome,
   SchedulingVm,
   StartedRun,
   StreamDemandOptions,
   StreamScheduler,
+  StreamSchedulerDependencies,
 } from './types';
--- a/src/application/scheduling/types/index.ts
+++ b/src/application/scheduling/types/index.ts
@@ -9,3 +9,5 @@
 export type { SchedulerClient, SchedulingOutcome, StreamDemandOptions } from './SchedulerClient';
 export type { SchedulingMeter } from './SchedulingMeter';
 export type { DeliverDecision, StreamScheduler } from './StreamScheduler';
+export type { SchedulingDirectory } from './SchedulingDirectory';
+export type { StreamSchedulerDependencies } from './StreamSchedulerDependencies';
