Tell which services are scheduled

Cause: scheduling may only act where the configuration or the servers call for it (the switch of docs/design/scheduling.md).

--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -1,1 +1,2 @@
+export { isScheduled, type IsScheduledOptions } from './isScheduled';
 export * from './types';
