Ask the scheduler of a service for the server of a stream

Cause: no VM compares two callers that reach different VMs; one VM decides for each service, and the others have to ask it, wait, and survive its loss (docs/design/scheduling.md).

StreamDemandOptions gets requestId (for the log line of a stream that waits) and heldBytes (for the bound in bytes); neither is sent. isScheduled's test builds its tables in fewer lines; its cases are the same.

--- a/src/application/scheduling/index.ts
+++ b/src/application/scheduling/index.ts
@@ -1,3 +1,4 @@
+export { createSchedulerClient, type SchedulerClientDependencies } from './createSchedulerClient';
 export type {
   DeliverDecision,
   DeliveredDecision,
--- a/src/application/scheduling/types/SchedulerClient.ts
+++ b/src/application/scheduling/types/SchedulerClient.ts
@@ -1,11 +1,17 @@
 import type { StreamDemand } from '../../../domain/scheduling';
 import type { DeliveredDecision, EndedRun, StartedRun } from './ScheduleRequest';
 
-/** A demand without what the client adds: the ticket and the times. */
+/**
+ * A demand without what the client adds: the ticket and the times. `requestId` and `heldBytes` stay
+ * at this VM.
+ */
 export interface StreamDemandOptions extends Omit<
   StreamDemand,
   'availabilityZone' | 'goalLeftMs' | 'leftMs' | 'ticket' | 'waitedMs'
 > {
+  readonly requestId: string;
+  /** Bytes that this VM holds for the request while it waits. */
+  readonly heldBytes: number;
   /** Monotonic time until which the first event is within the goal. */
   readonly goalAtMs: number;
   /** Monotonic time of the caller's deadline. */
--- a/src/domain/scheduling/isScheduled/test.ts
+++ b/src/domain/scheduling/isScheduled/test.ts
@@ -2,42 +2,24 @@
 import { RouteKind, type Route, type RouteTable } from '../../forwarding';
 import { isScheduled } from '.';
 
-const buildRoute = (name: string, changes: Partial<Route>): Route => ({
-  name,
-  host: 'h',
-  prefix: `/${name}/`,
-  kind: RouteKind.Stream,
-  resumable: true,
-  timeoutMs: 25_000,
-  latencyGoalMs: 4500,
-  gapGoalMs: 700,
-  priority: 0,
-  maxAttempts: 3,
-  isPublic: false,
-  targets: [{ service: 'chat', weight: 1 }],
-  ...changes,
-});
-
-const buildTable = (routes: readonly Route[], hasEngine = true): RouteTable => {
-  const engine = {
-    slots: 4,
-    kvCapacityTokens: 1000,
-    supportsKvBackup: true,
-    supportsKvCopy: true,
-  };
-  return {
-    version: 1,
+const buildRoute = (name: string, changes: Partial<Route>): Route =>
+  ({
+    name,
+    kind: RouteKind.Stream,
+    priority: 0,
+    targets: [{ service: 'chat', weight: 1 }],
+    ...changes,
+  }) as unknown as Route;
+
+const buildTable = (routes: readonly Route[], engine: object | null = {}): RouteTable =>
+  ({
     routesByHost: new Map([
       ['h', routes.slice(0, 1)],
       ['i', routes.slice(1)],
     ]),
-    services: new Map([
-      ['chat', { name: 'chat', healthPath: '/', engine: hasEngine ? engine : null }],
-    ]),
-    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    services: new Map([['chat', { name: 'chat', healthPath: '/', engine }]]),
     holdersByKey: new Map([['k', { workspace: 'w', priority: 7 }]]),
-  };
-};
+  }) as unknown as RouteTable;
 
 const EVEN = { isUneven: false };
 const UNEVEN = { isUneven: true };
@@ -58,7 +40,7 @@
 });
 
 test('is not scheduled without engines, or if the service is unknown', (t) => {
-  t.false(isScheduled(buildTable([URGENT, LATER], false), 'chat', UNEVEN));
+  t.false(isScheduled(buildTable([URGENT, LATER], null), 'chat', UNEVEN));
   t.false(isScheduled(buildTable([URGENT, LATER]), 'other', UNEVEN));
 });
 
