Let the scheduler choose the servers of streams that are prefilled

Cause: each VM sends or refuses a stream by the reports of four servers; nobody orders the streams of the fleet, and none can wait (docs/design/hard-load.md).

Change: where isScheduled says so, the server of an attempt that prefills the prompt of a new answer comes from the scheduler client, and no server is queried. A granted server that is not usable from here is returned and asked for again without it. While a stream waits, the end of its caller, its deadline, a quarantine, and a route or key that is gone end the wait; unused grants are released with permits and retries. Starts without a grant, ends of runs and pace samples are told. refuseStreams also refuses what waits. wireGateway has a client whose only scheduler is this VM, which does not schedule, until the scheduler and its transport are wired: every stream is placed as before. checkStreamStart's test: its placement has the new field.

--- a/src/application/forwarding/_lib/checkStreamStart/test.ts
+++ b/src/application/forwarding/_lib/checkStreamStart/test.ts
@@ -30,6 +30,7 @@
   expectedFirstEventMs: 0,
   backup: null,
   predictedMs: 6000,
+  grant: null,
 };
 
 test('a new stream that cannot start within its latency goal is refused with a retry time', (t) => {
--- a/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
+++ b/src/application/forwarding/_lib/chooseStreamPlacement/index.ts
@@ -7,6 +7,7 @@
 } from '../../../../domain/forwarding';
 import type { HeldCopy, StreamRun, StreamPlacement } from '../../types';
 import { queryServers, type RespondingServer } from '../queryServers';
+import { findCopyHolder } from '../findCopyHolder';
 import { findPromptHolder } from '../findPromptHolder';
 import { keepsBackups } from '../keepsBackups';
 import { pickServer } from '../pickServer';
@@ -29,21 +30,6 @@
 /** Maximum number of reservations for one prompt, one after the other. */
 const MAX_RESERVATION_ATTEMPTS = 3;
 
-/**
- * Finds a server that can continue from the copy. Servers that stopped the run themselves did not
- * fail, so they are not excluded.
- */
-const findCopyHolder = ({ context, copy, dependencies }: StreamRun): ServerEntry | null => {
-  if (!copy?.hasData) return null;
-  const { directory } = dependencies;
-  const servers = copy.holders
-    .map(directory.findServing)
-    .filter((entry) => entry !== null)
-    .filter(context.servers.isAllowed)
-    .filter(({ id }) => !directory.isRateLimited(id));
-  return servers.find(({ id }) => directory.isHealthy(id)) ?? servers[0] ?? null;
-};
-
 /** Builds a placement without querying servers. The backup is in another availability zone. */
 const buildUnqueriedPlacement = (
   run: StreamRun,
@@ -70,6 +56,7 @@
     estimate: {},
     expectedFirstEventMs: 0,
     predictedMs: null,
+    grant: null,
   };
 };
 
--- a/src/application/forwarding/_lib/closeStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/closeStreamAttempt/index.ts
@@ -9,4 +9,14 @@
   openAttempt.stopCopyWatch();
   openAttempt.abort.abort();
   openAttempt.work.release();
+  const { scheduled, sentAtMs, server } = openAttempt;
+  if (!scheduled) return;
+  const { clock, scheduler } = run.dependencies;
+  scheduler.recordEnded(run.context.service, {
+    server: server.id,
+    kvTokens: scheduled.kvTokens,
+    backup: scheduled.backup,
+    ranMs: clock.readMonotonicMs() - sentAtMs,
+    samples: scheduled.samples,
+  });
 };
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -12,6 +12,7 @@
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { openStreamAttempt } from '../openStreamAttempt';
+import { recordDecodeSample } from '../recordDecodeSample';
 import { recordStreamSuccess } from '../recordStreamSuccess';
 import { logDecision } from '../logDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
@@ -59,7 +60,7 @@
     let cancelDeadline = (): void => undefined;
     let cancelListener = (): void => undefined;
     let firstEventMs: number | null = null;
-    let isEnded = false;
+    const ended = new AbortController();
 
     // Assigned below: the run and its end depend on each other.
     let refuse: StreamRun['refuse'] = () => undefined;
@@ -73,7 +74,8 @@
       attempts: new Map(),
       readState: () => state,
       dispatch: queue.push,
-      isEnded: () => isEnded,
+      isEnded: () => ended.signal.aborted,
+      ended: ended.signal,
       refuse: (refusal) => refuse(refusal),
       copy: null,
       prefillAttempts: 0,
@@ -85,8 +87,8 @@
     };
 
     const end = (outcome: string): void => {
-      if (isEnded) return;
-      isEnded = true;
+      if (ended.signal.aborted) return;
+      ended.abort();
       cancelRetry();
       cancelDeadline();
       cancelListener();
@@ -153,7 +155,7 @@
     };
 
     const runEffect = (effect: GenerationEffect): void => {
-      if (isEnded) return;
+      if (ended.signal.aborted) return;
       if (effect.kind === 'open-attempt') open(effect);
       else if (effect.kind === 'cancel-attempt') closeStreamAttempt(run, effect.attempt);
       else if (effect.kind === 'deliver') deliver(effect);
@@ -167,12 +169,13 @@
       } else if (effect.kind === 'finish') {
         reply.end();
         recordStreamSuccess(run);
+        recordDecodeSample(run);
         end('answered');
       } else if (effect.kind === 'fail') fail(effect.failure);
     };
 
     queue.setHandler((input) => {
-      if (isEnded) return;
+      if (ended.signal.aborted) return;
       const next = updateGeneration(state, input);
       state = next.state;
       next.effects.forEach(runEffect);
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -2,6 +2,7 @@
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import type { HeldCopy, StreamAttempt, StreamRun, StreamPlacement } from '../../types';
+import { buildScheduledRun } from '../buildScheduledRun';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { prepareStreamAttempt, type OpenAttemptEffect } from '../prepareStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
@@ -44,12 +45,20 @@
     hasDeliveredEvent: false,
     wasServerIdle: isFree,
     expectedFirstEventMs,
+    scheduled: buildScheduledRun(run, placement),
     stopSilenceWatch: () => undefined,
     stopCopyWatch: () => undefined,
     isMigrating: false,
   };
 };
 
+/** Releases the grant of an attempt that did not start a run. */
+const cancelGrant = (attempt: StreamAttempt): void => {
+  if (!attempt.scheduled?.grant) return;
+  attempt.scheduled.grant.cancel();
+  Object.assign(attempt, { scheduled: null });
+};
+
 const handleErrorResponse = async (
   run: StreamRun,
   reader: ReaderId,
@@ -59,6 +68,7 @@
 ): Promise<void> => {
   if (head.isNotExecuted) {
     // The rest of the body is read, so that the connection is released.
+    cancelGrant(attempt);
     releaseCopy(run, copy, attempt.server.id);
     await readBody(body);
     run.dispatch({ kind: 'not-started', reader, refused: false });
@@ -156,6 +166,7 @@
       context.servers.recordOutcome(server, { isFailure: true, duration: null });
     }
     if (isRefused) {
+      cancelGrant(attempt);
       releaseCopy(run, copy, server.id);
       permit.release();
       if (isRepeat) retries.releaseRetry(context.service);
--- a/src/application/forwarding/_lib/pickServer/index.ts
+++ b/src/application/forwarding/_lib/pickServer/index.ts
@@ -66,6 +66,7 @@
     // A cached prompt needs no prefill, so that silence is not explained by it.
     expectedFirstEventMs: isPromptCached ? 0 : readingMs,
     backup: keepsBackups(run, chosen.entry) ? (backup?.entry ?? null) : null,
+    grant: null,
   };
 };
 
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -1,9 +1,12 @@
 import type { GenerationEffect, ReaderId } from '../../../../domain/generation';
 import { RefusalCode } from '../../../../domain/types';
 import type { Permit } from '../../../limits';
-import type { StreamRun, StreamPlacement } from '../../types';
+import type { Refusal, StreamRun, StreamPlacement } from '../../types';
 import { checkStreamStart } from '../checkStreamStart';
 import { chooseStreamPlacement } from '../chooseStreamPlacement';
+import { findCopyHolder } from '../findCopyHolder';
+import { isRunScheduled } from '../isRunScheduled';
+import { requestPlacement } from '../requestPlacement';
 import { skipRateLimited } from '../skipRateLimited';
 import { logDecision } from '../logDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
@@ -44,28 +47,78 @@
     refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: computeRetryAfterMs(run) },
   });
 
+/** A placement whose server grants a permit now. */
+type PermittedPlacement = Pick<PreparedAttempt, 'permit' | 'placement'>;
+
+/** Options of the choice of a placement. */
+interface ChoiceOptions {
+  readonly excludedIds: ReadonlySet<string>;
+  readonly isStillNeeded: () => boolean;
+}
+
+/** True if the scheduler chooses the server: the attempt prefills the prompt of a new answer. */
+const needsGrant = (run: StreamRun): boolean =>
+  run.readState().offset === 0 &&
+  run.context.request.lastEventId === null &&
+  isRunScheduled(run) &&
+  !findCopyHolder(run);
+
+/** Chooses a placement; null if no server takes work, or none is needed any more. */
+const choosePlacement = async (
+  run: StreamRun,
+  options: ChoiceOptions,
+): Promise<StreamPlacement | Refusal | null> => {
+  if (!needsGrant(run)) return chooseStreamPlacement(run, options.excludedIds);
+  const requested = await requestPlacement(run, options);
+  if (requested.kind === 'placed') return requested.placement;
+  if (requested.kind === 'refused') return requested.refusal;
+  return requested.kind === 'cancelled' ? null : chooseStreamPlacement(run, options.excludedIds);
+};
+
 /** Chooses a placement whose server grants a permit now; null if there is none. */
 const choosePermitted = async (
   run: StreamRun,
-  excludedIds: ReadonlySet<string>,
-): Promise<Pick<PreparedAttempt, 'permit' | 'placement'> | null> => {
+  { excludedIds, isStillNeeded }: ChoiceOptions,
+): Promise<PermittedPlacement | Refusal | null> => {
   const { permits } = run.dependencies;
   const rateLimitedIds = new Set<string>();
   while (rateLimitedIds.size < MAX_RATE_LIMITED) {
-    const placement = await chooseStreamPlacement(
-      run,
-      new Set([...excludedIds, ...rateLimitedIds]),
-    );
-    if (!placement) return null;
+    const placement = await choosePlacement(run, {
+      excludedIds: new Set([...excludedIds, ...rateLimitedIds]),
+      isStillNeeded,
+    });
+    if (!placement || 'reason' in placement) return placement;
     const { id } = placement.server;
     const permit = await permits.acquirePermit(id);
     if (typeof permit !== 'number') return { placement, permit };
+    placement.grant?.cancel();
     skipRateLimited(run.dependencies, run.context, placement.server, permit);
     rateLimitedIds.add(id);
   }
   return null;
 };
 
+const releaseUnsent = ({ permit, placement }: PermittedPlacement): void => {
+  permit.release();
+  placement.grant?.cancel();
+};
+
+/** Refuses a stream as the scheduler decided; one that reached a server before asks again later. */
+const refuseByScheduler = (run: StreamRun, reader: ReaderId, refusal: Refusal): void => {
+  const { reason: message, retryAfterMs } = refusal;
+  logDecision(run.dependencies, run.context, 'stream refused', {
+    reason: message,
+    returnMs: retryAfterMs,
+    isReturning: run.context.isReturning,
+    scheduled: true,
+  });
+  if (run.arrivedAttempts === 0) run.refuse(refusal);
+  else {
+    const code = RefusalCode.NoReadyServer;
+    run.dispatch({ kind: 'slot-refused', reader, refusal: { code, message, retryAfterMs } });
+  }
+};
+
 /**
  * Chooses the placement of a stream's next attempt and acquires what sending it needs: a permit,
  * and a retry unless it is the first attempt to reach a server. Unused permits and retries are
@@ -79,12 +132,13 @@
 ): Promise<PreparedAttempt | null> => {
   const { lender, retries } = run.dependencies;
   const { context } = run;
-  const chosen = await choosePermitted(run, new Set(excludedServers));
-  // The caller may have disconnected, or the deadline may have passed, during the queries.
+  // The caller may have disconnected, or the deadline may have passed, while a server was chosen.
   const isStillNeeded = (): boolean =>
     !run.isEnded() && run.readState().attempts.some(({ attempt }) => attempt === reader.attempt);
+  const excludedIds = new Set(excludedServers);
+  const chosen = await choosePermitted(run, { excludedIds, isStillNeeded });
   if (!isStillNeeded()) {
-    chosen?.permit.release();
+    if (chosen && 'permit' in chosen) releaseUnsent(chosen);
     logDecision(run.dependencies, context, 'stream not sent', { attempt: reader.attempt });
     return null;
   }
@@ -92,28 +146,34 @@
     refuse(run, reader, 'no server takes work');
     return null;
   }
+  if (!('permit' in chosen)) {
+    refuseByScheduler(run, reader, chosen);
+    return null;
+  }
   const { permit, placement } = chosen;
-  const refusal = run.arrivedAttempts === 0 ? checkStreamStart(run, placement) : null;
+  // The scheduler has admitted a stream that it granted a server.
+  const isNew = run.arrivedAttempts === 0 && !placement.grant;
+  const refusal = isNew ? checkStreamStart(run, placement) : null;
   if (refusal) {
-    permit.release();
+    releaseUnsent(chosen);
     run.refuse(refusal);
     return null;
   }
   const isRepeat = run.arrivedAttempts > 0;
   if (isRepeat && !run.hasReservedRetry && !(await lender.acquireRetry(context.service))) {
-    permit.release();
+    releaseUnsent(chosen);
     refuse(run, reader, 'no retry left');
     return null;
   }
   if (!isStillNeeded() || refuseQuarantined(run)) {
-    permit.release();
+    releaseUnsent(chosen);
     if (isRepeat) retries.releaseRetry(context.service);
     return null;
   }
   Object.assign(run, { hasReservedRetry: false });
   if (placement.copy) return { placement, permit, isRepeat };
   if (run.prefillAttempts >= context.route.maxAttempts) {
-    permit.release();
+    releaseUnsent(chosen);
     refuse(run, reader, 'the request was sent to the maximum number of servers');
     return null;
   }
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -3,6 +3,7 @@
 import type { ReaderId } from '../../../../domain/generation';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { recordCrash } from '../recordCrash';
+import { recordPaceSample } from '../recordPaceSample';
 import { startSilenceWatch } from '../startSilenceWatch';
 
 /**
@@ -35,6 +36,7 @@
   // From the first event on a far shorter silence limit applies.
   Object.assign(attempt, { stopSilenceWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
+  if (attempt.scheduled) Object.assign(attempt.scheduled, { firstEventAtMs: nowMs });
   recordFirstEvent(run, attempt, nowMs);
   // Only a whole prompt is a sample of prefill time: the prompt of a resumed stream may be cached.
   const isWholePrompt = run.prefillAttempts === 1 && request.lastEventId === null;
@@ -47,7 +49,10 @@
     // A prompt that waited for others is no pace sample: a VM that had seen only such a prompt took
     // every engine for three times too slow, and refused streams that idle engines could have
     // started.
-    if (attempt.wasServerIdle) run.paces.recordPrefill(service, sample);
+    if (!attempt.wasServerIdle) return;
+    run.paces.recordPrefill(service, sample);
+    const { firstTokenMs: tookMs, promptCharacters: tokens } = sample;
+    recordPaceSample(run, attempt, { kind: 'prefill', tokens, tookMs });
   }
 };
 
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -19,7 +19,7 @@
   /** Resolves when the response has ended or the caller has disconnected. */
   forwardRequest(request: ForwardedRequest, reply: CallerReply): Promise<void>;
   countRunning(): number;
-  /** Refuses new streams from now on: they would outlive this process. */
+  /** Refuses new and waiting streams from now on: they would outlive this process. */
   refuseStreams(): void;
   /** Refuses all new requests from now on: the process is about to end. */
   refuseAll(): void;
@@ -37,12 +37,14 @@
 /** Refused streams are told to retry after their latency goal, reduced by the random spread. */
 const SHORTEST_RETURN_FRACTION = 0.9;
 
+const LEAVING_REASON = 'this VM is leaving';
+
 /** Time after which to retry at another VM when this one is shutting down. */
 const LEAVING_RETRY_MS = 50;
 
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
-  const { clock, log, meter, randomness, retries, rollouts, tables } = dependencies;
+  const { clock, log, meter, randomness, retries, rollouts, scheduler, tables } = dependencies;
   const shared = { paces: createLatencyHistory(), overload: createOverloadTracker(clock) };
   const startedAtMs = clock.readMonotonicMs();
   /** By route: the longest time that a caller waits. */
@@ -76,7 +78,7 @@
     const route = findRoute(table, request.host, request.target);
     if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
     if (refusesAll || (refusesStreams && route.kind === RouteKind.Stream)) {
-      return { kind: 'not-run', reason: 'this VM is leaving', retryAfterMs: LEAVING_RETRY_MS };
+      return { kind: 'not-run', reason: LEAVING_REASON, retryAfterMs: LEAVING_RETRY_MS };
     }
     const access = checkRequestKey(table, route, request.key);
     if (access.isErr()) return { kind: 'unknown-key', reason: access.error, retryAfterMs: 0 };
@@ -89,17 +91,19 @@
     // like retries.
     const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, waitMs);
     longestWaitMs.set(route.name, longestMs);
+    const isRetry = isReturning({
+      deadlineMs: request.deadlineMs,
+      longestDeadlineMs: longestMs,
+      minRetryAfterMs: route.latencyGoalMs * SHORTEST_RETURN_FRACTION,
+    });
     return {
       request,
       route,
       service,
       holder: access.value.holder,
       priority: computePriority(route, access.value.holder),
-      isReturning: isReturning({
-        deadlineMs: request.deadlineMs,
-        longestDeadlineMs: longestMs,
-        minRetryAfterMs: route.latencyGoalMs * SHORTEST_RETURN_FRACTION,
-      }),
+      isReturning: isRetry,
+      firstArrivedAtMs: request.arrivedAtMs - (isRetry ? longestMs - waitMs : 0),
       servers: rollouts.openRequest({ service, route: route.name }),
       reply,
       deadlineAtMs: request.arrivedAtMs + waitMs,
@@ -145,6 +149,7 @@
     },
     refuseStreams: () => {
       refusesStreams = true;
+      scheduler.refuseWaiting(LEAVING_REASON, LEAVING_RETRY_MS);
     },
   };
 };
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -12,6 +12,8 @@
   readonly priority: number;
   /** True if the caller retries after a refusal. Such a caller does not retry a second time. */
   readonly isReturning: boolean;
+  /** Monotonic time of the caller's first attempt, as far as its deadline tells. */
+  readonly firstArrivedAtMs: number;
   /** Servers that may serve the request. */
   readonly servers: EligibleServers;
   readonly reply: CallerReply;
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,6 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { ServerPaces } from '../../paces';
+import type { SchedulerClient } from '../../scheduling';
 import type { PermitClient, ServerLimits } from '../../limits';
 import type { RolloutRegistry } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
@@ -25,6 +27,8 @@
   readonly randomness: Randomness;
   readonly retries: RetryBudget;
   readonly rollouts: Pick<RolloutRegistry, 'openRequest'>;
+  readonly scheduler: SchedulerClient;
+  readonly serverPaces: Pick<ServerPaces, 'isUneven' | 'record'>;
   readonly lender: RetryLender;
   readonly tables: RouteTableHolder;
   /** Tells other VMs that a prompt was just sent to a server. */
--- a/src/application/forwarding/types/StreamPlacement.ts
+++ b/src/application/forwarding/types/StreamPlacement.ts
@@ -1,7 +1,11 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import type { EventFields } from '../../ports';
+import type { SchedulingOutcome } from '../../scheduling';
 import type { HeldCopy } from './StreamRun';
 
+/** The grant of a scheduler. */
+export type StreamGrant = Pick<Extract<SchedulingOutcome, { kind: 'send' }>, 'cancel'>;
+
 /** The servers of the next attempt. */
 export interface StreamPlacement {
   readonly server: ServerEntry;
@@ -23,4 +27,6 @@
   readonly expectedFirstEventMs: number;
   /** Time to the first event as predicted from the servers' reports; null if no report was read. */
   readonly predictedMs: number | null;
+  /** The scheduler's grant; null if this VM chose the server. */
+  readonly grant: StreamGrant | null;
 }
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -1,6 +1,7 @@
 import type { GapStatistics } from '../../../domain/detection';
 import type { GenerationInput, GenerationState } from '../../../domain/generation';
 import type { AnswerHead, ServerEntry } from '../../../domain/forwarding';
+import type { PaceSample } from '../../../domain/paces';
 import type { KvCopy } from '../../ports';
 import type { ServerWork } from '../_lib/startServerWork';
 import type { OverloadTracker } from '../_lib/createOverloadTracker';
@@ -8,6 +9,7 @@
 import type { Refusal } from './CallerReply';
 import type { ForwardContext } from './ForwardContext';
 import type { ForwardingDependencies } from './ForwardingDependencies';
+import type { StreamGrant } from './StreamPlacement';
 
 /** A copy of the run's KV cache, and the servers that can continue from it. */
 export interface HeldCopy extends KvCopy {
@@ -19,6 +21,18 @@
   readonly release: () => void;
 }
 
+/** What the scheduler of the service is told of an attempt. */
+export interface ScheduledRun {
+  /** KV memory that the run needs until its end, in tokens. */
+  readonly kvTokens: number;
+  /** Id of the server that holds the copy; null for none. */
+  readonly backup: string | null;
+  readonly grant: StreamGrant | null;
+  /** Monotonic time of the first event; null before. */
+  firstEventAtMs: number | null;
+  readonly samples: PaceSample[];
+}
+
 /** The mutable state of one attempt, besides the pure generation state. */
 export interface StreamAttempt {
   readonly abort: AbortController;
@@ -36,6 +50,8 @@
   readonly wasServerIdle: boolean;
   /** Expected time to the first event; 0 if unknown. */
   readonly expectedFirstEventMs: number;
+  /** Null if the service is not scheduled, or if the grant was cancelled. */
+  scheduled: ScheduledRun | null;
   stopSilenceWatch: () => void;
   stopCopyWatch: () => void;
   /** True if the server was asked to stop the run, so that it continues elsewhere. */
@@ -55,6 +71,8 @@
   readonly dispatch: (input: GenerationInput) => void;
   /** True once the caller has the complete response or has disconnected. */
   readonly isEnded: () => boolean;
+  /** Aborts at that time. */
+  readonly ended: AbortSignal;
   /** Ends a run of which nothing was sent to any server. */
   readonly refuse: (refusal: Refusal) => void;
   /** Copy from which the next attempt may continue. */
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -10,6 +10,7 @@
   createServerDirectory,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
+import { createSchedulerClient } from '../../../../application/scheduling';
 import { createFollowerPair, createZoneReplication } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
@@ -186,8 +187,20 @@
     countPendingPrefillTokens: directory.countPendingPrefillTokens,
     recordPeerPrompt: directory.recordPeerPrompt,
   });
+  // Until this VM's scheduler and the calls to others are wired, no VM schedules.
+  const scheduler = createSchedulerClient({
+    self,
+    listSchedulers: () => [self],
+    askPeer: async () => null,
+    handleLocally: () => ({ isOwner: false, decisions: [] }),
+    clock,
+    log,
+    randomness,
+  });
   const forwarder = createForwarder({
     lender,
+    scheduler,
+    serverPaces: { isUneven: () => false, record: () => undefined },
     availabilityZone: settings.availabilityZone,
     client,
     clock,
@@ -221,6 +234,7 @@
     places,
     rolloutJudge,
     stop: async () => {
+      scheduler.stop();
       quarantineRows.stop();
       rolloutJudge.stop();
       sharing.stop();
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -7,6 +7,7 @@
 export { QUIET_LOG } from './quietLog';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
+export { createInactiveScheduler } from './createInactiveScheduler';
 export { createMemoryObjectStore } from './createMemoryObjectStore';
 export type { MemoryObjectStore } from './createMemoryObjectStore';
 export { createMemoryTableStore } from './createMemoryTableStore';
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -9,7 +9,12 @@
 import { createServerLimits } from '../../../src/application/limits';
 import { createRolloutRegistry } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
-import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
+import {
+  createFakeClock,
+  createInactiveScheduler,
+  createSeededRandomness,
+  QUIET_LOG,
+} from '../../fakes';
 import {
   createSimulatedDirectory,
   SIMULATED_SERVICE,
@@ -146,6 +151,8 @@
         handleChange: () => undefined,
         handleEvidence: () => undefined,
       }),
+      scheduler: createInactiveScheduler(),
+      serverPaces: { isUneven: () => false, record: () => undefined },
       lender: createRetryLender({
         retries,
         log: QUIET_LOG,
