--- a/src/application/forwarding/_lib/requestPlacement/index.ts
+++ b/src/application/forwarding/_lib/askForPlacement/index.ts
@@ -6,7 +6,7 @@
 import { readRequestClass } from '../readRequestClass';
 
 /** What the scheduler's decision means for an attempt. */
-export type RequestedPlacement =
+export type SchedulerPlacement =
   | { readonly kind: 'placed'; readonly placement: StreamPlacement }
   | { readonly kind: 'refused'; readonly refusal: Refusal }
   /** The attempt is no longer needed. */
@@ -14,8 +14,8 @@
   /** The VM places the attempt by itself. */
   | { readonly kind: 'unscheduled' };
 
-/** Options of `requestPlacement`. */
-export interface RequestPlacementOptions {
+/** Options of `askForPlacement`. */
+export interface AskForPlacementOptions {
   readonly excludedIds: ReadonlySet<string>;
   /** False once the stream needs no placement any more. */
   readonly isStillNeeded: () => boolean;
@@ -62,10 +62,10 @@
  * Asks the scheduler of the service for the server of an attempt that prefills the prompt, and
  * waits for its decision. No server is queried.
  */
-export const requestPlacement = async (
+export const askForPlacement = async (
   run: StreamRun,
-  { excludedIds, isStillNeeded }: RequestPlacementOptions,
-): Promise<RequestedPlacement> => {
+  { excludedIds, isStillNeeded }: AskForPlacementOptions,
+): Promise<SchedulerPlacement> => {
   const { context, dependencies } = run;
   const { request, route, service } = context;
   const refusedIds = new Set(excludedIds);
@@ -98,7 +98,7 @@
     };
   };
 
-  const requestUsable = async (): Promise<RequestedPlacement> => {
+  const askForUsable = async (): Promise<SchedulerPlacement> => {
     for (let grants = 0; grants < MAX_GRANTS; grants += 1) {
       if (listAllowedVersions(run) === null) return { kind: 'unscheduled' };
       const outcome = await dependencies.scheduler.requestServer(
@@ -127,7 +127,7 @@
   if (run.ended.aborted) return { kind: 'cancelled' };
   run.ended.addEventListener('abort', abort, { once: true });
   try {
-    return await requestUsable();
+    return await askForUsable();
   } finally {
     run.ended.removeEventListener('abort', abort);
   }
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -6,7 +6,7 @@
 import { chooseStreamPlacement } from '../chooseStreamPlacement';
 import { findCopyHolder } from '../findCopyHolder';
 import { isRunScheduled } from '../isRunScheduled';
-import { requestPlacement } from '../requestPlacement';
+import { askForPlacement } from '../askForPlacement';
 import { skipRateLimited } from '../skipRateLimited';
 import { logDecision } from '../logDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
@@ -57,7 +57,7 @@
 }
 
 /** True if the scheduler chooses the server: the attempt prefills the prompt of a new answer. */
-const needsGrant = (run: StreamRun): boolean =>
+const isPlacedByScheduler = (run: StreamRun): boolean =>
   run.readState().offset === 0 &&
   run.context.request.lastEventId === null &&
   isRunScheduled(run) &&
@@ -68,11 +68,11 @@
   run: StreamRun,
   options: ChoiceOptions,
 ): Promise<StreamPlacement | Refusal | null> => {
-  if (!needsGrant(run)) return chooseStreamPlacement(run, options.excludedIds);
-  const requested = await requestPlacement(run, options);
-  if (requested.kind === 'placed') return requested.placement;
-  if (requested.kind === 'refused') return requested.refusal;
-  return requested.kind === 'cancelled' ? null : chooseStreamPlacement(run, options.excludedIds);
+  if (!isPlacedByScheduler(run)) return chooseStreamPlacement(run, options.excludedIds);
+  const asked = await askForPlacement(run, options);
+  if (asked.kind === 'placed') return asked.placement;
+  if (asked.kind === 'refused') return asked.refusal;
+  return asked.kind === 'cancelled' ? null : chooseStreamPlacement(run, options.excludedIds);
 };
 
 /** Chooses a placement whose server grants a permit now; null if there is none. */
--- a/src/application/scheduling/createSchedulerClient/index.ts
+++ b/src/application/scheduling/createSchedulerClient/index.ts
@@ -79,14 +79,14 @@
 
   const startRenewals = (service: string): void => {
     if (renewals.has(service)) return;
-    const renew = (): void => {
+    const handleRenewalDue = (): void => {
       renewals.delete(service);
       const waiting = listWaiting().filter((entry) => entry.service === service);
       if (waiting.length === 0) return;
       startRenewals(service);
       ask(service, waiting);
     };
-    renewals.set(service, clock.startTimer(RENEWAL_INTERVAL_MS, renew));
+    renewals.set(service, clock.startTimer(RENEWAL_INTERVAL_MS, handleRenewalDue));
   };
 
   const handlers: {
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -46,6 +46,8 @@
   const targets = [{ service: SIMULATED_SERVICE, weight: 1 }];
   const [route, other] = priorities.map((priority, index) => ({
     name: `r-${index}`,
+    prefix: `/${index}/`,
+    timeoutMs: 25_000,
     kind: 'stream',
     priority,
     latencyGoalMs: 4500,
@@ -81,6 +83,7 @@
   }
   const note = (message: string, fields: EventFields) => state.lines.push({ message, ...fields });
   const noop = () => undefined;
+  const servers = buildOpenServers(() => directory.listServing(SIMULATED_SERVICE));
   const dependencies = {
     availabilityZone: 'z0',
     clock,
@@ -103,7 +106,9 @@
     crashes: { readQuarantineMs: () => 0, addListener: () => noop, isSuspected: () => false },
     limits: { recordAdvertisedLimit: noop },
     permits: { acquirePermit: async () => ({ release: noop }) },
-    meter: { recordResume: noop },
+    meter: { recordResume: noop, recordRequest: noop },
+    retries: { recordRequest: noop },
+    rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
     tellPrompt: noop,
     serverPaces: {
@@ -120,12 +125,16 @@
       recordStarted: (_: string, { server }: { readonly server: string }) =>
         state.started.push(server),
       recordEnded: (_: string, run: EndedRun) => state.ended.push(run),
+      refuseWaiting: (reason: string, returnMs: number) =>
+        state.asked.forEach(({ resolve }) => resolve({ kind: 'refuse', reason, returnMs })),
     },
   } as unknown as ForwardingDependencies;
   const left = new AbortController();
   const context = {
     request: {
       requestId: 'r',
+      host: 'h',
+      target: '/0/',
       arrivedAtMs: 0,
       key: 'k',
       lastEventId: null,
@@ -139,7 +148,7 @@
     priority: 0,
     firstArrivedAtMs: -500,
     isReturning: false,
-    servers: buildOpenServers(() => directory.listServing(SIMULATED_SERVICE)),
+    servers,
     reply: {
       callerLeft: left.signal,
       isOpen: () => true,
