Tell the scheduler that a stream is resumed only if a server may have run it

Cause: a server that refuses a request without running it counts as an attempt that arrived; such a stream would have been granted beyond the limits, as one that lost its server.

Change: isResumed is the generation's mayHaveStarted. A test of a stream that loses its server before the first event.

--- a/src/application/forwarding/_lib/askForPlacement/index.ts
+++ b/src/application/forwarding/_lib/askForPlacement/index.ts
@@ -91,7 +91,7 @@
       goalAtMs: context.firstArrivedAtMs + route.latencyGoalMs,
       deadlineAtMs: context.deadlineAtMs,
       isReturning: context.isReturning,
-      isResumed: run.arrivedAttempts > 0,
+      isResumed: run.readState().mayHaveStarted,
       needsBackup: listed.some(({ entry }) => keepsBackups(run, entry)),
       excludedServers: [...new Set([...refusedIds, ...suspectedIds])],
       versions: listAllowedVersions(run) ?? [],
--- a/src/application/forwarding/_lib/forwardStream/test.ts
+++ b/src/application/forwarding/_lib/forwardStream/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import { err } from 'neverthrow';
 import { createStreamFixture, type StreamFixtureOptions } from '../../../../../standins/model';
 import { createLatencyHistory } from '../../../_lib/createLatencyHistory';
 import type { StreamRun } from '../../types';
@@ -99,6 +100,26 @@
   t.deepEqual(state.sent, [['i-1', null]]);
 });
 
+// Guards against a lost stream that waits again behind new ones.
+test('a stream that lost its server is asked for as resumed, without that server', async (t) => {
+  const { clock, dependencies, grant, start, state } = build();
+  const { sendAttempt } = dependencies.client;
+  Object.assign(dependencies.client, {
+    sendAttempt: async () => {
+      Object.assign(dependencies.client, { sendAttempt });
+      return err({ kind: 'broken', reason: 'reset' });
+    },
+  });
+  const outcome = start();
+  await clock.advanceAsync(0);
+  grant('i-1');
+  await clock.advanceAsync(1000);
+  t.like(state.asked[1]?.readDemand(), { isResumed: true, excludedServers: ['i-1'] });
+  t.like(state.ended, [{ server: 'i-1', samples: [] }]);
+  grant('i-2');
+  t.is(await outcome, 'answered');
+});
+
 test('without a scheduler the VM queries servers, and tells of the run', async (t) => {
   const { clock, start, state } = build();
   const outcome = start();
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -53,6 +53,7 @@
     latencyGoalMs: 4500,
     maxAttempts: 3,
     isPublic: false,
+    resumable: true,
     targets,
   }));
   const holder = { workspace: 'w', priority: workspacePriority };
@@ -110,6 +111,7 @@
     retries: { recordRequest: noop },
     rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
+    lender: { acquireRetry: async () => true },
     tellPrompt: noop,
     serverPaces: {
       isUneven: () => false,
