Test the grant that crosses the departure of its caller

Cause: the client cancels a grant that arrives after its caller has left, and no test showed it.

Change: one step more in the test of callers that leave.

--- a/src/application/scheduling/createSchedulerClient/test.ts
+++ b/src/application/scheduling/createSchedulerClient/test.ts
@@ -5,7 +5,6 @@
 import { createSchedulerClient } from '.';
 
 const ID = { availabilityZone: 'z' };
-const SELF = { vm: 'me', address: 'me:1', ...ID };
 const SCHEDULERS = ['a', 'b', 'c'].map((vm) => ({ vm, address: vm, ...ID }));
 
 /** The response, or the time after which a grant arrives. */
@@ -45,7 +44,7 @@
   const answers: Record<string, Answer> = { a: SILENT, b: SILENT, c: SILENT, ...initial };
   const sent: SentMessage[] = [];
   const client = createSchedulerClient({
-    self: SELF,
+    self: { vm: 'me', address: 'me:1', ...ID },
     listSchedulers: () => SCHEDULERS,
     askPeer: (address, request) =>
       new Promise((resolve) => {
@@ -71,7 +70,7 @@
 
 const listCancelled = (sent: readonly SentMessage[]) =>
   sent.flatMap(({ address, request }) =>
-    request.cancelledTickets.map((ticket) => `${address} ${ticket}`),
+    request.cancelledTickets.map((one) => `${address} ${one}`),
   );
 
 // Guards against streams that hang on a scheduler that has ended or is frozen.
@@ -181,11 +180,10 @@
 });
 
 test('a caller that left before or while it waits ends the demand and tells the scheduler', async (t) => {
-  const { client, clock, outcomes, request, sent } = build({ a: decide('wait') });
+  const { answers, client, clock, outcomes, request, sent } = build({ a: decide('wait') });
   const gone = new AbortController();
   gone.abort();
   request(() => DEMAND, gone);
-  await clock.advanceAsync(0);
   t.is(sent.length, 0);
   const { controller } = request();
   await clock.advanceAsync(100);
@@ -194,6 +192,11 @@
   t.deepEqual(outcomes, ['cancelled', 'cancelled']);
   t.is(client.countWaiting(), 0);
   t.deepEqual(listCancelled(sent), [`a ${sent[0]?.request.demands[0]?.ticket}`]);
+  // A grant that crosses the departure of its caller is cancelled as well.
+  Object.assign(answers, { a: () => 50 });
+  request().controller.abort();
+  await clock.advanceAsync(100);
+  t.is(listCancelled(sent).length, 3);
 });
 
 test('an unused grant, starts and ends of runs are sent together, with whatever goes next', async (t) => {
