--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { ServerPaces } from '../../paces';
+import type { SchedulerClient } from '../../scheduling';
 import type { PermitClient, ServerLimits } from '../../limits';
 import type { LoopDelayMonitor } from '../../overload';
 import type { RolloutRegistry } from '../../rollouts';
@@ -28,6 +29,7 @@
   readonly randomness: Randomness;
   readonly retries: RetryBudget;
   readonly rollouts: Pick<RolloutRegistry, 'openRequest'>;
+  readonly scheduler: SchedulerClient;
   readonly lender: RetryLender;
   readonly serverPaces: ServerPaces;
   readonly tables: RouteTableHolder;
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -1,4 +1,3 @@
-export * from './types';
 export { chooseScheduledServer, type ServerChoice } from './chooseScheduledServer';
 export { compareRequestClasses } from './compareRequestClasses';
 export { compareWaitingDemands } from './compareWaitingDemands';
@@ -6,6 +5,8 @@
 export { computeRunMs } from './computeRunMs';
 export { computeStartRate } from './computeStartRate';
 export { decideWaiting, START_MARGIN_MS, type WaitingDecision } from './decideWaiting';
+export { hasScheduledService } from './hasScheduledService';
+export { isScheduled, type IsScheduledOptions } from './isScheduled';
 export { isServerAllowed } from './isServerAllowed';
 export { isShareOwed } from './isShareOwed';
 export { isStreamStartable } from './isStreamStartable';
--- /dev/null
+++ b/src/programs/gateway/_lib/wireFollowers/index.ts
@@ -0,0 +1,83 @@
+import type {
+  QuarantineRows,
+  RouteTableHolder,
+  ServerDirectory,
+} from '../../../../application/forwarding';
+import type { Clock, EventLog, Randomness } from '../../../../application/ports';
+import type { RolloutRegistry } from '../../../../application/rollouts';
+import { createFollowerPair, type RowFollower } from '../../../../application/rows';
+import {
+  computeBatchDelayMs,
+  computeLongPollMs,
+  computeStalenessLimits,
+  type GatewaySettings,
+  type StalenessLimits,
+} from '../../../../domain/forwarding';
+import { TABLES, type StoreClient } from '../../../../../platform';
+
+/** Dependencies of the followers of the store's tables. */
+export interface FollowersDependencies {
+  readonly settings: Pick<GatewaySettings, 'bounds'>;
+  readonly store: StoreClient;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly log: EventLog;
+  readonly tables: Pick<RouteTableHolder, 'applyRows'>;
+  readonly rollouts: Pick<RolloutRegistry, 'applyRows'>;
+  readonly directory: Pick<ServerDirectory, 'applyRows'>;
+  readonly quarantineRows: Pick<QuarantineRows, 'startRewrite'>;
+  /** Called when one of the tables changes, or is known to be newer. */
+  readonly handleUpdate: () => void;
+}
+
+/** Followers of the configuration and of the servers. */
+export interface Followers {
+  readonly pair: ReturnType<typeof createFollowerPair>;
+  readonly byTable: ReadonlyMap<string, RowFollower>;
+  readonly stalenessLimits: StalenessLimits | null;
+}
+
+/** Wires the followers of the store's tables. */
+export const wireFollowers = ({
+  clock,
+  directory,
+  handleUpdate,
+  log,
+  quarantineRows,
+  randomness,
+  rollouts,
+  settings: { bounds },
+  store,
+  tables,
+}: FollowersDependencies): Followers => {
+  const stalenessLimits = computeStalenessLimits(bounds);
+  // The configuration is the primary table: it changes less often, and it always exists.
+  const pair = createFollowerPair({
+    store,
+    clock,
+    randomness,
+    log,
+    shortWaitMs: computeLongPollMs(bounds),
+    freshMs: stalenessLimits?.freshMs ?? Infinity,
+    staleMs: stalenessLimits?.staleMs ?? Infinity,
+    burstPauseMs: computeBatchDelayMs(bounds),
+    handleUpdate,
+    primary: {
+      table: TABLES.operator,
+      handleRows: (rows) => {
+        tables.applyRows(rows);
+        rollouts.applyRows(rows);
+      },
+      handleRestored: quarantineRows.startRewrite,
+    },
+    secondary: { table: TABLES.servers, handleRows: directory.applyRows },
+  });
+  return {
+    pair,
+    byTable: new Map([
+      [TABLES.operator, pair.primary],
+      [TABLES.servers, pair.secondary],
+    ]),
+    stalenessLimits,
+  };
+};
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -11,29 +11,24 @@
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
 import { createServerPaces } from '../../../../application/paces';
-import { createFollowerPair, createZoneReplication } from '../../../../application/rows';
+import { createZoneReplication } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
   createServerClient,
   createStoreClient,
   decodeRouteTable,
   decodeServerEntry,
-  TABLES,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireFollowers } from '../wireFollowers';
 import { wireLimits } from '../wireLimits';
 import { wireOverload } from '../wireOverload';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
-import { buildDisabledScheduling } from '../buildDisabledScheduling';
+import { buildSchedulingFactories } from '../buildSchedulingFactories';
 import { wireScheduling } from '../wireScheduling';
 import type { GatewayOverrides, GatewayParts } from '../../types';
-import {
-  computeBatchDelayMs,
-  computeLongPollMs,
-  computeStalenessLimits,
-  type GatewaySettings,
-} from '../../../../domain/forwarding';
+import type { GatewaySettings } from '../../../../domain/forwarding';
 
 /** Wires the parts of a gateway without starting them. */
 export const wireGateway = (
@@ -43,6 +38,7 @@
   const clock = overrides.clock ?? createSystemClock();
   const randomness = overrides.randomness ?? createSystemRandomness();
   const log = overrides.log ?? createSilentLog();
+  const common = { clock, log, randomness };
   const metrics = createGatewayMetrics();
   const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
   const client = createServerClient({ clock });
@@ -60,13 +56,11 @@
     limits,
     permits,
   } = wireLimits({
+    ...common,
     self: settings,
     listPeers: () => listMembers(),
     calls,
     publishLimit: (limit) => sendLimit(limit),
-    clock,
-    log,
-    randomness,
   });
   const serverPaces = createServerPaces({ clock });
   const directory = createServerDirectory({
@@ -93,54 +87,37 @@
   startIdentityWatch = identityWatch.start;
   let sendVerdict: Gossip['sendVerdict'] = () => undefined;
   const { judge: rolloutJudge, rollouts } = wireRollouts({
+    ...common,
     settings,
-    clock,
     directory,
     listPeers: () => listMembers(),
-    log,
-    randomness,
     sendReport: calls.reportTrial,
     store,
     publishVerdict: (verdict) => sendVerdict(verdict),
   });
   const { crashes, crashProbe, quarantineRows } = wireCrashes({
+    ...common,
     client,
-    clock,
     directory,
-    log,
-    randomness,
     store,
     tables,
     publishOutcome: (outcome) => sendOutcome(outcome),
   });
-  // The configuration is the primary table: it changes less often, and it always exists.
-  const stalenessLimits = computeStalenessLimits(settings.bounds);
   let handleUpdate = (): void => undefined;
-  const pair = createFollowerPair({
+  const {
+    byTable: followers,
+    pair,
+    stalenessLimits,
+  } = wireFollowers({
+    ...common,
+    settings,
     store,
-    clock,
-    randomness,
-    log,
-    shortWaitMs: computeLongPollMs(settings.bounds),
-    freshMs: stalenessLimits?.freshMs ?? Infinity,
-    staleMs: stalenessLimits?.staleMs ?? Infinity,
-    burstPauseMs: computeBatchDelayMs(settings.bounds),
+    tables,
+    rollouts,
+    directory,
+    quarantineRows,
     handleUpdate: () => handleUpdate(),
-    primary: {
-      table: TABLES.operator,
-      handleRows: (rows) => {
-        tables.applyRows(rows);
-        rollouts.applyRows(rows);
-      },
-      handleRestored: quarantineRows.startRewrite,
-    },
-    secondary: { table: TABLES.servers, handleRows: directory.applyRows },
   });
-  const { primary: configuration, secondary: servers } = pair;
-  const followers = new Map([
-    [TABLES.operator, configuration],
-    [TABLES.servers, servers],
-  ]);
   const self = {
     vm: settings.vm,
     address: settings.peerAddress,
@@ -148,6 +125,7 @@
     cores: settings.cores,
   };
   const gossip = createGossip({
+    ...common,
     self,
     seedAddresses: settings.seedAddresses,
     calls,
@@ -155,9 +133,6 @@
     outcomes: crashes,
     verdicts: rollouts,
     limits,
-    clock,
-    randomness,
-    log,
     handleSuspicion: ({ server }) => directory.recordSuspicion(server, 'told'),
     handleInferred: (server) => {
       directory.addInferred(server);
@@ -171,18 +146,23 @@
   sendLimit = gossip.sendLimit;
   listMembers = gossip.listMembers;
   const sharing = createZoneReplication({
+    ...common,
     self,
     sharing: stalenessLimits,
     pair,
     followers,
     listMembers: gossip.listMembers,
     requestStatements: calls.followTables,
+  });
+  handleUpdate = sharing.handleUpdate;
+  const { loopDelay, memory } = wireOverload({
+    settings,
     clock,
-    randomness,
     log,
+    randomness,
+    serverPaces,
+    tables,
   });
-  handleUpdate = sharing.handleUpdate;
-  const { loopDelay, memory } = wireOverload({ settings, clock, log, randomness, tables });
   const { bounds } = settings;
   const { lender, retries } = wireRetries({ bounds, calls, clock, gossip, log });
   const places = createPromptReservations({
@@ -198,12 +178,21 @@
     listPeers: gossip.listMembers,
     calls,
     hasService: (service) => tables.readCurrent()?.services.has(service) ?? false,
-    factories: overrides.scheduling ?? buildDisabledScheduling(),
+    factories:
+      overrides.scheduling ??
+      buildSchedulingFactories({
+        ...common,
+        directory,
+        meter: metrics,
+        paces: serverPaces,
+        readReport: client.readReport,
+      }),
     clock,
     log,
   });
   const forwarder = createForwarder({
     lender,
+    scheduler: scheduling.client,
     serverPaces,
     availabilityZone: settings.availabilityZone,
     client,
@@ -230,7 +219,7 @@
     tables,
     directory,
     forwarder,
-    followers: { configuration, servers },
+    followers: { configuration: pair.primary, servers: pair.secondary },
     gossip,
     sharing,
     lender,
--- a/src/programs/gateway/_lib/wireOverload/index.ts
+++ b/src/programs/gateway/_lib/wireOverload/index.ts
@@ -5,9 +5,11 @@
   type LoopDelayMonitor,
   type MemoryBudget,
 } from '../../../../application/overload';
+import type { ServerPaces } from '../../../../application/paces';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
 import type { GatewaySettings } from '../../../../domain/forwarding';
 import { computeMemoryLimits, findSmallestGoalMs } from '../../../../domain/overload';
+import { hasScheduledService } from '../../../../domain/scheduling';
 
 /** Dependencies of the bounds on memory and processor. */
 export interface OverloadWiring {
@@ -16,6 +18,7 @@
   readonly log: EventLog;
   readonly randomness: Randomness;
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
+  readonly serverPaces: Pick<ServerPaces, 'isUneven'>;
 }
 
 /** Wires the bounds on memory and processor that the settings call for. */
@@ -23,6 +26,7 @@
   clock,
   log,
   randomness,
+  serverPaces,
   settings: { cores, memoryBytes },
   tables,
 }: OverloadWiring): { readonly loopDelay: LoopDelayMonitor; readonly memory: MemoryBudget } => ({
@@ -31,7 +35,10 @@
     log,
     randomness,
     readGoalMs: () => findSmallestGoalMs(tables.readCurrent()),
-    isEnabled: () => cores > 0,
+    isEnabled: () => {
+      const table = tables.readCurrent();
+      return cores > 0 && table !== null && hasScheduledService(table, serverPaces.isUneven);
+    },
   }),
   memory: createMemoryBudget({
     log,
--- a/src/programs/gateway/_lib/wireScheduling/test.ts
+++ b/src/programs/gateway/_lib/wireScheduling/test.ts
@@ -6,7 +6,7 @@
 } from '../../../../application/scheduling';
 import { createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { SchedulerCandidate, SchedulerTransport } from '../../types';
-import { buildDisabledScheduling } from '../buildDisabledScheduling';
+import { buildDisabledScheduling } from '../../../../../standins/gateway';
 import { wireScheduling } from '.';
 
 const rankSchedulers = (candidates: readonly SchedulerCandidate[]) =>
--- a/src/programs/gateway/_lib/buildDisabledScheduling/index.ts
+++ b/standins/gateway/buildDisabledScheduling/index.ts
@@ -1,4 +1,4 @@
-import type { SchedulingFactories } from '../../types';
+import type { SchedulingFactories } from '../../../src/programs/gateway/types';
 
 /** Builds factories of parts that schedule nothing: each VM decides by itself. */
 export const buildDisabledScheduling = (): SchedulingFactories => ({
--- a/standins/gateway/index.ts
+++ b/standins/gateway/index.ts
@@ -1,3 +1,4 @@
+export { buildDisabledScheduling } from './buildDisabledScheduling';
 export { buildWireConfiguration, buildWireEntry, TEST_KEY } from './buildWireConfiguration';
 export { buildGatewaySettings } from './buildGatewaySettings';
 export { createStandInServer, formatStandInEvent } from './createStandInServer';
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -10,7 +10,12 @@
 import { createServerPaces } from '../../../src/application/paces';
 import { createRolloutRegistry } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
-import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../fakes';
+import {
+  createFakeClock,
+  createInactiveScheduler,
+  createSeededRandomness,
+  QUIET_LOG,
+} from '../../fakes';
 import {
   createSimulatedDirectory,
   SIMULATED_SERVICE,
@@ -153,6 +158,7 @@
         handleChange: () => undefined,
         handleEvidence: () => undefined,
       }),
+      scheduler: createInactiveScheduler(),
       lender: createRetryLender({
         retries,
         log: QUIET_LOG,
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -11,7 +11,7 @@
 import type { ScheduleRequest, ScheduleResponse } from '../../src/application/scheduling';
 import type { SchedulerTransport } from '../../src/programs/gateway/types';
 import { QUIET_LOG } from '../../standins/fakes';
-import { buildDisabledScheduling } from '../../src/programs/gateway/_lib/buildDisabledScheduling';
+import { buildDisabledScheduling } from '../../standins/gateway';
 import { buildStubServices } from './_lib/buildStubServices';
 import { startTestGateway } from './_lib/startTestGateway';
 import { readOk } from '../_lib/readOk';
