Let streams wait while memory, not time, bounds the runs of a server

Cause: the bound on waiting assumed that time bounds the runs of a server. With copies, memory does: streams of 9,000 tokens fit five times into 88,000, so that a wait costs no room.

--- a/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -7,6 +7,7 @@
   computeRunMs,
   decideWaiting,
   type ScheduledServer,
+  type StreamDemand,
   type WaitingDecision,
 } from '../../../../../domain/scheduling';
 import type { QueuedDemand } from '../createDemandQueue';
@@ -42,6 +43,15 @@
   return Math.max(0, entries.indexOf(entry) - first);
 };
 
+/** Counts the streams like this one, and their copies, that a server has slots and memory for. */
+const countPlaces = (
+  { kvTotalTokens, slots }: ScheduledServer,
+  { needsBackup, outputTokens, promptTokens }: StreamDemand,
+): number => {
+  const kvTokens = (promptTokens + outputTokens) * (needsBackup ? 2 : 1);
+  return kvTotalTokens > 0 ? Math.min(slots, Math.floor(kvTotalTokens / kvTokens)) : slots;
+};
+
 /** Decides whether a demand that can't begin now waits; see `decideWaiting`. */
 export const decideDemand = (
   entry: QueuedDemand,
@@ -87,7 +97,7 @@
   }
   const { goalMs, outputTokens, promptTokens } = demand;
   const duration = computeRunMs(servicePace, { goalMs, outputTokens, promptTokens, runs: 1 });
-  const slots = Math.max(1, ...servers.map((server) => server.slots));
+  const slots = Math.max(1, ...servers.map((server) => countPlaces(server, demand)));
   return decideWaiting({
     ...duration,
     draw,
--- a/src/domain/scheduling/chooseScheduledServer/test.ts
+++ b/src/domain/scheduling/chooseScheduledServer/test.ts
@@ -38,7 +38,7 @@
 test('a stream that needs a backup does not begin where no other zone has memory for it', (t) => {
   const servers = [
     buildScheduledServer('a'),
-    buildScheduledServer('b', { availabilityZone: 'zb', runs: 5, kvUsedTokens: 60_000 }),
+    buildScheduledServer('b', { availabilityZone: 'zb', runs: 5, kvUsedTokens: 66_000 }),
   ];
   const needing = { ...demand, needsBackup: true };
   const required = { ...OPTIONS, isBackupRequired: true };
