Know the load of the whole fleet at every VM

Cause: 82 VMs share three servers and each sees a thirtieth of their load. A VM learns of the requests of others only from the answers to its own calls.

Change: each VM with recent requests of an enabled service reports its running requests and arrivals to the collector of its availability zone twice a second and gets the sums of all zones back; collectors exchange the sums of their zones. Parts carry an incarnation and a sequence, count for 2 s, and a zone's sum is never added to another one of the same zone. Messages hold at most 15 KB of loads; what was left out is counted and logged. A view moves by a quarter with each new one. Nothing uses it yet, and no VM sends anything.

--- /dev/null
+++ b/src/application/fleet-load/index.ts
@@ -0,0 +1,8 @@
+export { createFleetLoad } from './createFleetLoad';
+export type {
+  FleetLoad,
+  FleetLoadCalls,
+  FleetLoadDependencies,
+  FleetLoadPeer,
+  FleetLoadView,
+} from './types';
--- /dev/null
+++ b/src/application/fleet-load/types/index.ts
@@ -0,0 +1,2 @@
+export type { FleetLoad, FleetLoadView } from './FleetLoad';
+export type { FleetLoadCalls, FleetLoadDependencies, FleetLoadPeer } from './FleetLoadDependencies';
--- /dev/null
+++ b/src/domain/fleet-load/index.ts
@@ -0,0 +1,7 @@
+export { chooseZoneLoads } from './chooseZoneLoads';
+export { computeOtherRequests } from './computeOtherRequests';
+export { limitLoadBytes, MAX_LOAD_BYTES, type LimitedLoad } from './limitLoadBytes';
+export { mergeLoadPart } from './mergeLoadPart';
+export { rankCollectors, type CollectorCandidate } from './rankCollectors';
+export { computePartAgeMs, PART_TTL_MS, sumLoadParts, type LoadSum } from './sumLoadParts';
+export type { HeldPart, LoadPart, ServiceLoad } from './types';
--- /dev/null
+++ b/src/domain/fleet-load/types/index.ts
@@ -0,0 +1,2 @@
+export type { HeldPart } from './HeldPart';
+export type { LoadPart, ServiceLoad } from './LoadPart';
