Share the load of uneven services between the gateways

Cause: the load of the fleet had no transport and no source of requests.

Change: calls ReportLoad and ExchangeLoad between gateways, with a timeout of 0.3 s; the forwarder records arrivals, the directory gives the running requests; enabled are the services whose servers state how long work takes. Gauges of the age of the view, the requests of other VMs and the arrivals. The followers of the store's tables are wired in a module of their own, as wireGateway was full.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,5 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { SentPrompt } from '../../../application/forwarding';
+import type { FleetLoadCalls } from '../../../application/fleet-load';
 import type { GossipCalls } from '../../../application/gossip';
 import type { PermitRelease, PermitRequest } from '../../../application/limits';
 import type { TrialReport } from '../../../application/rollouts';
@@ -11,6 +12,7 @@
 } from '../../../application/scheduling';
 import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
+import { buildLoadPartMessage, readLoadPartMessage } from '../_lib/convertFleetLoad';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildReportMessage, readVerdictMessage } from '../_lib/convertRollouts';
 import { buildDeliveryMessage, readScheduleResponseMessage } from '../_lib/convertScheduleDecision';
@@ -20,7 +22,7 @@
 import { GatewayService } from '../gen/gateway_pb';
 
 /** Client of other gateways. */
-export interface GatewayClient extends GossipCalls {
+export interface GatewayClient extends GossipCalls, FleetLoadCalls {
   /** Asks a gateway for one retry of its budget; false also if the gateway times out. */
   borrowRetry(address: string, service: string): Promise<boolean>;
   /** Tells a gateway about a prompt that was sent to a server; best effort, no retry. */
@@ -74,6 +76,9 @@
 /** Room at a server is held for the response; afterwards another waiting stream gets it. */
 const DELIVER_TIMEOUT_MS = 150;
 
+/** The load is half a second old in any case; the next VM by rank must still answer within 2 s. */
+const LOAD_TIMEOUT_MS = 300;
+
 const METHODS = GatewayService.method;
 
 /**
@@ -135,6 +140,16 @@
       const answer = await waitWithTimeout(pending, DELIVER_TIMEOUT_MS);
       return answer?.isAccepted ?? false;
     },
+    reportLoad: async (address, part) => {
+      const message = { part: buildLoadPartMessage(part) };
+      const answer = await call(address, METHODS.reportLoad, message, LOAD_TIMEOUT_MS);
+      return answer && answer.zones.map(readLoadPartMessage).filter((zone) => zone !== null);
+    },
+    exchangeLoad: async (address, zone) => {
+      const message = { zone: buildLoadPartMessage(zone) };
+      const answer = await call(address, METHODS.exchangeLoad, message, LOAD_TIMEOUT_MS);
+      return answer && { zone: readLoadPartMessage(answer.zone) };
+    },
     close,
   };
 };
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -8,8 +8,10 @@
   ScheduleRequest,
   ScheduleResponse,
 } from '../../../application/scheduling';
+import type { LoadPart } from '../../../domain/fleet-load';
 import type { PermitDecision } from '../../../domain/limits';
 import type { RolloutVerdict } from '../../../domain/rollouts';
+import { buildLoadPartMessage, readLoadPartMessage } from '../_lib/convertFleetLoad';
 import { buildKnowledgeMessage, readKnowledgeMessage } from '../_lib/convertKnowledge';
 import { buildVerdictMessage, readReportMessage } from '../_lib/convertRollouts';
 import { buildScheduleResponseMessage, readDeliveryMessage } from '../_lib/convertScheduleDecision';
@@ -31,6 +33,10 @@
   readonly handleScheduleRequest: (request: ScheduleRequest) => ScheduleResponse;
   /** False if this gateway no longer needs the decision. */
   readonly handleDelivery: (delivered: DeliveredDecision) => boolean;
+  /** Merges the load of a VM of this zone; returns the sum of each zone. */
+  readonly handleLoadReport: (part: LoadPart) => readonly LoadPart[];
+  /** Merges the load of a zone; null if this gateway collects none. */
+  readonly handleLoadExchange: (zone: LoadPart) => LoadPart | null;
 }
 
 type Methods = typeof GatewayService.method;
@@ -46,6 +52,8 @@
 export const createGatewayHandlers = ({
   handleDelivery,
   handleKnowledge,
+  handleLoadExchange,
+  handleLoadReport,
   handlePermit,
   handleReport,
   handleRequest,
@@ -82,6 +90,17 @@
     if (delivered === null) throw new Error('delivery without a service or a decision');
     return { isAccepted: handleDelivery(delivered) };
   },
+  reportLoad: async ({ part: message }) => {
+    const part = readLoadPartMessage(message);
+    if (part === null) throw new Error('load report without a sender or a zone');
+    return { zones: handleLoadReport(part).map(buildLoadPartMessage) };
+  },
+  exchangeLoad: async ({ zone: message }) => {
+    const received = readLoadPartMessage(message);
+    if (received === null) throw new Error('load of a zone without a sender or a zone');
+    const zone = handleLoadExchange(received);
+    return zone ? { zone: buildLoadPartMessage(zone) } : {};
+  },
   followTables: async (request) =>
     buildStatementsMessage(await handleRequest(readStatementsRequestMessage(request))),
   exchange: async (request) => {
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -1,6 +1,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { FleetLoadView } from '../../../application/fleet-load';
 import type { ForwardingMeter } from '../../../application/forwarding';
 import type { SchedulingMeter } from '../../../application/scheduling';
+import { addFleetLoadGauges } from '../_lib/addFleetLoadGauges';
 import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
 import { createSchedulingMeter } from '../_lib/createSchedulingMeter';
@@ -21,6 +23,8 @@
   /** Streams of all VMs that wait at the schedulers of this VM. */
   readonly countSchedulerWaitingStreams: () => number;
   readonly countScheduledServices: () => number;
+  /** Load of the fleet as known at this VM, by service. */
+  readonly listFleetLoads: () => ReadonlyMap<string, FleetLoadView>;
 }
 
 /** Metrics of one gateway, with their own registry. */
@@ -157,6 +161,7 @@
         'Services whose scheduler is this VM.',
         gauges.countScheduledServices,
       );
+      addFleetLoadGauges(registry, gauges.listFleetLoads);
     },
     render: () => registry.metrics(),
   };
--- a/src/adapters/metrics/createGatewayMetrics/test.ts
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -3,6 +3,13 @@
 
 const CLASS = { priority: 0, routePriority: 2 };
 
+const VIEW = {
+  ageMs: 500,
+  otherRequests: new Map([['i-1', 1.5], ['i-2', 2]]), // prettier-ignore
+  arrivalsPerS: new Map([['z1', 10], ['z2', 5]]), // prettier-ignore
+  roundTripsMs: new Map(),
+};
+
 const listLines = async (
   metrics: ReturnType<typeof createGatewayMetrics>,
   name: string,
@@ -38,7 +45,7 @@
   t.is(after.filter((line) => !before.includes(line)).length, 1);
 });
 
-test('gauges of waiting streams and of scheduled services are read when they are collected', async (t) => {
+test('gauges of waiting streams, scheduled services and the load of the fleet are read when they are collected', async (t) => {
   const metrics = createGatewayMetrics();
   let waiting = 1;
   metrics.addGauges({
@@ -52,6 +59,7 @@
     countWaitingStreams: () => waiting,
     countSchedulerWaitingStreams: () => 10 * waiting,
     countScheduledServices: () => 2,
+    listFleetLoads: () => new Map([['s', VIEW]]),
   });
   waiting = 3;
   t.deepEqual(await listLines(metrics, 'jackdaw_waiting_streams'), ['jackdaw_waiting_streams 3']);
@@ -61,4 +69,9 @@
   t.deepEqual(await listLines(metrics, 'jackdaw_scheduled_services'), [
     'jackdaw_scheduled_services 2',
   ]);
+  t.deepEqual(await listLines(metrics, 'jackdaw_fleet_'), [
+    'jackdaw_fleet_load_age_seconds{service="s"} 0.5',
+    'jackdaw_fleet_other_requests{service="s"} 3.5',
+    'jackdaw_fleet_arrivals_per_second{service="s"} 15',
+  ]);
 });
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -42,7 +42,7 @@
 
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
-  const { clock, log, meter, randomness, retries, rollouts, tables } = dependencies;
+  const { clock, fleetLoad, log, meter, randomness, retries, rollouts, tables } = dependencies;
   const shared = { paces: createLatencyHistory(), overload: createOverloadTracker(clock) };
   const startedAtMs = clock.readMonotonicMs();
   /** By route: the longest time that a caller waits. */
@@ -114,6 +114,7 @@
       return;
     }
     retries.recordRequest(admitted.service);
+    fleetLoad.recordArrival(admitted.service);
     const outcome =
       admitted.route.kind === RouteKind.Stream
         ? await forwardStream(dependencies, admitted, shared)
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { FleetLoad } from '../../fleet-load';
 import type { ServerPaces } from '../../paces';
 import type { PermitClient, ServerLimits } from '../../limits';
 import type { RolloutRegistry } from '../../rollouts';
@@ -19,6 +20,7 @@
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
+  readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
   readonly permits: Pick<PermitClient, 'acquirePermit'>;
   readonly log: EventLog;
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -15,6 +15,7 @@
 export interface EndpointParts extends Pick<
   GatewayParts,
   | 'directory'
+  | 'fleetLoad'
   | 'gossip'
   | 'lender'
   | 'limitOwner'
@@ -43,6 +44,7 @@
   settings: GatewaySettings,
   {
     directory,
+    fleetLoad,
     gossip,
     isReady,
     lender,
@@ -93,6 +95,8 @@
         handleRequest: sharing.handleRequest,
         handleScheduleRequest: scheduling.registry.handleRequest,
         handleDelivery: scheduling.client.handleDelivery,
+        handleLoadReport: fleetLoad.handleReport,
+        handleLoadExchange: fleetLoad.handleExchange,
       }),
     },
     parseAddress(settings.peerAddress),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -11,28 +11,24 @@
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
 import { createServerPaces } from '../../../../application/paces';
-import { createFollowerPair, createZoneReplication } from '../../../../application/rows';
+import { createZoneReplication } from '../../../../application/rows';
 import {
   CONFIGURATION_KEY,
   createServerClient,
   createStoreClient,
   decodeRouteTable,
   decodeServerEntry,
-  TABLES,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireFleetLoad } from '../wireFleetLoad';
+import { wireFollowers } from '../wireFollowers';
 import { wireLimits } from '../wireLimits';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import { buildDisabledScheduling } from '../buildDisabledScheduling';
 import { wireScheduling } from '../wireScheduling';
 import type { GatewayOverrides, GatewayParts } from '../../types';
-import {
-  computeBatchDelayMs,
-  computeLongPollMs,
-  computeStalenessLimits,
-  type GatewaySettings,
-} from '../../../../domain/forwarding';
+import type { GatewaySettings } from '../../../../domain/forwarding';
 
 /** Wires the parts of a gateway without starting them. */
 export const wireGateway = (
@@ -112,34 +108,19 @@
     tables,
     publishOutcome: (outcome) => sendOutcome(outcome),
   });
-  // The configuration is the primary table: it changes less often, and it always exists.
-  const stalenessLimits = computeStalenessLimits(settings.bounds);
   let handleUpdate = (): void => undefined;
-  const pair = createFollowerPair({
+  const { followers, pair, stalenessLimits } = wireFollowers({
     store,
+    bounds: settings.bounds,
+    tables,
+    rollouts,
+    quarantineRows,
+    directory,
+    handleUpdate: () => handleUpdate(),
     clock,
-    randomness,
     log,
-    shortWaitMs: computeLongPollMs(settings.bounds),
-    freshMs: stalenessLimits?.freshMs ?? Infinity,
-    staleMs: stalenessLimits?.staleMs ?? Infinity,
-    burstPauseMs: computeBatchDelayMs(settings.bounds),
-    handleUpdate: () => handleUpdate(),
-    primary: {
-      table: TABLES.operator,
-      handleRows: (rows) => {
-        tables.applyRows(rows);
-        rollouts.applyRows(rows);
-      },
-      handleRestored: quarantineRows.startRewrite,
-    },
-    secondary: { table: TABLES.servers, handleRows: directory.applyRows },
+    randomness,
   });
-  const { primary: configuration, secondary: servers } = pair;
-  const followers = new Map([
-    [TABLES.operator, configuration],
-    [TABLES.servers, servers],
-  ]);
   const self = {
     vm: settings.vm,
     address: settings.peerAddress,
@@ -200,7 +181,18 @@
     clock,
     log,
   });
+  const fleetLoad = wireFleetLoad({
+    self,
+    listPeers: gossip.listMembers,
+    calls,
+    directory,
+    serverPaces,
+    clock,
+    randomness,
+    log,
+  });
   const forwarder = createForwarder({
+    fleetLoad,
     lender,
     serverPaces,
     availabilityZone: settings.availabilityZone,
@@ -227,7 +219,8 @@
     tables,
     directory,
     forwarder,
-    followers: { configuration, servers },
+    fleetLoad,
+    followers: { configuration: pair.primary, servers: pair.secondary },
     gossip,
     sharing,
     lender,
@@ -237,6 +230,7 @@
     rolloutJudge,
     scheduling,
     stop: async () => {
+      fleetLoad.stop();
       scheduling.stop();
       quarantineRows.stop();
       rolloutJudge.stop();
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -102,6 +102,7 @@
     isReady,
     countWaitingStreams: scheduling.client.countWaiting,
     countSchedulerWaitingStreams: scheduling.registry.countWaiting,
+    listFleetLoads: parts.fleetLoad.listLoads,
     countScheduledServices: () => scheduling.registry.listServices().length,
   });
   followers.configuration.start();
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -7,6 +7,7 @@
   RouteTableHolder,
   ServerDirectory,
 } from '../../../application/forwarding';
+import type { FleetLoad } from '../../../application/fleet-load';
 import type { Gossip } from '../../../application/gossip';
 import type { LimitOwner } from '../../../application/limits';
 import type { Clock, EventLog } from '../../../application/ports';
@@ -22,6 +23,7 @@
   readonly tables: RouteTableHolder;
   readonly directory: ServerDirectory;
   readonly forwarder: Forwarder;
+  readonly fleetLoad: FleetLoad;
   readonly followers: { readonly configuration: RowFollower; readonly servers: RowFollower };
   readonly gossip: Gossip;
   readonly sharing: ZoneReplication;
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -129,6 +129,7 @@
       }),
       crashProbe: { startProbe: () => undefined },
       directory,
+      fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
       permits: { acquirePermit: async () => ({ release: () => undefined }) },
       log: QUIET_LOG,
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -11,4 +11,6 @@
   handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
   handleScheduleRequest: () => ({ isOwner: false, decisions: [] }),
   handleDelivery: () => false,
+  handleLoadReport: () => [],
+  handleLoadExchange: () => null,
 });
