Choose servers of uneven services by the load of the fleet

Cause: of a fleet of 82 VMs each one sends some three calls a second to a server, so that the load in its last answer is outdated for most choices, and the server looks empty.

Change: in uneven services with a view, the requests of other VMs are those of the server's last answer as far as it is fresh, and of the view for the rest; a server of another zone costs its measured round trip, in durations of a call, instead of a fixed 0.4 requests; servers are drawn by 1 / end squared, as all VMs share one view. Without a view the choice is the earlier one (property test). "call sent" names the requests of others and the age of the view.

--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -1,6 +1,14 @@
-import { chooseServerByLoad, computeAttemptMs, RouteKind } from '../../../../domain/forwarding';
+import {
+  chooseServerByLoad,
+  computeAttemptMs,
+  RouteKind,
+  type FleetReader,
+  type ServerStatus,
+} from '../../../../domain/forwarding';
+import type { EventFields } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
+import { buildFleetReader } from '../buildFleetReader';
 import { buildPaceReader } from '../buildPaceReader';
 import { createCallCrashTracker } from '../createCallCrashTracker';
 import { skipRateLimited } from '../skipRateLimited';
@@ -15,6 +23,11 @@
 
 const RATE_LIMIT_REASON = 'all servers have reached their rate limit';
 
+const formatFleetFields = (fleet: FleetReader, { entry }: ServerStatus): EventFields => ({
+  others: Math.round(fleet.countOthers(entry) * 10) / 10,
+  fleetAgeMs: Math.round(fleet.ageMs),
+});
+
 const sendResponse = ({ reply }: ForwardContext, { body, head }: BufferedResponse): void =>
   reply.sendResponse(head, body);
 
@@ -32,7 +45,8 @@
   dependencies: ForwardingDependencies,
   context: ForwardContext,
 ): Promise<string> => {
-  const { clock, directory, lender, permits, randomness, retries, serverPaces } = dependencies;
+  const { clock, directory, fleetLoad, lender, permits, randomness, retries, serverPaces } =
+    dependencies;
   const { deadlineAtMs, reply, route, servers, service } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -52,8 +66,10 @@
     }
     if (crashes.hasReachedCrashLimit() || crashes.readQuarantineMs() > 0) break;
     const readPace = buildPaceReader(serverPaces, service, 'callMs');
+    const fleet = buildFleetReader(fleetLoad, serverPaces, service);
     const status = chooseServerByLoad(servers.list(), {
       readPace,
+      fleet,
       excludedIds,
       avoidedZone: null,
       preferredZone: dependencies.availabilityZone,
@@ -99,6 +115,7 @@
         suspected: status.isSuspected,
         leftMs: Math.round(remainingMs),
         ...(readPace ? recordServerPace(dependencies, context, status, slowness) : {}),
+        ...(fleet ? formatFleetFields(fleet, status) : {}),
       },
       status.entry,
     );
--- a/src/domain/forwarding/_lib/computeRequestLoad/index.ts
+++ b/src/domain/forwarding/_lib/computeRequestLoad/index.ts
@@ -7,7 +7,7 @@
 const COPY_WEIGHT = 0.25;
 
 /** Bonus of the preferred availability zone, in requests. */
-const ZONE_BONUS = 0.4;
+export const ZONE_BONUS = 0.4;
 
 /** Computes the load of a server in requests, less the bonus of the preferred zone. */
 export const computeRequestLoad = (status: ServerStatus, preferredZone: string | null): number => {
--- a/src/domain/forwarding/chooseServerByLoad/index.ts
+++ b/src/domain/forwarding/chooseServerByLoad/index.ts
@@ -5,6 +5,8 @@
 /** Options of the choice; without `readPace`, the servers are equally fast. */
 export interface ServerByLoadOptions extends LeastLoadedServerOptions {
   readonly readPace: PacedServerOptions['readPace'] | null;
+  /** Load of all VMs; counts only if the servers differ in speed. */
+  readonly fleet?: PacedServerOptions['fleet'];
 }
 
 /** Chooses the server of an attempt by load, and by speed if the servers differ in it. */
--- a/src/domain/forwarding/types/index.ts
+++ b/src/domain/forwarding/types/index.ts
@@ -1,5 +1,6 @@
 export type { EngineCapabilities, ForwardedService } from './ForwardedService';
 export type { ForwardedRequest, PromptPart, RequestHead, TokenSizes } from './ForwardedRequest';
+export type { FleetReader } from './FleetReader';
 export type { ForwardingLimits } from './ForwardingLimits';
 export type { GatewayBounds, GatewaySettings, SettingsProblem } from './GatewaySettings';
 export type { Quarantine } from './Quarantine';
--- a/tests/paces/runPacedCalls.ts
+++ b/tests/paces/runPacedCalls.ts
@@ -1,4 +1,6 @@
 import { buildPaceReader } from '../../src/application/forwarding/_lib/buildPaceReader';
+import { buildFleetReader } from '../../src/application/forwarding/_lib/buildFleetReader';
+import type { FleetLoad } from '../../src/application/fleet-load';
 import type { ServerDirectory } from '../../src/application/forwarding';
 import { createServerPaces, type ServerPaces } from '../../src/application/paces';
 import { chooseServerByLoad } from '../../src/domain/forwarding';
@@ -6,7 +8,9 @@
 import {
   createSimulatedDirectory,
   SIMULATED_SERVICE,
+  SIMULATED_ZONE_COUNT,
 } from '../../standins/model/createSimulatedDirectory';
+import { createSimulatedFleet } from './createSimulatedFleet';
 
 /** Calls that several VMs send to servers of different speeds. */
 export interface PacedCalls {
@@ -23,6 +27,12 @@
   readonly joinsAtMs?: ReadonlyMap<number, number>;
   /** Spells of slowness are left out, but for these: by index of the server, from when on. */
   readonly onlySpells?: ReadonlyMap<number, number>;
+  /** Whether VMs know the load of the fleet. */
+  readonly knowsFleet?: boolean;
+  /** By how much the demand of each zone waves, as a fraction; zones alternate. */
+  readonly demandWave?: number;
+  /** Time that a call to another zone takes longer. */
+  readonly crossingMs?: number;
 }
 
 /** One answered call. */
@@ -37,6 +47,7 @@
 const HOP_MS = 1;
 const SLOW_FACTOR = 2.5;
 const SPELL_MS = 600;
+const WAVE_MS = 10_000;
 const SLOW_FRACTION = 0.15;
 const USUAL_FRACTION = 1 - SLOW_FRACTION + SLOW_FRACTION / SLOW_FACTOR;
 
@@ -92,8 +103,9 @@
 
   const listIds = (isListed: (index: number) => boolean): string[] =>
     speeds.map((_, index) => `e-${index}`).filter((_, index) => isListed(index));
+  const vmNumbers = Array.from({ length: vms }, (_, index) => index);
   const directories: { readonly directory: ServerDirectory; readonly paces: ServerPaces }[] =
-    Array.from({ length: vms }, () => ({
+    vmNumbers.map(() => ({
       directory: createSimulatedDirectory(
         clock,
         listIds((index) => !joinsAtMs?.has(index)),
@@ -112,20 +124,45 @@
     ),
   );
 
+  const fleet: readonly FleetLoad[] | null = options.knowsFleet
+    ? createSimulatedFleet({
+        clock,
+        directories,
+        crossingMs: options.crossingMs ?? 0,
+        randomness: createSeededRandomness(seed + 2000),
+      })
+    : null;
+
+  /** Draws the VM of a call; the demand of a zone waves, that of all zones stays the same. */
+  const drawVm = (): number => {
+    const { demandWave = 0 } = options;
+    const nowMs = clock.readMonotonicMs();
+    for (;;) {
+      const vm = Math.floor(readFraction() * vms);
+      const phase = nowMs / WAVE_MS + (vm % SIMULATED_ZONE_COUNT) / SIMULATED_ZONE_COUNT;
+      const demand = 1 + demandWave * Math.sin(2 * Math.PI * phase);
+      if (demandWave === 0 || readFraction() * (1 + demandWave) < demand) return vm;
+    }
+  };
+
   const sendCall = (): void => {
-    const vm = Math.floor(readFraction() * vms);
+    const vm = drawVm();
     const { directory, paces } = directories[vm] as (typeof directories)[number];
+    fleet?.[vm]?.recordArrival(SIMULATED_SERVICE);
     const sentAtMs = clock.readMonotonicMs();
     const status = chooseServerByLoad(directory.listServing(SIMULATED_SERVICE), {
       excludedIds: new Set(),
       avoidedZone: null,
-      preferredZone: `z${vm % 3}`,
+      preferredZone: `z${vm % SIMULATED_ZONE_COUNT}`,
       draw: readFraction(),
       readPace: buildPaceReader(paces, SIMULATED_SERVICE, 'callMs'),
+      fleet: fleet?.[vm] ? buildFleetReader(fleet[vm], paces, SIMULATED_SERVICE) : null,
     });
     if (!status) throw new Error('no server was chosen');
     const { id } = status.entry;
     const index = Number(id.slice(2));
+    const isCrossing = status.entry.availabilityZone !== `z${vm % SIMULATED_ZONE_COUNT}`;
+    const hopMs = HOP_MS + (isCrossing ? (options.crossingMs ?? 0) / 2 : 0);
     const work = directory.startWork(id, { prefillTokens: 0 });
     const server = servers[index] as (typeof servers)[number];
     const handleAnswer = (load: ReturnType<typeof server.readLoad>): void => {
@@ -137,10 +174,10 @@
       work.release();
       calls.push({ server: index, sentAtMs, tookMs });
     };
-    clock.startTimer(HOP_MS, () =>
+    clock.startTimer(hopMs, () =>
       server.accept(() => {
         const load = server.readLoad();
-        clock.startTimer(HOP_MS, () => handleAnswer(load));
+        clock.startTimer(hopMs, () => handleAnswer(load));
       }),
     );
   };
@@ -155,6 +192,8 @@
     });
   };
   scheduleCall();
-  clock.advance(durationMs + 5000);
+  if (fleet) await clock.advanceAsync(durationMs);
+  fleet?.forEach((one) => one.stop());
+  clock.advance(durationMs + 5000 - clock.readMonotonicMs());
   return calls;
 };
