Cost a zone by what its round trip is longer, and log cut loads once

Cause: the round trip between collectors holds the handling of the message, which a call to a server of the zone does not have; and the log line of a load that is too large was written again whenever another zone's load fitted, and never for a VM's own part.

Change: the round trip within the zone, of the VM's reports, is subtracted; one limiter for all parts logs by zone when it begins to leave out servers.

--- a/src/adapters/metrics/createGatewayMetrics/test.ts
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -7,7 +7,7 @@
   ageMs: 500,
   otherRequests: new Map([['i-1', 1.5], ['i-2', 2]]), // prettier-ignore
   arrivalsPerS: new Map([['z1', 10], ['z2', 5]]), // prettier-ignore
-  roundTripsMs: new Map(),
+  crossingsMs: new Map(),
 };
 
 const listLines = async (
--- a/src/application/fleet-load/_lib/createLoadViews/index.ts
+++ b/src/application/fleet-load/_lib/createLoadViews/index.ts
@@ -1,11 +1,12 @@
 import { computeOtherRequests, PART_TTL_MS, type LoadPart } from '../../../../domain/fleet-load';
+import { updateUndisturbedEstimate } from '../../../../domain/load';
 import type { Clock } from '../../../ports';
 import type { FleetLoadView } from '../../types';
 
 /** The views that the collector's answers give. */
 export interface LoadViews {
-  /** Records the sums that answer the report of a part of this VM. */
-  recordAnswer(own: LoadPart, zones: readonly LoadPart[]): void;
+  /** Records the sums that answer the report of a part of this VM, and how long it took. */
+  recordAnswer(own: LoadPart, zones: readonly LoadPart[], tookMs: number): void;
   readLoad(service: string): FleetLoadView | null;
   listLoads(): ReadonlyMap<string, FleetLoadView>;
 }
@@ -50,6 +51,8 @@
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
 }): LoadViews => {
   let views: ReadonlyMap<string, HeldView> = new Map();
+  /** Within the zone, message handling included; 0 while this VM collects. */
+  let ownRoundTripMs = 0;
 
   const readLoad = (service: string): FleetLoadView | null => {
     const held = views.get(service);
@@ -75,16 +78,17 @@
           .map(({ arrivalsPerS }): [string, number] => [availabilityZone, arrivalsPerS]),
       ),
     ),
-    roundTripsMs: new Map(
+    crossingsMs: new Map(
       zones.flatMap(({ availabilityZone, roundTripMs }): [string, number][] =>
-        roundTripMs === null ? [] : [[availabilityZone, roundTripMs]],
+        roundTripMs === null ? [] : [[availabilityZone, Math.max(0, roundTripMs - ownRoundTripMs)]],
       ),
     ),
   });
 
   return {
     readLoad,
-    recordAnswer: (own, zones) => {
+    recordAnswer: (own, zones, tookMs) => {
+      ownRoundTripMs = updateUndisturbedEstimate(ownRoundTripMs, tookMs);
       const receivedAtMs = clock.readMonotonicMs();
       views = new Map(
         own.services.map(({ service }) => [
--- a/src/application/fleet-load/_lib/createZoneCollector/index.ts
+++ b/src/application/fleet-load/_lib/createZoneCollector/index.ts
@@ -1,7 +1,6 @@
 import {
   chooseZoneLoads,
   computePartAgeMs,
-  limitLoadBytes,
   MAX_LOAD_BYTES,
   mergeLoadPart,
   sumLoadParts,
@@ -9,6 +8,7 @@
   type LoadPart,
 } from '../../../../domain/fleet-load';
 import { updateUndisturbedEstimate } from '../../../../domain/load';
+import type { LimitPart } from '../createPartLimiter';
 import type { FleetLoadDependencies } from '../../types';
 
 /** What this VM holds as collector of its availability zone. */
@@ -28,9 +28,10 @@
 export const createZoneCollector = ({
   buildStatement,
   clock,
-  log,
+  limitPart,
   self,
-}: Pick<FleetLoadDependencies, 'clock' | 'log' | 'self'> & {
+}: Pick<FleetLoadDependencies, 'clock' | 'self'> & {
+  readonly limitPart: LimitPart;
   /** Builds what identifies the next part of this VM. */
   readonly buildStatement: () => Pick<LoadPart, 'incarnation' | 'sequence'>;
 }): ZoneCollector => {
@@ -38,15 +39,6 @@
   const roundTripsMs = new Map<string, number>();
   let parts: ReadonlyMap<string, HeldPart> = new Map();
   let zones: ReadonlyMap<string, HeldPart> = new Map();
-  let omitted = 0;
-
-  const limitPart = (part: LoadPart, maxBytes: number): LoadPart => {
-    const { omittedServers, services } = limitLoadBytes(part.services, maxBytes);
-    if (omittedServers > 0 && omitted === 0)
-      log.warn('load of the fleet cut', { zone: part.availabilityZone, omittedServers, maxBytes });
-    omitted = omittedServers;
-    return { ...part, services, omittedServers: part.omittedServers + omittedServers };
-  };
 
   const sumOwnZone = (): LoadPart | null => {
     const sum = sumLoadParts([...parts.values()], clock.readMonotonicMs());
--- a/src/application/fleet-load/createFleetLoad/index.ts
+++ b/src/application/fleet-load/createFleetLoad/index.ts
@@ -1,8 +1,9 @@
-import { limitLoadBytes, MAX_LOAD_BYTES, type LoadPart } from '../../../domain/fleet-load';
+import { MAX_LOAD_BYTES, type LoadPart } from '../../../domain/fleet-load';
 import { startLoop } from '../../time';
 import { createCollectorRanking } from '../_lib/createCollectorRanking';
 import { createLoadViews } from '../_lib/createLoadViews';
 import { createOwnLoad } from '../_lib/createOwnLoad';
+import { createPartLimiter } from '../_lib/createPartLimiter';
 import { createZoneCollector } from '../_lib/createZoneCollector';
 import type { FleetLoad, FleetLoadDependencies, FleetLoadPeer } from '../types';
 
@@ -29,23 +30,26 @@
     sequence += 1;
     return { incarnation, sequence };
   };
+  const limitPart = createPartLimiter(dependencies);
   const own = createOwnLoad(dependencies);
   const ranking = createCollectorRanking(dependencies);
-  const collector = createZoneCollector({ ...dependencies, buildStatement });
+  const collector = createZoneCollector({ ...dependencies, buildStatement, limitPart });
   const views = createLoadViews(dependencies);
 
   const buildPart = (): LoadPart | null => {
     const services = own.readServices();
     if (services.length === 0) return null;
-    return {
+    const part = {
       ...buildStatement(),
       vm: self.vm,
       availabilityZone: self.availabilityZone,
       vms: 1,
       ageMs: 0,
       roundTripMs: null,
-      ...limitLoadBytes(services, MAX_LOAD_BYTES),
+      omittedServers: 0,
+      services,
     };
+    return limitPart(part, MAX_LOAD_BYTES);
   };
 
   const listZones = ({ services }: LoadPart): readonly LoadPart[] =>
@@ -55,11 +59,12 @@
     const { address, vm } = ranking.findOwn();
     if (address === null) {
       collector.mergePart(part);
-      views.recordAnswer(part, listZones(part));
+      views.recordAnswer(part, listZones(part), 0);
       return;
     }
+    const startedAtMs = clock.readMonotonicMs();
     const zones = await calls.reportLoad(address, part);
-    if (zones) views.recordAnswer(part, zones);
+    if (zones) views.recordAnswer(part, zones, clock.readMonotonicMs() - startedAtMs);
     else ranking.skip(vm);
   };
 
--- a/src/application/fleet-load/createFleetLoad/test.ts
+++ b/src/application/fleet-load/createFleetLoad/test.ts
@@ -56,10 +56,10 @@
   const { countOthers, find, messages, startAll } = setUp();
   await startAll();
   NAMES.forEach((vm) => t.is(countOthers(vm), 5));
-  const { ageMs = Infinity, arrivalsPerS, roundTripsMs } = find(OTHER).readLoad('s') ?? {};
+  const { ageMs = Infinity, arrivalsPerS, crossingsMs } = find(OTHER).readLoad('s') ?? {};
   t.true(ageMs < 1100);
   t.is(arrivalsPerS?.size, 3);
-  t.deepEqual(roundTripsMs, new Map([['z1', 3], ['z2', 3]])); // prettier-ignore
+  t.deepEqual(crossingsMs, new Map([['z1', 1], ['z2', 1]])); // prettier-ignore
   t.is(messages.size, 9);
 });
 
--- a/src/application/fleet-load/types/FleetLoad.ts
+++ b/src/application/fleet-load/types/FleetLoad.ts
@@ -8,8 +8,8 @@
   readonly otherRequests: ReadonlyMap<string, number>;
   /** Arrivals per second by availability zone, this VM's included. */
   readonly arrivalsPerS: ReadonlyMap<string, number>;
-  /** Round trips to the other availability zones that were measured, in milliseconds. */
-  readonly roundTripsMs: ReadonlyMap<string, number>;
+  /** Time that a call to another availability zone takes longer, if measured, in milliseconds. */
+  readonly crossingsMs: ReadonlyMap<string, number>;
 }
 
 /** The load of the fleet, as known at this VM; as collector, it sums that of its zone. */
--- a/src/application/forwarding/_lib/buildFleetReader/index.ts
+++ b/src/application/forwarding/_lib/buildFleetReader/index.ts
@@ -19,8 +19,8 @@
     ageMs: view.ageMs,
     countOthers: ({ id }) => view.otherRequests.get(id) ?? 0,
     readCrossingCost: (availabilityZone) => {
-      const roundTripMs = view.roundTripsMs.get(availabilityZone);
-      return roundTripMs === undefined || callMs === 0 ? null : roundTripMs / callMs;
+      const crossingMs = view.crossingsMs.get(availabilityZone);
+      return crossingMs === undefined || callMs === 0 ? null : crossingMs / callMs;
     },
   };
 };
