--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -47,8 +47,18 @@
 
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
-  const { clock, log, loopDelay, meter, randomness, retries, rollouts, scheduler, tables } =
-    dependencies;
+  const {
+    clock,
+    fleetLoad,
+    log,
+    loopDelay,
+    meter,
+    randomness,
+    retries,
+    rollouts,
+    scheduler,
+    tables,
+  } = dependencies;
   const shared = { paces: createLatencyHistory(), overload: createOverloadTracker(clock) };
   const startedAtMs = clock.readMonotonicMs();
   /** By route: the longest time that a caller waits. */
@@ -127,6 +137,7 @@
       return;
     }
     retries.recordRequest(admitted.service);
+    fleetLoad.recordArrival(admitted.service);
     const outcome =
       admitted.route.kind === RouteKind.Stream
         ? await forwardStream(dependencies, admitted, shared)
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
+import type { FleetLoad } from '../../fleet-load';
 import type { ServerPaces } from '../../paces';
 import type { SchedulerClient } from '../../scheduling';
 import type { PermitClient, ServerLimits } from '../../limits';
@@ -21,6 +22,7 @@
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
   readonly directory: ServerDirectory;
+  readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
   readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
   readonly permits: Pick<PermitClient, 'acquirePermit'>;
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -20,6 +20,7 @@
   decodeServerEntry,
 } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireFleetLoad } from '../wireFleetLoad';
 import { wireFollowers } from '../wireFollowers';
 import { wireLimits } from '../wireLimits';
 import { wireOverload } from '../wireOverload';
@@ -64,9 +65,8 @@
   });
   const serverPaces = createServerPaces({ clock });
   const directory = createServerDirectory({
+    ...common,
     decode: decodeServerEntry,
-    clock,
-    log,
     handleGone: (id, incarnation) => {
       serverPaces.forgetServer(incarnation);
       client.removeServer(id);
@@ -163,8 +163,7 @@
     serverPaces,
     tables,
   });
-  const { bounds } = settings;
-  const { lender, retries } = wireRetries({ bounds, calls, clock, gossip, log });
+  const { lender, retries } = wireRetries({ ...common, bounds: settings.bounds, calls, gossip });
   const places = createPromptReservations({
     self: settings.vm,
     listPeers: gossip.listMembers,
@@ -174,6 +173,7 @@
     recordPeerPrompt: directory.recordPeerPrompt,
   });
   const scheduling = wireScheduling({
+    ...common,
     self,
     listPeers: gossip.listMembers,
     calls,
@@ -187,25 +187,30 @@
         paces: serverPaces,
         readReport: client.readReport,
       }),
-    clock,
-    log,
+  });
+  const fleetLoad = wireFleetLoad({
+    ...common,
+    self,
+    listPeers: gossip.listMembers,
+    calls,
+    directory,
+    serverPaces,
   });
   const forwarder = createForwarder({
+    ...common,
+    fleetLoad,
     lender,
     scheduler: scheduling.client,
     serverPaces,
     availabilityZone: settings.availabilityZone,
     client,
-    clock,
     crashes,
     crashProbe,
     directory,
     limits,
     loopDelay,
     permits,
-    log,
     meter: metrics,
-    randomness,
     retries,
     rollouts,
     tables,
@@ -219,6 +224,7 @@
     tables,
     directory,
     forwarder,
+    fleetLoad,
     followers: { configuration: pair.primary, servers: pair.secondary },
     gossip,
     sharing,
@@ -231,6 +237,7 @@
     rolloutJudge,
     scheduling,
     stop: async () => {
+      fleetLoad.stop();
       scheduling.stop();
       quarantineRows.stop();
       rolloutJudge.stop();
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -135,6 +135,7 @@
       crashProbe: { startProbe: () => undefined },
       directory,
       loopDelay: { startRequest: () => () => undefined, refusesStream: () => false },
+      fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
       permits: { acquirePermit: async () => ({ release: () => undefined }) },
       log: QUIET_LOG,
--- a/tests/paces/runPacedCalls.ts
+++ b/tests/paces/runPacedCalls.ts
@@ -1,12 +1,15 @@
 import { buildPaceReader } from '../../src/application/forwarding/_lib/buildPaceReader';
+import { buildFleetReader } from '../../src/application/forwarding/_lib/buildFleetReader';
 import type { ServerDirectory } from '../../src/application/forwarding';
 import { createServerPaces, type ServerPaces } from '../../src/application/paces';
 import { chooseServerByLoad } from '../../src/domain/forwarding';
-import { createFakeClock, createSeededRandomness } from '../../standins/fakes';
+import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../standins/fakes';
 import {
   createSimulatedDirectory,
   SIMULATED_SERVICE,
+  SIMULATED_ZONE_COUNT,
 } from '../../standins/model/createSimulatedDirectory';
+import { createSimulatedFleet } from '../../standins/model/createSimulatedFleet';
 
 /** Calls that several VMs send to servers of different speeds. */
 export interface PacedCalls {
@@ -23,6 +26,12 @@
   readonly joinsAtMs?: ReadonlyMap<number, number>;
   /** Spells of slowness are left out, but for these: by index of the server, from when on. */
   readonly onlySpells?: ReadonlyMap<number, number>;
+  /** Whether VMs know the load of the fleet. */
+  readonly knowsFleet?: boolean;
+  /** By how much the demand of each zone waves, as a fraction; zones alternate. */
+  readonly demandWave?: number;
+  /** Time that a call to another zone takes longer. */
+  readonly crossingMs?: number;
 }
 
 /** One answered call. */
@@ -37,6 +46,7 @@
 const HOP_MS = 1;
 const SLOW_FACTOR = 2.5;
 const SPELL_MS = 600;
+const WAVE_MS = 10_000;
 const SLOW_FRACTION = 0.15;
 const USUAL_FRACTION = 1 - SLOW_FRACTION + SLOW_FRACTION / SLOW_FACTOR;
 
@@ -112,20 +122,51 @@
     ),
   );
 
+  const fleet = createSimulatedFleet({
+    sources: directories.map(({ directory, paces }) => ({
+      isEnabled: (service) => options.knowsFleet === true && paces.isUneven(service),
+      readRequests: (service) =>
+        new Map(directory.listServing(service).map(({ entry, running }) => [entry.id, running])),
+    })),
+    roundTripMs: 2 * HOP_MS,
+    crossingMs: options.crossingMs ?? 0,
+    clock,
+    randomness: createSeededRandomness(seed + 2000),
+    log: QUIET_LOG,
+  });
+
+  /** Draws the VM of a call; the demand of a zone waves, that of all zones stays the same. */
+  const drawVm = (): number => {
+    const { demandWave = 0 } = options;
+    const nowMs = clock.readMonotonicMs();
+    for (;;) {
+      const vm = Math.floor(readFraction() * vms);
+      const phase = nowMs / WAVE_MS + (vm % SIMULATED_ZONE_COUNT) / SIMULATED_ZONE_COUNT;
+      const demand = 1 + demandWave * Math.sin(2 * Math.PI * phase);
+      if (demandWave === 0 || readFraction() * (1 + demandWave) < demand) return vm;
+    }
+  };
+
   const sendCall = (): void => {
-    const vm = Math.floor(readFraction() * vms);
+    const vm = drawVm();
     const { directory, paces } = directories[vm] as (typeof directories)[number];
+    const fleetLoad = fleet.get(`vm-${vm}`);
+    if (!fleetLoad) throw new Error('no such VM');
+    fleetLoad.recordArrival(SIMULATED_SERVICE);
     const sentAtMs = clock.readMonotonicMs();
     const status = chooseServerByLoad(directory.listServing(SIMULATED_SERVICE), {
       excludedIds: new Set(),
       avoidedZone: null,
-      preferredZone: `z${vm % 3}`,
+      preferredZone: `z${vm % SIMULATED_ZONE_COUNT}`,
       draw: readFraction(),
       readPace: buildPaceReader(paces, SIMULATED_SERVICE, 'callMs'),
+      fleet: buildFleetReader(fleetLoad, paces, SIMULATED_SERVICE),
     });
     if (!status) throw new Error('no server was chosen');
     const { id } = status.entry;
     const index = Number(id.slice(2));
+    const isCrossing = status.entry.availabilityZone !== `z${vm % SIMULATED_ZONE_COUNT}`;
+    const hopMs = HOP_MS + (isCrossing ? (options.crossingMs ?? 0) / 2 : 0);
     const work = directory.startWork(id, { prefillTokens: 0 });
     const server = servers[index] as (typeof servers)[number];
     const handleAnswer = (load: ReturnType<typeof server.readLoad>): void => {
@@ -137,10 +178,10 @@
       work.release();
       calls.push({ server: index, sentAtMs, tookMs });
     };
-    clock.startTimer(HOP_MS, () =>
+    clock.startTimer(hopMs, () =>
       server.accept(() => {
         const load = server.readLoad();
-        clock.startTimer(HOP_MS, () => handleAnswer(load));
+        clock.startTimer(hopMs, () => handleAnswer(load));
       }),
     );
   };
@@ -155,6 +196,8 @@
     });
   };
   scheduleCall();
-  clock.advance(durationMs + 5000);
+  if (options.knowsFleet) await clock.advanceAsync(durationMs);
+  fleet.forEach((one) => one.stop());
+  clock.advance(durationMs + 5000 - clock.readMonotonicMs());
   return calls;
 };
