--- a/src/programs/gateway/_lib/wireFollowers/index.ts
+++ b/src/programs/gateway/_lib/wireFollowers/index.ts
@@ -33,7 +33,7 @@
 /** Followers of the configuration and of the servers. */
 export interface Followers {
   readonly pair: ReturnType<typeof createFollowerPair>;
-  readonly byTable: ReadonlyMap<string, RowFollower>;
+  readonly followers: ReadonlyMap<string, RowFollower>;
   readonly stalenessLimits: StalenessLimits | null;
 }
 
@@ -74,7 +74,7 @@
   });
   return {
     pair,
-    byTable: new Map([
+    followers: new Map([
       [TABLES.operator, pair.primary],
       [TABLES.servers, pair.secondary],
     ]),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -53,8 +53,8 @@
   let listMembers: Gossip['listMembers'] = () => [];
   let sendLimit: Gossip['sendLimit'] = () => undefined;
   const {
-    owner: limitOwner,
     limits,
+    owner: limitOwner,
     permits,
   } = wireLimits({
     ...common,
@@ -104,11 +104,7 @@
     publishOutcome: (outcome) => sendOutcome(outcome),
   });
   let handleUpdate = (): void => undefined;
-  const {
-    byTable: followers,
-    pair,
-    stalenessLimits,
-  } = wireFollowers({
+  const { followers, pair, stalenessLimits } = wireFollowers({
     ...common,
     settings,
     store,
