--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -113,6 +113,8 @@
     reservePrompt: async () => 0,
     lender: { acquireRetry: async () => true },
     tellPrompt: noop,
+    loopDelay: { startRequest: () => noop, refusesStream: () => false },
+    fleetLoad: { readLoad: () => null, recordArrival: noop },
     serverPaces: {
       isUneven: () => false,
       record: (_: unknown, { kind }: { readonly kind: string }) => state.paceKinds.push(kind),
