--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -74,7 +74,7 @@
 const PERMIT_TIMEOUT_MS = 40;
 
 /** Room at a server is held for the response; afterwards another waiting stream gets it. */
-const DELIVER_TIMEOUT_MS = 150;
+const DELIVER_TIMEOUT_MS = 400;
 
 /** The load is half a second old in any case; the next VM by rank must still answer within 2 s. */
 const LOAD_TIMEOUT_MS = 300;
--- a/src/application/forwarding/_lib/buildScheduledRun/index.ts
+++ b/src/application/forwarding/_lib/buildScheduledRun/index.ts
@@ -16,5 +16,5 @@
   const kvTokens = countNeededKvTokens(context.request);
   if (!grant)
     dependencies.scheduler.recordStarted(context.service, { server: server.id, kvTokens });
-  return { kvTokens, backup: backup?.id ?? null, grant, firstEventAtMs: null, samples: [] };
+  return { kvTokens, backup: backup?.id ?? null, grant, eventGapsMs: null, samples: [] };
 };
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -28,7 +28,12 @@
   servers.recordOutcome(attempt.server, { isFailure: false, duration: took });
 };
 
-const recordActivity = (run: StreamRun, attempt: StreamAttempt, reader: ReaderId): void => {
+const recordActivity = (
+  run: StreamRun,
+  attempt: StreamAttempt,
+  reader: ReaderId,
+  eventCount: number,
+): void => {
   const { clock } = run.dependencies;
   const { request, service } = run.context;
   const nowMs = clock.readMonotonicMs();
@@ -38,6 +43,8 @@
   if (attempt.hasDeliveredEvent) {
     Object.assign(attempt, { gaps: updateGapStatistics(attempt.gaps, gapMs) });
     run.paces.recordGap(service, gapMs);
+    for (let event = 0; event < eventCount; event += 1)
+      attempt.scheduled?.eventGapsMs?.push(gapMs / eventCount);
     return;
   }
   attempt.stopSilenceWatch();
@@ -46,7 +53,7 @@
   // From the first event on a far shorter silence limit applies.
   Object.assign(attempt, { stopSilenceWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
-  if (attempt.scheduled) Object.assign(attempt.scheduled, { firstEventAtMs: nowMs });
+  if (attempt.scheduled) Object.assign(attempt.scheduled, { eventGapsMs: [] });
   recordFirstEvent(run, attempt, nowMs);
   // Only a whole prompt is a sample of prefill time: the prompt of a resumed stream may be cached.
   const isWholePrompt = run.prefillAttempts === 1 && request.lastEventId === null;
@@ -107,7 +114,7 @@
         run.dispatch({ kind: 'broken', reader });
         return;
       }
-      if (split.events.length > 0) recordActivity(run, attempt, reader);
+      if (split.events.length > 0) recordActivity(run, attempt, reader, split.events.length);
       split.events.forEach((event) => dispatchEvent(run, reader, event));
       if (isCurrent()) {
         const writtenAtMs = clock.readMonotonicMs();
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -28,8 +28,8 @@
   /** Id of the server that holds the copy; null for none. */
   readonly backup: string | null;
   readonly grant: StreamGrant | null;
-  /** Monotonic time of the first event; null before. */
-  firstEventAtMs: number | null;
+  /** Time from each event to the next, in milliseconds; no events yet: null. */
+  eventGapsMs: number[] | null;
   readonly samples: PaceSample[];
 }
 
--- a/src/application/paces/createServerPaces/index.ts
+++ b/src/application/paces/createServerPaces/index.ts
@@ -25,7 +25,10 @@
 
 /** What is kept of one service. */
 interface ServiceState {
+  /** Averages of its servers' estimates, for a service whose servers differ. */
   readonly estimates: Estimates;
+  /** Estimates from the samples of all its servers, for a service whose servers are alike. */
+  readonly commonEstimates: Estimates;
   /** When one of its servers last stated how long work takes. */
   readonly factorAtMs: number;
 }
@@ -37,7 +40,11 @@
   workFactor: 1,
   factorAtMs: -Infinity,
 };
-const NEW_SERVICE: ServiceState = { estimates: NO_ESTIMATES, factorAtMs: -Infinity };
+const NEW_SERVICE: ServiceState = {
+  estimates: NO_ESTIMATES,
+  commonEstimates: NO_ESTIMATES,
+  factorAtMs: -Infinity,
+};
 
 /** Several times the servers of a large deployment; those that are gone are evicted first. */
 const MAX_SERVERS = 4096;
@@ -56,9 +63,22 @@
   const readServer = (incarnation: string): ServerState => servers.get(incarnation) ?? NEW_SERVER;
   const readService = (service: string): ServiceState => services.get(service) ?? NEW_SERVICE;
 
+  const isUneven = (service: string): boolean =>
+    clock.readMonotonicMs() - readService(service).factorAtMs < UNEVEN_TTL_MS;
+
   const readPace = ({ incarnation, service }: PacedServer): ServerPace => {
+    const { commonEstimates: common, estimates: usual } = readService(service);
+    // Servers that are alike share their samples: one of them gets too few to tell its pace from
+    // what disturbed it.
+    if (!isUneven(service)) {
+      return {
+        prefillMsPerToken: common.prefill.value,
+        decodeMsPerToken: common.decode.value,
+        callMs: common.call.value,
+        workFactor: 1,
+      };
+    }
     const { estimates: own, factorAtMs, workFactor } = readServer(incarnation);
-    const { estimates: usual } = readService(service);
     return {
       prefillMsPerToken: mergePaceEstimates(own.prefill, usual.prefill.value),
       decodeMsPerToken: mergePaceEstimates(own.decode, usual.decode.value),
@@ -72,7 +92,8 @@
       const { kind } = sample;
       const state = readServer(incarnation);
       const before = state.estimates[kind];
-      const own = updatePaceEstimate(before, computePaceValue(sample));
+      const value = computePaceValue(sample);
+      const own = updatePaceEstimate(before, value);
       if (own === before) return;
       servers.set(incarnation, { ...state, estimates: { ...state.estimates, [kind]: own } });
       // The average of the servers' estimates, not of the samples: the low samples of the fastest
@@ -86,6 +107,10 @@
       services.set(service, {
         ...serviceState,
         estimates: { ...serviceState.estimates, [kind]: updated },
+        commonEstimates: {
+          ...serviceState.commonEstimates,
+          [kind]: updatePaceEstimate(serviceState.commonEstimates[kind], value),
+        },
       });
     },
     recordWorkFactor: ({ incarnation, service }, workFactor) => {
@@ -97,8 +122,7 @@
     readPace,
     // No server has an empty incarnation.
     readServicePace: (service) => readPace({ service, incarnation: '' }),
-    isUneven: (service) =>
-      clock.readMonotonicMs() - readService(service).factorAtMs < UNEVEN_TTL_MS,
+    isUneven,
     forgetServer: servers.delete,
   };
 };
--- a/src/application/paces/createServerPaces/test.ts
+++ b/src/application/paces/createServerPaces/test.ts
@@ -8,10 +8,12 @@
 const createFixture = () => {
   const clock = createFakeClock();
   const paces = createServerPaces({ clock });
-  const recordCalls = (server: typeof A, tookMs: number, count = 50): void =>
+  const recordCalls = (server: typeof A, tookMs: number, count = 50): void => {
+    paces.recordWorkFactor(server, 1);
     Array.from({ length: count }).forEach(() =>
       paces.record(server, { kind: 'call', tookMs, workFactor: 1 }),
     );
+  };
   return { clock, paces, recordCalls };
 };
 
@@ -37,6 +39,17 @@
   t.true(paces.readPace(B).callMs > 27);
 });
 
+// Guards against a server that is taken for slow as its few samples were all disturbed.
+test('servers that state no factor share one pace, which follows the undisturbed samples', (t) => {
+  const { paces } = createFixture();
+  [20, 10, 10, 30].forEach((tookMs, index) =>
+    paces.record(index === 3 ? B : A, { kind: 'prefill', tokens: 1, tookMs }),
+  );
+  const { prefillMsPerToken } = paces.readPace(B);
+  t.true(prefillMsPerToken > 10 && prefillMsPerToken < 16);
+  t.is(paces.readPace(A).prefillMsPerToken, prefillMsPerToken);
+});
+
 // Guards against a restarted server that is judged by the machine that it ran on before.
 test('a server that restarted under its id begins with the pace of its service', (t) => {
   const { paces, recordCalls } = createFixture();
--- a/src/application/scheduling/_lib/createSchedulerCalls/index.ts
+++ b/src/application/scheduling/_lib/createSchedulerCalls/index.ts
@@ -38,7 +38,7 @@
 }
 
 /** Timeout of one call. A scheduler responds within some milliseconds. */
-const CALL_TIMEOUT_MS = 80;
+const CALL_TIMEOUT_MS = 200;
 
 /** Time for which a scheduler that gave no answer is not asked. */
 const SKIP_MS = 2000;
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -64,7 +64,7 @@
   });
   t.deepEqual(await client.schedule(address, REQUEST), response);
   t.deepEqual(received, [REQUEST]);
-  // A delivery that is answered later than 150 ms counts as not accepted, as on a busy machine.
+  // A delivery that is answered later than 400 ms counts as not accepted, as on a busy machine.
   let isAccepted = false;
   for (let tries = 0; tries < MAX_DELIVERIES && !isAccepted; tries += 1)
     isAccepted = await client.deliverDecision(address, { service: 's', decision: SENT });
