--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -87,7 +87,7 @@
 // no longer waits for it holds a grant, which only the caller can cancel.
 test('a response later than streams wait still arrives, and a delivery without one is not taken', async (t) => {
   const server = createServer((_, response) => {
-    setTimeout(() => response.writeHead(200).end(), 300);
+    setTimeout(() => response.writeHead(200).end(), 600);
   }).listen(0, '127.0.0.1');
   await once(server, 'listening');
   const client = createGatewayClient();
@@ -99,7 +99,7 @@
   const startedAtMs = performance.now();
   const scheduled = client.schedule(address, REQUEST);
   t.false(await client.deliverDecision(address, { service: 's', decision: SENT }));
-  t.true(performance.now() - startedAtMs < 290);
+  t.true(performance.now() - startedAtMs < 590);
   t.deepEqual(await scheduled, { isOwner: false, decisions: [] });
 });
 
--- a/tests/gateway/slowPeers.test.ts
+++ b/tests/gateway/slowPeers.test.ts
@@ -109,12 +109,30 @@
   });
 }
 
+/** Builds a configuration in which another service has streams of two priorities. */
+const buildScheduledConfiguration = (): object => {
+  const { routes, services } = buildWireConfiguration() as { routes: object[]; services: object[] };
+  const name = 'other';
+  const addRoute = (priority: number): object => ({
+    ...routes.at(-1),
+    name: `${name}-${priority}`,
+    prefix: `/${name}-${priority}/`,
+    service: name,
+    priority,
+  });
+  return {
+    routes: [...routes, addRoute(0), addRoute(2)],
+    services: [...services, { ...services[0], name }],
+  };
+};
+
 // Guards against a VM that takes every stream although all of its timers are late.
 test.serial(
   'a VM whose event loop is late refuses new streams but no call, resumed or returning stream',
   async (t) => {
     const clock = createSystemClock();
     const gateway = await startTestGateway({
+      configuration: buildScheduledConfiguration(),
       clock: {
         ...clock,
         // Samples of the delay are late by half a second, as on a VM without processor time.
