Look at no waiting stream while no server is open

Each pass tried up to eight demands of a class on every server, although all servers had a prefill ahead. Change: a pass ends as soon as no server is open (isServerOpen); times of demands are read without copying the demand.

--- a/src/application/scheduling/createStreamScheduler/_lib/createDecisionRecord/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createDecisionRecord/index.ts
@@ -2,7 +2,7 @@
 import type { Clock, EventLog } from '../../../../ports';
 import type { SchedulingMeter } from '../../../types';
 import type { QueuedDemand } from '../createDemandQueue';
-import { readDemandAt } from '../readDemandAt';
+import { readTimesAt } from '../readTimesAt';
 
 /** What a decision was made from, besides the demand. */
 export interface DecisionInputs {
@@ -43,7 +43,7 @@
   service,
 }: DecisionRecordDependencies): DecisionRecord => ({
   record: (entry, decision, inputs) => {
-    const demand = readDemandAt(entry, clock.readMonotonicMs());
+    const times = readTimesAt(entry, clock.readMonotonicMs());
     const { kind, ...fields } = decision;
     const { priority, routePriority } = entry.requestClass;
     log.info(MESSAGES[kind], {
@@ -53,10 +53,10 @@
       ...inputs,
       startsPerS: Math.round(inputs.startsPerS * 10) / 10,
       requestClass: `${priority}/${routePriority}`,
-      waitedMs: Math.round(demand.waitedMs),
-      goalLeftMs: Math.round(demand.goalLeftMs),
-      leftMs: Math.round(demand.leftMs),
+      waitedMs: Math.round(times.waitedMs),
+      goalLeftMs: Math.round(times.goalLeftMs),
+      leftMs: Math.round(times.leftMs),
     });
-    meter.recordDecision(entry.requestClass, demand.workspace, kind, demand.waitedMs);
+    meter.recordDecision(entry.requestClass, entry.demand.workspace, kind, times.waitedMs);
   },
 });
--- a/src/application/scheduling/createStreamScheduler/_lib/listOverdueDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/listOverdueDemands/index.ts
@@ -1,10 +1,12 @@
 import type { ServerPace } from '../../../../../domain/paces';
 import { computeRunMs, START_MARGIN_MS } from '../../../../../domain/scheduling';
 import type { QueuedDemand } from '../createDemandQueue';
-import { readDemandAt } from '../readDemandAt';
+import { readTimesAt } from '../readTimesAt';
 
-/** Lists the demands that can no longer begin within their goal, or no longer end in time. Streams that
- * lost their server are not refused. */
+/**
+ * Lists the demands that can no longer begin within their goal, or no longer end in time. Streams
+ * that lost their server are not refused.
+ */
 export const listOverdueDemands = (
   entries: readonly QueuedDemand[],
   servicePace: ServerPace,
@@ -12,7 +14,8 @@
 ): readonly QueuedDemand[] =>
   entries.filter((entry) => {
     if (entry.isResumed) return false;
-    const { goalLeftMs, goalMs, leftMs, outputTokens, promptTokens } = readDemandAt(entry, nowMs);
+    const { goalLeftMs, goalMs, leftMs } = readTimesAt(entry, nowMs);
+    const { outputTokens, promptTokens } = entry.demand;
     const options = { goalMs, outputTokens, promptTokens, runs: 1 };
     const { prefillMs, runMs } = computeRunMs(servicePace, options);
     return leftMs < runMs || (!entry.isLate && goalLeftMs < prefillMs + START_MARGIN_MS);
--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -3,6 +3,7 @@
   compareRequestClasses,
   computeRunMs,
   isServerAllowed,
+  isServerOpen,
   START_MARGIN_MS,
   type RequestClass,
   type ScheduledServer,
@@ -12,6 +13,7 @@
 import type { QueuedDemand } from '../createDemandQueue';
 import type { StartForecast } from '../createStartForecast';
 import { readDemandAt } from '../readDemandAt';
+import { readTimesAt } from '../readTimesAt';
 
 /** Inputs of one pass over the waiting demands. */
 export interface ServeOptions {
@@ -59,6 +61,8 @@
   const current = [...servers];
   const started = new Set<QueuedDemand>();
 
+  let openServers = current.filter(isServerOpen).length;
+
   const start = (entry: QueuedDemand, isOwed = false): boolean => {
     if (started.has(entry)) return true;
     const demand = readDemandAt(entry, nowMs);
@@ -78,11 +82,13 @@
       const updated = changed && readServer(changed.id);
       if (updated) current[current.findIndex(({ id }) => id === updated.id)] = updated;
     });
+    openServers = current.filter(isServerOpen).length;
     return true;
   };
 
   const isBlocking = (entry: QueuedDemand): boolean => {
-    const { goalMs, leftMs, outputTokens, promptTokens } = readDemandAt(entry, nowMs);
+    const { goalMs, leftMs } = readTimesAt(entry, nowMs);
+    const { outputTokens, promptTokens } = entry.demand;
     const options = { goalMs, outputTokens, promptTokens, runs: USUAL_RUNS };
     const { runMs } = computeRunMs(servicePace, options);
     const hasServer = current.some((server) => isServerAllowed(server, entry.demand));
@@ -102,12 +108,14 @@
       forecast.isOwed(requestClass, first.requestClass, nowMs),
   );
   // The more urgent ones keep the servers beyond the limit that leaves time to repeat a run.
-  if (owed) start(owed, true);
+  if (owed && openServers > 0) start(owed, true);
 
   let blocked: RequestClass | null = null;
   let tried: RequestClass = first.requestClass;
   let tries = 0;
   for (const entry of entries) {
+    // Under load most passes find no open server: the demands need not be looked at then.
+    if (openServers === 0) return current;
     const { requestClass } = entry;
     if (blocked !== null && compareRequestClasses(requestClass, blocked) > 0) return current;
     if (compareRequestClasses(requestClass, tried) !== 0) tries = 0;
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -8,6 +8,7 @@
 export { hasScheduledService } from './hasScheduledService';
 export { isScheduled, type IsScheduledOptions } from './isScheduled';
 export { isServerAllowed } from './isServerAllowed';
+export { isServerOpen } from './isServerOpen';
 export { isShareOwed } from './isShareOwed';
 export { isStreamStartable } from './isStreamStartable';
 export { predictQueueWaitMs } from './predictQueueWaitMs';
--- a/src/domain/scheduling/isStreamStartable/index.ts
+++ b/src/domain/scheduling/isStreamStartable/index.ts
@@ -1,6 +1,7 @@
 import { REPEATABLE_FRACTION } from '../computeMaxWaitMs';
 import { computeRunMs } from '../computeRunMs';
 import { isServerAllowed } from '../isServerAllowed';
+import { isServerOpen } from '../isServerOpen';
 import type { ScheduledServer, StreamDemand } from '../types';
 
 /** What a server is asked to run. */
@@ -9,9 +10,6 @@
   'excludedServers' | 'leftMs' | 'outputTokens' | 'promptTokens' | 'versions'
 >;
 
-/** Prefills ahead that end within this time do not delay the stream: it is on its way meanwhile. */
-const MAX_PENDING_PREFILL_MS = 100;
-
 /** Time of a run, as a fraction of the time left, if the stream would miss its goal otherwise. */
 const LAST_CHANCE_FRACTION = 0.75;
 
@@ -35,8 +33,7 @@
   demand: StartDemand,
   { goalMs, isLastChance }: StartOptions,
 ): boolean => {
-  if (server.runs >= server.slots || server.pendingPrefillMs > MAX_PENDING_PREFILL_MS) return false;
-  if (!isServerAllowed(server, demand)) return false;
+  if (!isServerOpen(server) || !isServerAllowed(server, demand)) return false;
   const neededKvTokens = demand.promptTokens + demand.outputTokens;
   if (server.kvTotalTokens > 0 && server.kvUsedTokens + neededKvTokens > server.kvTotalTokens)
     return false;
