Rank collectors and schedulers by one function

Cause: rankCollectors and rankSchedulers each sorted the large VMs before the small ones by rendezvous hashing, with a constant of their own for what a large VM is.

Change: rankBySize in domain/membership ranks both groups; the two use it and keep their own rules (one zone; the second scheduler in another zone) and their tests. The first by rank is always a large VM, so the second is looked for among those.

--- a/src/domain/membership/index.ts
+++ b/src/domain/membership/index.ts
@@ -13,6 +13,7 @@
 export { isLoadUpdateDue } from './isLoadUpdateDue';
 export type { SentLoad } from './isLoadUpdateDue';
 export { mergePeerRecord } from './mergePeerRecord';
+export { rankBySize } from './rankBySize';
 export type {
   Fact,
   LeavingFact,
