Format request classes in one place

Cause: the text of a request class, which logs, metrics and two maps must have alike, was built in four files.

Change: formatRequestClass in domain/scheduling; the four use it.

--- a/src/adapters/metrics/_lib/createSchedulingMeter/index.ts
+++ b/src/adapters/metrics/_lib/createSchedulingMeter/index.ts
@@ -1,7 +1,7 @@
 import { Counter, Histogram, type Registry } from 'prom-client';
 import type { SchedulingMeter } from '../../../../application/scheduling';
 import { computeNameId } from '../../../../domain/membership';
-import type { RequestClass } from '../../../../domain/scheduling';
+import { formatRequestClass } from '../../../../domain/scheduling';
 
 const MS_PER_S = 1000;
 
@@ -14,9 +14,6 @@
 /** From a grant at once to the goals of the slowest streams. */
 const WAIT_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30];
 
-const formatClass = ({ priority, routePriority }: RequestClass): string =>
-  `${priority}/${routePriority}`;
-
 const computeBucket = (workspace: string): string =>
   workspace === '' ? NO_WORKSPACE : String(computeNameId(workspace) % WORKSPACE_BUCKETS);
 
@@ -38,7 +35,7 @@
   });
   return {
     recordDecision: (requestClass, workspace, kind, waitedMs) => {
-      const name = formatClass(requestClass);
+      const name = formatRequestClass(requestClass);
       decisions.inc({ class: name, workspace_bucket: computeBucket(workspace), decision: kind });
       if (kind === 'send') waits.observe({ class: name }, waitedMs / MS_PER_S);
     },
--- a/src/application/scheduling/createStreamScheduler/_lib/createDecisionRecord/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createDecisionRecord/index.ts
@@ -1,4 +1,4 @@
-import type { ScheduleDecision } from '../../../../../domain/scheduling';
+import { formatRequestClass, type ScheduleDecision } from '../../../../../domain/scheduling';
 import type { Clock, EventLog } from '../../../../ports';
 import type { SchedulingMeter } from '../../../types';
 import type { QueuedDemand } from '../createDemandQueue';
@@ -45,14 +45,13 @@
   record: (entry, decision, inputs) => {
     const times = readTimesAt(entry, clock.readMonotonicMs());
     const { kind, ...fields } = decision;
-    const { priority, routePriority } = entry.requestClass;
     log.info(MESSAGES[kind], {
       service,
       ...fields,
       backup: ('backup' in fields && fields.backup) || '',
       ...inputs,
       startsPerS: Math.round(inputs.startsPerS * 10) / 10,
-      requestClass: `${priority}/${routePriority}`,
+      requestClass: formatRequestClass(entry.requestClass),
       waitedMs: Math.round(times.waitedMs),
       goalLeftMs: Math.round(times.goalLeftMs),
       leftMs: Math.round(times.leftMs),
--- a/src/application/scheduling/createStreamScheduler/_lib/createDemandQueue/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createDemandQueue/index.ts
@@ -6,7 +6,7 @@
 import {
   compareRequestClasses,
   compareWaitingDemands,
-  type RequestClass,
+  formatRequestClass,
   type StreamDemand,
   type WaitingDemand,
 } from '../../../../../domain/scheduling';
@@ -54,9 +54,6 @@
 
 const WEIGHT = 1;
 
-const formatClass = ({ priority, routePriority }: RequestClass): string =>
-  `${priority}/${routePriority}`;
-
 /** Creates an empty queue, ordered by `compareWaitingDemands`. */
 export const createDemandQueue = (): DemandQueue => {
   let entries: QueuedDemand[] = [];
@@ -93,7 +90,7 @@
     arrivedAtMs: number,
   ): QueuedDemand => {
     const { isResumed, isReturning, requestClass, workspace } = demand;
-    const key = formatClass(requestClass);
+    const key = formatRequestClass(requestClass);
     const state = removeIdleTags(states.get(key) ?? EMPTY_STATE);
     const tagged = computeStartTag(state, workspace, WEIGHT, cost);
     states.set(key, tagged.state);
@@ -118,7 +115,7 @@
     if (!entry) return;
     detach(entry);
     const { workspace } = entry.demand;
-    const key = formatClass(entry.requestClass);
+    const key = formatRequestClass(entry.requestClass);
     const state = states.get(key) ?? EMPTY_STATE;
     states.set(
       key,
--- a/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createStartForecast/index.ts
@@ -1,6 +1,7 @@
 import {
   compareRequestClasses,
   computeStartRate,
+  formatRequestClass,
   isShareOwed,
   predictQueueWaitMs,
   type RequestClass,
@@ -76,7 +77,7 @@
   let model = { atMs: -Infinity, startsPerS: 0 };
 
   const findRates = (requestClass: RequestClass): ClassRates => {
-    const key = `${requestClass.priority}/${requestClass.routePriority}`;
+    const key = formatRequestClass(requestClass);
     const known = classes.get(key);
     if (known) return known;
     const created = {
--- a/src/domain/scheduling/index.ts
+++ b/src/domain/scheduling/index.ts
@@ -5,6 +5,7 @@
 export { computeRunMs } from './computeRunMs';
 export { computeStartRate } from './computeStartRate';
 export { decideWaiting, START_MARGIN_MS, type WaitingDecision } from './decideWaiting';
+export { formatRequestClass } from './formatRequestClass';
 export { hasScheduledService } from './hasScheduledService';
 export { isScheduled, type IsScheduledOptions } from './isScheduled';
 export { isServerAllowed } from './isServerAllowed';
