Say in the scheduler client what its functions handle

Cause: `apply` and `applyResponse` did not say of what, and the parameters of a type were called `of`, `one` and `from`.

Change: handleDecision and handleResponse; the handler has the type of handleDecision. The random part of a ticket says what it is for.

--- a/src/application/scheduling/createSchedulerClient/index.ts
+++ b/src/application/scheduling/createSchedulerClient/index.ts
@@ -21,6 +21,7 @@
 /** Time after which to come back when this VM can hold no more: through another VM. */
 const FULL_RETURN_MS = 200;
 
+/** Random part of a ticket, unique among the starts of one VM within the life of a demand. */
 const TICKET_RANDOM_BYTES = 4;
 
 /**
@@ -136,25 +137,23 @@
     refuse: (entry, { reason, returnMs }) => close(entry, { kind: 'refuse', reason, returnMs }),
   };
 
-  const apply = (
+  const handleDecision = (
     entry: DemandEntry,
     decision: ScheduleDecision,
     scheduler: SchedulingVm | null,
   ): void => {
-    const handle = handlers[decision.kind] as (
-      of: DemandEntry,
-      one: ScheduleDecision,
-      from: SchedulingVm | null,
-    ) => void;
+    const handle = handlers[decision.kind] as typeof handleDecision;
     handle(entry, decision, scheduler);
   };
 
-  const applyResponse = (asked: readonly DemandEntry[], answer: SchedulerAnswer): void => {
-    const decisions = new Map(answer.response.decisions.map((one) => [one.ticket, one]));
+  const handleResponse = (asked: readonly DemandEntry[], answer: SchedulerAnswer): void => {
+    const decisions = new Map(
+      answer.response.decisions.map((decision) => [decision.ticket, decision]),
+    );
     asked.forEach((entry) => {
       const decision = decisions.get(entry.ticket);
       if (!decision) close(entry, { kind: 'unknown' });
-      else if (isOpen(entry)) apply(entry, decision, answer.scheduler);
+      else if (isOpen(entry)) handleDecision(entry, decision, answer.scheduler);
       else if (decision.kind === 'send') releaseUnused(entry, decision.server, answer.scheduler);
     });
   };
@@ -188,7 +187,7 @@
       log.error('scheduler call failed unexpectedly', { service, reason });
       return null;
     });
-    if (answer) applyResponse(asked, answer);
+    if (answer) handleResponse(asked, answer);
     else asked.forEach((entry) => close(entry, { kind: 'unknown' }));
   };
 
@@ -224,7 +223,7 @@
     handleDelivery: ({ decision, service }) => {
       const entry = entries.get(decision.ticket);
       if (!entry || entry.service !== service) return false;
-      apply(entry, decision, null);
+      handleDecision(entry, decision, null);
       return true;
     },
     refuseWaiting: (reason, returnMs) =>
