--- a/src/application/fleet-load/_lib/createCollectorRanking/index.ts
+++ b/src/application/fleet-load/_lib/createCollectorRanking/index.ts
@@ -14,6 +14,7 @@
   skip(vm: string): void;
 }
 
+/** Time for which a collector that gave no answer is not asked. */
 const SKIP_MS = 2000;
 
 /** Creates the ranking of the collectors. */
--- a/src/application/fleet-load/createFleetLoad/index.ts
+++ b/src/application/fleet-load/createFleetLoad/index.ts
@@ -7,6 +7,7 @@
 import { createZoneCollector } from '../_lib/createZoneCollector';
 import type { FleetLoad, FleetLoadDependencies, FleetLoadPeer } from '../types';
 
+/** Interval between reports, and between exchanges: several of them within the life of a part. */
 const INTERVAL_MS = 500;
 
 /** VMs that start together must not all report at once. */
--- a/src/application/overload/createLoopDelayMonitor/index.ts
+++ b/src/application/overload/createLoopDelayMonitor/index.ts
@@ -24,6 +24,7 @@
   readonly isEnabled: () => boolean;
 }
 
+/** Interval between timers: four of them show an overload within a second. */
 const SAMPLE_INTERVAL_MS = 250;
 
 /**
--- a/src/application/scheduling/createStreamScheduler/_lib/createServerViews/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/createServerViews/index.ts
@@ -86,6 +86,7 @@
 
 /** Fraction of the current prefill that is finished, on average. */
 const FINISHED_FRACTION = 0.5;
+
 /** Projections are kept for this long: paces change faster than reports arrive. */
 const MAX_PROJECTION_AGE_MS = 100;
 
--- a/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -26,8 +26,10 @@
   readonly draw: number;
 }
 
-/** Bounds of the number of waiting demands. */
+/** Maximum number of waiting demands: each check looks at all of them. */
 const MAX_WAITING = 2000;
+
+/** Lowest limit of waiting demands, where the rate of starts is low or not known yet. */
 const MIN_WAITING = 8;
 
 const MS_PER_S = 1000;
--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -35,7 +35,10 @@
  */
 const MAX_TRIES = 8;
 
-/** A stream has its last chance to begin within its goal when this much time is left for it. */
+/**
+ * A stream with less time than this between its prefill and its goal may use a server beyond the
+ * limit that leaves time to repeat a run: it would be refused otherwise.
+ */
 const LAST_CHANCE_MS = 300 + START_MARGIN_MS;
 
 /** Runs beside which a stream must be able to end in time for others to wait behind it. */
--- a/src/domain/fleet-load/limitLoadBytes/index.ts
+++ b/src/domain/fleet-load/limitLoadBytes/index.ts
@@ -3,8 +3,10 @@
 /** Most bytes of loads in a message of 16 KB, which also names its senders. */
 export const MAX_LOAD_BYTES = 15 * 1024;
 
-/** Upper bounds of what a message holds besides the names. */
+/** Most bytes that a message holds of a service besides its name and its servers. */
 const SERVICE_BYTES = 24;
+
+/** Most bytes that a message holds of a server besides its name. */
 const SERVER_BYTES = 24;
 
 /** Loads that fit in a message. */
--- a/src/domain/forwarding/choosePacedServer/index.ts
+++ b/src/domain/forwarding/choosePacedServer/index.ts
@@ -19,10 +19,10 @@
  */
 const SLOW_START_MS = 1000;
 
-/** Time in which a reported load loses its meaning, unless a newer answer confirms it. */
+/** Age from which the load that a server reported no longer counts; until then it counts less. */
 const REPORT_TTL_MS = 600;
 
-/** Time in which a view of all VMs loses its meaning. */
+/** Age from which a view of all VMs no longer counts; until then it counts less. */
 const VIEW_TTL_MS = 2000;
 
 /**
