Split the decision and the serving of demands into named steps

Change: isTooLarge and hasRoomInQueue, isBlocking and findOwed beside them; statements and their order stay, but findOwed reads the first entry itself.

Result: 30 tests of src/application/scheduling pass; tests/scheduling was not run.

--- a/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/decideDemand/index.ts
@@ -54,18 +54,48 @@
   return kvTotalTokens > 0 ? Math.min(slots, Math.floor(kvTotalTokens / kvTokens)) : slots;
 };
 
+/** True if no server's memory holds the stream, even without other runs. */
+const isTooLarge = (
+  { outputTokens, promptTokens }: StreamDemand,
+  servers: readonly ScheduledServer[],
+): boolean =>
+  servers.length > 0 &&
+  servers.every(
+    ({ kvTotalTokens }) => kvTotalTokens > 0 && kvTotalTokens < promptTokens + outputTokens,
+  );
+
+/** True if the queue, as seen by the demand's class, has room for its workspace. */
+const hasRoomInQueue = (
+  entry: QueuedDemand,
+  {
+    entries,
+    goalLeftMs,
+    startsPerS,
+  }: Pick<DemandDecisionOptions, 'entries' | 'startsPerS'> & { readonly goalLeftMs: number },
+): boolean => {
+  const { demand, requestClass } = entry;
+  const others = entries.filter(
+    (other) => other !== entry && compareRequestClasses(other.requestClass, requestClass) <= 0,
+  );
+  const beginnable = Math.ceil((startsPerS * Math.max(0, goalLeftMs)) / MS_PER_S);
+  return hasQueueCapacity({
+    waiting: others.length,
+    waitingOfWorkspace: others.filter((other) => other.demand.workspace === demand.workspace)
+      .length,
+    maxWaiting: Math.min(MAX_WAITING, Math.max(MIN_WAITING, beginnable)),
+    relativeWeight: 1,
+  });
+};
+
 /** Decides whether a demand that can't begin now waits; see `decideWaiting`. */
 export const decideDemand = (
   entry: QueuedDemand,
   { draw, entries, forecast, nowMs, servers, servicePace, startsPerS }: DemandDecisionOptions,
 ): WaitingDecision => {
   const demand = readDemandAt(entry, nowMs);
-  const { goalLeftMs, isResumed, isReturning, leftMs, requestClass, workspace } = demand;
-  const neededKvTokens = demand.promptTokens + demand.outputTokens;
-  const isTooLarge =
-    servers.length > 0 &&
-    servers.every(({ kvTotalTokens }) => kvTotalTokens > 0 && kvTotalTokens < neededKvTokens);
-  if (isTooLarge) return { kind: 'refuse', reason: 'no server has enough memory', returnMs: 0 };
+  const { goalLeftMs, isResumed, isReturning, leftMs, requestClass } = demand;
+  if (isTooLarge(demand, servers))
+    return { kind: 'refuse', reason: 'no server has enough memory', returnMs: 0 };
   // A stream that has begun is never refused for lack of room.
   if (isResumed) return { kind: 'wait', predictedMs: 0, isLate: entry.isLate };
 
@@ -81,19 +111,7 @@
     { ahead: entries.length - 1, aheadInClass, isLate: true, startsPerS },
     nowMs,
   );
-  const others = entries.filter(
-    (one) => one !== entry && compareRequestClasses(one.requestClass, requestClass) <= 0,
-  );
-  const beginnable = Math.ceil((startsPerS * Math.max(0, goalLeftMs)) / MS_PER_S);
-  const isAccepted =
-    entry.isLate ||
-    hasQueueCapacity({
-      waiting: others.length,
-      waitingOfWorkspace: others.filter((one) => one.demand.workspace === workspace).length,
-      maxWaiting: Math.min(MAX_WAITING, Math.max(MIN_WAITING, beginnable)),
-      relativeWeight: 1,
-    });
-  if (!isAccepted) {
+  if (!entry.isLate && !hasRoomInQueue(entry, { entries, goalLeftMs, startsPerS })) {
     const returnMs = isReturning ? 0 : computeRetryAfterMs({ waitMs, outageMs: 0, leftMs, draw });
     return { kind: 'refuse', reason: 'the workspace has too many waiting streams', returnMs };
   }
--- a/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
+++ b/src/application/scheduling/createStreamScheduler/_lib/serveDemands/index.ts
@@ -44,6 +44,38 @@
 /** Runs beside which a stream must be able to end in time for others to wait behind it. */
 const USUAL_RUNS = 2;
 
+/** Checks whether a demand that does not fit holds back the less urgent ones. */
+const isBlocking = (
+  entry: QueuedDemand,
+  { nowMs, servers, servicePace }: Pick<ServeOptions, 'nowMs' | 'servers' | 'servicePace'>,
+): boolean => {
+  const { goalMs, leftMs } = readTimesAt(entry, nowMs);
+  const { outputTokens, promptTokens } = entry.demand;
+  const options = { goalMs, outputTokens, promptTokens, runs: USUAL_RUNS };
+  const { runMs } = computeRunMs(servicePace, options);
+  const hasServer = servers.some((server) => isServerAllowed(server, entry.demand));
+  return !entry.isLate && hasServer && 2 * runMs <= leftMs;
+};
+
+/** Finds the demand of a less urgent class that is to get a start before the most urgent class. */
+const findOwed = ({
+  entries,
+  forecast,
+  nowMs,
+}: Pick<ServeOptions, 'entries' | 'forecast' | 'nowMs'>): QueuedDemand | null => {
+  const [first] = entries;
+  if (!first) return null;
+  // Once for each class: the entries are in the order of their classes.
+  const owed = entries.find(
+    ({ isLate, requestClass }, index) =>
+      !isLate &&
+      compareRequestClasses(requestClass, first.requestClass) > 0 &&
+      compareRequestClasses(requestClass, entries[index - 1]?.requestClass ?? requestClass) > 0 &&
+      forecast.isOwed(requestClass, first.requestClass, nowMs),
+  );
+  return owed ?? null;
+};
+
 /**
  * Grants servers to waiting demands until no further one can begin.
  *
@@ -89,27 +121,11 @@
     return true;
   };
 
-  const isBlocking = (entry: QueuedDemand): boolean => {
-    const { goalMs, leftMs } = readTimesAt(entry, nowMs);
-    const { outputTokens, promptTokens } = entry.demand;
-    const options = { goalMs, outputTokens, promptTokens, runs: USUAL_RUNS };
-    const { runMs } = computeRunMs(servicePace, options);
-    const hasServer = current.some((server) => isServerAllowed(server, entry.demand));
-    return !entry.isLate && hasServer && 2 * runMs <= leftMs;
-  };
-
   entries.filter(({ isResumed }) => isResumed).forEach((entry) => start(entry));
 
   const [first] = entries;
   if (!first) return current;
-  // Once for each class: the entries are in the order of their classes.
-  const owed = entries.find(
-    ({ isLate, requestClass }, index) =>
-      !isLate &&
-      compareRequestClasses(requestClass, first.requestClass) > 0 &&
-      compareRequestClasses(requestClass, entries[index - 1]?.requestClass ?? requestClass) > 0 &&
-      forecast.isOwed(requestClass, first.requestClass, nowMs),
-  );
+  const owed = findOwed({ entries, forecast, nowMs });
   // The more urgent ones keep the servers beyond the limit that leaves time to repeat a run.
   if (owed && openServers > 0) start(owed, true);
 
@@ -125,7 +141,8 @@
     tried = requestClass;
     if (tries < MAX_TRIES && !start(entry)) {
       tries += 1;
-      if (blocked === null && isBlocking(entry)) blocked = requestClass;
+      if (blocked === null && isBlocking(entry, { nowMs, servers: current, servicePace }))
+        blocked = requestClass;
     }
   }
   return current;
