Let a scheduler without demands read no reports after 1.5 s

Each VM that is asked while another scheduler is silent for a moment goes on to read all reports for 5 s. Change: 1.5 s. The scheduler that gets the demands has some each few ms and is not affected. Tried and dropped: reports each second, always or without a backlog; one of two load tests then missed its target.

--- a/src/application/scheduling/createStreamScheduler/index.ts
+++ b/src/application/scheduling/createStreamScheduler/index.ts
@@ -21,7 +21,7 @@
 import { serveDemands } from './_lib/serveDemands';
 
 /** Reports are read for this long after the last demand. */
-const ACTIVE_MS = 5000;
+const ACTIVE_MS = 1500;
 
 /** Time in which the first reports arrive; then the directory's view is used. */
 const FIRST_REPORTS_MS = 200;
