--- a/src/application/routing/createServerSelector/index.ts
+++ b/src/application/routing/createServerSelector/index.ts
@@ -42,7 +42,7 @@
  */
 const MAX_SCORED_SERVERS = 48;
 
-/** The scored servers, as parallel arrays. */
+/** Estimates of the servers under consideration, as parallel arrays. */
 interface ScoreColumns {
   readonly positions: number[];
   readonly firstTokenMs: number[];
