Use one skip list, one type of grants and one rule for copies' memory; pass over an empty queue

Cause: read as a whole, the change held several things twice: the VMs that are not asked for 2 s after they gave no answer (there already for owners of rate limits, written again for schedulers and for load collectors), the fields of a grant, the transport of schedulers, the rank's candidate, the memory rule for copies beside hasMemoryForCopy, a linear decay in three places, and two stand-ins. A message that only tells ended runs built the state of all servers although nothing waited. Change: createSkipList, SchedulerTransport, computeRemainingFraction, createFixedPaces; hasMemoryForCopy takes the highest use; SchedulingOutcome extends ScheduleDecision; an empty queue ends a pass at once. Behaviour, bounds and assertions stay; two tests import a type from elsewhere, and one sorts candidates whose cores may be null by type.

--- a/src/application/fleet-load/_lib/createCollectorRanking/index.ts
+++ b/src/application/fleet-load/_lib/createCollectorRanking/index.ts
@@ -1,4 +1,5 @@
 import { rankCollectors } from '../../../../domain/fleet-load';
+import { createSkipList } from '../../../_lib/createSkipList';
 import type { FleetLoadDependencies, FleetLoadPeer } from '../../types';
 
 /** A VM that collects; its address is null for this VM. */
@@ -14,9 +15,6 @@
   skip(vm: string): void;
 }
 
-/** Time for which a collector that gave no answer is not asked. */
-const SKIP_MS = 2000;
-
 /** Creates the ranking of the collectors. */
 export const createCollectorRanking = ({
   clock,
@@ -24,15 +22,11 @@
   log,
   self,
 }: Pick<FleetLoadDependencies, 'clock' | 'listPeers' | 'log' | 'self'>): CollectorRanking => {
-  const skippedUntilMs = new Map<string, number>();
+  const skipped = createSkipList(clock);
   let lastOwn: string | null = null;
 
   const listCandidates = (): readonly Collector[] => {
-    const nowMs = clock.readMonotonicMs();
-    skippedUntilMs.forEach((untilMs, vm) => {
-      if (untilMs <= nowMs) skippedUntilMs.delete(vm);
-    });
-    const peers = listPeers().filter(({ vm }) => vm !== self.vm && !skippedUntilMs.has(vm));
+    const peers = listPeers().filter(({ vm }) => vm !== self.vm && !skipped.has(vm));
     return [{ ...self, address: null }, ...peers];
   };
 
@@ -61,7 +55,7 @@
       });
     },
     skip: (vm) => {
-      skippedUntilMs.set(vm, clock.readMonotonicMs() + SKIP_MS);
+      skipped.add(vm);
       log.info('load collector skipped', { collector: vm, reason: 'no answer' });
     },
   };
--- a/src/application/limits/createPermitClient/index.ts
+++ b/src/application/limits/createPermitClient/index.ts
@@ -4,6 +4,7 @@
   type OwnerCandidate,
   type PermitDecision,
 } from '../../../domain/limits';
+import { createSkipList } from '../../_lib/createSkipList';
 import type { Clock, EventLog } from '../../ports';
 import type { LimitOwner } from '../createLimitOwner';
 import type { ServerLimits } from '../createServerLimits';
@@ -56,9 +57,6 @@
  */
 const OWNER_QUORUM = 2;
 
-/** An owner that did not respond is skipped for this long. */
-const SILENT_OWNER_SKIP_MS = 2000;
-
 /** Separates this VM's local share of a limit from the limits that it owns for all VMs. */
 const LOCAL_SHARE_SUFFIX = ' alone';
 
@@ -81,7 +79,7 @@
   const { availabilityZone, vm: name } = self;
   const thisVm: Owner = { vm: name, availabilityZone, address: null };
   const sentRequestsByServer = new Map<string, SentRequest[]>();
-  const unreachableUntilMs = new Map<string, number>();
+  const silentOwners = createSkipList(clock);
 
   const addSentRequest = (server: string): SentRequest => {
     const nowMs = clock.readMonotonicMs();
@@ -98,8 +96,7 @@
     if (others) sentRequestsByServer.set(server, others);
   };
 
-  const isReachable = ({ vm }: Owner): boolean =>
-    (unreachableUntilMs.get(vm) ?? 0) <= clock.readMonotonicMs();
+  const isReachable = ({ vm }: Owner): boolean => !silentOwners.has(vm);
 
   const askOwner = async (
     { address, vm }: Owner,
@@ -122,7 +119,7 @@
         : await askPeer(address, fullRequest);
     if (!decision) {
       unreported.forEach(({ knownToVms }) => knownToVms.delete(vm));
-      unreachableUntilMs.set(vm, clock.readMonotonicMs() + SILENT_OWNER_SKIP_MS);
+      silentOwners.add(vm);
       log.info('limit owner silent', { server: request.server, owner: vm });
     }
     return decision;
--- a/src/application/scheduling/_lib/createSchedulerCalls/index.ts
+++ b/src/application/scheduling/_lib/createSchedulerCalls/index.ts
@@ -1,14 +1,14 @@
+import { createSkipList } from '../../../_lib/createSkipList';
 import type { Clock, EventLog } from '../../../ports';
-import type { ScheduleRequest, ScheduleResponse, SchedulingVm } from '../../types';
+import type {
+  ScheduleRequest,
+  ScheduleResponse,
+  SchedulerTransport,
+  SchedulingVm,
+} from '../../types';
 
 /** Dependencies of the calls to schedulers. */
-export interface SchedulerCallsDependencies {
-  readonly self: SchedulingVm;
-  /** The VMs that may schedule a service, ranked, this VM included. */
-  readonly listSchedulers: (service: string) => readonly SchedulingVm[];
-  /** Resolves with null if the peer does not respond in time. */
-  readonly askPeer: (address: string, request: ScheduleRequest) => Promise<ScheduleResponse | null>;
-  readonly handleLocally: (request: ScheduleRequest) => ScheduleResponse;
+export interface SchedulerCallsDependencies extends SchedulerTransport {
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -40,9 +40,6 @@
 /** Timeout of one call. A scheduler responds within some milliseconds. */
 const CALL_TIMEOUT_MS = 200;
 
-/** Time for which a scheduler that gave no answer is not asked. */
-const SKIP_MS = 2000;
-
 /** Maximum number of schedulers asked for one message. */
 const MAX_SCHEDULERS = 2;
 
@@ -56,16 +53,12 @@
   self,
 }: SchedulerCallsDependencies): SchedulerCalls => {
   /** By service and VM: a VM that schedules one service may not know another one. */
-  const skippedUntilMs = new Map<string, number>();
+  const skipped = createSkipList(clock);
   const formatKey = (service: string, vm: string): string => `${service}\n${vm}`;
 
   const chooseScheduler = (service: string): SchedulingVm | null => {
-    const nowMs = clock.readMonotonicMs();
-    skippedUntilMs.forEach((untilMs, key) => {
-      if (untilMs <= nowMs) skippedUntilMs.delete(key);
-    });
     const ranked = listSchedulers(service);
-    return ranked.find(({ vm }) => !skippedUntilMs.has(formatKey(service, vm))) ?? null;
+    return ranked.find(({ vm }) => !skipped.has(formatKey(service, vm))) ?? null;
   };
 
   const askOnce = (
@@ -96,7 +89,7 @@
         if (!scheduler) return null;
         const response = await askOnce(scheduler, buildRequest(), handleLate);
         if (response?.isOwner) return { scheduler, response };
-        skippedUntilMs.set(formatKey(service, scheduler.vm), clock.readMonotonicMs() + SKIP_MS);
+        skipped.add(formatKey(service, scheduler.vm));
         log.info('scheduler skipped', {
           service,
           scheduler: scheduler.vm,
--- a/src/application/scheduling/createSchedulerClient/index.ts
+++ b/src/application/scheduling/createSchedulerClient/index.ts
@@ -97,24 +97,15 @@
       scheduler: SchedulingVm | null,
     ) => void;
   } = {
-    send: (entry, { backup, isFree, predictedMs, server }, scheduler) => {
-      Object.assign(entry, { grant: { server, scheduler } });
+    send: (entry, decision, scheduler) => {
+      Object.assign(entry, { grant: { server: decision.server, scheduler } });
       const cancel = (): void => {
         if (!entry.grant) return;
         Object.assign(entry, { grant: null });
         cancelTicket(entry);
       };
       const waitedMs = clock.readMonotonicMs() - entry.startedAtMs;
-      close(entry, {
-        kind: 'send',
-        ticket: entry.ticket,
-        server,
-        backup,
-        predictedMs,
-        isFree,
-        waitedMs,
-        cancel,
-      });
+      close(entry, { ...decision, waitedMs, cancel });
     },
     wait: (entry, { predictedMs }) => {
       if (entry.isWaiting) return;
--- a/src/application/scheduling/createStreamScheduler/index.ts
+++ b/src/application/scheduling/createStreamScheduler/index.ts
@@ -75,6 +75,10 @@
   const serve = (answered: ReadonlySet<string> = new Set()): readonly ScheduledServer[] => {
     const nowMs = clock.readMonotonicMs();
     if (isWaitingForReports()) return [];
+    if (queue.list().length === 0) {
+      forecast.recordBacklog(false, nowMs);
+      return [];
+    }
     const servers = serveDemands({
       entries: [...queue.list()],
       servers: listServers(),
--- a/src/application/scheduling/index.ts
+++ b/src/application/scheduling/index.ts
@@ -12,6 +12,7 @@
   ScheduleRequest,
   ScheduleResponse,
   SchedulerClient,
+  SchedulerTransport,
   SchedulingDirectory,
   SchedulingMeter,
   SchedulingOutcome,
--- a/src/application/scheduling/types/SchedulerClient.ts
+++ b/src/application/scheduling/types/SchedulerClient.ts
@@ -1,4 +1,4 @@
-import type { StreamDemand } from '../../../domain/scheduling';
+import type { ScheduleDecision, StreamDemand } from '../../../domain/scheduling';
 import type { DeliveredDecision, EndedRun, StartedRun } from './ScheduleRequest';
 
 /**
@@ -20,17 +20,11 @@
 
 /** The outcome of a demand. */
 export type SchedulingOutcome =
-  | {
-      readonly kind: 'send';
-      readonly ticket: string;
-      readonly server: string;
-      readonly backup: string | null;
-      readonly predictedMs: number;
-      readonly isFree: boolean;
+  | (Extract<ScheduleDecision, { kind: 'send' }> & {
       readonly waitedMs: number;
       /** Releases the grant if nothing was sent. */
       readonly cancel: () => void;
-    }
+    })
   | { readonly kind: 'refuse'; readonly reason: string; readonly returnMs: number }
   /** No scheduler responded: the VM decides by itself. */
   | { readonly kind: 'unknown' }
--- a/src/domain/fleet-load/chooseZoneLoads/index.ts
+++ b/src/domain/fleet-load/chooseZoneLoads/index.ts
@@ -1,4 +1,5 @@
-import { computePartAgeMs, PART_TTL_MS } from '../sumLoadParts';
+import { computePartAgeMs } from '../computePartAgeMs';
+import { PART_TTL_MS } from '../sumLoadParts';
 import type { HeldPart } from '../types';
 
 /**
--- a/src/domain/fleet-load/sumLoadParts/index.ts
+++ b/src/domain/fleet-load/sumLoadParts/index.ts
@@ -1,3 +1,4 @@
+import { computePartAgeMs } from '../computePartAgeMs';
 import type { HeldPart, LoadPart, ServiceLoad } from '../types';
 
 /** A part that is older no longer counts: its VM may have ended. */
@@ -6,10 +7,6 @@
 /** Sum of parts, without what identifies its sender. */
 export type LoadSum = Pick<LoadPart, 'ageMs' | 'omittedServers' | 'services' | 'vms'>;
 
-/** Computes the age of a part, in milliseconds. */
-export const computePartAgeMs = ({ part, receivedAtMs }: HeldPart, nowMs: number): number =>
-  part.ageMs + nowMs - receivedAtMs;
-
 const sumServices = (loads: readonly ServiceLoad[]): readonly ServiceLoad[] => {
   const names = new Set(loads.map(({ service }) => service));
   return [...names].map((service) => {
--- a/src/domain/forwarding/choosePacedServer/index.ts
+++ b/src/domain/forwarding/choosePacedServer/index.ts
@@ -1,3 +1,4 @@
+import { computeRemainingFraction } from '../../load';
 import type { RelativePace } from '../../paces';
 import { computeRequestLoad, ZONE_BONUS } from '../_lib/computeRequestLoad';
 import { filterCandidates } from '../_lib/filterCandidates';
@@ -41,11 +42,9 @@
 const weighPace = ({ ratio, workFactor }: RelativePace): number =>
   ratio ** PACE_EXPONENT * workFactor;
 
-const computeFreshness = (ageMs: number, ttlMs: number): number => Math.max(0, 1 - ageMs / ttlMs);
-
 /** Ages a report: other requests than those of this VM have ended since, as far as it knows. */
 const ageReport = (status: ServerStatus): ServerStatus => {
-  const freshness = computeFreshness(status.reportedAgeMs, REPORT_TTL_MS);
+  const freshness = computeRemainingFraction(status.reportedAgeMs, REPORT_TTL_MS);
   const others = Math.max(0, status.reported - status.running) * freshness;
   return { ...status, reported: status.running + others };
 };
@@ -56,8 +55,8 @@
  */
 const computeKnownLoad = (status: ServerStatus, fleet: FleetReader): number => {
   const { entry, reported, reportedAgeMs, running } = status;
-  const reportWeight = computeFreshness(reportedAgeMs, REPORT_TTL_MS);
-  const viewed = fleet.countOthers(entry) * computeFreshness(fleet.ageMs, VIEW_TTL_MS);
+  const reportWeight = computeRemainingFraction(reportedAgeMs, REPORT_TTL_MS);
+  const viewed = fleet.countOthers(entry) * computeRemainingFraction(fleet.ageMs, VIEW_TTL_MS);
   const others = Math.max(0, reported - running) * reportWeight + viewed * (1 - reportWeight);
   return computeRequestLoad({ ...status, reported: running + others }, null);
 };
@@ -119,7 +118,7 @@
     loads.filter((_, index) => (candidates[index]?.availableMs ?? 0) >= SLOW_START_MS),
   );
   const endsByServer = candidates.map((status, index) => {
-    const unknownFraction = Math.max(0, 1 - status.availableMs / SLOW_START_MS);
+    const unknownFraction = computeRemainingFraction(status.availableMs, SLOW_START_MS);
     const load = Math.max(loads[index] ?? 0, usualLoad * unknownFraction);
     const crossing = fleet ? computeCrossingCost(status, preferredZone, fleet) : 0;
     return { status, end: (load + 1) * weighPace(readPace(status.entry)) + crossing };
--- a/src/domain/paces/computeWorkFactor/index.ts
+++ b/src/domain/paces/computeWorkFactor/index.ts
@@ -1,3 +1,5 @@
+import { computeRemainingFraction } from '../../load';
+
 /** Time for which a machine stays slow. */
 const FACTOR_TTL_MS = 600;
 
@@ -15,4 +17,4 @@
  * computeWorkFactor(2.5, 300); // 1.75
  */
 export const computeWorkFactor = (factor: number, ageMs: number): number =>
-  1 + (factor - 1) * Math.min(1, Math.max(0, 1 - ageMs / FACTOR_TTL_MS));
+  1 + (factor - 1) * computeRemainingFraction(ageMs, FACTOR_TTL_MS);
--- a/src/domain/scheduling/chooseScheduledServer/index.ts
+++ b/src/domain/scheduling/chooseScheduledServer/index.ts
@@ -1,3 +1,4 @@
+import { hasMemoryForCopy } from '../../forwarding';
 import { computeRunMs } from '../computeRunMs';
 import { isServerAllowed } from '../isServerAllowed';
 import { isStreamStartable, type StartOptions } from '../isStreamStartable';
@@ -23,14 +24,14 @@
 /** Predicted ends that differ by less are equal: the zone decides. */
 const END_STEP_MS = 100;
 
-/** Highest memory use including the copy. The rest is left for streams that are resumed. */
+/**
+ * Highest memory use including the copy: what is promised is known. The rest is left for streams
+ * that are resumed.
+ */
 const MAX_COPY_MEMORY_FRACTION = 0.85;
 
-const hasRoomForCopy = (
-  { kvTotalTokens, kvUsedTokens }: ScheduledServer,
-  kvTokens: number,
-): boolean =>
-  kvTotalTokens === 0 || kvUsedTokens + kvTokens <= kvTotalTokens * MAX_COPY_MEMORY_FRACTION;
+const hasRoomForCopy = (server: ScheduledServer, kvTokens: number): boolean =>
+  hasMemoryForCopy({ ...server, waiting: 0 }, kvTokens, MAX_COPY_MEMORY_FRACTION);
 
 const computeMemoryUse = ({ kvTotalTokens, kvUsedTokens }: ScheduledServer): number =>
   kvTotalTokens === 0 ? 0 : kvUsedTokens / kvTotalTokens;
--- a/src/programs/gateway/_lib/wireScheduling/test.ts
+++ b/src/programs/gateway/_lib/wireScheduling/test.ts
@@ -3,14 +3,15 @@
   DeliverDecision,
   ScheduleRequest,
   SchedulerClient,
+  SchedulerTransport,
 } from '../../../../application/scheduling';
 import { createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
-import type { SchedulerCandidate, SchedulerTransport } from '../../types';
+import type { SchedulerCandidate } from '../../../../domain/scheduling';
 import { buildDisabledScheduling } from '../../../../../standins/gateway';
 import { wireScheduling } from '.';
 
 const rankSchedulers = (candidates: readonly SchedulerCandidate[]) =>
-  [...candidates].sort((left, right) => right.cores - left.cores);
+  [...candidates].sort((left, right) => (right.cores ?? 0) - (left.cores ?? 0));
 
 const buildVm = (vm: string, cores: number) => ({
   vm,
--- a/src/programs/gateway/types/index.ts
+++ b/src/programs/gateway/types/index.ts
@@ -1,7 +1,3 @@
 export type { GatewayOverrides } from './GatewayOverrides';
 export type { GatewayParts } from './GatewayParts';
-export type {
-  SchedulerCandidate,
-  SchedulerTransport,
-  SchedulingFactories,
-} from './SchedulingFactories';
+export type { SchedulingFactories } from './SchedulingFactories';
--- a/standins/fakes/createSchedulerFixture/index.ts
+++ b/standins/fakes/createSchedulerFixture/index.ts
@@ -10,6 +10,7 @@
 import { buildServerReport } from '../buildServerReport';
 import { buildServerStatus } from '../buildServerStatus';
 import { createFakeClock, type FakeClock } from '../createFakeClock';
+import { createFixedPaces } from '../createFixedPaces';
 import { createSeededRandomness } from '../createSeededRandomness';
 import { QUIET_LOG } from '../quietLog';
 
@@ -62,14 +63,7 @@
       recordLeaving: () => undefined,
     },
     readReport: async ({ id }) => reports.get(id) ?? null,
-    paces: {
-      record: () => undefined,
-      recordWorkFactor: () => undefined,
-      readPace: () => pace,
-      readServicePace: () => pace,
-      isUneven: () => false,
-      forgetServer: () => undefined,
-    },
+    paces: createFixedPaces(pace),
     deliverDecision: async (_, decision) => {
       delivered.push(decision);
       if (declined.has(decision.decision.ticket)) return false;
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -10,6 +10,7 @@
 export { QUIET_LOG } from './quietLog';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
+export { createFixedPaces } from './createFixedPaces';
 export { createInactiveScheduler } from './createInactiveScheduler';
 export { createMemoryObjectStore } from './createMemoryObjectStore';
 export type { MemoryObjectStore } from './createMemoryObjectStore';
--- a/standins/gateway/buildDisabledScheduling/index.ts
+++ b/standins/gateway/buildDisabledScheduling/index.ts
@@ -1,4 +1,5 @@
 import type { SchedulingFactories } from '../../../src/programs/gateway/types';
+import { createInactiveScheduler } from '../../fakes';
 
 /** Builds factories of parts that schedule nothing: each VM decides by itself. */
 export const buildDisabledScheduling = (): SchedulingFactories => ({
@@ -7,14 +8,6 @@
     countWaiting: () => 0,
     stop: () => undefined,
   }),
-  createClient: () => ({
-    requestServer: async () => ({ kind: 'unknown' }),
-    recordStarted: () => undefined,
-    recordEnded: () => undefined,
-    handleDelivery: () => false,
-    refuseWaiting: () => undefined,
-    countWaiting: () => 0,
-    stop: () => undefined,
-  }),
+  createClient: createInactiveScheduler,
   rankSchedulers: () => [],
 });
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -8,8 +8,11 @@
   startGatewayServer,
   type GatewayServices,
 } from '../../src/adapters/connect';
-import type { ScheduleRequest, ScheduleResponse } from '../../src/application/scheduling';
-import type { SchedulerTransport } from '../../src/programs/gateway/types';
+import type {
+  ScheduleRequest,
+  ScheduleResponse,
+  SchedulerTransport,
+} from '../../src/application/scheduling';
 import { QUIET_LOG } from '../../standins/fakes';
 import { buildDisabledScheduling } from '../../standins/gateway';
 import { buildStubServices } from './_lib/buildStubServices';
--- a/tests/scheduling/_lib/playSchedule.ts
+++ b/tests/scheduling/_lib/playSchedule.ts
@@ -3,6 +3,7 @@
 import {
   buildServerStatus,
   createFakeClock,
+  createFixedPaces,
   createSeededRandomness,
   QUIET_LOG,
 } from '../../../standins/fakes';
@@ -51,14 +52,7 @@
       recordLeaving: () => undefined,
     },
     readReport: async ({ id }) => engines.get(id)?.readReport() ?? null,
-    paces: {
-      record: () => undefined,
-      recordWorkFactor: () => undefined,
-      readPace: () => PACE,
-      readServicePace: () => PACE,
-      isUneven: () => false,
-      forgetServer: () => undefined,
-    },
+    paces: createFixedPaces(PACE),
     deliverDecision: async (_, { decision }) => {
       const decide = waiting.get(decision.ticket);
       decide?.(decision);
