--- /dev/null
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -0,0 +1,137 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import type { EventFields } from '../../../../src/application/ports';
+
+/** Settings of a gateway process. */
+export interface GatewayProcessOptions {
+  readonly vm: string;
+  readonly zone: string;
+  /** Loopback address that no other process of the test uses. */
+  readonly ip: string;
+  /** Peer addresses of other gateways. */
+  readonly seeds: readonly string[];
+  readonly storeUrl: string;
+}
+
+/** A log line of a gateway. */
+export type GatewayLine = EventFields & { readonly message: string };
+
+/** A gateway in a process of its own. */
+export interface GatewayProcess {
+  readonly vm: string;
+  readonly callerUrl: string;
+  readonly metricsUrl: string;
+  readonly lines: readonly GatewayLine[];
+  /** Resolves once the log lines so far satisfy the condition. */
+  waitForLines(
+    what: string,
+    isSatisfied: (lines: readonly GatewayLine[]) => boolean,
+  ): Promise<void>;
+  /** Stops the process without ending it; its connections stay open. */
+  freeze(): void;
+  stop(): Promise<void>;
+}
+
+const MAIN = 'src/programs/gateway/main.ts';
+
+const PORTS = { caller: 8001, readiness: 8002, peer: 8003, metrics: 8004 } as const;
+
+/** Longer than a busy machine takes to start several processes. */
+const WAIT_LIMIT_MS = 60_000;
+
+/** Builds the address at which other gateways reach a gateway process. */
+export const buildPeerAddress = (ip: string): string => `${ip}:${PORTS.peer}`;
+
+const formatSettings = ({ ip, seeds, storeUrl, vm, zone }: GatewayProcessOptions): string =>
+  [
+    `node_name = "${vm}"`,
+    `ip = "${ip}"`,
+    `zone = "${zone}"`,
+    `internal_ports = [${PORTS.peer}, ${PORTS.metrics}]`,
+    `seeds = ${JSON.stringify(seeds)}`,
+    `listen = { frontend = "${ip}:${PORTS.caller}", readiness = "${ip}:${PORTS.readiness}" }`,
+    `platform = { address = "${new URL(storeUrl).host}" }`,
+    'bounds = { retry_budget_ratio = 0.8, retry_budget_extra = 150 }',
+  ].join('\n');
+
+const parseLine = (text: string): GatewayLine => {
+  try {
+    const { context, message } = JSON.parse(text) as { context?: EventFields; message: string };
+    return { ...context, message };
+  } catch {
+    return { message: text };
+  }
+};
+
+/** Starts a gateway from its sources and resolves once it is ready. */
+export const startGatewayProcess = async (
+  options: GatewayProcessOptions,
+): Promise<GatewayProcess> => {
+  const folder = await mkdtemp(join(tmpdir(), 'jackdaw-'));
+  const file = join(folder, 'boot.toml');
+  await writeFile(file, formatSettings(options));
+  const child = spawn(process.execPath, ['--import=tsx', MAIN, '--settings', file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const killChild = (): void => {
+    child.kill('SIGKILL');
+  };
+  process.once('exit', killChild);
+  const lines: GatewayLine[] = [];
+  let waiters: (() => void)[] = [];
+  [child.stdout, child.stderr].forEach((input) =>
+    createInterface({ input }).on('line', (text) => {
+      lines.push(parseLine(text));
+      waiters.forEach((check) => check());
+    }),
+  );
+
+  const waitForLines: GatewayProcess['waitForLines'] = (what, isSatisfied) =>
+    new Promise((resolve, reject) => {
+      const timer = setTimeout(
+        () => reject(new Error(`${options.vm} did not log in time: ${what}`)),
+        WAIT_LIMIT_MS,
+      );
+      const check = (): void => {
+        if (!isSatisfied(lines)) return;
+        clearTimeout(timer);
+        waiters = waiters.filter((waiter) => waiter !== check);
+        resolve();
+      };
+      waiters.push(check);
+      check();
+    });
+
+  const stop = async (): Promise<void> => {
+    process.off('exit', killChild);
+    if (child.exitCode === null && child.signalCode === null) {
+      killChild();
+      await once(child, 'exit');
+    }
+    await rm(folder, { recursive: true, force: true });
+  };
+
+  try {
+    await waitForLines('ready', (known) =>
+      known.some(({ message }) => message === 'gateway ready'),
+    );
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  return {
+    vm: options.vm,
+    callerUrl: `http://${options.ip}:${PORTS.caller}`,
+    metricsUrl: `http://${options.ip}:${PORTS.metrics}/metrics`,
+    lines,
+    waitForLines,
+    freeze: () => {
+      child.kill('SIGSTOP');
+    },
+    stop,
+  };
+};
