--- a/src/application/gossip/_lib/drawSample/index.ts
+++ b/src/application/_lib/drawSample/index.ts
@@ -1,4 +1,4 @@
-import type { Randomness } from '../../../ports';
+import type { Randomness } from '../../ports';
 
 /** Draws a uniform random sample of up to `count` items, without replacement. */
 export const drawSample = <T>(
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -5,7 +5,7 @@
 import { computeOutcomesDigest } from '../_lib/computeOutcomesDigest';
 import { createMemberList } from '../_lib/createMemberList';
 import { createNewsBatcher, NO_NEWS, type News } from '../_lib/createNewsBatcher';
-import { drawSample } from '../_lib/drawSample';
+import { drawSample } from '../../_lib/drawSample';
 import { listTableChanges } from '../_lib/listTableChanges';
 import { logJoinedMembers } from '../_lib/logJoinedMembers';
 import type { GossipDependencies, Knowledge, Member } from '../types';
