Send requests through another VM while this VM reaches no server

Cause: a request could get to a server only over the links of the VM that took it. A VM without links tried servers until it gave up, and told the other VMs that all servers had failed.

Evidence: in the reproduction (reset) on the code before, the cut VMs logged 61 failed attempts of streams and 61 of calls each, 24 refused calls and 224 'no repeat left'; the others took 7 suspicions each on their word, and served all the same.

A failure starts a check of this VM's links; suspicions are told to others only if these are sound. New log lines and metrics say which servers a VM does not reach, since when, through whom it sends, and which attempts were relayed.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -3,6 +3,7 @@
 import type { FleetLoadCalls } from '../../../application/fleet-load';
 import type { GossipCalls } from '../../../application/gossip';
 import type { PermitRelease, PermitRequest } from '../../../application/limits';
+import type { ReachAnswer } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type {
@@ -33,6 +34,8 @@
   acquirePermit(address: string, request: PermitRequest): Promise<PermitDecision | null>;
   /** Returns an unused permit; best effort, no retry. */
   releasePermit(address: string, release: PermitRelease): void;
+  /** Asks a gateway which of these servers it reaches; null if it times out. */
+  readReach(address: string, ids: readonly string[]): Promise<ReachAnswer | null>;
   /** Asks a gateway for newer rows of the store's tables; null if the gateway times out. */
   followTables(
     address: string,
@@ -79,6 +82,9 @@
 /** The load is half a second old in any case; the next VM by rank must still answer within 2 s. */
 const LOAD_TIMEOUT_MS = 300;
 
+/** The receiver probes servers, which takes a quarter of a second if one does not answer. */
+const REACH_TIMEOUT_MS = 450;
+
 const METHODS = GatewayService.method;
 
 /**
@@ -119,6 +125,15 @@
     tellPrompt: (address, prompt) => {
       call(address, METHODS.tellPrompt, prompt, CALL_TIMEOUT_MS);
     },
+    readReach: async (address, ids) => {
+      const answer = await call(
+        address,
+        METHODS.readReach,
+        { servers: [...ids] },
+        REACH_TIMEOUT_MS,
+      );
+      return answer && { reachedIds: answer.reached, running: answer.running };
+    },
     followTables: async (address, request, timeoutMs) => {
       const message = buildStatementsRequestMessage(request);
       const answer = await call(address, METHODS.followTables, message, Math.ceil(timeoutMs));
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,6 +1,7 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
 import type { Knowledge } from '../../../application/gossip';
 import type { PermitRelease, PermitRequest } from '../../../application/limits';
+import type { ReachAnswer } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type {
@@ -27,6 +28,7 @@
   readonly handleReservation: (server: string, tokens: number) => number;
   readonly handlePermit: (request: PermitRequest) => PermitDecision;
   readonly releasePermit: (release: PermitRelease) => void;
+  readonly handleReachRequest: (ids: readonly string[]) => Promise<ReachAnswer>;
   readonly handleRequest: (request: StatementsRequest) => Promise<StatementsResponse>;
   /** Null if this gateway does not know the rollout order. */
   readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
@@ -55,6 +57,7 @@
   handleLoadExchange,
   handleLoadReport,
   handlePermit,
+  handleReachRequest,
   handleReport,
   handleRequest,
   handleReservation,
@@ -72,6 +75,10 @@
     releasePermit({ sender, server });
     return {};
   },
+  readReach: async ({ servers }) => {
+    const { reachedIds, running } = await handleReachRequest(servers);
+    return { reached: [...reachedIds], running };
+  },
   tellPrompt: async ({ server, tokens }) => {
     recordToldPrompt(server, tokens);
     return {};
--- /dev/null
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -0,0 +1,156 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream/promises';
+import type { Result } from 'neverthrow';
+import {
+  RELAY_FAILURE,
+  RELAY_HEADERS,
+  RELAY_PREFIX,
+  type RelayedRequest,
+  type RelayedResponse,
+} from '../../../application/paths';
+import type { AttemptError, EventLog } from '../../../application/ports';
+import type { ServerEntry } from '../../../domain/forwarding';
+
+/** Dependencies of the relay. */
+export interface RelayDependencies {
+  readonly findServer: (id: string) => ServerEntry | null;
+  readonly relayRequest: (
+    server: ServerEntry,
+    request: RelayedRequest,
+    signal: AbortSignal,
+  ) => Promise<Result<RelayedResponse, AttemptError>>;
+  /** Whether this VM shuts down and forwards no further requests of others. */
+  readonly isDraining: () => boolean;
+  readonly log: EventLog;
+}
+
+/** Forwards requests of other VMs to servers, on the links of this VM. */
+export interface RelayHandler {
+  handleRequest(incoming: IncomingMessage, response: ServerResponse): Promise<void>;
+  countRunning(): number;
+}
+
+/** Requests of other VMs that are forwarded at a time. */
+const MAX_RUNNING = 256;
+
+const FAILURE_STATUS = 502;
+
+/** Headers of one connection only (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+]);
+
+const REQUEST_HEADERS: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
+  RELAY_HEADERS.server,
+  RELAY_HEADERS.connection,
+]);
+
+const filterRequestHeaders = (rawHeaders: readonly string[]): readonly string[] =>
+  rawHeaders.filter((_, index) => {
+    const name = rawHeaders[index - (index % 2)] ?? '';
+    return !REQUEST_HEADERS.has(name.toLowerCase());
+  });
+
+const filterResponseHeaders = (headers: RelayedResponse['headers']): RelayedResponse['headers'] =>
+  Object.fromEntries(
+    Object.entries(headers).filter(
+      ([name, value]) => value !== undefined && !CONNECTION_HEADERS.has(name),
+    ),
+  );
+
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+
+/** Creates the relay of this VM. */
+export const createRelayHandler = ({
+  findServer,
+  isDraining,
+  log,
+  relayRequest,
+}: RelayDependencies): RelayHandler => {
+  let running = 0;
+
+  const sendFailure = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    { failure, reason }: { readonly failure: string; readonly reason: string },
+  ): void => {
+    log.info('relayed request failed', { server: id, failure, reason });
+    if (response.destroyed) return;
+    // The rest of the request stays unread.
+    if (!incoming.complete) response.shouldKeepAlive = false;
+    response.writeHead(FAILURE_STATUS, {
+      [RELAY_HEADERS.server]: id,
+      [RELAY_HEADERS.failure]: failure,
+      [RELAY_HEADERS.reason]: reason,
+    });
+    response.end();
+  };
+
+  const forward = async (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    server: ServerEntry,
+  ): Promise<void> => {
+    const abort = new AbortController();
+    // The other VM closes the connection if its caller has left or its attempt has timed out.
+    response.once('close', () => abort.abort());
+    const sent = await relayRequest(
+      server,
+      {
+        method: incoming.method ?? 'GET',
+        target: (incoming.url ?? '').slice(RELAY_PREFIX.length),
+        headers: filterRequestHeaders(incoming.rawHeaders),
+        body: hasBody(incoming) ? incoming : null,
+        newConnection: incoming.headers[RELAY_HEADERS.connection] !== undefined,
+      },
+      abort.signal,
+    );
+    if (sent.isErr()) {
+      const { error } = sent;
+      if (error.kind === 'cancelled') return;
+      const isUnsent = error.kind === 'not-started';
+      const failure = isUnsent ? RELAY_FAILURE.notStarted : RELAY_FAILURE.broken;
+      sendFailure(incoming, response, server.id, { failure, reason: error.reason });
+      return;
+    }
+    const { body, headers, statusCode } = sent.value;
+    response.writeHead(statusCode, {
+      ...filterResponseHeaders(headers),
+      [RELAY_HEADERS.server]: server.id,
+    });
+    response.flushHeaders();
+    // A response that breaks off, or that nobody reads any more, closes both connections.
+    await pipeline(body, response).catch(() => undefined);
+  };
+
+  const findRefusal = (server: ServerEntry | null): string | null => {
+    if (isDraining()) return 'the relay is shutting down';
+    if (!server) return 'the relay does not know the server';
+    return running >= MAX_RUNNING ? 'the relay has too many requests' : null;
+  };
+
+  return {
+    countRunning: () => running,
+    handleRequest: async (incoming, response) => {
+      const id = String(incoming.headers[RELAY_HEADERS.server] ?? '');
+      const server = findServer(id);
+      const refusal = findRefusal(server);
+      if (refusal !== null || !server) {
+        const failure = { failure: RELAY_FAILURE.notStarted, reason: refusal ?? '' };
+        sendFailure(incoming, response, id, failure);
+        return;
+      }
+      running += 1;
+      try {
+        await forward(incoming, response, server);
+      } finally {
+        running -= 1;
+      }
+    },
+  };
+};
--- a/src/adapters/connect/startGatewayServer/index.ts
+++ b/src/adapters/connect/startGatewayServer/index.ts
@@ -2,15 +2,19 @@
 import { buffer } from 'node:stream/consumers';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { Result } from 'neverthrow';
+import { RELAY_PREFIX } from '../../../application/paths';
 import type { EventLog } from '../../../application/ports';
 import { startListening, type ListeningServer, type ListenError } from '../../http';
 import { buildMethodPath, MESSAGE_TYPE } from '../_lib/buildMethodPath';
 import type { GatewayHandlers } from '../createGatewayHandlers';
+import type { RelayHandler } from '../createRelayHandler';
 import { GatewayService } from '../gen/gateway_pb';
 
 /** Dependencies of the server for other gateways. */
 export interface GatewayServerDependencies {
   readonly handlers: GatewayHandlers;
+  /** Forwards requests of other gateways to servers. */
+  readonly relay: Pick<RelayHandler, 'handleRequest'>;
   readonly log: EventLog;
 }
 
@@ -40,7 +44,7 @@
  * @param listen - host and port; port 0 selects a free port
  */
 export const startGatewayServer = (
-  { handlers, log }: GatewayServerDependencies,
+  { handlers, log, relay }: GatewayServerDependencies,
   listen: { readonly host: string; readonly port: number },
 ): Promise<Result<ListeningServer, ListenError>> => {
   const methodsByPath = new Map(
@@ -66,6 +70,14 @@
 
   const handle = (incoming: IncomingMessage, response: ServerResponse): void => {
     response.sendDate = false;
+    if (incoming.url?.startsWith(`${RELAY_PREFIX}/`)) {
+      relay.handleRequest(incoming, response).catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : 'unknown';
+        log.error('relayed request failed unexpectedly', { reason });
+        response.destroy();
+      });
+      return;
+    }
     const name = methodsByPath.get(incoming.url ?? '');
     if (!name) {
       sendFailure(response, STATUS.notFound, 'unknown method');
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -10,6 +10,12 @@
 /** Sources of a gateway's gauges, read when the metrics are collected. */
 export interface GatewayGauges {
   readonly countRunningRequests: () => number;
+  /** Requests of other VMs that this VM forwards to servers. */
+  readonly countRelayedRequests: () => number;
+  /** Servers that this VM does not reach on its own links. */
+  readonly countUnreachedServers: () => number;
+  /** VMs through which this VM reaches servers. */
+  readonly countRelays: () => number;
   readonly countServingServers: () => number;
   readonly countDroppedLines: () => number;
   readonly readConfigurationVersion: () => number;
@@ -114,6 +120,24 @@
         'Requests on their way.',
         gauges.countRunningRequests,
       );
+      addGauge(
+        registry,
+        'jackdaw_relayed_requests',
+        'Requests of other gateways on their way through this one.',
+        gauges.countRelayedRequests,
+      );
+      addGauge(
+        registry,
+        'jackdaw_unreached_servers',
+        'Backend servers that do not answer this gateway on its own links.',
+        gauges.countUnreachedServers,
+      );
+      addGauge(
+        registry,
+        'jackdaw_relays',
+        'Gateways through which this one reaches backend servers.',
+        gauges.countRelays,
+      );
       addGauge(
         registry,
         'jackdaw_serving_servers',
--- a/src/adapters/metrics/createGatewayMetrics/test.ts
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -50,6 +50,9 @@
   let waiting = 1;
   metrics.addGauges({
     countRunningRequests: () => 0,
+    countRelayedRequests: () => 1,
+    countUnreachedServers: () => 2,
+    countRelays: () => 3,
     countServingServers: () => 0,
     countDroppedLines: () => 0,
     readConfigurationVersion: () => 0,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -40,6 +40,7 @@
     }),
     sentAtMs: nowMs,
     headAtMs: null,
+    relay: null,
     lastActivityMs: nowMs,
     gaps: run.paces.readInitialGaps(run.context.service),
     hasDeliveredEvent: false,
@@ -175,7 +176,8 @@
       isRefused ? { kind: 'not-started', reader, refused: true } : { kind: 'broken', reader },
     );
   }
-  const { head } = sent.value;
+  const { head, relay } = sent.value;
+  if (relay !== null) logDecision(run.dependencies, context, 'attempt relayed', { relay }, server);
   recordResponseHead(run.dependencies, server, head, attempt);
   if (head.status !== OK_STATUS || !head.isVerified) {
     logDecision(
@@ -187,7 +189,7 @@
     );
     return handleErrorResponse(run, reader, attempt, sent.value, copy);
   }
-  Object.assign(attempt, { headAtMs: clock.readMonotonicMs() });
+  Object.assign(attempt, { relay, headAtMs: clock.readMonotonicMs() });
   directory.recordSuccess(server.id);
   beginReply(run, head);
   return readStreamEvents(run, attempt, reader, sent.value.body);
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -130,7 +130,9 @@
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
     if (attempt.isMigrating) return;
-    if (isCurrent() && unreadMs < MAX_UNREAD_MS) {
+    const isEvidence =
+      attempt.relay === null && run.dependencies.paths.isReached(attempt.server.id);
+    if (isCurrent() && unreadMs < MAX_UNREAD_MS && isEvidence) {
       run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
       run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
       recordCrash(run, attempt);
@@ -140,6 +142,7 @@
       server: attempt.server.id,
       fingerprint: run.fingerprint,
       offset: run.readState().offset,
+      relay: attempt.relay ?? '',
       hadEvents: attempt.hasDeliveredEvent,
       ranMs: Math.round(clock.readMonotonicMs() - (attempt.headAtMs ?? attempt.sentAtMs)),
       isCurrent: isCurrent(),
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -5,6 +5,7 @@
 } from '../../../../domain/forwarding';
 import type { AttemptError } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
+import { logDecision } from '../logDecision';
 import { readBody } from '../readBody';
 import { recordResponseHead } from '../recordResponseHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
@@ -42,7 +43,7 @@
   }
   if (error.kind === 'cancelled' && !isTimeout) return { kind: 'left' };
   return error.kind === 'broken'
-    ? { ...NO_RESPONSE, reason: error.reason, hasLostConnection: true }
+    ? { ...NO_RESPONSE, reason: error.reason, hasLostConnection: !error.isRelayFault }
     : { ...NO_RESPONSE, reason: 'no answer in time', hasLostConnection: false };
 };
 
@@ -58,7 +59,7 @@
   server: ServerEntry,
   options: { readonly leftMs: number; readonly attemptMs: number },
 ): Promise<CallAttemptResult> => {
-  const { client, clock, directory, serverPaces } = dependencies;
+  const { client, clock, directory, paths, serverPaces } = dependencies;
   const { holder, reply, request } = context;
   const timeoutController = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
@@ -81,9 +82,11 @@
     );
     if (sent.isErr()) {
       recordAttemptFailure(directory, server.id, sent.error);
+      if (timeoutController.signal.aborted) paths.recordFailure(server.id, 'silent');
       return convertError(sent.error, timeoutController.signal.aborted);
     }
-    const { body, head } = sent.value;
+    const { body, head, relay } = sent.value;
+    if (relay !== null) logDecision(dependencies, context, 'attempt relayed', { relay }, server);
     recordResponseHead(dependencies, server, head, { sentAtMs });
     if (!head.isVerified && !head.isNotExecuted) {
       // The expected response may still arrive on this connection, so that it must not be reused.
@@ -103,7 +106,8 @@
       return {
         ...NO_RESPONSE,
         reason: read.error.reason,
-        hasLostConnection: read.error.hasLostConnection && !timeoutController.signal.aborted,
+        hasLostConnection:
+          read.error.hasLostConnection && relay === null && !timeoutController.signal.aborted,
       };
     const response = { head, body: read.value };
     if (head.status >= SERVER_ERROR_STATUS) {
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -27,6 +27,7 @@
   const dependencies = {
     clock,
     serverPaces,
+    paths: { recordFailure: ignore },
     limits: { recordAdvertisedLimit: ignore },
     directory: {
       startWork: () => ({ release: ignore }),
@@ -38,7 +39,7 @@
     client: {
       sendAttempt: async () => {
         clock.advance(50);
-        return 'kind' in change ? err(change) : ok({ head, body: [] });
+        return 'kind' in change ? err(change) : ok({ head, relay: null, body: [] });
       },
     },
   } as unknown as ForwardingDependencies;
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -80,6 +80,12 @@
         .filter((record) => isServing(record) && !isRateLimited(record))
         .map((record) => buildServerStatus(record, nowMs));
     },
+    listEntries: () =>
+      records
+        .list()
+        .filter(isServing)
+        .map(({ entry }) => entry),
+    findEntry: (id) => records.find(id)?.entry ?? null,
     findServing: (id) => {
       const record = records.find(id);
       return record && isServing(record) ? record.entry : null;
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -1,5 +1,6 @@
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { FleetLoad } from '../../fleet-load';
+import type { ServerPaths } from '../../paths';
 import type { ServerPaces } from '../../paces';
 import type { SchedulerClient } from '../../scheduling';
 import type { PermitClient, ServerLimits } from '../../limits';
@@ -25,6 +26,7 @@
   readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
   readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
+  readonly paths: Pick<ServerPaths, 'isReached' | 'recordFailure'>;
   readonly permits: Pick<PermitClient, 'acquirePermit'>;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -9,6 +9,10 @@
   applyRows(rows: readonly SharedRow[], info: RowsOrigin): void;
   /** Lists the servers of a service that accept new work. */
   listServing(service: string): readonly ServerStatus[];
+  /** Lists the servers of all services that accept new work. */
+  listEntries(): readonly ServerEntry[];
+  /** Finds a known server, also one that accepts no new work; null if it is unknown. */
+  findEntry(id: string): ServerEntry | null;
   /** Finds a server that accepts new work; null if it is leaving, paused or gone. */
   findServing(id: string): ServerEntry | null;
   /** True if the server accepts new work and is not suspected to have failed. */
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -43,6 +43,8 @@
    * When the response head arrived, that is, when the server began to run the request; null before.
    */
   headAtMs: number | null;
+  /** VM that forwards the response; null if it comes from the server directly. */
+  relay: string | null;
   lastActivityMs: number;
   gaps: GapStatistics;
   hasDeliveredEvent: boolean;
--- /dev/null
+++ b/src/application/paths/relayNames.ts
@@ -0,0 +1,17 @@
+/** Prefix of the path of a request that another VM forwards to a server. */
+export const RELAY_PREFIX = '/relay';
+
+/** Headers between a VM and the one that forwards its requests to servers. */
+export const RELAY_HEADERS = {
+  /** Id of the server. */
+  server: 'jackdaw-relay-server',
+  /** `new` if the request must not use an idle connection to the server. */
+  connection: 'jackdaw-relay-connection',
+  /** In place of a server's response: `not-started` or `broken`. */
+  failure: 'jackdaw-relay-failure',
+  /** Why no response of the server came. */
+  reason: 'jackdaw-relay-reason',
+} as const;
+
+/** Values of the failure header. */
+export const RELAY_FAILURE = { notStarted: 'not-started', broken: 'broken' } as const;
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -37,6 +37,8 @@
 /** A response whose body is still arriving. */
 export interface AttemptAnswer {
   readonly head: AnswerHead;
+  /** VM that forwards the response; null if it comes from the server directly. */
+  readonly relay: string | null;
   /** Throws if the response breaks off. */
   readonly body: AsyncIterable<Buffer>;
 }
@@ -44,9 +46,12 @@
 /** Failure of an attempt before the head of the response. */
 export type AttemptError =
   /** No byte of the request was sent. */
-  | { readonly kind: 'not-started'; readonly reason: string }
-  /** The request was sent, or may have been. */
-  | { readonly kind: 'broken'; readonly reason: string }
+  | { readonly kind: 'not-started'; readonly reason: string; readonly isRelayFault?: boolean }
+  /**
+   * The request was sent, or may have been. `isRelayFault`: the VM that forwarded it failed, which
+   * says nothing about the server.
+   */
+  | { readonly kind: 'broken'; readonly reason: string; readonly isRelayFault?: boolean }
   | { readonly kind: 'cancelled'; readonly sent: boolean };
 
 /** Failure to copy a run. */
--- /dev/null
+++ b/src/domain/paths/index.ts
@@ -0,0 +1,3 @@
+export { chooseRelay, type RelayChoice } from './chooseRelay';
+export { drawRelayCandidates, type RelayDraw } from './drawRelayCandidates';
+export type { Relay, RelayCandidate, ServerPath } from './types';
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -5,7 +5,11 @@
   type ListeningServer,
   type ListenError,
 } from '../../../../adapters/http';
-import { createGatewayHandlers, startGatewayServer } from '../../../../adapters/connect';
+import {
+  createGatewayHandlers,
+  startGatewayServer,
+  type RelayHandler,
+} from '../../../../adapters/connect';
 import { PATHS } from '../../../../../platform';
 import type { GatewaySettings } from '../../../../domain/forwarding';
 import type { GatewayParts } from '../../types';
@@ -14,6 +18,7 @@
 /** Parts that the endpoints serve. */
 export interface EndpointParts extends Pick<
   GatewayParts,
+  | 'confirmReach'
   | 'directory'
   | 'fleetLoad'
   | 'gossip'
@@ -26,7 +31,10 @@
   | 'scheduling'
   | 'sharing'
 > {
+  readonly relay: RelayHandler;
   readonly isReady: () => boolean;
+  readonly isDraining: () => boolean;
+  readonly countRunning: () => number;
 }
 
 /** Listening endpoints. */
@@ -43,15 +51,19 @@
 export const startEndpoints = async (
   settings: GatewaySettings,
   {
+    confirmReach,
+    countRunning,
     directory,
     fleetLoad,
     gossip,
+    isDraining,
     isReady,
     lender,
     limitOwner,
     log,
     metrics,
     places,
+    relay,
     rolloutJudge,
     scheduling,
     sharing,
@@ -84,6 +96,7 @@
   const peers = await startGatewayServer(
     {
       log,
+      relay,
       handlers: createGatewayHandlers({
         handleKnowledge: gossip.handleKnowledge,
         lendRetry: lender.lendRetry,
@@ -91,6 +104,10 @@
         handleReservation: places.handleReservation,
         handlePermit: limitOwner.handlePermitRequest,
         releasePermit: limitOwner.releasePermit,
+        handleReachRequest: async (ids) => ({
+          reachedIds: isDraining() ? [] : await confirmReach(ids),
+          running: countRunning(),
+        }),
         handleReport: rolloutJudge.handleReport,
         handleRequest: sharing.handleRequest,
         handleScheduleRequest: scheduling.registry.handleRequest,
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -4,26 +4,21 @@
 import { createSystemClock, createSystemRandomness } from '../../../../adapters/system';
 import {
   createForwarder,
-  createIdentityWatch,
   createPromptReservations,
   createRouteTableHolder,
-  createServerDirectory,
+  type ServerDirectory,
 } from '../../../../application/forwarding';
 import { createGossip, type Gossip } from '../../../../application/gossip';
 import { createServerPaces } from '../../../../application/paces';
 import { createZoneReplication } from '../../../../application/rows';
-import {
-  CONFIGURATION_KEY,
-  createServerClient,
-  createStoreClient,
-  decodeRouteTable,
-  decodeServerEntry,
-} from '../../../../../platform';
+import { CONFIGURATION_KEY, createStoreClient, decodeRouteTable } from '../../../../../platform';
 import { wireCrashes } from '../wireCrashes';
+import { wireDirectory } from '../wireDirectory';
 import { wireFleetLoad } from '../wireFleetLoad';
 import { wireFollowers } from '../wireFollowers';
 import { wireLimits } from '../wireLimits';
 import { wireOverload } from '../wireOverload';
+import { wirePaths } from '../wirePaths';
 import { wireRetries } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import { buildSchedulingFactories } from '../buildSchedulingFactories';
@@ -42,15 +37,24 @@
   const common = { clock, log, randomness };
   const metrics = createGatewayMetrics();
   const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
-  const client = createServerClient({ clock });
   const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
   // Gossip depends on the followers and these on the directory, so gossip is wired last.
   let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
   let sendInferred: Gossip['sendInferred'] = () => undefined;
   let sendOutcome: Gossip['sendOutcome'] = () => undefined;
-  let startIdentityWatch = (): void => undefined;
   const calls = createGatewayClient();
   let listMembers: Gossip['listMembers'] = () => [];
+  let listEntries: ServerDirectory['listEntries'] = () => [];
+  let recordSuccess: ServerDirectory['recordSuccess'] = () => undefined;
+  const { client, confirmReach, paths } = wirePaths({
+    ...common,
+    self: settings,
+    calls,
+    listPeers: () => listMembers(),
+    listEntries: () => listEntries(),
+    recordSuccess: (id) => recordSuccess(id),
+    tables,
+  });
   let sendLimit: Gossip['sendLimit'] = () => undefined;
   const {
     limits,
@@ -64,27 +68,20 @@
     publishLimit: (limit) => sendLimit(limit),
   });
   const serverPaces = createServerPaces({ clock });
-  const directory = createServerDirectory({
+  const { directory, identityWatch } = wireDirectory({
     ...common,
-    decode: decodeServerEntry,
-    handleGone: (id, incarnation) => {
-      serverPaces.forgetServer(incarnation);
-      client.removeServer(id);
-      limits.forgetServer(id);
-      permits.forgetServer(id);
-    },
-    reuseAfterMs: settings.bounds.reuseAfterMs,
-    handleSuspected: (id, cause) => {
-      sendSuspicion(id, cause);
-      startIdentityWatch();
-    },
-    handleInferred: (server) => {
-      sendInferred(server);
-      startIdentityWatch();
-    },
+    settings,
+    client,
+    limits,
+    paths,
+    permits,
+    serverPaces,
+    tables,
+    publishSuspicion: (id, cause) => sendSuspicion(id, cause),
+    publishInferred: (server) => sendInferred(server),
   });
-  const identityWatch = createIdentityWatch({ client, clock, directory, log, tables });
-  startIdentityWatch = identityWatch.start;
+  listEntries = directory.listEntries;
+  recordSuccess = directory.recordSuccess;
   let sendVerdict: Gossip['sendVerdict'] = () => undefined;
   const { judge: rolloutJudge, rollouts } = wireRollouts({
     ...common,
@@ -205,6 +202,7 @@
     directory,
     limits,
     loopDelay,
+    paths,
     permits,
     meter: metrics,
     retries,
@@ -229,6 +227,9 @@
     loopDelay,
     memory,
     quarantineRows,
+    paths,
+    confirmReach,
+    relayRequest: client.relayRequest,
     places,
     rolloutJudge,
     scheduling,
@@ -240,6 +241,7 @@
       sharing.stop();
       gossip.stop();
       identityWatch.stop();
+      paths.stop();
       calls.close();
       await Promise.all([client.stop(), store.stop()]);
     },
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -4,6 +4,7 @@
   type ForwardingServer,
   type ListenError,
 } from '../../../adapters/http';
+import { createRelayHandler } from '../../../adapters/connect';
 import { findMemoryUse, OverloadCause } from '../../../domain/overload';
 import { waitDelay } from '../../../application/time';
 import { decodeRequestHead } from '../../../../platform';
@@ -88,7 +89,20 @@
   );
   if (callers.isErr()) return err(callers.error);
   const server: ForwardingServer = callers.value;
-  const endpoints = await startEndpoints(settings, { ...parts, isReady });
+  const relay = createRelayHandler({
+    findServer: parts.directory.findEntry,
+    relayRequest: parts.relayRequest,
+    isDraining: () => isDraining,
+    log,
+  });
+  const countRunning = (): number => forwarder.countRunning() + relay.countRunning();
+  const endpoints = await startEndpoints(settings, {
+    ...parts,
+    relay,
+    countRunning,
+    isReady,
+    isDraining: () => isDraining,
+  });
   if (endpoints.isErr()) {
     await server.stop();
     return err(endpoints.error);
@@ -96,6 +110,9 @@
   tables.addListener((table) => server.applyLimits(table.limits));
   parts.metrics.addGauges({
     countRunningRequests: forwarder.countRunning,
+    countRelayedRequests: relay.countRunning,
+    countUnreachedServers: parts.paths.countUnreached,
+    countRelays: parts.paths.countRelays,
     countServingServers: parts.directory.countServing,
     countDroppedLines: overrides.countDroppedLines ?? (() => 0),
     readConfigurationVersion: () => tables.readCurrent()?.version ?? 0,
@@ -134,11 +151,10 @@
       const startedAtMs = clock.readMonotonicMs();
       const readElapsedMs = (): number => clock.readMonotonicMs() - startedAtMs;
       scheduling.registry.stopAccepting();
-      log.info('gateway draining', { running: forwarder.countRunning() });
+      log.info('gateway draining', { running: countRunning() });
       while (
         readElapsedMs() < READINESS_PROPAGATION_MS ||
-        (forwarder.countRunning() > 0 &&
-          readElapsedMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
+        (countRunning() > 0 && readElapsedMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
       ) {
         await waitDelay(clock, DRAIN_POLL_MS);
         if (readElapsedMs() >= ACCEPT_STREAMS_MS) forwarder.refuseStreams();
@@ -146,7 +162,7 @@
           forwarder.refuseAll();
         if (readElapsedMs() >= READINESS_PROPAGATION_MS) server.closeIdleConnections();
       }
-      log.info('gateway drained', { running: forwarder.countRunning() });
+      log.info('gateway drained', { running: countRunning() });
     },
     applySettings: (next) => {
       parts.gossip.applySeeds(next.seedAddresses);
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -1,3 +1,4 @@
+import type { ServerClient } from '../../../../platform';
 import type { GatewayMetrics } from '../../../adapters/metrics';
 import type {
   Forwarder,
@@ -11,6 +12,7 @@
 import type { Gossip } from '../../../application/gossip';
 import type { LimitOwner } from '../../../application/limits';
 import type { LoopDelayMonitor, MemoryBudget } from '../../../application/overload';
+import type { ReachAnswer, ServerPaths } from '../../../application/paths';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
 import type { SchedulerClient, SchedulerRegistry } from '../../../application/scheduling';
@@ -33,6 +35,10 @@
   readonly loopDelay: LoopDelayMonitor;
   readonly memory: MemoryBudget;
   readonly quarantineRows: QuarantineRows;
+  readonly paths: ServerPaths;
+  /** Finds out which of these servers this VM reaches. */
+  readonly confirmReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
+  readonly relayRequest: ServerClient['relayRequest'];
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
   readonly scheduling: { readonly client: SchedulerClient; readonly registry: SchedulerRegistry };
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -67,7 +67,7 @@
         events: EVENTS_PER_STREAM - first,
         handleEvent: (event) => {
           chunks.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
-          if (event === 1) resolve(ok({ head: HEAD, body: readBody() }));
+          if (event === 1) resolve(ok({ head: HEAD, relay: null, body: readBody() }));
           state.wake();
         },
         handleEnd: (isComplete) => {
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -109,6 +109,7 @@
     },
     crashes: { readQuarantineMs: () => 0, addListener: () => noop, isSuspected: () => false },
     limits: { recordAdvertisedLimit: noop },
+    paths: { isReached: () => true, recordFailure: noop },
     permits: { acquirePermit: async () => ({ release: noop }) },
     meter: { recordResume: noop, recordRequest: noop },
     retries: { recordRequest: noop },
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -137,6 +137,7 @@
       loopDelay: { startRequest: () => () => undefined, refusesStream: () => false },
       fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
+      paths: { isReached: () => true, recordFailure: () => undefined },
       permits: { acquirePermit: async () => ({ release: () => undefined }) },
       log: QUIET_LOG,
       meter: {
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -7,6 +7,7 @@
   handleReservation: () => 0,
   handlePermit: () => ({ isGranted: true, waitMs: 0 }),
   releasePermit: () => undefined,
+  handleReachRequest: async () => ({ reachedIds: [], running: 0 }),
   handleReport: () => null,
   handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
   handleScheduleRequest: () => ({ isOwner: false, decisions: [] }),
--- a/tests/gateway/_lib/sendFirstTries/index.ts
+++ b/tests/gateway/_lib/sendFirstTries/index.ts
@@ -20,7 +20,7 @@
 const sendTry = async ({ callerUrl, vm }: GatewayProcess, index: number): Promise<boolean> => {
   const isStream = index % STREAM_EVERY === 0;
   try {
-    const response = await request(`${callerUrl}${isStream ? '/stream/x' : '/safe/x'}`, {
+    const response = await request(`${callerUrl}/${isStream ? 'stream' : 'safe'}/${index}`, {
       method: isStream ? 'POST' : 'GET',
       headers: {
         host: 'a.example',
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -77,7 +77,10 @@
     },
   });
   const peer = readOk(
-    await startGatewayServer({ handlers, log: QUIET_LOG }, { host: '127.0.0.1', port: 0 }),
+    await startGatewayServer(
+      { handlers, log: QUIET_LOG, relay: { handleRequest: async () => undefined } },
+      { host: '127.0.0.1', port: 0 },
+    ),
   );
   address = new URL(peer.url).host;
   const { bounds } = buildGatewaySettings('');
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -43,7 +43,10 @@
     ...services,
   });
   const server = readOk(
-    await startGatewayServer({ handlers, log: QUIET_LOG }, { host: '127.0.0.1', port: 0 }),
+    await startGatewayServer(
+      { handlers, log: QUIET_LOG, relay: { handleRequest: async () => undefined } },
+      { host: '127.0.0.1', port: 0 },
+    ),
   );
   const client = createGatewayClient();
   t.teardown(async () => {
--- a/tests/gateway/serverClient.test.ts
+++ b/tests/gateway/serverClient.test.ts
@@ -3,48 +3,8 @@
 import { createFakeClock } from '../../standins/fakes';
 import { createStandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
-
-const buildAttempt = (address: string, id: string) => ({
-  server: {
-    id,
-    service: 's',
-    address,
-    availabilityZone: 'z1',
-    slots: 1,
-    isLeaving: false,
-    version: 'v1',
-    warmupLeftMs: 0,
-    bornMs: null,
-    sequence: 0,
-  },
-  request: {
-    requestId: 'request-1',
-    method: 'GET',
-    target: '/x',
-    host: 'a.example',
-    forwardedHeaders: ['Host', 'a.example', HEADERS.requestId, 'request-1'],
-    body: Buffer.alloc(0),
-    key: null,
-    deadlineMs: null,
-    arrivedAtMs: 0,
-    lastEventId: null,
-    tokens: null,
-    promptParts: [],
-  },
-  workspace: null,
-  priority: 5,
-  remainingMs: 1000,
-  lastEventId: null,
-  backupAddress: null,
-  copy: null,
-  newConnection: false,
-});
-
-const readAll = async (body: AsyncIterable<Buffer>): Promise<string> => {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body) chunks.push(chunk);
-  return Buffer.concat(chunks).toString('utf8');
-};
+import { buildTestAttempt } from './_lib/buildTestAttempt';
+import { readAll } from './_lib/readAll';
 
 // Guards against a truncated answer that looks complete: the server sends an answer without a
 // length and is reset midway, which the HTTP client treats as the end of the answer.
@@ -52,7 +12,7 @@
   const server = await createStandInServer('i-1');
   const client = createServerClient({ clock: createFakeClock() });
   const sent = client.sendAttempt(
-    buildAttempt(server.address, server.id),
+    buildTestAttempt(server.address, server.id),
     new AbortController().signal,
   );
   const { socket } = await server.nextRequest();
@@ -73,7 +33,7 @@
   await server.stop();
   const client = createServerClient({ clock: createFakeClock() });
   const sent = await client.sendAttempt(
-    buildAttempt(server.address, server.id),
+    buildTestAttempt(server.address, server.id),
     new AbortController().signal,
   );
   t.is(sent._unsafeUnwrapErr().kind, 'not-started');
@@ -84,7 +44,7 @@
   const server = await createStandInServer('i-1');
   const client = createServerClient({ clock: createFakeClock() });
   const sent = client.sendAttempt(
-    buildAttempt(server.address, server.id),
+    buildTestAttempt(server.address, server.id),
     new AbortController().signal,
   );
   const { socket } = await server.nextRequest();
@@ -98,7 +58,7 @@
   const server = await createStandInServer('i-1');
   const clock = createFakeClock();
   const client = createServerClient({ clock });
-  const { server: entry } = buildAttempt(server.address, server.id);
+  const { server: entry } = buildTestAttempt(server.address, server.id);
   t.is((await client.readReport(entry))?.running, 0);
   server.freeze();
   const asked = server.nextStatusRequest();
@@ -116,7 +76,7 @@
 test('a request with a new connection reuses no idle connection and leaves none', async (t) => {
   const server = await createStandInServer('i-1');
   const client = createServerClient({ clock: createFakeClock() });
-  const attempt = buildAttempt(server.address, server.id);
+  const attempt = buildTestAttempt(server.address, server.id);
   const asked = server.nextStatusRequest();
   await client.readReport(attempt.server);
   const signal = new AbortController();
--- a/tests/gateway/sharedRows.test.ts
+++ b/tests/gateway/sharedRows.test.ts
@@ -36,7 +36,10 @@
     handleRequest: answer,
   });
   const server = readOk(
-    await startGatewayServer({ handlers, log: QUIET_LOG }, { host: '127.0.0.1', port: 0 }),
+    await startGatewayServer(
+      { handlers, log: QUIET_LOG, relay: { handleRequest: async () => undefined } },
+      { host: '127.0.0.1', port: 0 },
+    ),
   );
   const client = createGatewayClient();
   const stop = async (): Promise<void> => {
