Confirm a crash only at a VM that reaches servers on its own links

A VM that had lost its links could take a server for crashed under a call: the server did not answer its probe, while a control did, through another VM. Three such verdicts put a sound request into quarantine at all VMs.

--- a/src/application/forwarding/createCrashProbe/index.ts
+++ b/src/application/forwarding/createCrashProbe/index.ts
@@ -4,6 +4,7 @@
   type RunOutcome,
   type ServerEntry,
 } from '../../../domain/forwarding';
+import type { ServerPaths } from '../../paths';
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../ports';
 import type { CrashHistory } from '../createCrashHistory';
 import type { RouteTableHolder } from '../createRouteTableHolder';
@@ -16,6 +17,7 @@
   readonly crashes: Pick<CrashHistory, 'recordOutcome'>;
   readonly directory: Pick<ServerDirectory, 'listServing'>;
   readonly log: EventLog;
+  readonly paths: Pick<ServerPaths, 'judgeFailure'>;
   readonly randomness: Randomness;
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
 }
@@ -38,7 +40,8 @@
  * Connections also break while the server stays alive, in the network or by load shedding. The
  * probe therefore asks the server for its id. It also asks one other server of each service as a
  * control: a VM that reaches no server is itself cut off and proves nothing. Each service is
- * included, because a whole service may be down.
+ * included, because a whole service may be down. Controls may answer through another VM, so that
+ * this VM must also reach servers on its own links.
  */
 export const createCrashProbe = ({
   client,
@@ -46,6 +49,7 @@
   crashes,
   directory,
   log,
+  paths,
   randomness,
   tables,
 }: CrashProbeDependencies): CrashProbe => {
@@ -79,7 +83,7 @@
       Promise.all(listControlServers(server).map(isAlive)),
     ]);
     const isOtherThere = controlsAlive.includes(true);
-    if (!isServerThere && isOtherThere) {
+    if (!isServerThere && isOtherThere && (await paths.judgeFailure(server.id))) {
       crashes.recordOutcome({ ...run, server: formatIncarnation(server), hasCrashed: true });
       return;
     }
--- a/src/programs/gateway/_lib/wireCrashes/index.ts
+++ b/src/programs/gateway/_lib/wireCrashes/index.ts
@@ -10,6 +10,7 @@
   type ServerDirectory,
 } from '../../../../application/forwarding';
 import type { Gossip } from '../../../../application/gossip';
+import type { ServerPaths } from '../../../../application/paths';
 import type { Clock, EventLog, ForwardClient, Randomness } from '../../../../application/ports';
 import { TABLES, type StoreClient } from '../../../../../platform';
 
@@ -19,6 +20,7 @@
   readonly clock: Clock;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
+  readonly paths: Pick<ServerPaths, 'judgeFailure'>;
   readonly randomness: Randomness;
   readonly store: StoreClient;
   readonly tables: RouteTableHolder;
@@ -38,6 +40,7 @@
   clock,
   directory,
   log,
+  paths,
   randomness,
   store,
   tables,
@@ -66,6 +69,7 @@
     crashes,
     directory,
     log,
+    paths,
     randomness,
     tables,
   });
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -96,6 +96,7 @@
     ...common,
     client,
     directory,
+    paths,
     store,
     tables,
     publishOutcome: (outcome) => sendOutcome(outcome),
