Test that fails: brittle servers fall over under twice their load

Servers that say that they are brittle fall over if they have to reject more requests within a second than they state.

--- /dev/null
+++ b/tests/gateway/_lib/startPeerGateways/index.ts
@@ -0,0 +1,29 @@
+import { findFreePort } from '../../../../standins/_lib/findFreePort';
+import { startTestGateway, type TestGateway, type TestGatewayOptions } from '../startTestGateway';
+
+const ZONES = ['z1', 'z2'];
+
+/** Starts gateways that share a store and know each other; the first one stops the store. */
+export const startPeerGateways = async (
+  count: number,
+  options: TestGatewayOptions,
+): Promise<readonly TestGateway[]> => {
+  const peerAddress = `127.0.0.1:${await findFreePort()}`;
+  const first = await startTestGateway({ ...options, settings: { peerAddress } });
+  const others = await Promise.all(
+    Array.from({ length: count - 1 }, async (_, index) => {
+      const gateway = await startTestGateway({
+        sharedWith: first,
+        settings: {
+          vm: `vm-${index + 2}`,
+          peerAddress: `127.0.0.1:${await findFreePort()}`,
+          availabilityZone: ZONES[(index + 1) % ZONES.length] ?? '',
+          seedAddresses: [peerAddress],
+        },
+      });
+      await gateway.waitForLine('peers known');
+      return gateway;
+    }),
+  );
+  return [first, ...others];
+};
--- a/tests/gateway/_lib/startTestGateway/index.ts
+++ b/tests/gateway/_lib/startTestGateway/index.ts
@@ -59,6 +59,10 @@
 /** Options of a test gateway. */
 export interface TestGatewayOptions {
   readonly serverIds?: readonly string[];
+  /** Running servers, in place of new ones. */
+  readonly servers?: readonly StandInServer[];
+  /** Changes of the servers' entries. */
+  readonly entry?: object;
   readonly configuration?: object;
   readonly isConfigured?: boolean;
   readonly settings?: Partial<GatewaySettings>;
@@ -129,15 +133,15 @@
   const log: EventLog = { info: record, warn: record, error: record };
   const { sharedWith } = options;
   const store = sharedWith?.store ?? (await createStandInStore());
-  const serverIds = sharedWith?.servers.map(({ id }) => id) ?? options.serverIds ?? ['i-1', 'i-2'];
-  const servers =
-    sharedWith?.servers ?? (await Promise.all(serverIds.map((id) => createStandInServer(id))));
+  const given = sharedWith?.servers ?? options.servers;
+  const serverIds = given?.map(({ id }) => id) ?? options.serverIds ?? ['i-1', 'i-2'];
+  const servers = given ?? (await Promise.all(serverIds.map((id) => createStandInServer(id))));
   if (!sharedWith) {
     servers.forEach((server, index) => {
       store.writeRow(
         TABLES.servers,
         server.id,
-        buildWireEntry(server, { zone: ZONES[index % ZONES.length] }),
+        buildWireEntry(server, { zone: ZONES[index % ZONES.length], ...options.entry }),
       );
     });
   }
--- /dev/null
+++ b/tests/gateway/brittleServers.test.ts
@@ -0,0 +1,63 @@
+// Guards against servers that fall over, as all gateways together send more than they have room for.
+import { setTimeout as wait } from 'node:timers/promises';
+import test from 'ava';
+import { createBrittleServer } from '../../standins/gateway';
+import { startPeerGateways } from './_lib/startPeerGateways';
+
+const SERVERS = 3;
+
+const OPTIONS = { slots: 2, serviceMs: 100, maxRejectionsPerS: 3, downMs: 1000 };
+
+/** Calls per second that the servers have room for. */
+const CAPACITY_PER_S = (SERVERS * OPTIONS.slots * 1000) / OPTIONS.serviceMs;
+
+/** Callers send this many times as much as the servers have room for. */
+const OVERLOAD = 2;
+
+const GATEWAYS = 4;
+const DURATION_MS = 4000;
+
+/** Time in which gateways learn that servers are brittle before these let fewer requests wait. */
+const LEARN_MS = 3000;
+
+/** Smallest part of the servers' capacity that is used. */
+const MIN_USED_SHARE = 0.5;
+
+test('gateways under twice the load that brittle servers bear make none of them fall over', async (t) => {
+  t.timeout(120_000);
+  const brittle = await Promise.all(
+    Array.from({ length: SERVERS }, (_, index) => createBrittleServer(`i-${index}`, OPTIONS)),
+  );
+  const gateways = await startPeerGateways(GATEWAYS, {
+    servers: brittle.map(({ server }) => server),
+    entry: { slots: OPTIONS.slots },
+  });
+  t.teardown(async () => {
+    await Promise.all(gateways.slice(1).map((gateway) => gateway.stop()));
+    await gateways[0]?.stop();
+  });
+  const send = (index: number) =>
+    gateways[index % GATEWAYS]?.send({ target: `/safe/${index}`, id: `call-${index}` });
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < LEARN_MS) {
+    for (let index = 0; index < GATEWAYS; index += 1) await send(index);
+    await wait(OPTIONS.serviceMs);
+  }
+  const fallsBefore = brittle.reduce((sum, { countFalls }) => sum + countFalls(), 0);
+  const servedBefore = brittle.reduce((sum, { countServed }) => sum + countServed(), 0);
+  const calls = (CAPACITY_PER_S * OVERLOAD * DURATION_MS) / 1000;
+  const pauseMs = DURATION_MS / calls;
+  const sent: (Promise<unknown> | undefined)[] = [];
+  const sendingAtMs = performance.now();
+  for (let index = 0; index < calls; index += 1) {
+    sent.push(send(index));
+    await wait(Math.max(0, sendingAtMs + (index + 1) * pauseMs - performance.now()));
+  }
+  const tookS = (performance.now() - sendingAtMs) / 1000;
+  await Promise.all(sent);
+  const falls = brittle.reduce((sum, { countFalls }) => sum + countFalls(), -fallsBefore);
+  const served = brittle.reduce((sum, { countServed }) => sum + countServed(), -servedBefore);
+  t.log({ falls, served, capacity: CAPACITY_PER_S * tookS });
+  t.true(falls <= 2 + SERVERS / 10, `${falls} falls`);
+  t.true(served >= MIN_USED_SHARE * CAPACITY_PER_S * tookS, `${served} served in ${tookS} s`);
+});
