Send brittle servers no more requests than they have room for

Servers that say Server-Brittle fall over if all VMs together make them reject more requests within a second than they state (LIMIT). Nothing read that, and no VM knows what the others have at a server.

--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -48,11 +48,12 @@
     ),
     outcomesDigest: knowledge.outcomesDigest,
     verdicts: knowledge.verdicts.map(buildVerdictMessage),
-    limits: knowledge.limits.map(({ ageMs, limitPerS, server }) =>
+    limits: knowledge.limits.map(({ ageMs, limitPerS, maxRejectionsPerS, server }) =>
       create(ServerLimitSchema, {
         server,
         ageMs: Math.round(ageMs),
         ...(limitPerS === null ? {} : { perS: limitPerS }),
+        ...(maxRejectionsPerS === null ? {} : { maxRejectionsPerS }),
       }),
     ),
   });
@@ -103,9 +104,10 @@
         })),
         outcomesDigest: message.outcomesDigest,
         verdicts: message.verdicts.map(readVerdictMessage).filter((verdict) => verdict !== null),
-        limits: message.limits.map(({ ageMs, perS, server }) => ({
+        limits: message.limits.map(({ ageMs, maxRejectionsPerS, perS, server }) => ({
           server,
           limitPerS: perS ?? null,
+          maxRejectionsPerS: maxRejectionsPerS ?? null,
           ageMs,
         })),
       }
--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -2,7 +2,12 @@
 import type { SentPrompt } from '../../../application/forwarding';
 import type { FleetLoadCalls } from '../../../application/fleet-load';
 import type { GossipCalls } from '../../../application/gossip';
-import type { PermitRelease, PermitRequest } from '../../../application/limits';
+import type {
+  PermitRelease,
+  PermitRequest,
+  RoomRelease,
+  RoomRequest,
+} from '../../../application/limits';
 import type { ReachAnswer } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
@@ -34,6 +39,10 @@
   acquirePermit(address: string, request: PermitRequest): Promise<PermitDecision | null>;
   /** Returns an unused permit; best effort, no retry. */
   releasePermit(address: string, release: PermitRelease): void;
+  /** Asks a gateway for room at a brittle server; null if the gateway times out. */
+  acquireRoom(address: string, request: RoomRequest): Promise<PermitDecision | null>;
+  /** Gives room back; false if the gateway times out. */
+  releaseRoom(address: string, release: RoomRelease): Promise<boolean>;
   /** Asks a gateway which of these servers it reaches; null if it times out. */
   readReach(address: string, ids: readonly string[]): Promise<ReachAnswer | null>;
   /** Asks a gateway for newer rows of the store's tables; null if the gateway times out. */
@@ -122,6 +131,14 @@
     releasePermit: (address, release) => {
       call(address, METHODS.releasePermit, release, CALL_TIMEOUT_MS);
     },
+    acquireRoom: async (address, request) => {
+      const timeoutMs = request.waitMs + PERMIT_TIMEOUT_MS;
+      const pending = call(address, METHODS.acquireRoom, request, timeoutMs + CALL_TIMEOUT_MS);
+      const answer = await waitWithTimeout(pending, timeoutMs);
+      return answer && { isGranted: answer.isGranted, waitMs: answer.waitMs };
+    },
+    releaseRoom: async (address, release) =>
+      (await call(address, METHODS.releaseRoom, release, CALL_TIMEOUT_MS)) !== null,
     tellPrompt: (address, prompt) => {
       call(address, METHODS.tellPrompt, prompt, CALL_TIMEOUT_MS);
     },
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,6 +1,11 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
 import type { Knowledge } from '../../../application/gossip';
-import type { PermitRelease, PermitRequest } from '../../../application/limits';
+import type {
+  PermitRelease,
+  PermitRequest,
+  RoomRelease,
+  RoomRequest,
+} from '../../../application/limits';
 import type { ReachAnswer } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
@@ -28,6 +33,8 @@
   readonly handleReservation: (server: string, tokens: number) => number;
   readonly handlePermit: (request: PermitRequest) => PermitDecision;
   readonly releasePermit: (release: PermitRelease) => void;
+  readonly handleRoomRequest: (request: RoomRequest) => Promise<PermitDecision>;
+  readonly releaseRoom: (release: RoomRelease) => void;
   readonly handleReachRequest: (ids: readonly string[]) => Promise<ReachAnswer>;
   readonly handleRequest: (request: StatementsRequest) => Promise<StatementsResponse>;
   /** Null if this gateway does not know the rollout order. */
@@ -61,10 +68,12 @@
   handleReport,
   handleRequest,
   handleReservation,
+  handleRoomRequest,
   handleScheduleRequest,
   lendRetry,
   recordToldPrompt,
   releasePermit,
+  releaseRoom,
 }: GatewayServices): GatewayHandlers => ({
   lendRetry: async ({ service }) => ({ isLent: lendRetry(service) }),
   reservePrompt: async ({ server, tokens }) => ({
@@ -75,6 +84,11 @@
     releasePermit({ sender, server });
     return {};
   },
+  acquireRoom: async (request) => handleRoomRequest(request),
+  releaseRoom: async ({ id, isRejected, server }) => {
+    releaseRoom({ id, isRejected, server });
+    return {};
+  },
   readReach: async ({ servers }) => {
     const { reachedIds, running } = await handleReachRequest(servers);
     return { reached: [...reachedIds], running };
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -5,6 +5,7 @@
   type FleetReader,
   type ServerStatus,
 } from '../../../../domain/forwarding';
+import { computeRoomWaitMs } from '../../../../domain/limits';
 import type { EventFields } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
@@ -21,7 +22,7 @@
 
 const RETRY_AFTER_MS = 150;
 
-const RATE_LIMIT_REASON = 'all servers have reached their rate limit';
+const RATE_LIMIT_REASON = 'all servers have reached their limits';
 
 const formatFleetFields = (fleet: FleetReader, { entry }: ServerStatus): EventFields => ({
   others: Math.round(fleet.countOthers(entry) * 10) / 10,
@@ -55,6 +56,8 @@
   let startedAttempts = 0;
   let refusals = 0;
   let arrivedAttempts = 0;
+  /** Time spent on asking for permits. */
+  let waitedMs = 0;
   let lastReason = 'no server takes work';
 
   for (let attempt = 1; reply.isOpen(); attempt += 1) {
@@ -76,7 +79,12 @@
       draw: randomness.readFraction(),
     });
     if (!status) break;
-    const permit = await permits.acquirePermit(status.entry.id);
+    const askedAtMs = clock.readMonotonicMs();
+    const permit = await permits.acquirePermit(status.entry.id, {
+      leftMs,
+      waitMs: computeRoomWaitMs({ leftMs, waitedMs, latencyGoalMs: route.latencyGoalMs }),
+    });
+    waitedMs += clock.readMonotonicMs() - askedAtMs;
     if (typeof permit === 'number') {
       skipRateLimited(dependencies, context, status.entry, permit);
       excludedIds.add(status.entry.id);
@@ -125,6 +133,7 @@
       leftMs: remainingMs,
       attemptMs,
     });
+    permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
     if (result.kind === 'left') return 'left';
     const tookMs = clock.readMonotonicMs() - sentAtMs;
     if (result.kind !== 'not-run') {
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -4,7 +4,11 @@
 import type { HeldCopy, StreamAttempt, StreamRun, StreamPlacement } from '../../types';
 import { buildScheduledRun } from '../buildScheduledRun';
 import { closeStreamAttempt } from '../closeStreamAttempt';
-import { prepareStreamAttempt, type OpenAttemptEffect } from '../prepareStreamAttempt';
+import {
+  prepareStreamAttempt,
+  type OpenAttemptEffect,
+  type PreparedAttempt,
+} from '../prepareStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readBody } from '../readBody';
 import { recordResponseHead } from '../recordResponseHead';
@@ -95,17 +99,13 @@
   if (!reply.hasSentHead() && reply.isOpen()) reply.sendHead(head);
 };
 
-/** Sends one attempt of a stream and reads the response. */
-export const openStreamAttempt = async (
+const sendStreamAttempt = async (
   run: StreamRun,
-  opening: OpenAttemptEffect,
+  reader: ReaderId,
+  { isRepeat, permit, placement }: PreparedAttempt,
 ): Promise<void> => {
   const { client, clock, directory, retries } = run.dependencies;
   const { context } = run;
-  const prepared = await prepareStreamAttempt(run, opening);
-  if (!prepared) return undefined;
-  const { reader } = opening;
-  const { isRepeat, permit, placement } = prepared;
   const { backup, copy, server } = placement;
   const attempt = buildAttempt(run, placement, reader);
   run.attempts.set(reader.attempt, attempt);
@@ -187,6 +187,7 @@
       { attempt: reader.attempt, status: head.status, notRun: head.isNotExecuted },
       server,
     );
+    if (head.isNotExecuted && !head.isFromOtherServer) permit.finish({ isRejected: true });
     return handleErrorResponse(run, reader, attempt, sent.value, copy);
   }
   Object.assign(attempt, { relay, headAtMs: clock.readMonotonicMs() });
@@ -194,3 +195,17 @@
   beginReply(run, head);
   return readStreamEvents(run, attempt, reader, sent.value.body);
 };
+
+/** Sends one attempt of a stream and reads the response. */
+export const openStreamAttempt = async (
+  run: StreamRun,
+  opening: OpenAttemptEffect,
+): Promise<void> => {
+  const prepared = await prepareStreamAttempt(run, opening);
+  if (!prepared) return;
+  try {
+    await sendStreamAttempt(run, opening.reader, prepared);
+  } finally {
+    prepared.permit.finish({ isRejected: false });
+  }
+};
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -1,6 +1,7 @@
 import type { GenerationEffect, ReaderId } from '../../../../domain/generation';
+import { computeRoomWaitMs } from '../../../../domain/limits';
 import { RefusalCode } from '../../../../domain/types';
-import type { Permit } from '../../../limits';
+import type { ServerPermit } from '../../../limits';
 import type { Refusal, StreamRun, StreamPlacement } from '../../types';
 import { checkStreamStart } from '../checkStreamStart';
 import { chooseStreamPlacement } from '../chooseStreamPlacement';
@@ -17,7 +18,7 @@
 /** An attempt that may be sent. */
 export interface PreparedAttempt {
   readonly placement: StreamPlacement;
-  readonly permit: Permit;
+  readonly permit: ServerPermit;
   /** True if the attempt uses one of the service's retries. */
   readonly isRepeat: boolean;
 }
@@ -89,7 +90,10 @@
     });
     if (!placement || 'reason' in placement) return placement;
     const { id } = placement.server;
-    const permit = await permits.acquirePermit(id);
+    const leftMs = run.context.deadlineAtMs - run.dependencies.clock.readMonotonicMs();
+    const { latencyGoalMs } = run.context.route;
+    const waitMs = computeRoomWaitMs({ leftMs, waitedMs: 0, latencyGoalMs });
+    const permit = await permits.acquirePermit(id, { leftMs, waitMs });
     if (typeof permit !== 'number') return { placement, permit };
     placement.grant?.cancel();
     skipRateLimited(run.dependencies, run.context, placement.server, permit);
--- a/src/application/forwarding/_lib/queryServers/index.ts
+++ b/src/application/forwarding/_lib/queryServers/index.ts
@@ -37,9 +37,11 @@
       pending -= 1;
       if (report) {
         directory.recordStartTime(entry.id, report.bornMs);
-        const { limitPerS, load } = report;
+        const { limitPerS, load, maxRejectionsPerS } = report;
         recordWorkFactor(serverPaces, entry, load);
-        if (limitPerS !== null) limits.recordAdvertisedLimit(entry.id, { limitPerS, sentAtMs });
+        if (limitPerS !== null || maxRejectionsPerS !== null) {
+          limits.recordAdvertisedLimit(entry.id, { limitPerS, maxRejectionsPerS, sentAtMs });
+        }
         if (report.isLeaving) directory.recordLeaving(entry.id);
         else responding.push({ entry, report, copies });
       } else directory.recordSuspicion(entry.id, 'silent');
--- a/src/application/forwarding/_lib/recordResponseHead/index.ts
+++ b/src/application/forwarding/_lib/recordResponseHead/index.ts
@@ -19,8 +19,8 @@
   recordWorkFactor(serverPaces, server, head.load);
   if (head.isLeaving) directory.recordLeaving(server.id);
   if (head.pauseMs > 0) directory.recordPause(server.id, head.pauseMs);
-  const { limitPerS } = head;
-  if (head.isVerified || limitPerS !== null) {
-    limits.recordAdvertisedLimit(server.id, { limitPerS, sentAtMs });
+  const { limitPerS, maxRejectionsPerS } = head;
+  if (head.isVerified || limitPerS !== null || maxRejectionsPerS !== null) {
+    limits.recordAdvertisedLimit(server.id, { limitPerS, maxRejectionsPerS, sentAtMs });
   }
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -20,7 +20,13 @@
 export type CallAttemptResult =
   | { readonly kind: 'answered'; readonly response: BufferedResponse }
   /** The server did not run the call. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly hasArrived: boolean }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      readonly hasArrived: boolean;
+      /** True if the server had no room for the call. */
+      readonly isRejected: boolean;
+    }
   /** The call may have run. */
   | {
       readonly kind: 'failed';
@@ -39,7 +45,7 @@
 
 const convertError = (error: AttemptError, isTimeout: boolean): CallAttemptResult => {
   if (error.kind === 'not-started') {
-    return { kind: 'not-run', reason: error.reason, hasArrived: false };
+    return { kind: 'not-run', reason: error.reason, hasArrived: false, isRejected: false };
   }
   if (error.kind === 'cancelled' && !isTimeout) return { kind: 'left' };
   return error.kind === 'broken'
@@ -100,7 +106,8 @@
     const read = await readBody(body, reply.acquireBytes);
     if (reply.callerLeft.aborted) return { kind: 'left' };
     if (head.isNotExecuted) {
-      return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true };
+      const isRejected = !head.isFromOtherServer;
+      return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true, isRejected };
     }
     if (read.isErr())
       return {
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -21,6 +21,7 @@
     isFromOtherServer: false,
     pauseMs: 0,
     limitPerS: null,
+    maxRejectionsPerS: null,
     load: { running: 1, waiting: 0, slots: 6, workFactor: 2.5 },
     ...change,
   };
--- a/src/application/forwarding/createCrashProbe/test.ts
+++ b/src/application/forwarding/createCrashProbe/test.ts
@@ -27,7 +27,7 @@
     client: {
       readIdentity: async ({ id }) =>
         options.aliveIds.includes(id)
-          ? { id, isLeaving: false, limitPerS: null, load: null }
+          ? { id, isLeaving: false, limitPerS: null, maxRejectionsPerS: null, load: null }
           : null,
     },
     crashes: {
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -85,6 +85,12 @@
         .list()
         .filter(isServing)
         .map(({ entry }) => entry),
+    readLoad: (id) => {
+      const record = records.find(id);
+      if (!record) return null;
+      const { entry, load, running } = record;
+      return { running, slots: Math.min(entry.slots, load?.slots ?? Infinity) };
+    },
     findEntry: (id) => records.find(id)?.entry ?? null,
     findServing: (id) => {
       const record = records.find(id);
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -3,7 +3,7 @@
 import type { ServerPaths } from '../../paths';
 import type { ServerPaces } from '../../paces';
 import type { SchedulerClient } from '../../scheduling';
-import type { PermitClient, ServerLimits } from '../../limits';
+import type { ServerLimits, ServerPermits } from '../../limits';
 import type { LoopDelayMonitor } from '../../overload';
 import type { RolloutRegistry } from '../../rollouts';
 import type { CrashProbe } from '../createCrashProbe';
@@ -27,7 +27,7 @@
   readonly limits: ServerLimits;
   readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
   readonly paths: Pick<ServerPaths, 'isReached' | 'recordFailure'>;
-  readonly permits: Pick<PermitClient, 'acquirePermit'>;
+  readonly permits: ServerPermits;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
   readonly randomness: Randomness;
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -11,6 +11,8 @@
   listServing(service: string): readonly ServerStatus[];
   /** Lists the servers of all services that accept new work. */
   listEntries(): readonly ServerEntry[];
+  /** Reads the slots of a server, and this VM's requests there; null if it is unknown. */
+  readLoad(id: string): { readonly slots: number; readonly running: number } | null;
   /** Finds a known server, also one that accepts no new work; null if it is unknown. */
   findEntry(id: string): ServerEntry | null;
   /** Finds a server that accepts new work; null if it is leaving, paused or gone. */
--- a/src/application/gossip/_lib/createNewsBatcher/index.ts
+++ b/src/application/gossip/_lib/createNewsBatcher/index.ts
@@ -53,7 +53,8 @@
   outcomes: ({ fingerprint, hasCrashed, server }) => `${fingerprint} ${server} ${hasCrashed}`,
   verdicts: ({ isStored, sequence, service, state }) =>
     `${service} ${sequence} ${state} ${isStored}`,
-  limits: ({ limitPerS, server }) => `${server} ${limitPerS}`,
+  limits: ({ limitPerS, maxRejectionsPerS, server }) =>
+    `${server} ${limitPerS} ${maxRejectionsPerS}`,
 };
 
 const KINDS = Object.keys(KEY_BUILDERS) as (keyof News)[];
--- a/src/application/limits/createServerLimits/index.ts
+++ b/src/application/limits/createServerLimits/index.ts
@@ -14,6 +14,8 @@
 export interface AdvertisedLimit {
   /** Requests per second from all VMs together; null if the server states no limit. */
   readonly limitPerS: number | null;
+  /** Rejections per second above which the server falls over; null if it is not brittle. */
+  readonly maxRejectionsPerS: number | null;
   /** When the request was sent, which is before the server wrote its response. */
   readonly sentAtMs: number;
 }
@@ -25,12 +27,15 @@
    * Requests per second that a server takes from all VMs together, above 0; null without a limit.
    */
   readLimitPerS(server: string): number | null;
+  /** Rejections per second above which the server falls over; null if it is not brittle. */
+  readMaxRejectionsPerS(server: string): number | null;
   /** Forgets a server that is gone or that was restarted. */
   forgetServer(server: string): void;
 }
 
 interface KnownLimit {
   readonly limitPerS: number | null;
+  readonly maxRejectionsPerS: number | null;
   readonly atMs: number;
 }
 
@@ -42,6 +47,12 @@
 /** Gossip includes an ended limit for this long. A limit in force is stated in every response. */
 const ENDED_LIMIT_TTL_MS = 60_000;
 
+const isUnlimited = ({
+  limitPerS,
+  maxRejectionsPerS,
+}: Pick<KnownLimit, 'limitPerS' | 'maxRejectionsPerS'>): boolean =>
+  limitPerS === null && maxRejectionsPerS === null;
+
 /** Creates the server limits, with no limit known. */
 export const createServerLimits = ({
   clock,
@@ -50,45 +61,52 @@
 }: ServerLimitsDependencies): ServerLimits => {
   const knownLimits = new Map<string, KnownLimit>();
 
-  /** Stores a limit that is newer than the known one; returns true if the value changed. */
-  const merge = (server: string, { atMs, limitPerS }: KnownLimit, source: string): boolean => {
+  /** Stores a limit that is newer than the known one; returns true if a value changed. */
+  const merge = (server: string, limit: KnownLimit, source: string): boolean => {
+    const { atMs, limitPerS, maxRejectionsPerS } = limit;
     const previous = knownLimits.get(server);
-    if (previous ? atMs < previous.atMs : limitPerS === null) return false;
-    knownLimits.set(server, { limitPerS, atMs });
-    if (previous?.limitPerS === limitPerS) return false;
-    log.info('server limit', {
-      server,
-      limitPerS: limitPerS ?? 'none',
-      before: previous?.limitPerS ?? 'none',
-      source,
-    });
-    return true;
+    if (previous ? atMs < previous.atMs : isUnlimited(limit)) return false;
+    knownLimits.set(server, limit);
+    const hasChangedLimit = (previous?.limitPerS ?? null) !== limitPerS;
+    const hasChangedBrittleness = (previous?.maxRejectionsPerS ?? null) !== maxRejectionsPerS;
+    if (hasChangedLimit) {
+      const before = previous?.limitPerS ?? 'none';
+      log.info('server limit', { server, limitPerS: limitPerS ?? 'none', before, source });
+    }
+    if (hasChangedBrittleness) {
+      const stated = maxRejectionsPerS ?? 'none';
+      log.info('server brittle', { server, maxRejectionsPerS: stated, source });
+    }
+    return hasChangedLimit || hasChangedBrittleness;
   };
 
   return {
-    recordAdvertisedLimit: (server, { limitPerS, sentAtMs }) => {
+    recordAdvertisedLimit: (server, { limitPerS, maxRejectionsPerS, sentAtMs }) => {
       const nowMs = clock.readMonotonicMs();
       // Responses may arrive out of order: one without a limit ends the limit only if the server
       // surely wrote the response after the last one that stated the limit.
-      const atMs = limitPerS === null ? sentAtMs : nowMs;
-      if (merge(server, { limitPerS, atMs }, 'own')) {
-        publishLimit({ server, limitPerS, ageMs: nowMs - atMs });
+      const atMs = isUnlimited({ limitPerS, maxRejectionsPerS }) ? sentAtMs : nowMs;
+      if (merge(server, { limitPerS, maxRejectionsPerS, atMs }, 'own')) {
+        publishLimit({ server, limitPerS, maxRejectionsPerS, ageMs: nowMs - atMs });
       }
     },
-    mergeLimit: ({ ageMs, limitPerS, server }) =>
-      merge(server, { limitPerS, atMs: clock.readMonotonicMs() - ageMs }, 'told'),
+    mergeLimit: ({ ageMs, limitPerS, maxRejectionsPerS, server }) =>
+      merge(
+        server,
+        { limitPerS, maxRejectionsPerS, atMs: clock.readMonotonicMs() - ageMs },
+        'told',
+      ),
     listLimits: () => {
       const nowMs = clock.readMonotonicMs();
       return [...knownLimits]
-        .filter(
-          ([, { atMs, limitPerS }]) => limitPerS !== null || nowMs - atMs < ENDED_LIMIT_TTL_MS,
-        )
-        .map(([server, { atMs, limitPerS }]) => ({ server, limitPerS, ageMs: nowMs - atMs }));
+        .filter(([, limit]) => !isUnlimited(limit) || nowMs - limit.atMs < ENDED_LIMIT_TTL_MS)
+        .map(([server, { atMs, ...limit }]) => ({ server, ...limit, ageMs: nowMs - atMs }));
     },
     readLimitPerS: (server) => {
       const limitPerS = knownLimits.get(server)?.limitPerS ?? null;
       return limitPerS === null ? null : Math.max(MIN_LIMIT_PER_S, limitPerS);
     },
+    readMaxRejectionsPerS: (server) => knownLimits.get(server)?.maxRejectionsPerS ?? null,
     forgetServer: (server) => {
       knownLimits.delete(server);
     },
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -28,6 +28,7 @@
   | 'metrics'
   | 'places'
   | 'rolloutJudge'
+  | 'roomOwner'
   | 'scheduling'
   | 'sharing'
 > {
@@ -65,6 +66,7 @@
     places,
     relay,
     rolloutJudge,
+    roomOwner,
     scheduling,
     sharing,
   }: EndpointParts,
@@ -104,6 +106,8 @@
         handleReservation: places.handleReservation,
         handlePermit: limitOwner.handlePermitRequest,
         releasePermit: limitOwner.releasePermit,
+        handleRoomRequest: roomOwner.handleRoomRequest,
+        releaseRoom: roomOwner.releaseRoom,
         handleReachRequest: async (ids) => ({
           reachedIds: isDraining() ? [] : await confirmReach(ids),
           running: countRunning(),
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -44,27 +44,24 @@
   let sendOutcome: Gossip['sendOutcome'] = () => undefined;
   const calls = createGatewayClient();
   let listMembers: Gossip['listMembers'] = () => [];
-  let listEntries: ServerDirectory['listEntries'] = () => [];
-  let recordSuccess: ServerDirectory['recordSuccess'] = () => undefined;
+  // The paths, the limits and the directory depend on each other.
+  let known: Pick<ServerDirectory, 'listEntries' | 'readLoad' | 'recordSuccess'> | null = null;
   const { client, confirmReach, paths } = wirePaths({
     ...common,
     self: settings,
     calls,
     listPeers: () => listMembers(),
-    listEntries: () => listEntries(),
-    recordSuccess: (id) => recordSuccess(id),
+    listEntries: () => known?.listEntries() ?? [],
+    recordSuccess: (id) => known?.recordSuccess(id),
     tables,
   });
   let sendLimit: Gossip['sendLimit'] = () => undefined;
-  const {
-    limits,
-    owner: limitOwner,
-    permits,
-  } = wireLimits({
+  const { limits, permits, ...owners } = wireLimits({
     ...common,
     self: settings,
     listPeers: () => listMembers(),
     calls,
+    readServer: (id) => known?.readLoad(id) ?? null,
     publishLimit: (limit) => sendLimit(limit),
   });
   const serverPaces = createServerPaces({ clock });
@@ -80,8 +77,7 @@
     publishSuspicion: (id, cause) => sendSuspicion(id, cause),
     publishInferred: (server) => sendInferred(server),
   });
-  listEntries = directory.listEntries;
-  recordSuccess = directory.recordSuccess;
+  known = directory;
   let sendVerdict: Gossip['sendVerdict'] = () => undefined;
   const { judge: rolloutJudge, rollouts } = wireRollouts({
     ...common,
@@ -224,7 +220,7 @@
     gossip,
     sharing,
     lender,
-    limitOwner,
+    ...owners,
     loopDelay,
     memory,
     quarantineRows,
--- a/src/programs/gateway/_lib/wireLimits/index.ts
+++ b/src/programs/gateway/_lib/wireLimits/index.ts
@@ -2,11 +2,17 @@
 import {
   createLimitOwner,
   createPermitClient,
+  createRoomClient,
+  createRoomOwner,
   createServerLimits,
+  createServerPermits,
   type LimitOwner,
   type LimitPeer,
   type PermitClient,
+  type RoomClientDependencies,
+  type RoomOwner,
   type ServerLimits,
+  type ServerPermits,
 } from '../../../../application/limits';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
 import type { OwnerCandidate, SharedLimit } from '../../../../domain/limits';
@@ -15,41 +21,66 @@
 export interface LimitPartsDependencies {
   readonly self: OwnerCandidate;
   readonly listPeers: () => readonly LimitPeer[];
-  readonly calls: Pick<GatewayClient, 'acquirePermit' | 'releasePermit'>;
+  readonly calls: Pick<
+    GatewayClient,
+    'acquirePermit' | 'acquireRoom' | 'releasePermit' | 'releaseRoom'
+  >;
+  readonly readServer: RoomClientDependencies['readServer'];
   readonly publishLimit: (limit: SharedLimit) => void;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly randomness: Randomness;
 }
 
-/** Parts that enforce the rate limits of servers. */
+/** Parts that enforce the rate limits and the room of servers. */
 export interface LimitParts {
   readonly limits: ServerLimits;
-  readonly owner: LimitOwner;
-  readonly permits: PermitClient;
+  readonly limitOwner: LimitOwner;
+  readonly roomOwner: RoomOwner;
+  readonly permits: Pick<PermitClient, 'forgetServer'> & ServerPermits;
 }
 
-/** Wires the parts that enforce the rate limits of servers. */
+/** Wires the parts that enforce the rate limits and the room of servers. */
 export const wireLimits = ({
   calls,
   clock,
   listPeers,
   log,
   randomness,
+  readServer,
   self,
   publishLimit,
 }: LimitPartsDependencies): LimitParts => {
   const limits = createServerLimits({ clock, log, publishLimit });
-  const owner = createLimitOwner({ clock, limits, randomness });
+  const limitOwner = createLimitOwner({ clock, limits, randomness });
   const permits = createPermitClient({
     self,
     listPeers,
     askPeer: calls.acquirePermit,
     notifyReleased: calls.releasePermit,
-    owner,
+    owner: limitOwner,
     limits,
     clock,
     log,
   });
-  return { limits, owner, permits };
+  const roomOwner = createRoomOwner({ clock, randomness });
+  const rooms = createRoomClient({
+    self,
+    listPeers,
+    askPeer: calls.acquireRoom,
+    releaseAtPeer: calls.releaseRoom,
+    owner: roomOwner,
+    limits,
+    readServer,
+    clock,
+    randomness,
+    log,
+  });
+  const { forgetServer } = permits;
+  return {
+    limits,
+    limitOwner,
+    roomOwner,
+    permits: { ...createServerPermits(permits, rooms), forgetServer },
+  };
 };
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -10,7 +10,7 @@
 } from '../../../application/forwarding';
 import type { FleetLoad } from '../../../application/fleet-load';
 import type { Gossip } from '../../../application/gossip';
-import type { LimitOwner } from '../../../application/limits';
+import type { LimitOwner, RoomOwner } from '../../../application/limits';
 import type { LoopDelayMonitor, MemoryBudget } from '../../../application/overload';
 import type { ReachAnswer, ServerPaths } from '../../../application/paths';
 import type { Clock, EventLog } from '../../../application/ports';
@@ -32,6 +32,7 @@
   readonly sharing: ZoneReplication;
   readonly lender: RetryLender;
   readonly limitOwner: LimitOwner;
+  readonly roomOwner: RoomOwner;
   readonly loopDelay: LoopDelayMonitor;
   readonly memory: MemoryBudget;
   readonly quarantineRows: QuarantineRows;
--- a/standins/fakes/buildServerReport/index.ts
+++ b/standins/fakes/buildServerReport/index.ts
@@ -9,6 +9,7 @@
   eventsByRun: new Map(),
   isLeaving: false,
   limitPerS: null,
+  maxRejectionsPerS: null,
   load: null,
   bornMs: null,
   ...change,
--- a/standins/limits/simulateLimits/index.ts
+++ b/standins/limits/simulateLimits/index.ts
@@ -175,7 +175,7 @@
       const limitPerS = isNamed ? (model.limitsPerS[index] ?? null) : null;
       clock.startTimer(ANSWER_MS, () => {
         if (vm.downSinceMs !== null) return;
-        vm.limits.recordAdvertisedLimit(server, { limitPerS, sentAtMs });
+        vm.limits.recordAdvertisedLimit(server, { limitPerS, maxRejectionsPerS: null, sentAtMs });
         if (limitPerS !== null && !limitLearnedAtMs[index]?.has(vm.name)) {
           limitLearnedAtMs[index]?.set(vm.name, clock.readMonotonicMs());
         }
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -21,6 +21,7 @@
   load: null,
   isLeaving: false,
   limitPerS: null,
+  maxRejectionsPerS: null,
   pauseMs: 0,
 };
 
@@ -98,7 +99,13 @@
       );
       return { ...report, eventsByRun };
     },
-    readIdentity: async ({ id }) => ({ id, isLeaving: false, limitPerS: null, load: null }),
+    readIdentity: async ({ id }) => ({
+      id,
+      isLeaving: false,
+      limitPerS: null,
+      maxRejectionsPerS: null,
+      load: null,
+    }),
     readCachedPromptParts: async () => new Map(),
     removeServer: () => undefined,
   };
--- a/standins/model/createSimulatedEngine/index.ts
+++ b/standins/model/createSimulatedEngine/index.ts
@@ -107,6 +107,7 @@
     eventsByRun: new Map(running.map(({ events, run }) => [run.id, Math.floor(events)])),
     isLeaving: false,
     limitPerS: null,
+    maxRejectionsPerS: null,
     load: null,
     bornMs: null,
   });
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -19,7 +19,13 @@
 import { createSimulatedDirectory, SIMULATED_SERVICE } from '../createSimulatedDirectory';
 
 const IDS = Array.from({ length: 6 }, (_, index) => `i-${index}`);
-const HEAD = { status: 200, isVerified: true, pauseMs: 0, limitPerS: null };
+const HEAD = {
+  status: 200,
+  isVerified: true,
+  pauseMs: 0,
+  limitPerS: null,
+  maxRejectionsPerS: null,
+};
 
 /** A stream that asked for a server. */
 export interface AskedServer {
@@ -110,7 +116,7 @@
     crashes: { readQuarantineMs: () => 0, addListener: () => noop, isSuspected: () => false },
     limits: { recordAdvertisedLimit: noop },
     paths: { isReached: () => true, recordFailure: noop },
-    permits: { acquirePermit: async () => ({ release: noop }) },
+    permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
     meter: { recordResume: noop, recordRequest: noop },
     retries: { recordRequest: noop },
     rollouts: { openRequest: () => servers },
--- a/standins/model/simulateLoad/index.ts
+++ b/standins/model/simulateLoad/index.ts
@@ -138,7 +138,9 @@
       fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
       limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
       paths: { isReached: () => true, recordFailure: () => undefined },
-      permits: { acquirePermit: async () => ({ release: () => undefined }) },
+      permits: {
+        acquirePermit: async () => ({ release: () => undefined, finish: () => undefined }),
+      },
       log: QUIET_LOG,
       meter: {
         recordRequest: () => undefined,
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -7,6 +7,8 @@
   handleReservation: () => 0,
   handlePermit: () => ({ isGranted: true, waitMs: 0 }),
   releasePermit: () => undefined,
+  handleRoomRequest: async () => ({ isGranted: true, waitMs: 0 }),
+  releaseRoom: () => undefined,
   handleReachRequest: async () => ({ reachedIds: [], running: 0 }),
   handleReport: () => null,
   handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
--- a/tests/gateway/foreignEntries.test.ts
+++ b/tests/gateway/foreignEntries.test.ts
@@ -80,7 +80,7 @@
   t.is(decodeServerEntry('i-1', encode(VALID_ENTRY))._unsafeUnwrap().bornMs, 1000);
 });
 
-const NO_SIGNALS = { isLeaving: false, limitPerS: null, load: null };
+const NO_SIGNALS = { isLeaving: false, limitPerS: null, maxRejectionsPerS: null, load: null };
 
 test('malformed reports, lists and answers are decoded without an exception', (t) => {
   fc.assert(
