Look for relays again soon after a VM loses more servers

While a server was down that no VM reaches, rounds of probes and questions had become up to 4 s apart. A VM that lost its links then, and found no relay at once, failed requests until the next round.

Found by reading; the new test 'a VM that loses its links while a server is down soon asks again' fails without the change.

--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -1,5 +1,6 @@
 import type { ServerPath } from '../../../domain/paths';
 import type { Clock, EventLog, Randomness } from '../../ports';
+import { startLoop, waitDelay } from '../../time';
 import type { RelayRegistry } from '../createRelayRegistry';
 import type { ServerReach } from '../createServerReach';
 import type { PathFailure } from '../types';
@@ -68,18 +69,14 @@
   /** Servers that were found to be reached by a relay. */
   const relayedIds = new Set<string>();
   let runningCheck: Promise<void> | null = null;
+  let runningQuestions: Promise<void> | null = null;
   let nextSilenceCheckAtMs = -Infinity;
   let checkPauseMs = MIN_CHECK_PAUSE_MS;
   let roundMs = ROUND_MS;
   let isStopped = false;
-  let cancelRound: (() => void) | null = null;
+  let stopLoop: (() => void) | null = null;
 
-  const waitDelayMs = (delayMs: number): Promise<void> =>
-    new Promise((resolve) => {
-      clock.startTimer(delayMs, resolve);
-    });
-
-  const askRelays = async (): Promise<void> => {
+  const askRelaysNow = async (): Promise<void> => {
     const ids = reach.drawUnreached();
     [...relayedIds].filter(reach.isReached).forEach((id) => relayedIds.delete(id));
     if (ids.length === 0) return;
@@ -91,27 +88,47 @@
     });
   };
 
-  /** Runs rounds until all servers are reached directly. Each VM has its own random intervals. */
-  function startRounds(): void {
-    if (cancelRound || isStopped || reach.countUnreached() === 0) return;
-    const delayMs = roundMs * (0.75 + randomness.readFraction() / 2);
-    cancelRound = clock.startTimer(delayMs, () => {
-      Promise.all([reach.probeUnreached(), askRelays()])
-        .catch((error: unknown) => {
-          const reason = error instanceof Error ? error.message : 'unknown';
-          log.error('search for paths failed unexpectedly', { reason });
-        })
-        .then(() => {
-          cancelRound = null;
-          roundMs = relays.countRelays() > 0 ? ROUND_MS : Math.min(MAX_ROUND_MS, roundMs * 2);
-          if (reach.countUnreached() === 0) relays.clear();
-          startRounds();
-        });
+  /** Asks relays, unless questions are under way. */
+  const askRelays = (): Promise<void> => {
+    runningQuestions ??= askRelaysNow().finally(() => {
+      runningQuestions = null;
+    });
+    return runningQuestions;
+  };
+
+  const stopRounds = (): void => {
+    stopLoop?.();
+    stopLoop = null;
+  };
+
+  /** Each VM has its own random intervals, so that they do not return to direct paths at once. */
+  const computeRoundDelayMs = (): number => roundMs * (0.75 + randomness.readFraction() / 2);
+
+  /** Probes servers and asks relays; ends once all servers are reached directly. */
+  const runRound = async (): Promise<number | null> => {
+    await Promise.all([reach.probeUnreached(), askRelays()]);
+    roundMs = relays.countRelays() > 0 ? ROUND_MS : Math.min(MAX_ROUND_MS, roundMs * 2);
+    if (reach.countUnreached() > 0) return computeRoundDelayMs();
+    relays.clear();
+    stopLoop = null;
+    return null;
+  };
+
+  const startRounds = (): void => {
+    if (stopLoop || isStopped) return;
+    stopLoop = startLoop({
+      clock,
+      firstDelayMs: computeRoundDelayMs(),
+      runStep: runRound,
+      handleFailure: (reason) => {
+        log.error('search for paths failed unexpectedly', { reason });
+        return computeRoundDelayMs();
+      },
     });
-  }
+  };
 
   const runCheck = async (): Promise<void> => {
-    await waitDelayMs(CHECK_DELAY_MS);
+    await waitDelay(clock, CHECK_DELAY_MS);
     const ids = [...pendingIds];
     pendingIds.clear();
     await reach.checkServers(ids);
@@ -119,7 +136,6 @@
     checkPauseMs = isSound ? Math.min(MAX_CHECK_PAUSE_MS, checkPauseMs * 2) : MIN_CHECK_PAUSE_MS;
     nextSilenceCheckAtMs = clock.readMonotonicMs() + checkPauseMs;
     if (isSound) return;
-    roundMs = ROUND_MS;
     await askRelays();
     log.warn('servers not reached', {
       failed: ids.slice(0, 10).join(' '),
@@ -127,6 +143,9 @@
       reachesAny: reach.hasReachedAny(),
       relays: relays.countRelays(),
     });
+    // A round that is due much later, for a server that no VM reaches, comes earlier.
+    if (roundMs > ROUND_MS) stopRounds();
+    roundMs = ROUND_MS;
     startRounds();
   };
 
@@ -185,7 +204,7 @@
     countRelays: relays.countRelays,
     stop: () => {
       isStopped = true;
-      cancelRound?.();
+      stopRounds();
     },
   };
 };
--- a/src/application/paths/createServerPaths/test.ts
+++ b/src/application/paths/createServerPaths/test.ts
@@ -178,3 +178,17 @@
   await clock.advanceAsync(20_000);
   t.true(countProbes() - probes <= 7 && countQuestions() - questions <= 7);
 });
+
+// Guards against a VM that finds no relay for seconds, as questions had become rare for a server
+// that is down.
+test('a VM that loses its links while a server is down soon asks again', async (t) => {
+  const { answers, clock, failAt, reachedIds, readRelay } = setUp({ a: [] });
+  reachedIds.delete('i-1');
+  await failAt('i-1');
+  await clock.advanceAsync(8000);
+  reachedIds.clear();
+  await failAt('i-2');
+  answers.set('a', ['i-2', 'i-3']);
+  await clock.advanceAsync(ROUND_MS);
+  t.is(readRelay('i-2'), 'a');
+});
