Keep the path to a server that has paused requests

A server that asked a VM to pause was taken off the list of lost servers, so that the first request after the pause went over the lost link and failed. Servers are forgotten once they are gone instead, with the times of their answers, which stayed in memory until then. Found by reading, not reproduced.

--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -83,7 +83,7 @@
     listEntries: () =>
       records
         .list()
-        .filter(isServing)
+        .filter(isPresent)
         .map(({ entry }) => entry),
     readLoad: (id) => {
       const record = records.find(id);
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -9,7 +9,7 @@
   applyRows(rows: readonly SharedRow[], info: RowsOrigin): void;
   /** Lists the servers of a service that accept new work. */
   listServing(service: string): readonly ServerStatus[];
-  /** Lists the servers of all services that accept new work. */
+  /** Lists the servers of all services that have not left, also those that are paused. */
   listEntries(): readonly ServerEntry[];
   /** Reads the slots of a server, and this VM's requests there; null if it is unknown. */
   readLoad(id: string): { readonly slots: number; readonly running: number } | null;
--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -33,6 +33,8 @@
    * links to servers.
    */
   judgeFailure(serverId: string): Promise<boolean>;
+  /** Forgets a server that is gone. */
+  forgetServer(serverId: string): void;
   countUnreached(): number;
   countRelays(): number;
   stop(): void;
@@ -200,6 +202,7 @@
       if (!reach.hasReachedAny()) await startCheck(serverId);
       return reach.hasReachedAny() && relays.chooseRelay(serverId) === null;
     },
+    forgetServer: reach.forgetServer,
     countUnreached: reach.countUnreached,
     countRelays: relays.countRelays,
     stop: () => {
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -7,7 +7,7 @@
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly log: EventLog;
   readonly randomness: Randomness;
-  /** Lists the servers that accept work. */
+  /** Lists the servers that have not left. */
   readonly listServers: () => readonly ServerEntry[];
   /** True if the server answers on a new connection of this VM. */
   readonly probeServer: (server: ServerEntry) => Promise<boolean>;
@@ -30,6 +30,8 @@
    * reach.
    */
   checkServers(ids: readonly string[]): Promise<void>;
+  /** Forgets a server that is gone. */
+  forgetServer(id: string): void;
   /** Probes some of the servers that were not reached; records those that answer. */
   probeUnreached(): Promise<void>;
   /** Finds out for another VM which of these servers this VM reaches. */
@@ -115,16 +117,15 @@
     return servers.filter((_, index) => !answers[index]);
   };
 
+  const forgetServer = (id: string): void =>
+    [unreachedSinceMs, lastAnswerAtMs, lastConnectedAtMs, lastMissedAtMs].forEach((times) =>
+      times.delete(id),
+    );
+
+  /** Forgets servers that leave. */
   const removeUnknown = (): void => {
     const knownIds = new Set(listServers().map(({ id }) => id));
-    [...unreachedSinceMs.keys()]
-      .filter((id) => !knownIds.has(id))
-      .forEach((id) => {
-        unreachedSinceMs.delete(id);
-      });
-    [lastAnswerAtMs, lastConnectedAtMs, lastMissedAtMs].forEach((times) =>
-      [...times.keys()].filter((id) => !knownIds.has(id)).forEach((id) => times.delete(id)),
-    );
+    [...unreachedSinceMs.keys()].filter((id) => !knownIds.has(id)).forEach(forgetServer);
   };
 
   const drawOthers = (
@@ -143,6 +144,7 @@
     drawUnreached: () => drawSample([...unreachedSinceMs.keys()], MAX_PROBED, randomness),
     countUnreached: () => unreachedSinceMs.size,
     hasReachedAny: () => listServers().some(({ id }) => isRecent(lastConnectedAtMs, id)),
+    forgetServer,
     recordAnswer,
     hasRecentAnswer: (id, { isNewConnection }) => {
       const service = findServer(id)?.service;
--- a/src/programs/gateway/_lib/wireDirectory/index.ts
+++ b/src/programs/gateway/_lib/wireDirectory/index.ts
@@ -21,7 +21,7 @@
   readonly client: ServerClient;
   readonly limits: Pick<ServerLimits, 'forgetServer'>;
   readonly permits: Pick<PermitClient, 'forgetServer'>;
-  readonly paths: Pick<ServerPaths, 'judgeFailure'>;
+  readonly paths: Pick<ServerPaths, 'forgetServer' | 'judgeFailure'>;
   readonly serverPaces: Pick<ServerPaces, 'forgetServer'>;
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
   readonly publishSuspicion: Gossip['sendSuspicion'];
@@ -58,6 +58,7 @@
       client.removeServer(id);
       limits.forgetServer(id);
       permits.forgetServer(id);
+      paths.forgetServer(id);
     },
     reuseAfterMs: settings.bounds.reuseAfterMs,
     handleSuspected: (id, cause) => {
