--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -20,4 +20,5 @@
 export type { StepScheduler, WriteFate } from './createScheduledTableStore';
 export { createSchedulerFixture } from './createSchedulerFixture';
 export type { SchedulerFixture } from './createSchedulerFixture';
+export { createSteadyClock } from './createSteadyClock';
 export { createSeededRandomness } from './createSeededRandomness';
