Compare the order of two answers, not their times, in a test of late responses

'a response later than streams wait still arrives' asserted that a delivery without an answer ends within 590 ms of real time, 10 ms before the answer that is late on purpose. It failed once, beside a run of all tests and 24 busy processes. It now asserts that the delivery ends before that answer is sent, which is as strict.

--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -92,8 +92,12 @@
 // Guards against room at a server that stays granted to nobody: the response to a stream that
 // no longer waits for it holds a grant, which only the caller can cancel.
 test('a response later than streams wait still arrives, and a delivery without one is not taken', async (t) => {
+  let hasResponded = false;
   const server = createServer((_, response) => {
-    setTimeout(() => response.writeHead(200).end(), 600);
+    setTimeout(() => {
+      hasResponded = true;
+      response.writeHead(200).end();
+    }, 600);
   }).listen(0, '127.0.0.1');
   await once(server, 'listening');
   const client = createGatewayClient();
@@ -102,10 +106,9 @@
     server.close();
   });
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-  const startedAtMs = performance.now();
   const scheduled = client.schedule(address, REQUEST);
   t.false(await client.deliverDecision(address, { service: 's', decision: SENT }));
-  t.true(performance.now() - startedAtMs < 590);
+  t.false(hasResponded);
   t.deepEqual(await scheduled, { isOwner: false, decisions: [] });
 });
 
