--- a/src/application/limits/createRoomOwner/index.ts
+++ b/src/application/limits/createRoomOwner/index.ts
@@ -111,7 +111,7 @@
   };
 
   /** Grants room to those that wait, the first one first, as far as there is room. */
-  const serveWaiters = (room: ServerRoom): void => {
+  const decideWaiters = (room: ServerRoom): void => {
     for (let [first] = room.waiters; first; [first] = room.waiters) {
       const decision = decide(room, first.request);
       if (!decision.isGranted) return;
@@ -158,7 +158,7 @@
         room.statedBySender.set(sender, { ...stated, running });
       }
       if (isRejected) room.rejectedAtMs = [...room.rejectedAtMs, clock.readMonotonicMs()];
-      serveWaiters(room);
+      decideWaiters(room);
     },
   };
 };
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -35,7 +35,7 @@
   /** Probes some of the servers that were not reached; records those that answer. */
   probeUnreached(): Promise<void>;
   /** Finds out for another VM which of these servers this VM reaches. */
-  confirmReach(ids: readonly string[]): Promise<readonly string[]>;
+  probeReach(ids: readonly string[]): Promise<readonly string[]>;
 }
 
 /** Servers of the same service that are probed beside one that gave no answer. */
@@ -187,7 +187,7 @@
       const missed = await probeAll(sample);
       if (missed.length === 0) left.forEach(({ id }) => markReached(id));
     },
-    confirmReach: async (ids) => {
+    probeReach: async (ids) => {
       const asked = ids
         .slice(0, MAX_PROBED)
         .map(findServer)
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -18,7 +18,7 @@
 /** Parts that the endpoints serve. */
 export interface EndpointParts extends Pick<
   GatewayParts,
-  | 'confirmReach'
+  | 'probeReach'
   | 'directory'
   | 'fleetLoad'
   | 'gossip'
@@ -52,7 +52,7 @@
 export const startEndpoints = async (
   settings: GatewaySettings,
   {
-    confirmReach,
+    probeReach,
     countRunning,
     directory,
     fleetLoad,
@@ -109,7 +109,7 @@
         handleRoomRequest: roomOwner.handleRoomRequest,
         releaseRoom: roomOwner.releaseRoom,
         handleReachRequest: async (ids) => ({
-          reachedIds: isDraining() ? [] : await confirmReach(ids),
+          reachedIds: isDraining() ? [] : await probeReach(ids),
           running: countRunning(),
         }),
         handleReport: rolloutJudge.handleReport,
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -46,7 +46,7 @@
   let listMembers: Gossip['listMembers'] = () => [];
   // The paths, the limits and the directory depend on each other.
   let known: Pick<ServerDirectory, 'listEntries' | 'readLoad' | 'recordSuccess'> | null = null;
-  const { client, confirmReach, paths } = wirePaths({
+  const { client, probeReach, paths } = wirePaths({
     ...common,
     self: settings,
     calls,
@@ -225,7 +225,7 @@
     memory,
     quarantineRows,
     paths,
-    confirmReach,
+    probeReach,
     relayRequest: client.relayRequest,
     places,
     rolloutJudge,
--- a/src/programs/gateway/_lib/wirePaths/index.ts
+++ b/src/programs/gateway/_lib/wirePaths/index.ts
@@ -31,7 +31,7 @@
   readonly client: ServerClient;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly confirmReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
 }
 
 /** Wires the client of servers and its paths. */
@@ -63,5 +63,5 @@
   });
   const client = createServerClient({ clock: common.clock, paths });
   probeServer = client.probeServer;
-  return { client, paths, confirmReach: reach.confirmReach };
+  return { client, paths, probeReach: reach.probeReach };
 };
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -38,7 +38,7 @@
   readonly quarantineRows: QuarantineRows;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly confirmReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
   readonly relayRequest: ServerClient['relayRequest'];
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
