Ask three VMs, not nine, about a server that is down

A VM without recent new connections took itself for cut off while one server was down, and asked up to nine VMs in each round. And a check of all servers of a small system took those that had just answered for lost, as none was left to compare with. Both found by reading. Of the two new tests the one of the check fails without the change; the other one holds the number of questions of a first check, and passed before.

--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -82,7 +82,7 @@
     const ids = reach.drawUnreached();
     [...relayedIds].filter(reach.isReached).forEach((id) => relayedIds.delete(id));
     if (ids.length === 0) return;
-    await relays.askRelays(ids, { isCutOff: !reach.hasReachedAny() });
+    await relays.askRelays(ids, { isCutOff: reach.isCutOff() });
     const found = ids.filter((id) => !relayedIds.has(id) && relays.chooseRelay(id) !== null);
     found.forEach((id) => {
       relayedIds.add(id);
--- a/src/application/paths/createServerPaths/test.ts
+++ b/src/application/paths/createServerPaths/test.ts
@@ -192,3 +192,19 @@
   await clock.advanceAsync(ROUND_MS);
   t.is(readRelay('i-2'), 'a');
 });
+
+test('servers that answered a check count as reached, also if none is left to compare with', async (t) => {
+  const { clock, paths, readRelay, reachedIds } = setUp({ a: IDS });
+  reachedIds.delete('i-1');
+  IDS.forEach((id) => paths.recordFailure(id, 'not-connected'));
+  await clock.advanceAsync(CHECK_MS);
+  t.deepEqual(IDS.map(readRelay), ['a', null, null]);
+});
+
+test('a VM that reaches servers asks three others about one that it does not reach', async (t) => {
+  const peers = Object.fromEntries(['a', 'b', 'c', 'd', 'e'].map((vm) => [vm, []]));
+  const { countQuestions, failAt, reachedIds } = setUp(peers);
+  reachedIds.delete('i-1');
+  await failAt('i-1');
+  t.is(countQuestions(), 3);
+});
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -19,6 +19,8 @@
   /** Draws some of the servers that this VM does not reach. */
   drawUnreached(): readonly string[];
   countUnreached(): number;
+  /** True if this VM reaches no server. */
+  isCutOff(): boolean;
   /** True if any server answered this VM on a new connection lately. */
   hasReachedAny(): boolean;
   /** Records an answer on the direct path. */
@@ -143,6 +145,7 @@
     isReached: (id) => !unreachedSinceMs.has(id),
     drawUnreached: () => drawSample([...unreachedSinceMs.keys()], MAX_PROBED, randomness),
     countUnreached: () => unreachedSinceMs.size,
+    isCutOff: () => listServers().every(({ id }) => unreachedSinceMs.has(id)),
     hasReachedAny: () => listServers().some(({ id }) => isRecent(lastConnectedAtMs, id)),
     forgetServer,
     recordAnswer,
@@ -172,8 +175,8 @@
       if (missed.length === 0 || (missedControls.length === 0 && controls.length > 0)) return;
       const sample = drawOthers(listServers(), excludedIds, MAX_PROBED);
       const missedSample = await probeAll(sample);
-      // A VM that reaches none of the sample reaches none of the others either.
-      const isCutOff = missedSample.length === sample.length;
+      // A VM that reaches none of those probed reaches none of the others either.
+      const isCutOff = missed.length === suspects.length && missedSample.length === sample.length;
       (isCutOff ? listServers() : missedSample).forEach(markUnreached);
     },
     probeUnreached: async () => {
