Log how each attempt ended, on which path, who saw it and what it proves

From the logs of an attempt that failed it could not be told which way it went without a head, whether its connection was reset, closed in order or silent, and which VM saw that. The end of a connection is one typed value now (ConnectionEnd), made by the client of servers or by the relay, and carried over the hop in a header or a trailer; relayed responses are sent in chunks so that the trailer always fits.

--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -2,7 +2,6 @@
 import { pipeline } from 'node:stream/promises';
 import type { Result } from 'neverthrow';
 import {
-  RELAY_FAILURE,
   RELAY_HEADERS,
   RELAY_PREFIX,
   RELAY_UNFRAMED,
@@ -10,6 +9,7 @@
   type RelayedResponse,
 } from '../../../application/paths';
 import type { AttemptError, EventLog } from '../../../application/ports';
+import type { ConnectionEnd } from '../../../domain/crashes';
 import type { ServerEntry } from '../../../domain/forwarding';
 
 /** Dependencies of the relay. */
@@ -55,10 +55,13 @@
     return !REQUEST_HEADERS.has(name.toLowerCase());
   });
 
+/** The response is sent on in chunks: only after these can a trailer tell how it ended. */
+const RESPONSE_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, 'content-length']);
+
 const filterResponseHeaders = (headers: RelayedResponse['headers']): RelayedResponse['headers'] =>
   Object.fromEntries(
     Object.entries(headers).filter(
-      ([name, value]) => value !== undefined && !CONNECTION_HEADERS.has(name),
+      ([name, value]) => value !== undefined && !RESPONSE_HEADERS.has(name),
     ),
   );
 
@@ -69,16 +72,19 @@
   headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 
 /**
- * Sends the body of a server's response. If the server breaks it off, a trailer says so; where there
+ * Sends the body of a server's response. If the server breaks it off, a trailer says how; where there
  * can be none, the connection is closed, as it is if nobody reads the response any more.
  */
-const sendBody = async (body: RelayedResponse['body'], response: ServerResponse): Promise<void> => {
+const sendBody = async (
+  { body, readEnd }: RelayedResponse,
+  response: ServerResponse,
+): Promise<void> => {
   try {
     await pipeline(body, response, { end: false });
     response.end();
-  } catch {
+  } catch (error) {
     if (!response.destroyed && response.chunkedEncoding) {
-      response.addTrailers({ [RELAY_HEADERS.failure]: RELAY_FAILURE.broken });
+      response.addTrailers({ [RELAY_HEADERS.end]: readEnd(error) });
       response.end();
     } else response.destroy();
   }
@@ -97,15 +103,15 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     id: string,
-    { failure, reason }: { readonly failure: string; readonly reason: string },
+    { connection, reason }: { readonly connection: ConnectionEnd; readonly reason: string },
   ): void => {
-    log.info('relayed request failed', { server: id, failure, reason });
+    log.info('relayed request failed', { server: id, connection, reason });
     if (response.destroyed) return;
     // The rest of the request stays unread.
     if (!incoming.complete) response.shouldKeepAlive = false;
     response.writeHead(FAILURE_STATUS, {
       [RELAY_HEADERS.server]: id,
-      [RELAY_HEADERS.failure]: failure,
+      [RELAY_HEADERS.end]: connection,
       [RELAY_HEADERS.reason]: reason,
     });
     response.end();
@@ -132,20 +138,17 @@
     );
     if (sent.isErr()) {
       const { error } = sent;
-      if (error.kind === 'cancelled') return;
-      const isUnsent = error.kind === 'not-started';
-      const failure = isUnsent ? RELAY_FAILURE.notStarted : RELAY_FAILURE.broken;
-      sendFailure(incoming, response, server.id, { failure, reason: error.reason });
+      if (error.kind !== 'cancelled') sendFailure(incoming, response, server.id, error);
       return;
     }
-    const { body, headers, statusCode } = sent.value;
+    const { headers, statusCode } = sent.value;
     response.writeHead(statusCode, {
       ...filterResponseHeaders(headers),
       [RELAY_HEADERS.server]: server.id,
       ...(isFramed(headers) ? {} : { [RELAY_HEADERS.framing]: RELAY_UNFRAMED }),
     });
     response.flushHeaders();
-    await sendBody(body, response);
+    await sendBody(sent.value, response);
   };
 
   const findRefusal = (server: ServerEntry | null): string | null => {
@@ -161,8 +164,7 @@
       const server = findServer(id);
       const refusal = findRefusal(server);
       if (refusal !== null || !server) {
-        const failure = { failure: RELAY_FAILURE.notStarted, reason: refusal ?? '' };
-        sendFailure(incoming, response, id, failure);
+        sendFailure(incoming, response, id, { connection: 'unsent', reason: refusal ?? '' });
         return;
       }
       running += 1;
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -96,6 +96,12 @@
     labelNames: ['cause'],
     registers,
   });
+  const attemptEnds = new Counter({
+    name: 'jackdaw_attempt_ends_total',
+    help: 'Attempts by kind of route, path to the server, end of its connection and what it proves.',
+    labelNames: ['kind', 'path', 'connection', 'evidence'],
+    registers,
+  });
   const scheduling = createSchedulingMeter(registry);
   const paceRatios = new Histogram({
     name: 'jackdaw_server_pace_ratio',
@@ -121,6 +127,7 @@
       paceRatios.observe({ service }, slowness);
       if (Number.isFinite(loadAgeMs)) loadAges.observe({ service }, loadAgeMs / MS_PER_S);
     },
+    recordAttemptEnd: (end) => attemptEnds.inc({ ...end }),
     recordCrashRefusal: (cause) => crashRefusals.inc({ cause }),
     recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
     recordDecision: scheduling.recordDecision,
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -12,10 +12,11 @@
 import { buildFleetReader } from '../buildFleetReader';
 import { buildPaceReader } from '../buildPaceReader';
 import { createRequestCrashTracker } from '../../../crashes';
+import { logAttemptEnd } from '../logAttemptEnd';
 import { skipRateLimited } from '../skipRateLimited';
 import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
-import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
+import { sendCallAttempt, type BufferedResponse, type CallAttemptResult } from '../sendCallAttempt';
 
 /** Maximum number of servers that may refuse the call while the caller waits. */
 const MAX_REFUSALS = 6;
@@ -42,6 +43,16 @@
   return refusal.kind;
 };
 
+/** Tells what the end of an attempt is evidence of. */
+const judgeEnd = (result: CallAttemptResult): 'answer' | 'none' | 'probe' => {
+  if (result.kind === 'answered') return 'answer';
+  if (result.kind !== 'failed') return 'none';
+  if (result.response) return 'answer';
+  const { connection, progress, relay } = result.end;
+  const isSeen = progress === 'none' || relay === null;
+  return isSeen && (connection === 'reset' || connection === 'closed') ? 'probe' : 'none';
+};
+
 const sendToServers = async (
   dependencies: ForwardingDependencies,
   context: ForwardContext,
@@ -138,6 +149,9 @@
       attemptMs,
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
+    const evidence = judgeEnd(result);
+    if (result.kind !== 'not-run')
+      logAttemptEnd(dependencies, context, status.entry, result.end, evidence);
     if (result.kind === 'left') return 'left';
     const tookMs = clock.readMonotonicMs() - sentAtMs;
     if (result.kind !== 'not-run') {
@@ -175,8 +189,8 @@
     } else {
       startedAttempts += 1;
       failedResponse = result.response ?? failedResponse;
-      if (result.hasLostConnection) crashes.recordLostConnection(status.entry);
-      else if (result.response) crashes.recordAnswer(status.entry);
+      if (evidence === 'probe') crashes.recordLostConnection(status.entry);
+      else if (evidence === 'answer') crashes.recordAnswer(status.entry);
       if (!isRepeatable || startedAttempts >= route.maxAttempts) break;
     }
   }
--- a/src/application/forwarding/_lib/forwardStream/test.ts
+++ b/src/application/forwarding/_lib/forwardStream/test.ts
@@ -107,7 +107,7 @@
   Object.assign(dependencies.client, {
     sendAttempt: async () => {
       Object.assign(dependencies.client, { sendAttempt });
-      return err({ kind: 'broken', reason: 'reset' });
+      return err({ kind: 'broken', reason: 'reset', connection: 'reset', relay: null });
     },
   });
   const outcome = start();
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -13,6 +13,7 @@
 import { readBody } from '../readBody';
 import { recordResponseHead } from '../recordResponseHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
+import { logStreamEnd } from '../logStreamEnd';
 import { logDecision } from '../logDecision';
 import { releaseCopy } from '../releaseCopy';
 import { startCopyWatch } from '../startCopyWatch';
@@ -156,7 +157,9 @@
   const isCurrent = run.attempts.get(reader.attempt) === attempt;
   if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
   if (sent.isErr()) {
+    Object.assign(attempt, { relay: sent.error.relay });
     recordAttemptFailure(directory, server.id, sent.error);
+    logStreamEnd(run, attempt, sent.error.connection, 'none');
     logDecision(
       run.dependencies,
       context,
@@ -195,7 +198,7 @@
   Object.assign(attempt, { relay, isFramed: head.isFramed, headAtMs: clock.readMonotonicMs() });
   directory.recordSuccess(server.id);
   beginReply(run, head);
-  return readStreamEvents(run, attempt, reader, sent.value.body);
+  return readStreamEvents(run, attempt, reader, sent.value);
 };
 
 /** Sends one attempt of a stream and reads the response. */
--- a/src/application/forwarding/_lib/readBody/index.ts
+++ b/src/application/forwarding/_lib/readBody/index.ts
@@ -6,8 +6,8 @@
 /** Why a response body is incomplete. */
 export interface IncompleteBody {
   readonly reason: string;
-  /** False if this process stopped reading. */
-  readonly hasLostConnection: boolean;
+  /** What the body threw; null if this process stopped reading. */
+  readonly error: unknown;
 }
 
 /**
@@ -21,7 +21,7 @@
 ): Promise<Result<Buffer, IncompleteBody>> => {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  const stop = (reason: string) => err({ reason, hasLostConnection: false });
+  const stop = (reason: string) => err({ reason, error: null });
   try {
     for await (const chunk of body) {
       bytes += chunk.length;
@@ -35,6 +35,6 @@
       error instanceof Error
         ? error.message
         : 'the connection was lost before the end of the response';
-    return err({ reason, hasLostConnection: true });
+    return err({ reason, error });
   }
 };
--- a/src/application/forwarding/_lib/readBody/test.ts
+++ b/src/application/forwarding/_lib/readBody/test.ts
@@ -14,13 +14,14 @@
   const takeAll = () => true;
   t.is((await readBody(streamChunks(8), takeAll))._unsafeUnwrap().length, 8 * MB);
   const endless = (await readBody(streamChunks(Infinity), takeAll))._unsafeUnwrapErr();
-  t.false(endless.hasLostConnection);
+  t.is(endless.error, null);
   let leftBytes = 2 * MB;
   const takeTwo = (bytes: number): boolean => {
     leftBytes -= bytes;
     return leftBytes >= 0;
   };
-  t.false((await readBody(streamChunks(8), takeTwo))._unsafeUnwrapErr().hasLostConnection);
-  const broken = (await readBody(streamChunks(1, new Error('reset')), takeAll))._unsafeUnwrapErr();
-  t.deepEqual(broken, { reason: 'reset', hasLostConnection: true });
+  t.is((await readBody(streamChunks(8), takeTwo))._unsafeUnwrapErr().error, null);
+  const error = new Error('reset');
+  const broken = (await readBody(streamChunks(1, error), takeAll))._unsafeUnwrapErr();
+  t.deepEqual(broken, { reason: 'reset', error });
 });
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -1,9 +1,10 @@
 import { updateGapStatistics } from '../../../../domain/detection';
 import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
-import { ServerBrokeOffError } from '../../../ports';
+import type { AttemptAnswer } from '../../../ports';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { logDecision } from '../logDecision';
+import { logStreamEnd } from '../logStreamEnd';
 import { recordCrash } from '../recordCrash';
 import { recordPaceSample } from '../recordPaceSample';
 import { startSilenceWatch } from '../startSilenceWatch';
@@ -97,12 +98,15 @@
 const hasBrokenOff = (run: StreamRun, attempt: StreamAttempt, rest: Buffer): boolean =>
   !attempt.isFramed && (rest.length > 0 || (!attempt.hasDeliveredEvent && isNewStream(run)));
 
+/** A response that ended with its connection, before its last event. */
+class EndedTooEarlyError extends Error {}
+
 /** Reads and dispatches the events of an attempt until its response ends. */
 export const readStreamEvents = async (
   run: StreamRun,
   attempt: StreamAttempt,
   reader: ReaderId,
-  body: AsyncIterable<Buffer>,
+  { body, readEnd }: Pick<AttemptAnswer, 'body' | 'readEnd'>,
 ): Promise<void> => {
   const { reply } = run.context;
   const { clock } = run.dependencies;
@@ -138,17 +142,21 @@
         Object.assign(attempt, { lastActivityMs: nowMs });
       }
     }
-    if (hasBrokenOff(run, attempt, rest)) throw new Error('the connection ended too early');
+    if (hasBrokenOff(run, attempt, rest))
+      throw new EndedTooEarlyError('the connection ended too early');
   } catch (error) {
     const reason = error instanceof Error ? error.message : 'the stream broke off';
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
     if (attempt.isMigrating) return;
-    const isEvidence =
+    const connection = readEnd(error instanceof EndedTooEarlyError ? null : error);
+    const isSeen =
       attempt.relay === null
         ? !run.dependencies.paths.isCutFrom(attempt.server.id)
-        : error instanceof ServerBrokeOffError;
-    if (isCurrent() && unreadMs < MAX_UNREAD_MS && isEvidence) {
+        : connection === 'reset' || (connection === 'closed' && attempt.isFramed);
+    const isEvidence = isCurrent() && unreadMs < MAX_UNREAD_MS && isSeen;
+    logStreamEnd(run, attempt, connection, isEvidence ? 'crash' : 'none');
+    if (isEvidence) {
       run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
       run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
       recordCrash(run, attempt);
--- a/src/application/forwarding/_lib/recordAttemptFailure/index.ts
+++ b/src/application/forwarding/_lib/recordAttemptFailure/index.ts
@@ -7,7 +7,7 @@
   serverId: string,
   error: AttemptError,
 ): void => {
-  if (error.kind === 'cancelled' || error.isRelayFault) return;
+  if (error.kind === 'cancelled' || error.connection === 'unseen') return;
   if (error.kind === 'not-started') directory.recordSuspicion(serverId, 'not-connected');
   if (error.kind === 'broken') directory.recordSuspicion(serverId, 'broken');
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -3,7 +3,8 @@
   type AnswerHead,
   type ServerEntry,
 } from '../../../../domain/forwarding';
-import type { AttemptError } from '../../../ports';
+import type { AttemptEnd, ConnectionEnd } from '../../../../domain/crashes';
+import type { AttemptAnswer, AttemptError } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
 import { logDecision } from '../logDecision';
 import { readBody } from '../readBody';
@@ -18,7 +19,11 @@
 
 /** The result of one attempt. */
 export type CallAttemptResult =
-  | { readonly kind: 'answered'; readonly response: BufferedResponse }
+  | {
+      readonly kind: 'answered';
+      readonly response: BufferedResponse;
+      readonly end: AttemptEnd;
+    }
   /** The server did not run the call. */
   | {
       readonly kind: 'not-run';
@@ -32,10 +37,9 @@
       readonly kind: 'failed';
       readonly reason: string;
       readonly response: BufferedResponse | null;
-      /** True if the connection was lost, so that the server may have crashed. */
-      readonly hasLostConnection: boolean;
+      readonly end: AttemptEnd;
     }
-  | { readonly kind: 'left' };
+  | { readonly kind: 'left'; readonly end: AttemptEnd };
 
 /** From this status on, the server refused the call or failed: the time says nothing of its work. */
 const CLIENT_ERROR_STATUS = 400;
@@ -43,14 +47,35 @@
 
 const NO_RESPONSE = { kind: 'failed', response: null } as const;
 
-const convertError = (error: AttemptError, isTimeout: boolean): CallAttemptResult => {
-  if (error.kind === 'not-started') {
-    return { kind: 'not-run', reason: error.reason, hasArrived: false, isRejected: false };
-  }
-  if (error.kind === 'cancelled' && !isTimeout) return { kind: 'left' };
-  return error.kind === 'broken'
-    ? { ...NO_RESPONSE, reason: error.reason, hasLostConnection: !error.isRelayFault }
-    : { ...NO_RESPONSE, reason: 'no answer in time', hasLostConnection: false };
+/** Builds the end of an attempt that is seen now. */
+type EndBuilder = (
+  end: Pick<AttemptEnd, 'progress' | 'relay'>,
+  connection: ConnectionEnd,
+) => AttemptEnd;
+
+const convertError = (
+  error: AttemptError,
+  isTimeout: boolean,
+  buildEnd: EndBuilder,
+): CallAttemptResult => {
+  const { connection, kind, reason, relay } = error;
+  if (kind === 'not-started')
+    return { kind: 'not-run', reason, hasArrived: false, isRejected: false };
+  const seen = { relay, progress: 'none' } as const;
+  if (kind === 'broken') return { ...NO_RESPONSE, reason, end: buildEnd(seen, connection) };
+  return isTimeout
+    ? { ...NO_RESPONSE, reason: 'no answer in time', end: buildEnd(seen, 'silent') }
+    : { kind: 'left', end: buildEnd(seen, connection) };
+};
+
+/** Tells how the connection of an answer ended whose body was not read to its end. */
+const readBrokenEnd = (
+  { readEnd }: AttemptAnswer,
+  error: unknown,
+  isTimeout: boolean,
+): ConnectionEnd => {
+  if (isTimeout) return 'silent';
+  return error === null ? 'dropped' : readEnd(error);
 };
 
 /**
@@ -70,6 +95,12 @@
   const timeoutController = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
   const sentAtMs = clock.readMonotonicMs();
+  const buildEnd: EndBuilder = (seen, connection) => ({
+    ...seen,
+    connection,
+    beganAtMs: sentAtMs,
+    endedAtMs: clock.readMonotonicMs(),
+  });
   const work = directory.startWork(server.id, { prefillTokens: 0 });
   try {
     const sent = await client.sendAttempt(
@@ -89,10 +120,11 @@
     if (sent.isErr()) {
       recordAttemptFailure(directory, server.id, sent.error);
       if (timeoutController.signal.aborted) paths.recordFailure(server.id, 'silent');
-      return convertError(sent.error, timeoutController.signal.aborted);
+      return convertError(sent.error, timeoutController.signal.aborted, buildEnd);
     }
     const { body, head, relay } = sent.value;
     if (relay !== null) logDecision(dependencies, context, 'attempt relayed', { relay }, server);
+    const seen = { relay, progress: 'head' } as const;
     recordResponseHead(dependencies, server, head, { sentAtMs });
     if (!head.isVerified && !head.isNotExecuted) {
       // The expected response may still arrive on this connection, so that it must not be reused.
@@ -100,11 +132,11 @@
       return {
         ...NO_RESPONSE,
         reason: 'the response belongs to another request',
-        hasLostConnection: false,
+        end: buildEnd(seen, 'dropped'),
       };
     }
     const read = await readBody(body, reply.acquireBytes);
-    if (reply.callerLeft.aborted) return { kind: 'left' };
+    if (reply.callerLeft.aborted) return { kind: 'left', end: buildEnd(seen, 'dropped') };
     if (head.isNotExecuted) {
       const isRejected = !head.isFromOtherServer;
       return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true, isRejected };
@@ -113,16 +145,19 @@
       return {
         ...NO_RESPONSE,
         reason: read.error.reason,
-        hasLostConnection:
-          read.error.hasLostConnection && relay === null && !timeoutController.signal.aborted,
+        end: buildEnd(
+          seen,
+          readBrokenEnd(sent.value, read.error.error, timeoutController.signal.aborted),
+        ),
       };
+    const end = buildEnd(seen, sent.value.readEnd(null));
     const response = { head, body: read.value };
     if (head.status >= SERVER_ERROR_STATUS) {
       return {
         kind: 'failed',
         reason: `status ${head.status}`,
         response,
-        hasLostConnection: false,
+        end,
       };
     }
     directory.recordSuccess(server.id);
@@ -136,7 +171,7 @@
         },
       );
     }
-    return { kind: 'answered', response };
+    return { kind: 'answered', response, end };
   } finally {
     cancelTimer();
     work.release();
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -40,7 +40,9 @@
     client: {
       sendAttempt: async () => {
         clock.advance(50);
-        return 'kind' in change ? err(change) : ok({ head, relay: null, body: [] });
+        return 'kind' in change
+          ? err(change)
+          : ok({ head, relay: null, body: [], readEnd: () => 'complete' });
       },
     },
   } as unknown as ForwardingDependencies;
@@ -63,7 +65,12 @@
     t.is(pace.callMs, 0);
     t.is(pace.workFactor, 2.5);
   }
-  const broken = await sendCall({ kind: 'broken', reason: 'reset' });
+  const broken = await sendCall({
+    kind: 'broken',
+    reason: 'reset',
+    connection: 'reset',
+    relay: null,
+  });
   t.is(broken.readPace(PACED).callMs, 0);
   t.false(broken.isUneven('s'));
 });
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -11,6 +11,7 @@
 import { buildPaceReader } from '../buildPaceReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
+import { logStreamEnd } from '../logStreamEnd';
 import { logDecision } from '../logDecision';
 import { recordWorkFactor } from '../recordWorkFactor';
 
@@ -100,6 +101,7 @@
       attempt.server,
     );
     run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
+    logStreamEnd(run, attempt, 'silent', 'none');
     run.dispatch({ kind: 'silent', reader, confirmed: true });
   };
 
--- a/src/application/forwarding/types/ForwardingMeter.ts
+++ b/src/application/forwarding/types/ForwardingMeter.ts
@@ -1,5 +1,18 @@
 /** Records metrics of forwarded requests. */
 export interface ForwardingMeter {
+  /**
+   * Records how an attempt ended.
+   *
+   * @param end.path - whether the request was sent directly or through another VM
+   * @param end.connection - how the connection to the server ended
+   * @param end.evidence - what that says of the request
+   */
+  recordAttemptEnd(end: {
+    readonly kind: string;
+    readonly path: string;
+    readonly connection: string;
+    readonly evidence: string;
+  }): void;
   recordRequest(kind: string, outcome: string, durationMs: number): void;
   /**
    * Records a call's server in a service whose servers differ in speed.
--- a/src/application/paths/relayNames.ts
+++ b/src/application/paths/relayNames.ts
@@ -10,16 +10,13 @@
   /** `none` if the server's response has neither a length nor chunks. */
   framing: 'jackdaw-relay-framing',
   /**
-   * In place of a server's response: `not-started` or `broken`. As a trailer after a response:
-   * `broken` if the server broke it off.
+   * How the connection to the server ended (`ConnectionEnd`): in place of the server's response, or
+   * as a trailer after a response that the server broke off.
    */
-  failure: 'jackdaw-relay-failure',
+  end: 'jackdaw-relay-end',
   /** Why no response of the server came. */
   reason: 'jackdaw-relay-reason',
 } as const;
 
 /** Value of the framing header. */
 export const RELAY_UNFRAMED = 'none';
-
-/** Values of the failure header. */
-export const RELAY_FAILURE = { notStarted: 'not-started', broken: 'broken' } as const;
--- a/src/application/paths/types/index.ts
+++ b/src/application/paths/types/index.ts
@@ -1,4 +1,5 @@
 import type { Readable } from 'node:stream';
+import type { ConnectionEnd } from '../../../domain/crashes';
 
 /** A request that this VM forwards to a server for another VM. */
 export interface RelayedRequest {
@@ -16,6 +17,8 @@
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Readable;
+  /** Tells how the connection to the server ended; `error` is what the body threw, or null. */
+  readonly readEnd: (error: unknown) => ConnectionEnd;
 }
 
 /** Why a server gave no answer on the direct path. */
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow';
+import type { ConnectionEnd } from '../../domain/crashes';
 import type {
   AnswerHead,
   ForwardedRequest,
@@ -34,28 +35,31 @@
   readonly newConnection: boolean;
 }
 
-/** Thrown by the body of a relayed response if the server broke it off, not the relay. */
-export class ServerBrokeOffError extends Error {}
-
 /** A response whose body is still arriving. */
 export interface AttemptAnswer {
   readonly head: AnswerHead;
   /** VM that forwards the response; null if it comes from the server directly. */
   readonly relay: string | null;
-  /** Throws if the response breaks off: behind a relay a `ServerBrokeOffError` if the server did. */
+  /** Throws if the response breaks off. */
   readonly body: AsyncIterable<Buffer>;
+  /**
+   * Tells how the connection to the server ended, once the body has been read.
+   *
+   * @param error - what the body threw; null if it ended
+   */
+  readonly readEnd: (error: unknown) => ConnectionEnd;
 }
 
 /** Failure of an attempt before the head of the response. */
-export type AttemptError =
-  /** No byte of the request was sent. */
-  | { readonly kind: 'not-started'; readonly reason: string; readonly isRelayFault?: boolean }
-  /**
-   * The request was sent, or may have been. `isRelayFault`: the VM that forwarded it failed, which
-   * says nothing about the server.
-   */
-  | { readonly kind: 'broken'; readonly reason: string; readonly isRelayFault?: boolean }
-  | { readonly kind: 'cancelled'; readonly sent: boolean };
+export interface AttemptError {
+  /** `not-started`: no byte of the request was sent; `broken`: it was sent, or may have been. */
+  readonly kind: 'broken' | 'cancelled' | 'not-started';
+  readonly reason: string;
+  /** `unseen` if the relay failed, which says nothing about the server. */
+  readonly connection: ConnectionEnd;
+  /** VM through which the request was sent; null if it was sent directly. */
+  readonly relay: string | null;
+}
 
 /** Failure to copy a run. */
 export interface CopyError {
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -24,7 +24,6 @@
 export type { TableItem, WriteCondition } from './TableItem';
 export type { TableStore } from './TableStore';
 export type { VmList } from './VmList';
-export { ServerBrokeOffError } from './ForwardClient';
 export type {
   AttemptAnswer,
   AttemptError,
--- a/src/domain/crashes/types/index.ts
+++ b/src/domain/crashes/types/index.ts
@@ -1,2 +1,3 @@
+export type { AttemptEnd, AttemptProgress, ConnectionEnd } from './AttemptEnd';
 export type { Quarantine } from './Quarantine';
 export type { RunOutcome, SharedOutcome } from './RunOutcome';
--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -5,7 +5,7 @@
   Clock,
   ForwardClient,
 } from '../../../src/application/ports';
-import { SIMULATED_HEAD } from '../../model';
+import { BROKEN, readEnd, REFUSED, SIMULATED_HEAD } from '../../model';
 import type { ServerReport } from '../../../src/domain/forwarding';
 
 /** A request that reached a server. */
@@ -136,7 +136,7 @@
     new Promise((resolve) => {
       const runs = runsById.get(id);
       if (!runs) {
-        resolve(err({ kind: 'not-started', reason: 'refused' }));
+        resolve(err(REFUSED));
         return;
       }
       const parts = request.promptParts.map((part) => part.id);
@@ -147,7 +147,7 @@
         cancelTimer();
         runs.delete(breakOff);
         body.finish('failed');
-        resolve(err({ kind: 'broken', reason: 'reset' }));
+        resolve(err(BROKEN));
       };
       const complete = (): void => {
         runs.delete(breakOff);
@@ -165,7 +165,7 @@
         else cancelTimer = clock.startTimer(EVENT_GAP_MS, () => sendEvent(event + 1));
       };
       cancelTimer = clock.startTimer(PREFILL_MS, () => {
-        resolve(ok({ head: SIMULATED_HEAD, relay: null, body: body.readChunks() }));
+        resolve(ok({ head: SIMULATED_HEAD, relay: null, body: body.readChunks(), readEnd }));
         cancelTimer = clock.startTimer(FIRST_EVENT_MS, () => sendEvent(1));
       });
     });
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -26,6 +26,16 @@
   pauseMs: 0,
 };
 
+const DIRECT = { reason: 'simulated', relay: null };
+
+/** Failures of attempts that were sent directly. */
+export const REFUSED: AttemptError = { ...DIRECT, kind: 'not-started', connection: 'unsent' };
+export const BROKEN: AttemptError = { ...DIRECT, kind: 'broken', connection: 'reset' };
+const CANCELLED: AttemptError = { ...DIRECT, kind: 'cancelled', connection: 'dropped' };
+
+/** Tells how the connection of a response with a length ended. */
+export const readEnd: AttemptAnswer['readEnd'] = (error) => (error === null ? 'complete' : 'reset');
+
 /** Creates a client that forwards attempts to simulated engines. */
 export const createSimulatedClient = (
   findEngine: (id: string) => SimulatedEngine,
@@ -36,7 +46,7 @@
     new Promise<Result<AttemptAnswer, AttemptError>>((resolve) => {
       const engine = findEngine(server.id);
       if (!engine.isUp()) {
-        resolve(err({ kind: 'not-started', reason: 'refused' }));
+        resolve(err(REFUSED));
         return;
       }
       attempts += 1;
@@ -69,19 +79,20 @@
         events: EVENTS_PER_STREAM - first,
         handleEvent: (event) => {
           chunks.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
-          if (event === 1) resolve(ok({ head: SIMULATED_HEAD, relay: null, body: readBody() }));
+          if (event === 1)
+            resolve(ok({ head: SIMULATED_HEAD, relay: null, body: readBody(), readEnd }));
           state.wake();
         },
         handleEnd: (isComplete) => {
           state.end = isComplete ? 'complete' : 'failed';
-          resolve(err({ kind: 'broken', reason: 'reset' }));
+          resolve(err(BROKEN));
           state.wake();
         },
       });
       signal.addEventListener('abort', () => {
         engine.cancel(id);
         state.end = 'failed';
-        resolve(err({ kind: 'cancelled', sent: true }));
+        resolve(err(CANCELLED));
         state.wake();
       });
     });
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -100,6 +100,7 @@
     log: QUIET_LOG,
     meter: {
       recordRequest: () => undefined,
+      recordAttemptEnd: () => undefined,
       recordCrashRefusal: () => undefined,
       recordResume: () => undefined,
       recordServerPace: () => undefined,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -109,7 +109,7 @@
       sendAttempt: async ({ backupAddress, server }: AttemptRequest) => {
         clock.advance(300);
         state.sent.push([server.id, backupAddress]);
-        return ok({ head: HEAD, body: readBody() });
+        return ok({ head: HEAD, relay: null, body: readBody(), readEnd: () => 'complete' });
       },
       dropCopy: noop,
     },
@@ -117,7 +117,7 @@
     limits: { recordAdvertisedLimit: noop },
     paths: { isCutFrom: () => false, recordFailure: noop },
     permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
-    meter: { recordResume: noop, recordRequest: noop },
+    meter: { recordResume: noop, recordRequest: noop, recordAttemptEnd: noop },
     retries: { recordRequest: noop },
     rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
--- a/standins/model/index.ts
+++ b/standins/model/index.ts
@@ -1,5 +1,5 @@
 export { createSimulatedCaller, type CallerOutcome } from './createSimulatedCaller';
-export { SIMULATED_HEAD } from './createSimulatedClient';
+export { BROKEN, readEnd, REFUSED, SIMULATED_HEAD } from './createSimulatedClient';
 export {
   createSimulatedDirectory,
   SIMULATED_SERVICE,
--- a/tests/gateway/relays.test.ts
+++ b/tests/gateway/relays.test.ts
@@ -2,7 +2,6 @@
 import type { Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { createStandInServer } from '../../standins/gateway';
-import { ServerBrokeOffError } from '../../src/application/ports';
 import { readOk } from '../_lib/readOk';
 import { buildTestAttempt } from './_lib/buildTestAttempt';
 import { readAll } from './_lib/readAll';
@@ -71,8 +70,7 @@
   const sent = send();
   (await server.nextRequest()).socket.resetAndDestroy();
   const error = (await sent)._unsafeUnwrapErr();
-  t.is(error.kind, 'broken');
-  t.falsy('isRelayFault' in error && error.isRelayFault);
+  t.like(error, { kind: 'broken', connection: 'reset', relay: 'relay' });
   t.deepEqual(relay.observed, ['miss']);
 });
 
@@ -91,8 +89,8 @@
   await server.nextRequest();
   await relay.stopListening();
   const broken = (await sent)._unsafeUnwrapErr();
-  t.like(broken, { kind: 'broken', isRelayFault: true });
-  t.like((await send())._unsafeUnwrapErr(), { kind: 'not-started', isRelayFault: true });
+  t.like(broken, { kind: 'broken', connection: 'unseen' });
+  t.like((await send())._unsafeUnwrapErr(), { kind: 'not-started', connection: 'unseen' });
   t.deepEqual(relay.observed, ['loss', 'loss']);
 });
 
@@ -121,14 +119,15 @@
 
 test('a stream that its server broke off is told from one that the relay broke off', async (t) => {
   const { relay, send, server } = await setUp(t);
-  const readFault = async (breakOff: (socket: Socket) => void): Promise<unknown> => {
+  const readFault = async (breakOff: (socket: Socket) => void): Promise<string> => {
     const sent = send({ newConnection: true });
     const received = await server.nextRequest();
     server.startStream(received);
-    const { body } = readOk(await sent);
+    const { body, readEnd } = readOk(await sent);
     breakOff(received.socket);
-    return t.throwsAsync(readAll(body));
+    return readEnd(await t.throwsAsync(readAll(body)));
   };
-  t.true((await readFault((socket) => socket.resetAndDestroy())) instanceof ServerBrokeOffError);
-  t.false((await readFault(() => relay.stopListening())) instanceof ServerBrokeOffError);
+  t.is(await readFault((socket) => socket.resetAndDestroy()), 'reset');
+  t.is(await readFault((socket) => socket.end()), 'closed');
+  t.is(await readFault(() => relay.stopListening()), 'unseen');
 });
