--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -5,7 +5,7 @@
   Clock,
   ForwardClient,
 } from '../../../src/application/ports';
-import { BROKEN, readEnd, REFUSED, SIMULATED_HEAD } from '../../model';
+import { BROKEN, createPushedBody, readEnd, REFUSED, SIMULATED_HEAD } from '../../model';
 import type { ServerReport } from '../../../src/domain/forwarding';
 
 /** A request that reached a server. */
@@ -52,37 +52,6 @@
 const LAPSE_MS = 1200;
 const RESTART_MS = 3000;
 
-/** A response body whose chunks are pushed. */
-const createBody = () => {
-  const chunks: Buffer[] = [];
-  let end: 'complete' | 'failed' | null = null;
-  let wake = (): void => undefined;
-  const waitForChunk = (): Promise<void> =>
-    new Promise((resolve) => {
-      wake = resolve;
-    });
-  async function* readChunks(): AsyncGenerator<Buffer> {
-    for (;;) {
-      const chunk = chunks.shift();
-      if (chunk) yield chunk;
-      else if (end === 'failed') throw new Error('reset');
-      else if (end === 'complete') return;
-      else await waitForChunk();
-    }
-  }
-  return {
-    readChunks,
-    push: (chunk: Buffer): void => {
-      chunks.push(chunk);
-      wake();
-    },
-    finish: (how: 'complete' | 'failed'): void => {
-      end ??= how;
-      wake();
-    },
-  };
-};
-
 /** Creates servers in virtual time that crash under some requests and start again. */
 export const createCrashingServers = (options: CrashingServersOptions): CrashingServers => {
   const { clock, count } = options;
@@ -141,17 +110,17 @@
       }
       const parts = request.promptParts.map((part) => part.id);
       arrivals.push({ atMs: clock.readMonotonicMs(), vm, parts });
-      const body = createBody();
+      const body = createPushedBody();
       let cancelTimer = (): void => undefined;
       const breakOff = (): void => {
         cancelTimer();
         runs.delete(breakOff);
-        body.finish('failed');
+        body.finish(new Error('reset'));
         resolve(err(BROKEN));
       };
       const complete = (): void => {
         runs.delete(breakOff);
-        body.finish('complete');
+        body.finish(null);
       };
       runs.add(breakOff);
       signal.addEventListener('abort', breakOff, { once: true });
--- a/standins/crashes/index.ts
+++ b/standins/crashes/index.ts
@@ -1,4 +1,5 @@
 export { createCrashingServers, type Arrival, type CrashingServers } from './createCrashingServers';
+export type { ServerFault } from './createFailingServers';
 export {
   simulateCrashes,
   type CrashSimulation,
@@ -6,3 +7,5 @@
   type SimulatedStream,
   type SimulatedTraffic,
 } from './simulateCrashes';
+export { simulateRepeats } from './simulateRepeats';
+export type { RepeatOutcome, RepeatResult, RepeatSimulation, RepeatWorld } from './types';
--- a/standins/gossip/createGossipFleet/index.ts
+++ b/standins/gossip/createGossipFleet/index.ts
@@ -31,6 +31,7 @@
 export const createGossipFleet = (
   names: readonly string[],
   rowsByVm: Readonly<Record<string, SharedRow[]>>,
+  hasAnsweredSince: (vm: string, server: string, atMs: number) => boolean = () => false,
 ) => {
   const clock = createFakeClock();
   const cut = new Set<string>();
@@ -46,7 +47,7 @@
     const history = createCrashHistory({
       clock,
       log: QUIET_LOG,
-      hasAnsweredSince: () => false,
+      hasAnsweredSince: (server, atMs) => hasAnsweredSince(vm, server, atMs),
       publishOutcome: (outcome) => gossips.get(vm)?.sendOutcome(outcome),
       handleQuarantine: () => undefined,
     });
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { AttemptAnswer, AttemptError, ForwardClient } from '../../../src/application/ports';
+import { createPushedBody } from '../createPushedBody';
 import type { SimulatedEngine } from '../createSimulatedEngine';
 
 /** A client that counts its attempts. */
@@ -51,26 +52,7 @@
       }
       attempts += 1;
       const first = lastEventId ?? 0;
-      const chunks: Buffer[] = [];
-      const state: { wake: () => void; end: 'complete' | 'failed' | null } = {
-        wake: () => undefined,
-        end: null,
-      };
-      const waitForChunk = (): Promise<void> =>
-        new Promise((next) => {
-          state.wake = next;
-        });
-      async function* readBody(): AsyncGenerator<Buffer> {
-        for (;;) {
-          const chunk = chunks.shift();
-          if (chunk) yield chunk;
-          else if (state.end === 'failed') throw new Error('reset');
-          else if (state.end === 'complete') return;
-          else {
-            await waitForChunk();
-          }
-        }
-      }
+      const body = createPushedBody();
       const id = `${request.requestId}@${attempts}`;
       engine.start({
         id,
@@ -78,22 +60,19 @@
         reservedTokens: (request.tokens?.prompt ?? 0) + (request.tokens?.maxOutput ?? 0),
         events: EVENTS_PER_STREAM - first,
         handleEvent: (event) => {
-          chunks.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
-          if (event === 1)
-            resolve(ok({ head: SIMULATED_HEAD, relay: null, body: readBody(), readEnd }));
-          state.wake();
+          body.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
+          const answer = { head: SIMULATED_HEAD, relay: null, body: body.readChunks(), readEnd };
+          if (event === 1) resolve(ok(answer));
         },
         handleEnd: (isComplete) => {
-          state.end = isComplete ? 'complete' : 'failed';
+          body.finish(isComplete ? null : new Error('reset'));
           resolve(err(BROKEN));
-          state.wake();
         },
       });
       signal.addEventListener('abort', () => {
         engine.cancel(id);
-        state.end = 'failed';
+        body.finish(new Error('cancelled'));
         resolve(err(CANCELLED));
-        state.wake();
       });
     });
 
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -1,4 +1,4 @@
-import type { CrashHistory, CrashTrials } from '../../../src/application/crashes';
+import type { CrashHistory, CrashProbe, CrashTrials } from '../../../src/application/crashes';
 import {
   createForwarder,
   createRetryBudget,
@@ -7,8 +7,10 @@
   type ServerDirectory,
 } from '../../../src/application/forwarding';
 import { createServerLimits } from '../../../src/application/limits';
+import type { ServerPaths } from '../../../src/application/paths';
 import { createServerPaces } from '../../../src/application/paces';
 import type { Clock, ForwardClient, Randomness } from '../../../src/application/ports';
+import type { SchedulerClient } from '../../../src/application/scheduling';
 import { createRolloutRegistry } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
 import { createInactiveScheduler, QUIET_LOG } from '../../fakes';
@@ -22,9 +24,13 @@
   readonly client: ForwardClient;
   readonly clock: Clock;
   readonly crashes: CrashHistory;
+  readonly crashProbe?: CrashProbe;
   readonly crashTrials?: CrashTrials;
   readonly directory: ServerDirectory;
+  readonly paths?: Pick<ServerPaths, 'isCutFrom' | 'recordFailure'>;
   readonly randomness: Randomness;
+  readonly scheduler?: SchedulerClient;
+  readonly table?: RouteTable;
   readonly tellPrompt?: (server: string, tokens: number) => void;
 }
 
@@ -70,10 +76,14 @@
   client,
   clock,
   crashes,
+  crashProbe = { startProbe: () => undefined },
   crashTrials = { acquireTrial: async () => false },
   directory,
   index,
+  paths = { isCutFrom: () => false, recordFailure: () => undefined },
   randomness,
+  scheduler = createInactiveScheduler(),
+  table = SIMULATED_TABLE,
   tellPrompt = () => undefined,
   vms,
 }: SimulatedForwarderOptions): Forwarder => {
@@ -87,13 +97,13 @@
     client,
     clock,
     crashes,
-    crashProbe: { startProbe: () => undefined },
+    crashProbe,
     crashTrials,
     directory,
     loopDelay: { startRequest: () => () => undefined, refusesStream: () => false },
     fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
     limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
-    paths: { isCutFrom: () => false, recordFailure: () => undefined },
+    paths,
     permits: {
       acquirePermit: async () => ({ release: () => undefined, finish: () => undefined }),
     },
@@ -120,7 +130,7 @@
       handleChange: () => undefined,
       handleEvidence: () => undefined,
     }),
-    scheduler: createInactiveScheduler(),
+    scheduler,
     lender: createRetryLender({
       retries,
       log: QUIET_LOG,
@@ -128,7 +138,7 @@
       askPeer: async () => false,
     }),
     tables: {
-      readCurrent: () => SIMULATED_TABLE,
+      readCurrent: () => table,
       applyRows: () => undefined,
       addListener: () => undefined,
     },
--- a/standins/model/index.ts
+++ b/standins/model/index.ts
@@ -1,3 +1,4 @@
+export { createPushedBody, type PushedBody } from './createPushedBody';
 export { createSimulatedCaller, type CallerOutcome } from './createSimulatedCaller';
 export { BROKEN, readEnd, REFUSED, SIMULATED_HEAD } from './createSimulatedClient';
 export {
@@ -5,6 +6,6 @@
   SIMULATED_SERVICE,
   SIMULATED_ZONE_COUNT,
 } from './createSimulatedDirectory';
-export { createSimulatedForwarder, DEADLINE_MS } from './createSimulatedForwarder';
+export { createSimulatedForwarder, DEADLINE_MS, SIMULATED_TABLE } from './createSimulatedForwarder';
 export { createStreamFixture, type StreamFixtureOptions } from './createStreamFixture';
 export { simulateLoad, type SimulatedLoad, type SimulatedLoadResult } from './simulateLoad';
--- a/tests/gateway/_lib/startGatewayFleet/index.ts
+++ b/tests/gateway/_lib/startGatewayFleet/index.ts
@@ -27,7 +27,7 @@
 /** Zone of each VM. */
 const VM_ZONES = ['z1', 'z1', 'z2', 'z2'];
 
-/** Zone of each server. */
+/** Zones of the servers unless told otherwise. */
 const SERVER_ZONES = ['z1', 'z2', 'z2'];
 
 const EVENTS = 3;
@@ -47,10 +47,11 @@
 const startStore = async (
   servers: readonly StandInServer[],
   links: readonly CuttableProxy[],
+  serverZones: readonly string[],
 ): Promise<Awaited<ReturnType<typeof createStandInStore>>> => {
   const store = await createStandInStore();
   servers.forEach((server, index) => {
-    const entry = { zone: SERVER_ZONES[index], address: links[index]?.address };
+    const entry = { zone: serverZones[index], address: links[index]?.address };
     store.writeRow(TABLES.servers, server.id, buildWireEntry(server, entry));
   });
   store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildWireConfiguration());
@@ -60,17 +61,28 @@
 const startLinks = (servers: readonly StandInServer[]): Promise<readonly CuttableProxy[]> =>
   Promise.all(servers.map(({ address }) => startCuttableProxy(address)));
 
+/** Options of a fleet. */
+export interface GatewayFleetOptions {
+  /** Zone of each server. */
+  readonly serverZones?: readonly string[];
+  /** Lets a server handle its requests; by default it answers all at once. */
+  readonly handleRequests?: (server: StandInServer) => void;
+}
+
 /** Starts two zones of two gateways each, and resolves once they know each other. */
-export const startGatewayFleet = async (): Promise<GatewayFleet> => {
+export const startGatewayFleet = async ({
+  handleRequests = answerAll,
+  serverZones = SERVER_ZONES,
+}: GatewayFleetOptions = {}): Promise<GatewayFleet> => {
   const servers = await Promise.all(
-    SERVER_ZONES.map((_, index) => createStandInServer(`i-${index}`)),
+    serverZones.map((_, index) => createStandInServer(`i-${index}`)),
   );
-  servers.forEach(answerAll);
+  servers.forEach(handleRequests);
   const network = `127.${randomInt(1, 255)}.${randomInt(0, 255)}`;
   const ips = VM_ZONES.map((_, index) => `${network}.${index + 1}`);
   const seeds = ips.map(buildPeerAddress);
   const links = await Promise.all(VM_ZONES.map(() => startLinks(servers)));
-  const stores = await Promise.all(links.map((own) => startStore(servers, own)));
+  const stores = await Promise.all(links.map((own) => startStore(servers, own, serverZones)));
   const started = await Promise.allSettled(
     VM_ZONES.map((zone, index) =>
       startGatewayProcess({
