--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -43,8 +43,12 @@
     inferred: knowledge.inferred.map(({ address, availabilityZone, id, service, slots, version }) =>
       create(InferredServerSchema, { id, service, address, availabilityZone, slots, version }),
     ),
-    outcomes: knowledge.outcomes.map(({ ageMs, ...outcome }) =>
-      create(RunOutcomeSchema, { ...outcome, ageMs: Math.round(ageMs) }),
+    outcomes: knowledge.outcomes.map(({ ageMs, ranMs, ...outcome }) =>
+      create(RunOutcomeSchema, {
+        ...outcome,
+        ageMs: Math.round(ageMs),
+        ranMs: Math.round(ranMs),
+      }),
     ),
     outcomesDigest: knowledge.outcomesDigest,
     verdicts: knowledge.verdicts.map(buildVerdictMessage),
@@ -95,12 +99,14 @@
           ageMs,
         })),
         inferred: message.inferred.map(readInferred),
-        outcomes: message.outcomes.map(({ ageMs, fingerprint, hasCrashed, requestId, server }) => ({
-          fingerprint,
-          requestId,
-          server,
-          hasCrashed,
-          ageMs,
+        outcomes: message.outcomes.map((outcome) => ({
+          fingerprint: outcome.fingerprint,
+          requestId: outcome.requestId,
+          server: outcome.server,
+          hasCrashed: outcome.hasCrashed,
+          isConfirmed: outcome.isConfirmed,
+          ranMs: outcome.ranMs,
+          ageMs: outcome.ageMs,
         })),
         outcomesDigest: message.outcomesDigest,
         verdicts: message.verdicts.map(readVerdictMessage).filter((verdict) => verdict !== null),
--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -8,7 +8,7 @@
   RoomRelease,
   RoomRequest,
 } from '../../../application/limits';
-import type { ReachAnswer } from '../../../application/paths';
+import type { ReachAnswer, ReachQuestion } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type {
@@ -44,7 +44,7 @@
   /** Gives room back; false if the gateway times out. */
   releaseRoom(address: string, release: RoomRelease): Promise<boolean>;
   /** Asks a gateway which of these servers it reaches; null if it times out. */
-  readReach(address: string, ids: readonly string[]): Promise<ReachAnswer | null>;
+  readReach(address: string, question: ReachQuestion): Promise<ReachAnswer | null>;
   /** Asks a gateway for newer rows of the store's tables; null if the gateway times out. */
   followTables(
     address: string,
@@ -142,11 +142,11 @@
     tellPrompt: (address, prompt) => {
       call(address, METHODS.tellPrompt, prompt, CALL_TIMEOUT_MS);
     },
-    readReach: async (address, ids) => {
+    readReach: async (address, { ids, suspectId }) => {
       const answer = await call(
         address,
         METHODS.readReach,
-        { servers: [...ids] },
+        { servers: [...ids], suspect: suspectId ?? '' },
         REACH_TIMEOUT_MS,
       );
       return answer && { reachedIds: answer.reached, running: answer.running };
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -6,7 +6,7 @@
   RoomRelease,
   RoomRequest,
 } from '../../../application/limits';
-import type { ReachAnswer } from '../../../application/paths';
+import type { ReachAnswer, ReachQuestion } from '../../../application/paths';
 import type { TrialReport } from '../../../application/rollouts';
 import type { StatementsResponse, StatementsRequest } from '../../../application/rows';
 import type {
@@ -35,7 +35,7 @@
   readonly releasePermit: (release: PermitRelease) => void;
   readonly handleRoomRequest: (request: RoomRequest) => Promise<PermitDecision>;
   readonly releaseRoom: (release: RoomRelease) => void;
-  readonly handleReachRequest: (ids: readonly string[]) => Promise<ReachAnswer>;
+  readonly handleReachRequest: (question: ReachQuestion) => Promise<ReachAnswer>;
   readonly handleRequest: (request: StatementsRequest) => Promise<StatementsResponse>;
   /** Null if this gateway does not know the rollout order. */
   readonly handleReport: (report: TrialReport) => RolloutVerdict | null;
@@ -89,8 +89,11 @@
     releaseRoom({ id, isRejected, server });
     return {};
   },
-  readReach: async ({ servers }) => {
-    const { reachedIds, running } = await handleReachRequest(servers);
+  readReach: async ({ servers, suspect }) => {
+    const { reachedIds, running } = await handleReachRequest({
+      ids: servers,
+      suspectId: suspect === '' ? null : suspect,
+    });
     return { reached: [...reachedIds], running };
   },
   tellPrompt: async ({ server, tokens }) => {
--- a/src/application/crashes/_lib/createOutcomeStore/index.ts
+++ b/src/application/crashes/_lib/createOutcomeStore/index.ts
@@ -23,10 +23,19 @@
 const MAX_FINGERPRINTS = 1000;
 const MAX_OUTCOMES_PER_FINGERPRINT = 32;
 
+/**
+ * Time after which a crash that nobody confirmed counts no more. Servers that are alive are seen to
+ * be so within seconds.
+ */
+const UNCONFIRMED_MS = 10_000;
+
+/** Least time between two removals of old outcomes. */
+const REMOVAL_INTERVAL_MS = 1000;
+
 /** Fingerprints removed at a time, as choosing them takes a look at all. */
 const REMOVED_AT_ONCE = 100;
 
-const isSameOutcome = (left: Omit<RunOutcome, 'atMs'>, right: Omit<RunOutcome, 'atMs'>): boolean =>
+const isSameOutcome = (left: RunOutcome, right: RunOutcome): boolean =>
   left.server === right.server && left.hasCrashed === right.hasCrashed;
 
 /**
@@ -43,10 +52,18 @@
   /** By fingerprint, the most recently updated one last. */
   const outcomesByFingerprint = new Map<string, readonly RunOutcome[]>();
 
+  let removedAtMs = -Infinity;
+
+  const isLive = ({ atMs, isConfirmed }: RunOutcome): boolean =>
+    clock.readMonotonicMs() - atMs < (isConfirmed ? retentionMs : UNCONFIRMED_MS);
+
+  const list = (fingerprint: string): readonly RunOutcome[] =>
+    outcomesByFingerprint.get(fingerprint)?.filter(isLive) ?? [];
+
   const removeOldOutcomes = (): void => {
-    const sinceMs = clock.readMonotonicMs() - retentionMs;
+    removedAtMs = clock.readMonotonicMs();
     outcomesByFingerprint.forEach((outcomes, fingerprint) => {
-      const kept = outcomes.filter(({ atMs }) => atMs > sinceMs);
+      const kept = outcomes.filter(isLive);
       if (kept.length === 0) outcomesByFingerprint.delete(fingerprint);
       else if (kept.length < outcomes.length) outcomesByFingerprint.set(fingerprint, kept);
     });
@@ -61,9 +78,12 @@
   return {
     add: (outcome) => {
       const { fingerprint } = outcome;
-      const known = outcomesByFingerprint.get(fingerprint) ?? [];
+      const known = list(fingerprint);
       const previous = known.find((one) => isSameOutcome(one, outcome));
-      if (previous?.hasCrashed || (previous && previous.atMs >= outcome.atMs)) return false;
+      const isKnown = previous?.hasCrashed
+        ? previous.isConfirmed || !outcome.isConfirmed
+        : previous !== undefined && previous.atMs >= outcome.atMs;
+      if (isKnown) return false;
       const others = known.filter((one) => one !== previous);
       outcomesByFingerprint.delete(fingerprint);
       outcomesByFingerprint.set(
@@ -75,8 +95,12 @@
       removeOldOutcomes();
       return true;
     },
-    list: (fingerprint) => outcomesByFingerprint.get(fingerprint) ?? [],
+    list,
     listFingerprints: () => [...outcomesByFingerprint.keys()],
-    isEmpty: () => outcomesByFingerprint.size === 0,
+    isEmpty: () => {
+      if (outcomesByFingerprint.size === 0) return true;
+      if (clock.readMonotonicMs() - removedAtMs >= REMOVAL_INTERVAL_MS) removeOldOutcomes();
+      return outcomesByFingerprint.size === 0;
+    },
   };
 };
--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -1,15 +1,12 @@
 import {
-  computeTrialPauseMs,
   countCrashedServers,
-  countNeededCrashes,
-  findResponsibleParts,
   isPartFingerprint,
-  judgeCrashes,
   type Quarantine,
   type RunOutcome,
   type SharedOutcome,
 } from '../../../domain/crashes';
 import type { Clock, EventLog } from '../../ports';
+import { createCrashJudge, type CrashJudge } from '../_lib/createCrashJudge';
 import { createOutcomeStore } from '../_lib/createOutcomeStore';
 import type { CrashCause, RequestPrints } from '../types';
 
@@ -29,8 +26,8 @@
 
 /** Tracks which requests, and which prompt parts, crash the servers that run them. */
 export interface CrashHistory {
-  /** Records the outcome of a run of this VM. */
-  recordOutcome(outcome: Omit<RunOutcome, 'atMs'>): void;
+  /** Records the outcome of a run of this VM. A crash may be recorded again once it is confirmed. */
+  recordOutcome(outcome: RunOutcome): void;
   /** Merges an outcome that another VM reported; returns true if it was new. */
   mergeOutcome(outcome: SharedOutcome): boolean;
   /** True if no outcome is known, so that no fingerprint needs to be computed. */
@@ -43,20 +40,17 @@
   findCause(prints: RequestPrints): CrashCause | null;
   /** Calls `listener` after each new outcome; the returned function removes it. */
   addListener(listener: () => void): () => void;
-  /** Lists recent outcomes for other VMs: those of quarantines, then the newest. */
+  /** Lists recent outcomes for other VMs: those of refused requests, then the newest. */
   listOutcomes(): readonly SharedOutcome[];
-  /** Finds the quarantine of a fingerprint; its time is monotonic time of this process. */
+  /**
+   * Finds the quarantine of a fingerprint, or its hold, which is not certain; its time is monotonic
+   * time of this process.
+   */
   findQuarantine(fingerprint: string): Quarantine | null;
   /** Counts the prompt parts that are held responsible. */
   countResponsibleParts(): number;
 }
 
-/** Servers that a request may crash. Two crashes may still have other causes. */
-export const MAX_CRASHES = countNeededCrashes({ isPart: false, hasAnswer: false });
-
-/** Duration of a request's quarantine after its last crash; the request is tried again afterwards. */
-const QUARANTINE_MS = 600_000;
-
 /**
  * Outcomes are kept for this long: one more crash within this time quarantines the request again.
  */
@@ -65,8 +59,11 @@
 /** Maximum number of outcomes in one message, of 80 bytes each. */
 const MAX_OUTCOMES_PER_MESSAGE = 40;
 
-const readNewestMs = (outcomes: readonly RunOutcome[]): number =>
-  Math.max(-Infinity, ...outcomes.map(({ atMs }) => atMs));
+const formatOutcome = ({ fingerprint, hasCrashed, isConfirmed }: RunOutcome): string => {
+  const subject = isPartFingerprint(fingerprint) ? 'prompt part' : 'request';
+  if (!hasCrashed) return `suspected ${subject} answered`;
+  return isConfirmed ? `${subject} crashed a server` : `${subject} may have crashed a server`;
+};
 
 /**
  * Creates an empty crash history.
@@ -83,97 +80,39 @@
   publishOutcome,
 }: CrashHistoryDependencies): CrashHistory => {
   const listeners = new Set<() => void>();
-
-  const listCrashes = (outcomes: readonly RunOutcome[]): readonly RunOutcome[] => {
-    const lastAnswerMs = readNewestMs(outcomes.filter(({ hasCrashed }) => !hasCrashed));
-    return outcomes.filter(
-      ({ atMs, hasCrashed, server }) =>
-        hasCrashed && atMs > lastAnswerMs && !hasAnsweredSince(server, atMs),
-    );
-  };
-
-  // Assigned below: which outcomes are kept depends on the quarantines.
-  let isKept = (_: string): boolean => false;
+  // Assigned below: which outcomes are kept depends on the judge.
+  let isKept: CrashJudge['isHeldBack'] = () => false;
   const outcomes = createOutcomeStore({
     clock,
     retentionMs: CRASH_RETENTION_MS,
     isKept: (fingerprint) => isKept(fingerprint),
   });
-
-  const readOptions = (fingerprint: string): Parameters<typeof judgeCrashes>[1] => ({
-    isPart: isPartFingerprint(fingerprint),
-    hasAnswer: outcomes.list(fingerprint).some(({ hasCrashed }) => !hasCrashed),
+  const judge = createCrashJudge({
+    clock,
+    hasAnsweredSince,
+    outcomes,
+    retentionMs: CRASH_RETENTION_MS,
   });
-  const countNeeded = (fingerprint: string): number => countNeededCrashes(readOptions(fingerprint));
+  const { isHeldBack, isQuarantined, listCrashes, listQuarantineCrashes } = judge;
+  isKept = isHeldBack;
 
-  /** Lists the crashes for which a fingerprint is in quarantine; empty if it is not. */
-  const listQuarantineCrashes = (fingerprint: string): readonly RunOutcome[] => {
-    const known = outcomes.list(fingerprint);
-    if (known.length === 0) return [];
-    const crashes = listCrashes(known);
-    if (!judgeCrashes(crashes, readOptions(fingerprint))) return [];
-    const durationMs = isPartFingerprint(fingerprint) ? CRASH_RETENTION_MS : QUARANTINE_MS;
-    return clock.readMonotonicMs() < readNewestMs(crashes) + durationMs ? crashes : [];
-  };
-
-  const isQuarantined = (fingerprint: string): boolean =>
-    listQuarantineCrashes(fingerprint).length > 0;
-  isKept = isQuarantined;
-
-  const readQuarantineMs = (fingerprint: string): number => {
-    const crashes = listQuarantineCrashes(fingerprint);
-    if (crashes.length === 0) return 0;
-    return readNewestMs(crashes) + QUARANTINE_MS - clock.readMonotonicMs();
-  };
-
-  const listResponsibleParts = (): readonly string[] =>
-    outcomes.listFingerprints().filter((one) => isPartFingerprint(one) && isQuarantined(one));
-
-  const findPartCause = (parts: readonly string[]): CrashCause | null => {
-    if (!parts.some(isQuarantined)) return null;
-    const suspects = new Map(
-      listResponsibleParts().map((part) => [part, listQuarantineCrashes(part)]),
-    );
-    const found = findResponsibleParts(parts, suspects);
-    const [first, ...others] = found?.fingerprints ?? [];
-    if (!found || first === undefined) return null;
-    const { crashes, lastCrashAtMs } = found;
-    const neededCrashes = Math.max(...found.fingerprints.map(countNeeded));
-    const trialPauseMs = computeTrialPauseMs({ crashes, neededCrashes });
-    const endMs = lastCrashAtMs + Math.min(trialPauseMs, CRASH_RETENTION_MS);
-    return {
-      kind: 'part',
-      fingerprints: [first, ...others],
-      crashes,
-      remainingMs: Math.max(0, endMs - clock.readMonotonicMs()),
-      trialPauseMs,
-    };
-  };
-
-  const findRequestCause = (fingerprint: string): CrashCause | null => {
-    const remainingMs = readQuarantineMs(fingerprint);
-    if (remainingMs <= 0) return null;
-    const crashes = countCrashedServers(listQuarantineCrashes(fingerprint));
-    return {
-      kind: 'request',
-      fingerprints: [fingerprint],
-      crashes,
-      remainingMs,
-      trialPauseMs: Infinity,
-    };
-  };
+  const findRequestCause = (request: string): CrashCause | null =>
+    judge.findCause({ request, parts: [] });
 
   const logOutcome = (outcome: RunOutcome, source: 'own' | 'told'): void => {
-    const { atMs, fingerprint, hasCrashed, requestId, server } = outcome;
-    const subject = isPartFingerprint(fingerprint) ? 'prompt part' : 'request';
-    log.info(hasCrashed ? `${subject} crashed a server` : `suspected ${subject} answered`, {
+    const { atMs, fingerprint, ranMs, requestId, server } = outcome;
+    const crashes = listCrashes(fingerprint);
+    log.info(formatOutcome(outcome), {
       requestId,
       fingerprint,
       server,
       source,
       ageMs: Math.round(clock.readMonotonicMs() - atMs),
-      crashes: countCrashedServers(listCrashes(outcomes.list(fingerprint))),
-      neededCrashes: countNeeded(fingerprint),
+      ranMs: Math.round(ranMs),
+      lost: new Set(crashes.map((one) => one.server)).size,
+      crashes: countCrashedServers(crashes.filter(({ isConfirmed }) => isConfirmed)),
+      neededCrashes: judge.countNeeded(fingerprint),
+      isHeldBack: isHeldBack(fingerprint),
       isQuarantined: isQuarantined(fingerprint),
     });
   };
@@ -200,19 +139,21 @@
 
   return {
     recordOutcome: (outcome) => {
-      if (recordNewOutcome({ ...outcome, atMs: clock.readMonotonicMs() }, 'own')) {
-        publishOutcome({ ...outcome, ageMs: 0 });
-      }
+      if (!recordNewOutcome(outcome, 'own')) return;
+      const { atMs, ...shared } = outcome;
+      publishOutcome({ ...shared, ageMs: clock.readMonotonicMs() - atMs });
     },
     mergeOutcome: ({ ageMs, ...outcome }) => {
       if (ageMs >= CRASH_RETENTION_MS) return false;
       return recordNewOutcome({ ...outcome, atMs: clock.readMonotonicMs() - ageMs }, 'told');
     },
     isEmpty: outcomes.isEmpty,
-    isSuspected: (fingerprint) => listCrashes(outcomes.list(fingerprint)).length > 0,
-    readQuarantineMs,
-    findCause: ({ parts, request }) =>
-      outcomes.isEmpty() ? null : (findRequestCause(request) ?? findPartCause(parts)),
+    isSuspected: (fingerprint) => listCrashes(fingerprint).length > 0,
+    readQuarantineMs: (fingerprint) => {
+      const cause = findRequestCause(fingerprint);
+      return cause?.isCertain ? cause.remainingMs : 0;
+    },
+    findCause: judge.findCause,
     addListener: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
@@ -221,22 +162,20 @@
       const nowMs = clock.readMonotonicMs();
       const newestFirst = (left: RunOutcome, right: RunOutcome): number => right.atMs - left.atMs;
       const all = outcomes.listFingerprints();
-      const quarantined = new Set(all.filter(isQuarantined));
+      const refused = new Set(all.filter(isHeldBack));
       const listNewest = (fingerprints: readonly string[]): readonly RunOutcome[] =>
         fingerprints.flatMap(outcomes.list).sort(newestFirst);
-      return [
-        ...listNewest([...quarantined]),
-        ...listNewest(all.filter((one) => !quarantined.has(one))),
-      ]
+      return [...listNewest([...refused]), ...listNewest(all.filter((one) => !refused.has(one)))]
         .slice(0, MAX_OUTCOMES_PER_MESSAGE)
         .map(({ atMs, ...outcome }) => ({ ...outcome, ageMs: nowMs - atMs }));
     },
     findQuarantine: (fingerprint) => {
-      const crashes = listQuarantineCrashes(fingerprint);
-      if (crashes.length === 0) return null;
+      if (!isHeldBack(fingerprint)) return null;
+      const crashes = listCrashes(fingerprint);
       const servers = [...new Set(crashes.map(({ server }) => server))];
-      return { fingerprint, servers, lastCrashAtMs: readNewestMs(crashes) };
+      const lastCrashAtMs = Math.max(...crashes.map(({ atMs }) => atMs));
+      return { fingerprint, servers, lastCrashAtMs, isCertain: isQuarantined(fingerprint) };
     },
-    countResponsibleParts: () => listResponsibleParts().length,
+    countResponsibleParts: () => judge.listResponsibleParts().length,
   };
 };
--- a/src/application/crashes/createCrashHistory/test.ts
+++ b/src/application/crashes/createCrashHistory/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { createFakeClock, QUIET_LOG } from '../../../../standins/fakes';
+import { buildRunOutcome, createFakeClock, QUIET_LOG } from '../../../../standins/fakes';
 import type { SharedOutcome } from '../../../domain/crashes';
 import { createCrashHistory } from '.';
 
@@ -16,9 +16,18 @@
     handleQuarantine: (fingerprint) => quarantined.push(fingerprint),
   });
   const crash = (server: string, requestId = 'r-1', fingerprint = 'f'): void =>
-    history.recordOutcome({ fingerprint, requestId, server, hasCrashed: true });
+    history.recordOutcome(
+      buildRunOutcome({ fingerprint, requestId, server, atMs: clock.readMonotonicMs() }),
+    );
   const answer = (server: string): void =>
-    history.recordOutcome({ fingerprint: 'f', requestId: 'r-9', server, hasCrashed: false });
+    history.recordOutcome(
+      buildRunOutcome({
+        requestId: 'r-9',
+        server,
+        hasCrashed: false,
+        atMs: clock.readMonotonicMs(),
+      }),
+    );
   const crashThree = (): void => ['i-1', 'i-2', 'i-3'].forEach((server) => crash(server));
   return { alive, answer, clock, crash, crashThree, history, quarantined, told: published };
 };
@@ -37,7 +46,8 @@
 
 test('an outcome that is merged twice counts once', (t) => {
   const { history } = setUp();
-  const outcome = { fingerprint: 'f', requestId: 'r-1', server: 'i-1', hasCrashed: true, ageMs: 5 };
+  const { atMs, ...crash } = buildRunOutcome();
+  const outcome = { ...crash, ageMs: atMs + 5 };
   t.true(history.mergeOutcome(outcome));
   t.false(history.mergeOutcome({ ...outcome, ageMs: 900 }));
   t.is(history.listOutcomes().length, 1);
@@ -117,3 +127,36 @@
   t.is(counts.at(-1), 1);
   t.deepEqual(counts, [...counts].sort());
 });
+
+const setUpUnconfirmed = () => {
+  const fixture = setUp();
+  const { clock, history } = fixture;
+  const lose = (server: string, isConfirmed = false): void =>
+    history.recordOutcome(buildRunOutcome({ server, isConfirmed, atMs: clock.readMonotonicMs() }));
+  const findCause = () => history.findCause({ request: 'f', parts: [] });
+  return { ...fixture, findCause, lose };
+};
+
+test('servers that were lost in any way hold a request back until they prove to be alive', (t) => {
+  const { alive, findCause, history, lose } = setUpUnconfirmed();
+  ['i-1', 'i-2', 'i-3'].forEach((server) => lose(server));
+  t.like(findCause(), { isCertain: false, crashes: 3, remainingMs: 1000 });
+  t.is(findCause()?.unconfirmed.length, 3);
+  t.is(history.readQuarantineMs('f'), 0);
+  alive.add('i-2');
+  t.is(findCause(), null);
+});
+
+test('losses that are confirmed make a hold a quarantine, and others are forgotten', (t) => {
+  const { clock, findCause, lose, quarantined } = setUpUnconfirmed();
+  ['i-1', 'i-2', 'i-3'].forEach((server) => lose(server));
+  clock.advance(400);
+  ['i-1', 'i-2', 'i-3'].forEach((server) => lose(server, true));
+  t.true(findCause()?.isCertain);
+  t.deepEqual(quarantined, ['f']);
+  const others = setUpUnconfirmed();
+  ['i-1', 'i-2', 'i-3'].forEach((server) => others.lose(server));
+  others.clock.advance(10_000);
+  t.is(others.findCause(), null);
+  t.true(others.history.isEmpty());
+});
--- a/src/application/crashes/createCrashTrials/test.ts
+++ b/src/application/crashes/createCrashTrials/test.ts
@@ -5,10 +5,12 @@
 
 const CAUSE = {
   kind: 'part',
+  isCertain: true,
   fingerprints: ['part-a'],
   crashes: 3,
   remainingMs: 0,
   trialPauseMs: 1000,
+  unconfirmed: [],
 } as const;
 
 const setUp = () => {
@@ -21,7 +23,12 @@
       clock,
       log: QUIET_LOG,
       crashes: {
-        findQuarantine: (fingerprint) => ({ fingerprint, servers: ['i-1'], lastCrashAtMs: 0 }),
+        findQuarantine: (fingerprint) => ({
+          fingerprint,
+          servers: ['i-1'],
+          lastCrashAtMs: 0,
+          isCertain: true,
+        }),
       },
     });
   const settle = async (asked: readonly Promise<boolean>[]): Promise<number> => {
--- a/src/application/crashes/createQuarantineRows/index.ts
+++ b/src/application/crashes/createQuarantineRows/index.ts
@@ -88,9 +88,10 @@
       log.warn('quarantine row refused', { fingerprint: key, reason: read.error });
       return true;
     }
-    const { lastCrashAtMs, servers } = read.value;
+    const { isCertain, lastCrashAtMs, servers } = read.value;
     const ageMs = Math.max(0, clock.readWallMs() - lastCrashAtMs);
-    if (ageMs >= retentionMs) return false;
+    // A hold that is not certain has no meaning after a restart.
+    if (ageMs >= retentionMs || !isCertain) return false;
     const isPart = isPartFingerprint(key);
     servers.forEach((server, index) =>
       crashes.mergeOutcome({
@@ -99,6 +100,8 @@
         requestId: isPart ? `stored ${server}` : 'stored',
         server,
         hasCrashed: true,
+        isConfirmed: true,
+        ranMs: 0,
         ageMs: ageMs + (isPart ? index * STORED_CRASH_GAP_MS : 0),
       }),
     );
@@ -120,7 +123,7 @@
 
   const writeQuarantine = async (fingerprint: string): Promise<string | null> => {
     const quarantine = crashes.findQuarantine(fingerprint);
-    if (!quarantine) {
+    if (!quarantine?.isCertain) {
       written.delete(fingerprint);
       return null;
     }
@@ -140,7 +143,7 @@
 
   const removeQuarantine = async (fingerprint: string): Promise<string | null> => {
     written.delete(fingerprint);
-    if (crashes.findQuarantine(fingerprint)) return null;
+    if (crashes.findQuarantine(fingerprint)?.isCertain) return null;
     const answered = await store.changeRows({ table, writes: [], removed: [fingerprint] });
     return answered.isErr() ? answered.error.kind : null;
   };
--- a/src/application/crashes/createQuarantineRows/test.ts
+++ b/src/application/crashes/createQuarantineRows/test.ts
@@ -17,7 +17,12 @@
     crashes: {
       findQuarantine: (fingerprint) =>
         quarantined.has(fingerprint)
-          ? { fingerprint, servers: ['i-1', 'i-2'], lastCrashAtMs: clock.readMonotonicMs() - 100 }
+          ? {
+              fingerprint,
+              servers: ['i-1', 'i-2'],
+              lastCrashAtMs: clock.readMonotonicMs() - 100,
+              isCertain: true,
+            }
           : null,
       mergeOutcome: (outcome) => merged.push(outcome) > 0,
     },
@@ -82,6 +87,19 @@
   t.deepEqual(await readKeys(), ['young']);
 });
 
+test('a new process forgets a hold that was not certain', async (t) => {
+  const { clock, merged, readKeys, rows, store } = setUp();
+  const lastCrashMs = clock.readWallMs() - 5000;
+  store.writeRow('t', 'held', {
+    certain: false,
+    servers: ['i-1'],
+    last_crash_unix_ms: lastCrashMs,
+  });
+  rows.startRead();
+  await clock.advanceAsync(100);
+  t.deepEqual([merged, await readKeys()], [[], []]);
+});
+
 test('a row that cannot be decoded blocks no other row and is kept', async (t) => {
   const { clock, merged, readKeys, rows, store, write } = setUp();
   store.writeRow('t', 'spoiled', { servers: 7 });
--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -2,21 +2,24 @@
   computeFingerprint,
   formatPartFingerprint,
   isPartFingerprint,
+  judgeAttemptEnd,
   listSharedParts,
-  type RunOutcome,
+  type AttemptEnd,
+  type EndVerdict,
 } from '../../../domain/crashes';
 import {
   formatIncarnation,
   type ForwardedRequest,
   type ServerEntry,
 } from '../../../domain/forwarding';
-import type { EventFields } from '../../ports';
-import { MAX_CRASHES, type CrashHistory } from '../createCrashHistory';
-import type { CrashProbe } from '../createCrashProbe';
+import type { Clock, EventFields } from '../../ports';
+import type { CrashHistory } from '../createCrashHistory';
+import type { CrashProbe, ProbedRun } from '../createCrashProbe';
 import type { CrashCause } from '../types';
 
 /** Dependencies of a tracker. */
 export interface RequestCrashTrackerDependencies {
+  readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
 }
@@ -27,25 +30,15 @@
   readLogFields(): EventFields;
   /** Finds what the request must not be sent for; null if it may be sent. */
   findCause(): CrashCause | null;
-  /** True if as many connections were lost under this request as a request may crash servers. */
-  hasReachedCrashLimit(): boolean;
-  /**
-   * Records that a server crashed under the request.
-   *
-   * @param options.hasBegun - whether it had begun to answer, so that no prompt part is the cause
-   */
-  recordCrash(server: ServerEntry, options: { readonly hasBegun: boolean }): void;
-  /** Records that the connection to the server was lost, so that it may have crashed. */
-  recordLostConnection(server: ServerEntry): void;
+  /** Records how an attempt ended at a server; returns what that says of the request. */
+  recordEnd(server: ServerEntry, end: AttemptEnd): EndVerdict;
   /** Records that a server began to answer, which no server does with a bad prompt part. */
   recordBegun(server: ServerEntry): void;
-  /** Records that a server answered the whole request, with any status. */
-  recordAnswer(server: ServerEntry): void;
 }
 
 /** Creates the crash tracker of one request. It computes the fingerprint only when needed. */
 export const createRequestCrashTracker = (
-  { crashProbe, crashes }: RequestCrashTrackerDependencies,
+  { clock, crashProbe, crashes }: RequestCrashTrackerDependencies,
   request: Pick<ForwardedRequest, 'body' | 'promptParts' | 'requestId' | 'target'>,
   workspace: string | null,
 ): RequestCrashTracker => {
@@ -53,47 +46,67 @@
   const sharedParts = listSharedParts(request.promptParts);
   const parts = sharedParts.map(formatPartFingerprint);
   let fingerprint: string | null = null;
-  let lostConnections = 0;
   const readFingerprint = (): string => {
     fingerprint ??= computeFingerprint(request, workspace);
     return fingerprint;
   };
   const readRunId = (one: string): string =>
     isPartFingerprint(one) ? readFingerprint() : requestId;
-  const recordOutcomes = (
-    fingerprints: readonly string[],
-    outcome: Pick<RunOutcome, 'hasCrashed' | 'server'>,
-  ): void =>
-    fingerprints.forEach((one) =>
-      crashes.recordOutcome({ fingerprint: one, requestId: readRunId(one), ...outcome }),
+
+  /** Lists the run by each fingerprint that it accuses: no part, if an event of it has arrived. */
+  const listRuns = ({ beganAtMs, endedAtMs, progress }: AttemptEnd): readonly ProbedRun[] => {
+    const hasBegun = progress === 'events' || progress === 'whole';
+    return [readFingerprint(), ...(hasBegun ? [] : parts)].map((one) => ({
+      fingerprint: one,
+      requestId: readRunId(one),
+      ranMs: Math.max(0, endedAtMs - beganAtMs),
+      atMs: endedAtMs,
+    }));
+  };
+
+  const recordAnswers = (fingerprints: readonly string[], server: ServerEntry): void =>
+    fingerprints.filter(crashes.isSuspected).forEach((one) =>
+      crashes.recordOutcome({
+        fingerprint: one,
+        requestId: readRunId(one),
+        server: formatIncarnation(server),
+        hasCrashed: false,
+        isConfirmed: true,
+        ranMs: 0,
+        atMs: clock.readMonotonicMs(),
+      }),
     );
-  const recordAnswers = (fingerprints: readonly string[], server: ServerEntry): void => {
-    const suspected = fingerprints.filter(crashes.isSuspected);
-    recordOutcomes(suspected, { server: formatIncarnation(server), hasCrashed: false });
+
+  const RECORDERS: Readonly<Record<EndVerdict, (server: ServerEntry, end: AttemptEnd) => void>> = {
+    answer: (server) => {
+      if (!crashes.isEmpty()) recordAnswers([readFingerprint(), ...parts], server);
+    },
+    suspect: (server, end) => {
+      const runs = listRuns(end);
+      const outcome = { server: formatIncarnation(server), hasCrashed: true, isConfirmed: false };
+      runs.forEach((run) => crashes.recordOutcome({ ...run, ...outcome }));
+      crashProbe.startProbe(server, runs, { isSilent: false });
+    },
+    check: (server, end) =>
+      crashProbe.startProbe(server, listRuns(end), { isSilent: end.connection !== 'closed' }),
+    none: () => undefined,
   };
+
   return {
     readLogFields: () => ({ fingerprint: readFingerprint(), parts: sharedParts.join(' ') }),
-    findCause: () =>
-      crashes.isEmpty() ? null : crashes.findCause({ request: readFingerprint(), parts }),
-    hasReachedCrashLimit: () => lostConnections >= MAX_CRASHES,
-    recordCrash: (server, { hasBegun }) =>
-      recordOutcomes([readFingerprint(), ...(hasBegun ? [] : parts)], {
-        server: formatIncarnation(server),
-        hasCrashed: true,
-      }),
-    recordLostConnection: (server) => {
-      lostConnections += 1;
-      const runs = [readFingerprint(), ...parts].map((one) => ({
-        fingerprint: one,
-        requestId: readRunId(one),
-      }));
-      crashProbe.startProbe(runs, server);
+    findCause: () => {
+      if (crashes.isEmpty()) return null;
+      const cause = crashes.findCause({ request: readFingerprint(), parts });
+      if (cause && !cause.isCertain) crashProbe.startRecheck(cause.unconfirmed);
+      return cause;
+    },
+    recordEnd: (server, end) => {
+      const verdict = judgeAttemptEnd(end);
+      RECORDERS[verdict](server, end);
+      return verdict;
     },
     recordBegun: (server) => {
       if (!crashes.isEmpty()) recordAnswers(parts, server);
     },
-    recordAnswer: (server) => {
-      if (!crashes.isEmpty()) recordAnswers([readFingerprint(), ...parts], server);
-    },
   };
 };
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -1,7 +1,14 @@
 import test from 'ava';
-import { buildServerStatus, createFakeClock, QUIET_LOG } from '../../../../standins/fakes';
+import {
+  buildRunOutcome,
+  buildServerStatus,
+  createFakeClock,
+  QUIET_LOG,
+} from '../../../../standins/fakes';
 import { createCrashHistory } from '../createCrashHistory';
-import { createRequestCrashTracker } from '.';
+import type { AttemptEnd } from '../../../domain/crashes';
+import type { CrashProbe } from '../createCrashProbe';
+import { createRequestCrashTracker, type RequestCrashTracker } from '.';
 
 const setUp = () => {
   const clock = createFakeClock();
@@ -12,6 +19,17 @@
     publishOutcome: () => undefined,
     handleQuarantine: () => undefined,
   });
+  const probed: string[] = [];
+  const crashProbe: CrashProbe = {
+    // Each server whose connection ended has crashed.
+    startProbe: ({ id }, runs, { isSilent }) => {
+      probed.push(`${id} ${runs.length} ${isSilent ? 'silent' : 'ended'}`);
+      if (isSilent) return;
+      const outcome = { server: id, hasCrashed: true, isConfirmed: true };
+      runs.forEach((run) => crashes.recordOutcome({ ...run, ...outcome }));
+    },
+    startRecheck: () => undefined,
+  };
   let requests = 0;
   /** Creates the tracker of a request like no other, with these shared parts. */
   const track = (...parts: readonly string[]) => {
@@ -19,7 +37,7 @@
     clock.advance(500);
     const own = `own-${requests}`;
     return createRequestCrashTracker(
-      { crashes, crashProbe: { startProbe: () => undefined } },
+      { clock, crashes, crashProbe },
       {
         requestId: own,
         target: `/${own}`,
@@ -29,13 +47,26 @@
       'w',
     );
   };
-  const crash = (parts: readonly string[], id: string, hasBegun = false): void =>
-    track(...parts).recordCrash(buildServerStatus(id, 'z1').entry, { hasBegun });
+  const end = (tracker: RequestCrashTracker, id: string, change: Partial<AttemptEnd> = {}) => {
+    const nowMs = clock.readMonotonicMs();
+    return tracker.recordEnd(buildServerStatus(id, 'z1').entry, {
+      connection: 'reset',
+      relay: null,
+      progress: 'head',
+      beganAtMs: nowMs - 60,
+      lastHeardAtMs: nowMs - 60,
+      endedAtMs: nowMs,
+      ...change,
+    });
+  };
+  const crash = (parts: readonly string[], id: string, hasBegun = false): void => {
+    end(track(...parts), id, { progress: hasBegun ? 'events' : 'head' });
+  };
   const begin = (parts: readonly string[], id: string): void =>
     track(...parts).recordBegun(buildServerStatus(id, 'z1').entry);
   const crashThree = (...parts: readonly string[]): void =>
     ['i-1', 'i-2', 'i-3'].forEach((id) => crash(parts, id));
-  return { begin, clock, crash, crashThree, crashes, track };
+  return { begin, clock, crash, crashThree, crashes, end, probed, track };
 };
 
 test('a part that crashed three servers is held responsible in requests that are like no other', (t) => {
@@ -75,12 +106,7 @@
 test('servers that are lost at one moment count as one crash of a part', (t) => {
   const { crashes, track } = setUp();
   ['i-1', 'i-2', 'i-3', 'i-4'].forEach((server) =>
-    crashes.recordOutcome({
-      fingerprint: 'part-a',
-      requestId: server,
-      server,
-      hasCrashed: true,
-    }),
+    crashes.recordOutcome(buildRunOutcome({ fingerprint: 'part-a', requestId: server, server })),
   );
   t.is(track('a').findCause(), null);
 });
@@ -98,12 +124,33 @@
 
 // Guards against common parts that are refused because of one request that crashes servers.
 test('a single request that crashes servers makes none of its parts responsible', (t) => {
-  const { clock, track } = setUp();
+  const { clock, end, track } = setUp();
   const tracker = track('a', 'b');
   ['i-1', 'i-2', 'i-3', 'i-4'].forEach((id) => {
     clock.advance(500);
-    tracker.recordCrash(buildServerStatus(id, 'z1').entry, { hasBegun: false });
+    end(tracker, id);
   });
   t.is(tracker.findCause()?.kind, 'request');
   t.is(track('a', 'b').findCause(), null);
 });
+
+test('an end that may have other causes counts only after a probe, a connection that broke at once', (t) => {
+  const { crashes, end, probed, track } = setUp();
+  t.is(end(track('a'), 'i-1', { connection: 'silent' }), 'check');
+  t.true(crashes.isEmpty());
+  t.is(end(track('a'), 'i-2'), 'suspect');
+  t.true(crashes.isSuspected('part-a'));
+  t.deepEqual(probed, ['i-1 2 silent', 'i-2 2 ended']);
+});
+
+// Guards against a suspicion that is cleared by an answer which a crash may have cut off.
+test('only a response that is complete by its framing clears a request', (t) => {
+  const { crashes, end, track } = setUp();
+  const tracker = track();
+  end(tracker, 'i-1');
+  const fingerprint = String(tracker.readLogFields().fingerprint);
+  end(tracker, 'i-2', { connection: 'closed', progress: 'whole' });
+  t.true(crashes.isSuspected(fingerprint));
+  end(tracker, 'i-2', { connection: 'complete', progress: 'whole' });
+  t.false(crashes.isSuspected(fingerprint));
+});
--- a/src/application/crashes/index.ts
+++ b/src/application/crashes/index.ts
@@ -3,4 +3,4 @@
 export { createCrashTrials, type CrashTrials } from './createCrashTrials';
 export { createQuarantineRows, type QuarantineRows } from './createQuarantineRows';
 export { createRequestCrashTracker, type RequestCrashTracker } from './createRequestCrashTracker';
-export type { CrashCause, RequestPrints } from './types';
+export type { CrashCause, ProbedServers, RequestPrints } from './types';
--- a/src/application/crashes/types/CrashCause.ts
+++ b/src/application/crashes/types/CrashCause.ts
@@ -1,7 +1,11 @@
+import type { RunOutcome } from '../../../domain/crashes';
+
 /** What a request has that crashed servers, so that it is not sent. */
 export interface CrashCause {
   /** Whether the whole request is responsible, or one of its prompt parts. */
   readonly kind: 'request' | 'part';
+  /** False if the servers may have been lost for another reason; the request is held back shortly. */
+  readonly isCertain: boolean;
   /** Fingerprints of what is responsible; several if the cause may be any of them. */
   readonly fingerprints: readonly [string, ...string[]];
   readonly crashes: number;
@@ -9,4 +13,6 @@
   readonly remainingMs: number;
   /** Least time between two trials of all VMs; infinite if there is no further trial. */
   readonly trialPauseMs: number;
+  /** Crashes of which it is not known yet whether the server only lost its connection. */
+  readonly unconfirmed: readonly RunOutcome[];
 }
--- a/src/application/forwarding/_lib/buildQuarantineRefusal/index.ts
+++ b/src/application/forwarding/_lib/buildQuarantineRefusal/index.ts
@@ -4,6 +4,9 @@
 /** Retry time of a caller while a trial of another request is under way. */
 const TRIAL_RETRY_MS = 2000;
 
+/** The same if the request is held back only until it is known why servers were lost. */
+const HELD_RETRY_MS = 500;
+
 /**
  * Builds the refusal of a request that is not forwarded because it, or a part of its prompt, crashed
  * servers.
@@ -22,5 +25,7 @@
     cause.kind === 'part'
       ? 'a part of the prompt is in quarantine: it crashed several servers'
       : 'the request is in quarantine: it crashed several servers',
-  retryAfterMs: hasArrived ? 0 : Math.max(TRIAL_RETRY_MS, cause.remainingMs),
+  retryAfterMs: hasArrived
+    ? 0
+    : Math.max(cause.isCertain ? TRIAL_RETRY_MS : HELD_RETRY_MS, cause.remainingMs),
 });
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -16,7 +16,7 @@
 import { skipRateLimited } from '../skipRateLimited';
 import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
-import { sendCallAttempt, type BufferedResponse, type CallAttemptResult } from '../sendCallAttempt';
+import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
 
 /** Maximum number of servers that may refuse the call while the caller waits. */
 const MAX_REFUSALS = 6;
@@ -43,16 +43,6 @@
   return refusal.kind;
 };
 
-/** Tells what the end of an attempt is evidence of. */
-const judgeEnd = (result: CallAttemptResult): 'answer' | 'none' | 'probe' => {
-  if (result.kind === 'answered') return 'answer';
-  if (result.kind !== 'failed') return 'none';
-  if (result.response) return 'answer';
-  const { connection, progress, relay } = result.end;
-  const isSeen = progress === 'none' || relay === null;
-  return isSeen && (connection === 'reset' || connection === 'closed') ? 'probe' : 'none';
-};
-
 const sendToServers = async (
   dependencies: ForwardingDependencies,
   context: ForwardContext,
@@ -67,6 +57,13 @@
     context.request,
     context.holder?.workspace ?? null,
   );
+  /** True if the call is not sent now; it may become the trial that is due. */
+  const isRefused = (): boolean => (crashes.findCause()?.remainingMs ?? 0) > 0;
+  /** Resolves with true if the call may be sent: each trial is one attempt. */
+  const acquireSending = async (): Promise<boolean> => {
+    const cause = crashes.findCause();
+    return cause === null || dependencies.crashTrials.acquireTrial(cause);
+  };
   let failedResponse: BufferedResponse | null = null;
   let startedAttempts = 0;
   let refusals = 0;
@@ -82,7 +79,7 @@
       const kind = startedAttempts === 0 && attempt === 1 ? 'not-run' : 'deadline-passed';
       return refuse(dependencies, context, { kind, reason: lastReason, retryAfterMs: 0 });
     }
-    if (crashes.hasReachedCrashLimit() || crashes.findCause()) break;
+    if (isRefused()) break;
     const readPace = buildPaceReader(serverPaces, service, 'callMs');
     const fleet = buildFleetReader(fleetLoad, serverPaces, service);
     const status = chooseServerByLoad(servers.list(), {
@@ -115,9 +112,11 @@
     // Asking other VMs took time: the deadline may have passed, or the caller may have
     // disconnected.
     const remainingMs = deadlineAtMs - clock.readMonotonicMs();
-    if (remainingMs <= 1 || !reply.isOpen() || crashes.findCause()) {
+    const isStillNeeded = remainingMs > 1 && reply.isOpen();
+    if (!isStillNeeded || !(await acquireSending())) {
       permit.release();
       if (isRepeat) retries.releaseRetry(service);
+      if (isStillNeeded) break;
       continue;
     }
     const isLast = startedAttempts + 1 >= route.maxAttempts;
@@ -149,9 +148,10 @@
       attemptMs,
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
-    const evidence = judgeEnd(result);
-    if (result.kind !== 'not-run')
+    if (result.kind !== 'not-run') {
+      const evidence = crashes.recordEnd(status.entry, result.end);
       logAttemptEnd(dependencies, context, status.entry, result.end, evidence);
+    }
     if (result.kind === 'left') return 'left';
     const tookMs = clock.readMonotonicMs() - sentAtMs;
     if (result.kind !== 'not-run') {
@@ -164,7 +164,6 @@
       if (isRepeat) retries.releaseRetry(service);
     }
     if (result.kind === 'answered') {
-      crashes.recordAnswer(status.entry);
       sendResponse(context, result.response);
       return 'answered';
     }
@@ -189,8 +188,6 @@
     } else {
       startedAttempts += 1;
       failedResponse = result.response ?? failedResponse;
-      if (evidence === 'probe') crashes.recordLostConnection(status.entry);
-      else if (evidence === 'answer') crashes.recordAnswer(status.entry);
       if (!isRepeatable || startedAttempts >= route.maxAttempts) break;
     }
   }
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -13,7 +13,7 @@
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { openStreamAttempt } from '../openStreamAttempt';
 import { recordDecodeSample } from '../recordDecodeSample';
-import { recordStreamSuccess } from '../recordStreamSuccess';
+import { recordStreamEnd } from '../recordStreamEnd';
 import { logDecision } from '../logDecision';
 import { refuseQuarantined } from '../refuseQuarantined';
 
@@ -169,7 +169,6 @@
         cancelRetry = clock.startTimer(effect.delayMs, () => queue.push({ kind: 'retry-due' }));
       } else if (effect.kind === 'finish') {
         reply.end();
-        recordStreamSuccess(run);
         recordDecodeSample(run);
         end('answered');
       } else if (effect.kind === 'fail') fail(effect.failure);
@@ -192,12 +191,17 @@
             retryAfterMs: 0,
           });
         }
+        run.attempts.forEach((attempt) => recordStreamEnd(run, attempt, 'silent'));
         end('deadline-passed');
       },
     );
-    reply.callerLeft.addEventListener('abort', () => end('left'), { once: true });
+    const leave = (): void => {
+      run.attempts.forEach((attempt) => recordStreamEnd(run, attempt, 'dropped'));
+      end('left');
+    };
+    reply.callerLeft.addEventListener('abort', leave, { once: true });
     if (refuseQuarantined(run)) return;
-    // A response that has begun cannot be refused any more, and the run may still succeed.
+    // A caller that has got no event of this response loses nothing by its end, and may come again.
     cancelListener = crashes.addListener(() => {
       if (!reply.hasSentHead()) refuseQuarantined(run);
     });
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -13,8 +13,8 @@
 import { readBody } from '../readBody';
 import { recordResponseHead } from '../recordResponseHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
-import { logStreamEnd } from '../logStreamEnd';
 import { logDecision } from '../logDecision';
+import { recordStreamEnd } from '../recordStreamEnd';
 import { releaseCopy } from '../releaseCopy';
 import { startCopyWatch } from '../startCopyWatch';
 import { startSilenceWatch } from '../startSilenceWatch';
@@ -35,13 +35,18 @@
   const { clock, directory } = run.dependencies;
   const { expectedFirstEventMs, isFree, server } = placement;
   const nowMs = clock.readMonotonicMs();
+  const handleLoss = (): void => {
+    const attempt = run.attempts.get(reader.attempt);
+    if (attempt) recordStreamEnd(run, attempt, 'silent');
+    run.dispatch({ kind: 'silent', reader, confirmed: true });
+  };
   return {
     abort: new AbortController(),
     server,
     work: directory.startWork(server.id, {
       prefillTokens: countPrefillTokens(run, placement),
       // The server has lost this run, even if its connection is still open.
-      handleLoss: () => run.dispatch({ kind: 'silent', reader, confirmed: true }),
+      handleLoss,
     }),
     sentAtMs: nowMs,
     headAtMs: null,
@@ -159,7 +164,7 @@
   if (sent.isErr()) {
     Object.assign(attempt, { relay: sent.error.relay });
     recordAttemptFailure(directory, server.id, sent.error);
-    logStreamEnd(run, attempt, sent.error.connection, 'none');
+    recordStreamEnd(run, attempt, sent.error.connection);
     logDecision(
       run.dependencies,
       context,
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -29,6 +29,11 @@
  */
 const RETRY_AFTER_MS = 300;
 
+const HELD_REASON = 'servers were lost under the request';
+
+/** Interval at which a stream that lost its servers asks whether it may be sent on. */
+const HELD_RETRY_MS = 250;
+
 /** Maximum number of servers that are skipped because of their rate limit. */
 const MAX_RATE_LIMITED = 6;
 
@@ -41,11 +46,16 @@
     ? RETRY_AFTER_MS
     : Math.max(RETRY_AFTER_MS, dependencies.directory.readShortestPauseMs(context.service));
 
-const refuse = (run: StreamRun, reader: ReaderId, message: string): void =>
+const refuse = (
+  run: StreamRun,
+  reader: ReaderId,
+  message: string,
+  retryAfterMs = computeRetryAfterMs(run),
+): void =>
   run.dispatch({
     kind: 'slot-refused',
     reader,
-    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs: computeRetryAfterMs(run) },
+    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs },
   });
 
 /** A placement whose server grants a permit now. */
@@ -171,9 +181,11 @@
     refuse(run, reader, 'no retry left');
     return null;
   }
-  if (!isStillNeeded() || (await refuseUnlessTrial(run)) || !isStillNeeded()) {
+  const decision = isStillNeeded() ? await refuseUnlessTrial(run) : 'refused';
+  if (decision !== 'send' || !isStillNeeded()) {
     releaseUnsent(chosen);
     if (isRepeat) retries.releaseRetry(context.service);
+    if (decision === 'wait') refuse(run, reader, HELD_REASON, HELD_RETRY_MS);
     return null;
   }
   Object.assign(run, { hasReservedRetry: false });
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -1,12 +1,12 @@
+import type { ConnectionEnd } from '../../../../domain/crashes';
 import { updateGapStatistics } from '../../../../domain/detection';
 import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { logDecision } from '../logDecision';
-import { logStreamEnd } from '../logStreamEnd';
-import { recordCrash } from '../recordCrash';
 import { recordPaceSample } from '../recordPaceSample';
+import { recordStreamEnd } from '../recordStreamEnd';
 import { startSilenceWatch } from '../startSilenceWatch';
 
 /** Maximum size of an event; an event that never ends would fill the memory. */
@@ -98,6 +98,16 @@
 const hasBrokenOff = (run: StreamRun, attempt: StreamAttempt, rest: Buffer): boolean =>
   !attempt.isFramed && (rest.length > 0 || (!attempt.hasDeliveredEvent && isNewStream(run)));
 
+/** A VM that has lost its links to a server sees only that their connection ended. */
+const readSeenEnd = (
+  { dependencies }: StreamRun,
+  { relay, server }: StreamAttempt,
+  connection: ConnectionEnd,
+): ConnectionEnd =>
+  relay === null && connection !== 'dropped' && dependencies.paths.isCutFrom(server.id)
+    ? 'unseen'
+    : connection;
+
 /** A response that ended with its connection, before its last event. */
 class EndedTooEarlyError extends Error {}
 
@@ -149,17 +159,17 @@
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
     if (attempt.isMigrating) return;
-    const connection = readEnd(error instanceof EndedTooEarlyError ? null : error);
-    const isSeen =
-      attempt.relay === null
-        ? !run.dependencies.paths.isCutFrom(attempt.server.id)
-        : connection === 'reset' || (connection === 'closed' && attempt.isFramed);
-    const isEvidence = isCurrent() && unreadMs < MAX_UNREAD_MS && isSeen;
-    logStreamEnd(run, attempt, connection, isEvidence ? 'crash' : 'none');
-    if (isEvidence) {
-      run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
-      run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
-      recordCrash(run, attempt);
+    const connection = readSeenEnd(
+      run,
+      attempt,
+      readEnd(error instanceof EndedTooEarlyError ? null : error),
+    );
+    if (isCurrent() && unreadMs < MAX_UNREAD_MS) {
+      recordStreamEnd(run, attempt, connection);
+      if (connection === 'reset' || connection === 'closed') {
+        run.dependencies.directory.recordSuspicion(attempt.server.id, 'broken');
+        run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
+      }
     }
     run.dependencies.log.info('stream broke off', {
       requestId: run.context.request.requestId,
@@ -178,9 +188,11 @@
   }
   if (attempt.isMigrating) return;
   if (rest.length > 0) {
+    recordStreamEnd(run, attempt, 'closed');
     run.dispatch({ kind: 'broken', reader });
     return;
   }
+  recordStreamEnd(run, attempt, readEnd(null), { isWhole: true });
   const { offset } = run.readState();
   const batch = { offset, eventCount: 0, bytes: rest, finishReason: 'end' } as const;
   run.dispatch({ kind: 'batch', reader, batch });
--- a/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
+++ b/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
@@ -6,14 +6,17 @@
  * Refuses a stream that is about to be sent, as `refuseQuarantined`, unless it is granted the trial
  * that is due.
  *
- * @returns false if the stream may be sent
+ * @returns `send`; `refused`; or `wait` if it is known only later whether the stream may be sent
  */
-export const refuseUnlessTrial = async (run: StreamRun): Promise<boolean> => {
-  if (refuseQuarantined(run)) return true;
+export const refuseUnlessTrial = async (run: StreamRun): Promise<'refused' | 'send' | 'wait'> => {
+  if (refuseQuarantined(run)) return 'refused';
   const cause = run.crashes.findCause();
-  if (!cause || run.isTrial) return false;
-  const isGranted = await run.dependencies.crashTrials.acquireTrial(cause);
-  if (isGranted) Object.assign(run, { isTrial: true });
-  else if (!run.isEnded()) refuseForCrashes(run, cause);
-  return !isGranted;
+  if (!cause || run.isTrial) return 'send';
+  if (await run.dependencies.crashTrials.acquireTrial(cause)) {
+    Object.assign(run, { isTrial: true });
+    return 'send';
+  }
+  if (!cause.isCertain && run.arrivedAttempts > 0) return 'wait';
+  if (!run.isEnded()) refuseForCrashes(run, cause);
+  return 'refused';
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -95,10 +95,12 @@
   const timeoutController = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
   const sentAtMs = clock.readMonotonicMs();
+  let headAtMs: number | null = null;
   const buildEnd: EndBuilder = (seen, connection) => ({
     ...seen,
     connection,
     beganAtMs: sentAtMs,
+    lastHeardAtMs: headAtMs ?? sentAtMs,
     endedAtMs: clock.readMonotonicMs(),
   });
   const work = directory.startWork(server.id, { prefillTokens: 0 });
@@ -123,6 +125,7 @@
       return convertError(sent.error, timeoutController.signal.aborted, buildEnd);
     }
     const { body, head, relay } = sent.value;
+    headAtMs = clock.readMonotonicMs();
     if (relay !== null) logDecision(dependencies, context, 'attempt relayed', { relay }, server);
     const seen = { relay, progress: 'head' } as const;
     recordResponseHead(dependencies, server, head, { sentAtMs });
@@ -150,7 +153,13 @@
           readBrokenEnd(sent.value, read.error.error, timeoutController.signal.aborted),
         ),
       };
-    const end = buildEnd(seen, sent.value.readEnd(null));
+    const connection = sent.value.readEnd(null);
+    if (connection === 'closed' && read.value.length === 0) {
+      // Without a length, a response that a crash cut off before its body looks like an empty one.
+      const reason = 'the connection ended before the body';
+      return { ...NO_RESPONSE, reason, end: buildEnd(seen, connection) };
+    }
+    const end = buildEnd({ relay, progress: 'whole' }, connection);
     const response = { head, body: read.value };
     if (head.status >= SERVER_ERROR_STATUS) {
       return {
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -11,8 +11,8 @@
 import { buildPaceReader } from '../buildPaceReader';
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
-import { logStreamEnd } from '../logStreamEnd';
 import { logDecision } from '../logDecision';
+import { recordStreamEnd } from '../recordStreamEnd';
 import { recordWorkFactor } from '../recordWorkFactor';
 
 /** Fraction of the gap goal after which a silent server is probed. */
@@ -101,7 +101,7 @@
       attempt.server,
     );
     run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
-    logStreamEnd(run, attempt, 'silent', 'none');
+    recordStreamEnd(run, attempt, 'silent');
     run.dispatch({ kind: 'silent', reader, confirmed: true });
   };
 
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -31,10 +31,12 @@
     },
     paces: { listFirstTokens: () => [] },
     copy: null,
+    crashes: { recordEnd: () => 'check' },
     dispatch: (input: GenerationInput) => inputs.push(input),
     dependencies: {
       clock,
       directory: { recordStartTime: () => undefined },
+      meter: { recordAttemptEnd: () => undefined },
       log: QUIET_LOG,
       serverPaces: createServerPaces({ clock }),
       client: {
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -70,6 +70,13 @@
     if (record) record.aliveAtMs = clock.readMonotonicMs();
   };
 
+  const recordReachable = (id: string): void => {
+    const record = records.find(id);
+    if (!record) return;
+    if (record.consecutiveSuspicions > 0) record.availableAtMs = clock.readMonotonicMs();
+    Object.assign(record, { consecutiveSuspicions: 0, suspectedUntilMs: 0, probeRequests: 0 });
+  };
+
   return {
     applyRows: records.applyRows,
     listServing: (service) => {
@@ -173,13 +180,10 @@
       if (!isReportedByPeer) handleSuspected(id, cause);
     },
     recordSuccess: (id) => {
-      const record = records.find(id);
-      if (record && record.consecutiveSuspicions > 0)
-        record.availableAtMs = clock.readMonotonicMs();
-      if (record)
-        Object.assign(record, { consecutiveSuspicions: 0, suspectedUntilMs: 0, probeRequests: 0 });
+      recordReachable(id);
       recordAlive(id);
     },
+    recordReachable,
     recordAlive,
     recordReplaced: (id, successorId) => {
       const record = records.find(id);
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -42,6 +42,8 @@
   recordSuspicion(id: string, cause: SuspicionCause): void;
   /** Records that a server answered a request under its own id. */
   recordSuccess(id: string): void;
+  /** Records that another VM reaches a server, which ends the suspicions of this one. */
+  recordReachable(id: string): void;
   /** Records a sign of life under the server's own id, which includes failed requests. */
   recordAlive(id: string): void;
   /**
--- a/src/application/paths/createRelayRegistry/index.ts
+++ b/src/application/paths/createRelayRegistry/index.ts
@@ -6,7 +6,10 @@
 } from '../../../domain/paths';
 import { createSkipList } from '../../_lib/createSkipList';
 import type { Clock, EventLog, Randomness } from '../../ports';
-import type { ReachAnswer } from '../types';
+import type { ReachAnswer, ReachQuestion } from '../types';
+
+/** A VM that may be asked. */
+type Peer = RelayCandidate & { readonly cores: number };
 
 /** Dependencies of the relay registry. */
 export interface RelayRegistryDependencies {
@@ -15,9 +18,9 @@
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly log: EventLog;
   readonly randomness: Randomness;
-  readonly listPeers: () => readonly (RelayCandidate & { readonly cores: number })[];
+  readonly listPeers: () => readonly Peer[];
   /** Asks a VM which of these servers it reaches; null if it does not answer in time. */
-  readonly askPeer: (address: string, ids: readonly string[]) => Promise<ReachAnswer | null>;
+  readonly askPeer: (address: string, question: ReachQuestion) => Promise<ReachAnswer | null>;
 }
 
 /** The VMs through which this VM reaches servers that it does not reach itself. */
@@ -28,6 +31,13 @@
    * @param options.isCutOff - whether to go on until one of them reaches a server
    */
   askRelays(ids: readonly string[], options: { readonly isCutOff: boolean }): Promise<void>;
+  /**
+   * Asks some VMs whether they reach a server.
+   *
+   * @param controlIds - other servers, which show that these VMs reach any
+   * @returns null if none of them can tell
+   */
+  askAbout(serverId: string, controlIds: readonly string[]): Promise<boolean | null>;
   /** Chooses a VM that reaches a server; null if none is known. */
   chooseRelay(serverId: string): Relay | null;
   /** Records that a VM was not reached, or that its connection was lost under a request. */
@@ -65,11 +75,25 @@
     if (relays.delete(vm)) log.warn('relay removed', { relay: vm, reason, left: relays.size });
   };
 
-  const askOne = async (
-    { address, cores, vm }: RelayCandidate & { readonly cores: number },
-    ids: readonly string[],
-  ): Promise<void> => {
-    const answer = await askPeer(address, ids);
+  /** Draws VMs to ask, other than some; at the most as many as are kept. */
+  const drawPeers = (
+    excludedVms: ReadonlySet<string>,
+    isSkipped: (vm: string) => boolean = skipped.has,
+  ): readonly Peer[] => {
+    const peers = listPeers().filter(({ vm }) => !excludedVms.has(vm));
+    const drawn = drawRelayCandidates(peers, {
+      count: RELAY_COUNT,
+      ownZone: self.availabilityZone,
+      knownVms: new Set(relays.keys()),
+      skippedVms: new Set(peers.map(({ vm }) => vm).filter(isSkipped)),
+      drawFraction,
+    });
+    const drawnVms = new Set(drawn.map(({ vm }) => vm));
+    return peers.filter(({ vm }) => drawnVms.has(vm));
+  };
+
+  const askOne = async ({ address, cores, vm }: Peer, ids: readonly string[]): Promise<void> => {
+    const answer = await askPeer(address, { ids, suspectId: null });
     if (answer === null) {
       skipped.add(vm);
       return removeRelay(vm, 'no answer');
@@ -100,21 +124,23 @@
     askRelays: async (ids, { isCutOff }) => {
       const askedVms = new Set<string>();
       for (let round = 0; round < (isCutOff ? MAX_ROUNDS : 1); round += 1) {
-        const peers = listPeers().filter(({ vm }) => !askedVms.has(vm));
-        const drawn = new Set(
-          drawRelayCandidates(peers, {
-            count: RELAY_COUNT,
-            ownZone: self.availabilityZone,
-            knownVms: new Set(relays.keys()),
-            skippedVms: new Set(peers.map(({ vm }) => vm).filter(skipped.has)),
-            drawFraction,
-          }).map(({ vm }) => vm),
-        );
-        drawn.forEach((vm) => askedVms.add(vm));
-        await Promise.all(peers.filter(({ vm }) => drawn.has(vm)).map((peer) => askOne(peer, ids)));
-        if (relays.size > 0 || drawn.size === 0) return;
+        const drawn = drawPeers(askedVms);
+        drawn.forEach(({ vm }) => askedVms.add(vm));
+        await Promise.all(drawn.map((peer) => askOne(peer, ids)));
+        if (relays.size > 0 || drawn.length === 0) return;
       }
     },
+    askAbout: async (serverId, controlIds) => {
+      const question = { ids: [serverId, ...controlIds], suspectId: serverId };
+      const drawn = drawPeers(new Set());
+      // VMs that failed a moment ago may answer: without any answer nothing is known of the server.
+      const others = drawPeers(new Set(drawn.map(({ vm }) => vm)), () => false);
+      const peers = [...drawn, ...others].slice(0, RELAY_COUNT);
+      const answers = await Promise.all(peers.map(({ address }) => askPeer(address, question)));
+      const reachedIds = new Set(answers.flatMap((answer) => answer?.reachedIds ?? []));
+      if (reachedIds.has(serverId)) return true;
+      return reachedIds.size > 0 ? false : null;
+    },
     chooseRelay: (serverId) => chooseRelay([...relays.values()], { serverId, drawFraction }),
     recordLoss: (vm) => {
       skipped.add(vm);
--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -1,4 +1,4 @@
-import type { ServerPath } from '../../../domain/paths';
+import type { FailureCause, ServerPath } from '../../../domain/paths';
 import type { Clock, EventLog, Randomness } from '../../ports';
 import { startLoop, waitDelay } from '../../time';
 import type { RelayRegistry } from '../createRelayRegistry';
@@ -28,11 +28,8 @@
   recordRelayMiss(vm: string, serverId: string): void;
   /** True if this VM has lost its links to the server, while the server may be sound. */
   isCutFrom(serverId: string): boolean;
-  /**
-   * Finds out whether a failure is evidence against the server: it is not if this VM has lost its
-   * links to servers.
-   */
-  judgeFailure(serverId: string): Promise<boolean>;
+  /** Finds out whether a failure is due to the server, or to the links of this VM. */
+  judgeFailure(serverId: string): Promise<FailureCause>;
   /** Forgets a server that is gone. */
   forgetServer(serverId: string): void;
   countUnreached(): number;
@@ -201,9 +198,12 @@
     recordRelayMiss: relays.recordMiss,
     judgeFailure: async (serverId) => {
       await checkServer(serverId);
-      if (reach.isReached(serverId)) return true;
+      if (reach.isReached(serverId)) return 'server';
+      // VMs that see the server are asked first: what they say holds, whatever this VM reaches.
+      const word = await relays.askAbout(serverId, reach.drawControls(serverId));
+      if (word !== null) return word ? 'path' : 'server';
       if (!reach.hasReachedAny()) await startCheck(serverId);
-      return !isCutFrom(serverId);
+      return reach.hasReachedAny() ? 'server' : 'unknown';
     },
     forgetServer: reach.forgetServer,
     countUnreached: reach.countUnreached,
--- a/src/application/paths/createServerPaths/test.ts
+++ b/src/application/paths/createServerPaths/test.ts
@@ -49,7 +49,7 @@
     self: { vm: 'self', availabilityZone: 'z1' },
     listPeers: () =>
       [...answers.keys()].map((vm) => ({ vm, address: vm, availabilityZone: 'z2', cores: 1 })),
-    askPeer: async (address, ids) => {
+    askPeer: async (address, { ids }) => {
       questions += 1;
       const reached = answers.get(address) ?? null;
       return reached && { reachedIds: ids.filter((id) => reached.includes(id)), running: 0 };
@@ -100,7 +100,7 @@
   reachedIds.delete('i-1');
   await failAt('i-1');
   t.deepEqual(IDS.map(readRelay), [null, null, null]);
-  t.true(await paths.judgeFailure('i-1'));
+  t.is(await paths.judgeFailure('i-1'), 'server');
 });
 
 test('a VM is cut off from a server only if it reaches no other, or another VM reaches this one', async (t) => {
@@ -124,14 +124,14 @@
   reachedIds.clear();
   const judged = paths.judgeFailure('i-1');
   await clock.advanceAsync(CHECK_MS);
-  t.false(await judged);
+  t.is(await judged, 'unknown');
 });
 
 test('a server that answers a probe is at fault for a failed request', async (t) => {
   const { clock, paths } = setUp({ a: IDS });
   const judged = paths.judgeFailure('i-1');
   await clock.advanceAsync(CHECK_MS);
-  t.true(await judged);
+  t.is(await judged, 'server');
 });
 
 test('requests return to the direct path once servers answer, and nothing runs afterwards', async (t) => {
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -1,6 +1,7 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import { drawSample } from '../../_lib/drawSample';
 import type { Clock, EventLog, Randomness } from '../../ports';
+import type { ReachQuestion } from '../types';
 
 /** Dependencies of the reach. */
 export interface ServerReachDependencies {
@@ -18,6 +19,8 @@
   isReached(id: string): boolean;
   /** Draws some of the servers that this VM does not reach. */
   drawUnreached(): readonly string[];
+  /** Draws other servers, those that this VM reaches first. */
+  drawControls(id: string): readonly string[];
   countUnreached(): number;
   /** True if this VM reaches no server. */
   isCutOff(): boolean;
@@ -37,12 +40,15 @@
   /** Probes some of the servers that were not reached; records those that answer. */
   probeUnreached(): Promise<void>;
   /** Finds out for another VM which of these servers this VM reaches. */
-  probeReach(ids: readonly string[]): Promise<readonly string[]>;
+  probeReach(question: ReachQuestion): Promise<readonly string[]>;
 }
 
 /** Servers of the same service that are probed beside one that gave no answer. */
 const CONTROLS = 2;
 
+/** Servers beside the one that other VMs are asked about. */
+const CONTROLS_OF_OTHERS = 6;
+
 /** Servers probed at once if a control gives no answer either. */
 const MAX_PROBED = 16;
 
@@ -144,6 +150,16 @@
   return {
     isReached: (id) => !unreachedSinceMs.has(id),
     drawUnreached: () => drawSample([...unreachedSinceMs.keys()], MAX_PROBED, randomness),
+    drawControls: (excludedId) => {
+      const others = listServers().filter(({ id }) => id !== excludedId);
+      const draw = (isReached: boolean): readonly ServerEntry[] =>
+        drawSample(
+          others.filter(({ id }) => !unreachedSinceMs.has(id) === isReached),
+          CONTROLS_OF_OTHERS,
+          randomness,
+        );
+      return [...draw(true), ...draw(false)].slice(0, CONTROLS_OF_OTHERS).map(({ id }) => id);
+    },
     countUnreached: () => unreachedSinceMs.size,
     isCutOff: () => listServers().every(({ id }) => unreachedSinceMs.has(id)),
     hasReachedAny: () => listServers().some(({ id }) => isRecent(lastConnectedAtMs, id)),
@@ -191,13 +207,18 @@
       const missed = await probeAll(sample);
       if (missed.length === 0) left.forEach(({ id }) => markReached(id));
     },
-    probeReach: async (ids) => {
+    probeReach: async ({ ids, suspectId }) => {
       const asked = ids
         .slice(0, MAX_PROBED)
         .map(findServer)
         .filter((server) => server !== undefined)
         .filter(({ id }) => !unreachedSinceMs.has(id) && !isRecent(lastMissedAtMs, id));
-      const missed = await probeAll(asked);
+      const suspects = asked.filter(({ id }) => id === suspectId);
+      const [answers, missedOthers] = await Promise.all([
+        Promise.all(suspects.map(probe)),
+        probeAll(asked.filter(({ id }) => id !== suspectId)),
+      ]);
+      const missed = [...suspects.filter((_, index) => !answers[index]), ...missedOthers];
       return asked.filter((server) => !missed.includes(server)).map(({ id }) => id);
     },
   };
--- a/src/application/paths/types/index.ts
+++ b/src/application/paths/types/index.ts
@@ -30,6 +30,13 @@
   /** An established connection stayed silent, as that of a busy server does. */
   | 'silent';
 
+/** Which servers another VM is asked about. */
+export interface ReachQuestion {
+  readonly ids: readonly string[];
+  /** One of them that is probed even if it answered a moment ago; null for none. */
+  readonly suspectId: string | null;
+}
+
 /** Another VM's answer to which servers it reaches. */
 export interface ReachAnswer {
   /** Ids of the servers that it reaches, of those that it was asked about. */
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -73,6 +73,20 @@
   readonly id: string;
 }
 
+/** What a VM sees of a server on a new connection. */
+export type ServerSighting =
+  | 'alive'
+  /** Another server has its address. */
+  | 'replaced'
+  /** It accepts connections, but does not answer, as a busy server does. */
+  | 'silent'
+  /** It accepts no connection. */
+  | 'gone'
+  /** It accepted the connection and broke it, as a server with too many of them does. */
+  | 'broken'
+  /** The VM through which it was asked failed. */
+  | 'unseen';
+
 /** Client of backend servers. Sends each attempt once; retries are up to the caller. */
 export interface ForwardClient {
   /**
@@ -99,6 +113,8 @@
   dropCopy(from: ServerEntry, handle: string): void;
   /** Reads a server's load report, which uses none of its slots; null if it does not answer. */
   readReport(server: ServerEntry): Promise<ServerReport | null>;
+  /** Finds out on a new connection whether the server runs at its address. */
+  probeIdentity(server: ServerEntry, healthPath: string): Promise<ServerSighting>;
   /** Reads which server runs at an address; null if none answers at once. */
   readIdentity(server: ServerEntry, healthPath: string): Promise<ServerIdentity | null>;
   /** Reads the cached tokens of prompt parts, by part id; empty if the server does not answer. */
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -32,6 +32,7 @@
   ForwardClient,
   KvCopy,
   ServerIdentity,
+  ServerSighting,
 } from './ForwardClient';
 export type { RowChanges, RowError, RowSource, SharedRow } from './RowSource';
 export type { RowWriter, RowWrites } from './RowWriter';
--- a/src/domain/crashes/countCrashedServers/index.ts
+++ b/src/domain/crashes/countCrashedServers/index.ts
@@ -3,9 +3,13 @@
 /** Crashes under different requests within this time are taken to have one common cause. */
 const SAME_CAUSE_MS = 250;
 
-/** One request runs on one server at a time, so that each of its crashes is a case of its own. */
+/**
+ * Tells whether two crashes cannot have one common cause: they are those of one request, which runs
+ * on one server at a time, or the server of the later one began its run after the earlier crash.
+ */
 const areSeparate = (earlier: RunOutcome, later: RunOutcome): boolean =>
-  earlier.requestId === later.requestId || later.atMs - earlier.atMs > SAME_CAUSE_MS;
+  earlier.requestId === later.requestId ||
+  later.atMs - earlier.atMs > SAME_CAUSE_MS;
 
 /**
  * Counts the servers that a request, or requests with one prompt part, appear to have crashed.
--- a/src/domain/crashes/countCrashedServers/test.ts
+++ b/src/domain/crashes/countCrashedServers/test.ts
@@ -1,13 +1,9 @@
 import test from 'ava';
+import { buildRunOutcome } from '../../../../standins/fakes';
 import { countCrashedServers } from '.';
 
-const buildCrash = (server: string, atMs: number, requestId = 'r-1') => ({
-  fingerprint: 'f',
-  requestId,
-  server,
-  hasCrashed: true,
-  atMs,
-});
+const buildCrash = (server: string, atMs: number, requestId = 'r-1') =>
+  buildRunOutcome({ server, atMs, requestId, ranMs: 600 });
 
 test('each crashed server counts once, however many outcomes report it', (t) => {
   const crashes = [buildCrash('i-1', 0), buildCrash('i-2', 900, 'r-2'), buildCrash('i-1', 910)];
--- a/src/domain/crashes/decodeQuarantine/index.ts
+++ b/src/domain/crashes/decodeQuarantine/index.ts
@@ -3,6 +3,7 @@
 import type { Quarantine } from '../types';
 
 const RowSchema = z.object({
+  certain: z.boolean().default(true),
   servers: z.array(z.string().min(1)).min(1),
   last_crash_unix_ms: z.number(),
   trial_store_ms: z.number().optional(),
@@ -28,7 +29,8 @@
 ): Result<Quarantine, string> => {
   const parsed = RowSchema.safeParse(parseJson(value));
   if (!parsed.success) return err(parsed.error.issues[0]?.message ?? 'malformed');
-  const { last_crash_unix_ms: lastCrashAtMs, servers, trial_store_ms: trialStoreMs } = parsed.data;
-  const quarantine = { fingerprint, servers, lastCrashAtMs };
+  const { certain: isCertain, servers, trial_store_ms: trialStoreMs } = parsed.data;
+  const { last_crash_unix_ms: lastCrashAtMs } = parsed.data;
+  const quarantine = { fingerprint, servers, lastCrashAtMs, isCertain };
   return ok(trialStoreMs === undefined ? quarantine : { ...quarantine, trialStoreMs });
 };
--- a/src/domain/crashes/encodeQuarantine/index.ts
+++ b/src/domain/crashes/encodeQuarantine/index.ts
@@ -5,10 +5,16 @@
  *
  * @param quarantine - its time is in Unix milliseconds, since rows outlive processes
  */
-export const encodeQuarantine = ({ lastCrashAtMs, servers, trialStoreMs }: Quarantine): Buffer =>
+export const encodeQuarantine = ({
+  isCertain,
+  lastCrashAtMs,
+  servers,
+  trialStoreMs,
+}: Quarantine): Buffer =>
   Buffer.from(
     JSON.stringify({
       servers,
+      certain: isCertain,
       last_crash_unix_ms: Math.round(lastCrashAtMs),
       trial_store_ms: trialStoreMs,
     }),
--- a/src/domain/crashes/findResponsibleParts/test.ts
+++ b/src/domain/crashes/findResponsibleParts/test.ts
@@ -1,14 +1,16 @@
 import test from 'ava';
+import { buildRunOutcome } from '../../../../standins/fakes';
 import { findResponsibleParts } from '.';
 
 const buildCrashes = (fingerprint: string, ...servers: readonly number[]) =>
-  servers.map((server) => ({
-    fingerprint,
-    requestId: `r-${server}`,
-    server: `i-${server}`,
-    hasCrashed: true,
-    atMs: 1000 * server,
-  }));
+  servers.map((server) =>
+    buildRunOutcome({
+      fingerprint,
+      requestId: `r-${server}`,
+      server: `i-${server}`,
+      atMs: 1000 * server,
+    }),
+  );
 
 const buildSuspects = (servers: Readonly<Record<string, readonly number[]>>) =>
   new Map(Object.entries(servers).map(([part, ids]) => [part, buildCrashes(part, ...ids)]));
--- a/src/domain/crashes/judgeCrashes/test.ts
+++ b/src/domain/crashes/judgeCrashes/test.ts
@@ -1,14 +1,11 @@
 import test from 'ava';
+import { buildRunOutcome } from '../../../../standins/fakes';
 import { judgeCrashes } from '.';
 
 const buildCrashes = (...requestIds: readonly string[]) =>
-  requestIds.map((requestId, index) => ({
-    fingerprint: 'f',
-    requestId,
-    server: `i-${index}`,
-    hasCrashed: true,
-    atMs: 1000 * index,
-  }));
+  requestIds.map((requestId, index) =>
+    buildRunOutcome({ requestId, server: `i-${index}`, atMs: 1000 * index }),
+  );
 
 test('three crashes are enough to hold a request responsible', (t) => {
   const options = { isPart: false, hasAnswer: true };
--- a/src/domain/crashes/types/AttemptEnd.ts
+++ b/src/domain/crashes/types/AttemptEnd.ts
@@ -18,8 +18,10 @@
   /** The VM that held the connection, or the connection to that VM, failed. */
   | 'unseen';
 
-/** How far a response had come. A call has an answer only once it is complete. */
-export type AttemptProgress = 'none' | 'head' | 'events';
+/**
+ * How far a response had come; `whole`: as far as can be told from its body. A call has no events.
+ */
+export type AttemptProgress = 'none' | 'head' | 'events' | 'whole';
 
 /** How an attempt to run a request on a server ended. */
 export interface AttemptEnd {
@@ -32,6 +34,8 @@
    * Monotonic milliseconds of this process.
    */
   readonly beganAtMs: number;
+  /** When the server was last heard of in this attempt, on the same clock. */
+  readonly lastHeardAtMs: number;
   /** When the end was seen, on the same clock. */
   readonly endedAtMs: number;
 }
--- a/src/domain/crashes/types/Quarantine.ts
+++ b/src/domain/crashes/types/Quarantine.ts
@@ -1,5 +1,7 @@
 /** Requests that are no longer sent to servers, because they crashed those that ran them. */
 export interface Quarantine {
+  /** False if the servers may have been lost for another reason. */
+  readonly isCertain: boolean;
   /** Fingerprint of the request, or of all requests with a prompt part. */
   readonly fingerprint: string;
   /** Incarnations of the servers that crashed. */
--- a/src/domain/crashes/types/RunOutcome.ts
+++ b/src/domain/crashes/types/RunOutcome.ts
@@ -14,6 +14,10 @@
   readonly server: string;
   /** True if the server crashed, false if it answered. */
   readonly hasCrashed: boolean;
+  /** False if the server may only have lost its connection; true for an answer. */
+  readonly isConfirmed: boolean;
+  /** How long the server had run the request, in milliseconds; 0 for an answer. */
+  readonly ranMs: number;
   /** When the outcome was detected, in monotonic milliseconds of this process. */
   readonly atMs: number;
 }
--- a/src/domain/paths/index.ts
+++ b/src/domain/paths/index.ts
@@ -1,3 +1,3 @@
 export { chooseRelay, type RelayChoice } from './chooseRelay';
 export { drawRelayCandidates, type RelayDraw } from './drawRelayCandidates';
-export type { Relay, RelayCandidate, ServerPath } from './types';
+export type { FailureCause, Relay, RelayCandidate, ServerPath } from './types';
--- a/src/domain/paths/types/index.ts
+++ b/src/domain/paths/types/index.ts
@@ -4,6 +4,9 @@
   /** `address` is the VM's peer address, IP:PORT. */
   | { readonly kind: 'relay'; readonly vm: string; readonly address: string };
 
+/** What a failure of a server on the path of a VM is due to; `unknown` if no VM can tell. */
+export type FailureCause = 'path' | 'server' | 'unknown';
+
 /** Another VM that may forward requests of this VM to servers. */
 export interface RelayCandidate {
   readonly vm: string;
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -108,8 +108,8 @@
         releasePermit: limitOwner.releasePermit,
         handleRoomRequest: roomOwner.handleRoomRequest,
         releaseRoom: roomOwner.releaseRoom,
-        handleReachRequest: async (ids) => ({
-          reachedIds: isDraining() ? [] : await probeReach(ids),
+        handleReachRequest: async (question) => ({
+          reachedIds: isDraining() ? [] : await probeReach(question),
           running: countRunning(),
         }),
         handleReport: rolloutJudge.handleReport,
--- a/src/programs/gateway/_lib/wireCrashes/index.ts
+++ b/src/programs/gateway/_lib/wireCrashes/index.ts
@@ -10,9 +10,10 @@
   type QuarantineRows,
 } from '../../../../application/crashes';
 import type { RouteTableHolder, ServerDirectory } from '../../../../application/forwarding';
+import { formatIncarnation } from '../../../../domain/forwarding';
 import type { Gossip } from '../../../../application/gossip';
 import type { ServerPaths } from '../../../../application/paths';
-import type { Clock, EventLog, ForwardClient, Randomness } from '../../../../application/ports';
+import type { Clock, EventLog, ForwardClient } from '../../../../application/ports';
 import { TABLES, type StoreClient } from '../../../../../platform';
 
 /** Dependencies of the crash parts. */
@@ -21,8 +22,7 @@
   readonly clock: Clock;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
-  readonly paths: Pick<ServerPaths, 'judgeFailure'>;
-  readonly randomness: Randomness;
+  readonly paths: Pick<ServerPaths, 'isCutFrom' | 'judgeFailure'>;
   readonly store: StoreClient;
   readonly tables: RouteTableHolder;
   readonly publishOutcome: Gossip['sendOutcome'];
@@ -43,7 +43,6 @@
   directory,
   log,
   paths,
-  randomness,
   store,
   tables,
   publishOutcome,
@@ -68,14 +67,21 @@
   rows = quarantineRows;
   const crashTrials = createCrashTrials({ table: TABLES.quarantines, store, crashes, clock, log });
   const crashProbe = createCrashProbe({
-    client,
     clock,
     crashes,
-    directory,
     log,
-    paths,
-    randomness,
-    tables,
+    servers: {
+      findServer: (incarnation) =>
+        directory.listEntries().find((entry) => formatIncarnation(entry) === incarnation) ?? null,
+      probeIdentity: async (server) => {
+        const healthPath = tables.readCurrent()?.services.get(server.service)?.healthPath;
+        return healthPath === undefined ? 'unseen' : client.probeIdentity(server, healthPath);
+      },
+      judgeFailure: paths.judgeFailure,
+      isCutFrom: paths.isCutFrom,
+      hasAnsweredSince: directory.hasAnsweredSince,
+      recordAlive: directory.recordAlive,
+    },
   });
   return { crashes, crashProbe, crashTrials, quarantineRows };
 };
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -45,14 +45,14 @@
   const calls = createGatewayClient();
   let listMembers: Gossip['listMembers'] = () => [];
   // The paths, the limits and the directory depend on each other.
-  let known: Pick<ServerDirectory, 'listEntries' | 'readLoad' | 'recordSuccess'> | null = null;
+  let known: Pick<ServerDirectory, 'listEntries' | 'readLoad' | 'recordReachable'> | null = null;
   const { client, probeReach, paths } = wirePaths({
     ...common,
     self: settings,
     calls,
     listPeers: () => listMembers(),
     listEntries: () => known?.listEntries() ?? [],
-    recordSuccess: (id) => known?.recordSuccess(id),
+    recordReachable: (id) => known?.recordReachable(id),
     tables,
   });
   let sendLimit: Gossip['sendLimit'] = () => undefined;
--- a/src/programs/gateway/_lib/wirePaths/index.ts
+++ b/src/programs/gateway/_lib/wirePaths/index.ts
@@ -6,6 +6,7 @@
   createServerPaths,
   createServerReach,
   type ReachAnswer,
+  type ReachQuestion,
   type ServerPaths,
 } from '../../../../application/paths';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
@@ -22,7 +23,7 @@
   readonly calls: Pick<GatewayClient, 'readReach'>;
   readonly listPeers: () => readonly Member[];
   readonly listEntries: ServerDirectory['listEntries'];
-  readonly recordSuccess: ServerDirectory['recordSuccess'];
+  readonly recordReachable: ServerDirectory['recordReachable'];
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
 }
 
@@ -31,14 +32,14 @@
   readonly client: ServerClient;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly probeReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (question: ReachQuestion) => Promise<ReachAnswer['reachedIds']>;
 }
 
 /** Wires the client of servers and its paths. */
 export const wirePaths = ({
   calls,
   listEntries,
-  recordSuccess,
+  recordReachable,
   tables,
   ...common
 }: PathPartsDependencies): PathParts => {
@@ -59,7 +60,7 @@
     reach,
     relays,
     // Other VMs reach the server, so that its failures here say nothing about it.
-    handleRelayed: recordSuccess,
+    handleRelayed: recordReachable,
   });
   const client = createServerClient({ clock: common.clock, paths });
   probeServer = client.probeServer;
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -12,7 +12,7 @@
 import type { Gossip } from '../../../application/gossip';
 import type { LimitOwner, RoomOwner } from '../../../application/limits';
 import type { ConnectionGate, LoopDelayMonitor, MemoryBudget } from '../../../application/overload';
-import type { ReachAnswer, ServerPaths } from '../../../application/paths';
+import type { ReachAnswer, ReachQuestion, ServerPaths } from '../../../application/paths';
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
 import type { SchedulerClient, SchedulerRegistry } from '../../../application/scheduling';
@@ -40,7 +40,7 @@
   readonly quarantineRows: QuarantineRows;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly probeReach: (ids: readonly string[]) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (question: ReachQuestion) => Promise<ReachAnswer['reachedIds']>;
   readonly relayRequest: ServerClient['relayRequest'];
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -149,6 +149,7 @@
       copyRun: async () => err({ reason: 'none', kept: null }),
       dropCopy: () => undefined,
       readReport: async ({ id }) => readReport(id),
+      probeIdentity: async ({ id }) => (runsById.has(id) ? 'alive' : 'gone'),
       readIdentity: async () => null,
       readCachedPromptParts: async () => new Map(),
       removeServer: () => undefined,
--- a/standins/crashes/createFailingClient/index.ts
+++ b/standins/crashes/createFailingClient/index.ts
@@ -146,6 +146,7 @@
       return state === 'up';
     },
     readReport: ({ id }) => query(id, buildServerReport({ waiting: 0 })),
+    probeIdentity: async ({ id }) => ((await query(id, id)) === null ? 'gone' : 'alive'),
     readIdentity: ({ id }) => query(id, buildIdentity(id)),
     copyRun: async () => err({ reason: 'none', kept: null }),
     dropCopy: () => undefined,
--- a/standins/crashes/createRepeatWorld/index.ts
+++ b/standins/crashes/createRepeatWorld/index.ts
@@ -134,11 +134,11 @@
           availabilityZone: `z${at}`,
           cores: 1,
         })),
-      askPeer: async (address, ids) => {
+      askPeer: async (address, question) => {
         await new Promise<void>((resolve) => {
           clock.startTimer(PEER_CALL_MS, resolve);
         });
-        const reachedIds = (await reaches.get(address)?.probeReach(ids)) ?? [];
+        const reachedIds = (await reaches.get(address)?.probeReach(question)) ?? [];
         return { reachedIds, running: 0 };
       },
     });
@@ -146,7 +146,7 @@
       ...common,
       reach,
       relays,
-      handleRelayed: directory.recordSuccess,
+      handleRelayed: directory.recordReachable,
     });
     const client = createFailingClient({
       clock,
@@ -160,7 +160,18 @@
     });
     probeDirectly = client.probeDirectly;
     stops.push(paths.stop);
-    const tables = { readCurrent: () => table };
+    const crashProbe = createCrashProbe({
+      ...common,
+      crashes,
+      servers: {
+        findServer: directory.findEntry,
+        probeIdentity: (server) => client.probeIdentity(server, '/'),
+        judgeFailure: paths.judgeFailure,
+        isCutFrom: paths.isCutFrom,
+        hasAnsweredSince: directory.hasAnsweredSince,
+        recordAlive: directory.recordAlive,
+      },
+    });
     const scheduler = createGrantingScheduler(createInactiveScheduler(), () =>
       directory.listServing(SIMULATED_SERVICE).map(({ entry }) => entry.id),
     );
@@ -170,7 +181,7 @@
       vms: VMS.length,
       client,
       crashes,
-      crashProbe: createCrashProbe({ ...common, client, crashes, directory, paths, tables }),
+      crashProbe,
       crashTrials: createCrashTrials({ ...common, table: 't', store, crashes }),
       directory,
       paths,
--- a/standins/crashes/sendRepeat/index.ts
+++ b/standins/crashes/sendRepeat/index.ts
@@ -12,7 +12,7 @@
   readonly patienceMs: number;
 }
 
-const DEADLINE_MS = 4000;
+const DEADLINES_MS = { call: 2000, stream: 4000 } as const;
 
 /** Sends a request to a VM and resolves with how it ended. */
 export const sendRepeat = (
@@ -44,7 +44,8 @@
       end: () => end('answered'),
       destroy: () => end('broken'),
     };
-    clock.startTimer(Math.min(patienceMs, DEADLINE_MS + 1000), () => {
+    const deadlineMs = DEADLINES_MS[target.startsWith('/call/') ? 'call' : 'stream'];
+    clock.startTimer(Math.min(patienceMs, deadlineMs + 1000), () => {
       end('left');
       left.abort();
     });
@@ -55,7 +56,7 @@
       host: 'h',
       forwardedHeaders: [],
       key: null,
-      deadlineMs: DEADLINE_MS,
+      deadlineMs,
       arrivedAtMs: atMs,
       lastEventId,
       tokens: null,
--- a/standins/crashes/simulateCrashes/index.ts
+++ b/standins/crashes/simulateCrashes/index.ts
@@ -1,4 +1,4 @@
-import { createCrashTrials } from '../../../src/application/crashes';
+import { createCrashProbe, createCrashTrials } from '../../../src/application/crashes';
 import type { Forwarder, ServerDirectory } from '../../../src/application/forwarding';
 import { createSeededRandomness, QUIET_LOG } from '../../fakes';
 import { createVirtualStore } from '../../gateway';
@@ -87,13 +87,28 @@
     directories.push(directory);
     const crashes = histories.get(vm);
     if (!crashes) throw new Error(`no crash history of ${vm}`);
+    const client = servers.createClient(vm);
+    const crashProbe = createCrashProbe({
+      clock,
+      crashes,
+      log: QUIET_LOG,
+      servers: {
+        findServer: directory.findEntry,
+        probeIdentity: (server) => client.probeIdentity(server, '/'),
+        judgeFailure: async () => 'server',
+        isCutFrom: () => false,
+        hasAnsweredSince: directory.hasAnsweredSince,
+        recordAlive: directory.recordAlive,
+      },
+    });
     const crashTrials = createCrashTrials({ table: 't', store, crashes, clock, log: QUIET_LOG });
     return createSimulatedForwarder({
       index,
       vms,
-      client: servers.createClient(vm),
+      client,
       clock,
       crashes,
+      crashProbe,
       crashTrials,
       directory,
       randomness: createSeededRandomness(seed + index),
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,6 +1,7 @@
 export { buildLoadPart } from './buildLoadPart';
 export { buildDirectoryRow } from './buildDirectoryRow';
 export { createDirectoryFixture, STORE } from './createDirectoryFixture';
+export { buildRunOutcome } from './buildRunOutcome';
 export { buildSampleConfiguration } from './buildSampleConfiguration';
 export { buildOpenServers } from './buildOpenServers';
 export { buildScheduledServer } from './buildScheduledServer';
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -90,6 +90,7 @@
       );
       return { ...report, eventsByRun };
     },
+    probeIdentity: async ({ id }) => (findEngine(id).isUp() ? 'alive' : 'gone'),
     readIdentity: async ({ id }) => ({
       id,
       isLeaving: false,
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -76,7 +76,7 @@
   client,
   clock,
   crashes,
-  crashProbe = { startProbe: () => undefined },
+  crashProbe = { startProbe: () => undefined, startRecheck: () => undefined },
   crashTrials = { acquireTrial: async () => false },
   directory,
   index,
--- a/tests/gateway/sharedQuarantine.test.ts
+++ b/tests/gateway/sharedQuarantine.test.ts
@@ -1,19 +1,21 @@
 import test from 'ava';
+import { buildRunOutcome } from '../../standins/fakes';
 import { createGossipFleet } from '../../standins/gossip';
 import type { CrashHistory } from '../../src/application/crashes';
 
 const NAMES = ['a', 'b', 'c', 'd', 'e'];
 
 /** Records three crashes of one request, each at another VM. */
-const crashThree = (vms: readonly string[], histories: ReadonlyMap<string, CrashHistory>): void =>
-  vms.slice(0, 3).forEach((vm, index) =>
-    histories.get(vm)?.recordOutcome({
-      fingerprint: 'f',
-      requestId: 'r-1',
-      server: `i-${index}`,
-      hasCrashed: true,
-    }),
-  );
+const crashThree = (
+  vms: readonly string[],
+  histories: ReadonlyMap<string, CrashHistory>,
+  nowMs: number,
+): void =>
+  vms
+    .slice(0, 3)
+    .forEach((vm, index) =>
+      histories.get(vm)?.recordOutcome(buildRunOutcome({ server: `i-${index}`, atMs: nowMs })),
+    );
 
 const countQuarantines = (histories: ReadonlyMap<string, CrashHistory>): number =>
   [...histories.values()].filter((history) => history.readQuarantineMs('f') > 0).length;
@@ -22,7 +24,7 @@
   const { clock, gossips, histories, stop } = createGossipFleet(NAMES, {});
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(6000);
-  crashThree(NAMES, histories);
+  crashThree(NAMES, histories, clock.readMonotonicMs());
   await clock.advanceAsync(200);
   t.is(countQuarantines(histories), NAMES.length);
   stop();
@@ -33,7 +35,7 @@
   gossips.forEach((gossip) => gossip.start());
   await clock.advanceAsync(6000);
   cut.add('e');
-  crashThree(NAMES, histories);
+  crashThree(NAMES, histories, clock.readMonotonicMs());
   await clock.advanceAsync(1000);
   t.is(countQuarantines(histories), NAMES.length - 1);
   cut.delete('e');
@@ -52,7 +54,7 @@
   const callsBefore = countCalls();
   await clock.advanceAsync(4000);
   const baselineCalls = countCalls() - callsBefore;
-  crashThree(names, histories);
+  crashThree(names, histories, clock.readMonotonicMs());
   await clock.advanceAsync(2000);
   t.is(countQuarantines(histories), names.length);
   const callsAfterSpread = countCalls();
--- a/tests/gateway/unframedStreams.test.ts
+++ b/tests/gateway/unframedStreams.test.ts
@@ -29,7 +29,9 @@
 test('a stream without length or chunks that ends before its first event goes on at another server', async (t) => {
   const harness = await setUp(t);
   const followed = harness.follow(buildStreamRequest());
-  (await takeUnframed(harness)).request.response.end();
+  const { request, server } = await takeUnframed(harness);
+  request.response.end();
+  await server.crash();
   const next = await Promise.race([takeNextRequest(harness.servers), followed.done]);
   if (!('request' in next)) return t.fail('the caller got an empty answer');
   sendEvents(next, 1, 3);
