Count a crash apart if its run began after the crash before

Callers saw one call crash three servers more: its first three crashes, under repeats at two VMs, were recorded as 1, 2, 2, as crashes under different repeats within 250 ms counted as the loss of one rack. Outcomes carry how long the server had run the request; a run that began after an earlier crash is a case of its own. The test failed before.

--- a/src/domain/crashes/countCrashedServers/index.ts
+++ b/src/domain/crashes/countCrashedServers/index.ts
@@ -9,6 +9,7 @@
  */
 const areSeparate = (earlier: RunOutcome, later: RunOutcome): boolean =>
   earlier.requestId === later.requestId ||
+  later.atMs - later.ranMs >= earlier.atMs ||
   later.atMs - earlier.atMs > SAME_CAUSE_MS;
 
 /**
--- a/src/domain/crashes/countCrashedServers/test.ts
+++ b/src/domain/crashes/countCrashedServers/test.ts
@@ -28,6 +28,16 @@
   t.is(countCrashedServers([...crashes, buildCrash('i-9', 700, 'r-9')]), 2);
 });
 
+// Guards against crashes under repeats at several VMs that count as the loss of a rack: three more
+// servers crashed, though each run had begun after the crash before.
+test('crashes under quick repeats all count, as each run began after the crash before', (t) => {
+  const crashes = [0, 110, 230].map((atMs, index) => ({
+    ...buildCrash(`i-${index}`, atMs, `r-${index}`),
+    ranMs: 70,
+  }));
+  t.is(countCrashedServers(crashes), 3);
+});
+
 // Guards against a quarantine that ends as more servers crash: the groups of crashes that count as
 // one were divided anew by each further crash.
 test('a further crash never lowers the count', (t) => {
