--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -203,7 +203,7 @@
     if (refuseQuarantined(run)) return;
     // A caller that has got no event of this response loses nothing by its end, and may come again.
     cancelListener = crashes.addListener(() => {
-      if (!reply.hasSentHead()) refuseQuarantined(run);
+      if (run.lastEventAtMs === null) refuseQuarantined(run);
     });
     queue.push({ kind: 'caller-attached' });
     queue.push({ kind: 'started' });
