Date news by when it was observed, not by when its batch was sent

News waits up to 50 ms for its batch (200 ms for members, once more at each relay), and that time was missing in its age. The batch adds it now.

--- a/src/application/gossip/_lib/createNewsBatcher/index.ts
+++ b/src/application/gossip/_lib/createNewsBatcher/index.ts
@@ -72,10 +72,19 @@
 
 const countNews = (news: News): number => listKeys(news).length;
 
+/** Adds a time to the age of each item that has one. */
+const addAges = (news: News, addedMs: number): News =>
+  buildNews((kind) =>
+    (news[kind] as readonly News[typeof kind][number][]).map((item) =>
+      'ageMs' in item ? { ...item, ageMs: item.ageMs + addedMs } : item,
+    ),
+  );
+
 /** Creates a news batcher with an empty batch. */
 export const createNewsBatcher = ({ clock, sendNews }: NewsBatcherDependencies): NewsBatcher => {
   /** When an item was last relayed, by its key. */
   const relayedAtMs = new Map<string, number>();
+  /** Ages are those at monotonic time 0, so that they are right at any time of sending. */
   let pending: News = NO_NEWS;
   let cancelTimer: (() => void) | null = null;
   let dueMs = Infinity;
@@ -113,7 +122,7 @@
       pending = NO_NEWS;
       dueMs = Infinity;
       cancelTimer = null;
-      if (!isStopped) sendNews(batch);
+      if (!isStopped) sendNews(addAges(batch, clock.readMonotonicMs()));
     });
   };
 
@@ -124,7 +133,8 @@
       if (countNews(fresh) === 0) return;
       recordRelayed(fresh);
       const before = pending;
-      pending = buildNews((kind) => [...before[kind], ...fresh[kind]]);
+      const added = addAges(fresh, -clock.readMonotonicMs());
+      pending = buildNews((kind) => [...before[kind], ...added[kind]]);
       schedule(countNews(fresh) > fresh.members.length ? BATCH_MS : BATCH_MEMBERS_MS);
     },
     recordRelayed,
--- a/tests/gateway/sharedQuarantine.test.ts
+++ b/tests/gateway/sharedQuarantine.test.ts
@@ -62,3 +62,15 @@
   t.true(countCalls() - callsAfterSpread < baselineCalls * 1.5);
   stop();
 });
+
+// Guards against VMs that judge the same crashes differently: news was dated by its arrival.
+test('a crash has the same time at all VMs, however long its news waited to be sent', async (t) => {
+  const { clock, gossips, histories, stop } = createGossipFleet(NAMES, {});
+  gossips.forEach((gossip) => gossip.start());
+  await clock.advanceAsync(6000);
+  histories.get('a')?.recordOutcome(buildRunOutcome({ atMs: clock.readMonotonicMs() }));
+  await clock.advanceAsync(200);
+  const ages = NAMES.map((vm) => histories.get(vm)?.listOutcomes()[0]?.ageMs);
+  t.deepEqual(ages, [200, 200, 200, 200, 200]);
+  stop();
+});
