--- a/src/application/crashes/_lib/createOutcomeStore/index.ts
+++ b/src/application/crashes/_lib/createOutcomeStore/index.ts
@@ -1,4 +1,4 @@
-import type { RunOutcome } from '../../../../domain/crashes';
+import { isPartFingerprint, type RunOutcome } from '../../../../domain/crashes';
 import type { Clock } from '../../../ports';
 
 /** Dependencies of the outcomes. */
@@ -35,8 +35,11 @@
 /** Fingerprints removed at a time, as choosing them takes a look at all. */
 const REMOVED_AT_ONCE = 100;
 
+/** Crashes of a server under copies of one request are kept apart: their runs began at other times. */
 const isSameOutcome = (left: RunOutcome, right: RunOutcome): boolean =>
-  left.server === right.server && left.hasCrashed === right.hasCrashed;
+  left.server === right.server &&
+  left.hasCrashed === right.hasCrashed &&
+  (!left.hasCrashed || isPartFingerprint(left.fingerprint) || left.requestId === right.requestId);
 
 /**
  * Creates an empty store of outcomes.
--- a/src/domain/crashes/countCrashedServers/test.ts
+++ b/src/domain/crashes/countCrashedServers/test.ts
@@ -38,6 +38,23 @@
   t.is(countCrashedServers(crashes), 3);
 });
 
+// Guards against three copies of one stream that crash their servers a moment apart and count as
+// the loss of a rack: five more servers crashed.
+test('copies of one request crash servers at different moments, a rack is lost at one', (t) => {
+  const copies = [0, 39, 112].map((atMs, index) => buildCrash(`i-${index}`, atMs, `r-${index}`));
+  t.is(countCrashedServers(copies), 3);
+  const ofPart = copies.map((crash) => ({ ...crash, fingerprint: 'part-a' }));
+  t.is(countCrashedServers(ofPart), 1);
+});
+
+test('of the copies of a request on one server, the one that began last tells crashes apart', (t) => {
+  const first = { ...buildCrash('i-1', 0), ranMs: 50 };
+  const second = { ...buildCrash('i-2', 20, 'r-2'), ranMs: 60 };
+  const copy = { ...buildCrash('i-2', 20, 'r-3'), ranMs: 10 };
+  t.is(countCrashedServers([first, second]), 1);
+  t.is(countCrashedServers([first, second, copy]), 2);
+});
+
 // Guards against a quarantine that ends as more servers crash: the groups of crashes that count as
 // one were divided anew by each further crash.
 test('a further crash never lowers the count', (t) => {
