Call back waiting streams while it is checked why servers were lost

Attempts that have not begun are closed while a request is held back; the streams wait, and are sent again once a server proves to be alive. A stream that may not be resumed stays, as it would be lost.

--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -12,6 +12,7 @@
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import { openStreamAttempt } from '../openStreamAttempt';
+import { recallWaitingAttempts } from '../recallWaitingAttempts';
 import { recordDecodeSample } from '../recordDecodeSample';
 import { recordStreamEnd } from '../recordStreamEnd';
 import { logDecision } from '../logDecision';
@@ -203,7 +204,7 @@
     if (refuseQuarantined(run)) return;
     // A caller that has got no event of this response loses nothing by its end, and may come again.
     cancelListener = crashes.addListener(() => {
-      if (run.lastEventAtMs === null) refuseQuarantined(run);
+      if (run.lastEventAtMs === null && !refuseQuarantined(run)) recallWaitingAttempts(run);
     });
     queue.push({ kind: 'caller-attached' });
     queue.push({ kind: 'started' });
--- a/src/application/forwarding/_lib/refuseForCrashes/index.ts
+++ b/src/application/forwarding/_lib/refuseForCrashes/index.ts
@@ -1,13 +1,13 @@
 import type { CrashCause } from '../../../crashes';
 import type { StreamRun } from '../../types';
+import { hasReachedServer } from '../hasReachedServer';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
 import { logDecision } from '../logDecision';
 
 /** Refuses a stream because its request, or a part of its prompt, crashed servers. */
 export const refuseForCrashes = (run: StreamRun, cause: CrashCause): void => {
   const { context, crashes, dependencies } = run;
-  // An attempt that was already sent may still run.
-  const hasArrived = run.arrivedAttempts > 0 || run.readState().mayHaveStarted;
+  const hasArrived = hasReachedServer(run);
   logDecision(dependencies, context, 'request in quarantine', {
     ...crashes.readLogFields(),
     cause: cause.kind,
--- a/src/application/forwarding/_lib/refuseQuarantined/index.ts
+++ b/src/application/forwarding/_lib/refuseQuarantined/index.ts
@@ -1,4 +1,5 @@
 import type { StreamRun } from '../../types';
+import { hasReachedServer } from '../hasReachedServer';
 import { refuseForCrashes } from '../refuseForCrashes';
 
 /**
@@ -10,7 +11,7 @@
 export const refuseQuarantined = (run: StreamRun): boolean => {
   const cause = run.crashes.findCause();
   if (!cause || run.isTrial || cause.remainingMs === 0) return false;
-  if (!cause.isCertain && run.arrivedAttempts > 0) return false;
+  if (!cause.isCertain && hasReachedServer(run)) return false;
   refuseForCrashes(run, cause);
   return true;
 };
--- a/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
+++ b/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
@@ -1,4 +1,5 @@
 import type { StreamRun } from '../../types';
+import { hasReachedServer } from '../hasReachedServer';
 import { refuseForCrashes } from '../refuseForCrashes';
 import { refuseQuarantined } from '../refuseQuarantined';
 
@@ -16,7 +17,7 @@
     Object.assign(run, { isTrial: true });
     return 'send';
   }
-  if (!cause.isCertain && run.arrivedAttempts > 0) return 'wait';
+  if (!cause.isCertain && hasReachedServer(run)) return 'wait';
   if (!run.isEnded()) refuseForCrashes(run, cause);
   return 'refused';
 };
