Refuse a generation that crashed engines when its caller sends it again

Entries keep the crash history of the gateway now, by the digest of the request: an engine that ended under a run counts, a token clears it. Outcomes are pushed to the region at once and told to entries that start later (CrashNews). A request in quarantine gets 503 request_quarantined with Retry-After; generations of it that wait elsewhere are sent nowhere. The new test failed before: the repeat was sent to a fourth engine.

Nothing is kept across a loss of all entries, and calls to plain services keep no history: a broken connection alone does not show that a server ended.

--- a/src/adapters/connect/convertNewsFromMessage/index.ts
+++ b/src/adapters/connect/convertNewsFromMessage/index.ts
@@ -112,6 +112,16 @@
       ...message.serverStates.map(convertServerState),
       ...convertLoads(message),
       ...convertSends(message),
+      ...message.crashes.map((crash): Fact => ({
+        kind: 'crash',
+        fingerprint: crash.fingerprint,
+        requestId: crash.requestId,
+        server: crash.server,
+        hasCrashed: crash.hasCrashed,
+        isConfirmed: crash.isConfirmed,
+        ranMs: crash.ranMs,
+        ageMs: crash.ageMs,
+      })),
       ...message.recoveredServers.map((backendServer): Fact => ({
         kind: 'recovery',
         backendServer,
--- a/src/adapters/connect/convertNewsToMessage/index.ts
+++ b/src/adapters/connect/convertNewsToMessage/index.ts
@@ -3,6 +3,7 @@
 import type { Fact, News, PeerRecord } from '../../../domain/membership';
 import { NewsSchema } from '../gen/peer_pb';
 import type {
+  CrashNewsSchema,
   PeerRecordSchema,
   RegionDigestSchema,
   ServerStateNewsSchema,
@@ -30,6 +31,7 @@
   readonly sendIds: number[];
   readonly sendCounts: number[];
   readonly recoveredServers: string[];
+  readonly crashes: MessageInitShape<typeof CrashNewsSchema>[];
 }
 
 const createColumns = (): Columns => ({
@@ -45,6 +47,7 @@
   sendIds: [],
   sendCounts: [],
   recoveredServers: [],
+  crashes: [],
 });
 
 type AddFactByKind = {
@@ -66,6 +69,8 @@
   suspicion: (columns, { suspicion }) =>
     columns.suspicions.push({ ...suspicion, epoch: BigInt(suspicion.epoch) }),
   leaving: (columns, fact) => columns.leavingServers.push(fact.backendServer),
+  crash: (columns, { ageMs, kind, ranMs, ...fact }) =>
+    columns.crashes.push({ ...fact, ranMs: Math.round(ranMs), ageMs: Math.round(ageMs) }),
   recovery: (columns, fact) => columns.recoveredServers.push(fact.backendServer),
   send: (columns, fact) => {
     columns.sendIds.push(fact.id);
--- a/src/application/generations/_lib/buildError/index.ts
+++ b/src/application/generations/_lib/buildError/index.ts
@@ -4,6 +4,11 @@
 /** Errors returned to callers that are not yet attached to a run. */
 const ERRORS = {
   unknown_service: { status: 404, runState: RunState.NotRun, message: 'no such service' },
+  request_quarantined: {
+    status: 503,
+    runState: RunState.NotRun,
+    message: 'engines ended as they ran this request: it is not sent for now',
+  },
   store_unavailable: {
     status: 503,
     runState: RunState.NotRun,
--- a/src/application/generations/_lib/createRun/index.ts
+++ b/src/application/generations/_lib/createRun/index.ts
@@ -12,6 +12,7 @@
 import { createFeed } from '../createFeed';
 import { createInputQueue } from '../../../_lib/createInputQueue';
 import { createNotifier } from '../createNotifier';
+import { recordEngineOutcome } from '../recordEngineOutcome';
 import { runEffect, type AttemptEffect } from '../runEffect';
 
 /** The part of a run's context that its creator provides. */
@@ -86,8 +87,10 @@
 
   const handleInput = (input: GenerationInput): void => {
     if (input.kind === 'retry-due') retryAtMs = null;
+    const earlier = state;
     const next = updateGeneration(state, input);
     state = next.state;
+    recordEngineOutcome(context, earlier, input);
     next.effects.forEach(handleEffect);
     const isFollowed = state.callers > 0 && !isEnded();
     if (isFollowed) idleSinceMs = null;
--- a/src/application/generations/_lib/startAttempt/index.ts
+++ b/src/application/generations/_lib/startAttempt/index.ts
@@ -11,10 +11,14 @@
 import { buildDemand } from '../buildDemand';
 import { convertEngineError } from '../convertEngineError';
 import { createAttemptHandle } from '../createAttemptHandle';
+import { findCrashCause } from '../findCrashCause';
 import { readStream } from '../readStream';
 
 type OpenAttempt = Extract<GenerationEffect, { kind: 'open-attempt' }>;
 
+/** Interval at which a generation that is held back asks whether it may be sent on. */
+const HELD_RETRY_MS = 1000;
+
 /** Random bytes in a stream id, as two VMs may start the same attempt number. */
 const STREAM_ID_BYTES = 4;
 
@@ -102,6 +106,11 @@
   const service = findService(context);
   if (service.isErr()) return refuse(service.error);
   if (!request) return undefined;
+  const cause = context.log.readEndOffset() === 0 ? findCrashCause(dependencies, request) : null;
+  if (cause) {
+    const message = 'engines ended as they ran this request';
+    return refuse({ code: RefusalCode.NoReadyServer, message, retryAfterMs: HELD_RETRY_MS });
+  }
   const demand = buildDemand(request, service.value, {
     purpose: effect.purpose,
     excludedServers: effect.excludedServers,
--- a/src/application/generations/createGenerations/index.ts
+++ b/src/application/generations/createGenerations/index.ts
@@ -1,4 +1,6 @@
+import { err } from 'neverthrow';
 import type { GenerationFeed, Generations } from '../../ports';
+import { buildError } from '../_lib/buildError';
 import { buildGenerationId } from '../_lib/buildGenerationId';
 import { buildInitialChain } from '../_lib/buildInitialChain';
 import { buildRun } from '../_lib/buildRun';
@@ -9,6 +11,7 @@
 import { createRunStore } from '../_lib/createRunStore';
 import { createServerActivity } from '../_lib/createServerActivity';
 import { createSweeper } from '../_lib/createSweeper';
+import { findCrashCause } from '../_lib/findCrashCause';
 import { openFeed } from '../_lib/openFeed';
 import { resumeGeneration } from '../_lib/resumeGeneration';
 import { sweepRun } from '../_lib/sweepRun';
@@ -89,10 +92,15 @@
   };
 
   return {
-    startGeneration: (request, signal) =>
-      request.idempotencyKey !== '' || !request.idempotent
+    startGeneration: async (request, signal) => {
+      const cause = findCrashCause(dependencies, request);
+      if (cause) {
+        return err(buildError('request_quarantined', { retryAfterMs: cause.remainingMs }));
+      }
+      return request.idempotencyKey !== '' || !request.idempotent
         ? startClaimed(request, signal)
-        : startUnclaimed(request, signal),
+        : startUnclaimed(request, signal);
+    },
     resumeGeneration: (resume, signal) => resumeGeneration(context, resume, signal),
     findGeneration: (workspace, generationId, offset): GenerationFeed | null =>
       findRun(workspace, generationId)?.attach(offset) ?? null,
--- a/src/application/generations/types/GenerationsDependencies.ts
+++ b/src/application/generations/types/GenerationsDependencies.ts
@@ -1,3 +1,4 @@
+import type { CrashHistory } from '../../crashes';
 import type {
   Claims,
   Clock,
@@ -21,6 +22,8 @@
   readonly router: Router;
   readonly health: HealthRegistry;
   readonly claims: Claims;
+  /** Tracks which requests crash the engines that run them. */
+  readonly crashes: Pick<CrashHistory, 'findCause' | 'isEmpty' | 'recordOutcome'>;
   readonly peers: PeerGenerations;
   readonly configuration: ConfigurationView;
   readonly decisionLog: DecisionLog;
--- a/src/application/gossip/_lib/computeOutcomesDigest/index.ts
+++ b/src/application/gossip/_lib/computeOutcomesDigest/index.ts
@@ -6,6 +6,8 @@
   outcomes.reduce(
     (digest, { fingerprint, hasCrashed, isConfirmed, requestId, server }) =>
       // eslint-disable-next-line no-bitwise
-      (digest ^ computeNameId(`${fingerprint} ${requestId} ${server} ${hasCrashed} ${isConfirmed}`)) >>> 0,
+      (digest ^
+        computeNameId(`${fingerprint} ${requestId} ${server} ${hasCrashed} ${isConfirmed}`)) >>>
+      0,
     0,
   );
--- a/src/application/peers/_lib/createFactMerger/index.ts
+++ b/src/application/peers/_lib/createFactMerger/index.ts
@@ -6,6 +6,7 @@
 import type { Fact, LoadFact, ServerStateFact } from '../../../../domain/membership';
 import { isNewerReport } from '../../../../domain/load';
 import type { HealthRegistry, LoadView } from '../../../ports';
+import type { CrashFacts } from '../createCrashFacts';
 import type { FactStore } from '../createFactStore';
 import type { MemberTable } from '../createMemberTable';
 
@@ -17,6 +18,7 @@
   readonly health: HealthRegistry | null;
   readonly load: LoadView | null;
   readonly readNowMs: () => number;
+  readonly mergeCrash: CrashFacts['mergeFact'];
 }
 
 /** The VM that sent facts, and a lower bound on the time at which they were written. */
@@ -47,7 +49,7 @@
  * store, from which they are relayed; old facts change nothing.
  */
 export function createFactMerger(deps: FactMergerDependencies): FactMerger {
-  const { factStore, members, health, load, readNowMs } = deps;
+  const { factStore, members, health, load, mergeCrash, readNowMs } = deps;
   const serverNames = new Map<number, string | null>();
 
   const addServerName = (backendServer: string): void => {
@@ -122,6 +124,7 @@
       factStore.write(key, fact, origin.vm);
       health?.recordLeaving(fact.backendServer, true);
     },
+    crash: (fact, origin) => mergeCrash(fact, origin.vm),
     recovery: ({ backendServer }) => {
       factStore.remove(`suspicion:${backendServer}`);
       health?.recordRecovery(backendServer);
--- a/src/application/peers/createPeerExchange/index.ts
+++ b/src/application/peers/createPeerExchange/index.ts
@@ -1,5 +1,7 @@
 import { MAX_FULL_MESH_VMS } from '../../../domain/membership';
+import type { SharedOutcome } from '../../../domain/crashes';
 import type { PeerRecord, News } from '../../../domain/membership';
+import type { CrashHistory } from '../../crashes';
 import type { Clock, HealthRegistry, LoadView, Randomness } from '../../ports';
 import { createFactStore } from '../_lib/createFactStore';
 import { createHealthPublisher } from '../_lib/createHealthPublisher';
@@ -14,7 +16,8 @@
 import { createEchoClock } from '../_lib/createEchoClock';
 import { createLocalFacts } from '../_lib/createLocalFacts';
 import { createPartnerTable } from '../_lib/createPartnerTable';
-import { createFactPusher } from '../_lib/createFactPusher';
+import { createCrashFacts } from '../_lib/createCrashFacts';
+import { createFactPusher, type FactPusher } from '../_lib/createFactPusher';
 import { createGossipRounds } from '../_lib/createGossipRounds';
 import type { PeerCalls, VersionSource } from '../types';
 
@@ -34,6 +37,8 @@
   /** Null in a process that routes no requests. */
   readonly health: HealthRegistry | null;
   readonly load: LoadView | null;
+  /** Null in a process that runs no requests. */
+  readonly crashes: Pick<CrashHistory, 'mergeOutcome'> | null;
   /** Lists the names of all configured backend servers. */
   readonly listServerNames: () => readonly string[];
 }
@@ -47,6 +52,8 @@
   handleNews(news: News): News;
   /** Records and announces whether this VM is leaving. */
   recordOwnLeaving(leaving: boolean): void;
+  /** Tells the region how an engine fared under a request that may crash engines. */
+  sendOutcome(outcome: SharedOutcome): void;
   /** Sends the version in force at this VM to a few VMs at once, ahead of the next round. */
   sendVersion(): void;
   start(): void;
@@ -65,7 +72,7 @@
  * the buffers of a paused process, or was delayed on its way, cannot count as fresh.
  */
 export function createPeerExchange(deps: PeerExchangeDependencies): PeerExchange {
-  const { clock, randomness, versions, health, load, self } = deps;
+  const { clock, crashes, randomness, versions, health, load, self } = deps;
   const echoClock = createEchoClock({ clock, randomness });
   const { readNowMs } = echoClock;
   const startSequence = 1 + Math.floor(randomness.readFraction() * START_SEQUENCE_RANGE);
@@ -77,7 +84,23 @@
   let stopHealthPublisher = (): void => {};
   const readSelf = (): PeerRecord => ({ ...self, leaving });
 
-  const merger = createFactMerger({ self: self.vm, factStore, members, health, load, readNowMs });
+  // The pusher is created last, as it sends what the other parts have.
+  let pushFact: FactPusher['pushFact'] = () => undefined;
+  const crashFacts = createCrashFacts({
+    self: self.vm,
+    factStore,
+    mergeOutcome: crashes?.mergeOutcome ?? null,
+    pushFact: (fact) => pushFact(fact),
+  });
+  const merger = createFactMerger({
+    self: self.vm,
+    factStore,
+    members,
+    health,
+    load,
+    readNowMs,
+    mergeCrash: crashFacts.mergeFact,
+  });
   const reader = createNewsReader({
     ...deps,
     region: self.region,
@@ -123,6 +146,7 @@
     listReceivers: rounds.listReachable,
     sendFacts: rounds.sendFacts,
   });
+  pushFact = pusher.pushFact;
 
   return {
     ...view,
@@ -136,10 +160,10 @@
       leaving = isLeaving;
       pusher.pushFact({ kind: 'peer', record: readSelf() });
     },
+    sendOutcome: crashFacts.publishOutcome,
     sendVersion: rounds.sendVersion,
     start: () => {
       if (health !== null) {
-        const { pushFact } = pusher;
         stopHealthPublisher = createHealthPublisher({
           self: self.vm,
           factStore,
--- a/src/domain/membership/index.ts
+++ b/src/domain/membership/index.ts
@@ -15,6 +15,7 @@
 export { mergePeerRecord } from './mergePeerRecord';
 export { rankBySize } from './rankBySize';
 export type {
+  CrashFact,
   Fact,
   LeavingFact,
   LoadFact,
--- a/src/domain/membership/types/Fact.ts
+++ b/src/domain/membership/types/Fact.ts
@@ -1,3 +1,4 @@
+import type { SharedOutcome } from '../../crashes';
 import type { Suspicion } from '../../types';
 import type { LoadFact, ServerStateFact } from './LoadFact';
 import type { PeerRecord } from './PeerRecord';
@@ -54,6 +55,11 @@
   readonly running: number;
 }
 
+/** How an engine fared under a request that is suspected of crashing engines. */
+export interface CrashFact extends SharedOutcome {
+  readonly kind: 'crash';
+}
+
 /** A piece of information that one VM sends to another. */
 export type Fact =
   | PeerFact
@@ -61,6 +67,7 @@
   | RegionFact
   | SuspicionFact
   | LeavingFact
+  | CrashFact
   | RecoveryFact
   | RunningAttemptsFact
   | ServerStateFact
--- a/src/domain/membership/types/index.ts
+++ b/src/domain/membership/types/index.ts
@@ -1,4 +1,5 @@
 export type {
+  CrashFact,
   Fact,
   LeavingFact,
   PeerFact,
--- a/src/programs/entry/_lib/wireEntry/index.ts
+++ b/src/programs/entry/_lib/wireEntry/index.ts
@@ -7,6 +7,7 @@
 } from '../../../../application/cancellation';
 import { createClaims } from '../../../../application/claims';
 import { createConfigurationFollower } from '../../../../application/configuration';
+import { createCrashHistory } from '../../../../application/crashes';
 import { createGenerations } from '../../../../application/generations';
 import { createPeerExchange, type PeerExchange } from '../../../../application/peers';
 import { createRouter } from '../../../../application/routing';
@@ -49,6 +50,14 @@
     availabilityZone,
     incarnation: Math.floor(clock.readWallMs() / MS_PER_S),
   };
+  const crashes = createCrashHistory({
+    clock,
+    log,
+    // A crash is that of one run, which an engine that starts again does not undo.
+    hasAnsweredSince: () => false,
+    publishOutcome: (outcome) => exchange?.sendOutcome(outcome),
+    handleQuarantine: () => undefined,
+  });
   const startedExchange = createPeerExchange({
     self,
     seeds: settings.peers.seeds,
@@ -58,6 +67,7 @@
     versions: configuration,
     health,
     load,
+    crashes,
     listServerNames: () => (readConfiguration()?.backendServers ?? []).map(({ name }) => name),
   });
   exchange = startedExchange;
@@ -87,6 +97,7 @@
     router,
     health,
     claims,
+    crashes,
     peers,
     configuration,
     decisionLog: decisions,
--- a/tests/generations/crashingGenerations.test.ts
+++ b/tests/generations/crashingGenerations.test.ts
@@ -47,3 +47,49 @@
   }
   t.is((await reader.done).length, 5);
 });
+
+// Guards against callers who send a request again that crashed engines: each repeat crashed three
+// more, at the same entry or at another.
+test('a generation that crashed three engines is not sent again when it is repeated at any entry', async (t) => {
+  const clock = createFakeClock();
+  const engines = createScriptedEngines();
+  const serverNames = ['engine-1', 'engine-2', 'engine-3', 'engine-4', 'engine-5'];
+  const second = createTestEntry({ vm: 'entry-2', clock, engines, serverNames });
+  const first = createTestEntry({
+    vm: 'entry-1',
+    clock,
+    engines,
+    serverNames,
+    publishOutcome: second.crashes.mergeOutcome,
+  });
+  const { signal } = new AbortController();
+  const opening = first.generations.startGeneration(buildRequest(), signal);
+  for (let crashed = 1; crashed <= 3; crashed += 1) {
+    await engines.waitForStarts(crashed);
+    engines.kill(engines.starts[crashed - 1]!.server);
+  }
+  await clock.advanceAsync(2000);
+  await opening;
+  for (const { generations } of [first, second]) {
+    const refused = await generations.startGeneration(buildRequest(), signal);
+    t.like(refused._unsafeUnwrapErr(), { code: 'request_quarantined', status: 503 });
+  }
+  t.is(engines.starts.length, 3);
+  second.generations.startGeneration(buildRequest({ digest: 'd2' }), signal);
+  await engines.waitForStarts(4);
+});
+
+test('a token after two crashes clears the request', async (t) => {
+  const { engines, entry } = setUp();
+  const { signal } = new AbortController();
+  const opening = entry.generations.startGeneration(buildRequest(), signal);
+  for (let crashed = 1; crashed <= 2; crashed += 1) {
+    await engines.waitForStarts(crashed);
+    engines.kill(engines.starts[crashed - 1]!.server);
+  }
+  await engines.waitForStarts(3);
+  t.true(entry.crashes.isSuspected('d1'));
+  engines.emit(engines.starts[2]!, 1, 'stop');
+  await startFeedReader((await opening)._unsafeUnwrap()).done;
+  t.false(entry.crashes.isSuspected('d1'));
+});
--- a/tests/peers/_lib/createTestRegion/index.ts
+++ b/tests/peers/_lib/createTestRegion/index.ts
@@ -4,6 +4,7 @@
 import { NewsSchema } from '../../../../src/adapters/connect/gen/peer_pb';
 import { createHealthRegistry } from '../../../../src/application/health';
 import { createPeerExchange } from '../../../../src/application/peers';
+import type { SharedOutcome } from '../../../../src/domain/crashes';
 import type { PeerCalls, PeerExchange } from '../../../../src/application/peers';
 import type { HealthRegistry } from '../../../../src/application/ports';
 import { createLoadView } from '../../../../src/application/routing';
@@ -16,6 +17,8 @@
 export interface TestVm {
   readonly name: string;
   readonly exchange: PeerExchange;
+  /** Outcomes that other VMs told of. */
+  readonly outcomes: readonly SharedOutcome[];
   readonly health: HealthRegistry;
   readonly load: RouterLoadView;
   /** State of the configuration follower, which applies an offered version at once. */
@@ -76,6 +79,7 @@
     starts += 1;
     const health = createHealthRegistry({ vm: name });
     const load = createLoadView({ clock });
+    const outcomes: SharedOutcome[] = [];
     const configuration: TestVm['configuration'] = { version: 0, tableReadAtMs: null };
     const exchange = createPeerExchange({
       self: {
@@ -98,9 +102,10 @@
       },
       health,
       load,
+      crashes: { mergeOutcome: (outcome) => outcomes.push(outcome) > 0 },
       listServerNames: () => SERVER_NAMES,
     });
-    return { name, health, load, configuration, exchange };
+    return { name, health, load, configuration, exchange, outcomes };
   };
 
   return {
--- a/tests/peers/connect.test.ts
+++ b/tests/peers/connect.test.ts
@@ -45,6 +45,16 @@
     ageMs: 250,
   },
   { kind: 'send', id: 7, running: 2 },
+  {
+    kind: 'crash',
+    fingerprint: 'f',
+    requestId: 'r-1',
+    server: 'e-1 s-1',
+    hasCrashed: true,
+    isConfirmed: true,
+    ranMs: 60,
+    ageMs: 5,
+  },
   { kind: 'recovery', backendServer: 'e-3' },
 ];
 
--- a/tests/peers/exchange.test.ts
+++ b/tests/peers/exchange.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import { buildRunOutcome } from '../../standins/fakes';
 import type { LoadReport } from '../../src/domain/types';
 import { createTestRegion } from './_lib/createTestRegion';
 import type { TestRegion } from './_lib/createTestRegion';
@@ -75,6 +76,24 @@
   stop();
 });
 
+test('a crash under a request is pushed to the whole region at once, and told to VMs that start later', async (t) => {
+  const region = await startRegion(4);
+  const { atMs, ...crash } = buildRunOutcome();
+  region.vms[0]?.exchange.sendOutcome({ ...crash, ageMs: atMs });
+  await region.clock.advanceAsync(10);
+  t.deepEqual(
+    region.vms.map(({ outcomes }) => outcomes.length),
+    [0, 1, 1, 1],
+  );
+  region.startVm('vm-5', { region: 'gt', seeds: [] });
+  region.announceAllVms();
+  await region.clock.advanceAsync(3000);
+  const [told] = region.vms[4]?.outcomes ?? [];
+  t.like(told, crash);
+  t.true((told?.ageMs ?? 0) > 0);
+  region.stop();
+});
+
 test('a server that reports leaving and later takes it back is serving again at all VMs', async (t) => {
   // Guards against a server, replaced under the same name, that gets no work from VMs that do not
   // poll it: its reports set `leaving` and later clear it, and only the first change was applied.
--- a/tests/support/createTestEntry/index.ts
+++ b/tests/support/createTestEntry/index.ts
@@ -1,4 +1,6 @@
 import { err, ok } from 'neverthrow';
+import { createCrashHistory, type CrashHistory } from '../../../src/application/crashes';
+import type { SharedOutcome } from '../../../src/domain/crashes';
 import { createGenerations, type StoppableGenerations } from '../../../src/application/generations';
 import { createHealthRegistry } from '../../../src/application/health';
 import type {
@@ -26,6 +28,7 @@
 /** The generations of one entry on scripted engines. */
 export interface TestEntry {
   readonly generations: StoppableGenerations;
+  readonly crashes: CrashHistory;
   readonly health: HealthRegistry;
   readonly demands: Demand[];
   readonly outcomes: SlotOutcome[];
@@ -40,6 +43,8 @@
   readonly configuration?: Partial<Configuration>;
   readonly claims?: Claims;
   readonly peers?: PeerGenerations;
+  /** Tells other entries of an outcome. */
+  readonly publishOutcome?: (outcome: SharedOutcome) => void;
 }
 
 const UNAVAILABLE = { kind: 'store-unavailable', reason: 'no store', retryAfterMs: 1000 } as const;
@@ -104,6 +109,13 @@
       return ok({ server, priority: 0, release: (outcome) => outcomes.push(outcome) });
     },
   };
+  const crashes = createCrashHistory({
+    clock: options.clock,
+    log: QUIET_LOG,
+    hasAnsweredSince: () => false,
+    publishOutcome: options.publishOutcome ?? (() => undefined),
+    handleQuarantine: () => undefined,
+  });
   const generations = createGenerations({
     vm: options.vm,
     clock: options.clock,
@@ -112,6 +124,7 @@
     router,
     health,
     claims: options.claims ?? STORE_DOWN,
+    crashes,
     peers: options.peers ?? NO_PEERS,
     configuration: {
       readCurrent: () => ({
@@ -126,5 +139,5 @@
     decisionLog: { record: () => undefined, listDecisions: () => [] },
     eventLog: QUIET_LOG,
   });
-  return { generations, health, demands, outcomes };
+  return { generations, crashes, health, demands, outcomes };
 };
