Say in the client of servers when a lost path hid how a connection ended

Only the end of a stream's body was weighed by whether its VM had lost its links; the same end of a call, or before the head, was not. The client that holds the connection says 'unseen' in each case now, and the special case in the reader of streams is gone.

--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -1,4 +1,3 @@
-import type { ConnectionEnd } from '../../../../domain/crashes';
 import { updateGapStatistics } from '../../../../domain/detection';
 import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
@@ -98,16 +97,6 @@
 const hasBrokenOff = (run: StreamRun, attempt: StreamAttempt, rest: Buffer): boolean =>
   !attempt.isFramed && (rest.length > 0 || (!attempt.hasDeliveredEvent && isNewStream(run)));
 
-/** A VM that has lost its links to a server sees only that their connection ended. */
-const readSeenEnd = (
-  { dependencies }: StreamRun,
-  { relay, server }: StreamAttempt,
-  connection: ConnectionEnd,
-): ConnectionEnd =>
-  relay === null && connection !== 'dropped' && dependencies.paths.isCutFrom(server.id)
-    ? 'unseen'
-    : connection;
-
 /** A response that ended with its connection, before its last event. */
 class EndedTooEarlyError extends Error {}
 
@@ -159,11 +148,7 @@
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
     if (attempt.isMigrating) return;
-    const connection = readSeenEnd(
-      run,
-      attempt,
-      readEnd(error instanceof EndedTooEarlyError ? null : error),
-    );
+    const connection = readEnd(error instanceof EndedTooEarlyError ? null : error);
     if (isCurrent() && unreadMs < MAX_UNREAD_MS) {
       recordStreamEnd(run, attempt, connection);
       if (connection === 'reset' || connection === 'closed') {
--- a/standins/crashes/createFailingClient/index.ts
+++ b/standins/crashes/createFailingClient/index.ts
@@ -19,7 +19,12 @@
   readonly servers: FailingServers;
   readonly paths: Pick<
     ServerPaths,
-    'choosePath' | 'recordAnswer' | 'recordFailure' | 'recordRelayLoss' | 'recordRelayMiss'
+    | 'choosePath'
+    | 'isCutFrom'
+    | 'recordAnswer'
+    | 'recordFailure'
+    | 'recordRelayLoss'
+    | 'recordRelayMiss'
   >;
   /** State of a server on the links of a VM; null for this one. */
   readonly readState: (relay: string | null, id: string) => ServerState;
@@ -106,7 +111,8 @@
           const isLost = relay !== null && bad && losesRelays && connection !== 'complete';
           if (isLost) paths.recordRelayLoss(relay);
           if (relay === null && connection !== 'complete') paths.recordFailure(id, 'broken');
-          const seen = isLost ? 'unseen' : connection;
+          const isCut = relay === null && connection !== 'complete' && paths.isCutFrom(id);
+          const seen = isLost || isCut ? 'unseen' : connection;
           const isOrdinary = seen === 'complete' || (seen === 'closed' && bad && !isFramed);
           body.finish(isOrdinary ? null : new ClosedError(seen));
           fail('broken', seen);
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -27,7 +27,7 @@
   readonly crashProbe?: CrashProbe;
   readonly crashTrials?: CrashTrials;
   readonly directory: ServerDirectory;
-  readonly paths?: Pick<ServerPaths, 'isCutFrom' | 'recordFailure'>;
+  readonly paths?: Pick<ServerPaths, 'recordFailure'>;
   readonly randomness: Randomness;
   readonly scheduler?: SchedulerClient;
   readonly table?: RouteTable;
@@ -80,7 +80,7 @@
   crashTrials = { acquireTrial: async () => false },
   directory,
   index,
-  paths = { isCutFrom: () => false, recordFailure: () => undefined },
+  paths = { recordFailure: () => undefined },
   randomness,
   scheduler = createInactiveScheduler(),
   table = SIMULATED_TABLE,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -115,7 +115,7 @@
     },
     crashes: { isEmpty: () => true, addListener: () => noop },
     limits: { recordAdvertisedLimit: noop },
-    paths: { isCutFrom: () => false, recordFailure: noop },
+    paths: { recordFailure: noop },
     permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
     meter: { recordResume: noop, recordRequest: noop, recordAttemptEnd: noop },
     retries: { recordRequest: noop },
--- a/tests/gateway/_lib/startTestRelay/index.ts
+++ b/tests/gateway/_lib/startTestRelay/index.ts
@@ -49,6 +49,7 @@
     clock,
     paths: {
       choosePath: () => ({ kind: 'relay', vm: 'relay', address }),
+      isCutFrom: () => false,
       recordAnswer: () => observed.push('answer'),
       recordFailure: () => observed.push('failure'),
       recordRelayLoss: () => observed.push('loss'),
