--- a/src/application/forwarding/_lib/refuseForCrashes/index.ts
+++ b/src/application/forwarding/_lib/refuseForCrashes/index.ts
@@ -11,6 +11,7 @@
   logDecision(dependencies, context, 'request in quarantine', {
     ...crashes.readLogFields(),
     cause: cause.kind,
+    isCertain: cause.isCertain,
     responsible: cause.fingerprints.join(' '),
     crashes: cause.crashes,
     quarantineMs: Math.round(cause.remainingMs),
