Ask other VMs about a server only for crashes, with one probe or two each

Suspicions are judged as before; crashes ask about the one server, and the VM asked says by itself whether it reaches any.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -149,7 +149,13 @@
         { servers: [...ids], suspect: suspectId ?? '' },
         REACH_TIMEOUT_MS,
       );
-      return answer && { reachedIds: answer.reached, running: answer.running };
+      return (
+        answer && {
+          reachedIds: answer.reached,
+          reachesAny: answer.reachesAny,
+          running: answer.running,
+        }
+      );
     },
     followTables: async (address, request, timeoutMs) => {
       const message = buildStatementsRequestMessage(request);
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -90,11 +90,11 @@
     return {};
   },
   readReach: async ({ servers, suspect }) => {
-    const { reachedIds, running } = await handleReachRequest({
+    const { reachedIds, reachesAny, running } = await handleReachRequest({
       ids: servers,
       suspectId: suspect === '' ? null : suspect,
     });
-    return { reached: [...reachedIds], running };
+    return { reached: [...reachedIds], reachesAny, running };
   },
   tellPrompt: async ({ server, tokens }) => {
     recordToldPrompt(server, tokens);
--- a/src/application/crashes/createCrashProbe/index.ts
+++ b/src/application/crashes/createCrashProbe/index.ts
@@ -99,7 +99,7 @@
     if (sighting === 'alive') servers.recordAlive(server.id);
     if (sighting === 'alive' || sighting === 'silent') return { state: 'alive', reason: sighting };
     if (sighting === 'replaced') return { state: 'crashed', reason: sighting };
-    const cause = await servers.judgeFailure(server.id);
+    const cause = await servers.findFailureCause(server.id);
     const states = { server: 'crashed', path: 'alive', unknown: 'unknown' } as const;
     // A server with too many connections breaks new ones.
     const isOverloaded =
--- a/src/application/crashes/createCrashProbe/test.ts
+++ b/src/application/crashes/createCrashProbe/test.ts
@@ -20,7 +20,7 @@
     crashes: { recordOutcome: (outcome) => outcomes.push(outcome) },
     servers: {
       findServer: () => SERVER,
-      judgeFailure: async () => 'server',
+      findFailureCause: async () => 'server',
       isCutFrom: () => false,
       hasAnsweredSince: () => false,
       recordAlive: (id) => aliveIds.push(id),
@@ -51,12 +51,12 @@
 
 test('a server that accepts no connection has crashed, unless the path to it is the cause', async (t) => {
   t.is(await probe({}), 'crashed');
-  t.is(await probe({ judgeFailure: async () => 'path' }), 'alive');
+  t.is(await probe({ findFailureCause: async () => 'path' }), 'alive');
 });
 
 test('a server has crashed if another one has its address', async (t) => {
-  const judgeFailure = async () => 'unknown' as const;
-  t.is(await probe({ judgeFailure, probeIdentity: async () => 'replaced' }), 'crashed');
+  const findFailureCause = async () => 'unknown' as const;
+  t.is(await probe({ findFailureCause, probeIdentity: async () => 'replaced' }), 'crashed');
 });
 
 test('a server that answers, or that is busy, has not crashed', async (t) => {
@@ -71,7 +71,7 @@
 // Guards against a crash that is forgotten as its VM can't prove it alone: a request went on to
 // crash three more servers.
 test('a crash that no VM can tell from a lost path stays unconfirmed', async (t) => {
-  t.is(await probe({ judgeFailure: async () => 'unknown' }), 'unconfirmed');
+  t.is(await probe({ findFailureCause: async () => 'unknown' }), 'unconfirmed');
 });
 
 test('a server that breaks new connections may have too many of them, unless this VM is cut off', async (t) => {
--- a/src/application/crashes/types/ProbedServers.ts
+++ b/src/application/crashes/types/ProbedServers.ts
@@ -9,7 +9,7 @@
   /** Asks for the server's id on a new connection. */
   probeIdentity(server: ServerEntry): Promise<ServerSighting>;
   /** Finds out whether the server, or the path to it, is the cause of a failure. */
-  judgeFailure(serverId: string): Promise<FailureCause>;
+  findFailureCause(serverId: string): Promise<FailureCause>;
   /** True if this VM has lost its links to the server, while the server may be sound. */
   isCutFrom(serverId: string): boolean;
   /** True if this incarnation answered this VM after that monotonic time. */
--- a/src/application/paths/createRelayRegistry/index.ts
+++ b/src/application/paths/createRelayRegistry/index.ts
@@ -31,13 +31,8 @@
    * @param options.isCutOff - whether to go on until one of them reaches a server
    */
   askRelays(ids: readonly string[], options: { readonly isCutOff: boolean }): Promise<void>;
-  /**
-   * Asks some VMs whether they reach a server.
-   *
-   * @param controlIds - other servers, which show that these VMs reach any
-   * @returns null if none of them can tell
-   */
-  askAbout(serverId: string, controlIds: readonly string[]): Promise<boolean | null>;
+  /** Asks some VMs whether they reach a server; null if none of them reaches any. */
+  askAbout(serverId: string): Promise<boolean | null>;
   /** Chooses a VM that reaches a server; null if none is known. */
   chooseRelay(serverId: string): Relay | null;
   /** Records that a VM was not reached, or that its connection was lost under a request. */
@@ -130,16 +125,15 @@
         if (relays.size > 0 || drawn.length === 0) return;
       }
     },
-    askAbout: async (serverId, controlIds) => {
-      const question = { ids: [serverId, ...controlIds], suspectId: serverId };
+    askAbout: async (serverId) => {
+      const question = { ids: [serverId], suspectId: serverId };
       const drawn = drawPeers(new Set());
       // VMs that failed a moment ago may answer: without any answer nothing is known of the server.
       const others = drawPeers(new Set(drawn.map(({ vm }) => vm)), () => false);
       const peers = [...drawn, ...others].slice(0, RELAY_COUNT);
       const answers = await Promise.all(peers.map(({ address }) => askPeer(address, question)));
-      const reachedIds = new Set(answers.flatMap((answer) => answer?.reachedIds ?? []));
-      if (reachedIds.has(serverId)) return true;
-      return reachedIds.size > 0 ? false : null;
+      if (answers.some((answer) => answer?.reachedIds.includes(serverId))) return true;
+      return answers.some((answer) => answer?.reachesAny) ? false : null;
     },
     chooseRelay: (serverId) => chooseRelay([...relays.values()], { serverId, drawFraction }),
     recordLoss: (vm) => {
--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -28,8 +28,13 @@
   recordRelayMiss(vm: string, serverId: string): void;
   /** True if this VM has lost its links to the server, while the server may be sound. */
   isCutFrom(serverId: string): boolean;
-  /** Finds out whether a failure is due to the server, or to the links of this VM. */
-  judgeFailure(serverId: string): Promise<FailureCause>;
+  /**
+   * Finds out whether a failure is evidence against the server: it is not if this VM has lost its
+   * links to servers.
+   */
+  judgeFailure(serverId: string): Promise<boolean>;
+  /** Finds out the same by VMs that see the server, which takes a question to some of them. */
+  findFailureCause(serverId: string): Promise<FailureCause>;
   /** Forgets a server that is gone. */
   forgetServer(serverId: string): void;
   countUnreached(): number;
@@ -197,10 +202,16 @@
     },
     recordRelayMiss: relays.recordMiss,
     judgeFailure: async (serverId) => {
+      await checkServer(serverId);
+      if (reach.isReached(serverId)) return true;
+      if (!reach.hasReachedAny()) await startCheck(serverId);
+      return !isCutFrom(serverId);
+    },
+    findFailureCause: async (serverId) => {
       await checkServer(serverId);
       if (reach.isReached(serverId)) return 'server';
-      // VMs that see the server are asked first: what they say holds, whatever this VM reaches.
-      const word = await relays.askAbout(serverId, reach.drawControls(serverId));
+      // What VMs that reach servers say holds, whatever this VM reaches.
+      const word = await relays.askAbout(serverId);
       if (word !== null) return word ? 'path' : 'server';
       if (!reach.hasReachedAny()) await startCheck(serverId);
       return reach.hasReachedAny() ? 'server' : 'unknown';
--- a/src/application/paths/createServerPaths/test.ts
+++ b/src/application/paths/createServerPaths/test.ts
@@ -52,7 +52,9 @@
     askPeer: async (address, { ids }) => {
       questions += 1;
       const reached = answers.get(address) ?? null;
-      return reached && { reachedIds: ids.filter((id) => reached.includes(id)), running: 0 };
+      if (reached === null) return null;
+      const reachesAny = reached.length > 0;
+      return { reachedIds: ids.filter((id) => reached.includes(id)), reachesAny, running: 0 };
     },
   });
   const paths = createServerPaths({
@@ -100,7 +102,8 @@
   reachedIds.delete('i-1');
   await failAt('i-1');
   t.deepEqual(IDS.map(readRelay), [null, null, null]);
-  t.is(await paths.judgeFailure('i-1'), 'server');
+  t.true(await paths.judgeFailure('i-1'));
+  t.is(await paths.findFailureCause('i-1'), 'server');
 });
 
 test('a VM is cut off from a server only if it reaches no other, or another VM reaches this one', async (t) => {
@@ -124,14 +127,31 @@
   reachedIds.clear();
   const judged = paths.judgeFailure('i-1');
   await clock.advanceAsync(CHECK_MS);
-  t.is(await judged, 'unknown');
+  t.false(await judged);
+  const found = paths.findFailureCause('i-1');
+  await clock.advanceAsync(CHECK_MS);
+  t.is(await found, 'unknown');
 });
 
 test('a server that answers a probe is at fault for a failed request', async (t) => {
   const { clock, paths } = setUp({ a: IDS });
   const judged = paths.judgeFailure('i-1');
   await clock.advanceAsync(CHECK_MS);
-  t.is(await judged, 'server');
+  t.true(await judged);
+});
+
+// Guards against a crash that is forgotten, or taken for a lost path, at a VM that sees no server.
+test('what a VM that reaches servers says of a failure holds at one that reaches none', async (t) => {
+  const { answers, clock, failAt, paths, reachedIds } = setUp({ a: [], b: ['i-2', 'i-3'] });
+  reachedIds.clear();
+  await failAt('i-1');
+  t.is(await paths.findFailureCause('i-1'), 'server');
+  answers.set('a', IDS);
+  t.is(await paths.findFailureCause('i-1'), 'path');
+  answers.clear();
+  const found = paths.findFailureCause('i-1');
+  await clock.advanceAsync(CHECK_MS);
+  t.is(await found, 'unknown');
 });
 
 test('requests return to the direct path once servers answer, and nothing runs afterwards', async (t) => {
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -1,7 +1,7 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import { drawSample } from '../../_lib/drawSample';
 import type { Clock, EventLog, Randomness } from '../../ports';
-import type { ReachQuestion } from '../types';
+import type { ReachAnswer, ReachQuestion } from '../types';
 
 /** Dependencies of the reach. */
 export interface ServerReachDependencies {
@@ -19,8 +19,6 @@
   isReached(id: string): boolean;
   /** Draws some of the servers that this VM does not reach. */
   drawUnreached(): readonly string[];
-  /** Draws other servers, those that this VM reaches first. */
-  drawControls(id: string): readonly string[];
   countUnreached(): number;
   /** True if this VM reaches no server. */
   isCutOff(): boolean;
@@ -40,15 +38,12 @@
   /** Probes some of the servers that were not reached; records those that answer. */
   probeUnreached(): Promise<void>;
   /** Finds out for another VM which of these servers this VM reaches. */
-  probeReach(question: ReachQuestion): Promise<readonly string[]>;
+  probeReach(question: ReachQuestion): Promise<Omit<ReachAnswer, 'running'>>;
 }
 
 /** Servers of the same service that are probed beside one that gave no answer. */
 const CONTROLS = 2;
 
-/** Servers beside the one that other VMs are asked about. */
-const CONTROLS_OF_OTHERS = 6;
-
 /** Servers probed at once if a control gives no answer either. */
 const MAX_PROBED = 16;
 
@@ -147,22 +142,22 @@
       randomness,
     );
 
+  const hasReachedAny = (): boolean =>
+    listServers().some(({ id }) => isRecent(lastConnectedAtMs, id));
+
+  /** Finds out whether this VM reaches any server beside one that may be down. */
+  const probeAny = async (suspectId: string): Promise<boolean> => {
+    if (hasReachedAny()) return true;
+    const [control] = drawOthers(listServers(), new Set([suspectId]), 1);
+    return control ? probe(control) : false;
+  };
+
   return {
     isReached: (id) => !unreachedSinceMs.has(id),
     drawUnreached: () => drawSample([...unreachedSinceMs.keys()], MAX_PROBED, randomness),
-    drawControls: (excludedId) => {
-      const others = listServers().filter(({ id }) => id !== excludedId);
-      const draw = (isReached: boolean): readonly ServerEntry[] =>
-        drawSample(
-          others.filter(({ id }) => !unreachedSinceMs.has(id) === isReached),
-          CONTROLS_OF_OTHERS,
-          randomness,
-        );
-      return [...draw(true), ...draw(false)].slice(0, CONTROLS_OF_OTHERS).map(({ id }) => id);
-    },
     countUnreached: () => unreachedSinceMs.size,
     isCutOff: () => listServers().every(({ id }) => unreachedSinceMs.has(id)),
-    hasReachedAny: () => listServers().some(({ id }) => isRecent(lastConnectedAtMs, id)),
+    hasReachedAny,
     forgetServer,
     recordAnswer,
     hasRecentAnswer: (id) => {
@@ -214,12 +209,14 @@
         .filter((server) => server !== undefined)
         .filter(({ id }) => !unreachedSinceMs.has(id) && !isRecent(lastMissedAtMs, id));
       const suspects = asked.filter(({ id }) => id === suspectId);
-      const [answers, missedOthers] = await Promise.all([
+      const [answers, missedOthers, reachesAny] = await Promise.all([
         Promise.all(suspects.map(probe)),
         probeAll(asked.filter(({ id }) => id !== suspectId)),
+        suspectId === null ? false : probeAny(suspectId),
       ]);
       const missed = [...suspects.filter((_, index) => !answers[index]), ...missedOthers];
-      return asked.filter((server) => !missed.includes(server)).map(({ id }) => id);
+      const reachedIds = asked.filter((server) => !missed.includes(server)).map(({ id }) => id);
+      return { reachedIds, reachesAny: reachesAny || reachedIds.length > 0 };
     },
   };
 };
--- a/src/application/paths/types/index.ts
+++ b/src/application/paths/types/index.ts
@@ -41,6 +41,8 @@
 export interface ReachAnswer {
   /** Ids of the servers that it reaches, of those that it was asked about. */
   readonly reachedIds: readonly string[];
+  /** Whether it reaches any server, also other ones. */
+  readonly reachesAny: boolean;
   /** Requests that it forwards now. */
   readonly running: number;
 }
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -109,7 +109,7 @@
         handleRoomRequest: roomOwner.handleRoomRequest,
         releaseRoom: roomOwner.releaseRoom,
         handleReachRequest: async (question) => ({
-          reachedIds: isDraining() ? [] : await probeReach(question),
+          ...(isDraining() ? { reachedIds: [], reachesAny: false } : await probeReach(question)),
           running: countRunning(),
         }),
         handleReport: rolloutJudge.handleReport,
--- a/src/programs/gateway/_lib/wireCrashes/index.ts
+++ b/src/programs/gateway/_lib/wireCrashes/index.ts
@@ -22,7 +22,7 @@
   readonly clock: Clock;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
-  readonly paths: Pick<ServerPaths, 'isCutFrom' | 'judgeFailure'>;
+  readonly paths: Pick<ServerPaths, 'findFailureCause' | 'isCutFrom'>;
   readonly store: StoreClient;
   readonly tables: RouteTableHolder;
   readonly publishOutcome: Gossip['sendOutcome'];
@@ -77,7 +77,7 @@
         const healthPath = tables.readCurrent()?.services.get(server.service)?.healthPath;
         return healthPath === undefined ? 'unseen' : client.probeIdentity(server, healthPath);
       },
-      judgeFailure: paths.judgeFailure,
+      findFailureCause: paths.findFailureCause,
       isCutFrom: paths.isCutFrom,
       hasAnsweredSince: directory.hasAnsweredSince,
       recordAlive: directory.recordAlive,
--- a/src/programs/gateway/_lib/wireDirectory/index.ts
+++ b/src/programs/gateway/_lib/wireDirectory/index.ts
@@ -63,9 +63,9 @@
     reuseAfterMs: settings.bounds.reuseAfterMs,
     handleSuspected: (id, cause) => {
       startIdentityWatch();
-      paths.judgeFailure(id).then((failureCause) => {
-        if (failureCause === 'server') publishSuspicion(id, cause);
-        else log.info('suspicion withheld', { server: id, cause, failureCause });
+      paths.judgeFailure(id).then((isServerFault) => {
+        if (isServerFault) publishSuspicion(id, cause);
+        else log.info('suspicion withheld', { server: id, cause });
       });
     },
     handleInferred: (server) => {
--- a/src/programs/gateway/_lib/wirePaths/index.ts
+++ b/src/programs/gateway/_lib/wirePaths/index.ts
@@ -32,7 +32,7 @@
   readonly client: ServerClient;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly probeReach: (question: ReachQuestion) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (question: ReachQuestion) => Promise<Omit<ReachAnswer, 'running'>>;
 }
 
 /** Wires the client of servers and its paths. */
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -40,7 +40,7 @@
   readonly quarantineRows: QuarantineRows;
   readonly paths: ServerPaths;
   /** Finds out which of these servers this VM reaches. */
-  readonly probeReach: (question: ReachQuestion) => Promise<ReachAnswer['reachedIds']>;
+  readonly probeReach: (question: ReachQuestion) => Promise<Omit<ReachAnswer, 'running'>>;
   readonly relayRequest: ServerClient['relayRequest'];
   readonly places: PromptReservations;
   readonly rolloutJudge: RolloutJudge;
--- a/standins/crashes/createRepeatWorld/index.ts
+++ b/standins/crashes/createRepeatWorld/index.ts
@@ -138,8 +138,8 @@
         await new Promise<void>((resolve) => {
           clock.startTimer(PEER_CALL_MS, resolve);
         });
-        const reachedIds = (await reaches.get(address)?.probeReach(question)) ?? [];
-        return { reachedIds, running: 0 };
+        const answer = await reaches.get(address)?.probeReach(question);
+        return answer ? { ...answer, running: 0 } : null;
       },
     });
     const paths = createServerPaths({
@@ -166,7 +166,7 @@
       servers: {
         findServer: directory.findEntry,
         probeIdentity: (server) => client.probeIdentity(server, '/'),
-        judgeFailure: paths.judgeFailure,
+        findFailureCause: paths.findFailureCause,
         isCutFrom: paths.isCutFrom,
         hasAnsweredSince: directory.hasAnsweredSince,
         recordAlive: directory.recordAlive,
--- a/standins/crashes/simulateCrashes/index.ts
+++ b/standins/crashes/simulateCrashes/index.ts
@@ -95,7 +95,7 @@
       servers: {
         findServer: directory.findEntry,
         probeIdentity: (server) => client.probeIdentity(server, '/'),
-        judgeFailure: async () => 'server',
+        findFailureCause: async () => 'server',
         isCutFrom: () => false,
         hasAnsweredSince: directory.hasAnsweredSince,
         recordAlive: directory.recordAlive,
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -9,7 +9,7 @@
   releasePermit: () => undefined,
   handleRoomRequest: async () => ({ isGranted: true, waitMs: 0 }),
   releaseRoom: () => undefined,
-  handleReachRequest: async () => ({ reachedIds: [], running: 0 }),
+  handleReachRequest: async () => ({ reachedIds: [], reachesAny: false, running: 0 }),
   handleReport: () => null,
   handleRequest: async () => ({ heldMs: 0, isCutOff: true, tables: [] }),
   handleScheduleRequest: () => ({ isOwner: false, decisions: [] }),
