--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -18,7 +18,7 @@
   readonly hasAnsweredSince: (server: string, atMs: number) => boolean;
   /** Tells other VMs of an outcome that this VM observed. */
   readonly publishOutcome: (outcome: SharedOutcome) => void;
-  /** Called if this VM observed the crash from which on a fingerprint is in quarantine. */
+  /** Called when a fingerprint comes into quarantine of whose crashes this VM observed any. */
   readonly handleQuarantine: (fingerprint: string) => void;
   /** Called if this VM observed the answer that ends the quarantine of a fingerprint. */
   readonly handleCleared?: (fingerprint: string) => void;
@@ -59,6 +59,9 @@
 /** Maximum number of outcomes in one message, of 80 bytes each. */
 const MAX_OUTCOMES_PER_MESSAGE = 40;
 
+/** Maximum number of fingerprints of whose crashes this VM remembers to have observed any. */
+const MAX_OBSERVED = 1000;
+
 const formatOutcome = ({ fingerprint, hasCrashed, isConfirmed }: RunOutcome): string => {
   const subject = isPartFingerprint(fingerprint) ? 'prompt part' : 'request';
   if (!hasCrashed) return `suspected ${subject} answered`;
@@ -80,6 +83,8 @@
   publishOutcome,
 }: CrashHistoryDependencies): CrashHistory => {
   const listeners = new Set<() => void>();
+  /** Fingerprints of whose crashes this VM observed any, the oldest first. */
+  const observed = new Set<string>();
   // Assigned below: which outcomes are kept depends on the judge.
   let isKept: CrashJudge['isHeldBack'] = () => false;
   const outcomes = createOutcomeStore({
@@ -117,6 +122,13 @@
     });
   };
 
+  const recordObserved = (fingerprint: string): void => {
+    observed.delete(fingerprint);
+    observed.add(fingerprint);
+    const [oldest] = observed;
+    if (observed.size > MAX_OBSERVED && oldest !== undefined) observed.delete(oldest);
+  };
+
   /** Adds an outcome and reports a change of its quarantine; returns true if it was new. */
   const recordNewOutcome = (outcome: RunOutcome, source: 'own' | 'told'): boolean => {
     const { fingerprint } = outcome;
@@ -131,7 +143,8 @@
         source,
         servers: servers.join(', '),
       });
-      if (source === 'own') (isNowQuarantined ? handleQuarantine : handleCleared)?.(fingerprint);
+      if (isNowQuarantined && observed.has(fingerprint)) handleQuarantine(fingerprint);
+      if (!isNowQuarantined && source === 'own') handleCleared?.(fingerprint);
     }
     [...listeners].forEach((listener) => listener());
     return true;
@@ -139,6 +152,7 @@
 
   return {
     recordOutcome: (outcome) => {
+      if (outcome.hasCrashed) recordObserved(outcome.fingerprint);
       if (!recordNewOutcome(outcome, 'own')) return;
       const { atMs, ...shared } = outcome;
       publishOutcome({ ...shared, ageMs: clock.readMonotonicMs() - atMs });
--- a/src/application/crashes/createCrashHistory/test.ts
+++ b/src/application/crashes/createCrashHistory/test.ts
@@ -44,6 +44,26 @@
   t.is(history.readQuarantineMs('another'), 0);
 });
 
+// Guards against a quarantine that no VM stores: each of three VMs observed one crash and was told
+// of the last one, so that none wrote it, and the request was sent on after a power loss.
+test('each VM that observed a crash stores a quarantine, also if it is told of the last crash', (t) => {
+  const { crash, history, quarantined } = setUp();
+  const tell = (server: string): void => {
+    const { atMs, ...told } = buildRunOutcome({ server });
+    history.mergeOutcome({ ...told, ageMs: atMs });
+  };
+  crash('i-1');
+  ['i-2', 'i-3'].forEach(tell);
+  t.deepEqual(quarantined, ['f']);
+  const others = setUp();
+  ['i-1', 'i-2', 'i-3'].forEach((server) => {
+    const { atMs, ...told } = buildRunOutcome({ server });
+    others.history.mergeOutcome({ ...told, ageMs: atMs });
+  });
+  t.true(others.history.readQuarantineMs('f') > 0);
+  t.deepEqual(others.quarantined, []);
+});
+
 test('an outcome that is merged twice counts once', (t) => {
   const { history } = setUp();
   const { atMs, ...crash } = buildRunOutcome();
