Grant the next trial of a request only after the one before may have run

Trials of one request are 10 s apart at the least. A sound request that is held back waits for its first trial as before. The new test failed before.

--- a/src/domain/crashes/judgeRequestCrashes/index.ts
+++ b/src/domain/crashes/judgeRequestCrashes/index.ts
@@ -21,6 +21,9 @@
 /** Longest time that a request is held back after its last loss without being certain. */
 const HOLD_MS = 30_000;
 
+/** Least time between two trials: a stream may wait for seconds before its server begins to run it. */
+const MIN_TRIAL_GAP_MS = 10_000;
+
 const NEEDED = countNeededCrashes({ isPart: false, hasAnswer: false });
 
 const readNewestMs = (crashes: readonly RunOutcome[]): number =>
@@ -51,8 +54,8 @@
   const lost = new Set(crashes.map(({ server }) => server)).size;
   const lastMs = readNewestMs(crashes);
   if (lost < NEEDED || nowMs >= lastMs + HOLD_MS) return null;
-  const trialPauseMs = computeTrialPauseMs({ crashes: lost, neededCrashes: NEEDED });
-  const endMs = lastMs + Math.min(trialPauseMs, HOLD_MS);
-  const remainingMs = Math.max(0, endMs - nowMs);
+  const pauseMs = computeTrialPauseMs({ crashes: lost, neededCrashes: NEEDED });
+  const remainingMs = Math.max(0, lastMs + Math.min(pauseMs, HOLD_MS) - nowMs);
+  const trialPauseMs = Math.max(pauseMs, MIN_TRIAL_GAP_MS);
   return { isCertain: false, crashes: lost, remainingMs, trialPauseMs };
 };
--- a/src/domain/crashes/judgeRequestCrashes/test.ts
+++ b/src/domain/crashes/judgeRequestCrashes/test.ts
@@ -31,6 +31,13 @@
   t.like(judgeRequestCrashes([...next, buildCrash(5, 6200)], 6200), { isCertain: true });
 });
 
+// Guards against trials that are granted while one still waits at its server: four were sent within
+// four seconds, and crashed three servers.
+test('the next trial is due only after a stream of the one before has begun to run', (t) => {
+  const crashes = [1, 2, 3].map((server) => buildCrash(server, 1000));
+  t.true((judgeRequestCrashes(crashes, 2000)?.trialPauseMs ?? 0) >= 10_000);
+});
+
 // Guards against a request that goes on to crash servers while nobody can tell whether they crashed.
 test('servers that may only have lost their connections hold a request back, but never for long', (t) => {
   const crashes = [1, 2, 3].map((server) => buildCrash(server, server * 1000, false));
