--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -68,9 +68,6 @@
 const hasBody = ({ headers }: IncomingMessage): boolean =>
   headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 
-const isFramed = (headers: RelayedResponse['headers']): boolean =>
-  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-
 /**
  * Sends the body of a server's response. If the server breaks it off, a trailer says how; where there
  * can be none, the connection is closed, as it is if nobody reads the response any more.
@@ -141,11 +138,11 @@
       if (error.kind !== 'cancelled') sendFailure(incoming, response, server.id, error);
       return;
     }
-    const { headers, statusCode } = sent.value;
+    const { headers, isFramed, statusCode } = sent.value;
     response.writeHead(statusCode, {
       ...filterResponseHeaders(headers),
       [RELAY_HEADERS.server]: server.id,
-      ...(isFramed(headers) ? {} : { [RELAY_HEADERS.framing]: RELAY_UNFRAMED }),
+      ...(isFramed ? {} : { [RELAY_HEADERS.framing]: RELAY_UNFRAMED }),
     });
     response.flushHeaders();
     await sendBody(sent.value, response);
--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -1,6 +1,7 @@
 import {
   computeTrialPauseMs,
   countNeededCrashes,
+  findNewestMs,
   findResponsibleParts,
   isPartFingerprint,
   judgeCrashes,
@@ -34,9 +35,6 @@
   listResponsibleParts(): readonly string[];
 }
 
-const readNewestMs = (outcomes: readonly RunOutcome[]): number =>
-  Math.max(-Infinity, ...outcomes.map(({ atMs }) => atMs));
-
 /** Creates the judge over the given outcomes. */
 export const createCrashJudge = ({
   clock,
@@ -46,7 +44,7 @@
 }: CrashJudgeDependencies): CrashJudge => {
   const listCrashes = (fingerprint: string): readonly RunOutcome[] => {
     const known = outcomes.list(fingerprint);
-    const lastAnswerMs = readNewestMs(known.filter(({ hasCrashed }) => !hasCrashed));
+    const lastAnswerMs = findNewestMs(known.filter(({ hasCrashed }) => !hasCrashed));
     return known.filter(
       ({ atMs, hasCrashed, server }) =>
         hasCrashed && atMs > lastAnswerMs && !hasAnsweredSince(server, atMs),
@@ -65,7 +63,7 @@
     const nowMs = clock.readMonotonicMs();
     const isQuarantined = isPartFingerprint(fingerprint)
       ? judgeCrashes(crashes, readOptions(fingerprint)) &&
-        nowMs < readNewestMs(crashes) + retentionMs
+        nowMs < findNewestMs(crashes) + retentionMs
       : judgeRequestCrashes(crashes, nowMs)?.isCertain;
     return isQuarantined ? crashes : [];
   };
--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -1,10 +1,12 @@
 import {
   countCrashedServers,
+  findNewestMs,
   isPartFingerprint,
   type Quarantine,
   type RunOutcome,
   type SharedOutcome,
 } from '../../../domain/crashes';
+import { createBoundedMap } from '../../_lib/createBoundedMap';
 import type { Clock, EventLog } from '../../ports';
 import { createCrashJudge, type CrashJudge } from '../_lib/createCrashJudge';
 import { createOutcomeStore } from '../_lib/createOutcomeStore';
@@ -83,8 +85,8 @@
   publishOutcome,
 }: CrashHistoryDependencies): CrashHistory => {
   const listeners = new Set<() => void>();
-  /** Fingerprints of whose crashes this VM observed any, the oldest first. */
-  const observed = new Set<string>();
+  /** Fingerprints of whose crashes this VM observed any. */
+  const observed = createBoundedMap<true>(MAX_OBSERVED);
   // Assigned below: which outcomes are kept depends on the judge.
   let isKept: CrashJudge['isHeldBack'] = () => false;
   const outcomes = createOutcomeStore({
@@ -122,13 +124,6 @@
     });
   };
 
-  const recordObserved = (fingerprint: string): void => {
-    observed.delete(fingerprint);
-    observed.add(fingerprint);
-    const [oldest] = observed;
-    if (observed.size > MAX_OBSERVED && oldest !== undefined) observed.delete(oldest);
-  };
-
   /** Adds an outcome and reports a change of its quarantine; returns true if it was new. */
   const recordNewOutcome = (outcome: RunOutcome, source: 'own' | 'told'): boolean => {
     const { fingerprint } = outcome;
@@ -143,7 +138,7 @@
         source,
         servers: servers.join(', '),
       });
-      if (isNowQuarantined && observed.has(fingerprint)) handleQuarantine(fingerprint);
+      if (isNowQuarantined && observed.get(fingerprint)) handleQuarantine(fingerprint);
       if (!isNowQuarantined && source === 'own') handleCleared?.(fingerprint);
     }
     [...listeners].forEach((listener) => listener());
@@ -152,7 +147,7 @@
 
   return {
     recordOutcome: (outcome) => {
-      if (outcome.hasCrashed) recordObserved(outcome.fingerprint);
+      if (outcome.hasCrashed) observed.set(outcome.fingerprint, true);
       if (!recordNewOutcome(outcome, 'own')) return;
       const { atMs, ...shared } = outcome;
       publishOutcome({ ...shared, ageMs: clock.readMonotonicMs() - atMs });
@@ -187,7 +182,7 @@
       if (!isHeldBack(fingerprint)) return null;
       const crashes = listCrashes(fingerprint);
       const servers = [...new Set(crashes.map(({ server }) => server))];
-      const lastCrashAtMs = Math.max(...crashes.map(({ atMs }) => atMs));
+      const lastCrashAtMs = findNewestMs(crashes);
       return { fingerprint, servers, lastCrashAtMs, isCertain: isQuarantined(fingerprint) };
     },
     countResponsibleParts: () => judge.listResponsibleParts().length,
--- a/src/application/crashes/createCrashProbe/index.ts
+++ b/src/application/crashes/createCrashProbe/index.ts
@@ -1,5 +1,6 @@
 import type { RunOutcome } from '../../../domain/crashes';
 import { formatIncarnation, type ServerEntry } from '../../../domain/forwarding';
+import { createBoundedMap } from '../../_lib/createBoundedMap';
 import type { Clock, EventLog } from '../../ports';
 import type { CrashHistory } from '../createCrashHistory';
 import type { ProbedServers } from '../types';
@@ -88,8 +89,8 @@
   servers,
 }: CrashProbeDependencies): CrashProbe => {
   const pendingProbes = new Map<string, PendingProbe>();
-  /** The newest probe by incarnation of the server, the oldest first. */
-  const startedProbes = new Map<string, StartedProbe>();
+  /** The newest probe by incarnation of the server. */
+  const startedProbes = createBoundedMap<StartedProbe>(MAX_RESULTS);
 
   const findResult = async (server: ServerEntry, sinceMs: number): Promise<ProbeResult> => {
     if (servers.hasAnsweredSince(formatIncarnation(server), sinceMs)) {
@@ -117,10 +118,7 @@
       });
       return found;
     });
-    startedProbes.delete(incarnation);
     startedProbes.set(incarnation, { startedAtMs: clock.readMonotonicMs(), result });
-    const [oldest] = startedProbes.keys();
-    if (startedProbes.size > MAX_RESULTS && oldest !== undefined) startedProbes.delete(oldest);
     return result;
   };
 
--- a/src/application/paths/types/index.ts
+++ b/src/application/paths/types/index.ts
@@ -17,6 +17,8 @@
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Readable;
+  /** False if the end of the response is that of its connection. */
+  readonly isFramed: boolean;
   /** Tells how the connection to the server ended; `error` is what the body threw, or null. */
   readonly readEnd: (error: unknown) => ConnectionEnd;
 }
--- a/src/domain/crashes/findResponsibleParts/index.ts
+++ b/src/domain/crashes/findResponsibleParts/index.ts
@@ -1,4 +1,5 @@
 import { countCrashedServers } from '../countCrashedServers';
+import { findNewestMs } from '../findNewestMs';
 import { judgeCrashes } from '../judgeCrashes';
 import type { RunOutcome } from '../types';
 
@@ -44,6 +45,6 @@
       suspects.get(part)?.some(({ server }) => servers.has(server)),
     ),
     crashes: countCrashedServers(repeated),
-    lastCrashAtMs: Math.max(...repeated.map(({ atMs }) => atMs)),
+    lastCrashAtMs: findNewestMs(repeated),
   };
 };
--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -4,6 +4,7 @@
 export { countNeededCrashes } from './countNeededCrashes';
 export { decodeQuarantine } from './decodeQuarantine';
 export { encodeQuarantine } from './encodeQuarantine';
+export { findNewestMs } from './findNewestMs';
 export { findResponsibleParts, type ResponsibleParts } from './findResponsibleParts';
 export { formatPartFingerprint } from './formatPartFingerprint';
 export { judgeAttemptEnd, type EndVerdict } from './judgeAttemptEnd';
--- a/src/domain/crashes/judgeRequestCrashes/index.ts
+++ b/src/domain/crashes/judgeRequestCrashes/index.ts
@@ -1,6 +1,7 @@
 import { computeTrialPauseMs } from '../computeTrialPauseMs';
 import { countCrashedServers } from '../countCrashedServers';
 import { countNeededCrashes } from '../countNeededCrashes';
+import { findNewestMs } from '../findNewestMs';
 import type { RunOutcome } from '../types';
 
 /** Why a request must not be sent. */
@@ -26,9 +27,6 @@
 
 const NEEDED = countNeededCrashes({ isPart: false, hasAnswer: false });
 
-const readNewestMs = (crashes: readonly RunOutcome[]): number =>
-  Math.max(-Infinity, ...crashes.map(({ atMs }) => atMs));
-
 /**
  * Judges whether a request may be sent, by the servers that were lost under it.
  *
@@ -46,13 +44,13 @@
 ): RequestVerdict | null => {
   const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
   const count = countCrashedServers(confirmed);
-  const quarantineEndMs = readNewestMs(confirmed) + QUARANTINE_MS;
+  const quarantineEndMs = findNewestMs(confirmed) + QUARANTINE_MS;
   if (count >= NEEDED && nowMs < quarantineEndMs) {
     const remainingMs = quarantineEndMs - nowMs;
     return { isCertain: true, crashes: count, remainingMs, trialPauseMs: Infinity };
   }
   const lost = new Set(crashes.map(({ server }) => server)).size;
-  const lastMs = readNewestMs(crashes);
+  const lastMs = findNewestMs(crashes);
   if (lost < NEEDED || nowMs >= lastMs + HOLD_MS) return null;
   const pauseMs = computeTrialPauseMs({ crashes: lost, neededCrashes: NEEDED });
   const remainingMs = Math.max(0, lastMs + Math.min(pauseMs, HOLD_MS) - nowMs);
--- a/tests/gateway/crashingParts.test.ts
+++ b/tests/gateway/crashingParts.test.ts
@@ -5,11 +5,11 @@
 import { waitDelay } from '../../src/application/time';
 import { createSteadyClock } from '../../standins/fakes';
 import {
-  buildWireConfiguration,
   createStandInServer,
   type ReceivedRequest,
   type StandInServer,
 } from '../../standins/gateway';
+import { buildAttemptLimit } from './_lib/buildAttemptLimit';
 import { drawPeerAddress } from './_lib/drawPeerAddress';
 import { startPeerGateways } from './_lib/startPeerGateways';
 import {
@@ -94,13 +94,10 @@
   vms: number,
   servers: readonly StandInServer[],
 ): Promise<readonly TestGateway[]> => {
-  const { routes } = buildWireConfiguration() as { routes: object[] };
   const gateways = await startPeerGateways(vms, {
     clock,
     servers,
-    configuration: {
-      routes: routes.map((route) => ({ ...route, max_attempts: MAX_ATTEMPTS })),
-    },
+    configuration: buildAttemptLimit(MAX_ATTEMPTS),
   });
   t.teardown(async () => {
     await Promise.all(gateways.slice(1).map((gateway) => gateway.stop()));
--- a/tests/gateway/crashingRequests.test.ts
+++ b/tests/gateway/crashingRequests.test.ts
@@ -12,6 +12,7 @@
   createStandInServer,
   formatStandInEvent,
 } from '../../standins/gateway';
+import { buildAttemptLimit } from './_lib/buildAttemptLimit';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { countRequests } from './_lib/countRequests';
 import { crashNextServer } from './_lib/crashNextServer';
@@ -28,14 +29,8 @@
 /** Time in which the head of an answer arrives at the VM. */
 const HEAD_MS = 200;
 
-/** Builds a configuration with another limit on the attempts of a request. */
-const buildConfiguration = (maxAttempts: number): object => {
-  const { routes } = buildWireConfiguration() as { routes: object[] };
-  return { routes: routes.map((route) => ({ ...route, max_attempts: maxAttempts })) };
-};
-
 test('a stream that crashed three servers is not sent to a fourth one, nor when it is repeated', async (t) => {
-  const configuration = buildConfiguration(5);
+  const configuration = buildAttemptLimit(5);
   const harness = await startTestGateway({ serverIds: SERVER_IDS, configuration });
   const followed = harness.follow(buildStreamRequest());
   for (let crashed = 0; crashed < 3; crashed += 1) await crashNextServer(harness);
@@ -48,7 +43,7 @@
 });
 
 test('a repeatable call that crashed three servers is not sent to a fourth one', async (t) => {
-  const configuration = buildConfiguration(5);
+  const configuration = buildAttemptLimit(5);
   const harness = await startTestGateway({ serverIds: SERVER_IDS, configuration });
   const answered = harness.send({ target: '/safe/x', headers: { [HEADERS.deadlineMs]: '2000' } });
   for (let crashed = 0; crashed < 3; crashed += 1)
@@ -69,7 +64,7 @@
   const other = { name: 'other', health_path: '/healthz', max_conns: 50 };
   const harness = await startTestGateway({
     serverIds: ['i-1', 'i-2', 'i-3'],
-    configuration: { ...buildConfiguration(5), services: [...services, other] },
+    configuration: { ...buildAttemptLimit(5), services: [...services, other] },
   });
   const bystander = await createStandInServer('i-9');
   harness.store.writeRow(TABLES.servers, 'i-9', buildWireEntry(bystander, { service: 'other' }));
@@ -89,7 +84,7 @@
 });
 
 test('crashes that a request caused at another VM count at this one', async (t) => {
-  const configuration = buildConfiguration(2);
+  const configuration = buildAttemptLimit(2);
   const settings = { peerAddress: drawPeerAddress() };
   const harness = await startTestGateway({ serverIds: SERVER_IDS, configuration, settings });
   const other = await startTestGateway({
@@ -132,7 +127,7 @@
 });
 
 test('the quarantine of a request survives a simultaneous restart of all VMs', async (t) => {
-  const configuration = buildConfiguration(5);
+  const configuration = buildAttemptLimit(5);
   const harness = await startTestGateway({ serverIds: SERVER_IDS, configuration });
   const followed = harness.follow(buildStreamRequest());
   for (let crashed = 0; crashed < 3; crashed += 1) await crashNextServer(harness);
@@ -152,7 +147,7 @@
 });
 
 test('a request that lost three servers in mid-stream is not quarantined', async (t) => {
-  const configuration = buildConfiguration(5);
+  const configuration = buildAttemptLimit(5);
   const clock = createFakeClock();
   const harness = await startTestGateway({ serverIds: SERVER_IDS, configuration, clock });
   const followed = harness.follow(buildStreamRequest());
@@ -176,7 +171,7 @@
 test('connections that are reset under requests put none of them into quarantine', async (t) => {
   const harness = await startTestGateway({
     serverIds: SERVER_IDS,
-    configuration: buildConfiguration(5),
+    configuration: buildAttemptLimit(5),
   });
   const call = harness.send({ target: '/safe/x', headers: { [HEADERS.deadlineMs]: '2000' } });
   for (let reset = 0; reset < 3; reset += 1) {
--- a/tests/gateway/recalledStreams.test.ts
+++ b/tests/gateway/recalledStreams.test.ts
@@ -1,7 +1,7 @@
 // Guards against streams that crash their servers after the verdict on their request, as they were
 // sent before it.
 import test from 'ava';
-import { buildWireConfiguration } from '../../standins/gateway';
+import { buildAttemptLimit } from './_lib/buildAttemptLimit';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { crashNextServer } from './_lib/crashNextServer';
 import { formatEvents } from './_lib/formatEvents';
@@ -11,18 +11,12 @@
 
 const SERVER_IDS = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'];
 
-/** Builds a configuration that allows each request several attempts. */
-const buildConfiguration = (maxAttempts: number): object => {
-  const { routes } = buildWireConfiguration() as { routes: object[] };
-  return { routes: routes.map((route) => ({ ...route, max_attempts: maxAttempts })) };
-};
-
 // Guards against streams that go on to crash servers as they wait there: three more servers crashed
 // seconds after the verdict, under streams whose callers had a head from an earlier attempt.
 test('a stream that waits for its first event is called back when its request is put into quarantine', async (t) => {
   const harness = await startTestGateway({
     serverIds: SERVER_IDS,
-    configuration: buildConfiguration(5),
+    configuration: buildAttemptLimit(5),
   });
   t.teardown(harness.stop);
   const first = harness.follow(buildStreamRequest());
@@ -43,7 +37,7 @@
 test('a stream that waits for its turn is called back while it is checked why servers were lost', async (t) => {
   const harness = await startTestGateway({
     serverIds: SERVER_IDS,
-    configuration: buildConfiguration(5),
+    configuration: buildAttemptLimit(5),
   });
   t.teardown(harness.stop);
   const waiting = harness.follow(buildStreamRequest());
--- a/tests/model/soundRepeats.test.ts
+++ b/tests/model/soundRepeats.test.ts
@@ -1,6 +1,6 @@
 // Guards against a sound request that is refused for long as servers, links or VMs failed under it.
 import test from 'ava';
-import { simulateRepeats, type RepeatSimulation } from '../../standins/crashes';
+import { simulateRepeats, type RepeatSimulation, type ServerFault } from '../../standins/crashes';
 
 /** Time after a failure from which on each repeat is served at the first attempt. */
 const SETTLE_MS = 2000;
@@ -14,6 +14,19 @@
 
 type Failures = Required<Pick<RepeatSimulation, 'events'>> & { readonly endMs: number };
 
+/** A zone that is lost three times, each time with other servers. */
+const loseZones = (how: ServerFault['how']): Failures => ({
+  events: LOSSES_MS.map((atMs) => ({
+    atMs,
+    run: ({ servers }) =>
+      servers
+        .listIds()
+        .slice(0, ZONE_SERVERS)
+        .forEach((id) => servers.crash(id, how)),
+  })),
+  endMs: 7000,
+});
+
 const FAILURES: Readonly<Record<string, Failures>> = {
   'all connections are reset for two seconds': {
     events: list(100).map((index) => ({
@@ -29,28 +42,8 @@
     ]),
     endMs: 8000,
   },
-  'a zone is lost three times': {
-    events: LOSSES_MS.map((atMs) => ({
-      atMs,
-      run: ({ servers }) =>
-        servers
-          .listIds()
-          .slice(0, ZONE_SERVERS)
-          .forEach((id) => servers.crash(id, 'reset')),
-    })),
-    endMs: 7000,
-  },
-  'a zone falls silent three times': {
-    events: LOSSES_MS.map((atMs) => ({
-      atMs,
-      run: ({ servers }) =>
-        servers
-          .listIds()
-          .slice(0, ZONE_SERVERS)
-          .forEach((id) => servers.crash(id, 'dark')),
-    })),
-    endMs: 7000,
-  },
+  'a zone is lost three times': loseZones('reset'),
+  'a zone falls silent three times': loseZones('dark'),
 };
 
 Object.entries(FAILURES).forEach(([name, { endMs, events }]) => {
