Log by which way and how late changes come, what late requests waited for, and what a start costs

Before, the logs could not tell a version that came over a late call from one that another VM told late, why a request was answered after its time-out, or where a VM's processor time goes after a restart.

--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -5,6 +5,7 @@
 import { addFleetLoadGauges } from '../_lib/addFleetLoadGauges';
 import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
+import { createQueryMeter, type QueryMeter } from '../_lib/createQueryMeter';
 import { createSchedulingMeter } from '../_lib/createSchedulingMeter';
 
 /** Sources of a gateway's gauges, read when the metrics are collected. */
@@ -44,7 +45,7 @@
 }
 
 /** Metrics of one gateway, with their own registry. */
-export interface GatewayMetrics extends ForwardingMeter, SchedulingMeter {
+export interface GatewayMetrics extends ForwardingMeter, SchedulingMeter, QueryMeter {
   readonly contentType: string;
   addGauges(gauges: GatewayGauges): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -128,6 +129,7 @@
       if (Number.isFinite(loadAgeMs)) loadAges.observe({ service }, loadAgeMs / MS_PER_S);
     },
     recordAttemptEnd: (end) => attemptEnds.inc({ ...end }),
+    ...createQueryMeter(registry),
     recordCrashRefusal: (cause) => crashRefusals.inc({ cause }),
     recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
     recordDecision: scheduling.recordDecision,
--- a/src/application/forwarding/_lib/forwardCall/index.ts
+++ b/src/application/forwarding/_lib/forwardCall/index.ts
@@ -49,7 +49,7 @@
 ): Promise<string> => {
   const { clock, directory, fleetLoad, lender, permits, randomness, retries, serverPaces } =
     dependencies;
-  const { deadlineAtMs, reply, route, servers, service } = context;
+  const { deadlineAtMs, reply, route, servers, service, steps } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
   const crashes = createRequestCrashTracker(
@@ -62,6 +62,7 @@
   /** Resolves with true if the call may be sent: each trial is one attempt. */
   const acquireSending = async (): Promise<boolean> => {
     const cause = crashes.findCause();
+    if (cause) steps.enterStep('trial');
     return cause === null || dependencies.crashTrials.acquireTrial(cause);
   };
   let failedResponse: BufferedResponse | null = null;
@@ -92,6 +93,7 @@
     });
     if (!status) break;
     const askedAtMs = clock.readMonotonicMs();
+    steps.enterStep('permit');
     const permit = await permits.acquirePermit(status.entry.id, {
       leftMs,
       waitMs: computeRoomWaitMs({ leftMs, waitedMs, latencyGoalMs: route.latencyGoalMs }),
@@ -104,6 +106,7 @@
       continue;
     }
     const isRepeat = arrivedAttempts > 0;
+    if (isRepeat) steps.enterStep('retry');
     if (isRepeat && !(await lender.acquireRetry(service))) {
       permit.release();
       lastReason = `no retry left after: ${lastReason}`;
@@ -143,6 +146,7 @@
     );
     servers.recordSent(status.entry);
     const sentAtMs = clock.readMonotonicMs();
+    steps.enterStep('attempt');
     const result = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -140,6 +140,7 @@
   const prefillTokens = countPrefillTokens(run, placement);
   if (prefillTokens > 0) run.dependencies.tellPrompt(server.id, prefillTokens);
   context.servers.recordSent(server);
+  context.steps.enterStep('attempt');
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopSilenceWatch = startSilenceWatch(run, attempt, reader);
   attempt.stopCopyWatch = startCopyWatch(run, attempt, reader);
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -94,6 +94,7 @@
   const { permits } = run.dependencies;
   const rateLimitedIds = new Set<string>();
   while (rateLimitedIds.size < MAX_RATE_LIMITED) {
+    run.context.steps.enterStep('placement');
     const placement = await choosePlacement(run, {
       excludedIds: new Set([...excludedIds, ...rateLimitedIds]),
       isStillNeeded,
@@ -103,6 +104,7 @@
     const leftMs = run.context.deadlineAtMs - run.dependencies.clock.readMonotonicMs();
     const { latencyGoalMs } = run.context.route;
     const waitMs = computeRoomWaitMs({ leftMs, waitedMs: 0, latencyGoalMs });
+    run.context.steps.enterStep('permit');
     const permit = await permits.acquirePermit(id, { leftMs, waitMs });
     if (typeof permit !== 'number') return { placement, permit };
     placement.grant?.cancel();
@@ -176,6 +178,7 @@
     return null;
   }
   const isRepeat = run.arrivedAttempts > 0;
+  if (isRepeat) context.steps.enterStep('retry');
   if (isRepeat && !run.hasReservedRetry && !(await lender.acquireRetry(context.service))) {
     releaseUnsent(chosen);
     refuse(run, reader, 'no retry left');
--- a/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
+++ b/src/application/forwarding/_lib/refuseUnlessTrial/index.ts
@@ -13,6 +13,7 @@
   if (refuseQuarantined(run)) return 'refused';
   const cause = run.crashes.findCause();
   if (!cause || run.isTrial) return 'send';
+  run.context.steps.enterStep('trial');
   if (await run.dependencies.crashTrials.acquireTrial(cause)) {
     Object.assign(run, { isTrial: true });
     return 'send';
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -10,6 +10,7 @@
 } from '../../../domain/forwarding';
 import { createLatencyHistory } from '../../_lib/createLatencyHistory';
 import { createOverloadTracker } from '../_lib/createOverloadTracker';
+import { createStepTracker } from '../_lib/createStepTracker';
 import { forwardCall } from '../_lib/forwardCall';
 import { forwardStream } from '../_lib/forwardStream';
 import type { CallerReply, ForwardContext, ForwardingDependencies, Refusal } from '../types';
@@ -45,6 +46,9 @@
 /** Time after which to retry at another VM when this one is overloaded. */
 const OVERLOAD_RETRY_MS = 50;
 
+/** A request that ends this long after its deadline is logged with what it waited for. */
+const LATE_END_MS = 100;
+
 /** Creates the forwarder of this VM. */
 export const createForwarder = (dependencies: ForwardingDependencies): Forwarder => {
   const {
@@ -125,12 +129,41 @@
       firstArrivedAtMs: request.arrivedAtMs - (isRetry ? longestMs - waitMs : 0),
       servers: rollouts.openRequest({ service, route: route.name }),
       reply,
+      steps: createStepTracker(clock),
       deadlineAtMs: request.arrivedAtMs + waitMs,
       version: table.version,
     };
   };
 
+  /** Logs what a request waited for that its caller left, or that ended after its deadline. */
+  const logUnusualEnd = (
+    { deadlineAtMs, request, route, service, steps }: ForwardContext,
+    outcome: string,
+  ): void => {
+    const nowMs = clock.readMonotonicMs();
+    const isLate = nowMs - deadlineAtMs > LATE_END_MS;
+    if (!isLate && outcome !== 'left') return;
+    const step = steps.readStep();
+    meter.recordUnusualEnd(isLate ? 'late' : 'left', step);
+    log.info(isLate ? 'request ended late' : 'request left by its caller', {
+      requestId: request.requestId,
+      route: route.name,
+      service,
+      outcome,
+      step,
+      stepMs: Math.round(steps.readStepMs()),
+      ageMs: Math.round(nowMs - request.arrivedAtMs),
+      lateMs: Math.round(Math.max(0, nowMs - deadlineAtMs)),
+      loopDelayMs: Math.round(loopDelay.readDelayMs()),
+    });
+  };
+
   const forward = async (request: ForwardedRequest, reply: CallerReply): Promise<void> => {
+    if (!reply.isOpen()) {
+      log.info('request read after its caller left', { requestId: request.requestId });
+      meter.recordUnusualEnd('left', 'admission');
+      return;
+    }
     const admitted = admit(request, reply);
     if (!('route' in admitted)) {
       meter.recordRequest('none', refuse(request, reply, admitted), 0);
@@ -142,6 +175,7 @@
       admitted.route.kind === RouteKind.Stream
         ? await forwardStream(dependencies, admitted, shared)
         : await forwardCall(dependencies, admitted);
+    logUnusualEnd(admitted, outcome);
     meter.recordRequest(
       admitted.route.kind,
       outcome,
--- a/src/application/forwarding/createRouteTableHolder/index.ts
+++ b/src/application/forwarding/createRouteTableHolder/index.ts
@@ -1,6 +1,7 @@
 import type { Result } from 'neverthrow';
 import type { RouteTable } from '../../../domain/forwarding';
 import type { EventLog, SharedRow } from '../../ports';
+import type { RowsOrigin } from '../../rows';
 
 /** Dependencies of the route table holder. */
 export interface RouteTableHolderDependencies {
@@ -14,7 +15,8 @@
 export interface RouteTableHolder {
   /** The current configuration; null before the first one is known. */
   readCurrent(): RouteTable | null;
-  applyRows(rows: readonly SharedRow[]): void;
+  /** `origin` is where the rows come from; it is logged. */
+  applyRows(rows: readonly SharedRow[], origin?: Pick<RowsOrigin, 'ageMs' | 'source'>): void;
   addListener(listener: (table: RouteTable) => void): void;
 }
 
@@ -30,7 +32,7 @@
   const listeners: ((table: RouteTable) => void)[] = [];
   let current: RouteTable | null = null;
 
-  const applyValue = (value: Buffer): void => {
+  const applyValue = (value: Buffer, origin?: Pick<RowsOrigin, 'ageMs' | 'source'>): void => {
     const decoded = decode(value);
     const before = current?.version ?? 0;
     if (decoded.isErr()) {
@@ -44,15 +46,22 @@
     }
     current = table;
     const routes = [...table.routesByHost.values()].reduce((sum, list) => sum + list.length, 0);
-    log.info('configuration in force', { version: table.version, before, routes });
+    log.info('configuration in force', {
+      version: table.version,
+      before,
+      routes,
+      ...(origin && Number.isFinite(origin.ageMs)
+        ? { source: origin.source, ageMs: Math.round(origin.ageMs) }
+        : {}),
+    });
     listeners.forEach((listener) => listener(table));
   };
 
   return {
     readCurrent: () => current,
-    applyRows: (rows) =>
+    applyRows: (rows, origin) =>
       rows.forEach((row) => {
-        if (row.key === key && row.value !== null) applyValue(row.value);
+        if (row.key === key && row.value !== null) applyValue(row.value, origin);
       }),
     addListener: (listener) => {
       listeners.push(listener);
--- a/src/application/forwarding/createServerDirectory/test.ts
+++ b/src/application/forwarding/createServerDirectory/test.ts
@@ -26,6 +26,7 @@
   const info = {
     source: 'store',
     outageEndedAtMs: clock.readMonotonicMs(),
+    ageMs: 0,
     isRestored: false,
   } as const;
   directory.applyRows([buildRow('a', null), buildRow('b', null)], info);
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -1,6 +1,7 @@
 import type { ForwardedRequest, KeyHolder, Route } from '../../../domain/forwarding';
 import type { EligibleServers } from '../../rollouts';
 import type { CallerReply } from './CallerReply';
+import type { StepTracker } from './StepTracker';
 
 /** A request that is being forwarded. */
 export interface ForwardContext {
@@ -17,6 +18,7 @@
   /** Servers that may serve the request. */
   readonly servers: EligibleServers;
   readonly reply: CallerReply;
+  readonly steps: StepTracker;
   /** Monotonic time at which the caller, or the route, stops waiting. */
   readonly deadlineAtMs: number;
   /** Version of the configuration under which the request was admitted. */
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -25,7 +25,7 @@
   readonly directory: ServerDirectory;
   readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
-  readonly loopDelay: Pick<LoopDelayMonitor, 'refusesStream' | 'startRequest'>;
+  readonly loopDelay: Pick<LoopDelayMonitor, 'readDelayMs' | 'refusesStream' | 'startRequest'>;
   readonly paths: Pick<ServerPaths, 'recordFailure'>;
   readonly permits: ServerPermits;
   readonly log: EventLog;
--- a/src/application/forwarding/types/ForwardingMeter.ts
+++ b/src/application/forwarding/types/ForwardingMeter.ts
@@ -1,3 +1,5 @@
+import type { RequestStep } from './StepTracker';
+
 /** Records metrics of forwarded requests. */
 export interface ForwardingMeter {
   /**
@@ -13,6 +15,8 @@
     readonly connection: string;
     readonly evidence: string;
   }): void;
+  /** Records a request that its caller left, or that ended after its deadline, and its step. */
+  recordUnusualEnd(end: 'late' | 'left', step: RequestStep): void;
   recordRequest(kind: string, outcome: string, durationMs: number): void;
   /**
    * Records a call's server in a service whose servers differ in speed.
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -4,5 +4,6 @@
 export type { ForwardingMeter } from './ForwardingMeter';
 export type { StreamGrant, StreamPlacement } from './StreamPlacement';
 export type { HeldCopy, ScheduledRun, StreamAttempt, StreamRun } from './StreamRun';
+export type { RequestStep, StepTracker } from './StepTracker';
 export type { ServerDirectory } from './ServerDirectory';
 export type { SuspicionCause } from './SuspicionCause';
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -1,6 +1,7 @@
 import type { RowChanges, SharedRow } from '../../ports';
 import { hasMissedRows } from '../../../domain/forwarding';
 import { waitDelay } from '../../time';
+import { buildTableStatement } from '../_lib/buildTableStatement';
 import { createAgeTracker } from '../_lib/createAgeTracker';
 import { createCallTracker, type StoreCall } from '../_lib/createCallTracker';
 import { createRestoreDetector } from '../_lib/createRestoreDetector';
@@ -59,10 +60,19 @@
   const deliverRows = (
     newer: readonly SharedRow[],
     { isRestored, source }: Pick<RowsOrigin, 'isRestored' | 'source'>,
+    call: StoreCall | null,
   ): void => {
     if (newer.length > 0) {
-      log.info('rows taken', { table, source, rows: newer.length, version: replica.readVersion() });
-      handleRows(newer, { source, isRestored, outageEndedAtMs: readOutageEndedAtMs() });
+      const ageMs = age.readAgeMs();
+      log.info('rows taken', {
+        table,
+        source,
+        rows: newer.length,
+        version: replica.readVersion(),
+        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+        call: call?.call ?? 'gossip',
+      });
+      handleRows(newer, { source, ageMs, isRestored, outageEndedAtMs: readOutageEndedAtMs() });
     }
     if (isRestored) dependencies.handleRestored?.();
   };
@@ -82,7 +92,7 @@
     const isRestored = isSnapshot && restores.recordSnapshot(answer.version, replica.readVersion());
     const newer = isSnapshot ? replica.mergeSnapshot(answer) : replica.mergeRows(answer.rows);
     replica.advanceVersion(answer.version);
-    deliverRows(newer, { source: 'store', isRestored });
+    deliverRows(newer, { source: 'store', isRestored }, call);
     confirmAsOf(asOfMs);
     dependencies.handleAnswer?.(answer, asOfMs);
   };
@@ -115,8 +125,7 @@
       return answered.value;
     }
     const { error } = answered;
-    const reported =
-      error.kind === 'unavailable' ? { ...error, reason: readFailure(error.reason) } : error;
+    const reported = { ...error, reason: 'reason' in error ? readFailure(error.reason) : '' };
     calls.recordFailure(call, reported, version);
     if (error.kind === 'history-lost') {
       mustReadAll = true;
@@ -175,7 +184,7 @@
     const newer = isSnapshot ? replica.mergeSnapshot(changes) : replica.mergeRows(changes.rows);
     // Only changes that begin at or before the held version leave no gap.
     if (afterVersion <= replica.readVersion()) replica.advanceVersion(changes.version);
-    deliverRows(newer, { source: 'peer', isRestored });
+    deliverRows(newer, { source: 'peer', isRestored }, null);
   };
 
   return {
@@ -200,19 +209,10 @@
       confirmAsOf(asOfMs);
     },
     buildStatement: (afterVersion) => {
-      const changes = replica.listChanges(afterVersion);
-      const statement = changes ?? replica.listChanges(0) ?? { rows: [], version: 0 };
       const ageMs = age.readAgeMs();
-      const outageEndedAtMs = readOutageEndedAtMs();
-      return {
-        table,
-        after: changes ? afterVersion : 0,
-        rows: statement.rows,
-        version: statement.version,
-        ageMs,
-        outageEndedAgoMs:
-          outageEndedAtMs === null ? null : clock.readMonotonicMs() - ageMs - outageEndedAtMs,
-      };
+      const at = readOutageEndedAtMs();
+      const outageEndedAgoMs = at === null ? null : clock.readMonotonicMs() - ageMs - at;
+      return buildTableStatement({ table, replica, ageMs, outageEndedAgoMs }, afterVersion);
     },
     isStoreReachable: () =>
       replica.readVersion() > 0 &&
--- a/src/programs/gateway/_lib/wireFollowers/index.ts
+++ b/src/programs/gateway/_lib/wireFollowers/index.ts
@@ -61,8 +61,8 @@
     handleUpdate,
     primary: {
       table: TABLES.operator,
-      handleRows: (rows) => {
-        tables.applyRows(rows);
+      handleRows: (rows, origin) => {
+        tables.applyRows(rows, origin);
         rollouts.applyRows(rows);
       },
       handleRestored: quarantineRows.startRewrite,
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -53,6 +53,7 @@
     listPeers: () => listMembers(),
     listEntries: () => known?.listEntries() ?? [],
     recordReachable: (id) => known?.recordReachable(id),
+    recordQuery: metrics.recordQuery,
     tables,
   });
   let sendLimit: Gossip['sendLimit'] = () => undefined;
--- a/src/programs/gateway/_lib/wirePaths/index.ts
+++ b/src/programs/gateway/_lib/wirePaths/index.ts
@@ -25,6 +25,8 @@
   readonly listEntries: ServerDirectory['listEntries'];
   readonly recordReachable: ServerDirectory['recordReachable'];
   readonly tables: Pick<RouteTableHolder, 'readCurrent'>;
+  /** Called with the kind of each question about a server. */
+  readonly recordQuery: (kind: string) => void;
 }
 
 /** The client of servers, and the paths that its requests take. */
@@ -39,6 +41,7 @@
 export const wirePaths = ({
   calls,
   listEntries,
+  recordQuery,
   recordReachable,
   tables,
   ...common
@@ -54,7 +57,13 @@
       return healthPath !== undefined && probeServer(server, healthPath);
     },
   });
-  const relays = createRelayRegistry({ ...common, askPeer: calls.readReach });
+  const relays = createRelayRegistry({
+    ...common,
+    askPeer: (address, question) => {
+      recordQuery('reach');
+      return calls.readReach(address, question);
+    },
+  });
   const paths = createServerPaths({
     ...common,
     reach,
@@ -62,7 +71,7 @@
     // Other VMs reach the server, so that its failures here say nothing about it.
     handleRelayed: recordReachable,
   });
-  const client = createServerClient({ clock: common.clock, paths });
+  const client = createServerClient({ clock: common.clock, paths, recordQuery });
   probeServer = client.probeServer;
   return { client, paths, probeReach: reach.probeReach };
 };
--- a/standins/crashes/simulateCrashes/index.ts
+++ b/standins/crashes/simulateCrashes/index.ts
@@ -72,7 +72,7 @@
   let version = 1;
   const applyRow = (key: string, value: Buffer | null): void => {
     version += 1;
-    const origin = { source: 'store', outageEndedAtMs: null, isRestored: false } as const;
+    const origin = { source: 'store', ageMs: 0, outageEndedAtMs: null, isRestored: false } as const;
     directories.forEach((directory) => directory.applyRows([{ key, value, version }], origin));
   };
   const servers = createCrashingServers({
--- a/standins/fakes/createDirectoryFixture/index.ts
+++ b/standins/fakes/createDirectoryFixture/index.ts
@@ -4,7 +4,12 @@
 import { createServerDirectory } from '../../../src/application/forwarding';
 
 /** Origin of rows from the store, without an outage. */
-export const STORE = { source: 'store', outageEndedAtMs: null, isRestored: false } as const;
+export const STORE = {
+  source: 'store',
+  ageMs: 0,
+  outageEndedAtMs: null,
+  isRestored: false,
+} as const;
 
 /** Creates a directory for tests that records its notifications. */
 export const createDirectoryFixture = () => {
--- a/standins/model/createSimulatedDirectory/index.ts
+++ b/standins/model/createSimulatedDirectory/index.ts
@@ -34,7 +34,7 @@
   });
   directory.applyRows(
     ids.map((key) => ({ key, value: Buffer.from('x'), version: 1 })),
-    { source: 'store', outageEndedAtMs: null, isRestored: false },
+    { source: 'store', ageMs: 0, outageEndedAtMs: null, isRestored: false },
   );
   return directory;
 };
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -100,7 +100,11 @@
     crashProbe,
     crashTrials,
     directory,
-    loopDelay: { startRequest: () => () => undefined, refusesStream: () => false },
+    loopDelay: {
+      startRequest: () => () => undefined,
+      refusesStream: () => false,
+      readDelayMs: () => 0,
+    },
     fleetLoad: { readLoad: () => null, recordArrival: () => undefined },
     limits: createServerLimits({ clock, log: QUIET_LOG, publishLimit: () => undefined }),
     paths,
@@ -111,6 +115,7 @@
     meter: {
       recordRequest: () => undefined,
       recordAttemptEnd: () => undefined,
+      recordUnusualEnd: () => undefined,
       recordCrashRefusal: () => undefined,
       recordResume: () => undefined,
       recordServerPace: () => undefined,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -123,7 +123,7 @@
     reservePrompt: async () => 0,
     lender: { acquireRetry: async () => true },
     tellPrompt: noop,
-    loopDelay: { startRequest: () => noop, refusesStream: () => false },
+    loopDelay: { startRequest: () => noop, refusesStream: () => false, readDelayMs: () => 0 },
     fleetLoad: { readLoad: () => null, recordArrival: noop },
     serverPaces: {
       isUneven: () => false,
@@ -161,6 +161,7 @@
     holder,
     priority: 0,
     firstArrivedAtMs: -500,
+    steps: { enterStep: () => undefined, readStep: () => 'admission', readStepMs: () => 0 },
     isReturning: false,
     servers,
     reply: {
--- a/tests/paces/runPacedCalls.ts
+++ b/tests/paces/runPacedCalls.ts
@@ -116,6 +116,7 @@
         directory.applyRows([{ key: `e-${joining}`, value: Buffer.from('x'), version: 2 }], {
           source: 'store',
           outageEndedAtMs: null,
+          ageMs: 0,
           isRestored: false,
         }),
       ),
