--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -4,6 +4,7 @@
   createRetryBudget,
   createRetryLender,
   type Forwarder,
+  type ForwardingDependencies,
   type ServerDirectory,
 } from '../../../src/application/forwarding';
 import { createServerLimits } from '../../../src/application/limits';
@@ -20,6 +21,8 @@
 export interface SimulatedForwarderOptions {
   /** Number of the VM, from 0, which decides its zone. */
   readonly index: number;
+  /** Replacements of parts. */
+  readonly overrides?: Partial<ForwardingDependencies>;
   readonly vms: number;
   readonly client: ForwardClient;
   readonly clock: Clock;
@@ -80,6 +83,7 @@
   crashTrials = { acquireTrial: async () => false },
   directory,
   index,
+  overrides = {},
   paths = { recordFailure: () => undefined },
   randomness,
   scheduler = createInactiveScheduler(),
@@ -149,5 +153,6 @@
     },
     reservePrompt: async () => 0,
     tellPrompt,
+    ...overrides,
   });
 };
--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -25,6 +25,8 @@
   readonly metricsUrl: string;
   /** Stops the process without ending it; its connections stay open. */
   freeze(): void;
+  /** Lets a frozen process go on. */
+  resume(): void;
   stop(): Promise<void>;
 }
 
@@ -101,6 +103,9 @@
     freeze: () => {
       child.kill('SIGSTOP');
     },
+    resume: () => {
+      child.kill('SIGCONT');
+    },
     stop,
   };
 };
