Bound the time from the store's return to a change in force, and what VMs ask after a cut

Cause: waiting call, margin, pause, next call and next pause were each bounded, their sum by nothing; a second lost call was over the bound, and a VM answered 404 by knowledge of any age. Probes and questions after a cut grew with VMs times servers. Change: one budget (computeStoreTimes) from the deployment's bounds; calls overlap, each repetition on a new connection, until one is answered; one table's calls show an outage for both; a 404 or 401 only by knowledge within the bound, else 503; an allowance for probes that requests earn.

--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -38,6 +38,11 @@
 /** Refused streams are told to retry after their latency goal, reduced by the random spread. */
 const SHORTEST_RETURN_FRACTION = 0.9;
 
+const OUTDATED_REASON = 'the configuration of this VM may be outdated';
+
+/** Time after which to retry at another VM when the configuration of this one may be outdated. */
+const OUTDATED_RETRY_MS = 200;
+
 const LEAVING_REASON = 'this VM is leaving';
 
 /** Time after which to retry at another VM when this one is shutting down. */
@@ -57,6 +62,7 @@
     log,
     loopDelay,
     meter,
+    paths,
     randomness,
     retries,
     rollouts,
@@ -81,6 +87,12 @@
     return refusal.kind;
   };
 
+  /** Only a VM whose configuration is current can tell that a route or a key does not exist. */
+  const refuseUnknown = (kind: 'unknown-key' | 'unknown-route', reason: string): Refusal =>
+    tables.isCurrent()
+      ? { kind, reason, retryAfterMs: 0 }
+      : { kind: 'not-run', reason: OUTDATED_REASON, retryAfterMs: OUTDATED_RETRY_MS };
+
   const admit = (request: ForwardedRequest, reply: CallerReply): ForwardContext | Refusal => {
     const table = tables.readCurrent();
     if (!table) {
@@ -94,12 +106,12 @@
       return { kind: 'not-run', reason, retryAfterMs };
     }
     const route = findRoute(table, request.host, request.target);
-    if (!route) return { kind: 'unknown-route', reason: 'no route', retryAfterMs: 0 };
+    if (!route) return refuseUnknown('unknown-route', 'no route');
     if (refusesAll || (refusesStreams && route.kind === RouteKind.Stream)) {
       return { kind: 'not-run', reason: LEAVING_REASON, retryAfterMs: LEAVING_RETRY_MS };
     }
     const access = checkRequestKey(table, route, request.key);
-    if (access.isErr()) return { kind: 'unknown-key', reason: access.error, retryAfterMs: 0 };
+    if (access.isErr()) return refuseUnknown('unknown-key', access.error);
     const service = chooseTarget(route, randomness.readFraction());
     if (service === null) {
       return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
@@ -169,6 +181,7 @@
       meter.recordRequest('none', refuse(request, reply, admitted), 0);
       return;
     }
+    paths.recordRequest();
     retries.recordRequest(admitted.service);
     fleetLoad.recordArrival(admitted.service);
     const outcome =
--- a/src/application/forwarding/createRouteTableHolder/index.ts
+++ b/src/application/forwarding/createRouteTableHolder/index.ts
@@ -8,6 +8,10 @@
   /** Key of the row that holds the configuration. */
   readonly key: string;
   readonly decode: (value: Buffer) => Result<RouteTable, string>;
+  /** Age of what this VM knows of the configuration, in milliseconds. */
+  readonly readAgeMs: () => number;
+  /** Age up to which that is current, in milliseconds. */
+  readonly claimMs: number;
   readonly log: EventLog;
 }
 
@@ -17,6 +21,8 @@
   readCurrent(): RouteTable | null;
   /** `origin` is where the rows come from; it is logged. */
   applyRows(rows: readonly SharedRow[], origin?: Pick<RowsOrigin, 'ageMs' | 'source'>): void;
+  /** True if the configuration holds all changes that have to be in force now. */
+  isCurrent(): boolean;
   addListener(listener: (table: RouteTable) => void): void;
 }
 
@@ -25,9 +31,11 @@
  * cannot be decoded leaves the current configuration in force.
  */
 export const createRouteTableHolder = ({
+  claimMs,
   decode,
   key,
   log,
+  readAgeMs,
 }: RouteTableHolderDependencies): RouteTableHolder => {
   const listeners: ((table: RouteTable) => void)[] = [];
   let current: RouteTable | null = null;
@@ -59,6 +67,7 @@
 
   return {
     readCurrent: () => current,
+    isCurrent: () => readAgeMs() <= claimMs,
     applyRows: (rows, origin) =>
       rows.forEach((row) => {
         if (row.key === key && row.value !== null) applyValue(row.value, origin);
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -15,6 +15,8 @@
 export interface Gossip {
   start(): void;
   stop(): void;
+  /** Exchanges with another VM now, as this one may be behind. */
+  askNow(): void;
   /** Replaces the seed addresses. */
   applySeeds(addresses: readonly string[]): void;
   /** Merges a message of another VM and builds the response. */
@@ -199,6 +201,13 @@
       batcher.stop();
       stopLoop();
     },
+    askNow: () => {
+      if (isStopped) return;
+      exchangeOnce().catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : 'unknown';
+        log.error('gossip exchange failed unexpectedly', { reason });
+      });
+    },
     applySeeds: (addresses) => {
       seedAddresses = addresses;
     },
--- a/src/application/ports/RowSource.ts
+++ b/src/application/ports/RowSource.ts
@@ -30,13 +30,25 @@
    */
   | { readonly kind: 'history-lost' };
 
+/** Options of a call for rows. */
+export interface RowCallOptions {
+  /** Whether the call repeats one without an answer, whose connection may be dead. */
+  readonly isRepeat?: boolean;
+  /** Called when the first part of the answer arrives. */
+  readonly handleProgress?: () => void;
+}
+
 /** Source of the rows of shared tables: the platform's store, or a VM that follows the store. */
 export interface RowSource {
-  readRows(table: string): Promise<Result<RowChanges, RowError>>;
+  readRows(
+    table: string,
+    options?: RowCallOptions,
+    signal?: AbortSignal,
+  ): Promise<Result<RowChanges, RowError>>;
   /** Long-polls for changes after `version`, for up to `waitMs`. */
   followRows(
     table: string,
-    options: { readonly version: number; readonly waitMs: number },
+    options: RowCallOptions & { readonly version: number; readonly waitMs: number },
     signal: AbortSignal,
   ): Promise<Result<RowChanges, RowError>>;
 }
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -34,5 +34,5 @@
   ServerIdentity,
   ServerSighting,
 } from './ForwardClient';
-export type { RowChanges, RowError, RowSource, SharedRow } from './RowSource';
+export type { RowCallOptions, RowChanges, RowError, RowSource, SharedRow } from './RowSource';
 export type { RowWriter, RowWrites } from './RowWriter';
--- a/src/application/rows/_lib/createCallTracker/index.ts
+++ b/src/application/rows/_lib/createCallTracker/index.ts
@@ -17,6 +17,8 @@
   readonly log: EventLog;
   /** Called when an outage begins. */
   readonly handleOutageStart: () => void;
+  /** Called when the store answers again. */
+  readonly handleOutageEnd: () => void;
 }
 
 /** Tracks successes and failures of the calls for a table, and outages of the store. */
@@ -24,6 +26,8 @@
   startCall(call: StoreCall['call'], waitMs: number): StoreCall;
   recordSuccess(call: StoreCall): void;
   recordFailure(call: StoreCall, error: RowError, version: number): void;
+  /** Records that a call's answer is overdue: the store may be away. */
+  recordOverdue(call: StoreCall): void;
   /** Counts the failures since the last success. */
   countConsecutiveFailures(): number;
   isInOutage(): boolean;
@@ -34,6 +38,7 @@
 /** Creates a call tracker for one table. */
 export const createCallTracker = ({
   clock,
+  handleOutageEnd,
   handleOutageStart,
   log,
   table,
@@ -45,6 +50,13 @@
   const computeTookMs = ({ sentAtMs }: StoreCall): number =>
     Math.round(clock.readMonotonicMs() - sentAtMs);
 
+  const startOutage = (reason: string): void => {
+    if (outageStartedAtMs !== null) return;
+    outageStartedAtMs = clock.readMonotonicMs();
+    log.warn('store lost', { table, reason });
+    handleOutageStart();
+  };
+
   return {
     startCall: (call, waitMs) => ({
       call,
@@ -59,7 +71,9 @@
       outageStartedAtMs = null;
       outageEndedAtMs = clock.readMonotonicMs();
       log.info('store regained', { table, lastedMs, call: call.call, tookMs: computeTookMs(call) });
+      handleOutageEnd();
     },
+    recordOverdue: () => startOutage('the answer is overdue'),
     recordFailure: (call, error, version) => {
       if (error.kind === 'history-lost') {
         log.warn('history lost, all rows are read anew', { table, version });
@@ -75,10 +89,7 @@
         failures,
         version,
       });
-      if (outageStartedAtMs !== null) return;
-      outageStartedAtMs = clock.readMonotonicMs();
-      log.warn('store lost', { table, reason: error.reason, version });
-      handleOutageStart();
+      startOutage(error.reason);
     },
     countConsecutiveFailures: () => failures,
     isInOutage: () => outageStartedAtMs !== null,
--- a/src/application/rows/createFollowerPair/index.ts
+++ b/src/application/rows/createFollowerPair/index.ts
@@ -18,8 +18,12 @@
   readonly secondary: FollowedTable;
   /** Wait of a long poll whose loss no other response would show, in milliseconds. */
   readonly shortWaitMs: number;
+  /** When calls are repeated. */
+  readonly times: RowFollowerDependencies['times'];
   /** Age that the rows may reach between two responses, in milliseconds; infinite: no bound. */
   readonly freshMs: number;
+  /** Called when this VM's calls to the store begin to fail. */
+  readonly handleOutageStart?: () => void;
   /** Age from which the store counts as unreachable while another VM's rows are copied. */
   readonly staleMs: number;
 }
@@ -55,6 +59,7 @@
 export const createFollowerPair = ({
   shortWaitMs,
   freshMs,
+  handleOutageStart,
   primary: primaryTable,
   secondary: secondaryTable,
   ...shared
@@ -62,6 +67,7 @@
   let isFollowing = true;
   let resumeCallbacks: (() => void)[] = [];
   let isPrimaryReachable = (): boolean => false;
+  let isPrimaryAway = (): boolean => false;
   const common = {
     ...shared,
     storeClock: createStoreClockConverter(shared.clock),
@@ -76,15 +82,22 @@
     ...common,
     ...secondaryTable,
     readWaitMs: () => (isPrimaryReachable() ? SECONDARY_WAIT_MS : shortWaitMs),
+    // One table's calls show whether the store is back.
+    maySend: () => !isPrimaryAway(),
   });
   const primary = createRowFollower({
     ...common,
     ...primaryTable,
     readWaitMs: (ageMs) => (ageMs < freshMs ? Math.min(shortWaitMs, freshMs - ageMs) : 0),
     handleAnswer: secondary.checkAnswer,
-    handleOutageStart: () => secondary.abortCall(`calls for table ${primaryTable.table} fail`),
+    handleOutageStart: () => {
+      secondary.renewCall(`calls for table ${primaryTable.table} fail`);
+      handleOutageStart?.();
+    },
+    handleOutageEnd: () => secondary.renewCall('the store answers again'),
   });
   isPrimaryReachable = primary.isStoreReachable;
+  isPrimaryAway = primary.isStoreAway;
   return {
     primary,
     secondary,
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -5,11 +5,14 @@
 import { createAgeTracker } from '../_lib/createAgeTracker';
 import { createCallTracker, type StoreCall } from '../_lib/createCallTracker';
 import { createRestoreDetector } from '../_lib/createRestoreDetector';
+import { createStoreCaller, type StoreAnswer } from '../_lib/createStoreCaller';
 import { createTableReplica } from '../_lib/createTableReplica';
 import type { RowFollower, RowFollowerDependencies, RowsOrigin } from '../types';
 
 const MIN_RETRY_MS = 100;
-const MAX_RETRY_MS = 1000;
+
+/** Longest pause after a long poll that was answered early without changes. */
+const MAX_EARLY_PAUSE_MS = 1000;
 
 /**
  * A waiting call that another table's response has overtaken is aborted after this time: responses
@@ -25,15 +28,12 @@
  * never goes back to an older version, whichever source it comes from.
  */
 export const createRowFollower = (dependencies: RowFollowerDependencies): RowFollower => {
-  const { clock, handleRows, isFollowing, log, randomness, store, storeClock, table } =
+  const { clock, handleRows, isFollowing, log, randomness, store, storeClock, table, times } =
     dependencies;
   const replica = createTableReplica();
   const age = createAgeTracker(clock);
   const restores = createRestoreDetector({ table, clock, log });
   const abort = new AbortController();
-  /** The waiting long poll, and why it was aborted, if it was. */
-  let waiting: StoreCall | null = null;
-  let abortReason: string | null = null;
   let mustReadAll = false;
   /** The store answered, but nothing was ever written to it: its first rows are polled for. */
   let isStoreEmpty = false;
@@ -46,6 +46,20 @@
     clock,
     log,
     handleOutageStart: () => dependencies.handleOutageStart?.(),
+    handleOutageEnd: () => dependencies.handleOutageEnd?.(),
+  });
+  const caller = createStoreCaller({
+    table,
+    store,
+    calls,
+    times,
+    clock,
+    randomness,
+    isWanted: () => replica.readVersion() === 0 || mustReadAll || isFollowing(),
+    // A VM without rows asks at least once.
+    maySend: (attempt) =>
+      (attempt === 0 && replica.readVersion() === 0) || (dependencies.maySend?.() ?? true),
+    signal: abort.signal,
   });
 
   const readOutageEndedAtMs = (): number | null => {
@@ -97,41 +111,20 @@
     dependencies.handleAnswer?.(answer, asOfMs);
   };
 
-  const readAll = async (): Promise<boolean> => {
-    const call = calls.startCall('read', 0);
-    const all = await store.readRows(table);
-    if (all.isErr()) {
-      calls.recordFailure(call, all.error, replica.readVersion());
-      return false;
-    }
-    applyResponse(call, all.value, true);
-    mustReadAll = false;
-    isStoreEmpty = replica.readVersion() === 0;
-    return true;
-  };
-
-  /** Fetches changes; null if the call failed. */
-  const fetchChanges = async (
-    call: StoreCall,
-    readFailure: (reason: string) => string,
-  ): Promise<RowChanges | null> => {
-    const signal = AbortSignal.any([abort.signal, call.abort.signal]);
-    const version = replica.readVersion();
-    const answered = await store.followRows(table, { version, waitMs: call.waitMs }, signal);
-    if (abort.signal.aborted) return null;
-    if (answered.isOk()) {
-      failedResumes = 0;
-      applyResponse(call, answered.value, false);
-      return answered.value;
-    }
-    const { error } = answered;
-    const reported = { ...error, reason: 'reason' in error ? readFailure(error.reason) : '' };
-    calls.recordFailure(call, reported, version);
-    if (error.kind === 'history-lost') {
+  /** Applies an answer; `version` is the one that changes were asked for. */
+  const handleAnswer = ({ call, changes }: StoreAnswer): boolean => {
+    const isSnapshot = call.call === 'read';
+    if (changes === null) {
       mustReadAll = true;
       failedResumes += 1;
+      return false;
     }
-    return null;
+    applyResponse(call, changes, isSnapshot);
+    if (isSnapshot) {
+      mustReadAll = false;
+      isStoreEmpty = replica.readVersion() === 0;
+    } else failedResumes = 0;
+    return true;
   };
 
   /** Computes how early a call was answered; a call without changes should use its whole wait. */
@@ -141,42 +134,35 @@
   };
 
   const followOnce = async (): Promise<void> => {
-    // After a failure the call does not wait: a long poll would not show that the outage ended.
-    const waitMs =
-      calls.countConsecutiveFailures() > 0 ? 0 : dependencies.readWaitMs(age.readAgeMs());
-    const call = calls.startCall('feed', waitMs);
-    waiting = call;
-    abortReason = null;
-    const changes = await fetchChanges(call, (reason) => abortReason ?? reason);
-    waiting = null;
-    if (changes && changes.rows.length > 0) await waitDelay(clock, dependencies.burstPauseMs);
-    else if (changes) await waitDelay(clock, Math.min(MAX_RETRY_MS, computeEarlyMs(call)));
+    const answer = await caller.follow(
+      replica.readVersion(),
+      dependencies.readWaitMs(age.readAgeMs()),
+    );
+    if (!answer || !handleAnswer(answer)) return;
+    const hasChanged = (answer.changes?.rows.length ?? 0) > 0;
+    const earlyMs = Math.min(MAX_EARLY_PAUSE_MS, computeEarlyMs(answer.call));
+    await waitDelay(clock, hasChanged ? dependencies.burstPauseMs : earlyMs);
   };
 
   const run = async (): Promise<void> => {
     while (!abort.signal.aborted) {
       const isNew = replica.readVersion() === 0;
-      if (mustReadAll || (isNew && !isStoreEmpty)) await readAll();
-      else {
+      if (mustReadAll || (isNew && !isStoreEmpty)) {
+        const answer = await caller.readAll();
+        if (answer) handleAnswer(answer);
+      } else {
         // A VM without rows does not wait, since it cannot follow another VM yet.
         if (!isNew) await dependencies.waitUntilFollowing();
         if (!abort.signal.aborted) await followOnce();
       }
       // The first full read after lost history is not delayed.
-      const failures = Math.max(calls.countConsecutiveFailures(), failedResumes - 1);
-      if (failures > 0) {
-        const boundMs = Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1));
+      if (failedResumes > 1) {
+        const boundMs = Math.min(times.repeatMs, MIN_RETRY_MS * 2 ** (failedResumes - 2));
         await waitDelay(clock, boundMs * (0.5 + randomness.readFraction() / 2));
       }
     }
   };
 
-  const abortCall = (reason: string): void => {
-    if (!waiting) return;
-    abortReason = reason;
-    waiting.abort.abort();
-  };
-
   const mergeChanges = (changes: RowChanges, afterVersion: number): void => {
     const isSnapshot = afterVersion === 0;
     const isRestored =
@@ -217,6 +203,7 @@
     isStoreReachable: () =>
       replica.readVersion() > 0 &&
       (isFollowing() ? !calls.isInOutage() : age.readAgeMs() <= dependencies.staleMs),
+    isStoreAway: calls.isInOutage,
     checkAnswer: (answer, asOfMs) => {
       // Before the first full read the replica is empty, so that it cannot be complete.
       if (replica.readVersion() === 0) return;
@@ -232,18 +219,21 @@
         confirmAsOf(asOfMs);
         return;
       }
-      const overtakenCall = waiting;
+      const overtakenCall = caller.readWaiting();
       clock.startTimer(OVERTAKEN_MS, () => {
-        if (overtakenCall && overtakenCall === waiting && isBehind())
-          abortCall('a response for another table shows a missed change');
+        if (overtakenCall && overtakenCall === caller.readWaiting() && isBehind())
+          caller.renewCall('a response for another table shows a missed change');
       });
     },
-    abortCall,
+    renewCall: caller.renewCall,
     readOnce: async () => {
+      const readAll = async (): Promise<boolean> => {
+        const answer = await caller.callOnce('read', 0);
+        return answer !== null && handleAnswer(answer);
+      };
       if (replica.readVersion() === 0 || mustReadAll) return readAll();
-      const call = calls.startCall('feed', 0);
-      const changes = await fetchChanges(call, (reason) => reason);
-      return changes !== null || (mustReadAll && readAll());
+      const answer = await caller.callOnce('feed', replica.readVersion());
+      return answer !== null && (handleAnswer(answer) || readAll());
     },
     readAgeMs: age.readAgeMs,
   };
--- a/src/application/rows/createRowFollower/test.ts
+++ b/src/application/rows/createRowFollower/test.ts
@@ -38,6 +38,7 @@
     waitUntilFollowing: async () => undefined,
     isFollowing: () => true,
     staleMs: Infinity,
+    times: { overdueMs: 200, repeatMs: 400 },
     burstPauseMs: 600,
     clock,
     randomness: createSeededRandomness(1),
--- a/src/application/rows/types/RowFollower.ts
+++ b/src/application/rows/types/RowFollower.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog, Randomness, RowChanges, RowSource, SharedRow } from '../../ports';
+import type { StoreTimes } from '../../../domain/forwarding';
 import type { StoreClockConverter } from '../_lib/createStoreClockConverter';
 import type { RowsOrigin } from './RowsOrigin';
 import type { TableStatement } from './Statements';
@@ -20,6 +21,8 @@
   readonly staleMs: number;
   /** Whether this VM follows the store itself. */
   readonly isFollowing: () => boolean;
+  /** When calls are repeated. */
+  readonly times: Pick<StoreTimes, 'overdueMs' | 'repeatMs'>;
   /** Delay of the next call after a change, since changes come in bursts. */
   readonly burstPauseMs: number;
   readonly clock: Clock;
@@ -31,8 +34,12 @@
   readonly handleAnswer?: (answer: RowChanges, asOfMs: number) => void;
   /** Called after the rows of a store that was restored from a backup were applied. */
   readonly handleRestored?: () => void;
-  /** Called when this VM's calls to the store begin to fail. */
+  /** Called when this VM's calls to the store begin to fail, or their answers are overdue. */
   readonly handleOutageStart?: () => void;
+  /** Called when the store answers again. */
+  readonly handleOutageEnd?: () => void;
+  /** While false, calls are put off; they never are if this is missing. */
+  readonly maySend?: () => boolean;
   /** Called when rows changed or were confirmed as of a later time. */
   readonly handleUpdate?: () => void;
 }
@@ -52,13 +59,15 @@
   /** Builds the statement for a VM whose rows are complete up to `afterVersion`. */
   buildStatement(afterVersion: number): TableStatement;
   isStoreReachable(): boolean;
+  /** True from the first failed or overdue call to the store until the next answer. */
+  isStoreAway(): boolean;
   /**
    * Compares this table with the store's response for another table. Aborts the waiting call if
    * the response shows a change that the call should have returned.
    */
   checkAnswer(answer: RowChanges, asOfMs: number): void;
-  /** Aborts the waiting call, which then counts as failed. */
-  abortCall(reason: string): void;
+  /** Gives up the waiting call, which then counts as failed, and asks anew. */
+  renewCall(reason: string): void;
   /** Reads from the store once, without a long poll; false if the store does not answer. */
   readOnce(): Promise<boolean>;
   /** Upper bound on the age of the local rows, in milliseconds; infinite before the first read. */
--- a/src/domain/forwarding/splitEvents/index.ts
+++ b/src/domain/forwarding/splitEvents/index.ts
@@ -4,6 +4,8 @@
   readonly id: number | null;
   /** Bytes of the event, including the blank line at its end. */
   readonly bytes: Buffer;
+  /** True for comments and blank lines, several of which make one event. */
+  readonly isEmpty: boolean;
 }
 
 /** The complete events, and the bytes of an incomplete one. */
@@ -14,6 +16,7 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const FIELD_PATTERN = /(?:^|\n)(?:data|event|id|retry)(?:: ?|\r?\n)/;
 const ID_PATTERN = /(?:^|\r?\n)id: ?(\d+)\r?\n/;
 
 /** Finds the position after the blank line of the first event; -1 if it is incomplete. */
@@ -26,8 +29,9 @@
 };
 
 const decodeEvent = (bytes: Buffer): StreamEvent => {
-  const id = ID_PATTERN.exec(bytes.toString('latin1'))?.[1];
-  return { id: id === undefined ? null : Number(id), bytes };
+  const text = bytes.toString('latin1');
+  const id = ID_PATTERN.exec(text)?.[1];
+  return { id: id === undefined ? null : Number(id), bytes, isEmpty: !FIELD_PATTERN.test(text) };
 };
 
 /**
@@ -39,9 +43,21 @@
 export const splitEvents = (bytes: Buffer): SplitEvents => {
   const events: StreamEvent[] = [];
   let start = 0;
+  /** Where the run of empty events before `start` begins. */
+  let emptyStart = 0;
+  const pushEmpty = (): void => {
+    if (emptyStart < start)
+      events.push({ id: null, bytes: bytes.subarray(emptyStart, start), isEmpty: true });
+  };
   for (let end = findEnd(bytes, 0); end >= 0; end = findEnd(bytes, start)) {
-    events.push(decodeEvent(bytes.subarray(start, end)));
+    const event = decodeEvent(bytes.subarray(start, end));
+    if (!event.isEmpty) {
+      pushEmpty();
+      events.push(event);
+      emptyStart = end;
+    }
     start = end;
   }
+  pushEmpty();
   return { events, rest: bytes.subarray(start) };
 };
--- a/src/programs/gateway/_lib/wireFollowers/index.ts
+++ b/src/programs/gateway/_lib/wireFollowers/index.ts
@@ -5,8 +5,8 @@
 import { createFollowerPair, type RowFollower } from '../../../../application/rows';
 import {
   computeBatchDelayMs,
-  computeLongPollMs,
   computeStalenessLimits,
+  computeStoreTimes,
   type GatewaySettings,
   type StalenessLimits,
 } from '../../../../domain/forwarding';
@@ -25,6 +25,8 @@
   readonly quarantineRows: Pick<QuarantineRows, 'startRewrite'>;
   /** Called when one of the tables changes, or is known to be newer. */
   readonly handleUpdate: () => void;
+  /** Called when this VM's calls to the store begin to fail. */
+  readonly handleOutageStart: () => void;
 }
 
 /** Followers of the configuration and of the servers. */
@@ -38,6 +40,7 @@
 export const wireFollowers = ({
   clock,
   directory,
+  handleOutageStart,
   handleUpdate,
   log,
   quarantineRows,
@@ -48,17 +51,20 @@
   tables,
 }: FollowersDependencies): Followers => {
   const stalenessLimits = computeStalenessLimits(bounds);
+  const times = computeStoreTimes(bounds);
   // The configuration is the primary table: it changes less often, and it always exists.
   const pair = createFollowerPair({
     store,
     clock,
     randomness,
     log,
-    shortWaitMs: computeLongPollMs(bounds),
-    freshMs: stalenessLimits?.freshMs ?? Infinity,
+    shortWaitMs: times.waitMs,
+    times,
+    freshMs: stalenessLimits?.freshMs ?? times.claimMs - times.overdueMs,
     staleMs: stalenessLimits?.staleMs ?? Infinity,
     burstPauseMs: computeBatchDelayMs(bounds),
     handleUpdate,
+    handleOutageStart,
     primary: {
       table: TABLES.operator,
       handleRows: (rows, origin) => {
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -24,7 +24,7 @@
 import { buildSchedulingFactories } from '../buildSchedulingFactories';
 import { wireScheduling } from '../wireScheduling';
 import type { GatewayOverrides, GatewayParts } from '../../types';
-import type { GatewaySettings } from '../../../../domain/forwarding';
+import { computeStoreTimes, type GatewaySettings } from '../../../../domain/forwarding';
 
 /** Wires the parts of a gateway without starting them. */
 export const wireGateway = (
@@ -37,7 +37,12 @@
   const common = { clock, log, randomness };
   const metrics = createGatewayMetrics();
   const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
-  const tables = createRouteTableHolder({ key: CONFIGURATION_KEY, decode: decodeRouteTable, log });
+  let readTableAgeMs = (): number => Infinity;
+  const { claimMs } = computeStoreTimes(settings.bounds);
+  const tables = createRouteTableHolder({
+    ...{ key: CONFIGURATION_KEY, decode: decodeRouteTable, claimMs, log },
+    readAgeMs: () => readTableAgeMs(),
+  });
   // Gossip depends on the followers and these on the directory, so gossip is wired last.
   let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
   let sendInferred: Gossip['sendInferred'] = () => undefined;
@@ -99,6 +104,7 @@
     publishOutcome: (outcome) => sendOutcome(outcome),
   });
   let handleUpdate = (): void => undefined;
+  let askPeers = (): void => undefined;
   const { followers, pair, stalenessLimits } = wireFollowers({
     ...common,
     settings,
@@ -108,13 +114,11 @@
     directory,
     quarantineRows,
     handleUpdate: () => handleUpdate(),
+    handleOutageStart: () => askPeers(),
   });
-  const self = {
-    vm: settings.vm,
-    address: settings.peerAddress,
-    availabilityZone: settings.availabilityZone,
-    cores: settings.cores,
-  };
+  readTableAgeMs = pair.primary.readAgeMs;
+  const { availabilityZone, cores, peerAddress: address, vm } = settings;
+  const self = { vm, address, availabilityZone, cores };
   const gossip = createGossip({
     ...common,
     self,
@@ -130,6 +134,7 @@
       identityWatch.start();
     },
   });
+  askPeers = gossip.askNow;
   sendSuspicion = gossip.sendSuspicion;
   sendInferred = gossip.sendInferred;
   sendOutcome = gossip.sendOutcome;
@@ -235,14 +240,8 @@
     rolloutJudge,
     scheduling,
     stop: async () => {
-      fleetLoad.stop();
-      scheduling.stop();
-      quarantineRows.stop();
-      rolloutJudge.stop();
-      sharing.stop();
-      gossip.stop();
-      identityWatch.stop();
-      paths.stop();
+      const parts = [fleetLoad, scheduling, quarantineRows, rolloutJudge, sharing, gossip];
+      [...parts, identityWatch, paths].forEach((part) => part.stop());
       calls.close();
       await Promise.all([client.stop(), store.stop()]);
     },
--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -91,7 +91,7 @@
       sendJson(response, 200, {
         rows: listRows(table, after).map(encodeRow),
         ver: version,
-        now_ms: 0,
+        now_ms: performance.now(),
       });
     if (listRows(table, after).length > 0) {
       send();
@@ -118,7 +118,7 @@
       rows: found.map(encodeRow),
       truncated: false,
       ver: version,
-      now_ms: 0,
+      now_ms: performance.now(),
     });
   };
 
@@ -135,7 +135,7 @@
     const changes = ChangesSchema.parse(JSON.parse(await readBody(request)));
     changes.writes.forEach(({ key, table, value }) => write(table, key, value));
     changes.remove.forEach(({ key, table }) => write(table, key, null));
-    sendJson(response, 200, { ver: version, now_ms: 0 });
+    sendJson(response, 200, { ver: version, now_ms: performance.now() });
   };
 
   const HANDLERS: Readonly<
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -61,7 +61,13 @@
         events: EVENTS_PER_STREAM - first,
         handleEvent: (event) => {
           body.push(Buffer.from(`id: ${first + event}\ndata: x\n\n`));
-          const answer = { head: SIMULATED_HEAD, relay: null, body: body.readChunks(), readEnd };
+          const answer = {
+            head: SIMULATED_HEAD,
+            relay: null,
+            body: body.readChunks(),
+            readEnd,
+            recordProgress: () => undefined,
+          };
           if (event === 1) resolve(ok(answer));
         },
         handleEnd: (isComplete) => {
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -80,6 +80,8 @@
     ended: [] as EndedRun[],
     refusals: [] as Refusal[],
     cancelled: 0,
+    /** Whether the configuration holds all changes that are due. */
+    isCurrent: true,
     paceKinds: [] as string[],
     lines: [] as EventFields[],
   };
@@ -100,7 +102,7 @@
     directory,
     randomness: createSeededRandomness(1),
     log: { info: note, warn: note, error: note },
-    tables: { readCurrent: () => state.table },
+    tables: { readCurrent: () => state.table, isCurrent: () => state.isCurrent },
     client: {
       readReport: async ({ id }: { readonly id: string }) => {
         state.queried.push(id);
@@ -109,15 +111,26 @@
       sendAttempt: async ({ backupAddress, server }: AttemptRequest) => {
         clock.advance(300);
         state.sent.push([server.id, backupAddress]);
-        return ok({ head: HEAD, relay: null, body: readBody(), readEnd: () => 'complete' });
+        return ok({
+          head: HEAD,
+          relay: null,
+          body: readBody(),
+          readEnd: () => 'complete',
+          recordProgress: () => undefined,
+        });
       },
       dropCopy: noop,
     },
     crashes: { isEmpty: () => true, addListener: () => noop },
     limits: { recordAdvertisedLimit: noop },
-    paths: { recordFailure: noop },
+    paths: { recordFailure: noop, recordRequest: noop },
     permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
-    meter: { recordResume: noop, recordRequest: noop, recordAttemptEnd: noop },
+    meter: {
+      recordResume: noop,
+      recordRequest: noop,
+      recordUnusualEnd: noop,
+      recordAttemptEnd: noop,
+    },
     retries: { recordRequest: noop },
     rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
--- a/standins/rows/createRowsFleet/index.ts
+++ b/standins/rows/createRowsFleet/index.ts
@@ -10,8 +10,8 @@
 import type { EventLog, SharedRow } from '../../../src/application/ports';
 import {
   computeBatchDelayMs,
-  computeLongPollMs,
   computeStalenessLimits,
+  computeStoreTimes,
   type GatewayBounds,
 } from '../../../src/domain/forwarding';
 import { createFakeClock, createSeededRandomness, QUIET_LOG, type FakeClock } from '../../fakes';
@@ -78,6 +78,7 @@
   const cutLinks = new Set<string>();
   let linkDelayMs = 0;
   const stalenessLimits = computeStalenessLimits(bounds);
+  const times = computeStoreTimes(bounds);
 
   const isOpen = (from: string, to: string): boolean => !cutLinks.has(`${from} ${to}`);
 
@@ -135,8 +136,9 @@
       clock: vmClock,
       randomness,
       log: log?.(name) ?? QUIET_LOG,
-      shortWaitMs: computeLongPollMs(bounds),
-      freshMs: stalenessLimits?.freshMs ?? Infinity,
+      shortWaitMs: times.waitMs,
+      times,
+      freshMs: stalenessLimits?.freshMs ?? times.claimMs - times.overdueMs,
       staleMs: stalenessLimits?.staleMs ?? Infinity,
       burstPauseMs: computeBatchDelayMs(bounds),
       handleUpdate: () => notifyReplication(),
--- a/standins/rows/createVmStore/index.ts
+++ b/standins/rows/createVmStore/index.ts
@@ -74,7 +74,8 @@
     });
 
   return {
-    readRows: (table) => call(0, () => store.readRows(table)),
+    readRows: (table, options, signal) =>
+      call(0, () => store.readRows(table, options, signal), signal),
     followRows: (table, options, signal) =>
       call(options.waitMs, () => store.followRows(table, options, signal), signal),
     setReachability: (next) => {
