--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -7,6 +7,7 @@
 import type { Clock, EventLog } from '../../../application/ports';
 import type { ForwardingLimits, RequestHead } from '../../../domain/forwarding';
 import type { MemoryUse } from '../../../domain/overload';
+import { createLeaveDetector } from '../_lib/createLeaveDetector';
 import { createCallerReply } from '../_lib/createCallerReply';
 import { readBody } from '../_lib/readBody';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
@@ -37,6 +38,8 @@
   readonly decodeHead: (raw: RawRequestHead) => Result<RequestHead, string>;
   /** Reads the limits in force; null before the first configuration. */
   readonly readLimits: () => ForwardingLimits | null;
+  /** Whether the event loop runs late. */
+  readonly isLate: () => boolean;
   /** Whether each connection is closed after its answer. */
   readonly isClosing: () => boolean;
 }
@@ -111,8 +114,10 @@
   dependencies: ForwardingServerDependencies,
   listen: { readonly host: string; readonly port: number },
 ): Promise<Result<ForwardingServer, ListenError>> => {
-  const { clock, decodeHead, findMemoryUse, forwarder, gate, isClosing, log, memory, readLimits } =
+  const { clock, decodeHead, findMemoryUse, forwarder, gate, isClosing, isLate, log, memory } =
     dependencies;
+  const { readLimits } = dependencies;
+  const waitForLeaves = createLeaveDetector({ clock, isLate });
 
   const reject = (
     incoming: IncomingMessage,
@@ -164,6 +169,7 @@
       if (body.error.kind !== 'body-too-large') return undefined;
       return reject(incoming, response, 413, 'the body is too long');
     }
+    await waitForLeaves();
     const { buffer, byteOffset, byteLength } = body.value;
     return forwarder.forwardRequest(
       { ...head.value, body: Buffer.from(buffer, byteOffset, byteLength) },
--- a/src/adapters/http/startForwardingServer/test.ts
+++ b/src/adapters/http/startForwardingServer/test.ts
@@ -55,6 +55,7 @@
         headerTimeoutMs: 1000,
         idleTimeoutMs,
       }),
+      isLate: () => false,
       isClosing: () => false,
     },
     { host: '127.0.0.1', port: 0 },
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -1,5 +1,10 @@
 import { updateGapStatistics } from '../../../../domain/detection';
-import { countPromptTokens, splitEvents, type StreamEvent } from '../../../../domain/forwarding';
+import {
+  countPromptTokens,
+  createEventBuffer,
+  splitEvents,
+  type StreamEvent,
+} from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import type { StreamAttempt, StreamRun } from '../../types';
@@ -8,7 +13,7 @@
 import { recordStreamEnd } from '../recordStreamEnd';
 import { startSilenceWatch } from '../startSilenceWatch';
 
-/** Maximum size of an event; an event that never ends would fill the memory. */
+/** Maximum size of an event, and of comments between two events: what never ends fills the memory. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 /**
@@ -79,23 +84,39 @@
   }
 };
 
-const dispatchEvent = (run: StreamRun, reader: ReaderId, { bytes, id }: StreamEvent): void => {
+const dispatchEvent = (
+  run: StreamRun,
+  reader: ReaderId,
+  { bytes, id, isEmpty }: StreamEvent,
+): void => {
   const { offset } = run.readState();
   // A resumed run may begin with events that the caller already has.
   if (id !== null && id <= offset) return;
   run.dispatch({
     kind: 'batch',
     reader,
-    batch: { offset: id === null ? offset : id - 1, eventCount: 1, bytes, finishReason: null },
+    // Comments take no position: a resumed run would skip as many events.
+    batch: {
+      offset: id === null ? offset : id - 1,
+      eventCount: isEmpty ? 0 : 1,
+      bytes,
+      finishReason: null,
+    },
   });
 };
 
+const NO_EVENTS = { events: [], rest: Buffer.alloc(0) } as const;
+
+/** True if an event takes the stream on; comments, and events that the caller has, do not. */
+const isProgress = (run: StreamRun, { id, isEmpty }: StreamEvent): boolean =>
+  !isEmpty && (id === null || id > run.readState().offset);
+
 /**
  * Tells whether a response that ended with its connection was broken off: inside an event, or before
  * the first one.
  */
-const hasBrokenOff = (run: StreamRun, attempt: StreamAttempt, rest: Buffer): boolean =>
-  !attempt.isFramed && (rest.length > 0 || (!attempt.hasDeliveredEvent && isNewStream(run)));
+const hasBrokenOff = (run: StreamRun, attempt: StreamAttempt, restBytes: number): boolean =>
+  !attempt.isFramed && (restBytes > 0 || (!attempt.hasDeliveredEvent && isNewStream(run)));
 
 /** A response that ended with its connection, before its last event. */
 class EndedTooEarlyError extends Error {}
@@ -105,43 +126,51 @@
   run: StreamRun,
   attempt: StreamAttempt,
   reader: ReaderId,
-  { body, readEnd }: Pick<AttemptAnswer, 'body' | 'readEnd'>,
+  { body, readEnd, recordProgress }: Pick<AttemptAnswer, 'body' | 'readEnd' | 'recordProgress'>,
 ): Promise<void> => {
   const { reply } = run.context;
   const { clock } = run.dependencies;
   const isCurrent = (): boolean => run.attempts.get(reader.attempt) === attempt;
-  let rest: Buffer = Buffer.alloc(0);
+  const buffer = createEventBuffer();
+  /** Bytes since the last event that took the stream on. */
+  let idleBytes = 0;
   let unreadMs = 0;
   try {
     for await (const chunk of body) {
       if (!isCurrent()) return;
-      const split = splitEvents(rest.length === 0 ? chunk : Buffer.concat([rest, chunk]));
-      rest = split.rest;
-      if (rest.length > MAX_EVENT_BYTES) {
+      const held = buffer.addBytes(chunk);
+      const { events, rest } = held ? splitEvents(held) : NO_EVENTS;
+      if (held) buffer.keepRest(rest);
+      const progress = events.filter((event) => isProgress(run, event)).length;
+      idleBytes = progress > 0 ? buffer.countBytes() : idleBytes + chunk.length;
+      if (idleBytes > MAX_EVENT_BYTES) {
         if (!isCurrent() || attempt.isMigrating) return;
         run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
         logDecision(
           run.dependencies,
           run.context,
           'stream event too long',
-          { bytes: rest.length },
+          { bytes: idleBytes },
           attempt.server,
         );
         run.dispatch({ kind: 'broken', reader });
         return;
       }
-      if (split.events.length > 0) recordActivity(run, attempt, reader, split.events.length);
-      split.events.forEach((event) => dispatchEvent(run, reader, event));
+      if (progress > 0) {
+        recordProgress();
+        recordActivity(run, attempt, reader, progress);
+      }
+      events.forEach((event) => dispatchEvent(run, reader, event));
       if (isCurrent()) {
         const writtenAtMs = clock.readMonotonicMs();
         await reply.waitForDrain();
         const nowMs = clock.readMonotonicMs();
         unreadMs = nowMs - writtenAtMs;
         // Time in which the caller did not read is not silence of the server.
-        Object.assign(attempt, { lastActivityMs: nowMs });
+        Object.assign(attempt, { lastActivityMs: attempt.lastActivityMs + unreadMs });
       }
     }
-    if (hasBrokenOff(run, attempt, rest))
+    if (hasBrokenOff(run, attempt, buffer.countBytes()))
       throw new EndedTooEarlyError('the connection ended too early');
   } catch (error) {
     const reason = error instanceof Error ? error.message : 'the stream broke off';
@@ -172,13 +201,13 @@
     return;
   }
   if (attempt.isMigrating) return;
-  if (rest.length > 0) {
+  if (buffer.countBytes() > 0) {
     recordStreamEnd(run, attempt, 'closed');
     run.dispatch({ kind: 'broken', reader });
     return;
   }
   recordStreamEnd(run, attempt, readEnd(null), { isWhole: true });
   const { offset } = run.readState();
-  const batch = { offset, eventCount: 0, bytes: rest, finishReason: 'end' } as const;
+  const batch = { offset, eventCount: 0, bytes: buffer.readRest(), finishReason: 'end' } as const;
   run.dispatch({ kind: 'batch', reader, batch });
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -42,7 +42,13 @@
         clock.advance(50);
         return 'kind' in change
           ? err(change)
-          : ok({ head, relay: null, body: [], readEnd: () => 'complete' });
+          : ok({
+              head,
+              relay: null,
+              body: [],
+              readEnd: () => 'complete',
+              recordProgress: () => undefined,
+            });
       },
     },
   } as unknown as ForwardingDependencies;
--- a/src/application/overload/createLoopDelayMonitor/index.ts
+++ b/src/application/overload/createLoopDelayMonitor/index.ts
@@ -7,6 +7,11 @@
   startRequest(): () => void;
   /** Decides whether a new stream is refused. */
   refusesStream(): boolean;
+  /**
+   * True if the loop runs late now: what it reads may have arrived long ago. An overdue timer shows it
+   * before it has run.
+   */
+  isLate(): boolean;
   /** The delay that all recent timers had at least, in milliseconds. */
   readDelayMs(): number;
   /** Number of streams refused since the start. */
@@ -33,6 +38,9 @@
  */
 const SAMPLE_COUNT = 4;
 
+/** From this delay on, a caller may have left before its request was read. */
+const LATE_MS = 100;
+
 /** Part of the smallest latency goal by which timers may be late. */
 const GOAL_FRACTION = 0.25;
 
@@ -46,6 +54,8 @@
   let running = 0;
   let refused = 0;
   let isOverloaded = false;
+  /** When the running sample is due; infinite while none runs. */
+  let sampleDueMs = Infinity;
   let cancelTimer = (): void => undefined;
 
   const readDelayMs = (): number => (samplesMs.length < SAMPLE_COUNT ? 0 : Math.min(...samplesMs));
@@ -68,6 +78,7 @@
 
   function startSample(): void {
     const dueMs = clock.readMonotonicMs() + SAMPLE_INTERVAL_MS;
+    sampleDueMs = dueMs;
     cancelTimer = clock.startTimer(SAMPLE_INTERVAL_MS, () => {
       const delayMs = Math.max(0, clock.readMonotonicMs() - dueMs);
       samplesMs = [...samplesMs, delayMs].slice(-SAMPLE_COUNT);
@@ -80,6 +91,7 @@
     running -= 1;
     if (running > 0) return;
     cancelTimer();
+    sampleDueMs = Infinity;
     samplesMs = [];
     updateState();
   };
@@ -98,6 +110,7 @@
       refused += 1;
       return true;
     },
+    isLate: () => Math.max(samplesMs.at(-1) ?? 0, clock.readMonotonicMs() - sampleDueMs) > LATE_MS,
     readDelayMs,
     countRefused: () => refused,
   };
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -42,6 +42,11 @@
   readonly relay: string | null;
   /** Throws if the response breaks off. */
   readonly body: AsyncIterable<Buffer>;
+  /**
+   * Tells that the reader of the body got on. The connection ends after a megabyte on the wire without
+   * it; a body that is read whole, up to a size of its own, needs none.
+   */
+  readonly recordProgress: () => void;
   /**
    * Tells how the connection to the server ended, once the body has been read.
    *
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -84,6 +84,7 @@
       findMemoryUse: (head) => findMemoryUse(tables.readCurrent(), head),
       decodeHead: decodeRequestHead,
       readLimits: () => tables.readCurrent()?.limits ?? null,
+      isLate: parts.loopDelay.isLate,
       isClosing: () => isDraining,
     },
     parseAddress(settings.callerAddress),
--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -134,7 +134,15 @@
         else cancelTimer = clock.startTimer(EVENT_GAP_MS, () => sendEvent(event + 1));
       };
       cancelTimer = clock.startTimer(PREFILL_MS, () => {
-        resolve(ok({ head: SIMULATED_HEAD, relay: null, body: body.readChunks(), readEnd }));
+        resolve(
+          ok({
+            head: SIMULATED_HEAD,
+            relay: null,
+            body: body.readChunks(),
+            readEnd,
+            recordProgress: () => undefined,
+          }),
+        );
         cancelTimer = clock.startTimer(FIRST_EVENT_MS, () => sendEvent(1));
       });
     });
--- a/standins/crashes/createFailingClient/index.ts
+++ b/standins/crashes/createFailingClient/index.ts
@@ -102,7 +102,9 @@
       const cancel = servers.startRun(id, bad, {
         handleHead: () => {
           const head = { ...SIMULATED_HEAD, isFramed: isFramed || !bad };
-          resolve(ok({ head, relay, body: body.readChunks(), readEnd }));
+          resolve(
+            ok({ head, relay, body: body.readChunks(), readEnd, recordProgress: () => undefined }),
+          );
         },
         handleEvent: (event) => {
           if (isStream(request.target)) body.push(Buffer.from(`id: ${event}\ndata: x\n\n`));
--- a/tests/model/endOfWaits.test.ts
+++ b/tests/model/endOfWaits.test.ts
@@ -107,6 +107,7 @@
         relay: null,
         body: wait in body && !isFailing ? sendEventThenWait() : sendNothing(),
         readEnd: () => 'complete',
+        recordProgress: () => undefined,
       });
     },
     readReport: async () => null,
