--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -1,6 +1,7 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import { drawSample } from '../../_lib/drawSample';
 import type { Clock, EventLog, Randomness } from '../../ports';
+import { createServerProber } from '../_lib/createServerProber';
 import { createProbeAllowance } from '../createProbeAllowance';
 import type { ReachAnswer, ReachQuestion } from '../types';
 
@@ -83,8 +84,6 @@
   const lastAnswerAtMs = new Map<string, number>();
   const lastConnectedAtMs = new Map<string, number>();
   const lastMissedAtMs = new Map<string, number>();
-  /** Running probes by id, shared by all that need them. */
-  const runningProbes = new Map<string, Promise<boolean>>();
 
   const findServer = (id: string): ServerEntry | undefined =>
     listServers().find((server) => server.id === id);
@@ -117,33 +116,12 @@
     markReached(id);
   };
 
-  const probeNow = async (server: ServerEntry): Promise<boolean> => {
-    const hasAnswered = await probeServer(server);
-    if (hasAnswered) recordAnswer(server.id, { isNewConnection: true });
-    else lastMissedAtMs.set(server.id, clock.readMonotonicMs());
-    return hasAnswered;
-  };
-
-  const probe = (server: ServerEntry): Promise<boolean> => {
-    const running = runningProbes.get(server.id);
-    if (running) return running;
-    const started = probeNow(server).finally(() => runningProbes.delete(server.id));
-    runningProbes.set(server.id, started);
-    return started;
-  };
-
-  /** Probes servers as far as the allowance goes; returns those probed, and those without an answer. */
-  const probeSome = async (
-    servers: readonly ServerEntry[],
-    reserve: number,
-  ): Promise<{
-    readonly probed: readonly ServerEntry[];
-    readonly missed: readonly ServerEntry[];
-  }> => {
-    const probed = servers.slice(0, allowance.take(servers.length, reserve));
-    const answers = await Promise.all(probed.map(probe));
-    return { probed, missed: probed.filter((_, index) => !answers[index]) };
-  };
+  const { probe, probeSome } = createServerProber({
+    allowance,
+    probeServer,
+    recordAnswer: (id) => recordAnswer(id, { isNewConnection: true }),
+    recordMiss: (id) => lastMissedAtMs.set(id, clock.readMonotonicMs()),
+  });
 
   /** The same, for those that did not connect a moment ago. */
   const probeOthers = (servers: readonly ServerEntry[], reserve: number) =>
