--- a/src/adapters/http/_lib/createLeaveDetector/index.ts
+++ b/src/adapters/http/_lib/createLeaveDetector/index.ts
@@ -12,7 +12,7 @@
 const PAUSE_MS = 100;
 
 /** Time in which a process reads what arrived while it was paused. */
-const CATCH_UP_MS = 50;
+const CATCH_UP_MS = 250;
 
 /** Turns of the event loop: the request is read, the end after it is read, the socket is closed. */
 const LEAVE_TURNS = 4;
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -62,7 +62,6 @@
     log,
     loopDelay,
     meter,
-    paths,
     randomness,
     retries,
     rollouts,
@@ -181,7 +180,6 @@
       meter.recordRequest('none', refuse(request, reply, admitted), 0);
       return;
     }
-    paths.recordRequest();
     retries.recordRequest(admitted.service);
     fleetLoad.recordArrival(admitted.service);
     const outcome =
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -26,7 +26,7 @@
   readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
   readonly loopDelay: Pick<LoopDelayMonitor, 'readDelayMs' | 'refusesStream' | 'startRequest'>;
-  readonly paths: Pick<ServerPaths, 'recordFailure' | 'recordRequest'>;
+  readonly paths: Pick<ServerPaths, 'recordFailure'>;
   readonly permits: ServerPermits;
   readonly log: EventLog;
   readonly meter: ForwardingMeter;
--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -19,8 +19,6 @@
 /** Chooses how requests get to servers: directly, or through a VM that reaches them. */
 export interface ServerPaths {
   choosePath(serverId: string): ServerPath;
-  /** Records a request of a caller: what this VM asks about servers grows with these. */
-  recordRequest(): void;
   /** Records an answer on the direct path. */
   recordAnswer(serverId: string, options: { readonly isNewConnection: boolean }): void;
   /** Records that a server gave no answer on the direct path. */
@@ -59,9 +57,6 @@
 /** Interval at which a VM without links probes servers and asks its relays. */
 const ROUND_MS = 500;
 
-/** Other VMs that are asked at a time. */
-const QUESTIONS_PER_ROUND = 3;
-
 /** Longest interval while no other VM reaches the servers either. */
 const MAX_ROUND_MS = 4000;
 
@@ -88,7 +83,7 @@
   const askRelaysNow = async (): Promise<void> => {
     const ids = reach.drawUnreached();
     [...relayedIds].filter(reach.isReached).forEach((id) => relayedIds.delete(id));
-    if (ids.length === 0 || reach.takeQuestions(QUESTIONS_PER_ROUND) === 0) return;
+    if (ids.length === 0) return;
     await relays.askRelays(ids, { isCutOff: reach.isCutOff() });
     const found = ids.filter((id) => !relayedIds.has(id) && relays.chooseRelay(id) !== null);
     found.forEach((id) => {
@@ -195,7 +190,6 @@
       return relay ? { kind: 'relay', vm: relay.vm, address: relay.address } : DIRECT;
     },
     isCutFrom,
-    recordRequest: reach.recordRequest,
     recordAnswer: reach.recordAnswer,
     recordFailure,
     recordRelayLoss: (vm) => {
@@ -208,8 +202,6 @@
     },
     recordRelayMiss: relays.recordMiss,
     judgeFailure: async (serverId) => {
-      // What cannot be checked now is no evidence.
-      if (reach.isReached(serverId) && !reach.mayProbe()) return false;
       await checkServer(serverId);
       if (reach.isReached(serverId)) return true;
       if (!reach.hasReachedAny()) await startCheck(serverId);
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -1,8 +1,6 @@
 import type { ServerEntry } from '../../../domain/forwarding';
 import { drawSample } from '../../_lib/drawSample';
 import type { Clock, EventLog, Randomness } from '../../ports';
-import { createServerProber } from '../_lib/createServerProber';
-import { createProbeAllowance } from '../createProbeAllowance';
 import type { ReachAnswer, ReachQuestion } from '../types';
 
 /** Dependencies of the reach. */
@@ -26,12 +24,6 @@
   isCutOff(): boolean;
   /** True if any server answered this VM on a new connection lately. */
   hasReachedAny(): boolean;
-  /** Records a request of a caller: what this VM asks grows with these. */
-  recordRequest(): void;
-  /** Takes up to `count` questions to other VMs; returns how many may be asked. */
-  takeQuestions(count: number): number;
-  /** True if a server may be probed now. */
-  mayProbe(): boolean;
   /** Records an answer on the direct path. */
   recordAnswer(id: string, options: { readonly isNewConnection: boolean }): void;
   /** True if a server of the same service answered a moment ago, so that links are sound. */
@@ -61,15 +53,6 @@
 /** Answers within this time make a probe unnecessary. */
 const RECENT_ANSWER_MS = 500;
 
-/** Answers within this time tell another VM that a server is reached; a request shows if it is not. */
-const KNOWN_ANSWER_MS = 10_000;
-
-/** Fewest servers without an answer from which a VM concludes that it reaches none of the others. */
-const MIN_SAMPLE = 4;
-
-/** Probes that samples and rounds leave for checks of failed servers and for questions. */
-const RESERVED_PROBES = 10;
-
 /** Creates the reach of this VM, which takes all servers as reached. */
 export const createServerReach = ({
   clock,
@@ -79,20 +62,18 @@
   randomness,
 }: ServerReachDependencies): ServerReach => {
   /** By id of a server that was not reached: since when. */
-  const allowance = createProbeAllowance(clock);
   const unreachedSinceMs = new Map<string, number>();
   const lastAnswerAtMs = new Map<string, number>();
   const lastConnectedAtMs = new Map<string, number>();
   const lastMissedAtMs = new Map<string, number>();
+  /** Running probes by id, shared by all that need them. */
+  const runningProbes = new Map<string, Promise<boolean>>();
 
   const findServer = (id: string): ServerEntry | undefined =>
     listServers().find((server) => server.id === id);
 
-  const isRecent = (
-    times: ReadonlyMap<string, number>,
-    id: string,
-    maxAgeMs = RECENT_ANSWER_MS,
-  ): boolean => clock.readMonotonicMs() - (times.get(id) ?? -Infinity) < maxAgeMs;
+  const isRecent = (times: ReadonlyMap<string, number>, id: string): boolean =>
+    clock.readMonotonicMs() - (times.get(id) ?? -Infinity) < RECENT_ANSWER_MS;
 
   const markReached = (id: string): void => {
     const sinceMs = unreachedSinceMs.get(id);
@@ -116,19 +97,28 @@
     markReached(id);
   };
 
-  const { probe, probeSome } = createServerProber({
-    allowance,
-    probeServer,
-    recordAnswer: (id) => recordAnswer(id, { isNewConnection: true }),
-    recordMiss: (id) => lastMissedAtMs.set(id, clock.readMonotonicMs()),
-  });
-
-  /** The same, for those that did not connect a moment ago. */
-  const probeOthers = (servers: readonly ServerEntry[], reserve: number) =>
-    probeSome(
-      servers.filter(({ id }) => !isRecent(lastConnectedAtMs, id)),
-      reserve,
+  const probeNow = async (server: ServerEntry): Promise<boolean> => {
+    const hasAnswered = await probeServer(server);
+    if (hasAnswered) recordAnswer(server.id, { isNewConnection: true });
+    else lastMissedAtMs.set(server.id, clock.readMonotonicMs());
+    return hasAnswered;
+  };
+
+  const probe = (server: ServerEntry): Promise<boolean> => {
+    const running = runningProbes.get(server.id);
+    if (running) return running;
+    const started = probeNow(server).finally(() => runningProbes.delete(server.id));
+    runningProbes.set(server.id, started);
+    return started;
+  };
+
+  /** Probes servers unless they connected a moment ago; returns those that gave no answer. */
+  const probeAll = async (servers: readonly ServerEntry[]): Promise<readonly ServerEntry[]> => {
+    const answers = await Promise.all(
+      servers.map((server) => (isRecent(lastConnectedAtMs, server.id) ? true : probe(server))),
     );
+    return servers.filter((_, index) => !answers[index]);
+  };
 
   const forgetServer = (id: string): void =>
     [unreachedSinceMs, lastAnswerAtMs, lastConnectedAtMs, lastMissedAtMs].forEach((times) =>
@@ -159,8 +149,7 @@
   const probeAny = async (suspectId: string): Promise<boolean> => {
     if (hasReachedAny()) return true;
     const [control] = drawOthers(listServers(), new Set([suspectId]), 1);
-    if (!control || allowance.take(1) === 0) return false;
-    return probe(control);
+    return control ? probe(control) : false;
   };
 
   return {
@@ -170,9 +159,6 @@
     isCutOff: () => listServers().every(({ id }) => unreachedSinceMs.has(id)),
     hasReachedAny,
     forgetServer,
-    recordRequest: allowance.recordRequest,
-    takeQuestions: (count) => allowance.take(count),
-    mayProbe: allowance.hasAny,
     recordAnswer,
     hasRecentAnswer: (id) => {
       const service = findServer(id)?.service;
@@ -192,33 +178,29 @@
           CONTROLS,
         ),
       );
-      const [{ missed, probed }, { missed: missedControls }] = await Promise.all([
-        probeSome(suspects, 0),
-        probeOthers(controls, 0),
+      const [answers, missedControls] = await Promise.all([
+        Promise.all(suspects.map(probe)),
+        probeAll(controls),
       ]);
+      const missed = suspects.filter((_, index) => !answers[index]);
       [...missed, ...missedControls].forEach(markUnreached);
       if (missed.length === 0 || (missedControls.length === 0 && controls.length > 0)) return;
-      const candidates = drawOthers(listServers(), excludedIds, MAX_PROBED);
-      const isReachedAny = candidates.some(({ id }) => isRecent(lastConnectedAtMs, id));
-      const sample = await probeOthers(candidates, RESERVED_PROBES);
+      const sample = drawOthers(listServers(), excludedIds, MAX_PROBED);
+      const missedSample = await probeAll(sample);
       // A VM that reaches none of those probed reaches none of the others either.
-      const isCutOff =
-        !isReachedAny &&
-        missed.length === probed.length &&
-        sample.missed.length === sample.probed.length &&
-        sample.probed.length >= Math.min(MIN_SAMPLE, candidates.length);
-      (isCutOff ? listServers() : sample.missed).forEach(markUnreached);
+      const isCutOff = missed.length === suspects.length && missedSample.length === sample.length;
+      (isCutOff ? listServers() : missedSample).forEach(markUnreached);
     },
     probeUnreached: async () => {
       removeUnknown();
       const known = listServers().filter(({ id }) => unreachedSinceMs.has(id));
       const first = drawSample(known, PROBED_PER_ROUND, randomness);
-      const { missed, probed } = await probeSome(first, RESERVED_PROBES);
-      if (missed.length === probed.length) return;
+      const answers = await Promise.all(first.map(probe));
+      if (!answers.includes(true)) return;
       const left = known.filter(({ id }) => unreachedSinceMs.has(id));
-      const sample = await probeOthers(drawSample(left, MAX_PROBED, randomness), RESERVED_PROBES);
-      const isEnough = sample.probed.length >= Math.min(MIN_SAMPLE, left.length);
-      if (isEnough && sample.missed.length === 0) left.forEach(({ id }) => markReached(id));
+      const sample = drawSample(left, MAX_PROBED, randomness);
+      const missed = await probeAll(sample);
+      if (missed.length === 0) left.forEach(({ id }) => markReached(id));
     },
     probeReach: async ({ ids, suspectId }) => {
       const asked = ids
@@ -227,20 +209,13 @@
         .filter((server) => server !== undefined)
         .filter(({ id }) => !unreachedSinceMs.has(id) && !isRecent(lastMissedAtMs, id));
       const suspects = asked.filter(({ id }) => id === suspectId);
-      const others = asked.filter(({ id }) => id !== suspectId);
-      const known = others.filter(({ id }) => isRecent(lastAnswerAtMs, id, KNOWN_ANSWER_MS));
-      const [answers, unknown, reachesAny] = await Promise.all([
-        probeSome(suspects, 0),
-        probeSome(
-          others.filter((server) => !known.includes(server)),
-          RESERVED_PROBES,
-        ),
+      const [answers, missedOthers, reachesAny] = await Promise.all([
+        Promise.all(suspects.map(probe)),
+        probeAll(asked.filter(({ id }) => id !== suspectId)),
         suspectId === null ? false : probeAny(suspectId),
       ]);
-      const missed = [...answers.missed, ...unknown.missed];
-      const reachedIds = [...known, ...answers.probed, ...unknown.probed]
-        .filter((server) => !missed.includes(server))
-        .map(({ id }) => id);
+      const missed = [...suspects.filter((_, index) => !answers[index]), ...missedOthers];
+      const reachedIds = asked.filter((server) => !missed.includes(server)).map(({ id }) => id);
       return { reachedIds, reachesAny: reachesAny || reachedIds.length > 0 };
     },
   };
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -30,7 +30,7 @@
   readonly crashProbe?: CrashProbe;
   readonly crashTrials?: CrashTrials;
   readonly directory: ServerDirectory;
-  readonly paths?: Pick<ServerPaths, 'recordFailure' | 'recordRequest'>;
+  readonly paths?: Pick<ServerPaths, 'recordFailure'>;
   readonly randomness: Randomness;
   readonly scheduler?: SchedulerClient;
   readonly table?: RouteTable;
@@ -84,7 +84,7 @@
   directory,
   index,
   overrides = {},
-  paths = { recordFailure: () => undefined, recordRequest: () => undefined },
+  paths = { recordFailure: () => undefined },
   randomness,
   scheduler = createInactiveScheduler(),
   table = SIMULATED_TABLE,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -123,7 +123,7 @@
     },
     crashes: { isEmpty: () => true, addListener: () => noop },
     limits: { recordAdvertisedLimit: noop },
-    paths: { recordFailure: noop, recordRequest: noop },
+    paths: { recordFailure: noop },
     permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
     meter: {
       recordResume: noop,
