--- a/src/application/forwarding/_lib/readBody/index.ts
+++ b/src/application/forwarding/_lib/readBody/index.ts
@@ -3,6 +3,9 @@
 /** Maximum size of a buffered response. Responses to calls are far smaller. */
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
+/** Maximum number of parts in which a body arrives: each takes processor time, however small it is. */
+const MAX_BODY_PARTS = 65_536;
+
 /** Why a response body is incomplete. */
 export interface IncompleteBody {
   readonly reason: string;
@@ -27,6 +30,7 @@
       bytes += chunk.length;
       if (bytes > MAX_BODY_BYTES) return stop(`the answer has more than ${MAX_BODY_BYTES} bytes`);
       if (!acquireBytes(chunk.length)) return stop('this VM has no memory for the answer');
+      if (chunks.length >= MAX_BODY_PARTS) return stop('the answer has too many parts');
       chunks.push(chunk);
     }
     return ok(Buffer.concat(chunks));
