--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -43,8 +43,8 @@
   /** Throws if the response breaks off. */
   readonly body: AsyncIterable<Buffer>;
   /**
-   * Tells that the reader of the body got on. The connection ends after a megabyte on the wire without
-   * it; a body that is read whole, up to a size of its own, needs none.
+   * Tells that the reader of the body got on. The connection ends after some megabytes on the wire
+   * without it; a body that is read whole, up to a size of its own, needs none.
    */
   readonly recordProgress: () => void;
   /**
