Compute the pause after failures of the store in one place

The follower had its own copy of the caller's back-off. A parameter that follows from the call, and one that was never read, are gone.

--- a/src/application/rows/_lib/createCallTracker/index.ts
+++ b/src/application/rows/_lib/createCallTracker/index.ts
@@ -27,7 +27,7 @@
   recordSuccess(call: StoreCall): void;
   recordFailure(call: StoreCall, error: RowError, version: number): void;
   /** Records that a call's answer is overdue: the store may be away. */
-  recordOverdue(call: StoreCall): void;
+  recordOverdue(): void;
   /** Counts the failures since the last success. */
   countConsecutiveFailures(): number;
   isInOutage(): boolean;
--- a/src/application/rows/_lib/createStoreCaller/index.ts
+++ b/src/application/rows/_lib/createStoreCaller/index.ts
@@ -35,6 +35,8 @@
   follow(version: number, waitMs: number): Promise<StoreAnswer | null>;
   /** Sends one call; null if it fails. */
   callOnce(kind: StoreCall['call'], version: number): Promise<StoreAnswer | null>;
+  /** Computes the pause after some failures in a row, in milliseconds. */
+  computePauseMs(failures: number): number;
   /** The newest call that waits for changes, or null. */
   readWaiting(): StoreCall | null;
   /** Gives up the waiting call, if there is one, and asks anew. */
@@ -63,8 +65,8 @@
   let repeated: RepeatedCall<StoreAnswer> | null = null;
   let giveUpReason: string | null = null;
 
-  const computePauseMs = (attempt: number): number => {
-    const boundMs = Math.min(times.repeatMs, MIN_PAUSE_MS * 2 ** Math.max(0, attempt - 1));
+  const computePauseMs = (failures: number): number => {
+    const boundMs = Math.min(times.repeatMs, MIN_PAUSE_MS * 2 ** Math.max(0, failures - 1));
     return boundMs * (0.5 + randomness.readFraction() / 2);
   };
 
@@ -123,7 +125,7 @@
       send: (attempt) => {
         // After a failure a call does not wait: it would not show that the outage ended.
         const waitMs = attempt === 0 && calls.countConsecutiveFailures() === 0 ? firstWaitMs : 0;
-        if (attempt > 0 && waiting) calls.recordOverdue(waiting);
+        if (attempt > 0 && waiting) calls.recordOverdue();
         const call = calls.startCall(kind, waitMs);
         waiting = call;
         const dueMs = waitMs + (attempt === 0 ? times.overdueMs : times.repeatMs);
@@ -143,6 +145,7 @@
       const options = { handleProgress: () => undefined, isRepeat: false };
       return sendCall(calls.startCall(kind, 0), version, options).answer;
     },
+    computePauseMs,
     readWaiting: () => waiting,
     renewCall: (reason) => {
       if (!waiting) return;
--- a/src/application/rows/createRowFollower/index.ts
+++ b/src/application/rows/createRowFollower/index.ts
@@ -9,8 +9,6 @@
 import { createTableReplica } from '../_lib/createTableReplica';
 import type { RowFollower, RowFollowerDependencies, RowsOrigin } from '../types';
 
-const MIN_RETRY_MS = 100;
-
 /** Longest pause after a long poll that was answered early without changes. */
 const MAX_EARLY_PAUSE_MS = 1000;
 
@@ -96,8 +94,10 @@
     dependencies.handleUpdate?.();
   };
 
-  /** Applies a response of the store; `isSnapshot`: it holds all rows, not changes. */
-  const applyResponse = (call: StoreCall, answer: RowChanges, isSnapshot: boolean): void => {
+  /** Applies a response of the store. */
+  const applyResponse = (call: StoreCall, answer: RowChanges): void => {
+    // A read returns all rows, not changes.
+    const isSnapshot = call.call === 'read';
     calls.recordSuccess(call);
     const asOfMs = storeClock.convertAnswer({
       sentAtMs: call.sentAtMs,
@@ -111,16 +111,15 @@
     dependencies.handleAnswer?.(answer, asOfMs);
   };
 
-  /** Applies an answer; `version` is the one that changes were asked for. */
+  /** Applies an answer; false if the store can no longer list the changes. */
   const handleAnswer = ({ call, changes }: StoreAnswer): boolean => {
-    const isSnapshot = call.call === 'read';
     if (changes === null) {
       mustReadAll = true;
       failedResumes += 1;
       return false;
     }
-    applyResponse(call, changes, isSnapshot);
-    if (isSnapshot) {
+    applyResponse(call, changes);
+    if (call.call === 'read') {
       mustReadAll = false;
       isStoreEmpty = replica.readVersion() === 0;
     } else failedResumes = 0;
@@ -157,8 +156,7 @@
       }
       // The first full read after lost history is not delayed.
       if (failedResumes > 1) {
-        const boundMs = Math.min(times.repeatMs, MIN_RETRY_MS * 2 ** (failedResumes - 2));
-        await waitDelay(clock, boundMs * (0.5 + randomness.readFraction() / 2));
+        await waitDelay(clock, caller.computePauseMs(failedResumes - 1));
       }
     }
   };
