--- a/review/standins/gateway.mjs
+++ b/review/standins/gateway.mjs
@@ -35,7 +35,7 @@
 export const wait = (delayMs) => new Promise((resolve) => setTimeout(resolve, delayMs));
 
 /** Settings like those of a small deployment (DEPLOY.md), on loopback addresses. */
-const formatSettings = ({ name, zone, ip, ports, seeds, store, bootstrap, bounds }) => `
+const formatSettings = ({ name, zone, ip, ports, seeds, store, bootstrap, bounds, changeMs }) => `
 node_name = "${name}"
 role = "gateway"
 machine_class = "edge"
@@ -75,10 +75,10 @@
 contact_ms = 3000
 ack_ms = 4000
 catch_up_s = 4
-drain_ms = 2000
+drain_ms = ${changeMs}
 grace_s = 8
 loss_slack_ms = 200
-config_apply_ms = 2000
+config_apply_ms = ${changeMs}
 downgrade_slack_ms = 250
 outer_ms = 5000
 strict_revocation = false
@@ -127,9 +127,12 @@
 };
 
 /** Starts a gateway process; its log goes to a file of the temporary folder. */
-export const startGateway = (drawn, { folder, store, seeds = [], bootstrap = true, bounds }) => {
+export const startGateway = (
+  drawn,
+  { folder, store, seeds = [], bootstrap = true, bounds, changeMs = 2000 },
+) => {
   const file = join(folder, `${drawn.name}.toml`);
-  writeFileSync(file, formatSettings({ ...drawn, store, seeds, bootstrap, bounds }));
+  writeFileSync(file, formatSettings({ ...drawn, store, seeds, bootstrap, bounds, changeMs }));
   const [program, ...words] = readCommand(file);
   const child = spawn(program, words, {
     cwd: ROOT,
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -89,21 +89,40 @@
     return reply(response, 200, stamp());
   };
 
-  const server = createServer((request, response) => {
+  const handle = (request, response) => {
     const url = new URL(request.url, 'http://store');
     if (url.pathname === '/jackdawmount/rows-get') handleRead(url.searchParams, response);
     else if (url.pathname === '/jackdawmount/rows-feed') handleFeed(url.searchParams, response);
     else if (url.pathname === '/jackdawmount/rows-tx') handleChange(request, response);
     else reply(response, 404, {});
-  });
-  server.keepAliveTimeout = 60_000;
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
+  };
+  const servers = [];
+
+  /**
+   * Opens an address of the store.
+   *
+   * @param losesAnswer - true for a call whose answer is lost; its connection delivers nothing further
+   */
+  const openAddress = async (losesAnswer = () => false) => {
+    const silent = new WeakSet();
+    const server = createServer((request, response) => {
+      if (silent.has(request.socket) || losesAnswer(request)) silent.add(request.socket);
+      else handle(request, response);
+    });
+    server.keepAliveTimeout = 60_000;
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    servers.push(server);
+    return `127.0.0.1:${server.address().port}`;
+  };
+
+  const address = await openAddress();
   const encodeValue = (value) =>
     Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64');
   return {
-    address: `127.0.0.1:${server.address().port}`,
-    port: server.address().port,
+    address,
+    openAddress,
+    port: Number(address.split(':')[1]),
     write: (table, key, value) => apply([{ table, key, value: encodeValue(value) }], []),
     remove: (table, key) => apply([], [{ table, key }]),
     read: (table, key) => {
@@ -111,8 +130,10 @@
       return row?.value == null ? null : JSON.parse(Buffer.from(row.value, 'base64').toString());
     },
     stop: () => {
-      server.close();
-      server.closeAllConnections();
+      servers.forEach((server) => {
+        server.close();
+        server.closeAllConnections();
+      });
     },
   };
 };
