--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,5 +1,6 @@
 // Servers answer without a length, and some of these answers are reset in the middle of the body. The
-// gateway hands many of them to its clients as whole answers.
+// gateway hands many of them to its clients as whole answers, and ends streams as whole that it could
+// have resumed.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { createClient } from '../standins/client.mjs';
@@ -19,6 +20,9 @@
 const PAUSE_MS = 40;
 const DURATION_MS = 11_000;
 const TROUBLE_AT_MS = 4000;
+const STREAM_CLIENTS = 8;
+const EVENTS = 12;
+const EVENT_MS = 30;
 
 runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -28,7 +32,41 @@
     let isFaulty = false;
     const reset = new Set();
     const buildBody = (id) => Buffer.from(id.repeat(ANSWER_BYTES / id.length));
-    const handle = async ({ socket }, _response, { id }) => {
+    const formatEvent = (id, number) => `id: ${number}\ndata: ${id} piece ${number}\n\n`;
+    /** A stream, in chunks or without a length; the latter are reset right after an event. */
+    const handleStream = async (request, response, id) => {
+      const { headers, socket } = request;
+      await wait(WORK_MS);
+      const isUnframed = isFaulty && Math.random() < RATE;
+      const lastEvent = isUnframed && hasTrouble ? EVENTS / 2 : EVENTS;
+      const head = {
+        'Content-Type': 'text/event-stream',
+        'Jackdawmount-Attempt-Id': id,
+        'Jackdawmount-Server-Stamp': `stamp.${id}`,
+      };
+      if (isUnframed) {
+        const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`);
+        socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\n`);
+      } else response.writeHead(200, head);
+      const first = Number(headers['last-event-id'] ?? 0) + 1;
+      for (let number = first; number <= lastEvent && !socket.destroyed; number += 1) {
+        await wait(EVENT_MS);
+        (isUnframed ? socket : response).write(formatEvent(id, number));
+      }
+      if (!isUnframed) response.end();
+      else if (!hasTrouble) socket.end();
+      else {
+        reset.add(id);
+        record.add('reset', { id, sentEvents: lastEvent });
+        setImmediate(() => socket.resetAndDestroy());
+      }
+    };
+    const handle = async (request, response, { id }) => {
+      const { socket } = request;
+      if (request.url.startsWith('/stream/')) {
+        await handleStream(request, response, id);
+        return;
+      }
       await wait(WORK_MS);
       const body = buildBody(id);
       const isUnframed = isFaulty && Math.random() < RATE;
@@ -83,7 +121,26 @@
         await wait(PAUSE_MS);
       }
     };
-    const clients = Array.from({ length: CLIENTS }, play);
+    const partialStreams = [];
+    const playStreams = async () => {
+      const client = createClient(gateway, record);
+      parts.push(client);
+      while (performance.now() < endMs) {
+        const { body, id, isComplete, status } = await client.send({
+          path: '/stream/1',
+          deadlineMs: 10_000,
+          headers: { 'Jackdawmount-Token-Count': '100,12' },
+        });
+        const whole = Array.from({ length: EVENTS }, (__, index) => formatEvent(id, index + 1));
+        if (status === 200 && isComplete && body.toString() !== whole.join(''))
+          partialStreams.push({ id, events: body.toString().split('\n\n').length - 1 });
+        await wait(PAUSE_MS);
+      }
+    };
+    const clients = [
+      ...Array.from({ length: CLIENTS }, play),
+      ...Array.from({ length: STREAM_CLIENTS }, playStreams),
+    ];
     await wait(TROUBLE_AT_MS);
     isFaulty = true;
     await wait(TROUBLE_MS);
@@ -91,14 +148,15 @@
     await Promise.all(clients);
     const answers = record.list('answered');
     return {
-      isBroken: partial.length > 0 || wrong.length > 0,
+      isBroken: partial.length > 0 || wrong.length > 0 || partialStreams.length > 0,
       requests: answers.length,
       served: answers.filter(({ status }) => status === 200).length,
       failed: answers.filter(({ status }) => status !== 200).length,
       resetAnswers: reset.size,
       partialAnswersTakenAsWhole: partial.length,
       otherWrongAnswers: wrong.length,
-      examples: partial.slice(0, 3),
+      partialStreamsEndedAsWhole: partialStreams.length,
+      examples: [...partial.slice(0, 3), ...partialStreams.slice(0, 3)],
     };
   },
 );
--- a/review/standins/record.mjs
+++ b/review/standins/record.mjs
@@ -30,8 +30,13 @@
   const hasTrouble = process.env.TROUBLE !== '0';
   let exitCode = 2;
   let summary = [];
+  // A failure outside of the awaited calls ends the case too: no process may be left.
+  const failed = new Promise((_resolve, reject) => {
+    process.on('uncaughtException', reject);
+    process.on('unhandledRejection', reject);
+  });
   try {
-    const result = await play({ record, temporary, parts, hasTrouble });
+    const result = await Promise.race([play({ record, temporary, parts, hasTrouble }), failed]);
     summary = [{ kind: 'result', hasTrouble, ...result }];
     exitCode = result.couldNotRun ? 2 : result.isBroken ? 1 : 0;
   } catch (error) {
