Review case 3: a server of another service gets requests after a freeze

Cause: a server counts as alive at the time at which its bytes are read. A VM that was stopped takes the address of a server that crashed meanwhile for reserved, infers a successor in the same service, and other VMs believe it. Case: review/3, two gateways, one stopped for 2.8 s (node_freeze); one of three servers crashes (srv_crash), a server of another service uses its address 2.55 s later.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,6 +1,6 @@
-// Servers answer without a length, and some of these answers are reset in the middle of the body. The
-// gateway hands many of them to its clients as whole answers, and ends streams as whole that it could
-// have resumed.
+// A server crashes while a gateway is frozen, and its address is used again by a server of another
+// service. The gateway reads the crashed server's last bytes when it wakes, takes the address for still
+// reserved, and sends requests to the server of the other service.
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { createClient } from '../standins/client.mjs';
@@ -9,19 +9,19 @@
 import { buildConfiguration, startServer } from '../standins/server.mjs';
 import { startStore } from '../standins/store.mjs';
 
-/** Dose of `garble`, `unframed` in the site files' standard days. */
-const RATE = 0.05;
-const TROUBLE_MS = 5000;
+/** Time of the freeze; at most 4 s in the site file. */
+const FREEZE_MS = 2800;
+/** The server crashes this long after the start of the freeze. */
+const CRASH_MS = 200;
+/** After this time another server uses the address; at least `reuse_after_s`, which is 2. */
+const REUSE_MS = 2550;
+/** Time from a server's start to its first entry: `lag_ms` under `discovery` in the site file. */
+const REGISTER_MS = 800;
 
-const SERVERS = 3;
-const CLIENTS = 20;
-const ANSWER_BYTES = 800;
-const WORK_MS = 20;
-const PAUSE_MS = 40;
-const DURATION_MS = 11_000;
-const TROUBLE_AT_MS = 4000;
-const STREAM_CLIENTS = 8;
-const EVENTS = 12;
+const STREAM_CLIENTS = [4, 12];
+const CALL_CLIENTS = 6;
+/** Streams of the gateway that freezes are long, so that they run at the crash. */
+const EVENTS = [300, 12];
 const EVENT_MS = 30;
 
 runCase(
@@ -29,134 +29,131 @@
   async ({ record, temporary, parts, hasTrouble }) => {
     const store = await startStore();
     parts.push(store);
-    let isFaulty = false;
-    const reset = new Set();
-    const buildBody = (id) => Buffer.from(id.repeat(ANSWER_BYTES / id.length));
-    const formatEvent = (id, number) => `id: ${number}\ndata: ${id} piece ${number}\n\n`;
-    /** A stream, in chunks or without a length; the latter are reset right after an event. */
-    const handleStream = async (request, response, id) => {
-      const { headers, socket } = request;
-      await wait(WORK_MS);
-      const isUnframed = isFaulty && Math.random() < RATE;
-      const lastEvent = isUnframed && hasTrouble ? EVENTS / 2 : EVENTS;
-      const head = {
-        'Content-Type': 'text/event-stream',
-        'Jackdawmount-Attempt-Id': id,
-        'Jackdawmount-Server-Stamp': `stamp.${id}`,
-      };
-      if (isUnframed) {
-        const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}\r\n`);
-        socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n${lines.join('')}\r\n`);
-      } else response.writeHead(200, head);
-      const first = Number(headers['last-event-id'] ?? 0) + 1;
-      for (let number = first; number <= lastEvent && !socket.destroyed; number += 1) {
-        await wait(EVENT_MS);
-        (isUnframed ? socket : response).write(formatEvent(id, number));
-      }
-      if (!isUnframed) response.end();
-      else if (!hasTrouble) socket.end();
-      else {
-        reset.add(id);
-        record.add('reset', { id, sentEvents: lastEvent });
-        setImmediate(() => socket.resetAndDestroy());
-      }
-    };
     const handle = async (request, response, { id }) => {
-      const { socket } = request;
-      if (request.url.startsWith('/stream/')) {
-        await handleStream(request, response, id);
+      const head = { 'Jackdawmount-Attempt-Id': id, 'Jackdawmount-Server-Stamp': `stamp.${id}` };
+      if (!request.url.startsWith('/stream/')) {
+        await wait(20);
+        response.writeHead(200, { ...head, 'Content-Length': '2' });
+        response.end('ok');
         return;
       }
-      await wait(WORK_MS);
-      const body = buildBody(id);
-      const isUnframed = isFaulty && Math.random() < RATE;
-      const framing = isUnframed ? 'Connection: close' : `Content-Length: ${body.length}`;
-      const head =
-        `HTTP/1.1 200 OK\r\n${framing}\r\nJackdawmount-Attempt-Id: ${id}\r\n` +
-        `Jackdawmount-Server-Stamp: stamp.${id}\r\n\r\n`;
-      if (!isUnframed) socket.write(Buffer.concat([Buffer.from(head), body]));
-      // The same without the disruption: the whole answer, and the end of the connection.
-      else if (!hasTrouble) socket.end(Buffer.concat([Buffer.from(head), body]));
-      else {
-        reset.add(id);
-        record.add('reset', { id, sentBytes: body.length / 2 });
-        socket.write(Buffer.concat([Buffer.from(head), body.subarray(0, body.length / 2)]));
-        setImmediate(() => socket.resetAndDestroy());
+      await wait(100);
+      response.writeHead(200, { ...head, 'Content-Type': 'text/event-stream' });
+      const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+      const events = EVENTS[Number(request.url.split('/')[2])];
+      for (let number = first; number <= events && !request.socket.destroyed; number += 1) {
+        response.write(`id: ${number}\ndata: piece ${number}\n\n`);
+        await wait(EVENT_MS);
       }
+      response.end();
     };
-    const servers = await Promise.all(
-      Array.from({ length: SERVERS }, (_, index) =>
-        startServer({ id: `i-${index}`, record, slots: 16, handle }),
-      ),
-    );
-    parts.push(...servers);
-    store.write('op', 'config', buildConfiguration());
-    servers.forEach((server) => store.write('servers', server.id, server.buildEntry()));
-    const gateway = startGateway(await drawGateway('edge-1'), {
-      folder: temporary,
-      store: store.address,
-    });
-    parts.push(gateway);
-    if (!(await gateway.waitUntilReady()))
-      return { couldNotRun: `not ready: ${gateway.readLog()}` };
-    await wait(1000);
-    const endMs = performance.now() + DURATION_MS;
-    const partial = [];
-    const wrong = [];
-    const play = async (_, index) => {
-      const client = createClient(gateway, record);
-      parts.push(client);
-      while (performance.now() < endMs) {
-        const answer = await client.send(
-          index % 2 === 0
-            ? { path: '/unsafe/1', deadlineMs: 2500 }
-            : { path: '/safe/1', method: 'GET', deadlineMs: 2500 },
-        );
-        if (answer.status === 200 && answer.isComplete && !answer.body.equals(buildBody(answer.id)))
-          (reset.has(answer.id) ? partial : wrong).push({
-            id: answer.id,
-            bytes: answer.body.length,
-            signed: answer.headers['jackdawmount-server-stamp'] !== undefined,
-          });
-        await wait(PAUSE_MS);
-      }
+    const services = new Map();
+    const startOne = async (id, service, port = 0) => {
+      const server = await startServer({ id, record, slots: 16, handle, port });
+      services.set(id, service);
+      parts.push(server);
+      return server;
     };
-    const partialStreams = [];
-    const playStreams = async () => {
-      const client = createClient(gateway, record);
+    const register = (server) =>
+      store.write('servers', server.id, server.buildEntry({ service: services.get(server.id) }));
+    const [first, second, other] = await Promise.all([
+      startOne('i-model-1', 'model'),
+      startOne('i-model-2', 'model'),
+      startOne('i-desk-1', 'desk'),
+    ]);
+    const configuration = buildConfiguration({
+      services: [
+        { name: 'model', health_path: '/healthz', max_conns: 360 },
+        { name: 'desk', health_path: '/healthz', max_conns: 360 },
+      ],
+    });
+    configuration.routes.forEach((route) =>
+      Object.assign(route, { service: route.name === 'stream' ? 'model' : 'desk' }),
+    );
+    store.write('op', 'config', configuration);
+    [first, second, other].forEach(register);
+    const drawn = await Promise.all(
+      ['edge-1', 'edge-2'].map((name, index) => drawGateway(name, { zone: `z${index + 1}` })),
+    );
+    const seeds = drawn.map(({ ip, ports }) => `${ip}:${ports.control}`);
+    const gateways = drawn.map((one) =>
+      startGateway(one, { folder: temporary, store: store.address, seeds }),
+    );
+    parts.push(...gateways);
+    for (const gateway of gateways)
+      if (!(await gateway.waitUntilReady()))
+        return { couldNotRun: `not ready: ${gateway.readLog()}` };
+    await wait(3500);
+    let isOver = false;
+    const play = async (gateway, request) => {
+      const client = createClient(gateways[gateway], record);
       parts.push(client);
-      while (performance.now() < endMs) {
-        const { body, id, isComplete, status } = await client.send({
-          path: '/stream/1',
-          deadlineMs: 10_000,
-          headers: { 'Jackdawmount-Token-Count': '100,12' },
-        });
-        const whole = Array.from({ length: EVENTS }, (__, index) => formatEvent(id, index + 1));
-        if (status === 200 && isComplete && body.toString() !== whole.join(''))
-          partialStreams.push({ id, events: body.toString().split('\n\n').length - 1 });
-        await wait(PAUSE_MS);
+      while (!isOver) {
+        await client.send(request);
+        await wait(30);
       }
     };
+    const playStreams = (gateway) =>
+      play(gateway, {
+        path: `/stream/${gateway}`,
+        deadlineMs: 14_000,
+        headers: { 'Jackdawmount-Token-Count': '100,40' },
+      });
+    const playCalls = (_, index) =>
+      play(index % 2, { path: '/safe/1', method: 'GET', deadlineMs: 4000 });
     const clients = [
-      ...Array.from({ length: CLIENTS }, play),
-      ...Array.from({ length: STREAM_CLIENTS }, playStreams),
+      ...STREAM_CLIENTS.flatMap((count, gateway) =>
+        Array.from({ length: count }, () => playStreams(gateway)),
+      ),
+      ...Array.from({ length: CALL_CLIENTS }, playCalls),
     ];
-    await wait(TROUBLE_AT_MS);
-    isFaulty = true;
-    await wait(TROUBLE_MS);
-    isFaulty = false;
+    await wait(3000);
+    if (hasTrouble) {
+      record.add('frozen', { gateway: 'edge-1' });
+      gateways[0].kill('SIGSTOP');
+      const wake = wait(FREEZE_MS).then(() => {
+        gateways[0].kill('SIGCONT');
+        record.add('woken', { gateway: 'edge-1' });
+      });
+      await wait(CRASH_MS);
+      record.add('crashed', { server: first.id, address: first.address });
+      first.crash();
+      // The platform removes the entry after three heartbeats of silence.
+      setTimeout(() => store.remove('servers', first.id), 3600);
+      await wait(REUSE_MS);
+      const successor = await startOne('i-desk-2', 'desk', Number(first.address.split(':')[1]));
+      record.add('address used again', { server: successor.id, address: successor.address });
+      await wait(REGISTER_MS);
+      register(successor);
+      record.add('registered', { server: successor.id });
+      await wake;
+    }
+    await wait(4000);
+    isOver = true;
     await Promise.all(clients);
-    const answers = record.list('answered');
+    const allowed = (target) => (target.startsWith('/stream/') ? 'model' : 'desk');
+    const foreign = record
+      .list('run')
+      .filter(({ server, target }) => services.get(server) !== allowed(target));
+    const byGateway = (port) => {
+      const ids = new Set(
+        record
+          .list('sent')
+          .filter(({ gateway }) => gateway === port)
+          .map(({ id }) => id),
+      );
+      return foreign.filter(({ id }) => ids.has(id)).length;
+    };
     return {
-      isBroken: partial.length > 0 || wrong.length > 0 || partialStreams.length > 0,
-      requests: answers.length,
-      served: answers.filter(({ status }) => status === 200).length,
-      failed: answers.filter(({ status }) => status !== 200).length,
-      resetAnswers: reset.size,
-      partialAnswersTakenAsWhole: partial.length,
-      otherWrongAnswers: wrong.length,
-      partialStreamsEndedAsWhole: partialStreams.length,
-      examples: [...partial.slice(0, 3), ...partialStreams.slice(0, 3)],
+      isBroken: foreign.length > 0,
+      requests: record.list('answered').length,
+      served: record.list('answered').filter(({ status }) => status === 200).length,
+      runByAnotherService: foreign.length,
+      ofTheseSentByTheFrozenGateway: byGateway(drawn[0].ports.front),
+      ofTheseSentByTheOther: byGateway(drawn[1].ports.front),
+      examples: foreign
+        .slice(0, 3)
+        .map(({ atMs, id, server, target }) => ({ atMs, id, server, target })),
     };
   },
 );
--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -20,6 +20,7 @@
 export const startServer = async ({
   id,
   record,
+  port = 0,
   slots = 6,
   queue = 24,
   workMs = 20,
@@ -109,13 +110,7 @@
       headers['jackdawmount-expect-instance'] !== undefined &&
       headers['jackdawmount-expect-instance'] !== id
     ) {
-      answer(
-        request,
-        response,
-        421,
-        { ...notRun, 'Jackdawmount-Instance-Id': id },
-        Buffer.alloc(0),
-      );
+      answer(request, response, 421, notRun, Buffer.alloc(0));
       return;
     }
     if (running < slots) {
@@ -146,7 +141,7 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => sockets.delete(socket));
   });
-  server.listen(0, '127.0.0.1');
+  server.listen(port, '127.0.0.1');
   await once(server, 'listening');
   const address = `127.0.0.1:${server.address().port}`;
   return {
@@ -164,6 +159,11 @@
       sequence: 1,
       ...change,
     }),
+    /** Ends the process: all connections are reset, and new ones refused. */
+    crash: () => {
+      server.close();
+      sockets.forEach((socket) => socket.resetAndDestroy());
+    },
     stop: async () => {
       server.close();
       sockets.forEach((socket) => socket.destroy());
