Review: a roll-out that a new machine completes by itself (kept for its script only)

Cause: a process that has just started takes itself for the judge while it knows no other VM, and completes a roll-out once it knows the order's age and sees no server of the old version (decideRollout, hasEstablished). Case: a machine is added whose seeds are down, and the store's answer to its first read of the servers is lost.

--- a/review/standins/gateway.mjs
+++ b/review/standins/gateway.mjs
@@ -35,7 +35,18 @@
 export const wait = (delayMs) => new Promise((resolve) => setTimeout(resolve, delayMs));
 
 /** Settings like those of a small deployment (DEPLOY.md), on loopback addresses. */
-const formatSettings = ({ name, zone, ip, ports, seeds, store, bootstrap, bounds, changeMs }) => `
+const formatSettings = ({
+  name,
+  zone,
+  ip,
+  ports,
+  seeds,
+  store,
+  bootstrap,
+  bounds,
+  changeMs,
+  contactMs,
+}) => `
 node_name = "${name}"
 role = "gateway"
 machine_class = "edge"
@@ -72,7 +83,7 @@
 [bounds]
 seed_lag_s = 3
 reuse_after_s = 2
-contact_ms = 3000
+contact_ms = ${contactMs}
 ack_ms = 4000
 catch_up_s = 4
 drain_ms = ${changeMs}
@@ -129,10 +140,13 @@
 /** Starts a gateway process; its log goes to a file of the temporary folder. */
 export const startGateway = (
   drawn,
-  { folder, store, seeds = [], bootstrap = true, bounds, changeMs = 2000 },
+  { folder, store, seeds = [], bootstrap = true, bounds, changeMs = 2000, contactMs = 3000 },
 ) => {
   const file = join(folder, `${drawn.name}.toml`);
-  writeFileSync(file, formatSettings({ ...drawn, store, seeds, bootstrap, bounds, changeMs }));
+  writeFileSync(
+    file,
+    formatSettings({ ...drawn, store, seeds, bootstrap, bounds, changeMs, contactMs }),
+  );
   const [program, ...words] = readCommand(file);
   const child = spawn(program, words, {
     cwd: ROOT,
