--- a/src/domain/crashes/judgeAttemptEnd/index.ts
+++ b/src/domain/crashes/judgeAttemptEnd/index.ts
@@ -33,6 +33,7 @@
   silent: (end) => (hasEndedEarly(end, end.lastHeardAtMs) ? 'check' : 'none'),
   dropped: ({ beganAtMs, endedAtMs, progress }) =>
     progress === 'none' && endedAtMs - beganAtMs >= MIN_SILENCE_MS ? 'check' : 'none',
+  'out-of-step': () => 'none',
   unsent: () => 'none',
   unseen: (end) => (hasEndedEarly(end, end.endedAtMs) ? 'check' : 'none'),
 };
--- a/src/domain/crashes/types/AttemptEnd.ts
+++ b/src/domain/crashes/types/AttemptEnd.ts
@@ -13,6 +13,8 @@
   | 'silent'
   /** The VM closed the connection for another reason. */
   | 'dropped'
+  /** An answer to another request came; the VM closed the connection. */
+  | 'out-of-step'
   /** No byte of the request was sent to the server. */
   | 'unsent'
   /** The VM that held the connection, or the connection to that VM, failed. */
--- /dev/null
+++ b/src/http-connections/index.ts
@@ -0,0 +1,1 @@
+export { decorateHandler } from './decorateHandler';
--- a/standins/gateway/createStandInServer/index.ts
+++ b/standins/gateway/createStandInServer/index.ts
@@ -141,8 +141,8 @@
       }),
     };
     if (request.headers[HEADERS.expectServer] !== id) {
-      response.writeHead(421, { [HEADERS.serverId]: id });
-      response.end();
+      const head = { [HEADERS.serverId]: id, [HEADERS.requestId]: readRequestId(taken) };
+      response.writeHead(421, head).end();
       return;
     }
     requests += 1;
