Take the end of a connection for the end of an answer only if in order

Cause: if the last bytes and a reset are there in one turn of the event loop, Node.js reports the end of the connection in place of the error, and the HTTP client completes a response without a length.

Evidence: a peer that writes and resets in one step makes it happen each time; at the end of such a socket the remote address is gone, after an end in order it is there.

Responses with a length or chunks are not touched. It works whatever the delay of the reset or of the process is, since the state of the socket is read and not a time.

--- a/src/adapters/engine/createHttpEngineClient/index.ts
+++ b/src/adapters/engine/createHttpEngineClient/index.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
-import { Agent, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { Clock, EngineClient, EngineError } from '../../../application/ports';
+import { createOrderlyAgent } from '../../../http-connections';
 import { Endpoint } from '../../../domain/types';
 import { buildAttemptBody } from '../_lib/buildAttemptBody';
 import { callEngine } from '../_lib/callEngine';
@@ -42,11 +43,11 @@
   clock,
 }: HttpEngineClientDependencies): HttpEngineClient => {
   const options = { connect: { timeout: CONNECT_TIMEOUT_MS } };
-  const pooled = new Agent(options);
+  const pooled = createOrderlyAgent(options);
   // If the server closes a keep-alive connection just as a request is sent, the error does not tell
   // whether the request ran. Non-idempotent work could then not be retried, so it gets a new
   // connection, where a failure to connect proves that nothing was sent.
-  const unpooled = new Agent({ ...options, pipelining: 0 });
+  const unpooled = createOrderlyAgent({ ...options, pipelining: 0 });
 
   const callShort = async (
     url: string,
--- a/src/adapters/http/createHttpPlainClient/index.ts
+++ b/src/adapters/http/createHttpPlainClient/index.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
-import { Agent } from 'undici';
 import type { PlainClient, PlainError } from '../../../application/ports';
+import { createOrderlyAgent } from '../../../http-connections';
 
 /** Client of plain services; `stop` closes its connections. */
 export interface HttpPlainClient extends PlainClient {
@@ -49,11 +49,11 @@
     headersTimeout: 0,
     bodyTimeout: BODY_IDLE_TIMEOUT_MS,
   };
-  const pooled = new Agent({ ...options, pipelining: 1 });
+  const pooled = createOrderlyAgent({ ...options, pipelining: 1 });
   // If the server closes a keep-alive connection just as a call is sent, the error does not tell
   // whether the call ran. A call that must not be repeated gets a new connection, where a failure
   // to connect proves that nothing was sent.
-  const unpooled = new Agent({ ...options, pipelining: 0 });
+  const unpooled = createOrderlyAgent({ ...options, pipelining: 0 });
 
   const sendCall: PlainClient['sendCall'] = async (server, call, signal) => {
     if (signal.aborted) return err({ kind: 'cancelled', sent: false });
--- a/src/adapters/platform-http/createPlatformDispatcher/index.ts
+++ b/src/adapters/platform-http/createPlatformDispatcher/index.ts
@@ -1,4 +1,5 @@
-import { Agent } from 'undici';
+import type { Agent } from 'undici';
+import { createOrderlyAgent } from '../../../http-connections';
 import { DEFAULT_DEADLINE_MS } from '../constants';
 
 /**
@@ -10,7 +11,7 @@
 
 /** Creates the connection pool to the platform; the program closes it at exit. */
 export function createPlatformDispatcher(): Agent {
-  return new Agent({
+  return createOrderlyAgent({
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     connect: { timeout: DEFAULT_DEADLINE_MS },
--- a/src/http-connections/index.ts
+++ b/src/http-connections/index.ts
@@ -1,1 +1,3 @@
+export { createOrderlyAgent } from './createOrderlyAgent';
+export { createOrderlyClient, RESET_CODE } from './createOrderlyClient';
 export { decorateHandler } from './decorateHandler';
