Date signs of life by when they can have been sent

Cause: whoever answers at the address of a server that ended counts as its successor for reuse_after_s after the last sign of life, and that was dated by when a process read it. A VM that was stopped reads the last events of a crashed server when it goes on, took its address for reserved for two seconds more, and told the other VMs of the successor.

Evidence: the log of the stopped VM says 'server inferred', source 'met', 0.35 s after it goes on, that of the other one the same with 'told'.

Change: a sign of life is dated by the earliest time at which it can have been sent: an answer by the sending of its request; a part of a stream by when its reader began to wait for it, if the process has waited for events since (createSendDating), else by the part before; what a relay forwards by the sending of the request; what another VM tells of not at all. Answers before a suspension of the VM count for nothing, as the monotonic clock leaves it out. Answers that clear the crash of a request are dated alike. It works whatever stops or slows the process, since no time of reading is left in the conclusion.

--- a/src/application/crashes/createCrashProbe/index.ts
+++ b/src/application/crashes/createCrashProbe/index.ts
@@ -96,8 +96,9 @@
     if (servers.hasAnsweredSince(formatIncarnation(server), sinceMs)) {
       return { state: 'alive', reason: 'answered since' };
     }
+    const sentAtMs = clock.readMonotonicMs();
     const sighting = await servers.probeIdentity(server);
-    if (sighting === 'alive') servers.recordAlive(server.id);
+    if (sighting === 'alive') servers.recordAlive(server.id, sentAtMs);
     if (sighting === 'alive' || sighting === 'silent') return { state: 'alive', reason: sighting };
     if (sighting === 'replaced') return { state: 'crashed', reason: sighting };
     const cause = await servers.findFailureCause(server.id);
--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -12,14 +12,13 @@
   type ForwardedRequest,
   type ServerEntry,
 } from '../../../domain/forwarding';
-import type { Clock, EventFields } from '../../ports';
+import type { EventFields } from '../../ports';
 import type { CrashHistory } from '../createCrashHistory';
 import type { CrashProbe, ProbedRun } from '../createCrashProbe';
 import type { CrashCause } from '../types';
 
 /** Dependencies of a tracker. */
 export interface RequestCrashTrackerDependencies {
-  readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
 }
@@ -32,13 +31,17 @@
   findCause(): CrashCause | null;
   /** Records how an attempt ended at a server; returns what that says of the request. */
   recordEnd(server: ServerEntry, end: AttemptEnd): EndVerdict;
-  /** Records that a server began to answer, which no server does with a bad prompt part. */
-  recordBegun(server: ServerEntry): void;
+  /**
+   * Records that a server began to answer, which no server does with a bad prompt part.
+   *
+   * @param sentSinceMs - earliest time at which it can have done so, in monotonic ms
+   */
+  recordBegun(server: ServerEntry, sentSinceMs: number): void;
 }
 
 /** Creates the crash tracker of one request. It computes the fingerprint only when needed. */
 export const createRequestCrashTracker = (
-  { clock, crashProbe, crashes }: RequestCrashTrackerDependencies,
+  { crashProbe, crashes }: RequestCrashTrackerDependencies,
   request: Pick<ForwardedRequest, 'body' | 'promptParts' | 'requestId' | 'target'>,
   workspace: string | null,
 ): RequestCrashTracker => {
@@ -64,7 +67,11 @@
     }));
   };
 
-  const recordAnswers = (fingerprints: readonly string[], server: ServerEntry): void =>
+  const recordAnswers = (
+    fingerprints: readonly string[],
+    server: ServerEntry,
+    sentSinceMs: number,
+  ): void =>
     fingerprints.filter(crashes.isSuspected).forEach((one) =>
       crashes.recordOutcome({
         fingerprint: one,
@@ -73,13 +80,13 @@
         hasCrashed: false,
         isConfirmed: true,
         ranMs: 0,
-        atMs: clock.readMonotonicMs(),
+        atMs: sentSinceMs,
       }),
     );
 
   const RECORDERS: Readonly<Record<EndVerdict, (server: ServerEntry, end: AttemptEnd) => void>> = {
-    answer: (server) => {
-      if (!crashes.isEmpty()) recordAnswers([readFingerprint(), ...parts], server);
+    answer: (server, { heardSinceMs }) => {
+      if (!crashes.isEmpty()) recordAnswers([readFingerprint(), ...parts], server, heardSinceMs);
     },
     suspect: (server, end) => {
       const runs = listRuns(end);
@@ -105,8 +112,8 @@
       RECORDERS[verdict](server, end);
       return verdict;
     },
-    recordBegun: (server) => {
-      if (!crashes.isEmpty()) recordAnswers(parts, server);
+    recordBegun: (server, sentSinceMs) => {
+      if (!crashes.isEmpty()) recordAnswers(parts, server, sentSinceMs);
     },
   };
 };
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -37,7 +37,7 @@
     clock.advance(500);
     const own = `own-${requests}`;
     return createRequestCrashTracker(
-      { clock, crashes, crashProbe },
+      { crashes, crashProbe },
       {
         requestId: own,
         target: `/${own}`,
@@ -54,7 +54,7 @@
       relay: null,
       progress: 'head',
       beganAtMs: nowMs - 60,
-      lastHeardAtMs: nowMs - 60,
+      heardSinceMs: nowMs - 60,
       endedAtMs: nowMs,
       ...change,
     });
@@ -63,7 +63,7 @@
     end(track(...parts), id, { progress: hasBegun ? 'events' : 'head' });
   };
   const begin = (parts: readonly string[], id: string): void =>
-    track(...parts).recordBegun(buildServerStatus(id, 'z1').entry);
+    track(...parts).recordBegun(buildServerStatus(id, 'z1').entry, clock.readMonotonicMs());
   const crashThree = (...parts: readonly string[]): void =>
     ['i-1', 'i-2', 'i-3'].forEach((id) => crash(parts, id));
   return { begin, clock, crash, crashThree, crashes, end, probed, track };
@@ -145,12 +145,23 @@
 
 // Guards against a suspicion that is cleared by an answer which a crash may have cut off.
 test('only a response that is complete by its framing clears a request', (t) => {
-  const { crashes, end, track } = setUp();
+  const { clock, crashes, end, track } = setUp();
   const tracker = track();
   end(tracker, 'i-1');
+  const heardSinceMs = clock.readMonotonicMs();
   const fingerprint = String(tracker.readLogFields().fingerprint);
-  end(tracker, 'i-2', { connection: 'closed', progress: 'whole' });
+  end(tracker, 'i-2', { connection: 'closed', progress: 'whole', heardSinceMs });
   t.true(crashes.isSuspected(fingerprint));
-  end(tracker, 'i-2', { connection: 'complete', progress: 'whole' });
+  end(tracker, 'i-2', { connection: 'complete', progress: 'whole', heardSinceMs });
   t.false(crashes.isSuspected(fingerprint));
 });
+
+// Guards against a crash that is cleared by an answer which a VM that was stopped read late.
+test('a response that may have been sent before a crash does not clear it', (t) => {
+  const { clock, crashes, end, track } = setUp();
+  const tracker = track();
+  end(tracker, 'i-1');
+  const heardSinceMs = clock.readMonotonicMs() - 1;
+  end(tracker, 'i-2', { connection: 'complete', progress: 'whole', heardSinceMs });
+  t.true(crashes.isSuspected(String(tracker.readLogFields().fingerprint)));
+});
--- a/src/application/crashes/types/ProbedServers.ts
+++ b/src/application/crashes/types/ProbedServers.ts
@@ -14,6 +14,6 @@
   isCutFrom(serverId: string): boolean;
   /** True if this incarnation answered this VM after that monotonic time. */
   hasAnsweredSince(incarnation: string, atMs: number): boolean;
-  /** Records that the server answered under its own id. */
-  recordAlive(serverId: string): void;
+  /** Records that the server answered under its own id, not before this monotonic time. */
+  recordAlive(serverId: string, sentSinceMs: number): void;
 }
--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -19,7 +19,10 @@
   suspectedUntilMs: number;
   /** When the server became known, or answered again after a suspicion. */
   availableAtMs: number;
-  /** When the server last answered this VM under its own id. */
+  /**
+   * Until when the server is known to have been alive: the earliest time at which it can have sent
+   * its last answer to this VM under its own id.
+   */
   aliveAtMs: number;
   /** Suspicions in a row without a successful response in between. */
   consecutiveSuspicions: number;
--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -174,10 +174,7 @@
   const addInferred = (entry: ServerEntry, source: string): boolean => {
     if (records.has(entry.id) || endedIncarnations.has(entry)) return false;
     log.info('server inferred', { server: entry.id, address: entry.address, source });
-    Object.assign(addRecord(markLeaving(entry)), {
-      isInferred: true,
-      aliveAtMs: clock.readMonotonicMs(),
-    });
+    Object.assign(addRecord(markLeaving(entry)), { isInferred: true });
     return true;
   };
 
--- a/src/application/forwarding/_lib/createServerRecords/test.ts
+++ b/src/application/forwarding/_lib/createServerRecords/test.ts
@@ -52,16 +52,16 @@
 test('a server discovered at the address of one that answered lately takes its place', (t) => {
   const { clock, directory, inferred, listIds } = setUp();
   directory.applyRows([buildRow('a', 'x:1')], STORE);
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   clock.advance(1500);
-  directory.recordReplaced('a', 'b');
+  directory.recordReplaced('a', 'b', clock.readMonotonicMs());
   t.deepEqual(listIds(), ['b']);
   t.deepEqual(inferred, ['b']);
   // Late entries of the previous server change nothing.
   directory.applyRows([buildRow('a', 'x:1')], STORE);
   t.deepEqual(listIds(), ['b']);
   clock.advance(5000);
-  directory.recordAlive('b');
+  directory.recordAlive('b', clock.readMonotonicMs());
   clock.advance(5000);
   t.deepEqual(listIds(), ['b']);
   directory.applyRows([buildRow('b', 'x:1')], STORE);
@@ -74,7 +74,7 @@
 test('the id of a failed server is checked until its address may belong to another service', (t) => {
   const { clock, directory } = setUp();
   directory.applyRows([buildRow('a', 'x:1')], STORE);
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   t.is(directory.listUnverified().length, 0);
   directory.recordSuspicion('a', 'broken');
   clock.advance(1900);
@@ -86,10 +86,10 @@
 test('nothing is concluded from an address that may belong to another service', (t) => {
   const { clock, directory, inferred, listIds } = setUp();
   directory.applyRows([buildRow('a', 'x:1'), buildRow('c', 'x:3')], STORE);
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   clock.advance(2000);
-  directory.recordReplaced('a', 'b');
-  directory.recordReplaced('c', 'd');
+  directory.recordReplaced('a', 'b', clock.readMonotonicMs());
+  directory.recordReplaced('c', 'd', clock.readMonotonicMs());
   t.deepEqual(listIds(), []);
   t.deepEqual(inferred, []);
 });
@@ -97,8 +97,8 @@
 test('a server without an entry that stops answering is forgotten', (t) => {
   const { clock, directory, listIds } = setUp();
   directory.applyRows([buildRow('a', 'x:1')], STORE);
-  directory.recordSuccess('a');
-  directory.recordReplaced('a', 'b');
+  directory.recordSuccess('a', clock.readMonotonicMs());
+  directory.recordReplaced('a', 'b', clock.readMonotonicMs());
   clock.advance(2500);
   t.deepEqual(
     directory.listUnverified().map(({ id }) => id),
@@ -142,3 +142,38 @@
   directory.recordStartTime('a', 2000);
   t.deepEqual(listIds(), ['a']);
 });
+
+// Guards against a server of another service that gets requests: a VM that was stopped dated the last
+// bytes of the server before by when it read them.
+test('an answer that may have been sent long ago keeps no address reserved', (t) => {
+  const { clock, directory, inferred } = setUp();
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  const sentSinceMs = clock.readMonotonicMs();
+  clock.advance(2800);
+  directory.recordAlive('a', sentSinceMs);
+  directory.recordReplaced('a', 'b', clock.readMonotonicMs());
+  t.deepEqual(inferred, []);
+});
+
+test('a VM that was suspended concludes nothing from answers before that', (t) => {
+  const { clock, directory, inferred } = setUp();
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  directory.recordSuccess('a', clock.readMonotonicMs());
+  clock.jumpWall(clock.readWallMs() + 2800);
+  clock.advance(10);
+  directory.recordReplaced('a', 'b', clock.readMonotonicMs());
+  t.deepEqual(inferred, []);
+});
+
+test('a server that another VM told of says nothing of the next one at its address', (t) => {
+  const { clock, directory, inferred, listIds } = setUp();
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  const entry = directory.findEntry('a');
+  if (!entry) return t.fail('no entry');
+  directory.addInferred({ ...entry, id: 'b' });
+  t.deepEqual(listIds(), ['b']);
+  clock.advance(100);
+  directory.recordReplaced('b', 'c', clock.readMonotonicMs());
+  t.deepEqual(listIds(), []);
+  return t.deepEqual(inferred, []);
+});
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,6 +1,7 @@
 import { countPromptTokens, type AnswerHead } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
+import { createSendDating } from '../../../time';
 import type { HeldCopy, StreamAttempt, StreamRun, StreamPlacement } from '../../types';
 import { buildScheduledRun } from '../buildScheduledRun';
 import { closeStreamAttempt } from '../closeStreamAttempt';
@@ -11,6 +12,7 @@
 } from '../prepareStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readBody } from '../readBody';
+import { recordHeard } from '../recordHeard';
 import { recordResponseHead } from '../recordResponseHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
 import { logDecision } from '../logDecision';
@@ -53,6 +55,8 @@
     isFramed: true,
     relay: null,
     lastActivityMs: nowMs,
+    dating: createSendDating(clock),
+    heardSinceMs: nowMs,
     gaps: run.paces.readInitialGaps(run.context.service),
     hasDeliveredEvent: false,
     wasServerIdle: isFree,
@@ -201,8 +205,10 @@
     if (head.isNotExecuted && !head.isFromOtherServer) permit.finish({ isRejected: true });
     return handleErrorResponse(run, reader, attempt, sent.value, copy);
   }
-  Object.assign(attempt, { relay, isFramed: head.isFramed, headAtMs: clock.readMonotonicMs() });
-  directory.recordSuccess(server.id);
+  const { isFramed } = head;
+  Object.assign(attempt, { relay, isFramed, headAtMs: clock.readMonotonicMs() });
+  recordHeard(attempt);
+  directory.recordSuccess(server.id, attempt.heardSinceMs);
   beginReply(run, head);
   return readStreamEvents(run, attempt, reader, sent.value);
 };
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -9,6 +9,7 @@
 import type { AttemptAnswer } from '../../../ports';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { logDecision } from '../logDecision';
+import { recordHeard } from '../recordHeard';
 import { recordPaceSample } from '../recordPaceSample';
 import { recordStreamEnd } from '../recordStreamEnd';
 import { startSilenceWatch } from '../startSilenceWatch';
@@ -47,7 +48,7 @@
   const { clock } = run.dependencies;
   const { request, service } = run.context;
   const nowMs = clock.readMonotonicMs();
-  run.dependencies.directory.recordAlive(attempt.server.id);
+  run.dependencies.directory.recordAlive(attempt.server.id, attempt.heardSinceMs);
   const gapMs = nowMs - attempt.lastActivityMs;
   Object.assign(attempt, { lastActivityMs: nowMs });
   if (attempt.hasDeliveredEvent) {
@@ -63,7 +64,7 @@
   // From the first event on a far shorter silence limit applies.
   Object.assign(attempt, { stopSilenceWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
-  if (isNewStream(run)) run.crashes.recordBegun(attempt.server);
+  if (isNewStream(run)) run.crashes.recordBegun(attempt.server, attempt.heardSinceMs);
   if (attempt.scheduled) Object.assign(attempt.scheduled, { eventGapsMs: [] });
   recordFirstEvent(run, attempt, nowMs);
   // Only a whole prompt is a sample of prefill time: the prompt of a resumed stream may be cached.
@@ -135,9 +136,11 @@
   /** Bytes since the last event that took the stream on. */
   let idleBytes = 0;
   let unreadMs = 0;
+  attempt.dating.startWaiting();
   try {
     for await (const chunk of body) {
       if (!isCurrent()) return;
+      recordHeard(attempt);
       const held = buffer.addBytes(chunk);
       const { events, rest } = held ? splitEvents(held) : NO_EVENTS;
       if (held) buffer.keepRest(rest);
@@ -169,6 +172,7 @@
         // Time in which the caller did not read is not silence of the server.
         Object.assign(attempt, { lastActivityMs: attempt.lastActivityMs + unreadMs });
       }
+      attempt.dating.startWaiting();
     }
     if (hasBrokenOff(run, attempt, buffer.countBytes()))
       throw new EndedTooEarlyError('the connection ended too early');
--- a/src/application/forwarding/_lib/recordResponseHead/index.ts
+++ b/src/application/forwarding/_lib/recordResponseHead/index.ts
@@ -12,7 +12,7 @@
   { sentAtMs }: { readonly sentAtMs: number },
 ): void => {
   if (head.isFromOtherServer) {
-    directory.recordReplaced(server.id, head.serverId);
+    directory.recordReplaced(server.id, head.serverId, sentAtMs);
     return;
   }
   if (head.load) directory.recordLoad(server.id, head.load);
--- a/src/application/forwarding/_lib/recordStreamEnd/index.ts
+++ b/src/application/forwarding/_lib/recordStreamEnd/index.ts
@@ -14,13 +14,13 @@
   connection: ConnectionEnd,
   { isWhole }: { readonly isWhole: boolean } = { isWhole: false },
 ): void => {
-  const { headAtMs, lastActivityMs, relay, sentAtMs, server } = attempt;
+  const { headAtMs, heardSinceMs, relay, sentAtMs, server } = attempt;
   const end = {
     connection,
     relay,
     progress: isWhole ? 'whole' : readProgress(attempt),
     beganAtMs: headAtMs ?? sentAtMs,
-    lastHeardAtMs: lastActivityMs,
+    heardSinceMs,
     endedAtMs: dependencies.clock.readMonotonicMs(),
   } as const;
   const evidence = crashes.recordEnd(server, end);
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -95,12 +95,11 @@
   const timeoutController = new AbortController();
   const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
   const sentAtMs = clock.readMonotonicMs();
-  let headAtMs: number | null = null;
   const buildEnd: EndBuilder = (seen, connection) => ({
     ...seen,
     connection,
     beganAtMs: sentAtMs,
-    lastHeardAtMs: headAtMs ?? sentAtMs,
+    heardSinceMs: sentAtMs,
     endedAtMs: clock.readMonotonicMs(),
   });
   const work = directory.startWork(server.id, { prefillTokens: 0 });
@@ -125,7 +124,6 @@
       return convertError(sent.error, timeoutController.signal.aborted, buildEnd);
     }
     const { body, head, relay } = sent.value;
-    headAtMs = clock.readMonotonicMs();
     if (relay !== null) logDecision(dependencies, context, 'attempt relayed', { relay }, server);
     const seen = { relay, progress: 'head' } as const;
     recordResponseHead(dependencies, server, head, { sentAtMs });
@@ -169,7 +167,7 @@
         end,
       };
     }
-    directory.recordSuccess(server.id);
+    directory.recordSuccess(server.id, sentAtMs);
     if (head.status < CLIENT_ERROR_STATUS) {
       serverPaces.record(
         { service: server.service, incarnation: formatIncarnation(server) },
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -109,6 +109,7 @@
    * Probes the server; resolves with the time until the next check, or null once it was given up.
    */
   const probeServer = async (): Promise<number | null> => {
+    attempt.dating.refresh();
     const probeDelayMs = computeProbeDelayMs(run, attempt);
     const silentMs = readSilentMs();
     if (silentMs < probeDelayMs) return probeDelayMs - silentMs;
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -2,6 +2,7 @@
 import { NO_GAPS } from '../../../../domain/detection';
 import { buildOpenServers, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
 import type { GenerationInput } from '../../../../domain/generation';
+import { createSendDating } from '../../../time';
 import { createServerPaces } from '../../../paces';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { startSilenceWatch } from '.';
@@ -17,6 +18,8 @@
   const attempt = {
     server: { id: 'i-1', availabilityZone: 'z1' },
     lastActivityMs: 0,
+    dating: createSendDating(clock),
+    heardSinceMs: 0,
     gaps: NO_GAPS,
     hasDeliveredEvent: false,
     expectedFirstEventMs: 0,
--- a/src/application/forwarding/createIdentityWatch/index.ts
+++ b/src/application/forwarding/createIdentityWatch/index.ts
@@ -54,11 +54,12 @@
       directory.listUnverified().map(async (server) => {
         const healthPath = services?.get(server.service)?.healthPath;
         if (healthPath === undefined) return;
+        const sentAtMs = clock.readMonotonicMs();
         const identity = await client.readIdentity(server, healthPath);
         if (!identity) return;
         const { id, isLeaving } = identity;
-        if (id === server.id) directory.recordAlive(id);
-        else directory.recordReplaced(server.id, id);
+        if (id === server.id) directory.recordAlive(id, sentAtMs);
+        else directory.recordReplaced(server.id, id, sentAtMs);
         if (isLeaving) directory.recordLeaving(id);
       }),
     );
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -1,4 +1,5 @@
 import { formatIncarnation, isAddressReserved, type ServerEntry } from '../../../domain/forwarding';
+import { createSuspensionWatch } from '../../time';
 import type { ServerRecord, PeerPrompt } from '../_lib/buildServerRecord';
 import { buildServerStatus } from '../_lib/buildServerStatus';
 import { createServerRecords, type ServerRecordsDependencies } from '../_lib/createServerRecords';
@@ -18,8 +19,8 @@
 /** For this long, a response to this VM outweighs a suspicion that another VM reports. */
 const OWN_OBSERVATION_TTL_MS = 200;
 
-/** Data that was in transit when a server ended may be read this much later. */
-const LATE_DATA_MS = 250;
+/** Tolerance of the times of crashes, which other VMs tell as well. */
+const CRASH_TIME_TOLERANCE_MS = 250;
 
 /**
  * Duration of the first suspicion, during which the server gets work only if all others failed too.
@@ -48,9 +49,16 @@
   const { clock, handleInferred, handleSuspected, log, reuseAfterMs } = dependencies;
   const records = createServerRecords(dependencies);
 
-  const isPresent = ({ aliveAtMs, entry, goneAtMs, isInferred }: ServerRecord): boolean => {
+  const suspensions = createSuspensionWatch(clock);
+
+  /** When a server without an entry was last heard of, by this VM or others. */
+  const readHeardAtMs = ({ aliveAtMs, availableAtMs }: ServerRecord): number =>
+    Math.max(aliveAtMs, availableAtMs);
+
+  const isPresent = (record: ServerRecord): boolean => {
+    const { entry, goneAtMs, isInferred } = record;
     const nowMs = clock.readMonotonicMs();
-    const isKnown = !isInferred || nowMs - aliveAtMs < INFERRED_TTL_MS;
+    const isKnown = !isInferred || nowMs - readHeardAtMs(record) < INFERRED_TTL_MS;
     return !entry.isLeaving && goneAtMs > nowMs && isKnown;
   };
 
@@ -65,11 +73,20 @@
     return peerPrompts.filter(({ receivedAtMs }) => receivedAtMs > sinceMs);
   };
 
-  const recordAlive = (id: string): void => {
+  const recordAlive = (id: string, sentSinceMs: number): void => {
     const record = records.find(id);
-    if (record) record.aliveAtMs = clock.readMonotonicMs();
+    if (record) record.aliveAtMs = Math.max(record.aliveAtMs, sentSinceMs);
   };
 
+  /** True if whoever answers at the server's address now must belong to the same service. */
+  const hasReservedAddress = ({ aliveAtMs }: ServerRecord): boolean =>
+    aliveAtMs >= suspensions.readSuspendedBeforeMs() &&
+    isAddressReserved({
+      lastAnswerAtMs: aliveAtMs,
+      nowMs: clock.readMonotonicMs(),
+      reuseAfterMs,
+    });
+
   const recordReachable = (id: string): void => {
     const record = records.find(id);
     if (!record) return;
@@ -179,32 +196,29 @@
       log.warn('server suspected', { server: id, cause, holdMs });
       if (!isReportedByPeer) handleSuspected(id, cause);
     },
-    recordSuccess: (id) => {
+    recordSuccess: (id, sentSinceMs) => {
       recordReachable(id);
-      recordAlive(id);
+      recordAlive(id, sentSinceMs);
     },
     recordReachable,
     recordAlive,
-    recordReplaced: (id, successorId) => {
+    recordReplaced: (id, successorId, sentSinceMs) => {
       const record = records.find(id);
       if (!record) return;
       records.endServer(id);
-      const { aliveAtMs: lastAnswerAtMs, entry } = record;
-      const times = {
-        lastAnswerAtMs,
-        nowMs: clock.readMonotonicMs(),
-        reuseAfterMs,
-      };
-      if (successorId === null || !isAddressReserved(times)) return;
+      if (successorId === null || !hasReservedAddress(record)) return;
+      const { entry } = record;
       const successor = { ...entry, id: successorId, isLeaving: false, bornMs: null };
-      if (records.addInferred(successor, 'met')) handleInferred(successor);
+      if (!records.addInferred(successor, 'met')) return;
+      recordAlive(successorId, sentSinceMs);
+      handleInferred(successor);
     },
     hasAnsweredSince: (incarnation, atMs) =>
       records
         .list()
         .some(
           ({ aliveAtMs, entry }) =>
-            aliveAtMs > atMs + LATE_DATA_MS && formatIncarnation(entry) === incarnation,
+            aliveAtMs > atMs + CRASH_TIME_TOLERANCE_MS && formatIncarnation(entry) === incarnation,
         ),
     recordStartTime: records.recordStartTime,
     addInferred: (entry) => {
@@ -215,18 +229,17 @@
       return records
         .list()
         .filter(({ pausedUntilMs }) => pausedUntilMs <= nowMs)
-        .filter(({ aliveAtMs, isInferred, consecutiveSuspicions }) =>
-          isInferred
-            ? nowMs - aliveAtMs > INFERRED_CHECK_AFTER_MS
-            : consecutiveSuspicions > 0 &&
-              isAddressReserved({ lastAnswerAtMs: aliveAtMs, nowMs, reuseAfterMs }),
+        .filter((record) =>
+          record.isInferred
+            ? nowMs - readHeardAtMs(record) > INFERRED_CHECK_AFTER_MS
+            : record.consecutiveSuspicions > 0 && hasReservedAddress(record),
         )
         .map(({ entry }) => entry);
     },
     pruneInferred: () => {
       const nowMs = clock.readMonotonicMs();
       const inferred = records.list().filter(({ isInferred }) => isInferred);
-      const old = inferred.filter(({ aliveAtMs }) => nowMs - aliveAtMs >= INFERRED_TTL_MS);
+      const old = inferred.filter((record) => nowMs - readHeardAtMs(record) >= INFERRED_TTL_MS);
       old.forEach(({ entry }) => records.forgetServer(entry.id));
       return inferred.length - old.length;
     },
--- a/src/application/forwarding/createServerDirectory/test.ts
+++ b/src/application/forwarding/createServerDirectory/test.ts
@@ -57,7 +57,7 @@
   directory.recordSuspicion('a', 'silent');
   clock.advance(1500);
   t.false(directory.isHealthy('a'));
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   t.true(directory.isHealthy('a'));
   t.deepEqual(suspected, ['a', 'a']);
 });
@@ -67,7 +67,7 @@
 test('a suspicion of another VM does not outweigh a recent response to this VM', (t) => {
   const { clock, directory, suspected } = setUp();
   directory.applyRows([buildRow('a', 'x:1')], STORE);
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   directory.recordSuspicion('a', 'told');
   t.true(directory.isHealthy('a'));
   clock.advance(500);
@@ -110,7 +110,7 @@
   trial.release();
   t.false(isSuspected());
   const next = directory.startWork('a', { prefillTokens: 0 });
-  directory.recordSuccess('a');
+  directory.recordSuccess('a', clock.readMonotonicMs());
   t.false(isSuspected());
   next.release();
   directory.startWork('a', { prefillTokens: 0 });
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -40,17 +40,27 @@
    */
   readShortestPauseMs(service: string): number;
   recordSuspicion(id: string, cause: SuspicionCause): void;
-  /** Records that a server answered a request under its own id. */
-  recordSuccess(id: string): void;
+  /**
+   * Records that a server answered a request under its own id.
+   *
+   * @param sentSinceMs - earliest time at which it can have sent the answer, in monotonic ms
+   */
+  recordSuccess(id: string, sentSinceMs: number): void;
   /** Records that another VM reaches a server, which ends the suspicions of this one. */
   recordReachable(id: string): void;
-  /** Records a sign of life under the server's own id, which includes failed requests. */
-  recordAlive(id: string): void;
   /**
-   * Records that another server answers at this server's address. `successorId` is null if that
-   * server did not state its id.
+   * Records a sign of life under the server's own id, which includes failed requests.
+   *
+   * @param sentSinceMs - earliest time at which it can have been sent, in monotonic ms
+   */
+  recordAlive(id: string, sentSinceMs: number): void;
+  /**
+   * Records that another server answers at this server's address.
+   *
+   * @param successorId - null if that server did not state its id
+   * @param sentSinceMs - earliest time at which it can have sent its answer, in monotonic ms
    */
-  recordReplaced(id: string, successorId: string | null): void;
+  recordReplaced(id: string, successorId: string | null, sentSinceMs: number): void;
   /** True if this incarnation (see `formatIncarnation`) answered this VM after that time. */
   hasAnsweredSince(incarnation: string, atMs: number): boolean;
   /** Records the start time that a server stated; null if it stated none. */
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -1,3 +1,4 @@
+import type { SendDating } from '../../time';
 import type { GapStatistics } from '../../../domain/detection';
 import type { GenerationInput, GenerationState } from '../../../domain/generation';
 import type { AnswerHead, ServerEntry } from '../../../domain/forwarding';
@@ -48,7 +49,12 @@
   isFramed: boolean;
   /** VM that forwards the response; null if it comes from the server directly. */
   relay: string | null;
+  /** When the server was last active, as far as the reader of its response could tell. */
   lastActivityMs: number;
+  /** Dates what is read of the response. */
+  readonly dating: SendDating;
+  /** Earliest time at which the server can have sent what was last read of it. */
+  heardSinceMs: number;
   gaps: GapStatistics;
   hasDeliveredEvent: boolean;
   /** True if the server had no other prompt to process before this one. */
--- a/src/application/ports/Clock.ts
+++ b/src/application/ports/Clock.ts
@@ -4,6 +4,8 @@
   readWallMs(): number;
   /** Monotonic time in milliseconds; never goes back. */
   readMonotonicMs(): number;
+  /** Time for which this process has waited for events since its start, in milliseconds. */
+  readIdleMs(): number;
   /** Calls `callback` once after `delayMs`; the returned function cancels it. */
   startTimer(delayMs: number, callback: () => void): () => void;
 }
--- a/src/application/routing/_lib/createRouterFixture/index.ts
+++ b/src/application/routing/_lib/createRouterFixture/index.ts
@@ -73,6 +73,7 @@
   const clock = {
     readWallMs: () => nowMs,
     readMonotonicMs: () => nowMs,
+    readIdleMs: () => nowMs,
     startTimer: (delayMs: number, callback: () => void) => {
       const timer = { atMs: nowMs + delayMs, callback };
       timers.add(timer);
--- a/src/application/routing/createLoadPoller/test.ts
+++ b/src/application/routing/createLoadPoller/test.ts
@@ -12,7 +12,12 @@
 /** Polls once as each VM; returns the number of load polls by server. */
 const countPolls = async (vms: readonly string[]): Promise<ReadonlyMap<string, number>> => {
   const counts = new Map<string, number>();
-  const clock = { readWallMs: () => 0, readMonotonicMs: () => 0, startTimer: () => () => {} };
+  const clock = {
+    readWallMs: () => 0,
+    readMonotonicMs: () => 0,
+    readIdleMs: () => 0,
+    startTimer: () => () => {},
+  };
   const engines = {
     readLoad: async ({ name }) => {
       counts.set(name, (counts.get(name) ?? 0) + 1);
--- a/src/application/routing/createLoadView/test.ts
+++ b/src/application/routing/createLoadView/test.ts
@@ -22,6 +22,7 @@
   const clock = {
     readWallMs: () => nowMs,
     readMonotonicMs: () => nowMs,
+    readIdleMs: () => nowMs,
     startTimer: () => () => {},
   };
   return {
--- a/src/application/routing/createPrefixIndex/test.ts
+++ b/src/application/routing/createPrefixIndex/test.ts
@@ -3,7 +3,12 @@
 
 const createIndex = () => {
   let nowMs = 0;
-  const clock = { readWallMs: () => 0, readMonotonicMs: () => nowMs, startTimer: () => () => {} };
+  const clock = {
+    readWallMs: () => 0,
+    readMonotonicMs: () => nowMs,
+    readIdleMs: () => nowMs,
+    startTimer: () => () => {},
+  };
   return {
     index: createPrefixIndex({ clock }),
     setTime: (ms: number) => {
--- a/src/application/routing/createQualityTracker/test.ts
+++ b/src/application/routing/createQualityTracker/test.ts
@@ -12,6 +12,7 @@
   const clock = {
     readWallMs: () => nowMs,
     readMonotonicMs: () => nowMs,
+    readIdleMs: () => nowMs,
     startTimer: (delayMs: number, callback: () => void) => {
       timers.push({ atMs: nowMs + delayMs, callback });
       return () => {};
--- a/src/application/routing/runHedged/test.ts
+++ b/src/application/routing/runHedged/test.ts
@@ -46,6 +46,7 @@
   const clock = {
     readWallMs: () => 0,
     readMonotonicMs: () => 0,
+    readIdleMs: () => 0,
     startTimer: (_: number, callback: () => void) => {
       queueMicrotask(callback);
       return () => {};
--- a/src/domain/crashes/judgeAttemptEnd/index.ts
+++ b/src/domain/crashes/judgeAttemptEnd/index.ts
@@ -30,7 +30,7 @@
     return end.progress === 'whole' ? 'check' : 'suspect';
   },
   reset: (end) => (hasEndedEarly(end, end.endedAtMs) ? 'suspect' : 'none'),
-  silent: (end) => (hasEndedEarly(end, end.lastHeardAtMs) ? 'check' : 'none'),
+  silent: (end) => (hasEndedEarly(end, end.heardSinceMs) ? 'check' : 'none'),
   dropped: ({ beganAtMs, endedAtMs, progress }) =>
     progress === 'none' && endedAtMs - beganAtMs >= MIN_SILENCE_MS ? 'check' : 'none',
   'out-of-step': () => 'none',
@@ -45,6 +45,6 @@
  * @param end - as seen by the VM that held the connection to the server
  *
  * @example
- * judgeAttemptEnd({ connection: 'reset', relay: null, progress: 'none', beganAtMs: 0, lastHeardAtMs: 0, endedAtMs: 40 }); // => 'suspect'
+ * judgeAttemptEnd({ connection: 'reset', relay: null, progress: 'none', beganAtMs: 0, heardSinceMs: 0, endedAtMs: 40 }); // => 'suspect'
  */
 export const judgeAttemptEnd = (end: AttemptEnd): EndVerdict => JUDGES[end.connection](end);
--- a/src/domain/crashes/judgeAttemptEnd/test.ts
+++ b/src/domain/crashes/judgeAttemptEnd/test.ts
@@ -8,7 +8,7 @@
     relay: null,
     progress: 'none',
     beganAtMs: 1000,
-    lastHeardAtMs: 1000,
+    heardSinceMs: 1000,
     endedAtMs: 1040,
     ...end,
   });
@@ -36,7 +36,7 @@
 });
 
 test('a server that was heard of for long before it fell silent did not crash under the run', (t) => {
-  t.is(judge({ connection: 'silent', progress: 'events', lastHeardAtMs: 4000 }), 'none');
+  t.is(judge({ connection: 'silent', progress: 'events', heardSinceMs: 4000 }), 'none');
 });
 
 test('an attempt that was not sent, met an answer to another, or was left at once is no evidence', (t) => {
--- a/src/domain/crashes/types/AttemptEnd.ts
+++ b/src/domain/crashes/types/AttemptEnd.ts
@@ -36,8 +36,8 @@
    * Monotonic milliseconds of this process.
    */
   readonly beganAtMs: number;
-  /** When the server was last heard of in this attempt, on the same clock. */
-  readonly lastHeardAtMs: number;
+  /** Earliest time at which it can have sent what was last read of it, on the same clock. */
+  readonly heardSinceMs: number;
   /** When the end was seen, on the same clock. */
   readonly endedAtMs: number;
 }
--- a/src/domain/forwarding/isAddressReserved/index.ts
+++ b/src/domain/forwarding/isAddressReserved/index.ts
@@ -1,6 +1,6 @@
 /** Times that decide whether a server's address is still reserved for its service. */
 export interface AddressTimes {
-  /** Monotonic time of the last answer that carried the server's id. */
+  /** Earliest monotonic time at which the last answer with the server's id can have been sent. */
   readonly lastAnswerAtMs: number;
   readonly nowMs: number;
   /** Shortest time from the end of a server until another service may get its address. */
--- a/standins/fakes/createFakeClock/index.ts
+++ b/standins/fakes/createFakeClock/index.ts
@@ -57,6 +57,7 @@
   return {
     readWallMs: () => wallOffsetMs + monotonicMs,
     readMonotonicMs: () => monotonicMs,
+    readIdleMs: () => monotonicMs,
     startTimer: (delayMs, callback) => {
       sequence += 1;
       const timer = { dueMs: monotonicMs + Math.max(0, delayMs), sequence, callback };
--- a/standins/rows/createVmClock/index.ts
+++ b/standins/rows/createVmClock/index.ts
@@ -26,6 +26,7 @@
   return {
     readWallMs: clock.readWallMs,
     readMonotonicMs: () => clock.readMonotonicMs() - suspendedMs,
+    readIdleMs: clock.readIdleMs,
     startTimer: (delayMs, callback) => {
       let isCancelled = false;
       const cancel = clock.startTimer(delayMs, () =>
--- a/standins/weights/createStandInWeightStore/test.ts
+++ b/standins/weights/createStandInWeightStore/test.ts
@@ -4,7 +4,12 @@
 
 test('fetches past the rate are refused with the time to wait', async (t) => {
   let nowMs = 0;
-  const clock = { readWallMs: () => 0, readMonotonicMs: () => nowMs, startTimer: () => () => {} };
+  const clock = {
+    readWallMs: () => 0,
+    readMonotonicMs: () => nowMs,
+    readIdleMs: () => nowMs,
+    startTimer: () => () => {},
+  };
   const store = await createStandInWeightStore({ fetchesPerWindow: 1, windowMs: 2000, clock });
   t.teardown(store.stop);
   const fetchModel = () => request(`${store.url}/weights/review/1`);
--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -16,6 +16,8 @@
   /** Peer addresses of other gateways. */
   readonly seeds: readonly string[];
   readonly storeUrl: string;
+  /** Time for which the address of a server that ended stays with its service; 0 by default. */
+  readonly reuseAfterS?: number;
 }
 
 /** A gateway in a process of its own. */
@@ -37,7 +39,14 @@
 /** Builds the address at which other gateways reach a gateway process. */
 export const buildPeerAddress = (ip: string): string => `${ip}:${PORTS.peer}`;
 
-const formatSettings = ({ ip, seeds, storeUrl, vm, zone }: GatewayProcessOptions): string =>
+const formatSettings = ({
+  ip,
+  reuseAfterS = 0,
+  seeds,
+  storeUrl,
+  vm,
+  zone,
+}: GatewayProcessOptions): string =>
   [
     `node_name = "${vm}"`,
     `ip = "${ip}"`,
@@ -46,7 +55,7 @@
     `seeds = ${JSON.stringify(seeds)}`,
     `listen = { frontend = "${ip}:${PORTS.caller}", readiness = "${ip}:${PORTS.readiness}" }`,
     `platform = { address = "${new URL(storeUrl).host}" }`,
-    'bounds = { retry_budget_ratio = 0.8, retry_budget_extra = 150 }',
+    `bounds = { retry_budget_ratio = 0.8, retry_budget_extra = 150, reuse_after_s = ${reuseAfterS} }`,
   ].join('\n');
 
 const parseLine = (text: string): GatewayLine => {
--- a/tests/peers/connect.test.ts
+++ b/tests/peers/connect.test.ts
@@ -127,7 +127,12 @@
   const server = readOk(await startPeerServer({ host: '127.0.0.1', port: 0, services }));
   const client = createPeerClient({
     findPeerAddress: () => server.address,
-    clock: { readWallMs: () => 0, readMonotonicMs: () => 0, startTimer: () => () => {} },
+    clock: {
+      readWallMs: () => 0,
+      readMonotonicMs: () => 0,
+      readIdleMs: () => 0,
+      startTimer: () => () => {},
+    },
   });
   t.teardown(async () => {
     client.close();
