Add the time that a message waited to the ages that VMs tell

An answer that a VM tells of clears a crash of the request. No caller was seen to suffer from it.

Evidence: the test of createGossip added here failed before: a message that was read 3 s late cleared a crash of 1 s before.

Change: messages say when they were sent on the sender's monotonic clock; the receiver adds to the ages of outcomes, suspicions and limits what a message is slower than the fastest one of its sender within the last one or two minutes (createTransitTracker). Ages of members stay: a VM that was late is alive. A suspicion that is older than an own answer no longer outweighs it. Messages of older versions count as not late.

--- a/src/adapters/connect/_lib/convertKnowledge/index.ts
+++ b/src/adapters/connect/_lib/convertKnowledge/index.ts
@@ -31,6 +31,7 @@
 export const buildKnowledgeMessage = (knowledge: Knowledge): KnowledgeMessage =>
   create(KnowledgeSchema, {
     sender: buildMember(knowledge.sender),
+    ...(knowledge.sent ? { senderRun: knowledge.sent.run, sentMs: knowledge.sent.atMs } : {}),
     members: knowledge.members.map(buildMember),
     isMembersAsked: knowledge.isMembersAsked,
     heardIds: [...knowledge.heard.keys()],
@@ -88,6 +89,8 @@
   message?.sender
     ? {
         sender: readMember(message.sender),
+        sent:
+          message.sentMs === undefined ? null : { run: message.senderRun, atMs: message.sentMs },
         members: message.members.map(readMember),
         isMembersAsked: message.isMembersAsked,
         heard: new Map(message.heardIds.map((id, at) => [id, message.heardAgesMs[at] ?? Infinity])),
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -178,7 +178,7 @@
         .filter((pauseMs) => pauseMs > 0);
       return pauses.length === 0 ? 0 : Math.min(...pauses);
     },
-    recordSuspicion: (id, cause) => {
+    recordSuspicion: (id, cause, ageMs = 0) => {
       const record = records.find(id);
       if (!record) return;
       const nowMs = clock.readMonotonicMs();
@@ -186,7 +186,8 @@
       if (record.suspectedUntilMs > nowMs) return;
       // Another VM may be cut off from the server: recent responses to this VM take precedence.
       const isReportedByPeer = cause === 'told';
-      if (isReportedByPeer && nowMs - record.aliveAtMs < OWN_OBSERVATION_TTL_MS) return;
+      const failedAtMs = nowMs - ageMs;
+      if (isReportedByPeer && failedAtMs - record.aliveAtMs < OWN_OBSERVATION_TTL_MS) return;
       const holdMs = Math.min(
         MAX_SUSPICION_MS,
         MIN_SUSPICION_MS * 2 ** record.consecutiveSuspicions,
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -39,7 +39,12 @@
    * none.
    */
   readShortestPauseMs(service: string): number;
-  recordSuspicion(id: string, cause: SuspicionCause): void;
+  /**
+   * Records that a server failed.
+   *
+   * @param ageMs - time since it did, in milliseconds; 0 by default
+   */
+  recordSuspicion(id: string, cause: SuspicionCause, ageMs?: number): void;
   /**
    * Records that a server answered a request under its own id.
    *
--- a/src/application/gossip/_lib/createNewsBatcher/index.ts
+++ b/src/application/gossip/_lib/createNewsBatcher/index.ts
@@ -73,7 +73,7 @@
 const countNews = (news: News): number => listKeys(news).length;
 
 /** Adds a time to the age of each item that has one. */
-const addAges = (news: News, addedMs: number): News =>
+export const addAges = (news: News, addedMs: number): News =>
   buildNews((kind) =>
     (news[kind] as readonly News[typeof kind][number][]).map((item) =>
       'ageMs' in item ? { ...item, ageMs: item.ageMs + addedMs } : item,
--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -5,7 +5,8 @@
 import { startLoop } from '../../time';
 import { computeOutcomesDigest } from '../_lib/computeOutcomesDigest';
 import { createMemberList } from '../_lib/createMemberList';
-import { createNewsBatcher, NO_NEWS, type News } from '../_lib/createNewsBatcher';
+import { addAges, createNewsBatcher, NO_NEWS, type News } from '../_lib/createNewsBatcher';
+import { createTransitTracker } from '../_lib/createTransitTracker';
 import { drawSample } from '../../_lib/drawSample';
 import { listTableChanges } from '../_lib/listTableChanges';
 import { logJoinedMembers } from '../_lib/logJoinedMembers';
@@ -71,6 +72,7 @@
   } = dependencies;
   let { seedAddresses } = dependencies;
   const members = createMemberList({ self: self.vm, clock });
+  const transit = createTransitTracker({ clock, randomness });
   /** Table versions in the last message of each VM. */
   const versionsByVm = new Map<string, ReadonlyMap<string, number>>();
   let isStopped = false;
@@ -94,6 +96,7 @@
     news: News,
   ): Knowledge => ({
     sender: { ...self, ageMs: 0 },
+    sent: transit.buildSendingTime(),
     isMembersAsked: false,
     heard: new Map(),
     versions: listVersions(),
@@ -107,7 +110,10 @@
   let sendToPartners: (batch: News) => void = () => undefined;
   const batcher = createNewsBatcher({ clock, sendNews: (batch) => sendToPartners(batch) });
 
-  const mergeKnowledge = (received: Knowledge): void => {
+  const mergeKnowledge = (message: Knowledge): void => {
+    const lateMs = transit.recordMessage(message.sender.vm, message.sent);
+    // Members are left as they are: a VM that was late is alive.
+    const received = { ...message, ...addAges(message, lateMs), members: message.members };
     const joined = [received.sender, ...received.members].filter((member) =>
       members.record(member),
     );
--- a/src/application/gossip/createGossip/test.ts
+++ b/src/application/gossip/createGossip/test.ts
@@ -2,6 +2,7 @@
 import { buildServerStatus } from '../../../../standins/fakes';
 import type { Gossip } from '..';
 import { createGossipFleet } from '../../../../standins/gossip';
+import { NO_NEWS } from '../_lib/createNewsBatcher';
 import type { SharedRow } from '../../ports';
 
 const buildRow = (key: string, version: number): SharedRow => ({
@@ -172,3 +173,34 @@
   t.true(new Set(inferred).size >= 45, `${new Set(inferred).size}`);
   stop();
 });
+
+// Guards against a crash that is cleared by an answer which came before it: a VM that was stopped
+// reads the message of another one late, and its ages are those at the time of sending.
+test('an answer told in a message that was read late clears no crash that came after it', (t) => {
+  const { clock, gossips, histories, stop } = createGossipFleet(['a', 'b'], {});
+  const history = histories.get('a');
+  const told = { requestId: 'r', server: 'i-1', isConfirmed: true, ranMs: 0, ageMs: 0 };
+  const tell = (atMs: number, fingerprint: string): void => {
+    gossips.get('a')?.handleKnowledge({
+      ...NO_NEWS,
+      sender: { vm: 'b', address: 'b', availabilityZone: 'z1', cores: 1, ageMs: 0 },
+      sent: { run: 1, atMs },
+      isMembersAsked: false,
+      heard: new Map(),
+      versions: new Map(),
+      changes: [],
+      outcomes: [{ ...told, fingerprint, hasCrashed: false }],
+      outcomesDigest: 0,
+    });
+  };
+  tell(clock.readMonotonicMs(), 'another');
+  const sentAtMs = clock.readMonotonicMs();
+  clock.advance(3000);
+  const crash = { ...told, fingerprint: 'f', hasCrashed: true };
+  history?.mergeOutcome({ ...crash, server: 'i-2', ageMs: 1000 });
+  tell(sentAtMs, 'f');
+  t.true(history?.isSuspected('f'));
+  tell(clock.readMonotonicMs(), 'f');
+  t.false(history?.isSuspected('f'));
+  stop();
+});
--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -34,9 +34,18 @@
   readonly ageMs: number;
 }
 
+/** When a VM sent a message, on its own monotonic clock. */
+export interface SendingTime {
+  /** Tells apart the processes of a VM, whose clocks begin anew. */
+  readonly run: number;
+  readonly atMs: number;
+}
+
 /** Gossip message from one VM to another. */
 export interface Knowledge {
   readonly sender: Member;
+  /** Null if the sender does not say. */
+  readonly sent: SendingTime | null;
   /** VMs that the receiver may not know yet. */
   readonly members: readonly Member[];
   /** Whether the response should list the VMs heard of, which are most of a message's bytes. */
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -128,7 +128,7 @@
     outcomes: crashes,
     verdicts: rollouts,
     limits,
-    handleSuspicion: ({ server }) => directory.recordSuspicion(server, 'told'),
+    handleSuspicion: ({ ageMs, server }) => directory.recordSuspicion(server, 'told', ageMs),
     handleInferred: (server) => {
       directory.addInferred(server);
       identityWatch.start();
