--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -132,7 +132,7 @@
       timeoutController.abort();
       return {
         ...NO_RESPONSE,
-        reason: 'the response belongs to another request',
+        reason: 'the response is not the signed one of the server',
         end: buildEnd(seen, 'dropped'),
       };
     }
--- a/src/domain/forwarding/types/ServerAnswer.ts
+++ b/src/domain/forwarding/types/ServerAnswer.ts
@@ -5,7 +5,7 @@
   readonly status: number;
   /** Headers that are forwarded, as alternating names and values. */
   readonly forwardedHeaders: readonly string[];
-  /** False if the answer lacks the server's signature, is encoded, or is for another request. */
+  /** False if the answer lacks the server's signature, or is encoded. */
   readonly isVerified: boolean;
   /** False if the end of the connection ends the body: a truncated body looks complete then. */
   readonly isFramed: boolean;
