--- a/tests/gateway/storeOutages.test.ts
+++ b/tests/gateway/storeOutages.test.ts
@@ -55,11 +55,7 @@
     store.writeRow(TABLES.servers, SERVER.id, entry);
   };
   const leave = (): void => {
-    store.writeRow(
-      TABLES.servers,
-      SERVER.id,
-      buildWireEntry(SERVER, { state: 'draining' }),
-    );
+    store.writeRow(TABLES.servers, SERVER.id, buildWireEntry(SERVER, { state: 'draining' }));
     leavingAtMs = clock.readMonotonicMs();
   };
   /** Lists changes that should be in force by now but are not. */
