Give no answer of its own to a connection with a request in progress

What callers saw: a caller that sent two requests at once got the answer to the first, and then a 408 or a 400 that this VM wrote by itself in the place of the second, which was at a server and ran. A 408 promises that it had not.

Cause: the connections with a request in progress were a set. Node.js hands on pipelined requests while the first is still being answered; the end of the first answer took the connection out of the set although the second had none. Malformed bytes, or a head whose time-out passed, then counted as the first bytes of an idle connection and got an answer.

Change: the requests of a connection are counted.

--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -190,14 +190,18 @@
     }
   };
 
-  const answeringSockets = new WeakSet<Duplex>();
+  /** Number of requests of a connection whose answers have not ended, or were rejected. */
+  const openAnswers = new WeakMap<Duplex, number>();
+  const addOpenAnswers = (socket: Duplex, count: number): void => {
+    openAnswers.set(socket, (openAnswers.get(socket) ?? 0) + count);
+  };
   const server = createServer(
     { maxHeaderSize: MAX_PARSED_HEADER_BYTES, requireHostHeader: false, noDelay: true },
     (incoming, response) => {
       const { socket } = incoming;
-      answeringSockets.add(socket);
+      addOpenAnswers(socket, 1);
       response.once('close', () => {
-        if (response.shouldKeepAlive) answeringSockets.delete(socket);
+        if (response.shouldKeepAlive) addOpenAnswers(socket, -1);
       });
       handle(incoming, response).catch((error: unknown) => {
         const reason = error instanceof Error ? error.message : 'unknown';
@@ -211,7 +215,8 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     // Malformed bytes after a request that is being answered or was rejected get no answer: the
     // caller would take it for the answer to that request.
-    if (!socket.writable || error.code === 'ECONNRESET' || answeringSockets.has(socket)) {
+    const hasOpenAnswers = (openAnswers.get(socket) ?? 0) > 0;
+    if (!socket.writable || error.code === 'ECONNRESET' || hasOpenAnswers) {
       socket.destroy();
       return;
     }
