End calls to an invalid peer address as unreachable

Seen: one record with an odd peer address (a port over 65535, IPv6 text, an empty one, an octet over 255) in the platform's VM list or among the registrations ended the process of a VM that exchanges news (jackdaw-entry, jackdaw-keeper). Shown at the exchange with its real client; the programs themselves were not run.

Cause: opening the HTTP/2 transport throws for such an address. The calls of the exchange aren't awaited by their rounds, so that the rejected promise ended the process.

Change: an address that is none is an error of the call, as an unreachable VM is.

--- a/src/adapters/connect/createPeerClient/index.ts
+++ b/src/adapters/connect/createPeerClient/index.ts
@@ -1,8 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
 import type { Client } from '@connectrpc/connect';
-import { ResultAsync, err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import { Result, ResultAsync, err, errAsync, ok } from 'neverthrow';
 import type { OperatorCalls, PeerCalls, PeerError } from '../../../application/peers';
 import type { Clock, PeerGenerations } from '../../../application/ports';
 import { convertNewsFromMessage } from '../convertNewsFromMessage';
@@ -46,10 +45,14 @@
   readonly manager: SessionManager;
 }
 
-const openConnection = (peerAddress: string): Connection => {
-  const { manager, transport } = openTransport(peerAddress);
-  return { calls: createClient(PeerService, transport), manager };
-};
+/** Throws for an invalid address in the library: addresses come from other processes and lists. */
+const openConnection = Result.fromThrowable(
+  (peerAddress: string): Connection => {
+    const { manager, transport } = openTransport(peerAddress);
+    return { calls: createClient(PeerService, transport), manager };
+  },
+  (): PeerError => ({ kind: 'unreachable', reason: 'not an address' }),
+);
 
 /**
  * Creates the client of peers: one HTTP/2 connection per address, opened on the first call and
@@ -57,15 +60,21 @@
  */
 export const createPeerClient = (deps: PeerClientDependencies): PeerClient => {
   const connections = new Map<string, Connection>();
-  const getConnection = (peerAddress: string): Connection => {
+  const getConnection = (peerAddress: string): Result<Connection, PeerError> => {
     const existingConnection = connections.get(peerAddress);
-    if (existingConnection !== undefined) return existingConnection;
+    if (existingConnection !== undefined) return ok(existingConnection);
     const opened = openConnection(peerAddress);
-    connections.set(peerAddress, opened);
+    if (opened.isOk()) connections.set(peerAddress, opened.value);
     return opened;
   };
-  const send = <T>(peerAddress: string, call: (calls: Client<typeof PeerService>) => Promise<T>) =>
-    ResultAsync.fromPromise(call(getConnection(peerAddress).calls), convertConnectError);
+  const send = <T>(
+    peerAddress: string,
+    call: (calls: Client<typeof PeerService>) => Promise<T>,
+  ): ResultAsync<T, PeerError> =>
+    getConnection(peerAddress).match(
+      ({ calls }) => ResultAsync.fromPromise(call(calls), convertConnectError),
+      (error) => errAsync(error),
+    );
   const operatorOptions = { timeoutMs: OPERATOR_TIMEOUT_MS };
 
   return {
@@ -103,11 +112,14 @@
         .map(({ version, body }) => (body === '' ? null : { version: Number(version), body }))
         .mapErr(({ reason }) => ({ kind: 'unreachable', reason }));
     },
-    attachGeneration: (target, generation) =>
-      openGeneration(getConnection(target.peerAddress).calls, generation, {
+    attachGeneration: async (target, generation) => {
+      const connection = getConnection(target.peerAddress);
+      if (connection.isErr()) return err({ kind: 'unreachable' });
+      return openGeneration(connection.value.calls, generation, {
         clock: deps.clock,
         timeoutMs: ATTACH_TIMEOUT_MS,
-      }),
+      });
+    },
     cancelGeneration: async (target, { generationId, workspace }) => {
       const response = await send(target.peerAddress, (calls) =>
         calls.cancelGeneration({ generationId, workspace }, { timeoutMs: ATTACH_TIMEOUT_MS }),
