Refuse load reports with numbers that no message can hold

Seen: a load report of an engine with a fraction, a negative number or one beyond 32 bits in slots, sequence, running, waiting, cache_use or tokens_per_second made every message of news fail to encode at the VM that polled it; a fraction as fencing_token threw before the call, outside of its error handling. Shown at the conversion to messages, not with whole processes.

Cause: the report's schema accepted any number.

Change: counts are whole numbers of 32 bits, the fencing token a safe integer, and amounts leave room for thousandths and for growing ages. A report with another value is malformed, like one with a text in that place.

Measured: tests/peers/oddReports.test.ts (property, fixed seed, 500 runs) failed before ("invalid uint32:") and passes now.

--- a/src/adapters/engine/_lib/parseLoadReport/index.ts
+++ b/src/adapters/engine/_lib/parseLoadReport/index.ts
@@ -1,13 +1,22 @@
 import { z } from 'zod';
 import type { LoadReport } from '../../../../domain/types';
 
+const MAX_UINT32 = 2 ** 32 - 1;
+
+/** Values go into fields of 32 bits, some of them as thousandths, or grow there with time. */
+const MAX_AMOUNT = MAX_UINT32 / 1000;
+
+const amountSchema = z.number().min(0).max(MAX_AMOUNT);
+
+const countSchema = z.int().min(0).max(MAX_UINT32);
+
 const loadBody = z.object({
-  sequence: z.number(),
-  running: z.number(),
-  waiting: z.number(),
-  slots: z.number(),
-  cache_use: z.number(),
-  tokens_per_second: z.number(),
+  sequence: countSchema,
+  running: countSchema,
+  waiting: countSchema,
+  slots: countSchema,
+  cache_use: amountSchema,
+  tokens_per_second: amountSchema,
   models: z.array(
     z.object({
       model: z.string(),
@@ -17,8 +26,8 @@
   ),
   role: z.string().default(''),
   leaving: z.boolean().default(false),
-  fencing_token: z.number().default(0),
-  age_ms: z.number().default(0),
+  fencing_token: z.int().min(0).default(0),
+  age_ms: z.number().max(MAX_AMOUNT).default(0),
 });
 
 /**
