--- a/standins/gateway/createStandInStore/index.ts
+++ b/standins/gateway/createStandInStore/index.ts
@@ -14,6 +14,8 @@
   readonly url: string;
   /** Writes or, with null, removes a row. */
   writeRow(table: string, key: string, value: unknown): void;
+  /** Writes a row whose value is this text, which may be malformed. */
+  writeText(table: string, key: string, text: string): void;
   /** Outages close the connections, except `silent`: there pending calls get no answer. */
   setMode(mode: StoreMode): void;
   /** From now on, feeds that start at an older version get 410. */
@@ -177,6 +179,7 @@
       const encoded = value === null ? null : Buffer.from(JSON.stringify(value)).toString('base64');
       write(table, key, encoded);
     },
+    writeText: (table, key, text) => write(table, key, Buffer.from(text).toString('base64')),
     setMode: (next) => {
       mode = next;
       if (next === 'silent') {
