Log what a failed attempt rests on

The record of the incident can't tell the hypotheses apart: a line of a failed attempt says that the request did not run, but not whether a server refused it, no connection was made, or a relay said so, and an answer to another request is logged without its id.

A failed attempt now names its basis (refused, not-sent or relay), and a foreign answer its id and how many requests its connection had carried before, which the HTTP client's connection counts. Behind a relay the relay's own line has the id.

--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -9,7 +9,6 @@
   type RelayedResponse,
 } from '../../../application/paths';
 import type { AttemptError, EventLog } from '../../../application/ports';
-import type { ConnectionEnd } from '../../../domain/crashes';
 import type { ServerEntry } from '../../../domain/forwarding';
 
 /** Dependencies of the relay. */
@@ -100,9 +99,14 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     id: string,
-    { connection, reason }: { readonly connection: ConnectionEnd; readonly reason: string },
+    { connection, foreign, reason }: Pick<AttemptError, 'connection' | 'foreign' | 'reason'>,
   ): void => {
-    log.info('relayed request failed', { server: id, connection, reason });
+    log.info('relayed request failed', {
+      server: id,
+      connection,
+      reason,
+      ...(foreign ? { answerId: foreign.answerId } : {}),
+    });
     if (response.destroyed) return;
     // The rest of the request stays unread.
     if (!incoming.complete) response.shouldKeepAlive = false;
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -3,6 +3,7 @@
 import type { AttemptAnswer } from '../../../ports';
 import { createSendDating } from '../../../time';
 import type { HeldCopy, StreamAttempt, StreamRun, StreamPlacement } from '../../types';
+import { buildFailureFields, REFUSAL_FIELDS } from '../buildFailureFields';
 import { buildScheduledRun } from '../buildScheduledRun';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import {
@@ -174,7 +175,11 @@
       run.dependencies,
       context,
       'stream attempt failed',
-      { attempt: reader.attempt, outcome: sent.error.kind },
+      {
+        attempt: reader.attempt,
+        outcome: sent.error.kind,
+        ...buildFailureFields(sent.error),
+      },
       server,
     );
     const isRefused = sent.error.kind === 'not-started';
@@ -199,7 +204,12 @@
       run.dependencies,
       context,
       'stream attempt failed',
-      { attempt: reader.attempt, status: head.status, notRun: head.isNotExecuted },
+      {
+        attempt: reader.attempt,
+        status: head.status,
+        notRun: head.isNotExecuted,
+        ...(head.isNotExecuted ? REFUSAL_FIELDS : {}),
+      },
       server,
     );
     if (head.isNotExecuted && !head.isFromOtherServer) permit.finish({ isRejected: true });
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -201,6 +201,7 @@
         attempt,
         outcome: result.kind,
         reason: result.reason,
+        ...result.fields,
         ...crashes.readLogFields(),
         tookMs: Math.round(tookMs),
       },
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -4,8 +4,9 @@
   type ServerEntry,
 } from '../../../../domain/forwarding';
 import type { AttemptEnd, ConnectionEnd } from '../../../../domain/crashes';
-import type { AttemptAnswer, AttemptError } from '../../../ports';
+import type { AttemptAnswer, AttemptError, EventFields } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
+import { buildFailureFields, REFUSAL_FIELDS } from '../buildFailureFields';
 import { logDecision } from '../logDecision';
 import { readBody } from '../readBody';
 import { recordResponseHead } from '../recordResponseHead';
@@ -31,6 +32,7 @@
       readonly hasArrived: boolean;
       /** True if the server had no room for the call. */
       readonly isRejected: boolean;
+      readonly fields: EventFields;
     }
   /** The call may have run. */
   | {
@@ -38,6 +40,7 @@
       readonly reason: string;
       readonly response: BufferedResponse | null;
       readonly end: AttemptEnd;
+      readonly fields: EventFields;
     }
   | { readonly kind: 'left'; readonly end: AttemptEnd };
 
@@ -45,7 +48,7 @@
 const CLIENT_ERROR_STATUS = 400;
 const SERVER_ERROR_STATUS = 500;
 
-const NO_RESPONSE = { kind: 'failed', response: null } as const;
+const NO_RESPONSE = { kind: 'failed', response: null, fields: {} } as const;
 
 /** Builds the end of an attempt that is seen now. */
 type EndBuilder = (
@@ -59,10 +62,11 @@
   buildEnd: EndBuilder,
 ): CallAttemptResult => {
   const { connection, kind, reason, relay } = error;
+  const fields = buildFailureFields(error);
   if (kind === 'not-started')
-    return { kind: 'not-run', reason, hasArrived: false, isRejected: false };
+    return { kind: 'not-run', reason, hasArrived: false, isRejected: false, fields };
   const seen = { relay, progress: 'none' } as const;
-  if (kind === 'broken') return { ...NO_RESPONSE, reason, end: buildEnd(seen, connection) };
+  if (kind === 'broken') return { ...NO_RESPONSE, reason, end: buildEnd(seen, connection), fields };
   return isTimeout
     ? { ...NO_RESPONSE, reason: 'no answer in time', end: buildEnd(seen, 'silent') }
     : { kind: 'left', end: buildEnd(seen, connection) };
@@ -140,7 +144,13 @@
     if (reply.callerLeft.aborted) return { kind: 'left', end: buildEnd(seen, 'dropped') };
     if (head.isNotExecuted) {
       const isRejected = !head.isFromOtherServer;
-      return { kind: 'not-run', reason: `status ${head.status}`, hasArrived: true, isRejected };
+      return {
+        kind: 'not-run',
+        reason: `status ${head.status}`,
+        hasArrived: true,
+        isRejected,
+        fields: REFUSAL_FIELDS,
+      };
     }
     if (read.isErr())
       return {
@@ -165,6 +175,7 @@
         reason: `status ${head.status}`,
         response,
         end,
+        fields: {},
       };
     }
     directory.recordSuccess(server.id, sentAtMs);
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -55,6 +55,14 @@
   readonly readEnd: (error: unknown) => ConnectionEnd;
 }
 
+/** An answer that came to a request and belongs to another one. */
+export interface ForeignAnswer {
+  /** Id that it bears; empty if it bears none. */
+  readonly answerId: string;
+  /** Requests that its connection had carried before; null if a relay held the connection. */
+  readonly earlierRequests: number | null;
+}
+
 /** Failure of an attempt before the head of the response. */
 export interface AttemptError {
   /** `not-started`: no byte of the request was sent; `broken`: it was sent, or may have been. */
@@ -64,6 +72,8 @@
   readonly connection: ConnectionEnd;
   /** VM through which the request was sent; null if it was sent directly. */
   readonly relay: string | null;
+  /** The answer that came, if it belongs to another request. */
+  readonly foreign?: ForeignAnswer;
 }
 
 /** Failure to copy a run. */
--- a/src/application/ports/index.ts
+++ b/src/application/ports/index.ts
@@ -29,6 +29,7 @@
   AttemptError,
   AttemptRequest,
   CopyError,
+  ForeignAnswer,
   ForwardClient,
   KvCopy,
   ServerIdentity,
--- a/src/http-connections/createOrderlyClient/index.ts
+++ b/src/http-connections/createOrderlyClient/index.ts
@@ -5,6 +5,12 @@
 /** Code of the error of a response whose connection did not end in order. */
 export const RESET_CODE = 'ERR_CONNECTION_RESET';
 
+/** What an orderly client tells of a request's connection with `onRequestStart`. */
+export interface RequestContext {
+  /** Requests that the connection had carried before. */
+  readonly earlierRequests: number;
+}
+
 /** How the newest connection of a client ended. */
 type ConnectionState = 'open' | 'ended' | 'broken';
 
@@ -30,11 +36,13 @@
  */
 export const createOrderlyClient = (origin: URL | string, options: Client.Options): Dispatcher => {
   let state: ConnectionState = 'open';
+  let startedRequests = 0;
   const { connect: given } = options;
   const connect = typeof given === 'function' ? given : buildConnector({ ...given });
 
   const watchConnection = (socket: Socket): void => {
     state = 'open';
+    startedRequests = 0;
     socket.once('end', () => {
       state = hasEndedInOrder(socket) ? 'ended' : 'broken';
     });
@@ -59,6 +67,11 @@
       dispatch(
         request,
         decorateHandler(handler, {
+          onRequestStart: (controller, context: object) => {
+            const own: RequestContext = { earlierRequests: startedRequests };
+            startedRequests += 1;
+            handler.onRequestStart?.(controller, { ...context, ...own });
+          },
           onResponseEnd: (controller, trailers) => {
             if (state === 'broken') handler.onResponseError?.(controller, buildResetError());
             else handler.onResponseEnd?.(controller, trailers);
--- a/src/http-connections/index.ts
+++ b/src/http-connections/index.ts
@@ -1,3 +1,3 @@
 export { createOrderlyAgent } from './createOrderlyAgent';
-export { createOrderlyClient, RESET_CODE } from './createOrderlyClient';
+export { createOrderlyClient, RESET_CODE, type RequestContext } from './createOrderlyClient';
 export { decorateHandler } from './decorateHandler';
