Bound the count of runs of a server with many slots

Seen: the scheduler counted up to the slots of a server's entry, one run at a time; for streams without prompt tokens nothing else ends the count. An entry with a very large number of slots made the VM that schedules the service stand still. Shown at the function, not with a whole gateway.

Change: the count is found by bisection, since a server with more runs starts no more streams.

--- a/src/domain/scheduling/computeStartRate/index.ts
+++ b/src/domain/scheduling/computeStartRate/index.ts
@@ -17,12 +17,19 @@
   const demand = { ...typical, excludedServers: [], versions: [] };
   const options = { goalMs: typical.goalMs, isLastChance: false };
   const kvTokens = typical.promptTokens + typical.outputTokens;
-  for (let runs = 0; runs < server.slots; runs += 1) {
-    const kvUsedTokens = runs * kvTokens;
-    const loaded = { ...server, runs, kvUsedTokens, pendingPrefillMs: 0 };
-    if (!isStreamStartable(loaded, demand, options)) return runs;
+  const isStartable = (runs: number): boolean => {
+    const loaded = { ...server, runs, kvUsedTokens: runs * kvTokens, pendingPrefillMs: 0 };
+    return isStreamStartable(loaded, demand, options);
+  };
+  // The more runs, the less is startable; servers state any number of slots.
+  let low = 0;
+  let high = server.slots;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (isStartable(middle)) low = middle + 1;
+    else high = middle;
   }
-  return server.slots;
+  return low;
 };
 
 /**
--- a/src/domain/scheduling/computeStartRate/test.ts
+++ b/src/domain/scheduling/computeStartRate/test.ts
@@ -17,3 +17,13 @@
   t.is(compute({ kvTotalTokens: 20_000 }), 2 / 7);
   t.is(compute({ isUsable: false }), 0);
 });
+
+// Guards against a VM that stands still: it counted up to the slots of a server's entry, which
+// states any number.
+test('a server with a very large number of slots is counted at once', (t) => {
+  const typical = { ...TYPICAL, promptTokens: 0 };
+  const change = { slots: Number.MAX_SAFE_INTEGER, kvTotalTokens: 0 };
+  const startedAtMs = performance.now();
+  t.true(computeStartRate([buildScheduledServer('a', change)], typical) > 0);
+  t.true(performance.now() - startedAtMs < 1000);
+});
