--- a/tests/gateway/oddEntries.test.ts
+++ b/tests/gateway/oddEntries.test.ts
@@ -1,6 +1,13 @@
+import { fromBinary, toBinary } from '@bufbuild/protobuf';
 import test, { type ExecutionContext } from 'ava';
 import fc from 'fast-check';
 import { decodeServerEntry, TABLES } from '../../platform';
+import {
+  buildKnowledgeMessage,
+  readKnowledgeMessage,
+} from '../../src/adapters/connect/_lib/convertKnowledge';
+import { KnowledgeSchema } from '../../src/adapters/connect/gen/gateway_pb';
+import type { Knowledge } from '../../src/application/gossip';
 import { buildWireEntry, createStandInServer, type StandInServer } from '../../standins/gateway';
 import { startTestGateway } from './_lib/startTestGateway';
 
@@ -9,6 +16,22 @@
 const decode = (change: object) =>
   decodeServerEntry('i-1', Buffer.from(JSON.stringify({ ...VALID_ENTRY, ...change })));
 
+const NO_KNOWLEDGE: Knowledge = {
+  sender: { vm: 'vm-1', address: '127.0.0.1:1', availabilityZone: 'z1', cores: 1, ageMs: 0 },
+  sent: null,
+  members: [],
+  isMembersAsked: false,
+  heard: new Map(),
+  versions: new Map(),
+  changes: [],
+  suspicions: [],
+  inferred: [],
+  outcomes: [],
+  outcomesDigest: 0,
+  verdicts: [],
+  limits: [],
+};
+
 const UNUSABLE_ADDRESSES = [
   '',
   ' ',
@@ -88,6 +111,20 @@
   );
 });
 
+// Guards against a VM that can tell the others nothing more: no message holds the slots that it
+// took from the entry of a server that ended.
+test('the number of slots of each accepted entry can be told to other VMs', (t) => {
+  [0, 0.5, -1, 1.5, 2 ** 32, 1e300, '8', null].forEach((slots) =>
+    t.regex(decode({ slots })._unsafeUnwrapErr(), /^slots: /, String(slots)),
+  );
+  [1, 8, 2 ** 32 - 1].forEach((slots) => {
+    const inferred = [decode({ slots })._unsafeUnwrap()];
+    const message = buildKnowledgeMessage({ ...NO_KNOWLEDGE, inferred });
+    const told = fromBinary(KnowledgeSchema, toBinary(KnowledgeSchema, message));
+    t.is(readKnowledgeMessage(told)?.inferred[0]?.slots, slots);
+  });
+});
+
 const answerAll = (server: StandInServer): void =>
   server.addListener(() => {
     const request = server.takeRequest();
