--- a/tests/gateway/foreignEntries.test.ts
+++ b/tests/gateway/foreignEntries.test.ts
@@ -109,6 +109,22 @@
   t.like(report, { waiting: 3, running: 0, eventsByRun: null, bornMs: null });
 });
 
+// Guards against a report whose reader throws: a nested list or an object stands for an id.
+test('a report with odd runs keeps its valid fields and runs', (t) => {
+  const nested = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
+  const runs = `[[${nested},1,2],["r-1",1,${nested}],[{"toString":1},1,2],["r-2",1,{"valueOf":1}],[],[7,1,3]]`;
+  const report = decodeServerReport(`{"queued":3,"active":2,"runs":${runs}}`, NO_SIGNALS);
+  t.like(report, { waiting: 3, running: 2 });
+  t.deepEqual(
+    [...(report?.eventsByRun ?? [])],
+    [
+      ['r-1', 0],
+      ['r-2', 0],
+      ['7', 3],
+    ],
+  );
+});
+
 test('any message of another gateway is decoded without an exception', (t) => {
   const valid = toBinary(KnowledgeSchema, create(KnowledgeSchema, { sender: { vm: 'a' } }));
   t.is(readKnowledgeMessage(fromBinary(KnowledgeSchema, valid))?.sender.vm, 'a');
