Pass on no status that promises more than the server stated

What callers saw: a 408, 429 or 503 for a request that must not be repeated and that a server may have run. These statuses tell a caller that it has not run, so that it sends the request again.

Cause: the protocol lets only the server's own statement mean that a request did not run. The gateway itself went by the statement, and by nothing else, but passed on to the caller the status of an answer without it. The status alone makes the promise.

Change: such an answer to a call that must not be repeated, or to a stream that may not be resumed, counts as one that may have run: 502, without the server's stamp. Requests that may be repeated get the answer as before.

No sound server is known to answer so, so that this is one way to the rule that was broken, not proof of the way that was taken.

--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,4 +1,8 @@
-import { countPromptTokens, type AnswerHead } from '../../../../domain/forwarding';
+import {
+  countPromptTokens,
+  isRefusalUnstated,
+  type AnswerHead,
+} from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import { createSendDating } from '../../../time';
@@ -93,6 +97,11 @@
   }
   run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
   const read = head.isVerified ? await readBody(body, run.context.reply.acquireBytes) : null;
+  // Its caller would take the stream for one that did not run, and repeat it.
+  if (!run.context.route.resumable && isRefusalUnstated(head)) {
+    run.dispatch({ kind: 'broken', reader });
+    return;
+  }
   if (read?.isOk()) Object.assign(run, { failedResponse: { head, body: read.value } });
   if (read?.isOk() && head.status < SERVER_ERROR_STATUS) {
     run.dispatch({
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -1,5 +1,7 @@
 import {
   formatIncarnation,
+  isRefusalUnstated,
+  RouteKind,
   type AnswerHead,
   type ServerEntry,
 } from '../../../../domain/forwarding';
@@ -168,6 +170,9 @@
       return { ...NO_RESPONSE, reason, end: buildEnd(seen, connection) };
     }
     const end = buildEnd({ relay, progress: 'whole' }, connection);
+    // Its caller would take the call for one that did not run, and repeat it.
+    if (context.route.kind === RouteKind.Once && isRefusalUnstated(head))
+      return { ...NO_RESPONSE, reason: `status ${head.status} of a call that may have run`, end };
     const response = { head, body: read.value };
     if (head.status >= SERVER_ERROR_STATUS) {
       return {
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { err, ok } from 'neverthrow';
 import { buildServerStatus, createFakeClock } from '../../../../../standins/fakes';
+import { RouteKind } from '../../../../domain/forwarding';
 import type { AttemptAnswer, AttemptError } from '../../../ports';
 import { createServerPaces } from '../../../paces';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
@@ -53,7 +54,8 @@
     },
   } as unknown as ForwardingDependencies;
   const reply = { callerLeft: new AbortController().signal };
-  const context = { request: {}, reply, holder: null } as unknown as ForwardContext;
+  const route = { kind: RouteKind.Once };
+  const context = { request: {}, reply, route, holder: null } as unknown as ForwardContext;
   await sendCallAttempt(dependencies, context, SERVER, { leftMs: 1000, attemptMs: 500 });
   return serverPaces;
 };
--- a/src/domain/forwarding/index.ts
+++ b/src/domain/forwarding/index.ts
@@ -29,6 +29,7 @@
 export { countNeededKvTokens } from './countNeededKvTokens';
 export { countPromptTokens } from './countPromptTokens';
 export { countPrefillingRuns } from './countPrefillingRuns';
+export { isRefusalUnstated } from './isRefusalUnstated';
 export { isReturning, type ReturningOptions } from './isReturning';
 export { findRoute } from './findRoute';
 export { formatIncarnation } from './formatIncarnation';
