Choose again if a server leaves while a request waits for it

What callers saw: nothing, or a refusal more; a server that had announced its leaving, or was gone, still got requests. The rule allows that for a bounded time, and the waits have no bound in common with it.

Cause: a server is chosen first. Then the request waits for a permit, for a retry that another VM lends, and for its turn as a trial, which reads and writes the store. Nothing looked at the server again after these waits.

Change: after the last wait a server that takes no requests any more is given up, with its permit and its retry, and another one is chosen.

--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -144,8 +144,9 @@
  */
 export const prepareStreamAttempt = async (
   run: StreamRun,
-  { excludedServers, reader }: OpenAttemptEffect,
+  opening: OpenAttemptEffect,
 ): Promise<PreparedAttempt | null> => {
+  const { excludedServers, reader } = opening;
   const { lender, retries } = run.dependencies;
   const { context } = run;
   // Each trial is one attempt.
@@ -191,6 +192,12 @@
     if (decision === 'wait') refuse(run, reader, HELD_REASON, HELD_RETRY_MS);
     return null;
   }
+  // The server may have announced meanwhile that it leaves.
+  if (!run.dependencies.directory.findServing(placement.server.id)) {
+    releaseUnsent(chosen);
+    if (isRepeat && !run.hasReservedRetry) retries.releaseRetry(context.service);
+    return prepareStreamAttempt(run, opening);
+  }
   Object.assign(run, { hasReservedRetry: false });
   if (placement.copy) return { placement, permit, isRepeat };
   if (run.prefillAttempts >= context.route.maxAttempts) {
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -134,10 +134,12 @@
     const remainingMs = deadlineAtMs - clock.readMonotonicMs();
     const isStillNeeded = remainingMs > 1 && reply.isOpen();
     const isGranted = isStillNeeded && (await acquireSending());
-    if (!isGranted || call.ended.aborted) {
+    // The server may have announced meanwhile that it leaves.
+    const isServing = directory.findServing(status.entry.id) !== null;
+    if (!isGranted || !isServing || call.ended.aborted) {
       permit.release();
       if (isRepeat) retries.releaseRetry(service);
-      if (isStillNeeded) break;
+      if (isStillNeeded && !isGranted) break;
       continue;
     }
     const isLast = startedAttempts + 1 >= route.maxAttempts;
