Let only an entry bring back a server whose entry was removed

What callers saw: requests at a server that was gone for the store, for as long as it went on answering.

Cause: a VM that meets a server at the address of another one tells the other VMs. Such news was taken for any server without a record, also for one whose entry had been removed meanwhile; news that is read late, after a silence, undid the removal. A server that leaves without announcing it is told apart by nothing else.

Change: incarnations whose entries were removed are kept, up to a bound, and news of other VMs adds none of them. An entry still does.

Evidence: the test of the records listed 'b' and 'a' after the news, and lists 'b' now. A second test plays nine kinds of news against the mark of a server that said that it leaves; it held before.

--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -52,6 +52,8 @@
   const records = new Map<string, ServerRecord>();
   /** Incarnations that surely ended: late entries do not restore them. */
   const endedIncarnations = createIncarnationSet();
+  /** Incarnations whose entries were removed: only an entry restores them. */
+  const removedIncarnations = createIncarnationSet();
   /** Removed entries: a restored copy of the store does not bring them back. */
   const tombstones = createEntryTombstones();
   /**
@@ -83,6 +85,7 @@
   const handleEntryRemoved = (id: string, info: RowsOrigin): void => {
     const record = records.get(id);
     if (!record || record.goneAtMs !== Infinity) return;
+    removedIncarnations.add(record.entry);
     const nowMs = clock.readMonotonicMs();
     const storeBackAtMs = info.outageEndedAtMs;
     const holdMs =
@@ -172,7 +175,8 @@
   };
 
   const addInferred = (entry: ServerEntry, source: string): boolean => {
-    if (records.has(entry.id) || endedIncarnations.has(entry)) return false;
+    const isOver = endedIncarnations.has(entry) || removedIncarnations.has(entry);
+    if (records.has(entry.id) || isOver) return false;
     log.info('server inferred', { server: entry.id, address: entry.address, source });
     Object.assign(addRecord(markLeaving(entry)), { isInferred: true });
     return true;
--- a/src/application/forwarding/_lib/createServerRecords/test.ts
+++ b/src/application/forwarding/_lib/createServerRecords/test.ts
@@ -177,3 +177,40 @@
   t.deepEqual(listIds(), []);
   return t.deepEqual(inferred, []);
 });
+
+// Guards against requests to a server whose entry was removed: late news of another VM that met it
+// must not bring it back.
+test('a server whose entry was removed is not brought back by news of another VM', (t) => {
+  const { directory, listIds } = setUp();
+  directory.applyRows([buildRow('a', 'x:1'), buildRow('b', 'x:2')], STORE);
+  const entry = directory.findEntry('a');
+  directory.applyRows([buildRow('a', null)], STORE);
+  if (entry) directory.addInferred(entry);
+  t.deepEqual(listIds(), ['b']);
+  // Its next entry does.
+  directory.applyRows([buildRow('a', 'x:1')], STORE);
+  t.deepEqual(listIds().sort(), ['a', 'b']);
+});
+
+// Guards against requests to a leaving server whose entry, told in two ways, loses the mark.
+test('no other news of a server undoes that it leaves', (t) => {
+  const { clock, directory, listIds } = setUp();
+  directory.applyRows([buildRow('a', 'x:1'), buildRow('b', 'x:2')], STORE);
+  const entry = directory.findEntry('a');
+  const news: readonly (() => void)[] = [
+    () => entry && directory.addInferred(entry),
+    () => directory.recordSuccess('a', clock.readMonotonicMs()),
+    () => directory.recordReachable('a'),
+    () => directory.recordStartTime('a', 5),
+    () => directory.recordLoad('a', { running: 0, waiting: 0, slots: 4, workFactor: null }),
+    () => directory.applyRows([buildRow('a', 'x:1')], STORE),
+    () => directory.applyRows([buildRow('a', null)], STORE),
+    () => directory.applyRows([buildRow('a', 'x:1')], STORE),
+    () => directory.recordReplaced('b', 'a', clock.readMonotonicMs()),
+  ];
+  directory.recordLeaving('a');
+  news.forEach((tell) => {
+    tell();
+    t.false(listIds().includes('a'));
+  });
+});
