Test that a request that was written never counts as not sent (known red)

An established connection that has taken the request can end with an error whose code otherwise means that no connection was made: a link or a neighbour goes away. Three copies of a list of such codes then say that the request did not start.

Seen on this commit, with each code in turn: calls, requests on new connections, both hops of a relay, the engine client and the plain client report not-started; at the gateway a call that must not be repeated ran at both servers and was answered 503, which promises that it did not run. A server whose address can't be parsed costs the call: 502, or, in the engine client, an exception. A generation counts as not run though a second attempt of it is at an engine.

--- a/src/adapters/engine/createHttpEngineClient/test.ts
+++ b/src/adapters/engine/createHttpEngineClient/test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import test from 'ava';
 import { buildSampleConfiguration, createFakeClock } from '../../../../standins/fakes';
+import { CONNECT_CODES, createSocketBreaker } from '../../../../tests/_lib/createSocketBreaker';
 import { buildRequest } from '../../../../tests/support/createTestEntry';
 import type { EngineStream } from '../../../application/ports';
 import type { TokenBatch } from '../../../domain/types';
@@ -125,3 +126,32 @@
     },
   );
 });
+
+// Guards against work that runs twice: an established connection that had taken the request broke
+// with an error that otherwise means that no connection was made, which counted as not started.
+test('a request that an engine took is broken whatever its connection ends with', async (t) => {
+  const breaker = createSocketBreaker();
+  t.teardown(breaker.stop);
+  for (const code of CONNECT_CODES) {
+    for (const idempotent of [false, true]) {
+      const start = { ...START, request: { ...START.request, idempotent } };
+      await withServer(
+        ({ socket }) => socket && breaker.breakOff(socket, code),
+        async (client, server) => {
+          const broken = await client.startAttempt(server, start);
+          t.like(broken._unsafeUnwrapErr(), { kind: 'broken', reason: code });
+        },
+      );
+    }
+  }
+});
+
+test('a request to an engine without a usable address did not start', async (t) => {
+  const client = createHttpEngineClient({ clock: createFakeClock() });
+  t.teardown(() => client.close());
+  const [sample] = buildSampleConfiguration().backendServers;
+  for (const url of ['http://127.0.0.09:80', 'http://127.0.0.1:99999', 'nowhere']) {
+    const refused = await client.startAttempt({ ...sample!, url }, START);
+    t.is(refused._unsafeUnwrapErr().kind, 'not-started', url);
+  }
+});
