Conclude that a request was not sent only if it was never written

Callers saw: a call that must not be repeated ran at two servers, and was answered 503, which promises that it did not run.

Cause: 'not started' was read from the code of an error, by three copies of a list of codes of failed connects. The same codes end an established connection that has taken the request, when a link or a neighbour goes away (EHOSTUNREACH, ENETUNREACH), so that the conclusion rested on the wrong thing: whether a request was written is knowledge of its connection.

sendRequest sends each request of the three clients of servers. It records that the HTTP client announced the request, which comes directly before the request is written and never for one whose connection was not made, and fails a request of which nothing was written with UnwrittenError. Error conversions conclude 'not started' from that alone. What fails before, such as an address that can't be parsed, counts as not started as well, so that the call goes to the next server (502 before). The list of codes stays in the platform's client only, for whether the server's address was reached; a server is not evidence of a failure of this VM on its direct path. Requests whose signal aborted stay 'cancelled'; the plain client tells whether they were sent.

A request is also never written twice. The HTTP client sends a request again, without end, on new connections if its connection ends with the code that it uses for its own closes; a second announcement now fails the request as one that may have run.

--- a/src/adapters/engine/_lib/callEngine/index.ts
+++ b/src/adapters/engine/_lib/callEngine/index.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { Dispatcher } from 'undici';
 import type { EngineError } from '../../../../application/ports';
+import { sendRequest } from '../../../../http-connections';
 import { convertCallError } from '../convertCallError';
 
 /** One HTTP call to a backend server. */
@@ -24,17 +25,22 @@
   dispatcher: Dispatcher,
   call: EngineCall,
 ): Promise<Result<Dispatcher.ResponseData, EngineError>> => {
-  const url = new URL(call.url);
   try {
-    const response = await dispatcher.request({
-      origin: url.origin,
-      path: `${url.pathname}${url.search}`,
-      method: call.method,
-      headers: call.body ? { 'content-type': 'application/json' } : {},
-      body: call.body ? JSON.stringify(call.body) : null,
-      headersTimeout: call.headersTimeoutMs,
-      bodyTimeout: 0,
-      signal: call.signal,
+    const response = await sendRequest(() => {
+      const url = new URL(call.url);
+      return {
+        dispatcher,
+        options: {
+          origin: url.origin,
+          path: `${url.pathname}${url.search}`,
+          method: call.method,
+          headers: call.body ? { 'content-type': 'application/json' } : {},
+          body: call.body ? JSON.stringify(call.body) : null,
+          headersTimeout: call.headersTimeoutMs,
+          bodyTimeout: 0,
+          signal: call.signal,
+        },
+      };
     });
     return ok(response);
   } catch (error) {
--- a/src/adapters/http/createHttpPlainClient/index.ts
+++ b/src/adapters/http/createHttpPlainClient/index.ts
@@ -1,6 +1,6 @@
 import { err, ok } from 'neverthrow';
 import type { PlainClient, PlainError } from '../../../application/ports';
-import { createOrderlyAgent } from '../../../http-connections';
+import { createOrderlyAgent, isUnwritten, sendRequest } from '../../../http-connections';
 
 /** Client of plain services; `stop` closes its connections. */
 export interface HttpPlainClient extends PlainClient {
@@ -15,25 +15,14 @@
 /** Silence within an answer's body after which the call is aborted. */
 const BODY_IDLE_TIMEOUT_MS = 60_000;
 
-/**
- * Error codes of failures to connect. After any other error the call counts as sent: a reset of a
- * keep-alive connection looks the same before and after the service has read the request.
- */
-const NOT_CONNECTED_CODES: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 const readCode = (error: unknown): string => String((error as { code?: unknown }).code ?? '');
 
 const convertError = (error: unknown, signal: AbortSignal): PlainError => {
   const code = readCode(error);
-  if (NOT_CONNECTED_CODES.includes(code)) return { kind: 'not-started', reason: code };
-  if (signal.aborted) return { kind: 'cancelled', sent: true };
-  return { kind: 'broken', reason: code === '' ? 'the connection failed' : code };
+  const isSent = !isUnwritten(error);
+  if (signal.aborted) return { kind: 'cancelled', sent: isSent };
+  const reason = code === '' ? 'the connection failed' : code;
+  return { kind: isSent ? 'broken' : 'not-started', reason };
 };
 
 /**
@@ -51,21 +40,24 @@
   };
   const pooled = createOrderlyAgent({ ...options, pipelining: 1 });
   // If the server closes a keep-alive connection just as a call is sent, the error does not tell
-  // whether the call ran. A call that must not be repeated gets a new connection, where a failure
-  // to connect proves that nothing was sent.
+  // whether the call ran. A call that must not be repeated gets a new connection: it is written
+  // only once that is made.
   const unpooled = createOrderlyAgent({ ...options, pipelining: 0 });
 
   const sendCall: PlainClient['sendCall'] = async (server, call, signal) => {
     if (signal.aborted) return err({ kind: 'cancelled', sent: false });
     try {
-      const { body, headers, statusCode } = await (call.repeatable ? pooled : unpooled).request({
-        origin: server.url,
-        path: call.path,
-        method: call.method,
-        headers: call.headers,
-        body: call.body.length === 0 ? null : call.body,
-        signal,
-      });
+      const { body, headers, statusCode } = await sendRequest(() => ({
+        dispatcher: call.repeatable ? pooled : unpooled,
+        options: {
+          origin: server.url,
+          path: call.path,
+          method: call.method,
+          headers: call.headers,
+          body: call.body.length === 0 ? null : call.body,
+          signal,
+        },
+      }));
       const definedHeaders = Object.entries(headers).flatMap(([name, value]) =>
         value === undefined ? [] : [[name, value] as const],
       );
--- a/src/http-connections/index.ts
+++ b/src/http-connections/index.ts
@@ -1,3 +1,4 @@
 export { createOrderlyAgent } from './createOrderlyAgent';
 export { createOrderlyClient, RESET_CODE, type RequestContext } from './createOrderlyClient';
 export { decorateHandler } from './decorateHandler';
+export { isUnwritten, sendRequest, UnwrittenError, type PreparedRequest } from './sendRequest';
