Count a generation as run while another attempt of it is at an engine

Callers of idempotent generations could be told 'not-run' although the request ran: a first attempt was silent, a second one was sent, and then the connection of the first one failed. 'Not started' of the first took back that the generation may have started, to what was known when that attempt was opened, before the second was sent.

It is taken back only while no other attempt has been sent. Only generations of the own interface in latency mode have two attempts at a time: streams of the gateway replace a silent attempt, and then ignore its end.

--- a/src/domain/generation/_lib/handleNotStarted/index.ts
+++ b/src/domain/generation/_lib/handleNotStarted/index.ts
@@ -24,7 +24,11 @@
   const attempt = findAttempt(state, input.reader);
   if (!attempt) return { state, effects: [] };
   const wasNeverSent = attempt.phase === AttemptPhase.Prefill && state.offset === 0;
-  const mayHaveStarted = wasNeverSent ? attempt.mayHaveStartedBefore : state.mayHaveStarted;
+  const isOtherSent = state.attempts.some(
+    (other) => other !== attempt && other.phase !== AttemptPhase.Opening,
+  );
+  const mayHaveStarted =
+    wasNeverSent && !isOtherSent ? attempt.mayHaveStartedBefore : state.mayHaveStarted;
   // The request had started before the stream was read again, so the engine crashed since.
   const hasCrashed = input.refused && attempt.phase === AttemptPhase.Resuming;
   const replace = hasCrashed ? replaceCrashedAttempt : replaceAttempt;
