Acquire a retry anew if the reserved one was given back

What callers saw: nothing; the services got repeats that no VM counted.

Cause: a run that is moved to another server reserves its retry before it is stopped. If the next attempt was not sent, since it was not known why servers were lost under the request, or it was not needed at that moment, the retry was given back, but the mark of the reservation stayed. The next attempt went out without one.

Change: giving a retry back also ends its reservation.

Evidence: the second test of prepareStreamAttempt counted 0 retries for the attempt that was sent, and counts 1 now.

--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -119,6 +119,12 @@
   placement.grant?.cancel();
 };
 
+/** Gives back the retry of an attempt, also one that was reserved: the next attempt needs another. */
+const releaseRetry = (run: StreamRun): void => {
+  Object.assign(run, { hasReservedRetry: false });
+  run.dependencies.retries.releaseRetry(run.context.service);
+};
+
 /** Refuses a stream as the scheduler decided; one that reached a server before asks again later. */
 const refuseByScheduler = (run: StreamRun, reader: ReaderId, refusal: Refusal): void => {
   const { reason: message, retryAfterMs } = refusal;
@@ -147,7 +153,7 @@
   opening: OpenAttemptEffect,
 ): Promise<PreparedAttempt | null> => {
   const { excludedServers, reader } = opening;
-  const { lender, retries } = run.dependencies;
+  const { lender } = run.dependencies;
   const { context } = run;
   // Each trial is one attempt.
   Object.assign(run, { isTrial: false });
@@ -188,14 +194,14 @@
   const decision = isStillNeeded() ? await refuseUnlessTrial(run) : 'refused';
   if (decision !== 'send' || !isStillNeeded()) {
     releaseUnsent(chosen);
-    if (isRepeat) retries.releaseRetry(context.service);
+    if (isRepeat) releaseRetry(run);
     if (decision === 'wait') refuse(run, reader, HELD_REASON, HELD_RETRY_MS);
     return null;
   }
   // The server may have announced meanwhile that it leaves.
   if (!run.dependencies.directory.findServing(placement.server.id)) {
     releaseUnsent(chosen);
-    if (isRepeat && !run.hasReservedRetry) retries.releaseRetry(context.service);
+    if (isRepeat) releaseRetry(run);
     return prepareStreamAttempt(run, opening);
   }
   Object.assign(run, { hasReservedRetry: false });
