Refuse rows of quarantines with very many servers

Seen: a VM that starts among rows of the table of quarantines merges each server of a row as a crash of its own, with a log line each: 2.2 s without a turn for one row of 8,000 servers (60 kB), 18 s for eight such rows (a trial at createQuarantineRows, with a fake store). A test gateway that started among eight did not become usable within 100 s, in part through the lines that the test itself reads.

Change: a row with more servers than VMs remember of a fingerprint (32), or with a server's name of more than 300 characters, is refused, with one line.

--- a/src/domain/crashes/decodeQuarantine/index.ts
+++ b/src/domain/crashes/decodeQuarantine/index.ts
@@ -2,9 +2,15 @@
 import { z } from 'zod';
 import type { Quarantine } from '../types';
 
+/** Outcomes that VMs keep of a fingerprint; a row with more servers is another writer's. */
+const MAX_SERVERS = 32;
+
+/** Servers are logged by name. */
+const MAX_SERVER_CHARACTERS = 300;
+
 const RowSchema = z.object({
   certain: z.boolean().default(true),
-  servers: z.array(z.string().min(1)).min(1),
+  servers: z.array(z.string().min(1).max(MAX_SERVER_CHARACTERS)).min(1).max(MAX_SERVERS),
   last_crash_unix_ms: z.number(),
   trial_store_ms: z.number().optional(),
 });
--- a/src/domain/crashes/decodeQuarantine/test.ts
+++ b/src/domain/crashes/decodeQuarantine/test.ts
@@ -20,3 +20,14 @@
     t.true(decodeQuarantine('f', Buffer.from(text)).isErr());
   });
 });
+
+// Guards against a VM that stands still for seconds at its start, as it counts each server of such
+// a row as a crash of its own.
+test('a row with more servers than VMs remember is refused, and so is a very long name', (t) => {
+  const decode = (servers: readonly string[]) =>
+    decodeQuarantine('f', Buffer.from(JSON.stringify({ servers, last_crash_unix_ms: 1 })));
+  const list = (length: number): string[] => Array.from({ length }, (_, index) => `i-${index}`);
+  t.true(decode(list(32)).isOk());
+  t.true(decode(list(33)).isErr());
+  t.true(decode(['x'.repeat(60_000)]).isErr());
+});
