--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -46,6 +46,7 @@
   ...CONNECTION_HEADERS,
   RELAY_HEADERS.server,
   RELAY_HEADERS.connection,
+  RELAY_HEADERS.exchange,
 ]);
 
 const filterRequestHeaders = (rawHeaders: readonly string[]): readonly string[] =>
@@ -54,6 +55,15 @@
     return !REQUEST_HEADERS.has(name.toLowerCase());
   });
 
+/** Builds the headers that name the server, and the request to which a reply belongs. */
+const buildReplyHeaders = (incoming: IncomingMessage, id: string): Record<string, string> => {
+  const exchange = incoming.headers[RELAY_HEADERS.exchange];
+  return {
+    [RELAY_HEADERS.server]: id,
+    ...(typeof exchange === 'string' ? { [RELAY_HEADERS.exchange]: exchange } : {}),
+  };
+};
+
 /** The response is sent on in chunks: only after these can a trailer tell how it ended. */
 const RESPONSE_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, 'content-length']);
 
@@ -111,7 +121,7 @@
     // The rest of the request stays unread.
     if (!incoming.complete) response.shouldKeepAlive = false;
     response.writeHead(FAILURE_STATUS, {
-      [RELAY_HEADERS.server]: id,
+      ...buildReplyHeaders(incoming, id),
       [RELAY_HEADERS.end]: connection,
       [RELAY_HEADERS.reason]: reason,
     });
@@ -145,7 +155,7 @@
     const { headers, isFramed, statusCode } = sent.value;
     response.writeHead(statusCode, {
       ...filterResponseHeaders(headers),
-      [RELAY_HEADERS.server]: server.id,
+      ...buildReplyHeaders(incoming, server.id),
       ...(isFramed ? {} : { [RELAY_HEADERS.framing]: RELAY_UNFRAMED }),
     });
     response.flushHeaders();
--- a/src/application/paths/relayNames.ts
+++ b/src/application/paths/relayNames.ts
@@ -5,6 +5,8 @@
 export const RELAY_HEADERS = {
   /** Id of the server. */
   server: 'jackdaw-relay-server',
+  /** Number of a request to the relay, which the relay repeats in its reply. */
+  exchange: 'jackdaw-relay-exchange',
   /** `new` if the request must not use an idle connection to the server. */
   connection: 'jackdaw-relay-connection',
   /** `none` if the server's response has neither a length nor chunks. */
