Test a call that goes on from a server where nothing listens

The test put an entry with an unusable address among the servers. Since entries name a server only if its address can be read, that entry is refused, so that the test waited for an attempt that can't be made. Such an entry is covered by oddEntries ('a server whose address cannot be read costs no request', 24 calls), such an address by the test of the client in this file; here the server's address is one where nothing listens. All checks are as before: each call is answered 200, and an attempt is logged as not sent.

--- a/tests/gateway/writtenRequests.test.ts
+++ b/tests/gateway/writtenRequests.test.ts
@@ -106,6 +106,9 @@
 // with a zero are octal.
 const NO_ADDRESS = '127.0.0.09:80';
 
+/** Nothing listens there. */
+const CLOSED_ADDRESS = '127.0.0.1:1';
+
 /** Calls until one must have been sent to either server. */
 const MAX_CALLS = 30;
 
@@ -119,7 +122,7 @@
   }
 });
 
-test('a call goes on from a server without a usable address to the next one', async (t) => {
+test('a call goes on from a server that it cannot be sent to to the next one', async (t) => {
   const server = await startRawServer('i-1', (request) => {
     if (answerQuery('i-1', request)) return;
     const id = String(request.headers[HEADERS.requestId]);
@@ -127,7 +130,7 @@
       formatRawAnswer(200, { [HEADERS.requestId]: id, [HEADERS.signature]: 's' }),
     );
   });
-  const nowhere = { id: 'i-2', address: NO_ADDRESS, stop: () => Promise.resolve() };
+  const nowhere = { id: 'i-2', address: CLOSED_ADDRESS, stop: () => Promise.resolve() };
   const { lines, send, stop } = await startTestGateway({ servers: [server, nowhere] });
   t.teardown(stop);
   const isUnsent = (): boolean => lines.some(({ basis }) => basis === 'not-sent');
