Log a refused entry once until its reason changes

Seen: each change of a refused entry wrote a line of level error, and a server repeats its entry with each heartbeat.

Change: the line is repeated when the reason changes, or after a valid entry. The reasons of at most 1,000 entries are remembered.

Measured: the new test of tests/gateway/foreignEntries.test.ts saw 10 lines before and sees 4 now.

--- a/src/application/forwarding/_lib/createServerRecords/index.ts
+++ b/src/application/forwarding/_lib/createServerRecords/index.ts
@@ -6,6 +6,7 @@
 } from '../../../../domain/forwarding';
 import type { Clock, EventLog, SharedRow } from '../../../ports';
 import type { RowsOrigin } from '../../../rows';
+import { createBoundedMap } from '../../../_lib/createBoundedMap';
 import { createEntryTombstones } from '../createEntryTombstones';
 import { createIncarnationSet } from '../createIncarnationSet';
 import { buildServerRecord, type ServerRecord } from '../buildServerRecord';
@@ -42,6 +43,9 @@
  */
 const LAPSED_ENTRY_GRACE_MS = 2200;
 
+/** Refused entries whose reasons are remembered: a writer repeats its entry with each heartbeat. */
+const MAX_REFUSED_ENTRIES = 1000;
+
 /** Creates the server records, with no servers yet. */
 export const createServerRecords = ({
   clock,
@@ -61,6 +65,8 @@
    */
   const leavingIncarnations = createIncarnationSet();
 
+  const refusalReasons = createBoundedMap<string>(MAX_REFUSED_ENTRIES);
+
   const removeIfGone = (id: string, record: ServerRecord): void => {
     if (records.get(id) !== record || record.goneAtMs > clock.readMonotonicMs()) return;
     records.delete(id);
@@ -164,12 +170,16 @@
   const applyValue = (id: string, value: Buffer, info: RowsOrigin): void => {
     const decoded = decode(id, value);
     if (decoded.isOk()) {
+      refusalReasons.delete(id);
       applyEntry(decoded.value, info);
       return;
     }
     // An invalid entry also removes a known server, whoever wrote the entry: no usable address is
     // left.
-    log.error('server entry refused', { server: id, reason: decoded.error });
+    if (refusalReasons.get(id) !== decoded.error) {
+      refusalReasons.set(id, decoded.error);
+      log.error('server entry refused', { server: id, reason: decoded.error });
+    }
     const known = records.get(id);
     if (known) removeRecord(id, known);
   };
--- a/tests/gateway/foreignEntries.test.ts
+++ b/tests/gateway/foreignEntries.test.ts
@@ -73,6 +73,18 @@
   );
 });
 
+// Guards against a log that one writer fills, as it repeats its entry.
+test('a malformed entry is logged once until its reason changes', (t) => {
+  const { directory, lines } = setUp();
+  const values = ['', '{', { ...VALID_ENTRY, slots: 0 }, '', VALID_ENTRY, ''];
+  values.forEach((value, version) =>
+    [1, 2].forEach(() =>
+      directory.applyRows([{ key: 'i-1', value: encode(value), version }], STORE),
+    ),
+  );
+  t.is(lines.filter((line) => line === 'server entry refused').length, 4);
+});
+
 test('a server with an unknown state gets no requests, and a malformed birth time is ignored', (t) => {
   const read = decodeServerEntry('i-1', encode({ ...VALID_ENTRY, state: 'asleep', born: 'noon' }));
   t.true(read._unsafeUnwrap().isLeaving);
