--- a/tests/gateway/decoders.test.ts
+++ b/tests/gateway/decoders.test.ts
@@ -89,6 +89,18 @@
   );
 });
 
+// Guards against a route type that is the name of a property which every object has.
+test('a route type like a property of objects is an unknown one', (t) => {
+  const names = ['constructor', 'toString', '__proto__', 'hasOwnProperty'];
+  const route = { host: 'a.example', service: 's', timeout_ms: 100 };
+  const routes = names.map((name) => ({ ...route, name, prefix: '/', route_type: name }));
+  const table = readOk(decodeRouteTable(toBytes(buildWireConfiguration({ routes }))));
+  t.deepEqual(
+    table.routesByHost.get('a.example')?.map(({ kind }) => kind),
+    names.map(() => RouteKind.Once),
+  );
+});
+
 test('a configuration without tenants needs no key; a malformed one names the field', (t) => {
   const open = buildWireConfiguration({ tenants: undefined });
   t.is(readOk(decodeRouteTable(toBytes(open))).holdersByKey, null);
