Send a cancellation again unless no process listens at the engine

A cancellation that could not be sent was dropped for any failure before it was written, as if no process ran there: also behind a cut link, or when this VM had no ports left. The stream then went on at the engine. That nothing was written says nothing about the server; only a refused connection tells that no process listens at its address.

Measured: the new test failed before (one call in place of two, with EHOSTUNREACH) and passes, and so do the tests of lost engines.

--- a/src/application/generations/_lib/createCancelQueue/index.ts
+++ b/src/application/generations/_lib/createCancelQueue/index.ts
@@ -1,5 +1,5 @@
 import { BackendHealth, type BackendServer } from '../../../../domain/types';
-import type { EngineClient, HealthRegistry } from '../../../ports';
+import type { EngineClient, EngineError, HealthRegistry } from '../../../ports';
 
 /** Cancels engine streams, including those of engines that are not responding. */
 export interface CancelQueue {
@@ -9,6 +9,13 @@
 /** Cancellations queued per server; an engine drops a stream by itself if nobody reads it. */
 const MAX_QUEUED_PER_SERVER = 200;
 
+/** Reason of a call to an address at which no process listens. */
+const REFUSED_REASON = 'ECONNREFUSED';
+
+/** True if the server has no running process, and so no stream; its host said so. */
+const isProcessGone = (error: EngineError): boolean =>
+  error.kind === 'not-started' && error.reason === REFUSED_REASON;
+
 /**
  * Creates the queue of cancellations.
  *
@@ -34,8 +41,7 @@
 
   const cancel = async (server: BackendServer, streamId: string): Promise<void> => {
     const cancelled = await engineClient.cancelStream(server, streamId);
-    // A server that refuses connections has no running process, and so no stream.
-    if (cancelled.isErr() && cancelled.error.kind !== 'not-started') enqueue(server, streamId);
+    if (cancelled.isErr() && !isProcessGone(cancelled.error)) enqueue(server, streamId);
   };
 
   health.addListener((backendServer, state) => {
