--- a/tests/gateway/relays.test.ts
+++ b/tests/gateway/relays.test.ts
@@ -1,6 +1,7 @@
 // Guards against requests that change, or of which the truth is lost, on their way through a VM.
 import type { Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
+import { RELAY_HEADERS } from '../../src/application/paths';
 import { createStandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
 import { buildTestAttempt } from './_lib/buildTestAttempt';
@@ -40,6 +41,19 @@
   t.deepEqual(relay.observed, []);
 });
 
+// Guards against answers that show callers the ids of servers.
+test('an answer bears no header of its relay', async (t) => {
+  const { send, server } = await setUp(t);
+  const sent = send();
+  server.answer(await server.nextRequest(), 200, 'yes');
+  const { head } = readOk(await sent);
+  const names = new Set<string>(Object.values(RELAY_HEADERS));
+  t.deepEqual(
+    head.forwardedHeaders.filter((text) => names.has(text)),
+    [],
+  );
+});
+
 test('events of a relayed stream arrive as they are sent', async (t) => {
   const { send, server } = await setUp(t);
   const sent = send({ newConnection: true });
