Take a relay's word only from the relay itself

What callers saw: a request with a header that VMs use between them (jackdaw-relay-exchange, jackdaw-relay-server) got 502 wherever it took a relay's path. Each one also made the relay count as lost and closed its connections, for the requests of all callers. And a server whose answer bears jackdaw-relay-end: unsent made a relayed request that had run count as not sent, so that one that must not be repeated ran at another server.

Cause: these headers were passed on from callers to the relay, and from servers to the VM that asked, beside the ones that the VMs set. A relay's word was believed by the name of its header alone.

Found by reading; no record or run shows that a caller or a server sent one.

--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -64,8 +64,15 @@
   };
 };
 
-/** The response is sent on in chunks: only after these can a trailer tell how it ended. */
-const RESPONSE_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, 'content-length']);
+/**
+ * Headers of a server that are not sent on. The response is sent on in chunks, since only after these
+ * can a trailer tell how it ended; and only the relay itself speaks of the relay.
+ */
+const RESPONSE_HEADERS: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
+  ...Object.values(RELAY_HEADERS),
+  'content-length',
+]);
 
 const filterResponseHeaders = (headers: RelayedResponse['headers']): RelayedResponse['headers'] =>
   Object.fromEntries(
