Give a retry back to the bucket that counts one

What callers saw: nothing; services got more repeats in a window than the bound allows.

Cause: a retry that was not used was taken off the current bucket of the window, whichever one had counted it. Attempts end as not sent only after up to the time of a connection attempt, a trial's row or a copy, so often one bucket or more later. When the older bucket left the window, the newer one counted less than none, and as many retries too many were granted until it left as well. A retry that had left the window, or that another VM had lent, left a negative count behind in the same way.

Change: the oldest bucket that counts a retry gives it back, so that what stays leaves the window no sooner than the arrivals it stands for. Without any such bucket nothing is given back: a borrowed retry that a VM without own counts does not use stays counted at its lender until the window has passed.

Measured: of the six tests of createRetryBudget two failed before (9 retries where 0 were left, with a bound of 10 in ten seconds; 10 where 9 were left). All pass, and those of createRetryLender and prepareStreamAttempt (12 tests).

--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -94,7 +94,10 @@
     releaseRetry: (service) => {
       const index = advanceWindow();
       const { retries } = findOrCreateCounts(service);
-      retries[index] = (retries[index] ?? 0) - 1;
+      // The oldest count goes: those that stay must not leave the window before what they count.
+      const oldestFirst = retries.map((_, age) => (index + 1 + age) % WINDOW_BUCKETS);
+      const found = oldestFirst.find((bucket) => (retries[bucket] ?? 0) > 0);
+      if (found !== undefined) retries[found] = (retries[found] ?? 0) - 1;
     },
     acquireRetry: (service, { minimum = 0, share = 1 } = {}) => {
       const index = advanceWindow();
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -65,3 +65,30 @@
   budget.releaseRetry('s');
   t.true(budget.acquireRetry('s'));
 });
+
+// Guards against repeats beyond the bound: attempts that found no server gave back retries of an
+// earlier bucket, which then counted as less than none.
+test('retries that are given back late leave no more than the bound to the next window', (t) => {
+  const clock = createFakeClock();
+  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  const acquire = (): boolean => budget.acquireRetry('s');
+  clock.advance(900);
+  const unsent = acquireAll(acquire);
+  clock.advance(120);
+  for (let index = 0; index < unsent; index += 1) budget.releaseRetry('s');
+  t.is(acquireAll(acquire), 9);
+  clock.advance(9000);
+  t.is(acquireAll(acquire), 0);
+});
+
+test('a retry that left the window, or was borrowed, gives nothing back', (t) => {
+  const clock = createFakeClock();
+  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  budget.acquireRetry('s');
+  clock.advance(11_000);
+  budget.releaseRetry('s');
+  t.is(
+    acquireAll(() => budget.acquireRetry('s')),
+    9,
+  );
+});
