Open a stream of an engine on a connection of its own

Cause: engines echo no id. A stream that was read again, and work that may be repeated, went over connections that carry other calls, one after another. An answer that came late there was read as that of the stream: its tokens, its refusal, or that the engine has the stream no more. Offsets alone were checked, and those of two streams that start at 0 agree.

Change: each stream gets a new connection, as work that must not be repeated did. A generation costs one more connection within the region; the short calls (load, orders, probes, cancellations) still share connections.

Measured: the new test failed before (20 of 20 streams on a used connection) and passes; 44 tests of engines, generations, entries and the OpenAI interface pass.

--- a/src/adapters/engine/createHttpEngineClient/index.ts
+++ b/src/adapters/engine/createHttpEngineClient/index.ts
@@ -44,9 +44,9 @@
 }: HttpEngineClientDependencies): HttpEngineClient => {
   const options = { connect: { timeout: CONNECT_TIMEOUT_MS } };
   const pooled = createOrderlyAgent(options);
-  // If the server closes a keep-alive connection just as a request is sent, the error does not tell
-  // whether the request ran. Non-idempotent work could then not be retried, so it gets a new
-  // connection, where a failure to connect proves that nothing was sent.
+  // Engines echo no id: on a connection with earlier requests, a late answer to one of them would be
+  // read as that of the stream. And if the server closes a keep-alive connection just as a request is
+  // sent, the error does not tell whether the request ran.
   const unpooled = createOrderlyAgent({ ...options, pipelining: 0 });
 
   const callShort = async (
@@ -77,7 +77,7 @@
 
   return {
     startAttempt: (server, start) =>
-      openStream(start.request.idempotent ? pooled : unpooled, {
+      openStream(unpooled, {
         purpose: 'start',
         call: {
           url: `${server.url}${ENDPOINT_PATHS[start.request.endpoint]}`,
@@ -87,7 +87,7 @@
         firstOffset: start.prefixTokenIds.length,
       }),
     resumeStream: (server, streamId, offset) =>
-      openStream(pooled, {
+      openStream(unpooled, {
         purpose: 'resume',
         call: {
           url: `${server.url}/v1/streams/${encodeURIComponent(streamId)}?offset=${offset}`,
--- a/src/adapters/engine/createHttpEngineClient/test.ts
+++ b/src/adapters/engine/createHttpEngineClient/test.ts
@@ -1,5 +1,6 @@
 import { createServer, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setImmediate as waitForLoop } from 'node:timers/promises';
 import test from 'ava';
 import { buildSampleConfiguration, createFakeClock } from '../../../../standins/fakes';
 import { CONNECT_CODES, createSocketBreaker } from '../../../../tests/_lib/createSocketBreaker';
@@ -155,3 +156,37 @@
     t.is(refused._unsafeUnwrapErr().kind, 'not-started', url);
   }
 });
+
+// Guards against tokens of another generation: engines echo no id, so that a late answer on a
+// connection with earlier requests would be read as that of the stream.
+test('a stream gets a connection without earlier requests', async (t) => {
+  const usedSockets = new Set<unknown>();
+  const reused: string[] = [];
+  await withServer(
+    (response) => {
+      const { req, socket } = response;
+      const isStream = req.url !== '/health';
+      if (isStream && usedSockets.has(socket)) reused.push(req.url ?? '');
+      usedSockets.add(socket);
+      response.end(isStream ? formatEvent('1', [9], 'stop') : 'ok');
+    },
+    async (client, server) => {
+      const start = {
+        ...START,
+        prefixTokenIds: [],
+        request: { ...START.request, idempotent: true },
+      };
+      for (let round = 0; round < 10; round += 1) {
+        for (const open of [
+          () => client.resumeStream(server, 'gen_1.1.ab', 0),
+          () => client.startAttempt(server, start),
+        ]) {
+          t.true((await client.probe(server)).isOk());
+          await waitForLoop();
+          t.is((await readAll((await open())._unsafeUnwrap())).end, 'finished');
+        }
+      }
+    },
+  );
+  t.deepEqual(reused, []);
+});
