--- a/src/adapters/connect/createRelayHandler/index.ts
+++ b/src/adapters/connect/createRelayHandler/index.ts
@@ -10,6 +10,7 @@
 } from '../../../application/paths';
 import type { AttemptError, EventLog } from '../../../application/ports';
 import type { ServerEntry } from '../../../domain/forwarding';
+import { filterHeaders } from '../../../http-connections';
 
 /** Dependencies of the relay. */
 export interface RelayDependencies {
@@ -49,12 +50,6 @@
   RELAY_HEADERS.exchange,
 ]);
 
-const filterRequestHeaders = (rawHeaders: readonly string[]): readonly string[] =>
-  rawHeaders.filter((_, index) => {
-    const name = rawHeaders[index - (index % 2)] ?? '';
-    return !REQUEST_HEADERS.has(name.toLowerCase());
-  });
-
 /** Builds the headers that name the server, and the request to which a reply belongs. */
 const buildReplyHeaders = (incoming: IncomingMessage, id: string): Record<string, string> => {
   const exchange = incoming.headers[RELAY_HEADERS.exchange];
@@ -148,7 +143,7 @@
       {
         method: incoming.method ?? 'GET',
         target: (incoming.url ?? '').slice(RELAY_PREFIX.length),
-        headers: filterRequestHeaders(incoming.rawHeaders),
+        headers: filterHeaders(incoming.rawHeaders, REQUEST_HEADERS),
         body: hasBody(incoming) ? incoming : null,
         newConnection: incoming.headers[RELAY_HEADERS.connection] !== undefined,
       },
