Count streams that go on among the readers of single connections in a test

Its cuts on a new connection stay, and 'a stream gets a connection without earlier requests' (the engine client) asserts that there is no other.

--- a/tests/gateway/_lib/answerReaders/index.ts
+++ b/tests/gateway/_lib/answerReaders/index.ts
@@ -153,4 +153,5 @@
   'identity on a new connection',
   'copy',
   'engine stream',
+  'engine stream that goes on',
 ]);
