Count what happens to retries, and log what a refused one rests on

Operators could not tell why repeats added up: the log said only that a repeat was borrowed or that none was left.

Added: counters of retries acquired, released, lent, borrowed and refused by service; gauges of the retries that a VM has used and may use in the present window, with the requests and the number of VMs that this rests on; the same fields on 'no repeat left'. No decision changes.

--- /dev/null
+++ b/src/adapters/metrics/_lib/createRetryMeter/index.ts
@@ -0,0 +1,55 @@
+import { Counter, Gauge, type Registry } from 'prom-client';
+import type { RetryMeter, RetryUse } from '../../../../application/forwarding';
+
+type RetryUseSource = () => ReadonlyMap<string, RetryUse>;
+
+const addGauges = (registry: Registry, listUse: RetryUseSource): void => {
+  const addGauge = (name: string, help: string, read: (use: RetryUse) => number): void => {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers: [registry],
+      collect: () => {
+        gauge.reset();
+        listUse().forEach((use, service) => gauge.set({ service }, read(use)));
+      },
+    });
+  };
+  addGauge(
+    'jackdaw_retry_allowed',
+    'Retries that this VM may use in the present window.',
+    ({ allowed }) => allowed,
+  );
+  addGauge(
+    'jackdaw_retry_used',
+    'Retries of the present window that this VM acquired or lent.',
+    ({ retries }) => retries,
+  );
+  addGauge(
+    'jackdaw_retry_requests',
+    'Requests of the present window that the allowed retries rest on.',
+    ({ requests }) => requests,
+  );
+  addGauge(
+    'jackdaw_retry_vms',
+    'Number of VMs that the fixed part of the retries is taken to be shared by.',
+    ({ vms }) => vms,
+  );
+};
+
+/** Creates the meter of the retry budget; services without requests or retries have no gauges. */
+export const createRetryMeter = (
+  registry: Registry,
+): RetryMeter & { readonly addRetryGauges: (listUse: RetryUseSource) => void } => {
+  const retries = new Counter({
+    name: 'jackdaw_retries_total',
+    help: 'Retries of the budget of all VMs, by service and what happened to them.',
+    labelNames: ['service', 'event'],
+    registers: [registry],
+  });
+  return {
+    recordRetry: (service, event) => retries.inc({ service, event }),
+    addRetryGauges: (listUse) => addGauges(registry, listUse),
+  };
+};
--- a/src/adapters/metrics/createGatewayMetrics/index.ts
+++ b/src/adapters/metrics/createGatewayMetrics/index.ts
@@ -1,11 +1,13 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { FleetLoadView } from '../../../application/fleet-load';
-import type { ForwardingMeter } from '../../../application/forwarding';
+import type { ForwardingMeter, RetryMeter, RetryUse } from '../../../application/forwarding';
 import type { SchedulingMeter } from '../../../application/scheduling';
 import { addFleetLoadGauges } from '../_lib/addFleetLoadGauges';
 import { addGauge } from '../_lib/addGauge';
 import { addProcessGauges } from '../_lib/addProcessGauges';
+import { addRefusalGauge } from '../_lib/addRefusalGauge';
 import { createQueryMeter, type QueryMeter } from '../_lib/createQueryMeter';
+import { createRetryMeter } from '../_lib/createRetryMeter';
 import { createSchedulingMeter } from '../_lib/createSchedulingMeter';
 
 /** Sources of a gateway's gauges, read when the metrics are collected. */
@@ -42,10 +44,12 @@
   readonly countScheduledServices: () => number;
   /** Load of the fleet as known at this VM, by service. */
   readonly listFleetLoads: () => ReadonlyMap<string, FleetLoadView>;
+  /** Retries of this VM in the present window, by service. */
+  readonly listRetryUse: () => ReadonlyMap<string, RetryUse>;
 }
 
 /** Metrics of one gateway, with their own registry. */
-export interface GatewayMetrics extends ForwardingMeter, SchedulingMeter, QueryMeter {
+export interface GatewayMetrics extends ForwardingMeter, QueryMeter, RetryMeter, SchedulingMeter {
   readonly contentType: string;
   addGauges(gauges: GatewayGauges): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -103,6 +107,7 @@
     labelNames: ['kind', 'path', 'connection', 'evidence'],
     registers,
   });
+  const retries = createRetryMeter(registry);
   const scheduling = createSchedulingMeter(registry);
   const paceRatios = new Histogram({
     name: 'jackdaw_server_pace_ratio',
@@ -129,6 +134,7 @@
       if (Number.isFinite(loadAgeMs)) loadAges.observe({ service }, loadAgeMs / MS_PER_S);
     },
     recordAttemptEnd: (end) => attemptEnds.inc({ ...end }),
+    recordRetry: retries.recordRetry,
     ...createQueryMeter(registry),
     recordCrashRefusal: (cause) => crashRefusals.inc({ cause }),
     recordResume: (pauseMs, source) => pauses.observe({ source }, pauseMs / MS_PER_S),
@@ -208,14 +214,7 @@
         'Delay that all timers of the last second had at least.',
         () => gauges.readLoopDelayMs() / MS_PER_S,
       );
-      const refusals: Gauge = new Gauge({
-        name: 'jackdaw_overload_refusals',
-        help: 'Requests refused since the start as this VM was overloaded.',
-        labelNames: ['cause'],
-        registers,
-        collect: () =>
-          gauges.countOverloadRefusals().forEach((count, cause) => refusals.set({ cause }, count)),
-      });
+      addRefusalGauge(registry, gauges.countOverloadRefusals);
       addGauge(
         registry,
         'jackdaw_store_reader',
@@ -244,6 +243,7 @@
         gauges.countScheduledServices,
       );
       addFleetLoadGauges(registry, gauges.listFleetLoads);
+      retries.addRetryGauges(gauges.listRetryUse);
     },
     render: () => registry.metrics(),
   };
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../ports';
+import type { RetryMeter, RetryUse } from '../types';
 
 /** Bounds of the retries of all VMs together. */
 export interface RetryBudgetBounds {
@@ -13,6 +14,7 @@
   readonly clock: Clock;
   /** Number of VMs that share the bounds. */
   readonly countVms: () => number;
+  readonly meter: RetryMeter;
 }
 
 /** Limits the retries of requests. */
@@ -31,6 +33,8 @@
   ): boolean;
   /** Returns a retry that did not reach a server. */
   releaseRetry(service: string): void;
+  /** Lists what this VM has used in the present window, and what it may use, by service. */
+  listUse(): ReadonlyMap<string, RetryUse>;
 }
 
 /** Number of buckets in the sliding window. */
@@ -55,6 +59,7 @@
   bounds,
   clock,
   countVms,
+  meter,
 }: RetryBudgetDependencies): RetryBudget => {
   const bucketMs = bounds.retryWindowMs / WINDOW_BUCKETS;
   const countsByService = new Map<string, BucketCounts>();
@@ -85,7 +90,17 @@
     return counts;
   };
 
+  const readUse = (service: string): RetryUse => {
+    advanceWindow();
+    const { requests, retries } = findOrCreateCounts(service);
+    const vms = Math.max(1, countVms());
+    const allowed = USED_FRACTION * (bounds.retryRatio * sum(requests) + bounds.retryExtra / vms);
+    return { allowed, requests: sum(requests), retries: sum(retries), vms };
+  };
+
   return {
+    listUse: () =>
+      new Map([...countsByService.keys()].map((service) => [service, readUse(service)])),
     recordRequest: (service) => {
       const index = advanceWindow();
       const { requests } = findOrCreateCounts(service);
@@ -97,16 +112,18 @@
       // The oldest count goes: those that stay must not leave the window before what they count.
       const oldestFirst = retries.map((_, age) => (index + 1 + age) % WINDOW_BUCKETS);
       const found = oldestFirst.find((bucket) => (retries[bucket] ?? 0) > 0);
-      if (found !== undefined) retries[found] = (retries[found] ?? 0) - 1;
+      if (found === undefined) return;
+      retries[found] = (retries[found] ?? 0) - 1;
+      meter.recordRetry(service, 'released');
     },
     acquireRetry: (service, { minimum = 0, share = 1 } = {}) => {
       const index = advanceWindow();
-      const { requests, retries } = findOrCreateCounts(service);
-      const extra = bounds.retryExtra / Math.max(1, countVms());
-      const allowed = USED_FRACTION * (bounds.retryRatio * sum(requests) + extra);
-      const usable = Math.max(allowed * share, Math.min(allowed, minimum));
-      if (sum(retries) + 1 > usable) return false;
+      const { retries } = findOrCreateCounts(service);
+      const use = readUse(service);
+      const usable = Math.max(use.allowed * share, Math.min(use.allowed, minimum));
+      if (use.retries + 1 > usable) return false;
       retries[index] = (retries[index] ?? 0) + 1;
+      meter.recordRetry(service, 'acquired');
       return true;
     },
   };
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { createFakeClock } from '../../../../standins/fakes';
+import { createFakeClock, NO_RETRY_METER } from '../../../../standins/fakes';
 import { createRetryBudget } from '.';
 
 const BOUNDS = { retryRatio: 0.5, retryWindowMs: 10_000, retryExtra: 10 };
@@ -12,7 +12,12 @@
 
 test('retries are bounded by a fraction of recent requests and a share of the extra retries', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 2 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 2,
+    meter: NO_RETRY_METER,
+  });
   for (let index = 0; index < 20; index += 1) budget.recordRequest('s');
   // 0.9 of 0.5 x 20 + 10 / 2.
   t.is(
@@ -29,13 +34,23 @@
 // of the extra retries for itself.
 test('the extra retries are shared among the known VMs', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 10 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 10,
+    meter: NO_RETRY_METER,
+  });
   t.false(budget.acquireRetry('s'));
 });
 
 test('old requests and retries leave the sliding window', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 1,
+    meter: NO_RETRY_METER,
+  });
   t.is(
     acquireAll(() => budget.acquireRetry('s')),
     9,
@@ -53,7 +68,12 @@
 // at once, the last ones got no retry after they had been stopped, and stalled for seconds.
 test('a caller may be limited to a share of the budget, and an unused retry can be released', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 1,
+    meter: NO_RETRY_METER,
+  });
   t.is(
     acquireAll(() => budget.acquireRetry('s', { share: 0.5 })),
     4,
@@ -70,7 +90,12 @@
 // earlier bucket, which then counted as less than none.
 test('retries that are given back late leave no more than the bound to the next window', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 1,
+    meter: NO_RETRY_METER,
+  });
   const acquire = (): boolean => budget.acquireRetry('s');
   clock.advance(900);
   const unsent = acquireAll(acquire);
@@ -83,7 +108,12 @@
 
 test('a retry that left the window, or was borrowed, gives nothing back', (t) => {
   const clock = createFakeClock();
-  const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+  const budget = createRetryBudget({
+    bounds: BOUNDS,
+    clock,
+    countVms: () => 1,
+    meter: NO_RETRY_METER,
+  });
   budget.acquireRetry('s');
   clock.advance(11_000);
   budget.releaseRetry('s');
@@ -99,7 +129,12 @@
   const phases = Array.from({ length: 10 }, (_, index) => 50 + index * 100);
   const worst = phases.map((phaseMs) => {
     const clock = createFakeClock();
-    const budget = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => 1 });
+    const budget = createRetryBudget({
+      bounds: BOUNDS,
+      clock,
+      countVms: () => 1,
+      meter: NO_RETRY_METER,
+    });
     clock.advance(phaseMs);
     const first = acquireAll(() => budget.acquireRetry('s'));
     clock.advance(BOUNDS.retryWindowMs - 100);
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -1,10 +1,12 @@
 import type { EventLog } from '../../ports';
 import type { RetryBudget } from '../createRetryBudget';
+import type { RetryMeter } from '../types';
 
 /** Dependencies of the retry lender. */
 export interface RetryLenderDependencies {
   readonly retries: RetryBudget;
   readonly log: EventLog;
+  readonly meter: RetryMeter;
   /** Picks the addresses of some other VMs at random. */
   readonly pickPeers: (count: number) => readonly string[];
   /**
@@ -46,6 +48,7 @@
   askPeer,
   pickPeers,
   log,
+  meter,
   retries,
 }: RetryLenderDependencies): RetryLender => ({
   acquireRetry: async (service) => {
@@ -55,12 +58,20 @@
       asked += 1;
       if (await askPeer(address, service)) {
         log.info('repeat borrowed', { service, peer: address, asked });
+        meter.recordRetry(service, 'borrowed');
         return true;
       }
     }
-    log.info('no repeat left', { service, asked });
+    log.info('no repeat left', { service, asked, ...retries.listUse().get(service) });
+    meter.recordRetry(service, 'refused');
     return false;
   },
-  lendRetry: (service) =>
-    retries.acquireRetry(service, { share: LENT_FRACTION, minimum: MIN_LENT_RETRIES }),
+  lendRetry: (service) => {
+    const isLent = retries.acquireRetry(service, {
+      share: LENT_FRACTION,
+      minimum: MIN_LENT_RETRIES,
+    });
+    if (isLent) meter.recordRetry(service, 'lent');
+    return isLent;
+  },
 });
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -1,5 +1,10 @@
 import test from 'ava';
-import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../../../standins/fakes';
+import {
+  createFakeClock,
+  createSeededRandomness,
+  NO_RETRY_METER,
+  QUIET_LOG,
+} from '../../../../standins/fakes';
 import { createRetryBudget } from '../createRetryBudget';
 import { createRetryLender, type RetryLender } from '.';
 
@@ -12,12 +17,18 @@
   const lenders = new Map<string, RetryLender>();
   const names = Array.from({ length: count }, (_, index) => `vm-${index}`);
   names.forEach((vm) => {
-    const retries = createRetryBudget({ bounds: BOUNDS, clock, countVms: () => count });
+    const retries = createRetryBudget({
+      bounds: BOUNDS,
+      clock,
+      countVms: () => count,
+      meter: NO_RETRY_METER,
+    });
     for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s');
     const others = names.filter((name) => name !== vm);
     const lender = createRetryLender({
       retries,
       log: QUIET_LOG,
+      meter: NO_RETRY_METER,
       pickPeers: (wanted) =>
         Array.from(
           { length: wanted },
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -17,5 +17,7 @@
   ForwardingMeter,
   Refusal,
   RefusalKind,
+  RetryMeter,
+  RetryUse,
   ServerDirectory,
 } from './types';
--- /dev/null
+++ b/src/application/forwarding/types/RetryUse.ts
@@ -0,0 +1,10 @@
+/** What a VM has used of the retries of a service in the present window. */
+export interface RetryUse {
+  /** Retries that the VM may use, lent ones included. */
+  readonly allowed: number;
+  readonly requests: number;
+  /** Retries that were acquired or lent, and not released. */
+  readonly retries: number;
+  /** Number of VMs that the bound is taken to be shared by. */
+  readonly vms: number;
+}
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -7,3 +7,5 @@
 export type { RequestStep, StepTracker } from './StepTracker';
 export type { ServerDirectory } from './ServerDirectory';
 export type { SuspicionCause } from './SuspicionCause';
+export type { RetryEvent, RetryMeter } from './RetryMeter';
+export type { RetryUse } from './RetryUse';
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -34,8 +34,8 @@
   const clock = overrides.clock ?? createSystemClock();
   const randomness = overrides.randomness ?? createSystemRandomness();
   const log = overrides.log ?? createSilentLog();
-  const common = { clock, log, randomness };
   const metrics = createGatewayMetrics();
+  const common = { clock, log, meter: metrics, randomness };
   const store = overrides.store ?? createStoreClient(settings.storeUrl, { clock });
   let readTableAgeMs = (): number => Infinity;
   const { claimMs } = computeStoreTimes(settings.bounds);
@@ -179,7 +179,6 @@
       buildSchedulingFactories({
         ...common,
         directory,
-        meter: metrics,
         paces: serverPaces,
         readReport: client.readReport,
       }),
@@ -208,7 +207,6 @@
     loopDelay,
     paths,
     permits,
-    meter: metrics,
     retries,
     rollouts,
     tables,
@@ -227,6 +225,7 @@
     gossip,
     sharing,
     lender,
+    retries,
     ...owners,
     gate,
     loopDelay,
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -4,6 +4,7 @@
   createRetryLender,
   type RetryBudget,
   type RetryLender,
+  type RetryMeter,
 } from '../../../../application/forwarding';
 import type { Gossip } from '../../../../application/gossip';
 import type { Clock, EventLog } from '../../../../application/ports';
@@ -16,6 +17,7 @@
   readonly clock: Clock;
   readonly gossip: Pick<Gossip, 'countVms' | 'drawAddresses'>;
   readonly log: EventLog;
+  readonly meter: RetryMeter;
 }
 
 /** Parts that enforce the retry budget. */
@@ -31,11 +33,13 @@
   clock,
   gossip,
   log,
+  meter,
 }: RetryPartsDependencies): RetryParts => {
-  const retries = createRetryBudget({ bounds, clock, countVms: () => gossip.countVms() });
+  const retries = createRetryBudget({ bounds, clock, countVms: () => gossip.countVms(), meter });
   const lender = createRetryLender({
     retries,
     log,
+    meter,
     pickPeers: gossip.drawAddresses,
     askPeer: calls.borrowRetry,
   });
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -134,6 +134,7 @@
     countWaitingStreams: scheduling.client.countWaiting,
     countSchedulerWaitingStreams: scheduling.registry.countWaiting,
     listFleetLoads: parts.fleetLoad.listLoads,
+    listRetryUse: parts.retries.listUse,
     countScheduledServices: () => scheduling.registry.listServices().length,
   });
   followers.configuration.start();
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -4,6 +4,7 @@
 import type {
   Forwarder,
   PromptReservations,
+  RetryBudget,
   RetryLender,
   RouteTableHolder,
   ServerDirectory,
@@ -31,6 +32,7 @@
   readonly gossip: Gossip;
   readonly sharing: ZoneReplication;
   readonly lender: RetryLender;
+  readonly retries: Pick<RetryBudget, 'listUse'>;
   readonly limitOwner: LimitOwner;
   readonly roomOwner: RoomOwner;
   readonly gate: ConnectionGate;
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -14,7 +14,7 @@
 import type { SchedulerClient } from '../../../src/application/scheduling';
 import { createRolloutRegistry } from '../../../src/application/rollouts';
 import { RouteKind, type RouteTable } from '../../../src/domain/forwarding';
-import { createInactiveScheduler, QUIET_LOG } from '../../fakes';
+import { createInactiveScheduler, NO_RETRY_METER, QUIET_LOG } from '../../fakes';
 import { SIMULATED_SERVICE, SIMULATED_ZONE_COUNT } from '../createSimulatedDirectory';
 
 /** One of the simulated gateways, and what it shares with the others. */
@@ -95,6 +95,7 @@
     bounds: { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 },
     clock,
     countVms: () => vms,
+    meter: NO_RETRY_METER,
   });
   return createForwarder({
     availabilityZone: `z${index % SIMULATED_ZONE_COUNT}`,
@@ -143,6 +144,7 @@
     lender: createRetryLender({
       retries,
       log: QUIET_LOG,
+      meter: NO_RETRY_METER,
       pickPeers: () => [],
       askPeer: async () => false,
     }),
