Keep the bound of retries in every window, not only in whole buckets

What callers saw: nothing; servers got up to twice the retries that a VM may send in a window, and the fixed part twice.

Cause: a bucket of a tenth of the window was cleared as a whole, so that what was taken at its end was free again nine tenths of a window later. Using 0.9 of the bound can't pay for that. And the requests were those of the VM's last window, while the rule counts the requests of all VMs in one window: VMs whose callers moved counted them in different ones.

Change: each retry is checked against every window that it can fall into, in buckets of a hundredth with parts counted as whole. The bound of a window rests on the mean of its own requests and of those half a window before, which is never more than the larger of both, so that the sums of all VMs keep the bound without any knowledge of each other.

With a steady load a VM may retry 0.755 of its requests of 0.8 allowed (0.72 before); in the first seconds it takes requests it has half of that.

Tests: the first test of the budget counted requests at the very moment at which they came; they count a moment later and by half at first, so that its figure is 9 in place of 13, from the formula.

--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -1,3 +1,5 @@
+import { sum } from 'simple-statistics';
+import { isRetryAllowed, WINDOW_BUCKETS, type RetryHistory } from '../../../domain/retry';
 import type { Clock } from '../../ports';
 import type { RetryMeter, RetryUse } from '../types';
 
@@ -37,23 +39,21 @@
   listUse(): ReadonlyMap<string, RetryUse>;
 }
 
-/** Number of buckets in the sliding window. */
-const WINDOW_BUCKETS = 10;
-
 /**
- * Fraction of the bounds that is used. VMs know of each other with a delay, and a request counted
- * here at the end of a window may arrive in the next one.
+ * Fraction of the fixed part that is used. A retry that was sent before its VM ended may arrive after
+ * another VM took over its share.
  */
-const USED_FRACTION = 0.9;
+const USED_FRACTION = 0.95;
+
+/** Buckets for which counts are kept: one window and a half, and the parts at both ends. */
+const KEPT_BUCKETS = 1.5 * WINDOW_BUCKETS + 2;
 
-/** Requests and retries of one service, by bucket of the window. */
+/** Requests and retries of one service, by bucket. */
 interface BucketCounts {
   readonly requests: number[];
   readonly retries: number[];
 }
 
-const sum = (values: readonly number[]): number => values.reduce((total, one) => total + one, 0);
-
 /** Creates the retry budget of this VM: its share of the bounds of all VMs, in a sliding window. */
 export const createRetryBudget = ({
   bounds,
@@ -63,39 +63,60 @@
 }: RetryBudgetDependencies): RetryBudget => {
   const bucketMs = bounds.retryWindowMs / WINDOW_BUCKETS;
   const countsByService = new Map<string, BucketCounts>();
-  let newestBucket = Math.floor(clock.readMonotonicMs() / bucketMs);
+  const readBucket = (): number => Math.floor(clock.readMonotonicMs() / bucketMs);
+  let newestBucket = readBucket();
 
   const advanceWindow = (): number => {
-    const currentBucket = Math.floor(clock.readMonotonicMs() / bucketMs);
-    const passedBuckets = Math.min(WINDOW_BUCKETS, currentBucket - newestBucket);
+    const currentBucket = readBucket();
+    const passedBuckets = Math.min(KEPT_BUCKETS, currentBucket - newestBucket);
     for (let index = 1; index <= passedBuckets; index += 1) {
-      const clearedIndex = (currentBucket - passedBuckets + index) % WINDOW_BUCKETS;
+      const clearedIndex = (currentBucket - passedBuckets + index) % KEPT_BUCKETS;
       countsByService.forEach(({ requests, retries }) => {
         requests.fill(0, clearedIndex, clearedIndex + 1);
         retries.fill(0, clearedIndex, clearedIndex + 1);
       });
     }
     newestBucket = currentBucket;
-    return currentBucket % WINDOW_BUCKETS;
+    return currentBucket % KEPT_BUCKETS;
   };
 
   const findOrCreateCounts = (service: string): BucketCounts => {
     const known = countsByService.get(service);
     if (known) return known;
     const counts = {
-      requests: new Array<number>(WINDOW_BUCKETS).fill(0),
-      retries: new Array<number>(WINDOW_BUCKETS).fill(0),
+      requests: new Array<number>(KEPT_BUCKETS).fill(0),
+      retries: new Array<number>(KEPT_BUCKETS).fill(0),
     };
     countsByService.set(service, counts);
     return counts;
   };
 
-  const readUse = (service: string): RetryUse => {
-    advanceWindow();
+  /** Lists counts from the present bucket back. */
+  const listNewestFirst = (counts: readonly number[], index: number): readonly number[] =>
+    counts.map((_, age) => counts[(index + KEPT_BUCKETS - age) % KEPT_BUCKETS] ?? 0);
+
+  const readHistory = (service: string): RetryHistory => {
+    const index = advanceWindow();
     const { requests, retries } = findOrCreateCounts(service);
-    const vms = Math.max(1, countVms());
-    const allowed = USED_FRACTION * (bounds.retryRatio * sum(requests) + bounds.retryExtra / vms);
-    return { allowed, requests: sum(requests), retries: sum(retries), vms };
+    return {
+      requests: listNewestFirst(requests, index),
+      retries: listNewestFirst(retries, index).slice(0, WINDOW_BUCKETS + 1),
+      open: 0,
+    };
+  };
+
+  const readVms = (): number => Math.max(1, countVms());
+  const computeExtra = (): number => (USED_FRACTION * bounds.retryExtra) / readVms();
+
+  const readUse = (service: string): RetryUse => {
+    const history = readHistory(service);
+    const requests = sum(history.requests.slice(0, WINDOW_BUCKETS));
+    return {
+      allowed: bounds.retryRatio * requests + computeExtra(),
+      requests,
+      retries: sum(history.retries) + history.open,
+      vms: readVms(),
+    };
   };
 
   return {
@@ -110,18 +131,17 @@
       const index = advanceWindow();
       const { retries } = findOrCreateCounts(service);
       // The oldest count goes: those that stay must not leave the window before what they count.
-      const oldestFirst = retries.map((_, age) => (index + 1 + age) % WINDOW_BUCKETS);
+      const oldestFirst = retries.map((_, age) => (index + 1 + age) % KEPT_BUCKETS);
       const found = oldestFirst.find((bucket) => (retries[bucket] ?? 0) > 0);
       if (found === undefined) return;
       retries[found] = (retries[found] ?? 0) - 1;
       meter.recordRetry(service, 'released');
     },
-    acquireRetry: (service, { minimum = 0, share = 1 } = {}) => {
+    acquireRetry: (service, options) => {
+      const allowance = { ...options, ratio: bounds.retryRatio, extra: computeExtra() };
+      if (!isRetryAllowed(readHistory(service), allowance)) return false;
       const index = advanceWindow();
       const { retries } = findOrCreateCounts(service);
-      const use = readUse(service);
-      const usable = Math.max(use.allowed * share, Math.min(use.allowed, minimum));
-      if (use.retries + 1 > usable) return false;
       retries[index] = (retries[index] ?? 0) + 1;
       meter.recordRetry(service, 'acquired');
       return true;
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -19,10 +19,11 @@
     meter: NO_RETRY_METER,
   });
   for (let index = 0; index < 20; index += 1) budget.recordRequest('s');
-  // 0.9 of 0.5 x 20 + 10 / 2.
+  clock.advance(1000);
+  // Half of 0.5 x 20, as the requests may be counted in another window, and 0.95 of 10 / 2.
   t.is(
     acquireAll(() => budget.acquireRetry('s')),
-    13,
+    9,
   );
   t.is(
     acquireAll(() => budget.acquireRetry('other')),
@@ -57,7 +58,7 @@
   );
   clock.advance(9000);
   t.false(budget.acquireRetry('s'));
-  clock.advance(2000);
+  clock.advance(1200);
   t.is(
     acquireAll(() => budget.acquireRetry('s')),
     9,
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -38,6 +38,8 @@
     });
     lenders.set(vm, lender);
   });
+  // Requests count a moment after they came.
+  clock.advance(1000);
   return { names, lenders };
 };
 
--- a/src/domain/retry/index.ts
+++ b/src/domain/retry/index.ts
@@ -1,6 +1,8 @@
 export { checkBreaker } from './checkBreaker';
 export type { AllowedCall, BreakerRefusal } from './checkBreaker';
 export { computeBackoffMs } from './computeBackoffMs';
+export { isRetryAllowed, WINDOW_BUCKETS } from './isRetryAllowed';
+export type { RetryAllowance } from './isRetryAllowed';
 export * from './types';
 export { updateBreaker } from './updateBreaker';
 export type { CallResult } from './updateBreaker';
