Let each retry be released by itself, and count it until it has arrived

What callers saw: nothing; servers got more repeats than allowed.

Cause: a retry was given back by the name of its service, so that the oldest count went, whichever attempt had not been sent. A retry borrowed from another VM that was given back freed one of the VM's own whose attempt had arrived; an attempt given back twice freed two. And a retry counted from the moment at which it was taken: attempts behind a silent server or link arrive seconds later, together with those of a later window.

Change: acquiring gives a handle with 'release' and 'finish'. A retry counts while it is open and until a window after it was finished; a lent one counts as arrived after a second. Streams that end release the retry that was reserved for their next attempt, and so do attempts that are not sent as the number of servers is used up: both stayed counted.

Tests: 'a retry that is released frees none that was finished', 'counts until a window after its attempt arrived', 'a borrowed retry that is released frees none of the own ones'. The two tests of giving back by service are replaced by these, as there is no such call any more.

--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -81,7 +81,7 @@
       copy: null,
       prefillAttempts: 0,
       arrivedAttempts: 0,
-      hasReservedRetry: false,
+      reservedRetry: null,
       isTrial: false,
       lastEventAtMs: null,
       longestPauseMs: 0,
@@ -96,6 +96,7 @@
       cancelListener();
       [...run.attempts.keys()].forEach((attempt) => closeStreamAttempt(run, attempt));
       run.copy?.release();
+      run.reservedRetry?.release();
       if (outcome === 'answered' && firstEventMs !== null) {
         const tookMs = clock.readMonotonicMs() - request.arrivedAtMs;
         paces.recordRunDuration(context.service, tookMs - firstEventMs);
--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -77,7 +77,8 @@
   // If memory is scarce, a copy would evict another run, whose prompt must then be processed again.
   if (!holder || !report || !hasMemoryForCopy(report, countNeededKvTokens(request))) return false;
   // Acquired before the run is stopped: without a retry the stopped run would stall.
-  if (!retries.acquireRetry(run.context.service, { share: MIGRATION_RETRY_FRACTION })) return false;
+  const retry = retries.acquireRetry(run.context.service, { share: MIGRATION_RETRY_FRACTION });
+  if (!retry) return false;
   const lostHolder = run.copy?.holders[0] ?? '';
   const startedAtMs = clock.readMonotonicMs();
   let stoppedAtMs = Infinity;
@@ -103,7 +104,7 @@
   const firstCopy = await client.copyRun(attempt.server, request.requestId, holder, {
     stops: false,
   });
-  if (firstCopy.isErr() || !isCurrent()) retries.releaseRetry(run.context.service);
+  if (firstCopy.isErr() || !isCurrent()) retry.release();
   if (firstCopy.isErr()) {
     logOutcome(firstCopy.error.reason);
     return false;
@@ -116,13 +117,14 @@
   stoppedAtMs = clock.readMonotonicMs();
   const finalCopy = await copyRemainder(run, attempt, holder, firstCopy.value);
   if (!isCurrent()) {
+    retry.release();
     logOutcome('attempt replaced');
     return true;
   }
   const copy = finalCopy.isOk() ? finalCopy.value : finalCopy.error.kept;
   logOutcome(finalCopy.isOk() ? 'moved' : finalCopy.error.reason);
   if (!copy) {
-    retries.releaseRetry(run.context.service);
+    retry.release();
     return false;
   }
   run.copy?.release();
@@ -131,7 +133,7 @@
     ? [holder.id, attempt.server.id]
     : [attempt.server.id];
   Object.assign(run, {
-    hasReservedRetry: true,
+    reservedRetry: retry,
     copy: {
       ...copy,
       holders,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -123,9 +123,9 @@
 const sendStreamAttempt = async (
   run: StreamRun,
   reader: ReaderId,
-  { isRepeat, permit, placement }: PreparedAttempt,
+  { permit, placement, retry }: PreparedAttempt,
 ): Promise<void> => {
-  const { client, clock, directory, retries } = run.dependencies;
+  const { client, clock, directory } = run.dependencies;
   const { context } = run;
   const { backup, copy, server } = placement;
   const attempt = buildAttempt(run, placement, reader);
@@ -173,7 +173,10 @@
     attempt.abort.signal,
   );
   const hasArrived = sent.isOk() || sent.error.kind !== 'not-started';
-  if (hasArrived) Object.assign(run, { arrivedAttempts: run.arrivedAttempts + 1 });
+  if (hasArrived) {
+    retry?.finish();
+    Object.assign(run, { arrivedAttempts: run.arrivedAttempts + 1 });
+  } else retry?.release();
   const isCurrent = run.attempts.get(reader.attempt) === attempt;
   if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
   if (sent.isErr()) {
@@ -199,7 +202,6 @@
       cancelGrant(attempt);
       releaseCopy(run, copy, server.id);
       permit.release();
-      if (isRepeat) retries.releaseRetry(context.service);
     }
     return run.dispatch(
       isRefused ? { kind: 'not-started', reader, refused: true } : { kind: 'broken', reader },
@@ -243,5 +245,6 @@
     await sendStreamAttempt(run, opening.reader, prepared);
   } finally {
     prepared.permit.finish({ isRejected: false });
+    prepared.retry?.finish();
   }
 };
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -2,7 +2,7 @@
 import { computeRoomWaitMs } from '../../../../domain/limits';
 import { RefusalCode } from '../../../../domain/types';
 import type { ServerPermit } from '../../../limits';
-import type { Refusal, StreamRun, StreamPlacement } from '../../types';
+import type { Refusal, Retry, StreamRun, StreamPlacement } from '../../types';
 import { checkStreamStart } from '../checkStreamStart';
 import { chooseStreamPlacement } from '../chooseStreamPlacement';
 import { findCopyHolder } from '../findCopyHolder';
@@ -19,8 +19,8 @@
 export interface PreparedAttempt {
   readonly placement: StreamPlacement;
   readonly permit: ServerPermit;
-  /** True if the attempt uses one of the service's retries. */
-  readonly isRepeat: boolean;
+  /** Null if the attempt is the first one to reach a server. */
+  readonly retry: Retry | null;
 }
 
 /**
@@ -119,10 +119,11 @@
   placement.grant?.cancel();
 };
 
-/** Gives back the retry of an attempt, also one that was reserved: the next attempt needs another. */
-const releaseRetry = (run: StreamRun): void => {
-  Object.assign(run, { hasReservedRetry: false });
-  run.dependencies.retries.releaseRetry(run.context.service);
+/** Takes the retry that was reserved for the next attempt, or another one; null if none is left. */
+const acquireRetry = async (run: StreamRun): Promise<Retry | null> => {
+  const { reservedRetry } = run;
+  Object.assign(run, { reservedRetry: null });
+  return reservedRetry ?? run.dependencies.lender.acquireRetry(run.context.service);
 };
 
 /** Refuses a stream as the scheduler decided; one that reached a server before asks again later. */
@@ -153,7 +154,6 @@
   opening: OpenAttemptEffect,
 ): Promise<PreparedAttempt | null> => {
   const { excludedServers, reader } = opening;
-  const { lender } = run.dependencies;
   const { context } = run;
   // Each trial is one attempt.
   Object.assign(run, { isTrial: false });
@@ -186,7 +186,8 @@
   }
   const isRepeat = run.arrivedAttempts > 0;
   if (isRepeat) context.steps.enterStep('retry');
-  if (isRepeat && !run.hasReservedRetry && !(await lender.acquireRetry(context.service))) {
+  const retry = isRepeat ? await acquireRetry(run) : null;
+  if (isRepeat && !retry) {
     releaseUnsent(chosen);
     refuse(run, reader, 'no retry left');
     return null;
@@ -194,23 +195,23 @@
   const decision = isStillNeeded() ? await refuseUnlessTrial(run) : 'refused';
   if (decision !== 'send' || !isStillNeeded()) {
     releaseUnsent(chosen);
-    if (isRepeat) releaseRetry(run);
+    retry?.release();
     if (decision === 'wait') refuse(run, reader, HELD_REASON, HELD_RETRY_MS);
     return null;
   }
   // The server may have announced meanwhile that it leaves.
   if (!run.dependencies.directory.findServing(placement.server.id)) {
     releaseUnsent(chosen);
-    if (isRepeat) releaseRetry(run);
+    retry?.release();
     return prepareStreamAttempt(run, opening);
   }
-  Object.assign(run, { hasReservedRetry: false });
-  if (placement.copy) return { placement, permit, isRepeat };
+  if (placement.copy) return { placement, permit, retry };
   if (run.prefillAttempts >= context.route.maxAttempts) {
     releaseUnsent(chosen);
+    retry?.release();
     refuse(run, reader, 'the request was sent to the maximum number of servers');
     return null;
   }
   Object.assign(run, { prefillAttempts: run.prefillAttempts + 1 });
-  return { placement, permit, isRepeat };
+  return { placement, permit, retry };
 };
--- a/src/application/forwarding/_lib/prepareStreamAttempt/test.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { createStreamFixture } from '../../../../../standins/model';
 import { createLatencyHistory } from '../../../_lib/createLatencyHistory';
-import type { StreamRun } from '../../types';
+import type { Retry, StreamRun } from '../../types';
 import { prepareStreamAttempt } from '.';
 
 const OPENING = {
@@ -15,16 +15,17 @@
 const build = () => {
   const { context, dependencies } = createStreamFixture({ hasEngine: false });
   const state = { acquired: 1, isHeld: false };
+  const retry: Retry = {
+    finish: () => undefined,
+    release: () => {
+      state.acquired -= 1;
+    },
+  };
   Object.assign(dependencies, {
     lender: {
       acquireRetry: async () => {
         state.acquired += 1;
-        return true;
-      },
-    },
-    retries: {
-      releaseRetry: () => {
-        state.acquired -= 1;
+        return retry;
       },
     },
     crashTrials: { acquireTrial: async () => false },
@@ -40,7 +41,7 @@
     dispatch: () => undefined,
     arrivedAttempts: 1,
     prefillAttempts: 1,
-    hasReservedRetry: true,
+    reservedRetry: retry,
     isTrial: false,
   } as unknown as StreamRun;
   return { run, state };
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -65,8 +65,7 @@
   context: ForwardContext,
   call: CallRun,
 ): Promise<string> => {
-  const { clock, directory, fleetLoad, lender, permits, randomness, retries, serverPaces } =
-    dependencies;
+  const { clock, directory, fleetLoad, lender, permits, randomness, serverPaces } = dependencies;
   const { deadlineAtMs, reply, route, servers, service, steps } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -124,7 +123,8 @@
     }
     const isRepeat = arrivedAttempts > 0;
     if (isRepeat) steps.enterStep('retry');
-    if (isRepeat && !(await lender.acquireRetry(service))) {
+    const retry = isRepeat ? await lender.acquireRetry(service) : null;
+    if (isRepeat && !retry) {
       permit.release();
       lastReason = `no retry left after: ${lastReason}`;
       break;
@@ -138,7 +138,7 @@
     const isServing = directory.findServing(status.entry.id) !== null;
     if (!isGranted || !isServing || call.ended.aborted) {
       permit.release();
-      if (isRepeat) retries.releaseRetry(service);
+      retry?.release();
       if (isStillNeeded && !isGranted) break;
       continue;
     }
@@ -173,6 +173,12 @@
       attemptMs,
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
+    const hasArrived = result.kind !== 'not-run' || result.hasArrived;
+    if (hasArrived) retry?.finish();
+    else {
+      permit.release();
+      retry?.release();
+    }
     if (result.kind !== 'not-run') {
       const evidence = crashes.recordEnd(status.entry, result.end);
       logAttemptEnd(dependencies, context, status.entry, result.end, evidence);
@@ -183,11 +189,7 @@
       const isFailure = result.kind === 'failed';
       servers.recordOutcome(status.entry, { isFailure, duration: isFailure ? null : tookMs });
     }
-    if (result.kind !== 'not-run' || result.hasArrived) arrivedAttempts += 1;
-    else {
-      permit.release();
-      if (isRepeat) retries.releaseRetry(service);
-    }
+    if (hasArrived) arrivedAttempts += 1;
     if (call.ended.aborted) return 'ended';
     Object.assign(call, { hasArrived: result.kind !== 'not-run' || startedAttempts > 0 });
     if (result.kind === 'answered') {
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -1,7 +1,7 @@
 import { sum } from 'simple-statistics';
 import { isRetryAllowed, WINDOW_BUCKETS, type RetryHistory } from '../../../domain/retry';
 import type { Clock } from '../../ports';
-import type { RetryMeter, RetryUse } from '../types';
+import type { Retry, RetryMeter, RetryUse } from '../types';
 
 /** Bounds of the retries of all VMs together. */
 export interface RetryBudgetBounds {
@@ -23,7 +23,8 @@
 export interface RetryBudget {
   recordRequest(service: string): void;
   /**
-   * Takes one retry if the budget allows it.
+   * Takes one retry; null if the budget does not allow it. It counts until a window after it was
+   * finished: an attempt may wait behind a silent server or link and arrive with later ones.
    *
    * @param options.share - fraction of the budget that may be used, 0 to 1; 1 by default
    * @param options.minimum - number of retries that may be used whatever the share, within the
@@ -32,9 +33,7 @@
   acquireRetry(
     service: string,
     options?: { readonly share?: number; readonly minimum?: number },
-  ): boolean;
-  /** Returns a retry that did not reach a server. */
-  releaseRetry(service: string): void;
+  ): Retry | null;
   /** Lists what this VM has used in the present window, and what it may use, by service. */
   listUse(): ReadonlyMap<string, RetryUse>;
 }
@@ -52,6 +51,8 @@
 interface BucketCounts {
   readonly requests: number[];
   readonly retries: number[];
+  /** Retries that are neither finished nor released. */
+  open: number;
 }
 
 /** Creates the retry budget of this VM: its share of the bounds of all VMs, in a sliding window. */
@@ -86,6 +87,7 @@
     const counts = {
       requests: new Array<number>(KEPT_BUCKETS).fill(0),
       retries: new Array<number>(KEPT_BUCKETS).fill(0),
+      open: 0,
     };
     countsByService.set(service, counts);
     return counts;
@@ -97,11 +99,11 @@
 
   const readHistory = (service: string): RetryHistory => {
     const index = advanceWindow();
-    const { requests, retries } = findOrCreateCounts(service);
+    const { open, requests, retries } = findOrCreateCounts(service);
     return {
       requests: listNewestFirst(requests, index),
       retries: listNewestFirst(retries, index).slice(0, WINDOW_BUCKETS + 1),
-      open: 0,
+      open,
     };
   };
 
@@ -119,6 +121,28 @@
     };
   };
 
+  const openRetry = (service: string): Retry => {
+    const counts = findOrCreateCounts(service);
+    let isOpen = true;
+    const close = (): boolean => {
+      const wasOpen = isOpen;
+      if (wasOpen) counts.open -= 1;
+      isOpen = false;
+      return wasOpen;
+    };
+    counts.open += 1;
+    return {
+      release: () => {
+        if (close()) meter.recordRetry(service, 'released');
+      },
+      finish: () => {
+        if (!close()) return;
+        const index = advanceWindow();
+        counts.retries[index] = (counts.retries[index] ?? 0) + 1;
+      },
+    };
+  };
+
   return {
     listUse: () =>
       new Map([...countsByService.keys()].map((service) => [service, readUse(service)])),
@@ -127,24 +151,11 @@
       const { requests } = findOrCreateCounts(service);
       requests[index] = (requests[index] ?? 0) + 1;
     },
-    releaseRetry: (service) => {
-      const index = advanceWindow();
-      const { retries } = findOrCreateCounts(service);
-      // The oldest count goes: those that stay must not leave the window before what they count.
-      const oldestFirst = retries.map((_, age) => (index + 1 + age) % KEPT_BUCKETS);
-      const found = oldestFirst.find((bucket) => (retries[bucket] ?? 0) > 0);
-      if (found === undefined) return;
-      retries[found] = (retries[found] ?? 0) - 1;
-      meter.recordRetry(service, 'released');
-    },
     acquireRetry: (service, options) => {
       const allowance = { ...options, ratio: bounds.retryRatio, extra: computeExtra() };
-      if (!isRetryAllowed(readHistory(service), allowance)) return false;
-      const index = advanceWindow();
-      const { retries } = findOrCreateCounts(service);
-      retries[index] = (retries[index] ?? 0) + 1;
+      if (!isRetryAllowed(readHistory(service), allowance)) return null;
       meter.recordRetry(service, 'acquired');
-      return true;
+      return openRetry(service);
     },
   };
 };
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -1,12 +1,17 @@
 import test from 'ava';
 import { createFakeClock, NO_RETRY_METER } from '../../../../standins/fakes';
+import type { Retry } from '../types';
 import { createRetryBudget } from '.';
 
 const BOUNDS = { retryRatio: 0.5, retryWindowMs: 10_000, retryExtra: 10 };
 
-const acquireAll = (acquire: () => boolean): number => {
+/** Acquires retries until there are no more, and finishes them. */
+const acquireAll = (acquire: () => Retry | null): number => {
   let count = 0;
-  while (acquire()) count += 1;
+  for (let retry = acquire(); retry; retry = acquire()) {
+    retry.finish();
+    count += 1;
+  }
   return count;
 };
 
@@ -41,7 +46,7 @@
     countVms: () => 10,
     meter: NO_RETRY_METER,
   });
-  t.false(budget.acquireRetry('s'));
+  t.is(budget.acquireRetry('s'), null);
 });
 
 test('old requests and retries leave the sliding window', (t) => {
@@ -57,7 +62,7 @@
     9,
   );
   clock.advance(9000);
-  t.false(budget.acquireRetry('s'));
+  t.is(budget.acquireRetry('s'), null);
   clock.advance(1200);
   t.is(
     acquireAll(() => budget.acquireRetry('s')),
@@ -83,13 +88,17 @@
     acquireAll(() => budget.acquireRetry('s')),
     5,
   );
-  budget.releaseRetry('s');
-  t.true(budget.acquireRetry('s'));
+  clock.advance(11_000);
+  acquireAll(() => budget.acquireRetry('s', { share: 0.85 }));
+  const unused = budget.acquireRetry('s');
+  t.is(budget.acquireRetry('s'), null);
+  unused?.release();
+  t.truthy(budget.acquireRetry('s'));
 });
 
-// Guards against repeats beyond the bound: attempts that found no server gave back retries of an
-// earlier bucket, which then counted as less than none.
-test('retries that are given back late leave no more than the bound to the next window', (t) => {
+// Guards against repeats beyond the bound: attempts that found no server gave back retries of
+// attempts that had arrived.
+test('a retry that is released frees none that was finished, and only once', (t) => {
   const clock = createFakeClock();
   const budget = createRetryBudget({
     bounds: BOUNDS,
@@ -97,17 +106,24 @@
     countVms: () => 1,
     meter: NO_RETRY_METER,
   });
-  const acquire = (): boolean => budget.acquireRetry('s');
+  const acquire = (): Retry | null => budget.acquireRetry('s');
+  const finished = acquire();
+  finished?.finish();
+  finished?.release();
+  const unsent = [acquire(), acquire(), acquire()];
   clock.advance(900);
-  const unsent = acquireAll(acquire);
-  clock.advance(120);
-  for (let index = 0; index < unsent; index += 1) budget.releaseRetry('s');
-  t.is(acquireAll(acquire), 9);
-  clock.advance(9000);
-  t.is(acquireAll(acquire), 0);
+  unsent.forEach((retry) => {
+    retry?.release();
+    retry?.release();
+  });
+  t.is(acquireAll(acquire), 8);
+  clock.advance(9300);
+  t.is(acquireAll(acquire), 1);
 });
 
-test('a retry that left the window, or was borrowed, gives nothing back', (t) => {
+// Guards against repeats that arrive together: attempts wait behind a silent server for seconds, and
+// their retries were free again before they arrived.
+test('a retry counts until a window after its attempt arrived', (t) => {
   const clock = createFakeClock();
   const budget = createRetryBudget({
     bounds: BOUNDS,
@@ -115,13 +131,15 @@
     countVms: () => 1,
     meter: NO_RETRY_METER,
   });
-  budget.acquireRetry('s');
-  clock.advance(11_000);
-  budget.releaseRetry('s');
-  t.is(
-    acquireAll(() => budget.acquireRetry('s')),
-    9,
-  );
+  const acquire = (): Retry | null => budget.acquireRetry('s');
+  const waiting = Array.from({ length: 9 }, acquire);
+  clock.advance(3 * BOUNDS.retryWindowMs);
+  t.is(acquire(), null);
+  waiting.forEach((retry) => retry?.finish());
+  clock.advance(BOUNDS.retryWindowMs);
+  t.is(acquire(), null);
+  clock.advance(200);
+  t.truthy(acquire());
 });
 
 // Guards against windows that are shorter than the bound's: retries taken late in a bucket were
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -1,9 +1,10 @@
-import type { EventLog } from '../../ports';
+import type { Clock, EventLog } from '../../ports';
 import type { RetryBudget } from '../createRetryBudget';
-import type { RetryMeter } from '../types';
+import type { Retry, RetryMeter } from '../types';
 
 /** Dependencies of the retry lender. */
 export interface RetryLenderDependencies {
+  readonly clock: Pick<Clock, 'startTimer'>;
   readonly retries: RetryBudget;
   readonly log: EventLog;
   readonly meter: RetryMeter;
@@ -17,8 +18,8 @@
 
 /** Borrows unused retries from other VMs, and lends retries to them. */
 export interface RetryLender {
-  /** Takes a retry from this VM's budget, or else borrows one from another VM. */
-  acquireRetry(service: string): Promise<boolean>;
+  /** Takes a retry from this VM's budget, or else borrows one from another VM; null if none is left. */
+  acquireRetry(service: string): Promise<Retry | null>;
   /** Lends a retry to another VM; returns false if this VM may need its remaining ones. */
   lendRetry(service: string): boolean;
 }
@@ -36,6 +37,15 @@
  */
 const MIN_LENT_RETRIES = 2;
 
+/**
+ * Time after which a lent retry has arrived at a server. Its VM does not say when, as it may not be
+ * reached by then.
+ */
+const LENT_ARRIVAL_MS = 1000;
+
+/** A retry of another VM, which counts it. */
+const BORROWED_RETRY: Retry = { release: () => undefined, finish: () => undefined };
+
 /**
  * Creates the retry lender of this VM.
  *
@@ -46,32 +56,36 @@
  */
 export const createRetryLender = ({
   askPeer,
+  clock,
   pickPeers,
   log,
   meter,
   retries,
 }: RetryLenderDependencies): RetryLender => ({
   acquireRetry: async (service) => {
-    if (retries.acquireRetry(service)) return true;
+    const own = retries.acquireRetry(service);
+    if (own) return own;
     let asked = 0;
     for (const address of pickPeers(MAX_ASKED_PEERS)) {
       asked += 1;
       if (await askPeer(address, service)) {
         log.info('repeat borrowed', { service, peer: address, asked });
         meter.recordRetry(service, 'borrowed');
-        return true;
+        return BORROWED_RETRY;
       }
     }
     log.info('no repeat left', { service, asked, ...retries.listUse().get(service) });
     meter.recordRetry(service, 'refused');
-    return false;
+    return null;
   },
   lendRetry: (service) => {
-    const isLent = retries.acquireRetry(service, {
+    const lent = retries.acquireRetry(service, {
       share: LENT_FRACTION,
       minimum: MIN_LENT_RETRIES,
     });
-    if (isLent) meter.recordRetry(service, 'lent');
-    return isLent;
+    if (!lent) return false;
+    clock.startTimer(LENT_ARRIVAL_MS, lent.finish);
+    meter.recordRetry(service, 'lent');
+    return true;
   },
 });
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -6,6 +6,7 @@
   QUIET_LOG,
 } from '../../../../standins/fakes';
 import { createRetryBudget } from '../createRetryBudget';
+import type { Retry } from '../types';
 import { createRetryLender, type RetryLender } from '.';
 
 const BOUNDS = { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 };
@@ -26,6 +27,7 @@
     for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s');
     const others = names.filter((name) => name !== vm);
     const lender = createRetryLender({
+      clock,
       retries,
       log: QUIET_LOG,
       meter: NO_RETRY_METER,
@@ -40,7 +42,7 @@
   });
   // Requests count a moment after they came.
   clock.advance(1000);
-  return { names, lenders };
+  return { clock, names, lenders };
 };
 
 const acquireAll = async (lender: RetryLender, wanted: number): Promise<number> => {
@@ -85,3 +87,21 @@
   t.true(sum <= BOUNDS.retryExtra + 195 * BOUNDS.retryRatio, `${sum}`);
   t.true(sum >= 150, `${sum}`);
 });
+
+// Guards against repeats beyond the bound: a borrowed retry that was given back freed one of this
+// VM's own, whose attempt had arrived.
+test('a borrowed retry that is released frees none of the own ones', async (t) => {
+  const { lenders } = setUp(2);
+  const lender = lenders.get('vm-0') as RetryLender;
+  const own = Math.floor((0.95 * BOUNDS.retryExtra) / 2);
+  const acquired: (Retry | null)[] = [];
+  for (let index = 0; index < own; index += 1) acquired.push(await lender.acquireRetry('s'));
+  acquired.forEach((retry) => retry?.finish());
+  let borrowed = 0;
+  for (let retry = await lender.acquireRetry('s'); retry; retry = await lender.acquireRetry('s')) {
+    retry.release();
+    borrowed += 1;
+  }
+  t.true(borrowed > 0);
+  t.true(borrowed <= own / 2);
+});
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -17,6 +17,7 @@
   ForwardingMeter,
   Refusal,
   RefusalKind,
+  Retry,
   RetryMeter,
   RetryUse,
   ServerDirectory,
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -11,6 +11,7 @@
 import type { Refusal } from './CallerReply';
 import type { ForwardContext } from './ForwardContext';
 import type { ForwardingDependencies } from './ForwardingDependencies';
+import type { Retry } from './Retry';
 import type { StreamGrant } from './StreamPlacement';
 
 /** A copy of the run's KV cache, and the servers that can continue from it. */
@@ -91,8 +92,8 @@
   prefillAttempts: number;
   /** Attempts that reached a server. Every further one counts as a retry. */
   arrivedAttempts: number;
-  /** True if the retry of the next attempt was acquired already. */
-  hasReservedRetry: boolean;
+  /** The retry of the next attempt, if it was acquired already. */
+  reservedRetry: Retry | null;
   /** True if the next attempt, or the current one, is the trial of a prompt part. */
   isTrial: boolean;
   /** When the newest event was forwarded; null before the first one. */
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -7,5 +7,6 @@
 export type { RequestStep, StepTracker } from './StepTracker';
 export type { ServerDirectory } from './ServerDirectory';
 export type { SuspicionCause } from './SuspicionCause';
+export type { Retry } from './Retry';
 export type { RetryEvent, RetryMeter } from './RetryMeter';
 export type { RetryUse } from './RetryUse';
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -37,6 +37,7 @@
 }: RetryPartsDependencies): RetryParts => {
   const retries = createRetryBudget({ bounds, clock, countVms: () => gossip.countVms(), meter });
   const lender = createRetryLender({
+    clock,
     retries,
     log,
     meter,
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -9,7 +9,7 @@
 export { buildServerReport } from './buildServerReport';
 export { buildServerStatus } from './buildServerStatus';
 export { QUIET_LOG } from './quietLog';
-export { NO_RETRY_METER } from './quietRetryMeter';
+export { NO_RETRY_METER, UNCOUNTED_RETRY } from './quietRetryMeter';
 export { createFakeClock } from './createFakeClock';
 export type { FakeClock } from './createFakeClock';
 export { createFixedPaces } from './createFixedPaces';
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -142,6 +142,7 @@
     }),
     scheduler,
     lender: createRetryLender({
+      clock,
       retries,
       log: QUIET_LOG,
       meter: NO_RETRY_METER,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -15,6 +15,7 @@
   buildServerReport,
   createFakeClock,
   createSeededRandomness,
+  UNCOUNTED_RETRY,
 } from '../../fakes';
 import { createSimulatedDirectory, SIMULATED_SERVICE } from '../createSimulatedDirectory';
 
@@ -134,7 +135,7 @@
     retries: { recordRequest: noop },
     rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
-    lender: { acquireRetry: async () => true },
+    lender: { acquireRetry: async () => UNCOUNTED_RETRY },
     tellPrompt: noop,
     loopDelay: { startRequest: () => noop, refusesStream: () => false, readDelayMs: () => 0 },
     fleetLoad: { readLoad: () => null, recordArrival: noop },
--- a/tests/model/_lib/playRequestEvents/index.ts
+++ b/tests/model/_lib/playRequestEvents/index.ts
@@ -77,7 +77,8 @@
   quarantine: ({ quarantine }) => quarantine(),
 };
 
-const PERMIT = { release: () => undefined, finish: () => undefined };
+/** A permit, or a retry. */
+const GRANT = { release: () => undefined, finish: () => undefined };
 
 async function* sendBytes(wait: Promise<void>, breaks: boolean) {
   yield Buffer.from('id: 1\ndata: x\n\n');
@@ -199,8 +200,8 @@
       addListener: () => undefined,
     },
     crashTrials: { acquireTrial: () => wait(true) },
-    ...(phase === 'permit' ? { permits: { acquirePermit: () => wait(PERMIT) } } : {}),
-    ...(phase === 'retry' ? { lender: { acquireRetry: () => wait(true) } } : {}),
+    ...(phase === 'permit' ? { permits: { acquirePermit: () => wait(GRANT) } } : {}),
+    ...(phase === 'retry' ? { lender: { acquireRetry: () => wait(GRANT) } } : {}),
   } as unknown as Partial<ForwardingDependencies>;
   const forwarder = createSimulatedForwarder({
     ...{ index: 0, vms: 3, client, clock, crashes, directory, overrides },
