Count an attempt of a stream as sent until it is known not to be

What callers saw: nothing; servers got repeats that no VM had counted.

Cause: an attempt counted as arrived only when its answer or its end was known. A stream whose server did not answer is sent to another one at once, and that attempt took no retry if it was ready before the end of the first one was.

Evidence: 'an attempt that replaces one without an answer needs a retry' sent two attempts and took no retry before; one now.

Change: an attempt counts from its sending, and no longer once it is known that it was not sent.

--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -158,6 +158,8 @@
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopSilenceWatch = startSilenceWatch(run, attempt, reader);
   attempt.stopCopyWatch = startCopyWatch(run, attempt, reader);
+  // Until it is known not to have been sent: another attempt may replace it before it ends.
+  Object.assign(run, { arrivedAttempts: run.arrivedAttempts + 1 });
   const sent = await client.sendAttempt(
     {
       server,
@@ -173,10 +175,11 @@
     attempt.abort.signal,
   );
   const hasArrived = sent.isOk() || sent.error.kind !== 'not-started';
-  if (hasArrived) {
-    retry?.finish();
-    Object.assign(run, { arrivedAttempts: run.arrivedAttempts + 1 });
-  } else retry?.release();
+  if (hasArrived) retry?.finish();
+  else {
+    Object.assign(run, { arrivedAttempts: run.arrivedAttempts - 1 });
+    retry?.release();
+  }
   const isCurrent = run.attempts.get(reader.attempt) === attempt;
   if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
   if (sent.isErr()) {
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -90,7 +90,7 @@
   copy: HeldCopy | null;
   /** Attempts that processed the prompt. */
   prefillAttempts: number;
-  /** Attempts that reached a server. Every further one counts as a retry. */
+  /** Attempts that reached a server, or may still do so. Every further one counts as a retry. */
   arrivedAttempts: number;
   /** The retry of the next attempt, if it was acquired already. */
   reservedRetry: Retry | null;
