--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -1,14 +1,9 @@
-import {
-  countPromptTokens,
-  isRefusalUnstated,
-  type AnswerHead,
-} from '../../../../domain/forwarding';
+import { isRefusalUnstated, type AnswerHead } from '../../../../domain/forwarding';
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
-import { createSendDating } from '../../../time';
-import type { HeldCopy, StreamAttempt, StreamRun, StreamPlacement } from '../../types';
+import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
 import { buildFailureFields, REFUSAL_FIELDS } from '../buildFailureFields';
-import { buildScheduledRun } from '../buildScheduledRun';
+import { buildStreamAttempt, countPrefillTokens } from '../buildStreamAttempt';
 import { closeStreamAttempt } from '../closeStreamAttempt';
 import {
   prepareStreamAttempt,
@@ -30,49 +25,6 @@
 const OK_STATUS = 200;
 const SERVER_ERROR_STATUS = 500;
 
-/** Counts the prompt tokens that the server has to process. */
-const countPrefillTokens = (run: StreamRun, { copy, isPromptCached }: StreamPlacement): number =>
-  copy || isPromptCached ? 0 : countPromptTokens(run.context.request);
-
-const buildAttempt = (
-  run: StreamRun,
-  placement: StreamPlacement,
-  reader: ReaderId,
-): StreamAttempt => {
-  const { clock, directory } = run.dependencies;
-  const { expectedFirstEventMs, isFree, server } = placement;
-  const nowMs = clock.readMonotonicMs();
-  const handleLoss = (): void => {
-    const attempt = run.attempts.get(reader.attempt);
-    if (attempt) recordStreamEnd(run, attempt, 'silent');
-    run.dispatch({ kind: 'silent', reader, confirmed: true });
-  };
-  return {
-    abort: new AbortController(),
-    server,
-    work: directory.startWork(server.id, {
-      prefillTokens: countPrefillTokens(run, placement),
-      // The server has lost this run, even if its connection is still open.
-      handleLoss,
-    }),
-    sentAtMs: nowMs,
-    headAtMs: null,
-    isFramed: true,
-    relay: null,
-    lastActivityMs: nowMs,
-    dating: createSendDating(clock),
-    heardSinceMs: nowMs,
-    gaps: run.paces.readInitialGaps(run.context.service),
-    hasDeliveredEvent: false,
-    wasServerIdle: isFree,
-    expectedFirstEventMs,
-    scheduled: buildScheduledRun(run, placement),
-    stopSilenceWatch: () => undefined,
-    stopCopyWatch: () => undefined,
-    isMigrating: false,
-  };
-};
-
 /** Releases the grant of an attempt that did not start a run. */
 const cancelGrant = (attempt: StreamAttempt): void => {
   if (!attempt.scheduled?.grant) return;
@@ -128,7 +80,7 @@
   const { client, clock, directory } = run.dependencies;
   const { context } = run;
   const { backup, copy, server } = placement;
-  const attempt = buildAttempt(run, placement, reader);
+  const attempt = buildStreamAttempt(run, placement, reader);
   run.attempts.set(reader.attempt, attempt);
   replaceCopy(run, backup);
   const { offset } = run.readState();
--- a/src/application/forwarding/_lib/openStreamAttempt/test.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/test.ts
@@ -26,7 +26,7 @@
       // Never answered, and not known to have ended when the next attempt is chosen.
       sendAttempt: () => {
         sent += 1;
-        return new Promise(() => undefined);
+        return new Promise<never>(() => {});
       },
     },
     directory: {
