Hold the fixed part of the retries by leases in the store

Cause: each VM divided the fixed part of the bound by the VMs that it knew at the moment. VMs that start, are cut off or lose others know fewer and take more, each side of a cut takes the whole, and a process that starts again has a whole part and no memory of its former life.

Change: the fixed retries are held in one row of the store, which a VM changes only if no other one has. What a VM held or gave back goes to another one after a window and the settling time; a process that starts again waits as long for what its former life may have used. A VM that is suspended trusts neither its lease nor its old requests. A row that was restored from a backup gives out nothing until all leases that it may lack have ended. A VM without a part borrows from others, as before. Cost: two store calls for each start of a VM, two a minute later on.

The stand-ins of the store now honour the expected versions of rows.

--- a/src/adapters/metrics/_lib/createRetryMeter/index.ts
+++ b/src/adapters/metrics/_lib/createRetryMeter/index.ts
@@ -32,9 +32,9 @@
     ({ requests }) => requests,
   );
   addGauge(
-    'jackdaw_retry_vms',
-    'Number of VMs that the fixed part of the retries is taken to be shared by.',
-    ({ vms }) => vms,
+    'jackdaw_retry_fixed',
+    'Retries of each window that this VM may use whatever its requests.',
+    ({ fixed }) => fixed,
   );
 };
 
--- a/src/adapters/metrics/createGatewayMetrics/test.ts
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -68,7 +68,7 @@
     countSchedulerWaitingStreams: () => 10 * waiting,
     countScheduledServices: () => 2,
     listFleetLoads: () => new Map([['s', VIEW]]),
-    listRetryUse: () => new Map([['s', { allowed: 6.5, requests: 2, retries: 4, vms: 9 }]]),
+    listRetryUse: () => new Map([['s', { allowed: 6.5, requests: 2, retries: 4, fixed: 5 }]]),
   });
   waiting = 3;
   t.deepEqual(await listLines(metrics, 'jackdaw_waiting_streams'), ['jackdaw_waiting_streams 3']);
@@ -87,6 +87,6 @@
     'jackdaw_retry_allowed{service="s"} 6.5',
     'jackdaw_retry_used{service="s"} 4',
     'jackdaw_retry_requests{service="s"} 2',
-    'jackdaw_retry_vms{service="s"} 9',
+    'jackdaw_retry_fixed{service="s"} 5',
   ]);
 });
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -1,6 +1,7 @@
 import { sum } from 'simple-statistics';
 import { isRetryAllowed, WINDOW_BUCKETS, type RetryHistory } from '../../../domain/retry';
 import type { Clock } from '../../ports';
+import { createSuspensionWatch } from '../../time';
 import type { Retry, RetryMeter, RetryUse } from '../types';
 
 /** Bounds of the retries of all VMs together. */
@@ -14,8 +15,8 @@
 export interface RetryBudgetDependencies {
   readonly bounds: RetryBudgetBounds;
   readonly clock: Clock;
-  /** Number of VMs that share the bounds. */
-  readonly countVms: () => number;
+  /** Counts the fixed retries of each window that this VM may use now. */
+  readonly countFixed: () => number;
   readonly meter: RetryMeter;
 }
 
@@ -38,12 +39,6 @@
   listUse(): ReadonlyMap<string, RetryUse>;
 }
 
-/**
- * Fraction of the fixed part that is used. A retry that was sent before its VM ended may arrive after
- * another VM took over its share.
- */
-const USED_FRACTION = 0.95;
-
 /** Buckets for which counts are kept: one window and a half, and the parts at both ends. */
 const KEPT_BUCKETS = 1.5 * WINDOW_BUCKETS + 2;
 
@@ -59,15 +54,26 @@
 export const createRetryBudget = ({
   bounds,
   clock,
-  countVms,
+  countFixed,
   meter,
 }: RetryBudgetDependencies): RetryBudget => {
   const bucketMs = bounds.retryWindowMs / WINDOW_BUCKETS;
   const countsByService = new Map<string, BucketCounts>();
   const readBucket = (): number => Math.floor(clock.readMonotonicMs() / bucketMs);
   let newestBucket = readBucket();
+  const suspensions = createSuspensionWatch(clock);
+  let suspendedBeforeMs = -Infinity;
+
+  /** Requests before a suspension are older than the monotonic clock says. */
+  const dropRequestsBeforeSuspension = (): void => {
+    const readMs = suspensions.readSuspendedBeforeMs();
+    if (readMs === suspendedBeforeMs) return;
+    suspendedBeforeMs = readMs;
+    countsByService.forEach(({ requests }) => requests.fill(0));
+  };
 
   const advanceWindow = (): number => {
+    dropRequestsBeforeSuspension();
     const currentBucket = readBucket();
     const passedBuckets = Math.min(KEPT_BUCKETS, currentBucket - newestBucket);
     for (let index = 1; index <= passedBuckets; index += 1) {
@@ -107,17 +113,14 @@
     };
   };
 
-  const readVms = (): number => Math.max(1, countVms());
-  const computeExtra = (): number => (USED_FRACTION * bounds.retryExtra) / readVms();
-
   const readUse = (service: string): RetryUse => {
     const history = readHistory(service);
     const requests = sum(history.requests.slice(0, WINDOW_BUCKETS));
     return {
-      allowed: bounds.retryRatio * requests + computeExtra(),
+      allowed: bounds.retryRatio * requests + countFixed(),
       requests,
       retries: sum(history.retries) + history.open,
-      vms: readVms(),
+      fixed: countFixed(),
     };
   };
 
@@ -152,7 +155,7 @@
       requests[index] = (requests[index] ?? 0) + 1;
     },
     acquireRetry: (service, options) => {
-      const allowance = { ...options, ratio: bounds.retryRatio, extra: computeExtra() };
+      const allowance = { ...options, ratio: bounds.retryRatio, extra: countFixed() };
       if (!isRetryAllowed(readHistory(service), allowance)) return null;
       meter.recordRetry(service, 'acquired');
       return openRetry(service);
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { createFakeClock, NO_RETRY_METER } from '../../../../standins/fakes';
+import { countFixedRetries } from '../../../domain/retry';
 import type { Retry } from '../types';
 import { createRetryBudget } from '.';
 
@@ -20,7 +21,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 2,
+    countFixed: () => countFixedRetries(BOUNDS) / 2,
     meter: NO_RETRY_METER,
   });
   for (let index = 0; index < 20; index += 1) budget.recordRequest('s');
@@ -43,7 +44,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 10,
+    countFixed: () => countFixedRetries(BOUNDS) / 10,
     meter: NO_RETRY_METER,
   });
   t.is(budget.acquireRetry('s'), null);
@@ -54,7 +55,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 1,
+    countFixed: () => countFixedRetries(BOUNDS),
     meter: NO_RETRY_METER,
   });
   t.is(
@@ -77,7 +78,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 1,
+    countFixed: () => countFixedRetries(BOUNDS),
     meter: NO_RETRY_METER,
   });
   t.is(
@@ -89,7 +90,7 @@
     5,
   );
   clock.advance(11_000);
-  acquireAll(() => budget.acquireRetry('s', { share: 0.85 }));
+  acquireAll(() => budget.acquireRetry('s', { share: 0.9 }));
   const unused = budget.acquireRetry('s');
   t.is(budget.acquireRetry('s'), null);
   unused?.release();
@@ -103,7 +104,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 1,
+    countFixed: () => countFixedRetries(BOUNDS),
     meter: NO_RETRY_METER,
   });
   const acquire = (): Retry | null => budget.acquireRetry('s');
@@ -128,7 +129,7 @@
   const budget = createRetryBudget({
     bounds: BOUNDS,
     clock,
-    countVms: () => 1,
+    countFixed: () => countFixedRetries(BOUNDS),
     meter: NO_RETRY_METER,
   });
   const acquire = (): Retry | null => budget.acquireRetry('s');
@@ -151,7 +152,7 @@
     const budget = createRetryBudget({
       bounds: BOUNDS,
       clock,
-      countVms: () => 1,
+      countFixed: () => countFixedRetries(BOUNDS),
       meter: NO_RETRY_METER,
     });
     clock.advance(phaseMs);
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -6,6 +6,7 @@
   QUIET_LOG,
 } from '../../../../standins/fakes';
 import { createRetryBudget } from '../createRetryBudget';
+import { countFixedRetries } from '../../../domain/retry';
 import type { Retry } from '../types';
 import { createRetryLender, type RetryLender } from '.';
 
@@ -21,7 +22,7 @@
     const retries = createRetryBudget({
       bounds: BOUNDS,
       clock,
-      countVms: () => count,
+      countFixed: () => countFixedRetries(BOUNDS) / count,
       meter: NO_RETRY_METER,
     });
     for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s');
--- a/src/application/forwarding/types/RetryUse.ts
+++ b/src/application/forwarding/types/RetryUse.ts
@@ -5,6 +5,6 @@
   readonly requests: number;
   /** Retries that were acquired or lent, and not released. */
   readonly retries: number;
-  /** Number of VMs that the bound is taken to be shared by. */
-  readonly vms: number;
+  /** Retries that the VM may use whatever its requests. */
+  readonly fixed: number;
 }
--- /dev/null
+++ b/src/application/shares/createShareLease/index.ts
@@ -0,0 +1,196 @@
+import {
+  allotShare,
+  computeEvenParts,
+  decodeShareLedger,
+  encodeShareLedger,
+  type ShareLedger,
+} from '../../../domain/shares';
+import { parseRowVersion } from '../../../domain/rows';
+import type { Clock, EventLog, Randomness, RowSource, RowWriter } from '../../ports';
+import { createSuspensionWatch, startLoop } from '../../time';
+
+/** Dependencies of the lease. */
+export interface ShareLeaseDependencies {
+  /** Name of this VM. */
+  readonly vm: string;
+  /** True if no VM can have used the bounds a moment ago. */
+  readonly isFirstStart: boolean;
+  /** Time after which what one VM used of the bounds may be used by another one. */
+  readonly cooldownMs: number;
+  /** Parts that the bounds are divided into; the same at all VMs. */
+  readonly totalParts: number;
+  readonly table: string;
+  readonly store: Pick<RowSource, 'readRows'> & RowWriter;
+  /** Number of VMs that this one knows, itself included. */
+  readonly countVms: () => number;
+  readonly clock: Clock;
+  readonly randomness: Randomness;
+  readonly log: EventLog;
+}
+
+/** This VM's part of the bounds that all VMs keep together. */
+export interface ShareLease {
+  start(): void;
+  stop(): void;
+  /** Counts the parts that this VM may use now; those of all VMs never exceed the whole. */
+  countParts(): number;
+}
+
+/** Time for which a part is held. Stores may be away for this long without a loss of parts. */
+const LEASE_MS = 120_000;
+
+/** Time until the renewal; VMs that started together do not renew together. */
+const RENEWAL = { minMs: 50_000, spreadMs: 20_000 } as const;
+
+/** A VM that has just started knows few others, and all may start at once. */
+const FIRST_CLAIM = { delayMs: 1000, spreadMs: 4000 } as const;
+
+/** Delay after a failed call, which grows with each further one: other VMs may write as well. */
+const RETRY = { baseMs: 200, maxMs: 8000 } as const;
+
+/** Interval at which the lease is checked for a renewal before its time. */
+const CHECK_INTERVAL_MS = 5000;
+
+/** A VM that holds this many times its even part gives some back before its next renewal. */
+const MAX_EXCESS = 1.5;
+
+const LEDGER_KEY = 'ledger';
+
+/** A ledger as it was read. */
+interface ReadLedger {
+  readonly ledger: ShareLedger | null;
+  readonly version: number;
+  readonly era: number;
+  readonly storeMs: number;
+}
+
+/**
+ * Creates the lease of this VM on its part of the bounds of all VMs.
+ *
+ * Parts are held in one row of the shared store, which is changed only if no other VM has changed it
+ * since it was read. A VM that is cut off from the store keeps its part until the lease ends, and
+ * then has none. Without a part it can still borrow from others.
+ */
+export const createShareLease = ({
+  clock,
+  cooldownMs,
+  countVms,
+  isFirstStart,
+  log,
+  randomness,
+  store,
+  table,
+  totalParts,
+  vm: holder,
+}: ShareLeaseDependencies): ShareLease => {
+  const incarnation = randomness.readHex(4);
+  const suspensions = createSuspensionWatch(clock);
+  const startedAtMs = clock.readMonotonicMs();
+  // An earlier process of this VM may have used its part until just before this one started.
+  let usableFromMs = isFirstStart ? startedAtMs : startedAtMs + cooldownMs;
+  let parts = 0;
+  /** When the call was sent that the lease rests on. */
+  let heldSinceMs = -Infinity;
+  let renewalAtMs = -Infinity;
+  let failures = 0;
+  let stopLoop = (): void => undefined;
+
+  /** The monotonic clock does not count a suspension, in which the lease may have ended. */
+  const isHeld = (): boolean =>
+    clock.readMonotonicMs() < heldSinceMs + LEASE_MS &&
+    suspensions.readSuspendedBeforeMs() <= heldSinceMs;
+
+  const countParts = (): number =>
+    isHeld() && clock.readMonotonicMs() >= usableFromMs ? parts : 0;
+
+  const isRenewalDue = (): boolean =>
+    clock.readMonotonicMs() >= renewalAtMs ||
+    (parts > 0 && (!isHeld() || parts > MAX_EXCESS * computeEvenParts(totalParts, countVms())));
+
+  const readLedger = async (): Promise<ReadLedger | string> => {
+    const read = await store.readRows(table);
+    if (read.isErr()) return read.error.kind;
+    const { rows, storeMs, version } = read.value;
+    if (storeMs === undefined) return 'the store states no time';
+    // Its era is not known yet.
+    if (version === 0) return 'the store is empty';
+    const row = rows.find(({ key, value }) => key === LEDGER_KEY && value !== null);
+    const { era } = parseRowVersion(version);
+    if (!row?.value) return { ledger: null, version: 0, era, storeMs };
+    // Holdings that can't be read are as good as missing.
+    const missing = { era: -1, closedUntilStoreMs: 0, holdings: [] };
+    const ledger = decodeShareLedger(row.value).unwrapOr(missing);
+    return { ledger, version: row.version, era, storeMs };
+  };
+
+  const scheduleRenewal = (): null => {
+    renewalAtMs =
+      clock.readMonotonicMs() + RENEWAL.minMs + RENEWAL.spreadMs * randomness.readFraction();
+    return null;
+  };
+
+  /** Renews the lease; resolves with the reason of a failure, or null. */
+  const renew = async (): Promise<string | null> => {
+    const sentAtMs = clock.readMonotonicMs();
+    const read = await readLedger();
+    if (typeof read === 'string') return read;
+    const vms = countVms();
+    const allotment = allotShare({
+      ledger: read.ledger,
+      self: { holder, incarnation },
+      usedParts: isHeld() ? parts : 0,
+      era: read.era,
+      nowStoreMs: read.storeMs,
+      totalParts,
+      vms,
+      leaseMs: LEASE_MS,
+      cooldownMs,
+    });
+    if (allotment.isInherited) usableFromMs = startedAtMs + cooldownMs;
+    // In a large fleet all parts may be held by others; a VM without any is in no ledger.
+    if (allotment.parts === 0 && !allotment.wasHolder) return scheduleRenewal();
+    // What is given back must not be used from the moment at which the store may have it.
+    parts = Math.min(parts, allotment.parts);
+    const written = await store.changeRows({
+      table,
+      writes: [{ key: LEDGER_KEY, value: encodeShareLedger(allotment.ledger) }],
+      removed: [],
+      expected: [{ key: LEDGER_KEY, version: read.version }],
+    });
+    if (written.isErr()) return `write: ${written.error.kind}`;
+    parts = allotment.parts;
+    heldSinceMs = sentAtMs;
+    log.info('share of bounds held', {
+      parts,
+      vms,
+      holders: allotment.ledger.holdings.length,
+      usableInMs: Math.round(Math.max(0, usableFromMs - clock.readMonotonicMs())),
+    });
+    return scheduleRenewal();
+  };
+
+  const handleFailure = (reason: string): number => {
+    const limitMs = Math.min(RETRY.maxMs, RETRY.baseMs * 2 ** failures);
+    failures += 1;
+    log.info('share of bounds not renewed', { reason, failures, parts: countParts() });
+    return limitMs * (0.5 + randomness.readFraction() / 2);
+  };
+
+  return {
+    start: () => {
+      stopLoop = startLoop({
+        clock,
+        firstDelayMs: FIRST_CLAIM.delayMs + FIRST_CLAIM.spreadMs * randomness.readFraction(),
+        handleFailure,
+        runStep: async () => {
+          const reason = isRenewalDue() ? await renew() : null;
+          if (reason !== null) return handleFailure(reason);
+          failures = 0;
+          return CHECK_INTERVAL_MS;
+        },
+      });
+    },
+    stop: () => stopLoop(),
+    countParts,
+  };
+};
--- /dev/null
+++ b/src/application/shares/index.ts
@@ -0,0 +1,1 @@
+export { createShareLease, type ShareLease } from './createShareLease';
--- a/src/domain/retry/index.ts
+++ b/src/domain/retry/index.ts
@@ -1,6 +1,7 @@
 export { checkBreaker } from './checkBreaker';
 export type { AllowedCall, BreakerRefusal } from './checkBreaker';
 export { computeBackoffMs } from './computeBackoffMs';
+export { countFixedRetries } from './countFixedRetries';
 export { isRetryAllowed, WINDOW_BUCKETS } from './isRetryAllowed';
 export type { RetryAllowance } from './isRetryAllowed';
 export * from './types';
--- /dev/null
+++ b/src/domain/shares/index.ts
@@ -0,0 +1,5 @@
+export { allotShare, computeEvenParts } from './allotShare';
+export type { Allotment, AllotmentOptions } from './allotShare';
+export { decodeShareLedger } from './decodeShareLedger';
+export { encodeShareLedger } from './encodeShareLedger';
+export type { ShareHolding, ShareLedger } from './types';
--- /dev/null
+++ b/src/domain/shares/types/index.ts
@@ -0,0 +1,1 @@
+export type { ShareHolding, ShareLedger } from './ShareLedger';
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -159,7 +159,7 @@
     serverPaces,
     tables,
   });
-  const { lender, retries } = wireRetries({ ...common, bounds: settings.bounds, calls, gossip });
+  const { lender, retries, share } = wireRetries({ ...common, settings, store, calls, gossip });
   const places = createPromptReservations({
     self: settings.vm,
     listPeers: gossip.listMembers,
@@ -226,6 +226,7 @@
     sharing,
     lender,
     retries,
+    share,
     ...owners,
     gate,
     loopDelay,
@@ -240,7 +241,7 @@
     scheduling,
     stop: async () => {
       const parts = [fleetLoad, scheduling, quarantineRows, rolloutJudge, sharing, gossip];
-      [...parts, identityWatch, paths].forEach((part) => part.stop());
+      [...parts, identityWatch, paths, share].forEach((part) => part.stop());
       calls.close();
       await Promise.all([client.stop(), store.stop()]);
     },
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -141,6 +141,7 @@
   followers.servers.start();
   parts.sharing.start();
   parts.gossip.start();
+  parts.share.start();
   if (!settings.isFirstStart) parts.quarantineRows.startRead();
   const stopReadyLog = logReady({ ...parts, isReady });
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
--- a/src/programs/gateway/types/GatewayParts.ts
+++ b/src/programs/gateway/types/GatewayParts.ts
@@ -17,6 +17,7 @@
 import type { Clock, EventLog } from '../../../application/ports';
 import type { RolloutJudge } from '../../../application/rollouts';
 import type { SchedulerClient, SchedulerRegistry } from '../../../application/scheduling';
+import type { ShareLease } from '../../../application/shares';
 import type { RowFollower, ZoneReplication } from '../../../application/rows';
 
 /** Wired parts of a gateway. */
@@ -33,6 +34,7 @@
   readonly sharing: ZoneReplication;
   readonly lender: RetryLender;
   readonly retries: Pick<RetryBudget, 'listUse'>;
+  readonly share: Pick<ShareLease, 'start'>;
   readonly limitOwner: LimitOwner;
   readonly roomOwner: RoomOwner;
   readonly gate: ConnectionGate;
--- a/standins/gateway/createVirtualStore/index.ts
+++ b/standins/gateway/createVirtualStore/index.ts
@@ -114,9 +114,14 @@
         const rows = listRows(table, after);
         return rows.length > 0 || isDue ? answer(rows) : null;
       }),
-    changeRows: async ({ removed, table, writes }) => {
+    changeRows: async ({ expected = [], removed, table, writes }) => {
       calls += 1;
       if (isSilent) return err({ kind: 'unavailable', reason: 'no answer in time' });
+      const isMet = expected.every(({ key, version: wanted }) => {
+        const row = changes.findLast((one) => one.table === table && one.key === key);
+        return (row && row.value !== null ? row.version : 0) === wanted;
+      });
+      if (!isMet) return err({ kind: 'unavailable', reason: 'status 412' });
       writes.forEach(({ key, value }) => addChange(table, key, value));
       removed.forEach((key) => addChange(table, key, null));
       return ok(null);
