Ignore further signals while a process drains

What callers saw: requests that ran were cut off with no answer if SIGTERM came twice.

Cause: the handler was removed by the first signal, so that the second one ended the process at once.

Evidence: 'a second SIGTERM does not end a process whose requests still run' lost its three requests before, and all are answered now.

--- a/src/programs/_lib/waitForSignal/index.ts
+++ b/src/programs/_lib/waitForSignal/index.ts
@@ -1,6 +1,6 @@
-/** Resolves at the first `SIGTERM` or `SIGINT`. */
+/** Resolves at the first `SIGTERM` or `SIGINT`; a further one does not end the process. */
 export const waitForSignal = (): Promise<string> =>
   new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    process.on('SIGTERM', resolve);
+    process.on('SIGINT', resolve);
   });
--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -25,6 +25,8 @@
   readonly vm: string;
   readonly callerUrl: string;
   readonly metricsUrl: string;
+  /** Sends SIGTERM. */
+  terminate(): void;
   /** Stops the process without ending it; its connections stay open. */
   freeze(): void;
   /** Lets a frozen process go on. */
@@ -109,6 +111,9 @@
     metricsUrl: `http://${options.ip}:${PORTS.metrics}/metrics`,
     lines,
     waitForLines,
+    terminate: () => {
+      child.kill('SIGTERM');
+    },
     freeze: () => {
       child.kill('SIGSTOP');
     },
--- a/tests/gateway/_lib/startRetryFleet/index.ts
+++ b/tests/gateway/_lib/startRetryFleet/index.ts
@@ -19,6 +19,8 @@
   /** Sends this many requests at once to a gateway; resolves with their statuses. */
   sendBurst(index: number, requests: number): Promise<readonly number[]>;
   kill(index: number): Promise<void>;
+  /** Sends SIGTERM to a gateway. */
+  terminate(index: number): void;
   start(index: number): Promise<void>;
   /** Finds the window with most repeats in relation to the bounds, over all VMs. */
   findExcess(): RetryExcess;
@@ -32,6 +34,8 @@
   readonly count: number;
   /** False if no gateway knows an address of another one. */
   readonly isConnected?: boolean;
+  /** Path of the requests; by default of a route that may be repeated. */
+  readonly target?: string;
   /** Answers a request; by default the server refuses it. */
   readonly answer?: (server: StandInServer, received: ReceivedRequest) => void;
 }
@@ -46,9 +50,9 @@
 const refuse = (server: StandInServer, received: ReceivedRequest): void =>
   server.answer(received, 503, 'full', { [HEADERS.notRun]: '1' });
 
-const sendRequest = async (callerUrl: string, requestId: string): Promise<number> => {
+const sendRequest = async (url: string, requestId: string): Promise<number> => {
   try {
-    const response = await request(`${callerUrl}/safe/x`, {
+    const response = await request(url, {
       headers: {
         host: 'a.example',
         [HEADERS.requestId]: requestId,
@@ -69,6 +73,7 @@
   answer = refuse,
   count,
   isConnected = true,
+  target = '/safe/x',
 }: RetryFleetOptions): Promise<RetryFleet> => {
   const requestsAtMs: number[] = [];
   const repeatsAtMs: number[] = [];
@@ -117,6 +122,7 @@
     count,
     start,
     stop,
+    terminate: (index) => gateways.get(index)?.terminate(),
     kill: async (index) => {
       await gateways.get(index)?.stop();
       gateways.delete(index);
@@ -125,7 +131,7 @@
       Promise.all(
         Array.from({ length: requests }, () => {
           requestsAtMs.push(performance.now());
-          return sendRequest(gateways.get(index)?.callerUrl ?? '', randomUUID());
+          return sendRequest(`${gateways.get(index)?.callerUrl}${target}`, randomUUID());
         }),
       ),
     findExcess: () => findRetryExcess({ requestsAtMs, repeatsAtMs }, RETRY_BOUNDS),
