Answer all requests before a planned exit, and take only those that can end

Cause: calls were taken until 2.5 s before SIGKILL on the belief that they end within that time; a call may last for its deadline or its route's time-out. What still ran at the exit was cut.

Change: after SIGTERM a request is taken only if it must end before the exit, or is a stream that may be resumed; others are refused as not run. What still runs shortly before the exit is answered: 502 if it may have run, 503 if it was never sent; streams without a head as well.

A second fault in the same exit: connections were closed as idle whose answer was complete but not sent yet (Node.js takes them for idle), and the exit did not wait for such answers. The process now waits for them until its exit.

--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -49,6 +49,8 @@
   /** Sets the timeouts of idle connections and of request headers. */
   applyLimits(limits: ForwardingLimits): void;
   closeIdleConnections(): void;
+  /** Counts the requests whose answers callers have not received yet. */
+  countOpen(): number;
 }
 
 /** Limits before the first configuration. */
@@ -111,6 +113,7 @@
   const { clock, decodeHead, findMemoryUse, forwarder, gate, isClosing, isLate, log, memory } =
     dependencies;
   const { readLimits } = dependencies;
+  const open = new Set<ServerResponse>();
   const waitForLeaves = createLeaveDetector({ clock, isLate });
 
   const reject = (
@@ -173,8 +176,12 @@
 
   const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     const held = memory.openRequest();
+    open.add(response);
     const closed = new Promise<void>((resolve) => {
-      response.once('close', () => resolve());
+      response.once('close', () => {
+        open.delete(response);
+        resolve();
+      });
     });
     try {
       await handleHeld(incoming, response, held);
@@ -209,6 +216,11 @@
   return listening.map((listeningServer) => ({
     ...listeningServer,
     applyLimits,
-    closeIdleConnections: () => server.closeIdleConnections(),
+    closeIdleConnections: () => {
+      // Node.js takes a connection for idle whose answer is complete but not sent yet.
+      const isSending = [...open].some((one) => one.writableEnded && !one.writableFinished);
+      if (!isSending) server.closeIdleConnections();
+    },
+    countOpen: () => open.size,
   }));
 };
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -60,6 +60,7 @@
     let cancelRetry = (): void => undefined;
     let cancelDeadline = (): void => undefined;
     let cancelListener = (): void => undefined;
+    let removeExitListener = (): void => undefined;
     let firstEventMs: number | null = null;
     const ended = new AbortController();
 
@@ -94,6 +95,7 @@
       cancelRetry();
       cancelDeadline();
       cancelListener();
+      removeExitListener();
       [...run.attempts.keys()].forEach((attempt) => closeStreamAttempt(run, attempt));
       run.copy?.release();
       run.reservedRetry?.release();
@@ -197,6 +199,14 @@
         end('deadline-passed');
       },
     );
+    // The caller goes on at another VM if it may.
+    removeExitListener = context.addExitListener(() =>
+      refuse({
+        kind: state.mayHaveStarted ? 'lost' : 'not-run',
+        reason: 'this VM exits',
+        retryAfterMs: 0,
+      }),
+    );
     const leave = (): void => {
       run.attempts.forEach((attempt) => recordStreamEnd(run, attempt, 'dropped'));
       end('left');
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -24,6 +24,11 @@
   refuseStreams(): void;
   /** Refuses all new requests from now on: the process is about to end. */
   refuseAll(): void;
+  /**
+   * Takes only requests that end before this monotonic time, and streams that may be resumed; answers
+   * all that still run then.
+   */
+  drainUntil(exitAtMs: number): void;
 }
 
 /**
@@ -75,6 +80,8 @@
   let running = 0;
   let refusesStreams = false;
   let refusesAll = false;
+  let exitAtMs = Infinity;
+  const exitListeners = new Set<() => void>();
 
   const refuse = (request: ForwardedRequest, reply: CallerReply, refusal: Refusal): string => {
     log.info('request refused', {
@@ -116,6 +123,10 @@
       return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
     }
     const waitMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+    const isResumable = route.kind === RouteKind.Stream && route.resumable;
+    if (!isResumable && request.arrivedAtMs + waitMs > exitAtMs) {
+      return { kind: 'not-run', reason: LEAVING_REASON, retryAfterMs: LEAVING_RETRY_MS };
+    }
     // At most the route's timeout: one caller with a huge deadline must not make all others look
     // like retries.
     const longestMs = Math.max(longestWaitMs.get(route.name) ?? 0, waitMs);
@@ -143,6 +154,10 @@
       steps: createStepTracker(clock),
       deadlineAtMs: request.arrivedAtMs + waitMs,
       version: table.version,
+      addExitListener: (listener) => {
+        exitListeners.add(listener);
+        return () => exitListeners.delete(listener);
+      },
     };
   };
 
@@ -211,6 +226,12 @@
       }
     },
     countRunning: () => running,
+    drainUntil: (atMs) => {
+      exitAtMs = atMs;
+      clock.startTimer(Math.max(0, atMs - clock.readMonotonicMs()), () =>
+        [...exitListeners].forEach((listener) => listener()),
+      );
+    },
     refuseAll: () => {
       refusesAll = true;
     },
--- a/src/application/forwarding/types/ForwardContext.ts
+++ b/src/application/forwarding/types/ForwardContext.ts
@@ -23,4 +23,6 @@
   readonly deadlineAtMs: number;
   /** Version of the configuration under which the request was admitted. */
   readonly version: number;
+  /** Adds a listener that is called before this process exits; returns its removal. */
+  readonly addExitListener: (listener: () => void) => () => void;
 }
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -44,6 +44,9 @@
 /** Time before SIGKILL that is left for the process to exit by itself. */
 const EXIT_MARGIN_MS = 400;
 
+/** Time before the exit in which callers get the answers of requests that still run. */
+const LAST_ANSWERS_MS = 100;
+
 /**
  * Time after SIGTERM in which new streams are still accepted. Most take six seconds, so that later
  * ones would be cut off when the process exits.
@@ -155,12 +158,14 @@
       isDraining = true;
       stopReadyLog();
       const startedAtMs = clock.readMonotonicMs();
+      const exitAtMs = startedAtMs + settings.bounds.shutdownMs - EXIT_MARGIN_MS;
+      forwarder.drainUntil(exitAtMs - LAST_ANSWERS_MS);
       const readElapsedMs = (): number => clock.readMonotonicMs() - startedAtMs;
       scheduling.registry.stopAccepting();
       log.info('gateway draining', { running: countRunning() });
       while (
         readElapsedMs() < READINESS_PROPAGATION_MS ||
-        (countRunning() > 0 && readElapsedMs() < settings.bounds.shutdownMs - EXIT_MARGIN_MS)
+        (Math.max(countRunning(), server.countOpen()) > 0 && clock.readMonotonicMs() < exitAtMs)
       ) {
         await waitDelay(clock, DRAIN_POLL_MS);
         if (readElapsedMs() >= ACCEPT_STREAMS_MS) forwarder.refuseStreams();
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -190,6 +190,7 @@
     },
     deadlineAtMs: 25_000,
     version: 1,
+    addExitListener: () => noop,
   } as unknown as ForwardContext;
   const grant = (server: string, backup: string | null = null) =>
     state.asked.at(-1)?.resolve({
