Bound what large answers hold together

What callers saw: while two of five servers sent answers without end, a VM refused the calls of others for want of memory.

Cause: each read was bounded, at 8 MiB, their sum only by the limit that holds for everything: a few dozen such answers filled it. And a part counted with its bytes only, though parts of eight bytes take many times that.

Change: what an answer has beyond 256 KiB is held under a limit of its own, 0.15 of the free memory; the read that finds no room there ends, and other requests go on. A single large answer is always taken. Each part of an answer counts with what it takes besides its bytes.

The unit test of the budget fails on the code before, which knows no large answers.

--- a/src/adapters/http/_lib/createCallerReply/index.ts
+++ b/src/adapters/http/_lib/createCallerReply/index.ts
@@ -17,6 +17,9 @@
 /** Statuses whose answers have neither a body nor a `content-length`. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 
+/** Bytes of an answer, in all attempts, beyond which it is a large one. */
+const LARGE_ANSWER_BYTES = 262_144;
+
 /** Options of a caller's reply. */
 export interface CallerReplyOptions {
   /** Whether the connection is closed after this answer. */
@@ -34,6 +37,12 @@
   response.once('close', () => {
     if (!response.writableEnded) leaveController.abort();
   });
+  let answerBytes = 0;
+  const acquireBytes = (bytes: number): boolean => {
+    answerBytes += bytes;
+    const isLarge = answerBytes > LARGE_ANSWER_BYTES;
+    return held.acquire(isLarge ? MemoryUse.LargeAnswer : MemoryUse.Answer, bytes);
+  };
   const isOpen = (): boolean => !leaveController.signal.aborted && !response.writableEnded;
 
   const writeHead = (status: number, headers: readonly string[]): void => {
@@ -52,7 +61,7 @@
 
   return {
     callerLeft: leaveController.signal,
-    acquireBytes: (bytes) => held.acquire(MemoryUse.Answer, bytes),
+    acquireBytes,
     isOpen,
     hasSentHead: () => response.headersSent,
     sendRefusal,
--- a/src/application/forwarding/_lib/readBody/index.ts
+++ b/src/application/forwarding/_lib/readBody/index.ts
@@ -6,6 +6,9 @@
 /** Maximum number of parts in which a body arrives: each takes processor time, however small it is. */
 const MAX_BODY_PARTS = 65_536;
 
+/** Memory that a part takes besides its bytes; parts may be a few bytes each. */
+const PART_OVERHEAD_BYTES = 200;
+
 /** Why a response body is incomplete. */
 export interface IncompleteBody {
   readonly reason: string;
@@ -29,7 +32,8 @@
     for await (const chunk of body) {
       bytes += chunk.length;
       if (bytes > MAX_BODY_BYTES) return stop(`the answer has more than ${MAX_BODY_BYTES} bytes`);
-      if (!acquireBytes(chunk.length)) return stop('this VM has no memory for the answer');
+      if (!acquireBytes(chunk.length + PART_OVERHEAD_BYTES))
+        return stop('this VM has no memory for the answer');
       if (chunks.length >= MAX_BODY_PARTS) return stop('the answer has too many parts');
       chunks.push(chunk);
     }
--- a/src/application/overload/createMemoryBudget/index.ts
+++ b/src/application/overload/createMemoryBudget/index.ts
@@ -32,6 +32,7 @@
 /** Creates a memory budget with nothing held. */
 export const createMemoryBudget = ({ limits, log }: MemoryBudgetDependencies): MemoryBudget => {
   let heldBytes = 0;
+  let largeBytes = 0;
   let refused = 0;
   let isOverloaded = false;
 
@@ -53,20 +54,31 @@
   // A request alone is always taken: a limit below its size would refuse it forever.
   const hasRoom = (use: MemoryUse, bytes: number, ownBytes: number): boolean =>
     !limits || heldBytes === ownBytes || heldBytes + bytes <= limits[use];
+  const hasLargeRoom = (bytes: number, ownBytes: number): boolean =>
+    !limits || largeBytes === ownBytes || largeBytes + bytes <= limits[MemoryUse.LargeAnswer];
 
   return {
     openRequest: () => {
       let acquiredBytes = 0;
+      let acquiredLargeBytes = 0;
       let unsentBytes = 0;
       let isReleased = false;
       return {
         acquire: (use, bytes) => {
           if (isReleased) return true;
-          if (!hasRoom(use, bytes, acquiredBytes + unsentBytes)) {
+          const isLarge = use === MemoryUse.LargeAnswer;
+          // Refused alone, other requests still find room: the VM is not overloaded.
+          if (isLarge && !hasLargeRoom(bytes, acquiredLargeBytes)) return false;
+          const totalUse = isLarge ? MemoryUse.Answer : use;
+          if (!hasRoom(totalUse, bytes, acquiredBytes + unsentBytes)) {
             recordRefusal();
             return false;
           }
           acquiredBytes += bytes;
+          if (isLarge) {
+            acquiredLargeBytes += bytes;
+            largeBytes += bytes;
+          }
           addHeld(bytes);
           return true;
         },
@@ -78,6 +90,7 @@
         release: () => {
           if (isReleased) return;
           isReleased = true;
+          largeBytes -= acquiredLargeBytes;
           addHeld(-acquiredBytes - unsentBytes);
         },
       };
--- a/src/application/overload/createMemoryBudget/test.ts
+++ b/src/application/overload/createMemoryBudget/test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
-import { MemoryUse } from '../../../domain/overload';
+import { MemoryUse, type MemoryLimits } from '../../../domain/overload';
 import { createMemoryBudget } from '.';
 
-const createFixture = (limits: { stream: number; call: number; answer: number } | null) => {
+const createFixture = (limits: MemoryLimits | null) => {
   const messages: string[] = [];
   const record = (message: string): void => {
     messages.push(message);
@@ -11,7 +11,7 @@
   return { budget, messages };
 };
 
-const LIMITS = { stream: 100, call: 200, answer: 300 };
+const LIMITS = { stream: 100, call: 200, answer: 300, 'large-answer': 50 };
 
 test('streams are refused first, then calls, then answers', (t) => {
   const { budget } = createFixture(LIMITS);
@@ -59,3 +59,17 @@
   t.is(budget.readHeldBytes(), 2e12);
   t.deepEqual(messages, []);
 });
+
+// Guards against a VM that refuses all callers while a few servers send answers without end.
+test('large answers leave room for other requests, and a single one is taken', (t) => {
+  const { budget, messages } = createFixture(LIMITS);
+  const alone = budget.openRequest();
+  t.true(alone.acquire(MemoryUse.LargeAnswer, 60));
+  t.true(alone.acquire(MemoryUse.LargeAnswer, 60));
+  const second = budget.openRequest();
+  t.false(second.acquire(MemoryUse.LargeAnswer, 1));
+  t.true(second.acquire(MemoryUse.Call, 50));
+  t.deepEqual(messages, []);
+  alone.release();
+  t.true(second.acquire(MemoryUse.LargeAnswer, 50));
+});
--- a/src/domain/overload/computeMemoryLimits/index.ts
+++ b/src/domain/overload/computeMemoryLimits/index.ts
@@ -13,6 +13,7 @@
   [MemoryUse.Stream]: 0.3,
   [MemoryUse.Call]: 0.45,
   [MemoryUse.Answer]: 0.6,
+  [MemoryUse.LargeAnswer]: 0.15,
 };
 
 /**
@@ -34,5 +35,6 @@
     [MemoryUse.Stream]: freeBytes * FRACTION_BY_USE.stream,
     [MemoryUse.Call]: freeBytes * FRACTION_BY_USE.call,
     [MemoryUse.Answer]: freeBytes * FRACTION_BY_USE.answer,
+    [MemoryUse.LargeAnswer]: freeBytes * FRACTION_BY_USE[MemoryUse.LargeAnswer],
   };
 };
--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -18,6 +18,8 @@
   readonly storeUrl: string;
   /** Time for which the address of a server that ended stays with its service; 0 by default. */
   readonly reuseAfterS?: number;
+  /** Memory beyond which the platform would kill the process; not told by default. */
+  readonly memoryMb?: number;
 }
 
 /** A gateway in a process of its own. */
@@ -25,6 +27,8 @@
   readonly vm: string;
   readonly callerUrl: string;
   readonly metricsUrl: string;
+  /** Reads the highest memory that the process has taken so far, in MB. */
+  readPeakMb(): Promise<number>;
   /** Sends SIGTERM. */
   terminate(): void;
   /** Stops the process without ending it; its connections stay open. */
@@ -34,6 +38,8 @@
   stop(): Promise<void>;
 }
 
+const KB_PER_MB = 1024;
+
 const MAIN = 'src/programs/gateway/main.ts';
 
 const PORTS = { caller: 8001, readiness: 8002, peer: 8003, metrics: 8004 } as const;
@@ -43,6 +49,7 @@
 
 const formatSettings = ({
   ip,
+  memoryMb,
   reuseAfterS = 0,
   seeds,
   storeUrl,
@@ -58,6 +65,7 @@
     `listen = { frontend = "${ip}:${PORTS.caller}", readiness = "${ip}:${PORTS.readiness}" }`,
     `platform = { address = "${new URL(storeUrl).host}" }`,
     `bounds = { retry_budget_ratio = 0.8, retry_budget_extra = 150, reuse_after_s = ${reuseAfterS} }`,
+    ...(memoryMb === undefined ? [] : [`limits = { memory_mb = ${memoryMb} }`]),
   ].join('\n');
 
 const parseLine = (text: string): GatewayLine => {
@@ -111,6 +119,10 @@
     metricsUrl: `http://${options.ip}:${PORTS.metrics}/metrics`,
     lines,
     waitForLines,
+    readPeakMb: async () => {
+      const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
+      return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / KB_PER_MB;
+    },
     terminate: () => {
       child.kill('SIGTERM');
     },
