--- a/src/adapters/metrics/_lib/addFleetLoadGauges/index.ts
+++ b/src/adapters/metrics/_lib/addFleetLoadGauges/index.ts
@@ -1,5 +1,6 @@
-import { Gauge, type Registry } from 'prom-client';
+import type { Registry } from 'prom-client';
 import type { FleetLoadView } from '../../../../application/fleet-load';
+import { createServiceGauges } from '../createServiceGauges';
 
 const MS_PER_S = 1000;
 
@@ -11,18 +12,7 @@
   registry: Registry,
   listLoads: () => ReadonlyMap<string, FleetLoadView>,
 ): void => {
-  const addGauge = (name: string, help: string, read: (view: FleetLoadView) => number): void => {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      labelNames: ['service'],
-      registers: [registry],
-      collect: () => {
-        gauge.reset();
-        listLoads().forEach((view, service) => gauge.set({ service }, read(view)));
-      },
-    });
-  };
+  const addGauge = createServiceGauges(registry, listLoads);
   addGauge(
     'jackdaw_fleet_load_age_seconds',
     'Age of the load of all VMs, as known at this VM.',
--- a/src/adapters/metrics/_lib/createRetryMeter/index.ts
+++ b/src/adapters/metrics/_lib/createRetryMeter/index.ts
@@ -1,21 +1,11 @@
-import { Counter, Gauge, type Registry } from 'prom-client';
+import { Counter, type Registry } from 'prom-client';
 import type { RetryMeter, RetryUse } from '../../../../application/forwarding';
+import { createServiceGauges } from '../createServiceGauges';
 
 type RetryUseSource = () => ReadonlyMap<string, RetryUse>;
 
 const addGauges = (registry: Registry, listUse: RetryUseSource): void => {
-  const addGauge = (name: string, help: string, read: (use: RetryUse) => number): void => {
-    const gauge: Gauge = new Gauge({
-      name,
-      help,
-      labelNames: ['service'],
-      registers: [registry],
-      collect: () => {
-        gauge.reset();
-        listUse().forEach((use, service) => gauge.set({ service }, read(use)));
-      },
-    });
-  };
+  const addGauge = createServiceGauges(registry, listUse);
   addGauge(
     'jackdaw_retry_allowed',
     'Retries that this VM may use in the present window.',
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -36,7 +36,7 @@
   countParts(): number;
 }
 
-/** Time for which a part is held. Stores may be away for this long without a loss of parts. */
+/** Time for which a part is held without a renewal. */
 const LEASE_MS = 120_000;
 
 /** Time until the renewal; VMs that started together do not renew together. */
