Claim the share of retries when a request first needs one

Change: a request that needs a retry before the first claim starts that claim and waits for it, 0.1 s at most.

--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -1,4 +1,5 @@
 import type { Clock, EventLog } from '../../ports';
+import { waitDelay } from '../../time';
 import type { RetryBudget } from '../createRetryBudget';
 import type { Retry, RetryMeter } from '../types';
 
@@ -6,6 +7,8 @@
 export interface RetryLenderDependencies {
   readonly clock: Pick<Clock, 'startTimer'>;
   readonly retries: RetryBudget;
+  /** Resolves when this VM has claimed its part of the fixed retries. */
+  readonly claimShare?: () => Promise<void>;
   readonly log: EventLog;
   readonly meter: RetryMeter;
   /** Picks the addresses of some other VMs at random. */
@@ -24,6 +27,9 @@
   lendRetry(service: string): boolean;
 }
 
+/** A request waits this long for the first claim of its VM. */
+const CLAIM_TIMEOUT_MS = 100;
+
 /** VMs that are asked one after the other. If half of all VMs can lend, 7 of 8 attempts succeed. */
 const MAX_ASKED_PEERS = 3;
 
@@ -56,6 +62,7 @@
  */
 export const createRetryLender = ({
   askPeer,
+  claimShare = async () => undefined,
   clock,
   pickPeers,
   log,
@@ -65,6 +72,9 @@
   acquireRetry: async (service) => {
     const own = retries.acquireRetry(service);
     if (own) return own;
+    await Promise.race([claimShare(), waitDelay(clock, CLAIM_TIMEOUT_MS)]);
+    const claimed = retries.acquireRetry(service);
+    if (claimed) return claimed;
     let asked = 0;
     for (const address of pickPeers(MAX_ASKED_PEERS)) {
       asked += 1;
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -34,6 +34,8 @@
   stop(): void;
   /** Counts the parts that this VM may use now; those of all VMs never exceed the whole. */
   countParts(): number;
+  /** Claims a part at once if this VM has not yet; resolves when its first claim has ended. */
+  claimNow(): Promise<void>;
 }
 
 /** Time for which a part is held without a renewal. */
@@ -93,6 +95,13 @@
   let heldSinceMs = -Infinity;
   let renewalAtMs = -Infinity;
   let failures = 0;
+  let isStopped = false;
+  /** Claims before the first claim's time; null once it was begun. */
+  let claimNow: (() => void) | null = null;
+  let endFirstClaim = (): void => undefined;
+  const firstClaim = new Promise<void>((resolve) => {
+    endFirstClaim = resolve;
+  });
   let stopLoop = (): void => undefined;
 
   /** The monotonic clock does not count a suspension, in which the lease may have ended. */
@@ -176,21 +185,36 @@
     return limitMs * (0.5 + randomness.readFraction() / 2);
   };
 
+  const runStep = async (): Promise<number> => {
+    claimNow = null;
+    const reason = isRenewalDue() ? await renew() : null;
+    endFirstClaim();
+    if (reason !== null) return handleFailure(reason);
+    failures = 0;
+    return CHECK_INTERVAL_MS;
+  };
+
+  const startRenewals = (firstDelayMs: number): void => {
+    if (!isStopped) stopLoop = startLoop({ clock, firstDelayMs, handleFailure, runStep });
+  };
+
   return {
     start: () => {
-      stopLoop = startLoop({
-        clock,
-        firstDelayMs: FIRST_CLAIM.delayMs + FIRST_CLAIM.spreadMs * randomness.readFraction(),
-        handleFailure,
-        runStep: async () => {
-          const reason = isRenewalDue() ? await renew() : null;
-          if (reason !== null) return handleFailure(reason);
-          failures = 0;
-          return CHECK_INTERVAL_MS;
-        },
-      });
+      startRenewals(FIRST_CLAIM.delayMs + FIRST_CLAIM.spreadMs * randomness.readFraction());
+      claimNow = () => {
+        stopLoop();
+        runStep().then(startRenewals);
+      };
+    },
+    stop: () => {
+      isStopped = true;
+      claimNow = null;
+      stopLoop();
     },
-    stop: () => stopLoop(),
     countParts,
+    claimNow: () => {
+      claimNow?.();
+      return firstClaim;
+    },
   };
 };
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -61,6 +61,7 @@
   const lender = createRetryLender({
     clock,
     retries,
+    claimShare: share.claimNow,
     log,
     meter,
     pickPeers: gossip.drawAddresses,
