--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -205,6 +205,8 @@
         stopLoop();
         runStep().then(startRenewals);
       };
+      // Nothing was used before: the part is there for the first request.
+      if (isFirstStart) claimNow();
     },
     stop: () => {
       isStopped = true;
