Claim the share of retries on need in one place, not at every first start

It mended runs that are moved, which take their retry past the lender.

Change: one function of the lender takes a VM's own retry and claims the part if it was not claimed yet; moved runs use it as well. A VM claims after one to five seconds again, or when a request needs a retry. After a restart, when the part could not be used for a window, nothing is waited for; before, such requests waited up to 0.1 s. No timer is started for a refused retry any more.

Also: the tests of the budget build it in one place, with their assertions as they were.

Tests: createShareLease, three; streams, streamLosses, crashingRequests, calls and the lender, 43, pass.

--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -70,14 +70,15 @@
  * @returns whether the run was stopped
  */
 export const migrateRun = async (run: StreamRun, attempt: StreamAttempt): Promise<boolean> => {
-  const { client, clock, directory, retries } = run.dependencies;
+  const { client, clock, directory, lender } = run.dependencies;
   const { request } = run.context;
   const holder = chooseHolder(run, attempt.server);
   const report = holder && (await client.readReport(holder));
   // If memory is scarce, a copy would evict another run, whose prompt must then be processed again.
   if (!holder || !report || !hasMemoryForCopy(report, countNeededKvTokens(request))) return false;
   // Acquired before the run is stopped: without a retry the stopped run would stall.
-  const retry = retries.acquireRetry(run.context.service, { share: MIGRATION_RETRY_FRACTION });
+  const options = { share: MIGRATION_RETRY_FRACTION };
+  const retry = await lender.acquireOwnRetry(run.context.service, options);
   if (!retry) return false;
   const lostHolder = run.copy?.holders[0] ?? '';
   const startedAtMs = clock.readMonotonicMs();
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -20,21 +20,22 @@
   readonly meter: RetryMeter;
 }
 
+/** Options of the taking of a retry. */
+export interface RetryOptions {
+  /** Fraction of the budget that may be used, 0 to 1; 1 by default. */
+  readonly share?: number;
+  /** Number of retries that may be used whatever the share, within the budget. */
+  readonly minimum?: number;
+}
+
 /** Limits the retries of requests. */
 export interface RetryBudget {
   recordRequest(service: string): void;
   /**
    * Takes one retry; null if the budget does not allow it. It counts until a window after it was
    * finished: an attempt may wait behind a silent server or link and arrive with later ones.
-   *
-   * @param options.share - fraction of the budget that may be used, 0 to 1; 1 by default
-   * @param options.minimum - number of retries that may be used whatever the share, within the
-   * budget
    */
-  acquireRetry(
-    service: string,
-    options?: { readonly share?: number; readonly minimum?: number },
-  ): Retry | null;
+  acquireRetry(service: string, options?: RetryOptions): Retry | null;
   /** Lists what this VM has used in the present window, and what it may use, by service. */
   listUse(): ReadonlyMap<string, RetryUse>;
 }
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -6,6 +6,14 @@
 
 const BOUNDS = { retryRatio: 0.5, retryWindowMs: 10_000, retryExtra: 10 };
 
+/** The budget of one of this many VMs. */
+const build = (vms = 1) => {
+  const clock = createFakeClock();
+  const countFixed = (): number => countFixedRetries(BOUNDS) / vms;
+  const budget = createRetryBudget({ bounds: BOUNDS, clock, countFixed, meter: NO_RETRY_METER });
+  return { budget, clock };
+};
+
 /** Acquires retries until there are no more, and finishes them. */
 const acquireAll = (acquire: () => Retry | null): number => {
   let count = 0;
@@ -17,13 +25,7 @@
 };
 
 test('retries are bounded by a fraction of recent requests and a share of the extra retries', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS) / 2,
-    meter: NO_RETRY_METER,
-  });
+  const { budget, clock } = build(2);
   for (let index = 0; index < 20; index += 1) budget.recordRequest('s');
   clock.advance(1000);
   // Half of 0.5 x 20, as the requests may be counted in another window, and 0.95 of 10 / 2.
@@ -40,24 +42,12 @@
 // Guards against exceeding the common bound: if many VMs retry at once, none of them may take all
 // of the extra retries for itself.
 test('the extra retries are shared among the known VMs', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS) / 10,
-    meter: NO_RETRY_METER,
-  });
+  const { budget } = build(10);
   t.is(budget.acquireRetry('s'), null);
 });
 
 test('old requests and retries leave the sliding window', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS),
-    meter: NO_RETRY_METER,
-  });
+  const { budget, clock } = build();
   t.is(
     acquireAll(() => budget.acquireRetry('s')),
     9,
@@ -74,13 +64,7 @@
 // Guards against planned retries that use up the budget of lost runs. When many runs were migrated
 // at once, the last ones got no retry after they had been stopped, and stalled for seconds.
 test('a caller may be limited to a share of the budget, and an unused retry can be released', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS),
-    meter: NO_RETRY_METER,
-  });
+  const { budget, clock } = build();
   t.is(
     acquireAll(() => budget.acquireRetry('s', { share: 0.5 })),
     4,
@@ -100,13 +84,7 @@
 // Guards against repeats beyond the bound: attempts that found no server gave back retries of
 // attempts that had arrived.
 test('a retry that is released frees none that was finished, and only once', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS),
-    meter: NO_RETRY_METER,
-  });
+  const { budget, clock } = build();
   const acquire = (): Retry | null => budget.acquireRetry('s');
   const finished = acquire();
   finished?.finish();
@@ -125,13 +103,7 @@
 // Guards against repeats that arrive together: attempts wait behind a silent server for seconds, and
 // their retries were free again before they arrived.
 test('a retry counts until a window after its attempt arrived', (t) => {
-  const clock = createFakeClock();
-  const budget = createRetryBudget({
-    bounds: BOUNDS,
-    clock,
-    countFixed: () => countFixedRetries(BOUNDS),
-    meter: NO_RETRY_METER,
-  });
+  const { budget, clock } = build();
   const acquire = (): Retry | null => budget.acquireRetry('s');
   const waiting = Array.from({ length: 9 }, acquire);
   clock.advance(3 * BOUNDS.retryWindowMs);
@@ -148,13 +120,7 @@
 test('retries are within the bound in every window, at any phase', (t) => {
   const phases = Array.from({ length: 10 }, (_, index) => 50 + index * 100);
   const worst = phases.map((phaseMs) => {
-    const clock = createFakeClock();
-    const budget = createRetryBudget({
-      bounds: BOUNDS,
-      clock,
-      countFixed: () => countFixedRetries(BOUNDS),
-      meter: NO_RETRY_METER,
-    });
+    const { budget, clock } = build();
     clock.advance(phaseMs);
     const first = acquireAll(() => budget.acquireRetry('s'));
     clock.advance(BOUNDS.retryWindowMs - 100);
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -1,14 +1,14 @@
 import type { Clock, EventLog } from '../../ports';
 import { waitDelay } from '../../time';
-import type { RetryBudget } from '../createRetryBudget';
+import type { RetryBudget, RetryOptions } from '../createRetryBudget';
 import type { Retry, RetryMeter } from '../types';
 
 /** Dependencies of the retry lender. */
 export interface RetryLenderDependencies {
   readonly clock: Pick<Clock, 'startTimer'>;
   readonly retries: RetryBudget;
-  /** Resolves when this VM has claimed its part of the fixed retries. */
-  readonly claimShare?: () => Promise<void>;
+  /** Claims this VM's part of the fixed retries; null if there is no claim to wait for. */
+  readonly claimShare?: () => Promise<void> | null;
   readonly log: EventLog;
   readonly meter: RetryMeter;
   /** Picks the addresses of some other VMs at random. */
@@ -23,6 +23,8 @@
 export interface RetryLender {
   /** Takes a retry from this VM's budget, or else borrows one from another VM; null if none is left. */
   acquireRetry(service: string): Promise<Retry | null>;
+  /** Takes a retry from this VM's budget only; null if none is left. */
+  acquireOwnRetry(service: string, options?: RetryOptions): Promise<Retry | null>;
   /** Lends a retry to another VM; returns false if this VM may need its remaining ones. */
   lendRetry(service: string): boolean;
 }
@@ -62,40 +64,47 @@
  */
 export const createRetryLender = ({
   askPeer,
-  claimShare = async () => undefined,
+  claimShare = () => null,
   clock,
   pickPeers,
   log,
   meter,
   retries,
-}: RetryLenderDependencies): RetryLender => ({
-  acquireRetry: async (service) => {
-    const own = retries.acquireRetry(service);
-    if (own) return own;
-    await Promise.race([claimShare(), waitDelay(clock, CLAIM_TIMEOUT_MS)]);
-    const claimed = retries.acquireRetry(service);
-    if (claimed) return claimed;
-    let asked = 0;
-    for (const address of pickPeers(MAX_ASKED_PEERS)) {
-      asked += 1;
-      if (await askPeer(address, service)) {
-        log.info('repeat borrowed', { service, peer: address, asked });
-        meter.recordRetry(service, 'borrowed');
-        return BORROWED_RETRY;
+}: RetryLenderDependencies): RetryLender => {
+  const acquireOwnRetry: RetryLender['acquireOwnRetry'] = async (service, options) => {
+    const retry = retries.acquireRetry(service, options);
+    const claim = retry ? null : claimShare();
+    if (!claim) return retry;
+    await Promise.race([claim, waitDelay(clock, CLAIM_TIMEOUT_MS)]);
+    return retries.acquireRetry(service, options);
+  };
+  return {
+    acquireOwnRetry,
+    acquireRetry: async (service) => {
+      const own = await acquireOwnRetry(service);
+      if (own) return own;
+      let asked = 0;
+      for (const address of pickPeers(MAX_ASKED_PEERS)) {
+        asked += 1;
+        if (await askPeer(address, service)) {
+          log.info('repeat borrowed', { service, peer: address, asked });
+          meter.recordRetry(service, 'borrowed');
+          return BORROWED_RETRY;
+        }
       }
-    }
-    log.info('no repeat left', { service, asked, ...retries.listUse().get(service) });
-    meter.recordRetry(service, 'refused');
-    return null;
-  },
-  lendRetry: (service) => {
-    const lent = retries.acquireRetry(service, {
-      share: LENT_FRACTION,
-      minimum: MIN_LENT_RETRIES,
-    });
-    if (!lent) return false;
-    clock.startTimer(LENT_ARRIVAL_MS, lent.finish);
-    meter.recordRetry(service, 'lent');
-    return true;
-  },
-});
+      log.info('no repeat left', { service, asked, ...retries.listUse().get(service) });
+      meter.recordRetry(service, 'refused');
+      return null;
+    },
+    lendRetry: (service) => {
+      const lent = retries.acquireRetry(service, {
+        share: LENT_FRACTION,
+        minimum: MIN_LENT_RETRIES,
+      });
+      if (!lent) return false;
+      clock.startTimer(LENT_ARRIVAL_MS, lent.finish);
+      meter.recordRetry(service, 'lent');
+      return true;
+    },
+  };
+};
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -34,8 +34,12 @@
   stop(): void;
   /** Counts the parts that this VM may use now; those of all VMs never exceed the whole. */
   countParts(): number;
-  /** Claims a part at once if this VM has not yet; resolves when its first claim has ended. */
-  claimNow(): Promise<void>;
+  /**
+   * Claims a part at once if this VM has not yet and could use it.
+   *
+   * @returns the end of that claim; null if there is none to wait for
+   */
+  claimNow(): Promise<void> | null;
 }
 
 /** Time for which a part is held without a renewal. */
@@ -96,12 +100,14 @@
   let renewalAtMs = -Infinity;
   let failures = 0;
   let isStopped = false;
-  /** Claims before the first claim's time; null once it was begun. */
-  let claimNow: (() => void) | null = null;
+  let isFirstClaimDue = false;
   let endFirstClaim = (): void => undefined;
-  const firstClaim = new Promise<void>((resolve) => {
-    endFirstClaim = resolve;
-  });
+  /** Ends with the first claim; null if its part could not be used, and once it has ended. */
+  let firstClaim = isFirstStart
+    ? new Promise<void>((resolve) => {
+        endFirstClaim = resolve;
+      })
+    : null;
   let stopLoop = (): void => undefined;
 
   /** The monotonic clock does not count a suspension, in which the lease may have ended. */
@@ -186,9 +192,10 @@
   };
 
   const runStep = async (): Promise<number> => {
-    claimNow = null;
+    isFirstClaimDue = false;
     const reason = isRenewalDue() ? await renew() : null;
     endFirstClaim();
+    firstClaim = null;
     if (reason !== null) return handleFailure(reason);
     failures = 0;
     return CHECK_INTERVAL_MS;
@@ -201,21 +208,21 @@
   return {
     start: () => {
       startRenewals(FIRST_CLAIM.delayMs + FIRST_CLAIM.spreadMs * randomness.readFraction());
-      claimNow = () => {
-        stopLoop();
-        runStep().then(startRenewals);
-      };
-      // Nothing was used before: the part is there for the first request.
-      if (isFirstStart) claimNow();
+      isFirstClaimDue = isFirstStart;
     },
     stop: () => {
       isStopped = true;
-      claimNow = null;
+      isFirstClaimDue = false;
       stopLoop();
     },
     countParts,
     claimNow: () => {
-      claimNow?.();
+      if (isFirstClaimDue) {
+        stopLoop();
+        runStep()
+          .catch((error: unknown) => handleFailure(String(error)))
+          .then(startRenewals);
+      }
       return firstClaim;
     },
   };
--- /dev/null
+++ b/src/application/shares/createShareLease/test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import { createFakeClock, createSeededRandomness, QUIET_LOG } from '../../../../standins/fakes';
+import { createVirtualStore } from '../../../../standins/gateway';
+import { createShareLease } from '.';
+
+const TOTAL_PARTS = 100;
+
+const build = ({ isFirstStart = true, vms = 4 } = {}) => {
+  const clock = createFakeClock();
+  const store = createVirtualStore(clock);
+  store.writeRow('op', 'config', {});
+  const lease = createShareLease({
+    ...{ vm: 'vm-1', isFirstStart, cooldownMs: 13_000, totalParts: TOTAL_PARTS },
+    ...{ table: 'shares', store, countVms: () => vms, clock, log: QUIET_LOG },
+    randomness: createSeededRandomness(1),
+  });
+  lease.start();
+  return { clock, lease, store };
+};
+
+// Guards against requests of a VM's first seconds that go without a retry, and against VMs that claim
+// before they know each other: the first two took all parts.
+test('a part is claimed after some seconds, or as soon as a request needs it', async (t) => {
+  const { clock, lease } = build();
+  await clock.advanceAsync(900);
+  t.is(lease.countParts(), 0);
+  const claim = lease.claimNow();
+  await clock.advanceAsync(10);
+  await claim;
+  t.is(lease.countParts(), 25);
+  t.is(lease.claimNow(), null);
+  const other = build();
+  await other.clock.advanceAsync(6000);
+  t.is(other.lease.countParts(), 25);
+});
+
+// Guards against requests that wait for a part which their VM could not use.
+test('after a restart a part is not usable before the cooldown, and not waited for', async (t) => {
+  const { clock, lease } = build({ isFirstStart: false });
+  t.is(lease.claimNow(), null);
+  await clock.advanceAsync(12_900);
+  t.is(lease.countParts(), 0);
+  await clock.advanceAsync(200);
+  t.is(lease.countParts(), 25);
+});
+
+test('without the store a part is kept until its lease ends', async (t) => {
+  const { clock, lease, store } = build();
+  await clock.advanceAsync(6000);
+  store.setSilent(true);
+  await clock.advanceAsync(108_000);
+  t.is(lease.countParts(), 25);
+  await clock.advanceAsync(15_000);
+  t.is(lease.countParts(), 0);
+  store.setSilent(false);
+  await clock.advanceAsync(10_000);
+  t.is(lease.countParts(), 25);
+});
