Fail where repeats, requests or parts come late

The model now sends first attempts as well, to servers that may stand still, and a request's repeats are its arrivals beyond the first.

--- a/standins/retries/simulateRetries/index.ts
+++ b/standins/retries/simulateRetries/index.ts
@@ -1,16 +1,9 @@
-import { err } from 'neverthrow';
-import {
-  createRetryBudget,
-  createRetryLender,
-  type RetryBudget,
-  type RetryLender,
-} from '../../../src/application/forwarding';
-import { countFixedRetries } from '../../../src/domain/retry';
-import { createShareLease, type ShareLease } from '../../../src/application/shares';
-import type { RowWriter, RowSource } from '../../../src/application/ports';
-import { createFakeClock, createSeededRandomness, NO_RETRY_METER, QUIET_LOG } from '../../fakes';
+import type { Retry } from '../../../src/application/forwarding';
+import { parseRowVersion } from '../../../src/domain/rows';
+import { createFakeClock, createSeededRandomness } from '../../fakes';
 import { createVirtualStore } from '../../gateway';
-import { createVmClock, type VmClock } from '../../rows';
+import { BOUNDS, createRetryVm, type RetryVm } from '../_lib/createRetryVm';
+import { createStandingServers } from '../_lib/createStandingServers';
 import { findRetryExcess } from '../findRetryExcess';
 import type { RetryExcess, RetryPlay, RetryTrouble } from '../types';
 
@@ -22,114 +15,52 @@
   readonly storeCalls: number;
 }
 
-const BOUNDS = { retryRatio: 0.8, retryWindowMs: 10_000, retryExtra: 150 };
-
-/** Time after which what one VM used may be used by another one. */
-const COOLDOWN_MS = 13_000;
-
 const STEP_MS = 100;
-const TROUBLE_EVERY_MS = 4000;
+const DEFAULT_TROUBLE_EVERY_MS = 4000;
 const RESTART_MS = { min: 300, spread: 3000 };
 const MAX_REQUEST_DELAY_MS = 200;
 
 /** Longer than a lease and what follows it. */
 const MAX_SUSPENSION_MS = 150_000;
 
-interface SimulatedVm {
-  readonly name: string;
-  readonly retries: RetryBudget;
-  readonly lender: RetryLender;
-  readonly share: ShareLease;
-  isAlive: boolean;
-  isCutFromStore: boolean;
-  /** VMs of another side are neither counted nor asked. */
-  side: number;
-  readonly clock: VmClock;
-  isSuspended: boolean;
-}
+/** VMs and servers stand still for up to this long. */
+const MAX_STANDSTILL_MS = 9000;
+
+/** An attempt that was not answered by then is given up. */
+const ATTEMPT_MS = 500;
 
 /** Simulates VMs that retry all they may, and counts the arrivals at the servers of one service. */
 export const simulateRetries = async (play: RetryPlay): Promise<RetryPlayResult> => {
   const world = createFakeClock();
   const randomness = createSeededRandomness(play.seed);
   const store = createVirtualStore(world);
+  const servers = createStandingServers(world, randomness);
   const drawIndex = (count: number): number => Math.floor(randomness.readFraction() * count);
   const requestsAtMs: number[] = [];
   const repeatsAtMs: number[] = [];
-  const vms = new Map<string, SimulatedVm>();
+  const vms = new Map<string, RetryVm>();
   let names = 0;
   let wanted = 0;
 
-  const listLive = (): SimulatedVm[] =>
+  const listLive = (): RetryVm[] =>
     [...vms.values()].filter(({ isAlive, isSuspended }) => isAlive && !isSuspended);
 
-  const buildStore = (read: () => SimulatedVm): Pick<RowSource, 'readRows'> & RowWriter => {
-    const isCut = (): boolean => read().isCutFromStore || !read().isAlive;
-    const failure = err({ kind: 'unavailable', reason: 'cut' } as const);
-    return {
-      readRows: async (table, options, signal) =>
-        isCut() ? failure : store.readRows(table, options, signal),
-      changeRows: async (changes) => {
-        if (isCut()) return failure;
-        const written = await store.changeRows(changes);
-        // The answer is lost, though the change was made.
-        const isLost = play.troubles.includes('store cuts') && randomness.readFraction() < 0.2;
-        return isLost ? failure : written;
-      },
-    };
-  };
-
   const startVm = (name: string, isFirstStart: boolean): void => {
-    const self = (): SimulatedVm => vms.get(name) as SimulatedVm;
-    const clock = createVmClock(world);
-    const listPeers = (): SimulatedVm[] =>
-      listLive().filter((vm) => vm.name !== name && vm.side === self().side);
-    // Bound to this process: one that starts again under the same name is another one.
-    const process = { current: null as SimulatedVm | null };
-    const share = createShareLease({
-      vm: name,
-      isFirstStart,
-      cooldownMs: COOLDOWN_MS,
-      totalParts: countFixedRetries(BOUNDS),
-      table: 'shares',
-      store: buildStore(() => process.current as SimulatedVm),
-      countVms: () => listPeers().length + 1,
-      clock,
-      randomness,
-      log: QUIET_LOG,
-    });
-    const retries = createRetryBudget({
-      bounds: BOUNDS,
-      clock,
-      meter: NO_RETRY_METER,
-      countFixed: share.countParts,
-    });
-    const lender = createRetryLender({
-      clock,
-      retries,
-      log: QUIET_LOG,
-      meter: NO_RETRY_METER,
-      pickPeers: (count) => {
-        const peers = listPeers();
-        return Array.from({ length: count }, () => peers[drawIndex(peers.length)]?.name ?? '');
-      },
-      askPeer: async (peer, service) => vms.get(peer)?.lender.lendRetry(service) ?? false,
+    const vm = createRetryVm({
+      ...{ name, isFirstStart, world, randomness, store },
+      isAnswerLost: () => play.troubles.includes('store cuts') && randomness.readFraction() < 0.2,
+      listPeers: (self) =>
+        listLive().filter((one) => one.name !== name && one.side === self.side && !one.isStanding),
     });
-    const vm: SimulatedVm = {
-      ...{ clock, name, retries, lender, share },
-      ...{ isAlive: true, isCutFromStore: false, isSuspended: false, side: 0 },
-    };
-    process.current = vm;
     vms.set(name, vm);
-    share.start();
   };
 
-  const killVm = (vm: SimulatedVm): void => {
+  const killVm = (vm: RetryVm): void => {
     Object.assign(vm, { isAlive: false });
     vm.share.stop();
   };
 
-  const suspendVm = (vm: SimulatedVm): void => {
+  const suspendVm = (vm: RetryVm): void => {
     Object.assign(vm, { isSuspended: true });
     vm.clock.pause('suspended');
     world.startTimer(MAX_SUSPENSION_MS * randomness.readFraction(), () => {
@@ -138,21 +69,43 @@
     });
   };
 
-  const sendRequest = async (vm: SimulatedVm): Promise<void> => {
+  const drawStandstillMs = (): number => MAX_STANDSTILL_MS * (0.5 + randomness.readFraction() / 2);
+
+  const stopVm = (vm: RetryVm, durationMs: number): void => {
+    Object.assign(vm, { isStanding: true });
+    vm.clock.pause('stopped');
+    world.startTimer(durationMs, () => {
+      Object.assign(vm, { isStanding: false });
+      if (vm.isAlive) vm.clock.resume();
+    });
+  };
+
+  /** Sends one attempt of a request; it arrives also if its VM is killed meanwhile. */
+  const sendAttempt = (vm: RetryVm, retry: Retry | null, handleArrival: () => void): void => {
+    servers.send(randomness.readFraction() * play.maxArrivalMs, () => {
+      handleArrival();
+      vm.clock.runInVm(() => retry?.finish());
+    });
+    vm.clock.startTimer(ATTEMPT_MS, () => retry?.finish());
+  };
+
+  const sendRequest = async (vm: RetryVm): Promise<void> => {
+    let arrivals = 0;
+    const handleArrival = (): void => {
+      arrivals += 1;
+      if (arrivals > 1) repeatsAtMs.push(world.readMonotonicMs());
+    };
     vm.retries.recordRequest('s');
+    sendAttempt(vm, null, handleArrival);
     for (let repeat = 0; repeat < play.repeatsWanted; repeat += 1) {
       wanted += 1;
       const retry = await vm.lender.acquireRetry('s');
       if (!retry) return;
-      // It arrives also if its VM is killed meanwhile.
-      world.startTimer(randomness.readFraction() * play.maxArrivalMs, () => {
-        repeatsAtMs.push(world.readMonotonicMs());
-        retry.finish();
-      });
+      sendAttempt(vm, retry, handleArrival);
     }
   };
 
-  const drawVms = (share: number): SimulatedVm[] => {
+  const drawVms = (share: number): RetryVm[] => {
     const live = listLive();
     return live.filter(() => randomness.readFraction() < share).slice(0, live.length - 1);
   };
@@ -181,34 +134,49 @@
     'restored store': () => {
       store.restoreSnapshot(drawIndex(20));
     },
+    'lost ledger': () => {
+      // The first change is the configuration.
+      store.restoreSnapshot(parseRowVersion(store.readVersion()).revision - 1);
+    },
     suspensions: () => drawVms(0.3).forEach(suspendVm),
+    'standing VMs': () => {
+      const durationMs = drawStandstillMs();
+      listLive()
+        .filter(({ isStanding }) => !isStanding && randomness.readFraction() < 0.9)
+        .forEach((vm) => stopVm(vm, durationMs));
+    },
+    'standing servers': () => servers.pauseSome(drawStandstillMs()),
   };
 
   store.writeRow('op', 'config', {});
   Array.from({ length: play.vms }, (_, index) => startVm(`vm-${index}`, true));
-  let troubleAtMs = 2 * TROUBLE_EVERY_MS;
+  const { troubleEveryMs = DEFAULT_TROUBLE_EVERY_MS } = play;
+  let troubleAtMs = 2 * troubleEveryMs;
   for (let atMs = 0; atMs < play.durationMs; atMs += STEP_MS) {
     const nowMs = world.readMonotonicMs();
     if (nowMs >= troubleAtMs) {
-      troubleAtMs = nowMs + TROUBLE_EVERY_MS * (0.25 + 1.5 * randomness.readFraction());
+      troubleAtMs = nowMs + troubleEveryMs * (0.25 + 1.5 * randomness.readFraction());
       const trouble = play.troubles[drawIndex(play.troubles.length)];
       if (trouble) TROUBLES[trouble]();
     }
     // Bursts: for a while callers send several times as much, then nothing.
     const isBurst = Math.floor(nowMs / 3050) % 3 === 0;
-    const mean = ((isBurst ? 3 : 0) * play.requestsPerS * STEP_MS) / 1000;
+    const factor = play.hasBursts === false ? 1 : 3 * Number(isBurst);
+    const mean = (factor * play.requestsPerS * STEP_MS) / 1000;
     const count = Math.floor(mean + randomness.readFraction());
     for (let sent = 0; sent < count; sent += 1) {
       requestsAtMs.push(nowMs);
       world.startTimer(MAX_REQUEST_DELAY_MS * randomness.readFraction(), () => {
         const live = listLive();
         const vm = live[drawIndex(live.length)];
-        if (vm) sendRequest(vm);
+        vm?.clock.runInVm(() => {
+          if (vm.isAlive) sendRequest(vm);
+        });
       });
     }
     await world.advanceAsync(STEP_MS);
   }
-  await world.advanceAsync(play.maxArrivalMs);
+  await world.advanceAsync(Math.max(play.maxArrivalMs, MAX_STANDSTILL_MS));
   [...vms.values()].forEach(({ share }) => share.stop());
   return {
     ...findRetryExcess({ requestsAtMs, repeatsAtMs }, BOUNDS),
--- a/standins/retries/types/RetryPlay.ts
+++ b/standins/retries/types/RetryPlay.ts
@@ -1,4 +1,4 @@
-/** What happens to the VMs of a simulation. */
+/** What happens to the VMs of a simulation, to their store and to the servers. */
 export type RetryTrouble =
   /** Processes are killed and start again. */
   | 'kills'
@@ -10,8 +10,14 @@
   | 'partitions'
   /** The store comes back as it was some time before. */
   | 'restored store'
+  /** The store comes back as it was before the first VM claimed its part. */
+  | 'lost ledger'
   /** VMs are suspended, which their monotonic clocks do not count. */
-  | 'suspensions';
+  | 'suspensions'
+  /** VMs stand still and then read all requests of that time. */
+  | 'standing VMs'
+  /** Servers stand still and then read all attempts of that time. */
+  | 'standing servers';
 
 /** Options of a simulation. */
 export interface RetryPlay {
@@ -24,5 +30,9 @@
   readonly repeatsWanted: number;
   /** Longest time from a retry to its arrival. */
   readonly maxArrivalMs: number;
+  /** Whether requests come in bursts with nothing between them; true by default. */
+  readonly hasBursts?: boolean;
   readonly troubles: readonly RetryTrouble[];
+  /** Mean time from one trouble to the next; 4 s by default. */
+  readonly troubleEveryMs?: number;
 }
--- a/tests/gateway/_lib/startRetryFleet/index.ts
+++ b/tests/gateway/_lib/startRetryFleet/index.ts
@@ -1,4 +1,5 @@
 import { randomInt, randomUUID } from 'node:crypto';
+import { setTimeout as wait } from 'node:timers/promises';
 import { request } from 'undici';
 import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../../../platform';
 import {
@@ -11,6 +12,7 @@
   type StandInServer,
 } from '../../../../standins/gateway';
 import { findRetryExcess, type RetryExcess } from '../../../../standins/retries';
+import { startCuttableProxy } from '../startCuttableProxy';
 import { buildPeerAddress, startGatewayProcess, type GatewayProcess } from '../startGatewayProcess';
 
 /** Gateways in processes of their own, and servers that count what arrives. */
@@ -22,6 +24,10 @@
   /** Sends SIGTERM to a gateway. */
   terminate(index: number): void;
   start(index: number): Promise<void>;
+  /** Stops the processes of all gateways for some time; callers and servers go on. */
+  freezeGateways(durationMs: number): Promise<void>;
+  /** Lets all servers stand still for some time: then they read what came meanwhile. */
+  holdServers(durationMs: number): Promise<void>;
   /** Finds the window with most repeats in relation to the bounds, over all VMs. */
   findExcess(): RetryExcess;
   countRepeats(): number;
@@ -38,6 +44,8 @@
   readonly target?: string;
   /** Answers a request; by default the server refuses it. */
   readonly answer?: (server: StandInServer, received: ReceivedRequest) => void;
+  /** Time that a caller waits, in milliseconds; 4 s by default. */
+  readonly deadlineMs?: number;
 }
 
 /** Bounds that the gateways are told. */
@@ -45,21 +53,21 @@
 
 const SERVERS = 6;
 
-const DEADLINE_MS = 4000;
+const DEFAULT_DEADLINE_MS = 4000;
 
 const refuse = (server: StandInServer, received: ReceivedRequest): void =>
   server.answer(received, 503, 'full', { [HEADERS.notRun]: '1' });
 
-const sendRequest = async (url: string, requestId: string): Promise<number> => {
+const sendRequest = async (url: string, requestId: string, deadlineMs: number): Promise<number> => {
   try {
     const response = await request(url, {
       headers: {
         host: 'a.example',
         [HEADERS.requestId]: requestId,
-        [HEADERS.deadlineMs]: String(DEADLINE_MS),
+        [HEADERS.deadlineMs]: String(deadlineMs),
         [HEADERS.authorization]: `Bearer ${TEST_KEY}`,
       },
-      signal: AbortSignal.timeout(DEADLINE_MS),
+      signal: AbortSignal.timeout(deadlineMs),
     });
     await response.body.text();
     return response.statusCode;
@@ -72,6 +80,7 @@
 export const startRetryFleet = async ({
   answer = refuse,
   count,
+  deadlineMs = DEFAULT_DEADLINE_MS,
   isConnected = true,
   target = '/safe/x',
 }: RetryFleetOptions): Promise<RetryFleet> => {
@@ -92,7 +101,11 @@
     }),
   );
   const store = await createStandInStore();
-  servers.forEach((server) => store.writeRow(TABLES.servers, server.id, buildWireEntry(server)));
+  const links = await Promise.all(servers.map(({ address }) => startCuttableProxy(address)));
+  servers.forEach((server, index) => {
+    const address = links[index]?.address;
+    store.writeRow(TABLES.servers, server.id, buildWireEntry(server, { address }));
+  });
   store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildWireConfiguration());
   const network = `127.${randomInt(1, 255)}.${randomInt(0, 255)}`;
   const ips = Array.from({ length: count }, (_, index) => `${network}.${index + 1}`);
@@ -110,7 +123,7 @@
   };
   const stop = async (): Promise<void> => {
     await Promise.all([...gateways.values()].map((gateway) => gateway.stop()));
-    await Promise.all([...servers, store].map((part) => part.stop()));
+    await Promise.all([...links, ...servers, store].map((part) => part.stop()));
   };
   const started = await Promise.allSettled(ips.map((_, index) => start(index)));
   if (started.some(({ status }) => status === 'rejected')) {
@@ -122,6 +135,17 @@
     count,
     start,
     stop,
+    freezeGateways: async (durationMs) => {
+      const frozen = [...gateways.values()];
+      frozen.forEach((gateway) => gateway.freeze());
+      await wait(durationMs);
+      frozen.forEach((gateway) => gateway.resume());
+    },
+    holdServers: async (durationMs) => {
+      await Promise.all(links.map((link) => link.cut('hold')));
+      await wait(durationMs);
+      await Promise.all(links.map((link) => link.restore()));
+    },
     terminate: (index) => gateways.get(index)?.terminate(),
     kill: async (index) => {
       await gateways.get(index)?.stop();
@@ -131,7 +155,11 @@
       Promise.all(
         Array.from({ length: requests }, () => {
           requestsAtMs.push(performance.now());
-          return sendRequest(`${gateways.get(index)?.callerUrl}${target}`, randomUUID());
+          return sendRequest(
+            `${gateways.get(index)?.callerUrl}${target}`,
+            randomUUID(),
+            deadlineMs,
+          );
         }),
       ),
     findExcess: () => findRetryExcess({ requestsAtMs, repeatsAtMs }, RETRY_BOUNDS),
