Tell how many retries may still arrive, and how many parts all VMs hold

'No repeat left' and the gauges told what a VM had used, not what of it was still under way, and 'share of bounds held' told a VM's own part, not the sum: neither late repeats nor parts that are given out twice could be told from a used-up budget. Now 'open', jackdaw_retry_open and 'allotted' do.

--- a/src/adapters/metrics/_lib/createRetryMeter/index.ts
+++ b/src/adapters/metrics/_lib/createRetryMeter/index.ts
@@ -16,6 +16,11 @@
     'Retries of the present window that this VM acquired or lent.',
     ({ retries }) => retries,
   );
+  addGauge(
+    'jackdaw_retry_open',
+    'Retries whose attempts may still arrive at a server.',
+    ({ open }) => open,
+  );
   addGauge(
     'jackdaw_retry_requests',
     'Requests of the present window that the allowed retries rest on.',
--- a/src/adapters/metrics/createGatewayMetrics/test.ts
+++ b/src/adapters/metrics/createGatewayMetrics/test.ts
@@ -68,7 +68,8 @@
     countSchedulerWaitingStreams: () => 10 * waiting,
     countScheduledServices: () => 2,
     listFleetLoads: () => new Map([['s', VIEW]]),
-    listRetryUse: () => new Map([['s', { allowed: 6.5, requests: 2, retries: 4, fixed: 5 }]]),
+    listRetryUse: () =>
+      new Map([['s', { allowed: 6.5, requests: 2, retries: 4, open: 1, fixed: 5 }]]),
   });
   waiting = 3;
   t.deepEqual(await listLines(metrics, 'jackdaw_waiting_streams'), ['jackdaw_waiting_streams 3']);
@@ -86,6 +87,7 @@
   t.deepEqual(await listLines(metrics, 'jackdaw_retry_'), [
     'jackdaw_retry_allowed{service="s"} 6.5',
     'jackdaw_retry_used{service="s"} 4',
+    'jackdaw_retry_open{service="s"} 1',
     'jackdaw_retry_requests{service="s"} 2',
     'jackdaw_retry_fixed{service="s"} 5',
   ]);
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -121,6 +121,7 @@
       allowed: bounds.retryRatio * requests + countFixed(),
       requests,
       retries: sum(history.retries) + history.open,
+      open: history.open,
       fixed: countFixed(),
     };
   };
--- a/src/application/forwarding/types/RetryUse.ts
+++ b/src/application/forwarding/types/RetryUse.ts
@@ -5,6 +5,8 @@
   readonly requests: number;
   /** Retries that were acquired or lent, and not released. */
   readonly retries: number;
+  /** Retries whose attempts have neither arrived nor surely not been sent. */
+  readonly open: number;
   /** Retries that the VM may use whatever its requests. */
   readonly fixed: number;
 }
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -1,3 +1,4 @@
+import { sum } from 'simple-statistics';
 import {
   allotShare,
   computeEvenParts,
@@ -179,6 +180,7 @@
       parts,
       vms,
       holders: allotment.ledger.holdings.length,
+      allotted: sum(allotment.ledger.holdings.map((holding) => holding.parts)),
       usableInMs: Math.round(Math.max(0, usableFromMs - clock.readMonotonicMs())),
     });
     return scheduleRenewal();
