Count a retry until a server must have read its attempt

A retry counted until a window after its attempt was given up, though closing a connection does not take back what the server has not read. Nor is the second attempt of a request always its repeat: a first one that a server reads late arrives after it.

The attempts of a request now share their retries, of which as many stay open as attempts may still arrive beyond the first arrival.

--- a/src/application/forwarding/_lib/askForPlacement/index.ts
+++ b/src/application/forwarding/_lib/askForPlacement/index.ts
@@ -77,7 +77,7 @@
     const current = readRequestClass(dependencies, context);
     if (!('kind' in current)) requestClass = current;
     // A stream that reached a server continues, whatever the configuration says now.
-    else if (run.arrivedAttempts === 0) refusal = current;
+    else if (run.arrivals.countSent() === 0) refusal = current;
     if (refusal || !isStillNeeded()) controller.abort();
     const listed = context.servers.list();
     const suspectedIds = listed.filter((one) => one.isSuspected).map(({ entry }) => entry.id);
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -8,6 +8,7 @@
 } from '../../../../domain/generation';
 import { RunState, SurvivalMode } from '../../../../domain/types';
 import { createRequestCrashTracker } from '../../../crashes';
+import { createRequestArrivals } from '../../createRequestArrivals';
 import { createInputQueue } from '../../../_lib/createInputQueue';
 import type { ForwardContext, ForwardingDependencies, Refusal, StreamRun } from '../../types';
 import { closeStreamAttempt } from '../closeStreamAttempt';
@@ -81,7 +82,10 @@
       refuse: (refusal) => refuse(refusal),
       copy: null,
       prefillAttempts: 0,
-      arrivedAttempts: 0,
+      arrivals: createRequestArrivals({
+        unread: dependencies.unread,
+        readNowMs: clock.readMonotonicMs,
+      }),
       reservedRetry: null,
       isTrial: false,
       lastEventAtMs: null,
--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -12,6 +12,7 @@
 } from '../prepareStreamAttempt';
 import { readStreamEvents } from '../readStreamEvents';
 import { readBody } from '../readBody';
+import { recordArrival } from '../recordArrival';
 import { recordHeard } from '../recordHeard';
 import { recordResponseHead } from '../recordResponseHead';
 import { recordAttemptFailure } from '../recordAttemptFailure';
@@ -110,8 +111,8 @@
   run.dispatch({ kind: 'sending', reader, backendServer: server.id });
   attempt.stopSilenceWatch = startSilenceWatch(run, attempt, reader);
   attempt.stopCopyWatch = startCopyWatch(run, attempt, reader);
-  // Until it is known not to have been sent: another attempt may replace it before it ends.
-  Object.assign(run, { arrivedAttempts: run.arrivedAttempts + 1 });
+  // From now on: another attempt may replace it before it ends.
+  const arrival = run.arrivals.startAttempt(retry);
   const sent = await client.sendAttempt(
     {
       server,
@@ -126,12 +127,9 @@
     },
     attempt.abort.signal,
   );
-  const hasArrived = sent.isOk() || sent.error.kind !== 'not-started';
-  if (hasArrived) retry?.finish();
-  else {
-    Object.assign(run, { arrivedAttempts: run.arrivedAttempts - 1 });
-    retry?.release();
-  }
+  if (sent.isOk()) arrival.confirm();
+  else if (sent.error.kind === 'not-started') arrival.cancel();
+  else recordArrival(arrival, server.id, { ...sent.error, progress: 'none' });
   const isCurrent = run.attempts.get(reader.attempt) === attempt;
   if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
   if (sent.isErr()) {
@@ -164,7 +162,7 @@
   }
   const { head, relay } = sent.value;
   if (relay !== null) logDecision(run.dependencies, context, 'attempt relayed', { relay }, server);
-  recordResponseHead(run.dependencies, server, head, attempt);
+  recordResponseHead(run.dependencies, server, head, { relay, sentAtMs: attempt.sentAtMs });
   if (head.status !== OK_STATUS || !head.isVerified) {
     logDecision(
       run.dependencies,
@@ -200,6 +198,5 @@
     await sendStreamAttempt(run, opening.reader, prepared);
   } finally {
     prepared.permit.finish({ isRejected: false });
-    prepared.retry?.finish();
   }
 };
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -41,8 +41,8 @@
  * A stream that reached a server before waits here for the first free server; the caller of a new
  * stream retries later.
  */
-const computeRetryAfterMs = ({ arrivedAttempts, context, dependencies }: StreamRun): number =>
-  arrivedAttempts > 0
+const computeRetryAfterMs = ({ arrivals, context, dependencies }: StreamRun): number =>
+  arrivals.countSent() > 0
     ? RETRY_AFTER_MS
     : Math.max(RETRY_AFTER_MS, dependencies.directory.readShortestPauseMs(context.service));
 
@@ -135,7 +135,7 @@
     isReturning: run.context.isReturning,
     scheduled: true,
   });
-  if (run.arrivedAttempts === 0) run.refuse(refusal);
+  if (run.arrivals.countSent() === 0) run.refuse(refusal);
   else {
     const code = RefusalCode.NoReadyServer;
     run.dispatch({ kind: 'slot-refused', reader, refusal: { code, message, retryAfterMs } });
@@ -177,14 +177,14 @@
   }
   const { permit, placement } = chosen;
   // The scheduler has admitted a stream that it granted a server.
-  const isNew = run.arrivedAttempts === 0 && !placement.grant;
+  const isNew = run.arrivals.countSent() === 0 && !placement.grant;
   const refusal = isNew ? checkStreamStart(run, placement) : null;
   if (refusal) {
     releaseUnsent(chosen);
     run.refuse(refusal);
     return null;
   }
-  const isRepeat = run.arrivedAttempts > 0;
+  const isRepeat = run.arrivals.countSent() > 0;
   if (isRepeat) context.steps.enterStep('retry');
   const retry = isRepeat ? await acquireRetry(run) : null;
   if (isRepeat && !retry) {
--- a/src/application/forwarding/_lib/prepareStreamAttempt/test.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/test.ts
@@ -39,7 +39,7 @@
     isEnded: () => false,
     readState: () => ({ offset: 1, mayHaveStarted: true, attempts: [OPENING.reader] }),
     dispatch: () => undefined,
-    arrivedAttempts: 1,
+    arrivals: { countSent: () => 1 },
     prefillAttempts: 1,
     reservedRetry: retry,
     isTrial: false,
--- a/src/application/forwarding/_lib/recordDecodeSample/index.ts
+++ b/src/application/forwarding/_lib/recordDecodeSample/index.ts
@@ -13,7 +13,7 @@
   const { request } = run.context;
   const [attempt] = run.attempts.values();
   const gapsMs = attempt?.scheduled?.eventGapsMs ?? [];
-  const isWhole = run.arrivedAttempts === 1 && request.lastEventId === null;
+  const isWhole = run.arrivals.countSent() === 1 && request.lastEventId === null;
   if (!attempt || gapsMs.length < MIN_GAPS || !isWhole) return;
   recordPaceSample(run, attempt, {
     kind: 'decode',
--- a/src/application/forwarding/_lib/recordResponseHead/index.ts
+++ b/src/application/forwarding/_lib/recordResponseHead/index.ts
@@ -2,15 +2,19 @@
 import type { ForwardingDependencies } from '../../types';
 import { recordWorkFactor } from '../recordWorkFactor';
 
-type RecordDependencies = Pick<ForwardingDependencies, 'directory' | 'limits' | 'serverPaces'>;
+type RecordDependencies = Pick<
+  ForwardingDependencies,
+  'directory' | 'limits' | 'serverPaces' | 'unread'
+>;
 
 /** Records what a response head says about its server, unless another server sent it. */
 export const recordResponseHead = (
-  { directory, limits, serverPaces }: RecordDependencies,
+  { directory, limits, serverPaces, unread }: RecordDependencies,
   server: ServerEntry,
   head: AnswerHead,
-  { sentAtMs }: { readonly sentAtMs: number },
+  { relay, sentAtMs }: { readonly relay: string | null; readonly sentAtMs: number },
 ): void => {
+  unread.recordAnswer({ server: server.id, relay }, sentAtMs);
   if (head.isFromOtherServer) {
     directory.recordReplaced(server.id, head.serverId, sentAtMs);
     return;
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -12,8 +12,10 @@
 import { buildFleetReader } from '../buildFleetReader';
 import { buildPaceReader } from '../buildPaceReader';
 import { createRequestCrashTracker } from '../../../crashes';
+import { createRequestArrivals } from '../../createRequestArrivals';
 import { logAttemptEnd } from '../logAttemptEnd';
 import { skipRateLimited } from '../skipRateLimited';
+import { recordArrival } from '../recordArrival';
 import { recordServerPace } from '../recordServerPace';
 import { logDecision } from '../logDecision';
 import { sendCallAttempt, type BufferedResponse } from '../sendCallAttempt';
@@ -84,7 +86,10 @@
   };
   let startedAttempts = 0;
   let refusals = 0;
-  let arrivedAttempts = 0;
+  const arrivals = createRequestArrivals({
+    unread: dependencies.unread,
+    readNowMs: clock.readMonotonicMs,
+  });
   /** Time spent on asking for permits. */
   let waitedMs = 0;
   let lastReason = 'no server takes work';
@@ -121,7 +126,7 @@
       lastReason = RATE_LIMIT_REASON;
       continue;
     }
-    const isRepeat = arrivedAttempts > 0;
+    const isRepeat = arrivals.countSent() > 0;
     if (isRepeat) steps.enterStep('retry');
     const retry = isRepeat ? await lender.acquireRetry(service) : null;
     if (isRepeat && !retry) {
@@ -168,18 +173,20 @@
     const sentAtMs = clock.readMonotonicMs();
     steps.enterStep('attempt');
     Object.assign(call, { hasArrived: true });
+    const arrival = arrivals.startAttempt(retry);
     const result = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
-    const hasArrived = result.kind !== 'not-run' || result.hasArrived;
-    if (hasArrived) retry?.finish();
-    else {
-      permit.release();
-      retry?.release();
-    }
-    if (result.kind !== 'not-run') {
+    if (result.kind === 'not-run') {
+      if (result.hasArrived) arrival.confirm();
+      else {
+        arrival.cancel();
+        permit.release();
+      }
+    } else {
+      recordArrival(arrival, status.entry.id, result.end);
       const evidence = crashes.recordEnd(status.entry, result.end);
       logAttemptEnd(dependencies, context, status.entry, result.end, evidence);
     }
@@ -189,7 +196,6 @@
       const isFailure = result.kind === 'failed';
       servers.recordOutcome(status.entry, { isFailure, duration: isFailure ? null : tookMs });
     }
-    if (hasArrived) arrivedAttempts += 1;
     if (call.ended.aborted) return 'ended';
     Object.assign(call, { hasArrived: result.kind !== 'not-run' || startedAttempts > 0 });
     if (result.kind === 'answered') {
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -132,7 +132,7 @@
     const { body, head, relay } = sent.value;
     if (relay !== null) logDecision(dependencies, context, 'attempt relayed', { relay }, server);
     const seen = { relay, progress: 'head' } as const;
-    recordResponseHead(dependencies, server, head, { sentAtMs });
+    recordResponseHead(dependencies, server, head, { relay, sentAtMs });
     if (!head.isVerified && !head.isNotExecuted) {
       // The expected response may still arrive on this connection, so that it must not be reused.
       timeoutController.abort();
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -30,6 +30,7 @@
     clock,
     serverPaces,
     paths: { recordFailure: ignore },
+    unread: { recordAnswer: ignore },
     limits: { recordAdvertisedLimit: ignore },
     directory: {
       startWork: () => ({ release: ignore }),
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -9,6 +9,7 @@
 import type { CrashHistory, CrashProbe, CrashTrials } from '../../crashes';
 import type { RetryBudget } from '../createRetryBudget';
 import type { RetryLender } from '../createRetryLender';
+import type { UnreadAttempts } from '../createUnreadAttempts';
 import type { RouteTableHolder } from '../createRouteTableHolder';
 import type { ServerDirectory } from './ServerDirectory';
 import type { ForwardingMeter } from './ForwardingMeter';
@@ -37,6 +38,8 @@
   readonly lender: RetryLender;
   readonly serverPaces: ServerPaces;
   readonly tables: RouteTableHolder;
+  /** Attempts that servers may read later. */
+  readonly unread: UnreadAttempts;
   /** Tells other VMs that a prompt was just sent to a server. */
   readonly tellPrompt: (server: string, tokens: number) => void;
   /**
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -9,6 +9,7 @@
 import type { OverloadTracker } from '../_lib/createOverloadTracker';
 import type { LatencyHistory } from '../../_lib/createLatencyHistory';
 import type { Refusal } from './CallerReply';
+import type { RequestArrivals } from '../createRequestArrivals';
 import type { ForwardContext } from './ForwardContext';
 import type { ForwardingDependencies } from './ForwardingDependencies';
 import type { Retry } from './Retry';
@@ -91,7 +92,7 @@
   /** Attempts that processed the prompt. */
   prefillAttempts: number;
   /** Attempts that reached a server, or may still do so. Every further one counts as a retry. */
-  arrivedAttempts: number;
+  readonly arrivals: RequestArrivals;
   /** The retry of the next attempt, if it was acquired already. */
   reservedRetry: Retry | null;
   /** True if the next attempt, or the current one, is the trial of a prompt part. */
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -44,31 +44,28 @@
     readAgeMs: () => readTableAgeMs(),
   });
   // Gossip depends on the followers and these on the directory, so gossip is wired last.
-  let sendSuspicion: Gossip['sendSuspicion'] = () => undefined;
-  let sendInferred: Gossip['sendInferred'] = () => undefined;
-  let sendOutcome: Gossip['sendOutcome'] = () => undefined;
+  const wired: { gossip: Gossip | null } = { gossip: null };
   const calls = createGatewayClient();
-  let listMembers: Gossip['listMembers'] = () => [];
+  const listMembers: Gossip['listMembers'] = () => wired.gossip?.listMembers() ?? [];
   // The paths, the limits and the directory depend on each other.
   let known: Pick<ServerDirectory, 'listEntries' | 'readLoad' | 'recordReachable'> | null = null;
   const { client, probeReach, paths } = wirePaths({
     ...common,
     self: settings,
     calls,
-    listPeers: () => listMembers(),
+    listPeers: listMembers,
     listEntries: () => known?.listEntries() ?? [],
     recordReachable: (id) => known?.recordReachable(id),
     recordQuery: metrics.recordQuery,
     tables,
   });
-  let sendLimit: Gossip['sendLimit'] = () => undefined;
   const { limits, permits, ...owners } = wireLimits({
     ...common,
     self: settings,
-    listPeers: () => listMembers(),
+    listPeers: listMembers,
     calls,
     readServer: (id) => known?.readLoad(id) ?? null,
-    publishLimit: (limit) => sendLimit(limit),
+    publishLimit: (limit) => wired.gossip?.sendLimit(limit),
   });
   const serverPaces = createServerPaces({ clock });
   const { directory, identityWatch } = wireDirectory({
@@ -80,19 +77,18 @@
     permits,
     serverPaces,
     tables,
-    publishSuspicion: (id, cause) => sendSuspicion(id, cause),
-    publishInferred: (server) => sendInferred(server),
+    publishSuspicion: (id, cause) => wired.gossip?.sendSuspicion(id, cause),
+    publishInferred: (server) => wired.gossip?.sendInferred(server),
   });
   known = directory;
-  let sendVerdict: Gossip['sendVerdict'] = () => undefined;
   const { judge: rolloutJudge, rollouts } = wireRollouts({
     ...common,
     settings,
     directory,
-    listPeers: () => listMembers(),
+    listPeers: listMembers,
     sendReport: calls.reportTrial,
     store,
-    publishVerdict: (verdict) => sendVerdict(verdict),
+    publishVerdict: (verdict) => wired.gossip?.sendVerdict(verdict),
   });
   const { crashes, crashProbe, crashTrials, quarantineRows } = wireCrashes({
     ...common,
@@ -101,7 +97,7 @@
     paths,
     store,
     tables,
-    publishOutcome: (outcome) => sendOutcome(outcome),
+    publishOutcome: (outcome) => wired.gossip?.sendOutcome(outcome),
   });
   let handleUpdate = (): void => undefined;
   let askPeers = (): void => undefined;
@@ -134,13 +130,8 @@
       identityWatch.start();
     },
   });
+  wired.gossip = gossip;
   askPeers = gossip.askNow;
-  sendSuspicion = gossip.sendSuspicion;
-  sendInferred = gossip.sendInferred;
-  sendOutcome = gossip.sendOutcome;
-  sendVerdict = gossip.sendVerdict;
-  sendLimit = gossip.sendLimit;
-  listMembers = gossip.listMembers;
   const sharing = createZoneReplication({
     ...common,
     self,
@@ -159,7 +150,13 @@
     serverPaces,
     tables,
   });
-  const { lender, retries, share } = wireRetries({ ...common, settings, store, calls, gossip });
+  const { lender, retries, share, unread } = wireRetries({
+    ...common,
+    settings,
+    store,
+    calls,
+    gossip,
+  });
   const places = createPromptReservations({
     self: settings.vm,
     listPeers: gossip.listMembers,
@@ -210,6 +207,7 @@
     retries,
     rollouts,
     tables,
+    unread,
     tellPrompt: places.tellPrompt,
     reservePrompt: places.reservePrompt,
   });
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -2,9 +2,11 @@
 import {
   createRetryBudget,
   createRetryLender,
+  createUnreadAttempts,
   type RetryBudget,
   type RetryLender,
   type RetryMeter,
+  type UnreadAttempts,
 } from '../../../../application/forwarding';
 import type { Gossip } from '../../../../application/gossip';
 import type { Clock, EventLog, Randomness } from '../../../../application/ports';
@@ -30,6 +32,7 @@
   readonly retries: RetryBudget;
   readonly lender: RetryLender;
   readonly share: ShareLease;
+  readonly unread: UnreadAttempts;
 }
 
 /** Wires the parts that enforce the retry budget. */
@@ -67,5 +70,5 @@
     pickPeers: gossip.drawAddresses,
     askPeer: calls.borrowRetry,
   });
-  return { retries, lender, share };
+  return { retries, lender, share, unread: createUnreadAttempts({ clock, log }) };
 };
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -3,6 +3,7 @@
   createForwarder,
   createRetryBudget,
   createRetryLender,
+  createUnreadAttempts,
   type Forwarder,
   type ForwardingDependencies,
   type ServerDirectory,
@@ -129,6 +130,7 @@
     },
     randomness,
     retries,
+    unread: createUnreadAttempts({ clock, log: QUIET_LOG }),
     serverPaces: createServerPaces({ clock }),
     rollouts: createRolloutRegistry({
       decodeOrder: () => null,
--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -133,6 +133,7 @@
       recordAttemptEnd: noop,
     },
     retries: { recordRequest: noop },
+    unread: { recordAnswer: noop, addAttempt: noop },
     rollouts: { openRequest: () => servers },
     reservePrompt: async () => 0,
     lender: { acquireRetry: async () => UNCOUNTED_RETRY },
--- a/standins/retries/_lib/createRetryVm/index.ts
+++ b/standins/retries/_lib/createRetryVm/index.ts
@@ -2,8 +2,10 @@
 import {
   createRetryBudget,
   createRetryLender,
+  createUnreadAttempts,
   type RetryBudget,
   type RetryLender,
+  type UnreadAttempts,
 } from '../../../../src/application/forwarding';
 import type { Clock, Randomness, RowSource, RowWriter } from '../../../../src/application/ports';
 import { createShareLease, type ShareLease } from '../../../../src/application/shares';
@@ -17,6 +19,7 @@
   readonly retries: RetryBudget;
   readonly lender: RetryLender;
   readonly share: ShareLease;
+  readonly unread: UnreadAttempts;
   readonly clock: VmClock;
   isAlive: boolean;
   isCutFromStore: boolean;
@@ -108,6 +111,7 @@
   });
   process.current = {
     ...{ clock, name, retries, lender, share },
+    unread: createUnreadAttempts({ clock, log: QUIET_LOG }),
     ...{ isAlive: true, isCutFromStore: false, isSuspended: false, isStanding: false, side: 0 },
   };
   share.start();
--- a/standins/retries/simulateRetries/index.ts
+++ b/standins/retries/simulateRetries/index.ts
@@ -1,4 +1,4 @@
-import type { Retry } from '../../../src/application/forwarding';
+import { createRequestArrivals, type AttemptArrival } from '../../../src/application/forwarding';
 import { parseRowVersion } from '../../../src/domain/rows';
 import { createFakeClock, createSeededRandomness } from '../../fakes';
 import { createVirtualStore } from '../../gateway';
@@ -81,27 +81,40 @@
   };
 
   /** Sends one attempt of a request; it arrives also if its VM is killed meanwhile. */
-  const sendAttempt = (vm: RetryVm, retry: Retry | null, handleArrival: () => void): void => {
-    servers.send(randomness.readFraction() * play.maxArrivalMs, () => {
+  const sendAttempt = (vm: RetryVm, arrival: AttemptArrival, handleArrival: () => void): void => {
+    const sentAtMs = vm.clock.readMonotonicMs();
+    let isGivenUp = false;
+    const server = servers.send(randomness.readFraction() * play.maxArrivalMs, (id) => {
       handleArrival();
-      vm.clock.runInVm(() => retry?.finish());
+      vm.clock.runInVm(() => {
+        if (isGivenUp) return;
+        vm.unread.recordAnswer({ server: id, relay: null }, sentAtMs);
+        arrival.confirm();
+      });
+    });
+    vm.clock.startTimer(ATTEMPT_MS, () => {
+      isGivenUp = true;
+      arrival.abandon({ server, relay: null });
     });
-    vm.clock.startTimer(ATTEMPT_MS, () => retry?.finish());
   };
 
   const sendRequest = async (vm: RetryVm): Promise<void> => {
-    let arrivals = 0;
+    let arrived = 0;
     const handleArrival = (): void => {
-      arrivals += 1;
-      if (arrivals > 1) repeatsAtMs.push(world.readMonotonicMs());
+      arrived += 1;
+      if (arrived > 1) repeatsAtMs.push(world.readMonotonicMs());
     };
     vm.retries.recordRequest('s');
-    sendAttempt(vm, null, handleArrival);
+    const arrivals = createRequestArrivals({
+      unread: vm.unread,
+      readNowMs: vm.clock.readMonotonicMs,
+    });
+    sendAttempt(vm, arrivals.startAttempt(null), handleArrival);
     for (let repeat = 0; repeat < play.repeatsWanted; repeat += 1) {
       wanted += 1;
       const retry = await vm.lender.acquireRetry('s');
       if (!retry) return;
-      sendAttempt(vm, retry, handleArrival);
+      sendAttempt(vm, arrivals.startAttempt(retry), handleArrival);
     }
   };
 
