Count requests only for windows in which they were surely sent

A request now counts for a window if it was sent at the earliest after the window began, and read before it ended. What a process reads can have been sent since it last waited with nothing to read.

--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -4,6 +4,7 @@
 import type { Forwarder, Refusal } from '../../../application/forwarding';
 import type { ConnectionGate, HeldBytes, MemoryBudget } from '../../../application/overload';
 import type { Clock, EventLog } from '../../../application/ports';
+import { createArrivalDating } from '../../../application/time';
 import type { ForwardingLimits, RequestHead } from '../../../domain/forwarding';
 import type { MemoryUse } from '../../../domain/overload';
 import { createLeaveDetector } from '../_lib/createLeaveDetector';
@@ -114,6 +115,7 @@
     dependencies;
   const { readLimits } = dependencies;
   const open = new Set<ServerResponse>();
+  const dating = createArrivalDating(clock);
   const waitForLeaves = createLeaveDetector({ clock, isLate });
 
   const reject = (
@@ -132,6 +134,7 @@
     held: HeldBytes,
   ): Promise<void> => {
     const limits = readLimits() ?? DEFAULT_LIMITS;
+    const sentSinceMs = dating.readSentSinceMs();
     const head = decodeHead({
       method: incoming.method ?? '',
       target: incoming.url ?? '',
@@ -169,7 +172,7 @@
     await waitForLeaves();
     const { buffer, byteOffset, byteLength } = body.value;
     return forwarder.forwardRequest(
-      { ...head.value, body: Buffer.from(buffer, byteOffset, byteLength) },
+      { ...head.value, sentSinceMs, body: Buffer.from(buffer, byteOffset, byteLength) },
       reply,
     );
   };
@@ -213,8 +216,13 @@
   applyLimits(DEFAULT_LIMITS);
 
   const listening = await startListening(server, listen);
+  if (listening.isErr()) dating.stop();
   return listening.map((listeningServer) => ({
     ...listeningServer,
+    stop: async () => {
+      dating.stop();
+      await listeningServer.stop();
+    },
     applyLimits,
     closeIdleConnections: () => {
       // Node.js takes a connection for idle whose answer is complete but not sent yet.
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -195,7 +195,7 @@
       meter.recordRequest('none', refuse(request, reply, admitted), 0);
       return;
     }
-    retries.recordRequest(admitted.service);
+    retries.recordRequest(admitted.service, request.sentSinceMs);
     fleetLoad.recordArrival(admitted.service);
     const outcome =
       admitted.route.kind === RouteKind.Stream
--- a/src/application/forwarding/createRetryBudget/index.ts
+++ b/src/application/forwarding/createRetryBudget/index.ts
@@ -30,7 +30,8 @@
 
 /** Limits the retries of requests. */
 export interface RetryBudget {
-  recordRequest(service: string): void;
+  /** @param sentSinceMs - earliest time at which the caller can have sent it, in monotonic ms */
+  recordRequest(service: string, sentSinceMs: number): void;
   /**
    * Takes one retry; null if the budget does not allow it. It counts until a window after it was
    * finished: an attempt may wait behind a silent server or link and arrive with later ones.
@@ -45,7 +46,10 @@
 
 /** Requests and retries of one service, by bucket. */
 interface BucketCounts {
-  readonly requests: number[];
+  /** By the earliest time at which callers can have sent them. */
+  readonly sentRequests: number[];
+  /** By when they were counted. */
+  readonly countedRequests: number[];
   readonly retries: number[];
   /** Retries that are neither finished nor released. */
   open: number;
@@ -70,7 +74,10 @@
     const readMs = suspensions.readSuspendedBeforeMs();
     if (readMs === suspendedBeforeMs) return;
     suspendedBeforeMs = readMs;
-    countsByService.forEach(({ requests }) => requests.fill(0));
+    countsByService.forEach(({ countedRequests, sentRequests }) => {
+      sentRequests.fill(0);
+      countedRequests.fill(0);
+    });
   };
 
   const advanceWindow = (): number => {
@@ -79,10 +86,11 @@
     const passedBuckets = Math.min(KEPT_BUCKETS, currentBucket - newestBucket);
     for (let index = 1; index <= passedBuckets; index += 1) {
       const clearedIndex = (currentBucket - passedBuckets + index) % KEPT_BUCKETS;
-      countsByService.forEach(({ requests, retries }) => {
-        requests.fill(0, clearedIndex, clearedIndex + 1);
-        retries.fill(0, clearedIndex, clearedIndex + 1);
-      });
+      countsByService.forEach(({ countedRequests, retries, sentRequests }) =>
+        [sentRequests, countedRequests, retries].forEach((buckets) =>
+          buckets.fill(0, clearedIndex, clearedIndex + 1),
+        ),
+      );
     }
     newestBucket = currentBucket;
     return currentBucket % KEPT_BUCKETS;
@@ -92,7 +100,8 @@
     const known = countsByService.get(service);
     if (known) return known;
     const counts = {
-      requests: new Array<number>(KEPT_BUCKETS).fill(0),
+      sentRequests: new Array<number>(KEPT_BUCKETS).fill(0),
+      countedRequests: new Array<number>(KEPT_BUCKETS).fill(0),
       retries: new Array<number>(KEPT_BUCKETS).fill(0),
       open: 0,
     };
@@ -106,9 +115,10 @@
 
   const readHistory = (service: string): RetryHistory => {
     const index = advanceWindow();
-    const { open, requests, retries } = findOrCreateCounts(service);
+    const { countedRequests, open, retries, sentRequests } = findOrCreateCounts(service);
     return {
-      requests: listNewestFirst(requests, index),
+      sentRequests: listNewestFirst(sentRequests, index),
+      countedRequests: listNewestFirst(countedRequests, index),
       retries: listNewestFirst(retries, index).slice(0, WINDOW_BUCKETS + 1),
       open,
     };
@@ -116,7 +126,7 @@
 
   const readUse = (service: string): RetryUse => {
     const history = readHistory(service);
-    const requests = sum(history.requests.slice(0, WINDOW_BUCKETS));
+    const requests = sum(history.sentRequests.slice(0, WINDOW_BUCKETS));
     return {
       allowed: bounds.retryRatio * requests + countFixed(),
       requests,
@@ -151,10 +161,15 @@
   return {
     listUse: () =>
       new Map([...countsByService.keys()].map((service) => [service, readUse(service)])),
-    recordRequest: (service) => {
+    recordRequest: (service, sentSinceMs) => {
       const index = advanceWindow();
-      const { requests } = findOrCreateCounts(service);
-      requests[index] = (requests[index] ?? 0) + 1;
+      const age = newestBucket - Math.floor(sentSinceMs / bucketMs);
+      // Such a request may have been sent before each window that counts.
+      if (age >= KEPT_BUCKETS || sentSinceMs < suspendedBeforeMs) return;
+      const { countedRequests, sentRequests } = findOrCreateCounts(service);
+      const sentIndex = (index + KEPT_BUCKETS - age) % KEPT_BUCKETS;
+      sentRequests[sentIndex] = (sentRequests[sentIndex] ?? 0) + 1;
+      countedRequests[index] = (countedRequests[index] ?? 0) + 1;
     },
     acquireRetry: (service, options) => {
       const allowance = { ...options, ratio: bounds.retryRatio, extra: countFixed() };
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -26,7 +26,7 @@
 
 test('retries are bounded by a fraction of recent requests and a share of the extra retries', (t) => {
   const { budget, clock } = build(2);
-  for (let index = 0; index < 20; index += 1) budget.recordRequest('s');
+  for (let index = 0; index < 20; index += 1) budget.recordRequest('s', 0);
   clock.advance(1000);
   // Half of 0.5 x 20, as the requests may be counted in another window, and 0.95 of 10 / 2.
   t.is(
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -25,7 +25,7 @@
       countFixed: () => countFixedRetries(BOUNDS) / count,
       meter: NO_RETRY_METER,
     });
-    for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s');
+    for (let index = 0; index < requestsEach; index += 1) retries.recordRequest('s', 0);
     const others = names.filter((name) => name !== vm);
     const lender = createRetryLender({
       clock,
--- a/src/domain/forwarding/types/ForwardedRequest.ts
+++ b/src/domain/forwarding/types/ForwardedRequest.ts
@@ -36,5 +36,7 @@
 
 /** A caller's complete request. */
 export interface ForwardedRequest extends RequestHead {
+  /** Earliest time at which the caller can have sent it, in monotonic milliseconds. */
+  readonly sentSinceMs: number;
   readonly body: Buffer;
 }
--- a/src/domain/retry/isRetryAllowed/index.ts
+++ b/src/domain/retry/isRetryAllowed/index.ts
@@ -6,8 +6,8 @@
 const HALF_WINDOW_BUCKETS = WINDOW_BUCKETS / 2;
 
 /**
- * A request is counted here up to this much after its caller sent it, as a fraction of the window in
- * buckets.
+ * Longest way of a request from its caller, as a fraction of the window in buckets, beside the time
+ * for which it was there unread.
  */
 const REQUEST_DELAY_BUCKETS = 5;
 
@@ -29,14 +29,28 @@
   return sum;
 };
 
+type RequestHistory = Pick<RetryHistory, 'countedRequests' | 'sentRequests'>;
+
+/**
+ * Counts the requests that were surely sent in the buckets of these ages: sent at the earliest after
+ * the oldest one began, and counted before the newest one ended.
+ */
+const countSent = (
+  { countedRequests, sentRequests }: RequestHistory,
+  newestAge: number,
+  oldestAge: number,
+): number => {
+  const sent = sumBetween(sentRequests, 0, oldestAge - REQUEST_DELAY_BUCKETS);
+  return Math.max(0, sent - sumBetween(countedRequests, 0, newestAge - 1));
+};
+
 /** Counts the requests that the bound of a window rests on, if it starts in the bucket of this age. */
-const countRequests = (requests: readonly number[], startAge: number): number => {
-  const newestAge = Math.max(0, startAge - WINDOW_BUCKETS + 1);
-  const own = sumBetween(requests, newestAge, startAge - 1 - REQUEST_DELAY_BUCKETS);
-  const earlier = sumBetween(
+const countRequests = (requests: RequestHistory, startAge: number): number => {
+  const own = countSent(requests, startAge - WINDOW_BUCKETS + 1, startAge - 1);
+  const earlier = countSent(
     requests,
     startAge - HALF_WINDOW_BUCKETS + 1,
-    startAge + HALF_WINDOW_BUCKETS - 1 - REQUEST_DELAY_BUCKETS,
+    startAge + HALF_WINDOW_BUCKETS - 1,
   );
   return (own + earlier) / 2;
 };
@@ -54,10 +68,13 @@
  * @param allowance - what this VM may use
  *
  * @example
- * isRetryAllowed({ requests: [], retries: [1], open: 0 }, { ratio: 0.5, extra: 2 }); // true
+ * isRetryAllowed(
+ *   { sentRequests: [], countedRequests: [], retries: [1], open: 0 },
+ *   { ratio: 0.5, extra: 2 },
+ * ); // true
  */
 export const isRetryAllowed = (
-  { open, requests, retries }: RetryHistory,
+  { open, retries, ...requests }: RetryHistory,
   { extra, minimum = 0, ratio, share = 1 }: RetryAllowance,
 ): boolean => {
   let used = open + 1;
--- a/src/domain/retry/isRetryAllowed/test.ts
+++ b/src/domain/retry/isRetryAllowed/test.ts
@@ -2,7 +2,18 @@
 import type { RetryHistory } from '../types';
 import { isRetryAllowed, WINDOW_BUCKETS } from '.';
 
-const NO_HISTORY: RetryHistory = { requests: [], retries: [], open: 0 };
+const NO_HISTORY: RetryHistory = {
+  sentRequests: [],
+  countedRequests: [],
+  retries: [],
+  open: 0,
+};
+
+/** Requests that were counted as soon as they were sent. */
+const countAtOnce = (requests: readonly number[]) => ({
+  sentRequests: requests,
+  countedRequests: requests,
+});
 
 /** Builds buckets with this count at one age. */
 const countAt = (age: number, count: number): number[] => {
@@ -33,16 +44,30 @@
   const allowance = { ratio: 1, extra: 1 };
   const steady = new Array<number>(1.5 * WINDOW_BUCKETS).fill(1);
   const used = (count: number) => ({ retries: countAt(60, count), open: 0 });
-  t.true(isRetryAllowed({ requests: steady, ...used(0.7 * WINDOW_BUCKETS) }, allowance));
-  t.false(isRetryAllowed({ requests: steady, ...used(0.8 * WINDOW_BUCKETS) }, allowance));
-  t.false(isRetryAllowed({ requests: countAt(0, 50), ...used(1) }, allowance));
-  t.false(isRetryAllowed({ requests: countAt(145, 50), retries: [1], open: 0 }, allowance));
+  t.true(isRetryAllowed({ ...countAtOnce(steady), ...used(0.7 * WINDOW_BUCKETS) }, allowance));
+  t.false(isRetryAllowed({ ...countAtOnce(steady), ...used(0.8 * WINDOW_BUCKETS) }, allowance));
+  t.false(isRetryAllowed({ ...countAtOnce(countAt(0, 50)), ...used(1) }, allowance));
+  t.false(isRetryAllowed({ ...countAtOnce(countAt(145, 50)), retries: [1], open: 0 }, allowance));
+});
+
+// Guards against windows that rest on requests which were sent before them, or after.
+test('requests count only for windows in which they were surely sent', (t) => {
+  const allowance = { ratio: 1, extra: 1 };
+  const used = { retries: countAt(30, 20), open: 0 };
+  const lateRequests = { sentRequests: countAt(80, 50), countedRequests: countAt(20, 50) };
+  t.true(isRetryAllowed({ ...used, ...countAtOnce(countAt(20, 50)) }, allowance));
+  t.false(isRetryAllowed({ ...used, ...lateRequests }, allowance));
 });
 
 test('a VM may retry as soon as it takes requests, and at once what it took before', (t) => {
   const count = (requests: readonly number[]): number => {
     let retries = 0;
-    while (isRetryAllowed({ requests, retries: [retries], open: 0 }, { ratio: 0.8, extra: 1 }))
+    while (
+      isRetryAllowed(
+        { ...countAtOnce(requests), retries: [retries], open: 0 },
+        { ratio: 0.8, extra: 1 },
+      )
+    )
       retries += 1;
     return retries;
   };
--- a/standins/crashes/sendRepeat/index.ts
+++ b/standins/crashes/sendRepeat/index.ts
@@ -58,6 +58,7 @@
       key: null,
       deadlineMs,
       arrivedAtMs: atMs,
+      sentSinceMs: atMs,
       lastEventId,
       tokens: null,
       promptParts: [],
--- a/standins/model/createSimulatedCaller/index.ts
+++ b/standins/model/createSimulatedCaller/index.ts
@@ -50,6 +50,7 @@
       key: null,
       deadlineMs: deadlineMs - (clock.readMonotonicMs() - startedAtMs),
       arrivedAtMs: clock.readMonotonicMs(),
+      sentSinceMs: clock.readMonotonicMs(),
       lastEventId: null,
       tokens: { prompt: promptTokens, maxOutput: MAX_OUTPUT_TOKENS },
       promptParts,
--- a/standins/retries/_lib/createRetryVm/index.ts
+++ b/standins/retries/_lib/createRetryVm/index.ts
@@ -9,6 +9,7 @@
 } from '../../../../src/application/forwarding';
 import type { Clock, Randomness, RowSource, RowWriter } from '../../../../src/application/ports';
 import { createShareLease, type ShareLease } from '../../../../src/application/shares';
+import { createArrivalDating, type ArrivalDating } from '../../../../src/application/time';
 import { countFixedRetries } from '../../../../src/domain/retry';
 import { NO_RETRY_METER, QUIET_LOG } from '../../../fakes';
 import { createVmClock, type VmClock } from '../../../rows';
@@ -20,6 +21,8 @@
   readonly lender: RetryLender;
   readonly share: ShareLease;
   readonly unread: UnreadAttempts;
+  /** Dates requests, which wait unread while the VM stands still. */
+  readonly dating: ArrivalDating;
   readonly clock: VmClock;
   isAlive: boolean;
   isCutFromStore: boolean;
@@ -112,6 +115,7 @@
   process.current = {
     ...{ clock, name, retries, lender, share },
     unread: createUnreadAttempts({ clock, log: QUIET_LOG }),
+    dating: createArrivalDating(clock),
     ...{ isAlive: true, isCutFromStore: false, isSuspended: false, isStanding: false, side: 0 },
   };
   share.start();
--- a/standins/retries/simulateRetries/index.ts
+++ b/standins/retries/simulateRetries/index.ts
@@ -58,6 +58,7 @@
   const killVm = (vm: RetryVm): void => {
     Object.assign(vm, { isAlive: false });
     vm.share.stop();
+    vm.dating.stop();
   };
 
   const suspendVm = (vm: RetryVm): void => {
@@ -104,7 +105,7 @@
       arrived += 1;
       if (arrived > 1) repeatsAtMs.push(world.readMonotonicMs());
     };
-    vm.retries.recordRequest('s');
+    vm.retries.recordRequest('s', vm.dating.readSentSinceMs());
     const arrivals = createRequestArrivals({
       unread: vm.unread,
       readNowMs: vm.clock.readMonotonicMs,
@@ -190,7 +191,10 @@
     await world.advanceAsync(STEP_MS);
   }
   await world.advanceAsync(Math.max(play.maxArrivalMs, MAX_STANDSTILL_MS));
-  [...vms.values()].forEach(({ share }) => share.stop());
+  [...vms.values()].forEach(({ dating, share }) => {
+    share.stop();
+    dating.stop();
+  });
   return {
     ...findRetryExcess({ requestsAtMs, repeatsAtMs }, BOUNDS),
     requests: requestsAtMs.length,
--- a/tests/gateway/_lib/buildTestAttempt/index.ts
+++ b/tests/gateway/_lib/buildTestAttempt/index.ts
@@ -25,6 +25,7 @@
     key: null,
     deadlineMs: null,
     arrivedAtMs: 0,
+    sentSinceMs: 0,
     lastEventId: null,
     tokens: null,
     promptParts: [],
