Give out no parts while a lost ledger may have given them out

A restored ledger that lacked a VM took its part from it.

Only the first start of the system finds no ledger in order. Any other VM keeps what it holds by a valid lease, and nothing more is given out until all leases that may be missing have ended.

--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -98,6 +98,8 @@
   let parts = 0;
   /** When the call was sent that the lease rests on. */
   let heldSinceMs = -Infinity;
+  /** Whether the store must have had a ledger before. */
+  let isLedgerExpected = !isFirstStart;
   let renewalAtMs = -Infinity;
   let failures = 0;
   let isStopped = false;
@@ -153,6 +155,7 @@
     const vms = countVms();
     const allotment = allotShare({
       ledger: read.ledger,
+      isLedgerExpected,
       self: { holder, incarnation },
       usedParts: isHeld() ? parts : 0,
       era: read.era,
@@ -162,9 +165,11 @@
       leaseMs: LEASE_MS,
       cooldownMs,
     });
+    if (read.ledger) isLedgerExpected = true;
     if (allotment.isInherited) usableFromMs = startedAtMs + cooldownMs;
     // In a large fleet all parts may be held by others; a VM without any is in no ledger.
-    if (allotment.parts === 0 && !allotment.wasHolder) return scheduleRenewal();
+    const isWritten = allotment.parts > 0 || allotment.wasHolder || allotment.isRestored;
+    if (!isWritten) return scheduleRenewal();
     // What is given back must not be used from the moment at which the store may have it.
     parts = Math.min(parts, allotment.parts);
     const written = await store.changeRows({
@@ -176,10 +181,12 @@
     if (written.isErr()) return `write: ${written.error.kind}`;
     parts = allotment.parts;
     heldSinceMs = sentAtMs;
+    isLedgerExpected = true;
     log.info('share of bounds held', {
       parts,
       vms,
       holders: allotment.ledger.holdings.length,
+      isRestored: allotment.isRestored,
       allotted: sum(allotment.ledger.holdings.map((holding) => holding.parts)),
       usableInMs: Math.round(Math.max(0, usableFromMs - clock.readMonotonicMs())),
     });
--- a/src/application/shares/createShareLease/test.ts
+++ b/src/application/shares/createShareLease/test.ts
@@ -5,10 +5,14 @@
 
 const TOTAL_PARTS = 100;
 
-const build = ({ isFirstStart = true, vms = 4 } = {}) => {
+const buildStore = () => {
   const clock = createFakeClock();
   const store = createVirtualStore(clock);
   store.writeRow('op', 'config', {});
+  return { clock, store };
+};
+
+const build = ({ isFirstStart = true, vms = 4 } = {}, { clock, store } = buildStore()) => {
   const lease = createShareLease({
     ...{ vm: 'vm-1', isFirstStart, cooldownMs: 13_000, totalParts: TOTAL_PARTS },
     ...{ table: 'shares', store, countVms: () => vms, clock, log: QUIET_LOG },
@@ -36,7 +40,10 @@
 
 // Guards against requests that wait for a part which their VM could not use.
 test('after a restart a part is not usable before the cooldown, and not waited for', async (t) => {
-  const { clock, lease } = build({ isFirstStart: false });
+  const first = build();
+  await first.clock.advanceAsync(6000);
+  first.lease.stop();
+  const { clock, lease } = build({ isFirstStart: false }, first);
   t.is(lease.claimNow(), null);
   await clock.advanceAsync(12_900);
   t.is(lease.countParts(), 0);
--- a/src/domain/shares/allotShare/index.ts
+++ b/src/domain/shares/allotShare/index.ts
@@ -5,8 +5,10 @@
 
 /** Inputs of an allotment; times in milliseconds on the monotonic clock of the store. */
 export interface AllotmentOptions {
-  /** Null if there is none yet. */
+  /** Null if the store has none. */
   readonly ledger: ShareLedger | null;
+  /** True if the store must have had a ledger before. */
+  readonly isLedgerExpected: boolean;
   readonly self: Pick<ShareHolding, 'holder' | 'incarnation'>;
   /** Parts that this process may use now. */
   readonly usedParts: number;
@@ -31,6 +33,8 @@
   readonly wasHolder: boolean;
   /** True if an earlier process of this VM may have used the parts a moment ago. */
   readonly isInherited: boolean;
+  /** True if the store lost newer ledgers, or all. */
+  readonly isRestored: boolean;
 }
 
 /** Computes the even part of a VM among this many. */
@@ -52,6 +56,7 @@
 export const allotShare = ({
   cooldownMs,
   era,
+  isLedgerExpected,
   leaseMs,
   ledger,
   nowStoreMs,
@@ -68,13 +73,13 @@
   const holders = others.filter(
     ({ holder, untilStoreMs }) => holder !== '' && untilStoreMs >= nowStoreMs,
   );
-  // Of a ledger that was restored from a backup the newest holdings are missing.
-  const isRestored = ledger !== null && ledger.era !== era;
+  // In a store that was restored from a backup the newest holdings are missing.
+  const isRestored = ledger === null ? isLedgerExpected : ledger.era !== era;
   const closedUntilStoreMs = isRestored
     ? nowStoreMs + leaseMs + cooldownMs
     : (ledger?.closedUntilStoreMs ?? 0);
   const isInherited = own !== null && own.incarnation !== self.incarnation;
-  const held = isRestored ? Math.min(own?.parts ?? 0, usedParts) : (own?.parts ?? 0);
+  const held = isRestored ? usedParts : (own?.parts ?? 0);
   const target = computeEvenParts(totalParts, Math.max(vms, holders.length + 1));
   const free = nowStoreMs < closedUntilStoreMs ? 0 : totalParts - sumParts(reserved);
   const parts = Math.min(target, held + Math.max(0, free));
@@ -83,6 +88,7 @@
     parts,
     wasHolder: own !== null,
     isInherited,
+    isRestored,
     ledger: {
       era,
       closedUntilStoreMs,
--- a/src/domain/shares/allotShare/test.ts
+++ b/src/domain/shares/allotShare/test.ts
@@ -12,6 +12,7 @@
 ): AllotmentOptions => ({
   ledger: { era: 1, closedUntilStoreMs: 0, holdings },
   self: { holder: 'a', incarnation: '1' },
+  isLedgerExpected: false,
   usedParts: 0,
   era: 1,
   nowStoreMs: 500_000,
@@ -57,6 +58,19 @@
   t.is(allotShare({ ...next, nowStoreMs: 500_001 + COOLDOWN_MS }).parts, 25);
 });
 
+// Guards against parts that are given out twice: a store that comes back without the ledger looks like
+// one that never had any.
+test('a lost ledger gives out nothing but what is in use until all leases have ended', (t) => {
+  const lost = { ledger: null, isLedgerExpected: true };
+  t.is(allotShare(build([], lost)).parts, 0);
+  const { isRestored, ledger, parts } = allotShare(build([], { ...lost, usedParts: 20 }));
+  t.true(isRestored);
+  t.is(parts, 20);
+  const next = build([], { ledger, self: { holder: 'c', incarnation: '1' } });
+  t.is(allotShare(next).parts, 0);
+  t.is(allotShare({ ...next, nowStoreMs: 500_000 + LEASE_MS + COOLDOWN_MS }).parts, 25);
+});
+
 test('a process that starts again takes the parts of its VM and is told so', (t) => {
   const { isInherited, parts } = allotShare(
     build([hold('a', 25), hold('b', 75)], { self: { holder: 'a', incarnation: '2' } }),
--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -20,6 +20,8 @@
   readonly reuseAfterS?: number;
   /** Memory beyond which the platform would kill the process; not told by default. */
   readonly memoryMb?: number;
+  /** False if the whole system ran before; true by default. */
+  readonly isFirstStart?: boolean;
 }
 
 /** A gateway in a process of its own. */
@@ -49,6 +51,7 @@
 
 const formatSettings = ({
   ip,
+  isFirstStart = true,
   memoryMb,
   reuseAfterS = 0,
   seeds,
@@ -58,6 +61,7 @@
 }: GatewayProcessOptions): string =>
   [
     `node_name = "${vm}"`,
+    `bootstrap = ${isFirstStart}`,
     `ip = "${ip}"`,
     `zone = "${zone}"`,
     `internal_ports = [${PORTS.peer}, ${PORTS.metrics}]`,
--- a/tests/gateway/_lib/startRetryFleet/index.ts
+++ b/tests/gateway/_lib/startRetryFleet/index.ts
@@ -111,13 +111,14 @@
   const ips = Array.from({ length: count }, (_, index) => `${network}.${index + 1}`);
   const gateways = new Map<number, GatewayProcess>();
 
-  const start = async (index: number): Promise<void> => {
+  const start = async (index: number, isFirstStart = false): Promise<void> => {
     const gateway = await startGatewayProcess({
       vm: `vm-${index}`,
       zone: `z${(index % 3) + 1}`,
       ip: ips[index] ?? '',
       seeds: isConnected ? ips.slice(0, 3).map(buildPeerAddress) : [],
       storeUrl: store.url,
+      isFirstStart,
     });
     gateways.set(index, gateway);
   };
@@ -125,7 +126,7 @@
     await Promise.all([...gateways.values()].map((gateway) => gateway.stop()));
     await Promise.all([...links, ...servers, store].map((part) => part.stop()));
   };
-  const started = await Promise.allSettled(ips.map((_, index) => start(index)));
+  const started = await Promise.allSettled(ips.map((_, index) => start(index, true)));
   if (started.some(({ status }) => status === 'rejected')) {
     await stop();
     throw new Error('a gateway did not start');
