Count a lent retry until its borrower tells what became of it

A VM that lent a retry counted it as arrived after a second, whatever the borrower's server did: 71 of 71 retries were free again while 35 attempts with lent ones still waited unread. A grant that came after its caller had given up was never returned.

The borrower names each retry that it asks for and returns it when its attempt has arrived or was not sent; without a word it counts for a minute. VMs of earlier landings name none and are counted as before. The test of released borrowed retries returned and borrowed the same one without end; it now borrows all, returns each twice, and still gets none of its own.

--- a/src/adapters/connect/createGatewayClient/index.ts
+++ b/src/adapters/connect/createGatewayClient/index.ts
@@ -1,5 +1,5 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import type { SentPrompt } from '../../../application/forwarding';
+import type { RetryRequest, RetryReturn, SentPrompt } from '../../../application/forwarding';
 import type { FleetLoadCalls } from '../../../application/fleet-load';
 import type { GossipCalls } from '../../../application/gossip';
 import type {
@@ -29,8 +29,10 @@
 
 /** Client of other gateways. */
 export interface GatewayClient extends GossipCalls, FleetLoadCalls {
-  /** Asks a gateway for one retry of its budget; false also if the gateway times out. */
-  borrowRetry(address: string, service: string): Promise<boolean>;
+  /** Asks a gateway for one retry of its budget; null if the gateway times out. */
+  borrowRetry(address: string, request: RetryRequest): Promise<boolean | null>;
+  /** Tells a gateway what became of a retry that it lent; best effort, no retry. */
+  returnRetry(address: string, returned: RetryReturn): void;
   /** Tells a gateway about a prompt that was sent to a server; best effort, no retry. */
   tellPrompt(address: string, prompt: SentPrompt): void;
   /** Reserves a place for a prompt; null if the gateway times out. */
@@ -113,9 +115,12 @@
       const answer = await call(address, METHODS.exchange, request, CALL_TIMEOUT_MS);
       return answer && readKnowledgeMessage(answer.knowledge);
     },
-    borrowRetry: async (address, service) => {
-      const answer = await call(address, METHODS.lendRetry, { service }, RETRY_TIMEOUT_MS);
-      return answer?.isLent ?? false;
+    borrowRetry: async (address, request) => {
+      const answer = await call(address, METHODS.lendRetry, request, RETRY_TIMEOUT_MS);
+      return answer?.isLent ?? null;
+    },
+    returnRetry: (address, returned) => {
+      call(address, METHODS.returnRetry, returned, CALL_TIMEOUT_MS);
     },
     reservePrompt: async (address, prompt) => {
       const pending = call(address, METHODS.reservePrompt, prompt, CALL_TIMEOUT_MS);
--- a/src/adapters/connect/createGatewayClient/test.ts
+++ b/src/adapters/connect/createGatewayClient/test.ts
@@ -45,7 +45,7 @@
   }
   await newConnection;
   t.true(sockets.length > before);
-  t.false(await client.borrowRetry(address, 's'));
+  t.is(await client.borrowRetry(address, { service: 's', id: '1' }), null);
   client.close();
   stop();
 });
--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -1,4 +1,5 @@
 import type { MessageInitShape, MessageShape } from '@bufbuild/protobuf';
+import type { RetryRequest, RetryReturn } from '../../../application/forwarding';
 import type { Knowledge } from '../../../application/gossip';
 import type {
   PermitRelease,
@@ -28,7 +29,8 @@
 /** Services of a gateway that other gateways call. */
 export interface GatewayServices {
   readonly handleKnowledge: (knowledge: Knowledge) => Knowledge;
-  readonly lendRetry: (service: string) => boolean;
+  readonly lendRetry: (request: RetryRequest) => boolean;
+  readonly handleReturnedRetry: (returned: RetryReturn) => void;
   readonly recordToldPrompt: (server: string, tokens: number) => void;
   readonly handleReservation: (server: string, tokens: number) => number;
   readonly handlePermit: (request: PermitRequest) => PermitDecision;
@@ -68,6 +70,7 @@
   handleReport,
   handleRequest,
   handleReservation,
+  handleReturnedRetry,
   handleRoomRequest,
   handleScheduleRequest,
   lendRetry,
@@ -75,7 +78,11 @@
   releasePermit,
   releaseRoom,
 }: GatewayServices): GatewayHandlers => ({
-  lendRetry: async ({ service }) => ({ isLent: lendRetry(service) }),
+  lendRetry: async ({ id, service }) => ({ isLent: lendRetry({ id, service }) }),
+  returnRetry: async ({ id, isUnused }) => {
+    handleReturnedRetry({ id, isUnused });
+    return {};
+  },
   reservePrompt: async ({ server, tokens }) => ({
     othersTokens: handleReservation(server, tokens),
   }),
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -1,7 +1,8 @@
-import type { Clock, EventLog } from '../../ports';
+import type { Clock, EventLog, Randomness } from '../../ports';
 import { waitDelay } from '../../time';
 import type { RetryBudget, RetryOptions } from '../createRetryBudget';
-import type { Retry, RetryMeter } from '../types';
+import { UNREAD_TTL_MS } from '../createUnreadAttempts';
+import type { Retry, RetryMeter, RetryRequest, RetryReturn } from '../types';
 
 /** Dependencies of the retry lender. */
 export interface RetryLenderDependencies {
@@ -13,10 +14,11 @@
   readonly meter: RetryMeter;
   /** Picks the addresses of some other VMs at random. */
   readonly pickPeers: (count: number) => readonly string[];
-  /**
-   * Asks a VM for one of its retries; resolves with false also if the VM does not respond in time.
-   */
-  readonly askPeer: (address: string, service: string) => Promise<boolean>;
+  /** Asks a VM for one of its retries; resolves with null if the VM does not respond in time. */
+  readonly askPeer: (address: string, request: RetryRequest) => Promise<boolean | null>;
+  /** Tells a VM what became of a retry that it lent; best effort. */
+  readonly notifyReturned: (address: string, returned: RetryReturn) => void;
+  readonly randomness: Pick<Randomness, 'readHex'>;
 }
 
 /** Borrows unused retries from other VMs, and lends retries to them. */
@@ -26,7 +28,9 @@
   /** Takes a retry from this VM's budget only; null if none is left. */
   acquireOwnRetry(service: string, options?: RetryOptions): Promise<Retry | null>;
   /** Lends a retry to another VM; returns false if this VM may need its remaining ones. */
-  lendRetry(service: string): boolean;
+  lendRetry(request: RetryRequest): boolean;
+  /** Records what became of a lent retry. */
+  handleReturned(returned: RetryReturn): void;
 }
 
 /** A request waits this long for the first claim of its VM. */
@@ -45,14 +49,11 @@
  */
 const MIN_LENT_RETRIES = 2;
 
-/**
- * Time after which a lent retry has arrived at a server. Its VM does not say when, as it may not be
- * reached by then.
- */
-const LENT_ARRIVAL_MS = 1000;
+/** Time after which a lent retry counts as arrived at a VM that returns none. */
+const UNRETURNED_ARRIVAL_MS = 1000;
 
-/** A retry of another VM, which counts it. */
-const BORROWED_RETRY: Retry = { release: () => undefined, finish: () => undefined };
+/** Length of the id of a lent retry, in bytes. */
+const ID_BYTES = 8;
 
 /**
  * Creates the retry lender of this VM.
@@ -60,15 +61,18 @@
  * All VMs keep one bound together, each with its share. With 60 VMs a share is five retries per ten
  * seconds. When an availability zone fails, some VMs need more and most need none: without lending,
  * streams stalled for 4.5 to 6.5 s while most of the bound was unused. A lent retry counts at the
- * VM that lends it, so that the bound holds whatever VMs know of each other.
+ * VM that lends it, until the one that borrowed it tells what became of it, so that the bound holds
+ * whatever VMs know of each other.
  */
 export const createRetryLender = ({
   askPeer,
   claimShare = () => null,
   clock,
-  pickPeers,
   log,
   meter,
+  notifyReturned,
+  pickPeers,
+  randomness,
   retries,
 }: RetryLenderDependencies): RetryLender => {
   const acquireOwnRetry: RetryLender['acquireOwnRetry'] = async (service, options) => {
@@ -78,6 +82,33 @@
     await Promise.race([claim, waitDelay(clock, CLAIM_TIMEOUT_MS)]);
     return retries.acquireRetry(service, options);
   };
+  /** Retries that other VMs use, by id. */
+  const lentById = new Map<string, Retry>();
+
+  const closeLent = (id: string, close: (retry: Retry) => void): void => {
+    const lent = lentById.get(id);
+    lentById.delete(id);
+    if (lent) close(lent);
+  };
+
+  const buildBorrowed = (address: string, id: string): Retry => {
+    let isOpen = true;
+    const end = (isUnused: boolean): void => {
+      if (isOpen) notifyReturned(address, { id, isUnused });
+      isOpen = false;
+    };
+    return { release: () => end(true), finish: () => end(false) };
+  };
+
+  const borrowFrom = async (address: string, service: string): Promise<Retry | null> => {
+    const id = randomness.readHex(ID_BYTES);
+    const isLent = await askPeer(address, { service, id });
+    const retry = buildBorrowed(address, id);
+    // The VM may have lent it all the same.
+    if (isLent === null) retry.release();
+    return isLent ? retry : null;
+  };
+
   return {
     acquireOwnRetry,
     acquireRetry: async (service) => {
@@ -86,23 +117,30 @@
       let asked = 0;
       for (const address of pickPeers(MAX_ASKED_PEERS)) {
         asked += 1;
-        if (await askPeer(address, service)) {
+        const borrowed = await borrowFrom(address, service);
+        if (borrowed) {
           log.info('repeat borrowed', { service, peer: address, asked });
           meter.recordRetry(service, 'borrowed');
-          return BORROWED_RETRY;
+          return borrowed;
         }
       }
       log.info('no repeat left', { service, asked, ...retries.listUse().get(service) });
       meter.recordRetry(service, 'refused');
       return null;
     },
-    lendRetry: (service) => {
+    handleReturned: ({ id, isUnused }) =>
+      closeLent(id, isUnused ? (lent) => lent.release() : (lent) => lent.finish()),
+    lendRetry: ({ id, service }) => {
       const lent = retries.acquireRetry(service, {
         share: LENT_FRACTION,
         minimum: MIN_LENT_RETRIES,
       });
       if (!lent) return false;
-      clock.startTimer(LENT_ARRIVAL_MS, lent.finish);
+      if (id === '') clock.startTimer(UNRETURNED_ARRIVAL_MS, lent.finish);
+      else {
+        lentById.set(id, lent);
+        clock.startTimer(UNREAD_TTL_MS, () => closeLent(id, (one) => one.finish()));
+      }
       meter.recordRetry(service, 'lent');
       return true;
     },
--- a/src/application/forwarding/createRetryLender/test.ts
+++ b/src/application/forwarding/createRetryLender/test.ts
@@ -37,7 +37,9 @@
           { length: wanted },
           () => others[Math.floor(randomness.readFraction() * others.length)] ?? '',
         ),
-      askPeer: async (address, service) => lenders.get(address)?.lendRetry(service) ?? false,
+      askPeer: async (address, request) => lenders.get(address)?.lendRetry(request) ?? null,
+      notifyReturned: (address, returned) => lenders.get(address)?.handleReturned(returned),
+      randomness,
     });
     lenders.set(vm, lender);
   });
@@ -98,11 +100,71 @@
   const acquired: (Retry | null)[] = [];
   for (let index = 0; index < own; index += 1) acquired.push(await lender.acquireRetry('s'));
   acquired.forEach((retry) => retry?.finish());
-  let borrowed = 0;
-  for (let retry = await lender.acquireRetry('s'); retry; retry = await lender.acquireRetry('s')) {
+  const borrowed: Retry[] = [];
+  for (let retry = await lender.acquireRetry('s'); retry; retry = await lender.acquireRetry('s'))
+    borrowed.push(retry);
+  t.true(borrowed.length > 0);
+  t.true(borrowed.length <= own / 2);
+  borrowed.forEach((retry) => {
     retry.release();
-    borrowed += 1;
+    retry.release();
+  });
+  t.is(await lender.acquireOwnRetry('s'), null);
+});
+
+// Guards against repeats beyond the bound: the VM that lent a retry used it again while the attempt of
+// the other one waited unread at a server.
+test('a lent retry counts until the attempt of its borrower has arrived', async (t) => {
+  const { clock, lenders } = setUp(2);
+  const borrower = lenders.get('vm-0') as RetryLender;
+  const lender = lenders.get('vm-1') as RetryLender;
+  const own = Math.floor((0.95 * BOUNDS.retryExtra) / 2);
+  const open: Retry[] = [];
+  for (let retry = await borrower.acquireRetry('s'); retry;) {
+    open.push(retry);
+    retry = await borrower.acquireRetry('s');
   }
-  t.true(borrowed > 0);
-  t.true(borrowed <= own / 2);
+  const borrowed = open.slice(own);
+  t.true(borrowed.length > 0);
+  await clock.advanceAsync(2 * BOUNDS.retryWindowMs);
+  const countOwn = async (): Promise<number> => {
+    const acquired: Retry[] = [];
+    for (let retry = await lender.acquireOwnRetry('s'); retry;) {
+      acquired.push(retry);
+      retry = await lender.acquireOwnRetry('s');
+    }
+    acquired.forEach((retry) => retry.release());
+    return acquired.length;
+  };
+  t.is(await countOwn(), own - borrowed.length);
+  borrowed[0]?.release();
+  t.is(await countOwn(), own - borrowed.length + 1);
+  borrowed.forEach((retry) => retry.finish());
+  await clock.advanceAsync(BOUNDS.retryWindowMs);
+  t.is(await countOwn(), own - borrowed.length + 1);
+  await clock.advanceAsync(200);
+  t.is(await countOwn(), own);
+});
+
+// Guards against retries that are lost for a minute: a grant that came too late was never returned.
+test('a retry whose grant may come late is returned unused', async (t) => {
+  const returned: boolean[] = [];
+  const clock = createFakeClock();
+  const lender = createRetryLender({
+    clock,
+    retries: createRetryBudget({
+      bounds: BOUNDS,
+      clock,
+      countFixed: () => 0,
+      meter: NO_RETRY_METER,
+    }),
+    log: QUIET_LOG,
+    meter: NO_RETRY_METER,
+    pickPeers: () => ['vm-1'],
+    askPeer: async () => null,
+    notifyReturned: (_address, { isUnused }) => returned.push(isUnused),
+    randomness: createSeededRandomness(1),
+  });
+  t.is(await lender.acquireRetry('s'), null);
+  t.deepEqual(returned, [true]);
 });
--- a/src/application/forwarding/index.ts
+++ b/src/application/forwarding/index.ts
@@ -25,6 +25,8 @@
   RefusalKind,
   Retry,
   RetryMeter,
+  RetryRequest,
+  RetryReturn,
   RetryUse,
   ServerDirectory,
 } from './types';
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -9,4 +9,5 @@
 export type { SuspicionCause } from './SuspicionCause';
 export type { Retry } from './Retry';
 export type { RetryEvent, RetryMeter } from './RetryMeter';
+export type { RetryRequest, RetryReturn } from './RetryRequest';
 export type { RetryUse } from './RetryUse';
--- a/src/programs/gateway/_lib/startEndpoints/index.ts
+++ b/src/programs/gateway/_lib/startEndpoints/index.ts
@@ -102,6 +102,7 @@
       handlers: createGatewayHandlers({
         handleKnowledge: gossip.handleKnowledge,
         lendRetry: lender.lendRetry,
+        handleReturnedRetry: lender.handleReturned,
         recordToldPrompt: directory.recordPeerPrompt,
         handleReservation: places.handleReservation,
         handlePermit: limitOwner.handlePermitRequest,
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -18,7 +18,7 @@
 /** Dependencies of the retry parts. */
 export interface RetryPartsDependencies {
   readonly settings: Pick<GatewaySettings, 'bounds' | 'isFirstStart' | 'peerAddress' | 'vm'>;
-  readonly calls: Pick<GatewayClient, 'borrowRetry'>;
+  readonly calls: Pick<GatewayClient, 'borrowRetry' | 'returnRetry'>;
   readonly clock: Clock;
   readonly gossip: Pick<Gossip, 'countVms' | 'drawAddresses'>;
   readonly log: EventLog;
@@ -69,6 +69,8 @@
     meter,
     pickPeers: gossip.drawAddresses,
     askPeer: calls.borrowRetry,
+    notifyReturned: calls.returnRetry,
+    randomness,
   });
   return { retries, lender, share, unread: createUnreadAttempts({ clock, log }) };
 };
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -152,6 +152,8 @@
       meter: NO_RETRY_METER,
       pickPeers: () => [],
       askPeer: async () => false,
+      notifyReturned: () => undefined,
+      randomness,
     }),
     tables: {
       readCurrent: () => table,
--- a/standins/retries/_lib/createRetryVm/index.ts
+++ b/standins/retries/_lib/createRetryVm/index.ts
@@ -69,6 +69,8 @@
   const process = { current: null as RetryVm | null };
   const self = (): RetryVm => process.current as RetryVm;
   const isCut = (): boolean => self().isCutFromStore || !self().isAlive;
+  const findPeer = (peer: string): RetryVm | undefined =>
+    listPeers(self()).find((vm) => vm.name === peer);
   const share = createShareLease({
     vm: name,
     isFirstStart,
@@ -107,10 +109,9 @@
         () => peers[Math.floor(randomness.readFraction() * peers.length)]?.name ?? '',
       );
     },
-    askPeer: async (peer, service) =>
-      listPeers(self())
-        .find((vm) => vm.name === peer)
-        ?.lender.lendRetry(service) ?? false,
+    askPeer: async (peer, request) => findPeer(peer)?.lender.lendRetry(request) ?? null,
+    notifyReturned: (peer, returned) => findPeer(peer)?.lender.handleReturned(returned),
+    randomness,
   });
   process.current = {
     ...{ clock, name, retries, lender, share },
--- a/tests/gateway/_lib/buildStubServices/index.ts
+++ b/tests/gateway/_lib/buildStubServices/index.ts
@@ -3,6 +3,7 @@
 /** Stubs of the calls that a gateway serves to other gateways. */
 export const buildStubServices = (): Omit<GatewayServices, 'handleKnowledge'> => ({
   lendRetry: () => false,
+  handleReturnedRetry: () => undefined,
   recordToldPrompt: () => undefined,
   handleReservation: () => 0,
   handlePermit: () => ({ isGranted: true, waitMs: 0 }),
