Send no repeat to servers that refused a moment ago

Calls that needed a retry found none, as other calls had spent them: where all servers of a service were full, each call was sent to one after the other, each refusal took a retry, and each window was filled to the bound. A server that refused is now taken for full for 0.3 s. First attempts still go there, so that its room is noticed; a repeat goes to other servers or not at all.

--- a/src/application/forwarding/_lib/buildServerRecord/index.ts
+++ b/src/application/forwarding/_lib/buildServerRecord/index.ts
@@ -34,6 +34,8 @@
   isInferred: boolean;
   /** Until then the server wants no requests from this VM. */
   pausedUntilMs: number;
+  /** Until then the server counts as full: it refused a request for want of room. */
+  fullUntilMs: number;
   /** Until then the server's rate limit leaves no permit to this VM. */
   rateLimitedUntilMs: number;
   /** Called once the server process that the work was sent to has surely ended. */
@@ -57,6 +59,7 @@
   goneAtMs: Infinity,
   isInferred: false,
   pausedUntilMs: -Infinity,
+  fullUntilMs: -Infinity,
   rateLimitedUntilMs: -Infinity,
   lossHandlers: new Set(),
 });
--- a/src/application/forwarding/_lib/buildServerStatus/index.ts
+++ b/src/application/forwarding/_lib/buildServerStatus/index.ts
@@ -18,6 +18,7 @@
     availableMs: Math.max(0, nowMs - Math.max(record.availableAtMs, record.pausedUntilMs)),
     // As in a half-open circuit breaker, one request tests the server; others go elsewhere
     // meanwhile.
+    isFull: record.fullUntilMs > nowMs,
     isSuspected: record.suspectedUntilMs > nowMs || record.probeRequests > 0,
   };
 };
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -1,5 +1,4 @@
 import {
-  chooseServerByLoad,
   computeAttemptMs,
   RouteKind,
   type FleetReader,
@@ -8,6 +7,7 @@
 import { computeRoomWaitMs } from '../../../../domain/limits';
 import type { EventFields } from '../../../ports';
 import type { ForwardContext, ForwardingDependencies, Refusal } from '../../types';
+import { chooseCallServer } from '../chooseCallServer';
 import { buildQuarantineRefusal } from '../buildQuarantineRefusal';
 import { buildFleetReader } from '../buildFleetReader';
 import { buildPaceReader } from '../buildPaceReader';
@@ -67,7 +67,7 @@
   context: ForwardContext,
   call: CallRun,
 ): Promise<string> => {
-  const { clock, directory, fleetLoad, lender, permits, randomness, serverPaces } = dependencies;
+  const { clock, directory, fleetLoad, lender, permits, serverPaces } = dependencies;
   const { deadlineAtMs, reply, route, servers, service, steps } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -104,14 +104,9 @@
     if (isRefused()) break;
     const readPace = buildPaceReader(serverPaces, service, 'callMs');
     const fleet = buildFleetReader(fleetLoad, serverPaces, service);
-    const status = chooseServerByLoad(servers.list(), {
-      readPace,
-      fleet,
-      excludedIds,
-      avoidedZone: null,
-      preferredZone: dependencies.availabilityZone,
-      draw: randomness.readFraction(),
-    });
+    const isRepeat = arrivals.countSent() > 0;
+    const choice = { readPace, fleet, excludedIds, isRepeat };
+    const status = chooseCallServer(dependencies, context, choice);
     if (!status) break;
     const askedAtMs = clock.readMonotonicMs();
     steps.enterStep('permit');
@@ -126,7 +121,6 @@
       lastReason = RATE_LIMIT_REASON;
       continue;
     }
-    const isRepeat = arrivals.countSent() > 0;
     if (isRepeat) steps.enterStep('retry');
     const retry = isRepeat ? await lender.acquireRetry(service) : null;
     if (isRepeat && !retry) {
@@ -180,6 +174,7 @@
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
     if (result.kind === 'not-run') {
+      if (result.isRejected) directory.recordFull(status.entry.id);
       if (result.hasArrived) arrival.confirm();
       else {
         arrival.cancel();
--- a/src/application/forwarding/createServerDirectory/index.ts
+++ b/src/application/forwarding/createServerDirectory/index.ts
@@ -2,6 +2,7 @@
 import { createSuspensionWatch } from '../../time';
 import type { ServerRecord, PeerPrompt } from '../_lib/buildServerRecord';
 import { buildServerStatus } from '../_lib/buildServerStatus';
+import { computeShortestPauseMs } from '../_lib/computeShortestPauseMs';
 import { createServerRecords, type ServerRecordsDependencies } from '../_lib/createServerRecords';
 import { startServerWork } from '../_lib/startServerWork';
 import type { ServerDirectory, SuspicionCause } from '../types';
@@ -32,6 +33,9 @@
 /** The id of a server without an entry is checked when it has not answered for this long. */
 const INFERRED_CHECK_AFTER_MS = 2000;
 
+/** A server that refused a request is taken for full for this long: queues drain in a moment. */
+const FULL_TTL_MS = 300;
+
 /** A server without an entry that has not answered for this long gets no new work. */
 const INFERRED_TTL_MS = 6000;
 
@@ -158,6 +162,10 @@
       record.pausedUntilMs = Math.max(record.pausedUntilMs, untilMs);
       log.info('server paused', { server: id, pauseMs: Math.round(pauseMs) });
     },
+    recordFull: (id) => {
+      const record = records.find(id);
+      if (record) record.fullUntilMs = clock.readMonotonicMs() + FULL_TTL_MS;
+    },
     recordRateLimited: (id, waitMs) => {
       const record = records.find(id);
       if (record) record.rateLimitedUntilMs = clock.readMonotonicMs() + waitMs;
@@ -166,18 +174,8 @@
       const record = records.find(id);
       return record !== undefined && isRateLimited(record);
     },
-    readShortestPauseMs: (service) => {
-      const nowMs = clock.readMonotonicMs();
-      const pauses = records
-        .list()
-        .filter((record) => record.entry.service === service && isPresent(record))
-        .map(
-          ({ rateLimitedUntilMs, pausedUntilMs }) =>
-            Math.max(rateLimitedUntilMs, pausedUntilMs) - nowMs,
-        )
-        .filter((pauseMs) => pauseMs > 0);
-      return pauses.length === 0 ? 0 : Math.min(...pauses);
-    },
+    readShortestPauseMs: (service) =>
+      computeShortestPauseMs(records.list().filter(isPresent), service, clock.readMonotonicMs()),
     recordSuspicion: (id, cause, ageMs = 0) => {
       const record = records.find(id);
       if (!record) return;
@@ -198,6 +196,8 @@
       if (!isReportedByPeer) handleSuspected(id, cause);
     },
     recordSuccess: (id, sentSinceMs) => {
+      const record = records.find(id);
+      if (record) record.fullUntilMs = -Infinity;
       recordReachable(id);
       recordAlive(id, sentSinceMs);
     },
--- a/src/application/forwarding/types/ServerDirectory.ts
+++ b/src/application/forwarding/types/ServerDirectory.ts
@@ -31,6 +31,8 @@
   recordLeaving(id: string): void;
   /** Records that a server asked this VM to pause its requests. */
   recordPause(id: string, pauseMs: number): void;
+  /** Records that a server refused a request for want of room. */
+  recordFull(id: string): void;
   /** Records that a server's rate limit leaves no permit to this VM. It is not listed meanwhile. */
   recordRateLimited(id: string, waitMs: number): void;
   isRateLimited(id: string): boolean;
--- a/src/domain/forwarding/types/ServerStatus.ts
+++ b/src/domain/forwarding/types/ServerStatus.ts
@@ -17,6 +17,8 @@
   readonly reportedAgeMs: number;
   /** Time for which this VM has known the server without a suspicion, in milliseconds. */
   readonly availableMs: number;
+  /** True if the server refused a request a moment ago, for want of room. */
+  readonly isFull: boolean;
   /** True if the server failed recently or stopped answering. */
   readonly isSuspected: boolean;
 }
--- a/standins/fakes/buildServerStatus/index.ts
+++ b/standins/fakes/buildServerStatus/index.ts
@@ -24,6 +24,7 @@
   reported: 0,
   reportedAgeMs: Infinity,
   availableMs: Infinity,
+  isFull: false,
   isSuspected: false,
   ...change,
 });
