Split the lease of shares: its term, the reading of the ledger, the renewals

createShareLease did the first claim, the renewals and what may be used now over nine variables. No behaviour changes; the tests of shares pass unchanged.

--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -2,13 +2,13 @@
 import {
   allotShare,
   computeEvenParts,
-  decodeShareLedger,
   encodeShareLedger,
-  type ShareLedger,
+  type Allotment,
 } from '../../../domain/shares';
-import { parseRowVersion } from '../../../domain/rows';
 import type { Clock, EventLog, Randomness, RowSource, RowWriter } from '../../ports';
-import { createSuspensionWatch, startLoop } from '../../time';
+import { startLoop } from '../../time';
+import { createLeaseTerm } from '../_lib/createLeaseTerm';
+import { LEDGER_KEY, readShareLedger, type ReadLedger } from '../_lib/readShareLedger';
 
 /** Dependencies of the lease. */
 export interface ShareLeaseDependencies {
@@ -61,16 +61,6 @@
 /** A VM that holds this many times its even part gives some back before its next renewal. */
 const MAX_EXCESS = 1.5;
 
-const LEDGER_KEY = 'ledger';
-
-/** A ledger as it was read. */
-interface ReadLedger {
-  readonly ledger: ShareLedger | null;
-  readonly version: number;
-  readonly era: number;
-  readonly storeMs: number;
-}
-
 /**
  * Creates the lease of this VM on its part of the bounds of all VMs.
  *
@@ -91,13 +81,10 @@
   vm: holder,
 }: ShareLeaseDependencies): ShareLease => {
   const incarnation = randomness.readHex(4);
-  const suspensions = createSuspensionWatch(clock);
   const startedAtMs = clock.readMonotonicMs();
   // An earlier process of this VM may have used its part until just before this one started.
-  let usableFromMs = isFirstStart ? startedAtMs : startedAtMs + cooldownMs;
-  let parts = 0;
-  /** When the call was sent that the lease rests on. */
-  let heldSinceMs = -Infinity;
+  const usableFromMs = isFirstStart ? startedAtMs : startedAtMs + cooldownMs;
+  const term = createLeaseTerm(clock, { leaseMs: LEASE_MS, usableFromMs });
   /** Whether the store must have had a ledger before. */
   let isLedgerExpected = !isFirstStart;
   let renewalAtMs = -Infinity;
@@ -113,33 +100,10 @@
     : null;
   let stopLoop = (): void => undefined;
 
-  /** The monotonic clock does not count a suspension, in which the lease may have ended. */
-  const isHeld = (): boolean =>
-    clock.readMonotonicMs() < heldSinceMs + LEASE_MS &&
-    suspensions.readSuspendedBeforeMs() <= heldSinceMs;
-
-  const countParts = (): number =>
-    isHeld() && clock.readMonotonicMs() >= usableFromMs ? parts : 0;
-
   const isRenewalDue = (): boolean =>
     clock.readMonotonicMs() >= renewalAtMs ||
-    (parts > 0 && (!isHeld() || parts > MAX_EXCESS * computeEvenParts(totalParts, countVms())));
-
-  const readLedger = async (): Promise<ReadLedger | string> => {
-    const read = await store.readRows(table);
-    if (read.isErr()) return read.error.kind;
-    const { rows, storeMs, version } = read.value;
-    if (storeMs === undefined) return 'the store states no time';
-    // Its era is not known yet.
-    if (version === 0) return 'the store is empty';
-    const row = rows.find(({ key, value }) => key === LEDGER_KEY && value !== null);
-    const { era } = parseRowVersion(version);
-    if (!row?.value) return { ledger: null, version: 0, era, storeMs };
-    // Holdings that can't be read are as good as missing.
-    const missing = { era: -1, closedUntilStoreMs: 0, holdings: [] };
-    const ledger = decodeShareLedger(row.value).unwrapOr(missing);
-    return { ledger, version: row.version, era, storeMs };
-  };
+    term.hasEnded() ||
+    term.countHeld() > MAX_EXCESS * computeEvenParts(totalParts, countVms());
 
   const scheduleRenewal = (): null => {
     renewalAtMs =
@@ -147,31 +111,43 @@
     return null;
   };
 
-  /** Renews the lease; resolves with the reason of a failure, or null. */
-  const renew = async (): Promise<string | null> => {
-    const sentAtMs = clock.readMonotonicMs();
-    const read = await readLedger();
-    if (typeof read === 'string') return read;
-    const vms = countVms();
-    const allotment = allotShare({
-      ledger: read.ledger,
+  const allot = ({ era, ledger, storeMs }: ReadLedger): Allotment =>
+    allotShare({
+      ledger,
       isLedgerExpected,
       self: { holder, incarnation },
-      usedParts: isHeld() ? parts : 0,
-      era: read.era,
-      nowStoreMs: read.storeMs,
+      usedParts: term.countHeld(),
+      era,
+      nowStoreMs: storeMs,
       totalParts,
-      vms,
+      vms: countVms(),
       leaseMs: LEASE_MS,
       cooldownMs,
     });
+
+  const logHeld = ({ isRestored, ledger: { holdings }, parts }: Allotment): void =>
+    log.info('share of bounds held', {
+      parts,
+      vms: countVms(),
+      holders: holdings.length,
+      allotted: sum(holdings.map((holding) => holding.parts)),
+      isRestored,
+      usableInMs: Math.round(term.readDelayMs()),
+    });
+
+  /** Renews the lease; resolves with the reason of a failure, or null. */
+  const renew = async (): Promise<string | null> => {
+    const sentAtMs = clock.readMonotonicMs();
+    const read = await readShareLedger(store, table);
+    if (typeof read === 'string') return read;
+    const allotment = allot(read);
     if (read.ledger) isLedgerExpected = true;
-    if (allotment.isInherited) usableFromMs = startedAtMs + cooldownMs;
+    if (allotment.isInherited) term.delayUse(startedAtMs + cooldownMs);
     // In a large fleet all parts may be held by others; a VM without any is in no ledger.
     const isWritten = allotment.parts > 0 || allotment.wasHolder || allotment.isRestored;
     if (!isWritten) return scheduleRenewal();
     // What is given back must not be used from the moment at which the store may have it.
-    parts = Math.min(parts, allotment.parts);
+    term.reduce(allotment.parts);
     const written = await store.changeRows({
       table,
       writes: [{ key: LEDGER_KEY, value: encodeShareLedger(allotment.ledger) }],
@@ -179,24 +155,16 @@
       expected: [{ key: LEDGER_KEY, version: read.version }],
     });
     if (written.isErr()) return `write: ${written.error.kind}`;
-    parts = allotment.parts;
-    heldSinceMs = sentAtMs;
     isLedgerExpected = true;
-    log.info('share of bounds held', {
-      parts,
-      vms,
-      holders: allotment.ledger.holdings.length,
-      isRestored: allotment.isRestored,
-      allotted: sum(allotment.ledger.holdings.map((holding) => holding.parts)),
-      usableInMs: Math.round(Math.max(0, usableFromMs - clock.readMonotonicMs())),
-    });
+    term.begin(allotment.parts, sentAtMs);
+    logHeld(allotment);
     return scheduleRenewal();
   };
 
   const handleFailure = (reason: string): number => {
     const limitMs = Math.min(RETRY.maxMs, RETRY.baseMs * 2 ** failures);
     failures += 1;
-    log.info('share of bounds not renewed', { reason, failures, parts: countParts() });
+    log.info('share of bounds not renewed', { reason, failures, parts: term.countUsable() });
     return limitMs * (0.5 + randomness.readFraction() / 2);
   };
 
@@ -224,7 +192,7 @@
       isFirstClaimDue = false;
       stopLoop();
     },
-    countParts,
+    countParts: term.countUsable,
     claimNow: () => {
       if (isFirstClaimDue) {
         stopLoop();
