Take back the permit that is given back, not the newest one of its VM

A server with a rate limit got more requests than it takes where a VM gave a permit back late: the owner of the limit freed the newest permit of that VM, whose request had been sent. Each permit has an id now; VMs of earlier landings name none and are treated as before.

--- a/src/adapters/connect/createGatewayHandlers/index.ts
+++ b/src/adapters/connect/createGatewayHandlers/index.ts
@@ -87,8 +87,8 @@
     othersTokens: handleReservation(server, tokens),
   }),
   acquirePermit: async (request) => handlePermit(request),
-  releasePermit: async ({ sender, server }) => {
-    releasePermit({ sender, server });
+  releasePermit: async ({ id, sender, server }) => {
+    releasePermit({ id, sender, server });
     return {};
   },
   acquireRoom: async (request) => handleRoomRequest(request),
--- a/src/application/limits/createLimitOwner/index.ts
+++ b/src/application/limits/createLimitOwner/index.ts
@@ -14,7 +14,7 @@
 export interface LimitOwner {
   /** Decides on a permit request. A granted permit counts as a sent request. */
   handlePermitRequest(request: PermitRequest): PermitDecision;
-  /** Takes back the latest permit of a VM that the VM did not use. */
+  /** Takes back a permit that its VM did not use: the one it names, or else its latest one. */
   releasePermit(release: PermitRelease): void;
 }
 
@@ -23,6 +23,8 @@
   readonly atMs: number;
   /** VM that sent it. */
   readonly sender: string;
+  /** Id of the permit; empty if it has none. */
+  readonly id: string;
 }
 
 /** Recent requests to one server, and the VMs that asked for permits. */
@@ -64,11 +66,11 @@
   };
 
   return {
-    handlePermitRequest: ({ isConfirmation, limitPerS, sender, sentAgesMs, server }) => {
+    handlePermitRequest: ({ id, isConfirmation, limitPerS, sender, sentAgesMs, server }) => {
       const nowMs = clock.readMonotonicMs();
       const window = findOrCreateWindow(server, nowMs);
       window.lastAskedAtMsByVm.set(sender, nowMs);
-      const reported = sentAgesMs.map((ageMs) => ({ atMs: nowMs - ageMs, sender }));
+      const reported = sentAgesMs.map((ageMs) => ({ atMs: nowMs - ageMs, sender, id: '' }));
       window.sentRequests = [...window.sentRequests, ...reported]
         .filter(({ atMs }) => atMs > nowMs - PERMIT_WINDOW_MS)
         .sort((a, b) => a.atMs - b.atMs);
@@ -84,14 +86,15 @@
         slack: isConfirmation ? CONFIRMATION_SLACK_REQUESTS : 0,
       });
       if (decision.isGranted)
-        window.sentRequests = [...window.sentRequests, { atMs: nowMs, sender }];
+        window.sentRequests = [...window.sentRequests, { atMs: nowMs, sender, id }];
       return decision;
     },
-    releasePermit: ({ sender, server }) => {
+    releasePermit: ({ id, sender, server }) => {
       const window = windows.get(server);
       if (!window) return;
       const released = window.sentRequests.findLast(
-        (request) => sender === '' || request.sender === sender,
+        (request) =>
+          (sender === '' || request.sender === sender) && (id === '' || request.id === id),
       );
       window.sentRequests = window.sentRequests.filter((request) => request !== released);
     },
--- a/src/application/limits/createPermitClient/index.ts
+++ b/src/application/limits/createPermitClient/index.ts
@@ -1,6 +1,6 @@
 import { PERMIT_WINDOW_MS, type OwnerCandidate, type PermitDecision } from '../../../domain/limits';
 import { createSkipList } from '../../_lib/createSkipList';
-import type { Clock, EventLog } from '../../ports';
+import type { Clock, EventLog, Randomness } from '../../ports';
 import { askOwnerQuorum } from '../_lib/askOwnerQuorum';
 import type { LimitOwner } from '../createLimitOwner';
 import type { ServerLimits } from '../createServerLimits';
@@ -18,6 +18,7 @@
   readonly owner: LimitOwner;
   readonly limits: Pick<ServerLimits, 'readLimitPerS'>;
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
+  readonly randomness: Pick<Randomness, 'readHex'>;
   readonly log: EventLog;
 }
 
@@ -51,6 +52,9 @@
 /** A share below one request per window counts as none. */
 const MIN_SHARE_PER_S = MS_PER_S / PERMIT_WINDOW_MS;
 
+/** Length of the id of a permit, in bytes. */
+const ID_BYTES = 8;
+
 /** Time until the next attempt while too few owners respond. */
 const NO_QUORUM_WAIT_MS = 500;
 
@@ -64,6 +68,7 @@
  */
 export const createPermitClient = (dependencies: PermitClientDependencies): PermitClient => {
   const { askPeer, clock, owner, limits, listPeers, log, self, notifyReleased } = dependencies;
+  const readId = (): string => dependencies.randomness.readHex(ID_BYTES);
   const { availabilityZone, vm: name } = self;
   const thisVm: LimitOwnerVm = { vm: name, availabilityZone, address: null };
   const sentRequestsByServer = new Map<string, SentRequest[]>();
@@ -111,17 +116,18 @@
     return decision;
   };
 
-  const releasePermits = (owners: readonly LimitOwnerVm[], server: string): void =>
+  const releasePermits = (owners: readonly LimitOwnerVm[], server: string, id: string): void =>
     owners.forEach(({ address }) => {
-      if (address === null) owner.releasePermit({ sender: name, server });
-      else notifyReleased(address, { sender: name, server });
+      if (address === null) owner.releasePermit({ sender: name, server, id });
+      else notifyReleased(address, { sender: name, server, id });
     });
 
   /** Decides by this VM's even share of the limit while too few owners respond. */
-  const decideLocally = (server: string, sharePerS: number): PermitDecision => {
+  const decideLocally = (server: string, id: string, sharePerS: number): PermitDecision => {
     if (sharePerS < MIN_SHARE_PER_S) return { isGranted: false, waitMs: NO_QUORUM_WAIT_MS };
     return owner.handlePermitRequest({
       sender: name,
+      id,
       server: formatLocalShare(server),
       limitPerS: sharePerS,
       sentAgesMs: [],
@@ -132,7 +138,7 @@
   const buildPermit = (
     server: string,
     granted: readonly LimitOwnerVm[],
-    releaseGrants = (): void => releasePermits(granted, server),
+    releaseGrants: () => void,
   ): Permit => {
     const sentRequest = addSentRequest(server);
     granted.forEach(({ vm }) => sentRequest.knownToVms.add(vm));
@@ -146,26 +152,32 @@
 
   const askOwners = async (server: string, limitPerS: number): Promise<Permit | number> => {
     const vms: readonly LimitOwnerVm[] = [thisVm, ...listPeers()];
+    const id = readId();
+    const releaseAt = (owners: readonly LimitOwnerVm[]): void => releasePermits(owners, server, id);
     const decision = await askOwnerQuorum({
       server,
       vms,
       silentOwners,
-      askOwner: (one, { isConfirmation }) => askOwner(one, { server, limitPerS, isConfirmation }),
-      releaseGrants: (owners) => releasePermits(owners, server),
+      askOwner: (one, { isConfirmation }) =>
+        askOwner(one, { server, id, limitPerS, isConfirmation }),
+      releaseGrants: releaseAt,
     });
-    if (decision.kind === 'granted') return buildPermit(server, decision.owners);
+    if (decision.kind === 'granted') {
+      const { owners } = decision;
+      return buildPermit(server, owners, () => releaseAt(owners));
+    }
     if (decision.kind === 'refused') return decision.waitMs;
-    const localDecision = decideLocally(server, limitPerS / vms.length);
+    const localDecision = decideLocally(server, id, limitPerS / vms.length);
     if (!localDecision.isGranted) return localDecision.waitMs;
     return buildPermit(server, [], () =>
-      owner.releasePermit({ sender: name, server: formatLocalShare(server) }),
+      owner.releasePermit({ sender: name, server: formatLocalShare(server), id }),
     );
   };
 
   return {
     acquirePermit: async (server) => {
       const limitPerS = limits.readLimitPerS(server);
-      if (limitPerS === null) return buildPermit(server, []);
+      if (limitPerS === null) return buildPermit(server, [], () => undefined);
       return askOwners(server, limitPerS);
     },
     forgetServer: (server) => {
--- a/src/application/limits/createPermitClient/test.ts
+++ b/src/application/limits/createPermitClient/test.ts
@@ -21,6 +21,7 @@
     owner: createLimitOwner({ clock, limits, randomness: createSeededRandomness(1) }),
     limits,
     clock,
+    randomness: createSeededRandomness(2),
     log: QUIET_LOG,
   });
 };
--- a/src/application/limits/types/PermitRequest.ts
+++ b/src/application/limits/types/PermitRequest.ts
@@ -2,6 +2,8 @@
 export interface PermitRequest {
   /** Name of the requesting VM. */
   readonly sender: string;
+  /** Names the permit when it is released; empty if the VM did not name it. */
+  readonly id: string;
   readonly server: string;
   /** Requests per second that the server takes, as known to the sender. */
   readonly limitPerS: number;
--- a/src/programs/gateway/_lib/wireLimits/index.ts
+++ b/src/programs/gateway/_lib/wireLimits/index.ts
@@ -61,6 +61,7 @@
     owner: limitOwner,
     limits,
     clock,
+    randomness,
     log,
   });
   const roomOwner = createRoomOwner({ clock, randomness });
--- a/standins/limits/simulateLimits/index.ts
+++ b/standins/limits/simulateLimits/index.ts
@@ -56,6 +56,7 @@
   const policy = model.policy ?? LimitPolicy.Confirmed;
   const clock = createFakeClock();
   const randomness = createSeededRandomness(model.seed);
+  const ids = createSeededRandomness(model.seed + 1);
   const drawFraction = (): number => randomness.readFraction();
   const arrivals: LimitArrival[][] = model.limitsPerS.map(() => []);
   const limitLearnedAtMs = model.limitsPerS.map(() => new Map<string, number>());
@@ -137,6 +138,7 @@
         },
       },
       clock,
+      randomness: ids,
       log: QUIET_LOG,
     });
     return { limits, owner, permits };
