Grant each side of a cut its part of rate limits and room, not the whole

A server with a rate limit, or a brittle one, got twice what it takes while its VMs were cut in two: owners are chosen from the VMs that one knows, so that each side has owners of its own and granted the whole. Owners now grant what the VMs that they know may use of those that the ledger names.

--- a/src/application/limits/createRoomClient/index.ts
+++ b/src/application/limits/createRoomClient/index.ts
@@ -127,6 +127,7 @@
       const maxRejectionsPerS = limits.readMaxRejectionsPerS(server);
       const known = maxRejectionsPerS === null ? null : readServer(server);
       if (maxRejectionsPerS === null || known === null) return FREE_ROOM;
+      if (known.slots === 0) return NO_QUORUM_WAIT_MS;
       sequence += 1;
       return askOwners({
         ...known,
--- a/src/application/limits/index.ts
+++ b/src/application/limits/index.ts
@@ -18,3 +18,4 @@
   RoomRelease,
   RoomRequest,
 } from './types';
+export { createReachedLimits, type ReachedLimits } from './createReachedLimits';
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -4,6 +4,7 @@
   computeEvenParts,
   encodeShareLedger,
   type Allotment,
+  type ShareLedger,
 } from '../../../domain/shares';
 import type { Clock, EventLog, Randomness, RowSource, RowWriter } from '../../ports';
 import { startLoop } from '../../time';
@@ -35,6 +36,8 @@
   stop(): void;
   /** Counts the parts that this VM may use now; those of all VMs never exceed the whole. */
   countParts(): number;
+  /** Lists the VMs whose leases the ledger names and that have not ended, as far as known. */
+  listHolders(): readonly string[];
   /**
    * Claims a part at once if this VM has not yet and could use it.
    *
@@ -61,6 +64,12 @@
 /** A VM that holds this many times its even part gives some back before its next renewal. */
 const MAX_EXCESS = 1.5;
 
+/** A VM that holds parts, and until when. */
+interface KnownHolder {
+  readonly name: string;
+  readonly untilMs: number;
+}
+
 /**
  * Creates the lease of this VM on its part of the bounds of all VMs.
  *
@@ -87,6 +96,7 @@
   const term = createLeaseTerm(clock, { leaseMs: LEASE_MS, usableFromMs });
   /** Whether the store must have had a ledger before. */
   let isLedgerExpected = !isFirstStart;
+  let knownHolders: readonly KnownHolder[] = [];
   let renewalAtMs = -Infinity;
   let failures = 0;
   let isStopped = false;
@@ -125,6 +135,16 @@
       cooldownMs,
     });
 
+  const recordHolders = ({ holdings }: ShareLedger, storeMs: number): void => {
+    const nowMs = clock.readMonotonicMs();
+    knownHolders = holdings
+      .filter((holding) => holding.holder !== '')
+      .map((holding) => ({
+        name: holding.holder,
+        untilMs: nowMs + holding.untilStoreMs - storeMs,
+      }));
+  };
+
   const logHeld = ({ isRestored, ledger: { holdings }, parts }: Allotment): void =>
     log.info('share of bounds held', {
       parts,
@@ -142,6 +162,7 @@
     if (typeof read === 'string') return read;
     const allotment = allot(read);
     if (read.ledger) isLedgerExpected = true;
+    recordHolders(allotment.ledger, read.storeMs);
     if (allotment.isInherited) term.delayUse(startedAtMs + cooldownMs);
     // In a large fleet all parts may be held by others; a VM without any is in no ledger.
     const isWritten = allotment.parts > 0 || allotment.wasHolder || allotment.isRestored;
@@ -193,6 +214,10 @@
       stopLoop();
     },
     countParts: term.countUsable,
+    listHolders: () =>
+      knownHolders
+        .filter(({ untilMs }) => untilMs > clock.readMonotonicMs())
+        .map(({ name }) => name),
     claimNow: () => {
       if (isFirstClaimDue) {
         stopLoop();
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -19,7 +19,7 @@
 import { wireLimits } from '../wireLimits';
 import { wireOverload } from '../wireOverload';
 import { wirePaths } from '../wirePaths';
-import { wireRetries } from '../wireRetries';
+import { wireRetries, type RetryParts } from '../wireRetries';
 import { wireRollouts } from '../wireRollouts';
 import { buildSchedulingFactories } from '../buildSchedulingFactories';
 import { wireScheduling } from '../wireScheduling';
@@ -44,7 +44,10 @@
     readAgeMs: () => readTableAgeMs(),
   });
   // Gossip depends on the followers and these on the directory, so gossip is wired last.
-  const wired: { gossip: Gossip | null } = { gossip: null };
+  const wired: { gossip: Gossip | null; retryParts: RetryParts | null } = {
+    gossip: null,
+    retryParts: null,
+  };
   const calls = createGatewayClient();
   const listMembers: Gossip['listMembers'] = () => wired.gossip?.listMembers() ?? [];
   // The paths, the limits and the directory depend on each other.
@@ -65,6 +68,7 @@
     listPeers: listMembers,
     calls,
     readServer: (id) => known?.readLoad(id) ?? null,
+    readReachedFraction: () => wired.retryParts?.readReachedFraction() ?? 1,
     publishLimit: (limit) => wired.gossip?.sendLimit(limit),
   });
   const serverPaces = createServerPaces({ clock });
@@ -150,13 +154,9 @@
     serverPaces,
     tables,
   });
-  const { lender, retries, share, unread } = wireRetries({
-    ...common,
-    settings,
-    store,
-    calls,
-    gossip,
-  });
+  const retryParts = wireRetries({ ...common, settings, store, calls, gossip });
+  wired.retryParts = retryParts;
+  const { lender, retries, share, unread } = retryParts;
   const places = createPromptReservations({
     self: settings.vm,
     listPeers: gossip.listMembers,
--- a/src/programs/gateway/_lib/wireLimits/index.ts
+++ b/src/programs/gateway/_lib/wireLimits/index.ts
@@ -6,6 +6,7 @@
   createRoomOwner,
   createServerLimits,
   createServerPermits,
+  createReachedLimits,
   type LimitOwner,
   type LimitPeer,
   type PermitClient,
@@ -26,6 +27,8 @@
     'acquirePermit' | 'acquireRoom' | 'releasePermit' | 'releaseRoom'
   >;
   readonly readServer: RoomClientDependencies['readServer'];
+  /** Reads which part of the bounds the VMs may use that this one reaches, 0 to 1. */
+  readonly readReachedFraction: () => number;
   readonly publishLimit: (limit: SharedLimit) => void;
   readonly clock: Clock;
   readonly log: EventLog;
@@ -47,19 +50,21 @@
   listPeers,
   log,
   randomness,
+  readReachedFraction,
   readServer,
   self,
   publishLimit,
 }: LimitPartsDependencies): LimitParts => {
   const limits = createServerLimits({ clock, log, publishLimit });
-  const limitOwner = createLimitOwner({ clock, limits, randomness });
+  const reached = createReachedLimits({ limits, readReachedFraction, readServer });
+  const limitOwner = createLimitOwner({ clock, limits: reached, randomness });
   const permits = createPermitClient({
     self,
     listPeers,
     askPeer: calls.acquirePermit,
     notifyReleased: calls.releasePermit,
     owner: limitOwner,
-    limits,
+    limits: reached,
     clock,
     randomness,
     log,
@@ -72,7 +77,7 @@
     releaseAtPeer: calls.releaseRoom,
     owner: roomOwner,
     limits,
-    readServer,
+    readServer: reached.readServer,
     clock,
     randomness,
     log,
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -13,6 +13,7 @@
 import { createShareLease, type ShareLease } from '../../../../application/shares';
 import type { GatewaySettings } from '../../../../domain/forwarding';
 import { countFixedRetries } from '../../../../domain/retry';
+import { computeReachedFraction } from '../../../../domain/shares';
 import { TABLES, type StoreClient } from '../../../../../platform';
 
 /** Dependencies of the retry parts. */
@@ -20,7 +21,7 @@
   readonly settings: Pick<GatewaySettings, 'bounds' | 'isFirstStart' | 'peerAddress' | 'vm'>;
   readonly calls: Pick<GatewayClient, 'borrowRetry' | 'returnRetry'>;
   readonly clock: Clock;
-  readonly gossip: Pick<Gossip, 'countVms' | 'drawAddresses'>;
+  readonly gossip: Pick<Gossip, 'countVms' | 'drawAddresses' | 'listMembers'>;
   readonly log: EventLog;
   readonly meter: RetryMeter;
   readonly randomness: Randomness;
@@ -33,8 +34,13 @@
   readonly lender: RetryLender;
   readonly share: ShareLease;
   readonly unread: UnreadAttempts;
+  /** Reads which part of the bounds the VMs may use that this one reaches, 0 to 1. */
+  readonly readReachedFraction: () => number;
 }
 
+/** Names a VM in the ledger: one that replaces another may have its name. */
+const formatHolder = (vm: string, address: string): string => `${vm} ${address}`;
+
 /** Wires the parts that enforce the retry budget. */
 export const wireRetries = ({
   calls,
@@ -47,9 +53,9 @@
   store,
 }: RetryPartsDependencies): RetryParts => {
   const { bounds, isFirstStart, peerAddress, vm } = settings;
+  const self = formatHolder(vm, peerAddress);
   const share = createShareLease({
-    // A VM that replaces another one may have its name.
-    vm: `${vm} ${peerAddress}`,
+    vm: self,
     isFirstStart,
     cooldownMs: bounds.retryWindowMs + bounds.settleMs,
     totalParts: countFixedRetries(bounds),
@@ -72,5 +78,14 @@
     notifyReturned: calls.returnRetry,
     randomness,
   });
-  return { retries, lender, share, unread: createUnreadAttempts({ clock, log }) };
+  return {
+    retries,
+    lender,
+    share,
+    unread: createUnreadAttempts({ clock, log }),
+    readReachedFraction: () => {
+      const members = gossip.listMembers().map((one) => formatHolder(one.vm, one.address));
+      return computeReachedFraction(share.listHolders(), new Set([self, ...members]));
+    },
+  };
 };
