Take the extra trials of a new version from the shares of the ledger

A new version that turns out to be bad could get more trials than all VMs may send together: each VM divided their fixed part by the VMs that it knew, so that VMs which knew nobody took the largest part each. They use the part that they hold by the ledger, as for retries; one without a part sends trials for its requests only.

--- a/src/application/rollouts/createRolloutRegistry/index.ts
+++ b/src/application/rollouts/createRolloutRegistry/index.ts
@@ -22,7 +22,8 @@
   readonly decodeOrder: (row: SharedRow) => Result<RolloutOrder, string> | null;
   readonly bounds: TrialBounds;
   readonly listServing: (service: string) => readonly ServerStatus[];
-  readonly countVms: () => number;
+  /** Reads which part of the bounds this VM may use, 0 to 1; those of all VMs are 1 at most. */
+  readonly readShare: () => number;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly randomness: Randomness;
@@ -70,8 +71,8 @@
 export const createRolloutRegistry = (
   dependencies: RolloutRegistryDependencies,
 ): RolloutRegistry => {
-  const { bounds, clock, countVms, handleChange, handleEvidence, listServing, log } = dependencies;
-  const { decodeOrder, randomness, broadcastVerdict } = dependencies;
+  const { bounds, clock, handleChange, handleEvidence, listServing, log } = dependencies;
+  const { decodeOrder, randomness, readShare, broadcastVerdict } = dependencies;
   const createdAtMs = clock.readMonotonicMs();
   const rolloutsByService = new Map<string, TrackedRollout>();
   /** Verdicts that arrived before their order, by service. */
@@ -157,8 +158,7 @@
     if (clock.readMonotonicMs() - createdAtMs < VM_COUNT_SETTLE_MS) return false;
     const { durationMs } = rollout.order;
     const { draw, requests } = rollout;
-    const vms = countVms();
-    const options = { bounds, requests, vms, ageMs, durationMs, draw };
+    const options = { bounds, requests, share: readShare(), ageMs, durationMs, draw };
     if (rollout.trials >= computeTrialAllowance(options)) return false;
     return listServing(rollout.order.service).some(
       ({ entry }) => entry.version === rollout.order.to,
--- a/src/application/rollouts/createRolloutRegistry/test.ts
+++ b/src/application/rollouts/createRolloutRegistry/test.ts
@@ -29,7 +29,7 @@
 ]);
 
 /** Creates the registry of a VM that has run for 20 s and has just received an order. */
-const createFixture = () => {
+const createFixture = ({ draw = 0.5, share = 1 / 9 } = {}) => {
   const clock = createFakeClock();
   const servers = [ESTABLISHED];
   const changes: string[] = [];
@@ -42,10 +42,10 @@
     },
     bounds: { trialRatio: 0.1, trialExtra: 50 },
     listServing: () => servers,
-    countVms: () => 9,
+    readShare: () => share,
     clock,
     log: QUIET_LOG,
-    randomness: createSeededRandomness(1),
+    randomness: { ...createSeededRandomness(1), readFraction: () => draw },
     broadcastVerdict: () => undefined,
     handleChange: (service) => changes.push(service),
     handleEvidence: () => undefined,
@@ -71,6 +71,22 @@
   isStored: false,
 };
 
+// Guards against trials beyond the bounds of all VMs: each VM that knew no other took the largest part.
+test('VMs that know nobody send no more trials than all may together', (t) => {
+  const vms = 85;
+  const requests = 3;
+  const trials = Array.from({ length: vms }, (_, index) => {
+    const draw = (index + 0.5) / vms;
+    const { clock, sendMany, servers } = createFixture({ draw, share: 1 / vms });
+    servers.push(CANDIDATE);
+    clock.advance(30_000);
+    return sendMany(requests).filter((version) => version === 'v2').length;
+  }).reduce((sum, one) => sum + one, 0);
+  t.true(trials > 0);
+  t.log(`${trials} trials`);
+  t.true(trials <= 0.1 * vms * requests + 50, `${trials}`);
+});
+
 test('requests before the new version has servers do not use up its trials', (t) => {
   const { clock, sendMany, servers } = createFixture();
   clock.advance(30_000);
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -90,6 +90,7 @@
     settings,
     directory,
     listPeers: listMembers,
+    readShare: () => wired.retryParts?.readShare() ?? 0,
     sendReport: calls.reportTrial,
     store,
     publishVerdict: (verdict) => wired.gossip?.sendVerdict(verdict),
--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -34,10 +34,15 @@
   readonly lender: RetryLender;
   readonly share: ShareLease;
   readonly unread: UnreadAttempts;
+  /** Reads which part of the bounds this VM may use, 0 to 1; those of all VMs are 1 at most. */
+  readonly readShare: () => number;
   /** Reads which part of the bounds the VMs may use that this one reaches, 0 to 1. */
   readonly readReachedFraction: () => number;
 }
 
+/** Bounds of other kinds are divided by the same parts, also where no retry is allowed without requests. */
+const MIN_PARTS = 100;
+
 /** Names a VM in the ledger: one that replaces another may have its name. */
 const formatHolder = (vm: string, address: string): string => `${vm} ${address}`;
 
@@ -54,11 +59,13 @@
 }: RetryPartsDependencies): RetryParts => {
   const { bounds, isFirstStart, peerAddress, vm } = settings;
   const self = formatHolder(vm, peerAddress);
+  const fixedRetries = countFixedRetries(bounds);
+  const totalParts = Math.max(MIN_PARTS, fixedRetries);
   const share = createShareLease({
     vm: self,
     isFirstStart,
     cooldownMs: bounds.retryWindowMs + bounds.settleMs,
-    totalParts: countFixedRetries(bounds),
+    totalParts,
     table: TABLES.shares,
     store,
     countVms: gossip.countVms,
@@ -66,7 +73,12 @@
     randomness,
     log,
   });
-  const retries = createRetryBudget({ bounds, clock, meter, countFixed: share.countParts });
+  const retries = createRetryBudget({
+    bounds,
+    clock,
+    meter,
+    countFixed: () => Math.floor((fixedRetries * share.countParts()) / totalParts),
+  });
   const lender = createRetryLender({
     clock,
     retries,
@@ -83,6 +95,7 @@
     lender,
     share,
     unread: createUnreadAttempts({ clock, log }),
+    readShare: () => share.countParts() / totalParts,
     readReachedFraction: () => {
       const members = gossip.listMembers().map((one) => formatHolder(one.vm, one.address));
       return computeReachedFraction(share.listHolders(), new Set([self, ...members]));
--- a/src/programs/gateway/_lib/wireRollouts/index.ts
+++ b/src/programs/gateway/_lib/wireRollouts/index.ts
@@ -21,6 +21,8 @@
   readonly clock: Clock;
   readonly directory: Pick<ServerDirectory, 'listServing'>;
   readonly listPeers: () => readonly RolloutPeer[];
+  /** Reads which part of the bounds this VM may use, 0 to 1. */
+  readonly readShare: () => number;
   readonly log: EventLog;
   readonly randomness: Randomness;
   readonly sendReport: (address: string, report: TrialReport) => Promise<RolloutVerdict | null>;
@@ -41,6 +43,7 @@
   listPeers,
   log,
   randomness,
+  readShare,
   sendReport,
   settings,
   store,
@@ -53,7 +56,7 @@
     decodeOrder: decodeRolloutOrder,
     bounds,
     listServing: directory.listServing,
-    countVms: () => listPeers().length + 1,
+    readShare,
     clock,
     log,
     randomness,
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -136,7 +136,7 @@
       decodeOrder: () => null,
       bounds: { trialRatio: 0.1, trialExtra: 50 },
       listServing: directory.listServing,
-      countVms: () => vms,
+      readShare: () => 1 / vms,
       clock,
       log: QUIET_LOG,
       randomness,
--- a/standins/rollouts/simulateRollout/index.ts
+++ b/standins/rollouts/simulateRollout/index.ts
@@ -118,7 +118,7 @@
         ok({ service: SERVICE, to: 'v2', durationMs: model.durationMs, sequence: version }),
       bounds: { trialRatio: 0.1, trialExtra: 50 },
       listServing: () => (isOrdered() ? all : established),
-      countVms: () => listPeers(name).length + 1,
+      readShare: () => 1 / model.vms,
       clock,
       log: QUIET_LOG,
       randomness,
