--- a/src/application/forwarding/_lib/openStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/openStreamAttempt/index.ts
@@ -127,8 +127,8 @@
     },
     attempt.abort.signal,
   );
-  if (sent.isOk()) arrival.confirm();
-  else if (sent.error.kind === 'not-started') arrival.cancel();
+  if (sent.isOk()) arrival.recordRead();
+  else if (sent.error.kind === 'not-started') arrival.recordUnsent();
   else recordArrival(arrival, server.id, { ...sent.error, progress: 'none' });
   const isCurrent = run.attempts.get(reader.attempt) === attempt;
   if (!isCurrent) return closeStreamAttempt(run, reader.attempt);
--- a/src/application/forwarding/_lib/recordArrival/index.ts
+++ b/src/application/forwarding/_lib/recordArrival/index.ts
@@ -10,7 +10,8 @@
   server: string,
   { connection, progress, relay }: Pick<AttemptEnd, 'connection' | 'progress' | 'relay'>,
 ): void => {
-  if (connection === 'unsent') arrival.cancel();
-  else if (progress === 'none' && UNREAD_ENDS.has(connection)) arrival.abandon({ server, relay });
-  else arrival.confirm();
+  if (connection === 'unsent') arrival.recordUnsent();
+  else if (progress === 'none' && UNREAD_ENDS.has(connection))
+    arrival.recordGivenUp({ server, relay });
+  else arrival.recordRead();
 };
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -175,9 +175,9 @@
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
     if (result.kind === 'not-run') {
       if (result.isRejected) directory.recordFull(status.entry.id);
-      if (result.hasArrived) arrival.confirm();
+      if (result.hasArrived) arrival.recordRead();
       else {
-        arrival.cancel();
+        arrival.recordUnsent();
         permit.release();
       }
     } else {
--- a/src/application/forwarding/createRequestArrivals/index.ts
+++ b/src/application/forwarding/createRequestArrivals/index.ts
@@ -4,11 +4,11 @@
 /** One attempt of a request on its way to a server. */
 export interface AttemptArrival {
   /** Records that no server got the attempt. */
-  cancel(): void;
+  recordUnsent(): void;
   /** Records that the server has read the attempt: it answered, or closed the connection. */
-  confirm(): void;
+  recordRead(): void;
   /** Records that the attempt was given up; the server may read it later. */
-  abandon(path: AttemptPath): void;
+  recordGivenUp(path: AttemptPath): void;
 }
 
 /**
@@ -57,23 +57,23 @@
     startAttempt: (retry) => {
       const sentAtMs = readNowMs();
       let isPending = true;
-      let isAbandoned = false;
+      let isGivenUp = false;
       pending += 1;
       if (retry) retries = [...retries, retry];
-      const end = (isRead: boolean, close: (retry: Retry) => void): void => {
+      const closeAttempt = (isRead: boolean, close: (retry: Retry) => void): void => {
         if (!isPending) return;
         isPending = false;
         pending -= 1;
         if (isRead) read += 1;
         closeRetries(close);
       };
-      const confirm = (): void => end(true, (one) => one.finish());
+      const recordRead = (): void => closeAttempt(true, (one) => one.finish());
       return {
-        cancel: () => end(false, (one) => one.release()),
-        confirm,
-        abandon: (path) => {
-          if (isPending && !isAbandoned) unread.addAttempt(path, sentAtMs, confirm);
-          isAbandoned = true;
+        recordUnsent: () => closeAttempt(false, (one) => one.release()),
+        recordRead,
+        recordGivenUp: (path) => {
+          if (isPending && !isGivenUp) unread.addAttempt(path, sentAtMs, recordRead);
+          isGivenUp = true;
         },
       };
     },
--- a/src/application/forwarding/createRequestArrivals/test.ts
+++ b/src/application/forwarding/createRequestArrivals/test.ts
@@ -20,12 +20,12 @@
 
 test('a retry is finished once its attempt was answered, and released if it was not sent', (t) => {
   const { arrivals, buildRetry, ended } = build();
-  arrivals.startAttempt(null).confirm();
+  arrivals.startAttempt(null).recordRead();
   const second = arrivals.startAttempt(buildRetry());
   t.deepEqual(ended, []);
-  second.confirm();
+  second.recordRead();
   t.deepEqual(ended, ['finished']);
-  arrivals.startAttempt(buildRetry()).cancel();
+  arrivals.startAttempt(buildRetry()).recordUnsent();
   t.deepEqual(ended, ['finished', 'released']);
   t.is(arrivals.countSent(), 2);
 });
@@ -33,8 +33,8 @@
 // Guards against first attempts that arrive after the second one, and count as repeats only then.
 test('a retry is kept while an earlier attempt may still arrive', (t) => {
   const { arrivals, buildRetry, ended, readNext } = build();
-  arrivals.startAttempt(null).abandon(PATH);
-  arrivals.startAttempt(buildRetry()).confirm();
+  arrivals.startAttempt(null).recordGivenUp(PATH);
+  arrivals.startAttempt(buildRetry()).recordRead();
   t.deepEqual(ended, []);
   readNext();
   t.deepEqual(ended, ['finished']);
@@ -42,12 +42,12 @@
 
 test('of two attempts that may still arrive one needs a retry, after an arrival both do', (t) => {
   const { arrivals, buildRetry, ended, readNext } = build();
-  arrivals.startAttempt(null).abandon(PATH);
-  arrivals.startAttempt(buildRetry()).abandon(PATH);
+  arrivals.startAttempt(null).recordGivenUp(PATH);
+  arrivals.startAttempt(buildRetry()).recordGivenUp(PATH);
   readNext();
   t.deepEqual(ended, []);
   const third = arrivals.startAttempt(buildRetry());
-  third.confirm();
+  third.recordRead();
   t.deepEqual(ended, ['finished']);
   readNext();
   t.deepEqual(ended, ['finished', 'finished']);
@@ -57,7 +57,7 @@
   const { arrivals } = build();
   const attempt = arrivals.startAttempt(null);
   t.is(arrivals.countSent(), 1);
-  attempt.cancel();
-  attempt.confirm();
+  attempt.recordUnsent();
+  attempt.recordRead();
   t.is(arrivals.countSent(), 0);
 });
--- a/src/application/forwarding/createRetryLender/index.ts
+++ b/src/application/forwarding/createRetryLender/index.ts
@@ -93,14 +93,14 @@
 
   const buildBorrowed = (address: string, id: string): Retry => {
     let isOpen = true;
-    const end = (isUnused: boolean): void => {
+    const closeRetry = (isUnused: boolean): void => {
       if (isOpen) notifyReturned(address, { id, isUnused });
       isOpen = false;
     };
-    return { release: () => end(true), finish: () => end(false) };
+    return { release: () => closeRetry(true), finish: () => closeRetry(false) };
   };
 
-  const borrowFrom = async (address: string, service: string): Promise<Retry | null> => {
+  const acquireFrom = async (address: string, service: string): Promise<Retry | null> => {
     const id = randomness.readHex(ID_BYTES);
     const isLent = await askPeer(address, { service, id });
     const retry = buildBorrowed(address, id);
@@ -117,7 +117,7 @@
       let asked = 0;
       for (const address of pickPeers(MAX_ASKED_PEERS)) {
         asked += 1;
-        const borrowed = await borrowFrom(address, service);
+        const borrowed = await acquireFrom(address, service);
         if (borrowed) {
           log.info('repeat borrowed', { service, peer: address, asked });
           meter.recordRetry(service, 'borrowed');
--- a/src/application/forwarding/createUnreadAttempts/index.ts
+++ b/src/application/forwarding/createUnreadAttempts/index.ts
@@ -37,7 +37,7 @@
 
 interface UnreadAttempt {
   readonly sentAtMs: number;
-  readonly settle: () => void;
+  readonly close: () => void;
 }
 
 const formatPath = ({ relay, server }: AttemptPath): string => `${relay ?? ''} ${server}`;
@@ -51,7 +51,7 @@
   const answeredSentAtMs = createBoundedMap<number>(MAX_PATHS);
   const unreadByPath = new Map<string, Set<UnreadAttempt>>();
 
-  const settleOlder = (key: string, { relay, server }: AttemptPath, sentAtMs: number): void => {
+  const closeOlder = (key: string, { relay, server }: AttemptPath, sentAtMs: number): void => {
     const unread = unreadByPath.get(key);
     if (!unread) return;
     const read = [...unread].filter((attempt) => attempt.sentAtMs < sentAtMs);
@@ -63,14 +63,14 @@
       attempts: read.length,
       oldestAgeMs: Math.round(clock.readMonotonicMs() - oldestMs),
     });
-    read.forEach(({ settle }) => settle());
+    read.forEach(({ close }) => close());
   };
 
   return {
     recordAnswer: (path, sentAtMs) => {
       const key = formatPath(path);
       answeredSentAtMs.set(key, Math.max(sentAtMs, answeredSentAtMs.get(key) ?? -Infinity));
-      settleOlder(key, path, sentAtMs);
+      closeOlder(key, path, sentAtMs);
     },
     addAttempt: (path, sentAtMs, handleRead) => {
       const key = formatPath(path);
@@ -80,7 +80,7 @@
       let cancelTimer = (): void => undefined;
       const attempt: UnreadAttempt = {
         sentAtMs,
-        settle: () => {
+        close: () => {
           cancelTimer();
           unread.delete(attempt);
           if (unread.size === 0) unreadByPath.delete(key);
@@ -88,7 +88,7 @@
         },
       };
       unread.add(attempt);
-      cancelTimer = clock.startTimer(UNREAD_TTL_MS, attempt.settle);
+      cancelTimer = clock.startTimer(UNREAD_TTL_MS, attempt.close);
       return undefined;
     },
   };
--- a/src/application/shares/_lib/createLeaseTerm/index.ts
+++ b/src/application/shares/_lib/createLeaseTerm/index.ts
@@ -12,11 +12,11 @@
   /** Time until the parts may be used, in milliseconds. */
   readDelayMs(): number;
   /** Lets no part be used before this time. */
-  delayUse(untilMs: number): void;
+  updateUsableFrom(fromMs: number): void;
   /** Gives up what is more than this. */
-  reduce(parts: number): void;
+  removeAbove(parts: number): void;
   /** Begins a new term with the call that took the parts. */
-  begin(parts: number, sentAtMs: number): void;
+  start(parts: number, sentAtMs: number): void;
 }
 
 /** Creates a term without parts, of which none may be used before `usableFromMs`. */
@@ -42,13 +42,13 @@
     countUsable: () => (readDelayMs() > 0 ? 0 : countHeld()),
     hasEnded: () => parts > 0 && !isHeld(),
     readDelayMs,
-    delayUse: (untilMs) => {
-      usableFromMs = untilMs;
+    updateUsableFrom: (fromMs) => {
+      usableFromMs = fromMs;
     },
-    reduce: (most) => {
+    removeAbove: (most) => {
       parts = Math.min(parts, most);
     },
-    begin: (next, sentAtMs) => {
+    start: (next, sentAtMs) => {
       parts = next;
       heldSinceMs = sentAtMs;
     },
--- a/src/application/shares/createShareLease/index.ts
+++ b/src/application/shares/createShareLease/index.ts
@@ -121,7 +121,7 @@
     return null;
   };
 
-  const allot = ({ era, ledger, storeMs }: ReadLedger): Allotment =>
+  const computeAllotment = ({ era, ledger, storeMs }: ReadLedger): Allotment =>
     allotShare({
       ledger,
       isLedgerExpected,
@@ -160,15 +160,15 @@
     const sentAtMs = clock.readMonotonicMs();
     const read = await readShareLedger(store, table);
     if (typeof read === 'string') return read;
-    const allotment = allot(read);
+    const allotment = computeAllotment(read);
     if (read.ledger) isLedgerExpected = true;
     recordHolders(allotment.ledger, read.storeMs);
-    if (allotment.isInherited) term.delayUse(startedAtMs + cooldownMs);
+    if (allotment.isInherited) term.updateUsableFrom(startedAtMs + cooldownMs);
     // In a large fleet all parts may be held by others; a VM without any is in no ledger.
     const isWritten = allotment.parts > 0 || allotment.wasHolder || allotment.isRestored;
     if (!isWritten) return scheduleRenewal();
     // What is given back must not be used from the moment at which the store may have it.
-    term.reduce(allotment.parts);
+    term.removeAbove(allotment.parts);
     const written = await store.changeRows({
       table,
       writes: [{ key: LEDGER_KEY, value: encodeShareLedger(allotment.ledger) }],
@@ -177,7 +177,7 @@
     });
     if (written.isErr()) return `write: ${written.error.kind}`;
     isLedgerExpected = true;
-    term.begin(allotment.parts, sentAtMs);
+    term.start(allotment.parts, sentAtMs);
     logHeld(allotment);
     return scheduleRenewal();
   };
--- a/standins/retries/simulateRetries/index.ts
+++ b/standins/retries/simulateRetries/index.ts
@@ -90,12 +90,12 @@
       vm.clock.runInVm(() => {
         if (isGivenUp) return;
         vm.unread.recordAnswer({ server: id, relay: null }, sentAtMs);
-        arrival.confirm();
+        arrival.recordRead();
       });
     });
     vm.clock.startTimer(ATTEMPT_MS, () => {
       isGivenUp = true;
-      arrival.abandon({ server, relay: null });
+      arrival.recordGivenUp({ server, relay: null });
     });
   };
 
