--- a/src/application/shares/createShareLease/test.ts
+++ b/src/application/shares/createShareLease/test.ts
@@ -12,11 +12,14 @@
   return { clock, store };
 };
 
-const build = ({ isFirstStart = true, vms = 4 } = {}, { clock, store } = buildStore()) => {
+const build = (
+  { isFirstStart = true, seed = 1, countVms = () => 4 } = {},
+  { clock, store }: Pick<ReturnType<typeof buildStore>, 'clock' | 'store'> = buildStore(),
+) => {
   const lease = createShareLease({
     ...{ vm: 'vm-1', isFirstStart, cooldownMs: 13_000, totalParts: TOTAL_PARTS },
-    ...{ table: 'shares', store, countVms: () => vms, clock, log: QUIET_LOG },
-    randomness: createSeededRandomness(1),
+    ...{ table: 'shares', store, countVms, clock, log: QUIET_LOG },
+    randomness: createSeededRandomness(seed),
   });
   lease.start();
   return { clock, lease, store };
@@ -63,3 +66,34 @@
   await clock.advanceAsync(10_000);
   t.is(lease.countParts(), 25);
 });
+
+// Guards against a part that is used twice in one window: the settings of a process may still say that
+// the whole system starts for the first time when the process starts again.
+test('a part that an earlier process held is not usable before the cooldown', async (t) => {
+  const first = build();
+  await first.clock.advanceAsync(6000);
+  first.lease.stop();
+  const { clock, lease } = build({ seed: 2 }, first);
+  await clock.advanceAsync(12_900);
+  t.is(lease.countParts(), 0);
+  await clock.advanceAsync(200);
+  t.is(lease.countParts(), 25);
+});
+
+// Guards against parts that two VMs use: the store may have what is given back before it answers.
+test('what is given back is not used while the store has not answered', async (t) => {
+  const { clock, store } = buildStore();
+  let vms = 1;
+  let isAnswering = true;
+  const changeRows: typeof store.changeRows = async (changes) => {
+    const written = await store.changeRows(changes);
+    return isAnswering ? written : new Promise(() => {});
+  };
+  const { lease } = build({ countVms: () => vms }, { clock, store: { ...store, changeRows } });
+  await clock.advanceAsync(6000);
+  t.is(lease.countParts(), 50);
+  vms = 4;
+  isAnswering = false;
+  await clock.advanceAsync(6000);
+  t.is(lease.countParts(), 25);
+});
