Sum the requests of all windows once for each retry

Each check of a retry summed up to 150 buckets four times for each of a hundred windows. No behaviour changes; the tests of the budget pass unchanged.

--- a/src/domain/retry/isRetryAllowed/index.ts
+++ b/src/domain/retry/isRetryAllowed/index.ts
@@ -23,29 +23,39 @@
   readonly minimum?: number;
 }
 
-const sumBetween = (buckets: readonly number[], first: number, last: number): number => {
-  let sum = 0;
-  for (let age = Math.max(0, first); age <= last; age += 1) sum += buckets[age] ?? 0;
-  return sum;
+/** Requests up to each age, the present bucket first. */
+interface RequestTotals {
+  readonly sent: readonly number[];
+  readonly counted: readonly number[];
+}
+
+const computeTotals = (buckets: readonly number[]): readonly number[] => {
+  let total = 0;
+  return buckets.map((count) => {
+    total += count;
+    return total;
+  });
 };
 
-type RequestHistory = Pick<RetryHistory, 'countedRequests' | 'sentRequests'>;
+const readTotal = (totals: readonly number[], age: number): number =>
+  age < 0 ? 0 : (totals[Math.min(age, totals.length - 1)] ?? 0);
 
 /**
  * Counts the requests that were surely sent in the buckets of these ages: sent at the earliest after
  * the oldest one began, and counted before the newest one ended.
  */
 const countSent = (
-  { countedRequests, sentRequests }: RequestHistory,
+  { counted, sent }: RequestTotals,
   newestAge: number,
   oldestAge: number,
-): number => {
-  const sent = sumBetween(sentRequests, 0, oldestAge - REQUEST_DELAY_BUCKETS);
-  return Math.max(0, sent - sumBetween(countedRequests, 0, newestAge - 1));
-};
+): number =>
+  Math.max(
+    0,
+    readTotal(sent, oldestAge - REQUEST_DELAY_BUCKETS) - readTotal(counted, newestAge - 1),
+  );
 
 /** Counts the requests that the bound of a window rests on, if it starts in the bucket of this age. */
-const countRequests = (requests: RequestHistory, startAge: number): number => {
+const countRequests = (requests: RequestTotals, startAge: number): number => {
   const own = countSent(requests, startAge - WINDOW_BUCKETS + 1, startAge - 1);
   const earlier = countSent(
     requests,
@@ -74,9 +84,13 @@
  * ); // true
  */
 export const isRetryAllowed = (
-  { open, retries, ...requests }: RetryHistory,
+  { countedRequests, open, retries, sentRequests }: RetryHistory,
   { extra, minimum = 0, ratio, share = 1 }: RetryAllowance,
 ): boolean => {
+  const requests = {
+    sent: computeTotals(sentRequests),
+    counted: computeTotals(countedRequests),
+  };
   let used = open + 1;
   // A window that starts within a bucket holds parts of one bucket more than it is long.
   for (let startAge = 0; startAge <= WINDOW_BUCKETS; startAge += 1) {
