--- a/src/application/shares/createShareLease/test.ts
+++ b/src/application/shares/createShareLease/test.ts
@@ -13,7 +13,7 @@
 };
 
 const build = (
-  { isFirstStart = true, seed = 1, countVms = () => 4 } = {},
+  { isFirstStart = true, seed = 1, countVms = (): number => 4 } = {},
   { clock, store }: Pick<ReturnType<typeof buildStore>, 'clock' | 'store'> = buildStore(),
 ) => {
   const lease = createShareLease({
