--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { createFakeClock, NO_RETRY_METER } from '../../../../standins/fakes';
+import { createVmClock } from '../../../../standins/rows';
 import { countFixedRetries } from '../../../domain/retry';
 import type { Retry } from '../types';
 import { createRetryBudget } from '.';
@@ -128,3 +129,25 @@
   });
   t.true(Math.max(...worst) <= BOUNDS.retryExtra, `${worst}`);
 });
+
+// Guards against requests of long ago that allow retries: the monotonic clock does not count the time
+// for which the VM was suspended.
+test('requests from before a suspension allow no retries', (t) => {
+  const world = createFakeClock();
+  const clock = createVmClock(world);
+  const budget = createRetryBudget({
+    ...{ bounds: BOUNDS, clock, countFixed: () => 0, meter: NO_RETRY_METER },
+  });
+  for (let index = 0; index < 20; index += 1) budget.recordRequest('s', 0);
+  world.advance(1000);
+  const retry = budget.acquireRetry('s');
+  t.truthy(retry);
+  retry?.release();
+  clock.pause('suspended');
+  world.advance(60_000);
+  clock.resume();
+  t.is(budget.acquireRetry('s'), null);
+  budget.recordRequest('s', 0);
+  world.advance(1000);
+  t.is(budget.acquireRetry('s'), null);
+});
--- a/src/application/shares/_lib/createLeaseTerm/test.ts
+++ b/src/application/shares/_lib/createLeaseTerm/test.ts
@@ -10,6 +10,7 @@
   const clock = createVmClock(world);
   const term = createLeaseTerm(clock, { leaseMs: 1000, usableFromMs: 0 });
   term.start(5, 0);
+  world.advance(10);
   t.is(term.countUsable(), 5);
   clock.pause('suspended');
   world.advance(5000);
