Use as many fixed retries as a VM holds parts

In a fleet whose bound has few fixed retries a VM got one of its two: parts were a hundredth of the bound, and the rounding lost the rest. Parts are retries again; only without any the other bounds have parts of their own. wireRetries/test.ts: one of two before, both after.

--- a/src/programs/gateway/_lib/wireRetries/index.ts
+++ b/src/programs/gateway/_lib/wireRetries/index.ts
@@ -40,8 +40,8 @@
   readonly readReachedFraction: () => number;
 }
 
-/** Bounds of other kinds are divided by the same parts, also where no retry is allowed without requests. */
-const MIN_PARTS = 100;
+/** Parts that bounds of other kinds are divided into where no retry is allowed without requests. */
+const PARTS_WITHOUT_RETRIES = 100;
 
 /** Names a VM in the ledger: one that replaces another may have its name. */
 const formatHolder = (vm: string, address: string): string => `${vm} ${address}`;
@@ -60,7 +60,7 @@
   const { bounds, isFirstStart, peerAddress, vm } = settings;
   const self = formatHolder(vm, peerAddress);
   const fixedRetries = countFixedRetries(bounds);
-  const totalParts = Math.max(MIN_PARTS, fixedRetries);
+  const totalParts = fixedRetries > 0 ? fixedRetries : PARTS_WITHOUT_RETRIES;
   const share = createShareLease({
     vm: self,
     isFirstStart,
@@ -77,7 +77,7 @@
     bounds,
     clock,
     meter,
-    countFixed: () => Math.floor((fixedRetries * share.countParts()) / totalParts),
+    countFixed: () => (fixedRetries > 0 ? share.countParts() : 0),
   });
   const lender = createRetryLender({
     clock,
