Create the arrivals of a request from its dependencies, and put two comments where they belong

Calls and streams passed the same two parts of their dependencies by hand; they pass them whole now, as to the crash tracker. The comment on the half-open circuit breaker stood above the wrong field, and the time before first trials was explained by a count of VMs that is no longer used.

--- a/src/application/forwarding/_lib/buildServerStatus/index.ts
+++ b/src/application/forwarding/_lib/buildServerStatus/index.ts
@@ -16,9 +16,9 @@
     reported: isFresh ? load.running + load.waiting : 0,
     reportedAgeMs: load === null ? Infinity : nowMs - record.loadAtMs,
     availableMs: Math.max(0, nowMs - Math.max(record.availableAtMs, record.pausedUntilMs)),
+    isFull: record.fullUntilMs > nowMs,
     // As in a half-open circuit breaker, one request tests the server; others go elsewhere
     // meanwhile.
-    isFull: record.fullUntilMs > nowMs,
     isSuspected: record.suspectedUntilMs > nowMs || record.probeRequests > 0,
   };
 };
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -82,10 +82,7 @@
       refuse: (refusal) => refuse(refusal),
       copy: null,
       prefillAttempts: 0,
-      arrivals: createRequestArrivals({
-        unread: dependencies.unread,
-        readNowMs: clock.readMonotonicMs,
-      }),
+      arrivals: createRequestArrivals(dependencies),
       reservedRetry: null,
       isTrial: false,
       lastEventAtMs: null,
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -86,10 +86,7 @@
   };
   let startedAttempts = 0;
   let refusals = 0;
-  const arrivals = createRequestArrivals({
-    unread: dependencies.unread,
-    readNowMs: clock.readMonotonicMs,
-  });
+  const arrivals = createRequestArrivals(dependencies);
   /** Time spent on asking for permits. */
   let waitedMs = 0;
   let lastReason = 'no server takes work';
--- a/src/application/forwarding/createRequestArrivals/index.ts
+++ b/src/application/forwarding/createRequestArrivals/index.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../../ports';
 import type { Retry } from '../types';
 import type { AttemptPath, UnreadAttempts } from '../createUnreadAttempts';
 
@@ -30,13 +31,13 @@
 
 /** Dependencies of the arrivals of a request. */
 export interface RequestArrivalsDependencies {
+  readonly clock: Pick<Clock, 'readMonotonicMs'>;
   readonly unread: Pick<UnreadAttempts, 'addAttempt'>;
-  readonly readNowMs: () => number;
 }
 
 /** Creates the arrivals of a request that was not sent yet. */
 export const createRequestArrivals = ({
-  readNowMs,
+  clock,
   unread,
 }: RequestArrivalsDependencies): RequestArrivals => {
   let retries: readonly Retry[] = [];
@@ -55,7 +56,7 @@
   return {
     countSent: () => read + pending,
     startAttempt: (retry) => {
-      const sentAtMs = readNowMs();
+      const sentAtMs = clock.readMonotonicMs();
       let isPending = true;
       let isGivenUp = false;
       pending += 1;
--- a/src/application/forwarding/createRequestArrivals/test.ts
+++ b/src/application/forwarding/createRequestArrivals/test.ts
@@ -8,7 +8,7 @@
   const ended: string[] = [];
   const reads: (() => void)[] = [];
   const arrivals = createRequestArrivals({
-    readNowMs: () => 0,
+    clock: { readMonotonicMs: () => 0 },
     unread: { addAttempt: (_path, _sentAtMs, handleRead) => reads.push(handleRead) },
   });
   const buildRetry = () => ({
--- a/src/application/forwarding/createRetryBudget/test.ts
+++ b/src/application/forwarding/createRetryBudget/test.ts
@@ -136,7 +136,10 @@
   const world = createFakeClock();
   const clock = createVmClock(world);
   const budget = createRetryBudget({
-    ...{ bounds: BOUNDS, clock, countFixed: () => 0, meter: NO_RETRY_METER },
+    bounds: BOUNDS,
+    clock,
+    countFixed: () => 0,
+    meter: NO_RETRY_METER,
   });
   for (let index = 0; index < 20; index += 1) budget.recordRequest('s', 0);
   world.advance(1000);
--- a/src/application/rollouts/createRolloutRegistry/index.ts
+++ b/src/application/rollouts/createRolloutRegistry/index.ts
@@ -61,8 +61,8 @@
   setTrialsPaused(service: string, isPaused: boolean): void;
 }
 
-/** A process that has run for less than this time may not know all VMs yet, and sends no trials. */
-const VM_COUNT_SETTLE_MS = 10_000;
+/** A process that has run for less than this time may not hold its share yet, and sends no trials. */
+const SHARE_SETTLE_MS = 10_000;
 
 /** Gossip carries a verdict for this time after a change; VMs that start later read the store. */
 const VERDICT_GOSSIP_MS = 60_000;
@@ -155,7 +155,7 @@
     const ageMs = readAgeMs(rollout);
     if (rollout.state !== RolloutState.InProgress || rollout.isPaused || ageMs === null)
       return false;
-    if (clock.readMonotonicMs() - createdAtMs < VM_COUNT_SETTLE_MS) return false;
+    if (clock.readMonotonicMs() - createdAtMs < SHARE_SETTLE_MS) return false;
     const { durationMs } = rollout.order;
     const { draw, requests } = rollout;
     const options = { bounds, requests, share: readShare(), ageMs, durationMs, draw };
--- a/standins/retries/simulateRetries/index.ts
+++ b/standins/retries/simulateRetries/index.ts
@@ -106,10 +106,7 @@
       if (arrived > 1) repeatsAtMs.push(world.readMonotonicMs());
     };
     vm.retries.recordRequest('s', vm.dating.readSentSinceMs());
-    const arrivals = createRequestArrivals({
-      unread: vm.unread,
-      readNowMs: vm.clock.readMonotonicMs,
-    });
+    const arrivals = createRequestArrivals(vm);
     sendAttempt(vm, arrivals.startAttempt(null), handleArrival);
     for (let repeat = 0; repeat < play.repeatsWanted; repeat += 1) {
       wanted += 1;
