--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -148,7 +148,8 @@
     watchStall(incoming, response, {
       timeoutMs: limits.idleTimeoutMs,
       handleStall: (part) => {
-        log.warn('caller stalled', { requestId: head.value.requestId, part });
+        const { requestId } = head.value;
+        log.warn('caller stalled', { requestId, part, timeoutMs: limits.idleTimeoutMs });
         response.destroy();
       },
     });
--- a/src/application/forwarding/_lib/forwardStream/index.ts
+++ b/src/application/forwarding/_lib/forwardStream/index.ts
@@ -128,6 +128,11 @@
         reason: failure.message,
         runState: failure.runState,
         offset: state.offset,
+        isCut: reply.hasSentHead(),
+        prompts: run.prefillAttempts,
+        maxPrompts: context.route.maxAttempts,
+        isResumable: context.route.resumable,
+        currentConfiguration: dependencies.tables.readCurrent()?.version ?? 0,
       });
       if (reply.hasSentHead()) reply.destroy();
       else if (run.failedResponse) {
