Give a silent server up only if another one may take its place

Callers saw streams cut though their servers were sound: a server that paused for over three gap goals, or answered no status question in time, lost its attempt even where the route allowed no further server, the stream might not be resumed, or no retry was left. Nothing could go on with the stream then: its connection was closed after 24 tries, or at once if it might not be resumed. A VM that runs late while versions come in quick succession takes sound servers for silent as well.

Cause: the silence watch ended the attempt first, and the next step found out whether there could be another one. Silence is no proof that the server has lost the run.

Change: the watch reserves what the next attempt needs (an attempt of the route, or a copy, and a retry) before it gives the server up, as moves already do. If that is not to be had, the attempt goes on and the watch asks again each 0.5 s; the line 'silent server kept' says why. A run that its server no longer lists is given up as before: that is the server's word.

--- /dev/null
+++ b/src/application/forwarding/_lib/reserveReplacement/index.ts
@@ -0,0 +1,27 @@
+import type { StreamRun } from '../../types';
+import { findCopyHolder } from '../findCopyHolder';
+
+/** Why no other server may continue a stream. */
+export type ReplacementObstacle = 'not resumable' | 'no server left' | 'no retry left';
+
+/** True if the route allows to send the prompt to another server. */
+export const hasPromptLeft = ({ context, prefillAttempts }: StreamRun): boolean =>
+  prefillAttempts < context.route.maxAttempts;
+
+/**
+ * Reserves what a further attempt of a stream needs, before the one that runs is given up: without
+ * it the stream would end, while the server of the present one may still go on.
+ *
+ * @returns why there can be no further attempt now, or null once it is reserved
+ */
+export const reserveReplacement = async (run: StreamRun): Promise<ReplacementObstacle | null> => {
+  const { context, dependencies } = run;
+  if (!context.route.resumable) return 'not resumable';
+  if (!hasPromptLeft(run) && !findCopyHolder(run)) return 'no server left';
+  if (run.reservedRetry) return null;
+  const retry = await dependencies.lender.acquireRetry(context.service);
+  if (!retry) return 'no retry left';
+  if (run.isEnded() || run.reservedRetry) retry.release();
+  else Object.assign(run, { reservedRetry: retry });
+  return null;
+};
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -14,6 +14,7 @@
 import { logDecision } from '../logDecision';
 import { recordStreamEnd } from '../recordStreamEnd';
 import { recordWorkFactor } from '../recordWorkFactor';
+import { reserveReplacement } from '../reserveReplacement';
 
 /** Fraction of the gap goal after which a silent server is probed. */
 const PROBE_GAP_FRACTION = 0.35;
@@ -30,6 +31,9 @@
 /** Time until the next probe after an unanswered one. */
 const MISSED_PROBE_RETRY_MS = 50;
 
+/** Time until a silent server that nothing may replace is given up after all, if that has changed. */
+const UNREPLACED_RETRY_MS = 500;
+
 /**
  * A probe that took longer than this timed out because this process stalled or is slow, so that it
  * is no evidence against the server. Probes have timeouts of 150 ms for the response and 120 ms for
@@ -79,6 +83,7 @@
   let isStopped = false;
   let wasLost = false;
   let missedProbes = 0;
+  let isKeptLogged = false;
   /** When the server first reported an empty queue. */
   let firstUnqueuedAtMs = Infinity;
 
@@ -105,6 +110,32 @@
     run.dispatch({ kind: 'silent', reader, confirmed: true });
   };
 
+  /** Keeps an attempt that nothing may replace: its server may still go on. */
+  const keepAttempt = (cause: string, reason: string): number => {
+    if (!isKeptLogged) {
+      const fields = { cause, reason, silentMs: Math.round(readSilentMs()) };
+      logDecision(run.dependencies, run.context, 'silent server kept', fields, attempt.server);
+    }
+    isKeptLogged = true;
+    return UNREPLACED_RETRY_MS;
+  };
+
+  /** Gives the server up if another one may take its place; resolves as `probeServer`. */
+  const replaceSilent = async (report: ServerReport | null): Promise<number | null> => {
+    const cause = report ? 'no event' : 'no answer';
+    const activityBeforeMs = attempt.lastActivityMs;
+    const obstacle = await reserveReplacement(run);
+    if (isStopped) return null;
+    if (obstacle) return keepAttempt(cause, obstacle);
+    if (attempt.lastActivityMs !== activityBeforeMs) {
+      run.reservedRetry?.release();
+      Object.assign(run, { reservedRetry: null });
+      return PROBE_INTERVAL_MS;
+    }
+    giveUp(cause, report);
+    return null;
+  };
+
   /**
    * Probes the server; resolves with the time until the next check, or null once it was given up.
    */
@@ -146,8 +177,7 @@
       if (!report) return MISSED_PROBE_RETRY_MS;
       return attempt.hasDeliveredEvent || isLost ? PROBE_INTERVAL_MS : PREFILL_PROBE_INTERVAL_MS;
     }
-    giveUp(report ? 'no event' : 'no answer', report);
-    return null;
+    return replaceSilent(report);
   };
 
   const stopLoop = startLoop({
