Test the silence watch with streams that another server may take, and may not

Two tests of the watch failed since it reserves a replacement: their stand-in of a stream named neither its route's servers nor a retry. They hold as they were, with both. New: three obstacles for which a silent server is kept, and a retry that is given back.

--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -10,11 +10,25 @@
 /** Duration of a probe that gets no answer. */
 const UNANSWERED_PROBE_MS = 150;
 
+/** What another server needs to take the place of a silent one. */
+interface ReplacementOptions {
+  readonly resumable?: boolean;
+  readonly maxAttempts?: number;
+  readonly retries?: number;
+  /** Whether an event arrives while a retry is acquired. */
+  readonly goesOn?: boolean;
+}
+
 /** A watch on an attempt without events, whose server answers no probe. */
-const setUp = (probeMs: number) => {
+const setUp = (
+  probeMs: number,
+  { goesOn = false, maxAttempts = 2, resumable = true, retries = 1 }: ReplacementOptions = {},
+) => {
   const clock = createFakeClock();
   const inputs: GenerationInput[] = [];
   let probes = 0;
+  let leftRetries = retries;
+  let asked = 0;
   const attempt = {
     server: { id: 'i-1', availabilityZone: 'z1' },
     lastActivityMs: 0,
@@ -24,20 +38,36 @@
     hasDeliveredEvent: false,
     expectedFirstEventMs: 0,
   } as unknown as StreamAttempt;
+  const acquireRetry = async () => {
+    if (leftRetries === 0) return null;
+    leftRetries -= 1;
+    asked += 1;
+    if (goesOn) Object.assign(attempt, { lastActivityMs: clock.readMonotonicMs() });
+    return {
+      release: () => {
+        leftRetries += 1;
+      },
+      finish: () => undefined,
+    };
+  };
   const run = {
     context: {
       request: { requestId: 'r-1', arrivedAtMs: 0, tokens: null },
-      route: { name: 'r', latencyGoalMs: 4000, gapGoalMs: 700 },
+      route: { name: 'r', latencyGoalMs: 4000, gapGoalMs: 700, maxAttempts, resumable },
       service: 's',
       servers: buildOpenServers(() => []),
       version: 1,
     },
     paces: { listFirstTokens: () => [] },
     copy: null,
+    prefillAttempts: 1,
+    reservedRetry: null,
+    isEnded: () => false,
     crashes: { recordEnd: () => 'check' },
     dispatch: (input: GenerationInput) => inputs.push(input),
     dependencies: {
       clock,
+      lender: { acquireRetry },
       directory: { recordStartTime: () => undefined },
       meter: { recordAttemptEnd: () => undefined },
       log: QUIET_LOG,
@@ -53,7 +83,14 @@
     },
   } as unknown as StreamRun;
   const stop = startSilenceWatch(run, attempt, { attempt: 1, connection: 0 });
-  return { clock, inputs, stop, countProbes: () => probes };
+  return {
+    clock,
+    inputs,
+    stop,
+    countProbes: () => probes,
+    countLeftRetries: () => leftRetries,
+    countAskedRetries: () => asked,
+  };
 };
 
 // Guards against giving up a server before its first event because of a single late probe. A VM
@@ -88,3 +125,29 @@
   t.is(inputs.length, 1);
   stop();
 });
+
+// Guards against streams that are cut because their servers were silent, though nothing could replace these.
+for (const [reason, options] of [
+  ['the stream may not be resumed', { resumable: false }],
+  ['the route allows no further server', { maxAttempts: 1 }],
+  ['no retry is left', { retries: 0 }],
+] as const) {
+  test(`a silent server is kept if ${reason}`, async (t) => {
+    const { clock, inputs, stop } = setUp(UNANSWERED_PROBE_MS, options);
+    await clock.advanceAsync(10_000);
+    t.is(inputs.length, 0);
+    stop();
+  });
+}
+
+// Guards against retries that nobody uses while a stream runs on.
+test('the retry for a server that goes on meanwhile is given back', async (t) => {
+  const { clock, countAskedRetries, countLeftRetries, inputs, stop } = setUp(UNANSWERED_PROBE_MS, {
+    goesOn: true,
+  });
+  await clock.advanceAsync(2000);
+  t.true(countAskedRetries() > 0);
+  t.is(countLeftRetries(), 1);
+  t.is(inputs.length, 0);
+  stop();
+});
