End a stream at once if no further server may continue it

Callers saw streams that were held for 13 s after their server had broken off, and then cut: the route allowed no further server, which no wait could change.

Cause: 'sent to the maximum number of servers' was handled like a full service, so that the stream was tried 24 more times with growing delays, and each try asked servers and took a retry first.

Change: routing refuses such an attempt before it asks anybody, with a code of its own, and the generation fails if no other attempt runs. While a server holds a copy of the run, the stream waits for that server as before.

--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -1,6 +1,6 @@
 import type { GenerationEffect, ReaderId } from '../../../../domain/generation';
 import { computeRoomWaitMs } from '../../../../domain/limits';
-import { RefusalCode } from '../../../../domain/types';
+import { RefusalCode, type Refusal as RoutingRefusal } from '../../../../domain/types';
 import type { ServerPermit } from '../../../limits';
 import type { Refusal, Retry, StreamRun, StreamPlacement } from '../../types';
 import { checkStreamStart } from '../checkStreamStart';
@@ -8,6 +8,7 @@
 import { findCopyHolder } from '../findCopyHolder';
 import { isRunScheduled } from '../isRunScheduled';
 import { askForPlacement } from '../askForPlacement';
+import { hasPromptLeft } from '../reserveReplacement';
 import { skipRateLimited } from '../skipRateLimited';
 import { logDecision } from '../logDecision';
 import { refuseUnlessTrial } from '../refuseUnlessTrial';
@@ -29,6 +30,8 @@
  */
 const RETRY_AFTER_MS = 300;
 
+const MAX_SERVERS_REASON = 'the request was sent to the maximum number of servers';
+
 const HELD_REASON = 'servers were lost under the request';
 
 /** Interval at which a stream that lost its servers asks whether it may be sent on. */
@@ -50,13 +53,11 @@
   run: StreamRun,
   reader: ReaderId,
   message: string,
-  retryAfterMs = computeRetryAfterMs(run),
-): void =>
-  run.dispatch({
-    kind: 'slot-refused',
-    reader,
-    refusal: { code: RefusalCode.NoReadyServer, message, retryAfterMs },
-  });
+  {
+    code = RefusalCode.NoReadyServer,
+    retryAfterMs = computeRetryAfterMs(run),
+  }: Partial<Pick<RoutingRefusal, 'code' | 'retryAfterMs'>> = {},
+): void => run.dispatch({ kind: 'slot-refused', reader, refusal: { code, message, retryAfterMs } });
 
 /** A placement whose server grants a permit now. */
 type PermittedPlacement = Pick<PreparedAttempt, 'permit' | 'placement'>;
@@ -160,6 +161,10 @@
   // The caller may have disconnected, or the deadline may have passed, while a server was chosen.
   const isStillNeeded = (): boolean =>
     !run.isEnded() && run.readState().attempts.some(({ attempt }) => attempt === reader.attempt);
+  if (!hasPromptLeft(run) && !run.copy?.hasData) {
+    refuse(run, reader, MAX_SERVERS_REASON, { code: RefusalCode.AttemptsUsed });
+    return null;
+  }
   const excludedIds = new Set(excludedServers);
   const chosen = await choosePermitted(run, { excludedIds, isStillNeeded });
   if (!isStillNeeded()) {
@@ -196,7 +201,7 @@
   if (decision !== 'send' || !isStillNeeded()) {
     releaseUnsent(chosen);
     retry?.release();
-    if (decision === 'wait') refuse(run, reader, HELD_REASON, HELD_RETRY_MS);
+    if (decision === 'wait') refuse(run, reader, HELD_REASON, { retryAfterMs: HELD_RETRY_MS });
     return null;
   }
   // The server may have announced meanwhile that it leaves.
@@ -206,10 +211,11 @@
     return prepareStreamAttempt(run, opening);
   }
   if (placement.copy) return { placement, permit, retry };
-  if (run.prefillAttempts >= context.route.maxAttempts) {
+  if (!hasPromptLeft(run)) {
     releaseUnsent(chosen);
     retry?.release();
-    refuse(run, reader, 'the request was sent to the maximum number of servers');
+    // A server that holds a copy may be reached again.
+    refuse(run, reader, MAX_SERVERS_REASON);
     return null;
   }
   Object.assign(run, { prefillAttempts: run.prefillAttempts + 1 });
--- a/src/domain/generation/_lib/handleSlotRefused/index.ts
+++ b/src/domain/generation/_lib/handleSlotRefused/index.ts
@@ -1,3 +1,4 @@
+import { RefusalCode } from '../../../types';
 import type { GenerationInput, GenerationState, Transition } from '../../types';
 import { failGeneration } from '../failGeneration';
 import { findAttempt } from '../findAttempt';
@@ -15,8 +16,9 @@
 /**
  * Handles a refusal by routing.
  *
- * A generation that has not started fails at once. One that has started is retried, since the cause
- * may be temporary: a retry budget or a queue that is exhausted after the loss of a zone.
+ * A generation that has not started fails at once, and so does one that no further server may
+ * continue. One that has started is retried otherwise, since the cause may be temporary: a retry
+ * budget or a queue that is exhausted after the loss of a zone.
  *
  * @param state - State of the generation.
  * @param input - Attempt and refusal.
@@ -33,7 +35,11 @@
   const hasStarted = state.mayHaveStarted || state.offset > 0;
   const triedOthers = state.excludedServers.length > 0;
   const decide = (): Transition => {
-    if (remaining.attempts.length === 0 && !hasStarted && !triedOthers) {
+    const isLast = remaining.attempts.length === 0;
+    if (isLast && refusal.code === RefusalCode.AttemptsUsed) {
+      return failGeneration(remaining, { ...refusal, status: RETRYABLE_STATUS });
+    }
+    if (isLast && !hasStarted && !triedOthers) {
       const status = refusal.retryAfterMs > 0 ? RETRYABLE_STATUS : FINAL_STATUS;
       return failGeneration(remaining, { ...refusal, status });
     }
--- a/src/domain/types/Refusal.ts
+++ b/src/domain/types/Refusal.ts
@@ -9,6 +9,8 @@
   RetryBudgetSpent: 'retry_budget_spent',
   CutOff: 'cut_off',
   ShuttingDown: 'shutting_down',
+  /** The request was sent to as many servers as it may be. */
+  AttemptsUsed: 'attempts_used',
 } as const;
 
 /** One of the refusal codes. */
