Move no stream that may not be resumed

Callers saw streams cut by their own VM though all servers were sound, within some milliseconds of 'run moved': a version allowed moves, or the server that held the copy left, so that runs without a copy were stopped at their servers to go on elsewhere. Streams that may not be resumed can't go on anywhere.

Cause: the watch of copies asked whether the service moves runs, in the version in force, and not whether the stream's route lets it go on.

Change: such streams are not watched. tests/gateway/stoppedStreams: two failed before, both pass.

--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -11,7 +11,8 @@
 const MIGRATION_RETRY_MS = 1000;
 
 /**
- * Watches whether a healthy server holds the run's copy, and migrates the run if none does.
+ * Watches whether a healthy server holds the run's copy, and migrates the run if none does. A stream
+ * that may not be resumed stays where it is: it could not go on elsewhere.
  *
  * @returns a function that ends the watch
  */
@@ -21,7 +22,8 @@
   reader: ReaderId,
 ): (() => void) => {
   const { clock, log, tables } = run.dependencies;
-  const { service } = run.context;
+  const { route, service } = run.context;
+  if (!route.resumable) return () => undefined;
 
   /** Checks the copy; resolves with the time until the next check. */
   const checkCopy = async (): Promise<number> => {
