Keep a server that answers if only a copy could replace it

Callers saw streams cut 13 s after a pause of 0.56 s: their sound server was given up for a copy, the holder of the copy refused it, and the route allowed no further server.

Cause: a copy counted as a replacement without a doubt. Its holder may have dropped it, or have no room.

Change: while the present server answers questions about its state, a copy replaces it only if the route also allows to send the prompt once more. A server that answers nothing is given up for a copy as before.

tests/gateway/copiedStreams: the second test failed before; both pass.

--- a/src/application/forwarding/_lib/reserveReplacement/index.ts
+++ b/src/application/forwarding/_lib/reserveReplacement/index.ts
@@ -8,16 +8,27 @@
 export const hasPromptLeft = ({ context, prefillAttempts }: StreamRun): boolean =>
   prefillAttempts < context.route.maxAttempts;
 
+/** Options of a reservation. */
+export interface ReplacementOptions {
+  /** Whether the server of the present attempt answers questions about its state. */
+  readonly isServerAnswering: boolean;
+}
+
 /**
  * Reserves what a further attempt of a stream needs, before the one that runs is given up: without
- * it the stream would end, while the server of the present one may still go on.
+ * it the stream would end, while the server of the present one may still go on. The holder of a copy
+ * may refuse it: a copy alone is enough only if the present server seems to be gone.
  *
  * @returns why there can be no further attempt now, or null once it is reserved
  */
-export const reserveReplacement = async (run: StreamRun): Promise<ReplacementObstacle | null> => {
+export const reserveReplacement = async (
+  run: StreamRun,
+  { isServerAnswering }: ReplacementOptions,
+): Promise<ReplacementObstacle | null> => {
   const { context, dependencies } = run;
   if (!context.route.resumable) return 'not resumable';
-  if (!hasPromptLeft(run) && !findCopyHolder(run)) return 'no server left';
+  const hasCopy = !isServerAnswering && findCopyHolder(run) !== null;
+  if (!hasPromptLeft(run) && !hasCopy) return 'no server left';
   if (run.reservedRetry) return null;
   const retry = await dependencies.lender.acquireRetry(context.service);
   if (!retry) return 'no retry left';
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -124,7 +124,7 @@
   const replaceSilent = async (report: ServerReport | null): Promise<number | null> => {
     const cause = report ? 'no event' : 'no answer';
     const activityBeforeMs = attempt.lastActivityMs;
-    const obstacle = await reserveReplacement(run);
+    const obstacle = await reserveReplacement(run, { isServerAnswering: report !== null });
     if (isStopped) return null;
     if (obstacle) return keepAttempt(cause, obstacle);
     if (attempt.lastActivityMs !== activityBeforeMs) {
