Hand on the end of a run that ends while it is moved

Callers saw streams with all their events and no end: a run ended by itself just before its server was asked to stop it. Its end was dropped, as the end of a stopped run is, and the server counted as silent, since it no longer listed the run. Where no other attempt was allowed the stream was cut; where one was, it cost an attempt and a retry.

Cause: from the request to stop on, all ends of the attempt were ignored, also if the server had answered that it knows no such run, and for as long as the attempt lived.

Change: the end of the attempt waits for the server's answer. 'No such run' makes it an ordinary end; without a usable answer the stream goes on elsewhere, as its server may have stopped it; the end of a stopped run is dropped as before.

--- a/src/application/forwarding/_lib/buildStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/buildStreamAttempt/index.ts
@@ -47,6 +47,6 @@
     scheduled: buildScheduledRun(run, placement),
     stopSilenceWatch: () => undefined,
     stopCopyWatch: () => undefined,
-    isMigrating: false,
+    migration: null,
   };
 };
--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -6,7 +6,7 @@
   type ServerEntry,
 } from '../../../../domain/forwarding';
 import type { CopyError, KvCopy } from '../../../ports';
-import type { HeldCopy, StreamAttempt, StreamRun } from '../../types';
+import type { HeldCopy, MigrationOutcome, StreamAttempt, StreamRun } from '../../types';
 import { buildPaceReader } from '../buildPaceReader';
 import { logDecision } from '../logDecision';
 
@@ -59,6 +59,11 @@
     });
   });
 
+const readOutcome = (finalCopy: Result<KvCopy, CopyError>): MigrationOutcome => {
+  if (finalCopy.isOk() || finalCopy.error.kept) return 'stopped';
+  return finalCopy.error.isUnknownRun ? 'unknown-run' : 'unclear';
+};
+
 /**
  * Migrates a run to another server, where it gets a backup again. The KV cache is copied while the
  * run continues; then the run is stopped, the remainder is copied, and the next attempt continues
@@ -114,9 +119,14 @@
     client.dropCopy(attempt.server, firstCopy.value.handle);
     return false;
   }
-  Object.assign(attempt, { isMigrating: true });
+  let settle: (outcome: MigrationOutcome) => void = () => undefined;
+  const migration = new Promise<MigrationOutcome>((resolve) => {
+    settle = resolve;
+  });
+  Object.assign(attempt, { migration });
   stoppedAtMs = clock.readMonotonicMs();
   const finalCopy = await copyRemainder(run, attempt, holder, firstCopy.value);
+  settle(readOutcome(finalCopy));
   if (!isCurrent()) {
     retry.release();
     logOutcome('attempt replaced');
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -147,7 +147,7 @@
       const progress = events.filter((event) => isProgress(run, event)).length;
       idleBytes = progress > 0 ? buffer.countBytes() : idleBytes + chunk.length;
       if (idleBytes > MAX_EVENT_BYTES) {
-        if (!isCurrent() || attempt.isMigrating) return;
+        if (!isCurrent() || (await attempt.migration) === 'stopped') return;
         run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
         logDecision(
           run.dependencies,
@@ -180,7 +180,7 @@
     const reason = error instanceof Error ? error.message : 'the stream broke off';
     // A stopped run is no evidence against its server. Its end is not dispatched here either: the
     // migration does so.
-    if (attempt.isMigrating) return;
+    if ((await attempt.migration) === 'stopped') return;
     const connection = readEnd(error instanceof EndedTooEarlyError ? null : error);
     if (isCurrent() && unreadMs < MAX_UNREAD_MS) {
       recordStreamEnd(run, attempt, connection);
@@ -204,7 +204,13 @@
     run.dispatch({ kind: 'broken', reader });
     return;
   }
-  if (attempt.isMigrating) return;
+  const outcome = await attempt.migration;
+  if (outcome === 'stopped') return;
+  // The server may have stopped the run after all, so that the end may not be that of the stream.
+  if (outcome === 'unclear') {
+    run.dispatch({ kind: 'broken', reader });
+    return;
+  }
   if (buffer.countBytes() > 0) {
     recordStreamEnd(run, attempt, 'closed');
     run.dispatch({ kind: 'broken', reader });
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -37,6 +37,12 @@
   readonly samples: PaceSample[];
 }
 
+/**
+ * What a server that was asked to stop a run did: it stopped the run, did not know it any more, or
+ * gave no usable answer.
+ */
+export type MigrationOutcome = 'stopped' | 'unknown-run' | 'unclear';
+
 /** The mutable state of one attempt, besides the pure generation state. */
 export interface StreamAttempt {
   readonly abort: AbortController;
@@ -67,8 +73,8 @@
   scheduled: ScheduledRun | null;
   stopSilenceWatch: () => void;
   stopCopyWatch: () => void;
-  /** True if the server was asked to stop the run, so that it continues elsewhere. */
-  isMigrating: boolean;
+  /** Set once the server was asked to stop the run, so that it continues elsewhere. */
+  migration: Promise<MigrationOutcome> | null;
 }
 
 /** A stream that is forwarded to one or more servers. */
--- a/src/application/forwarding/types/index.ts
+++ b/src/application/forwarding/types/index.ts
@@ -3,7 +3,13 @@
 export type { ForwardingDependencies } from './ForwardingDependencies';
 export type { ForwardingMeter } from './ForwardingMeter';
 export type { StreamGrant, StreamPlacement } from './StreamPlacement';
-export type { HeldCopy, ScheduledRun, StreamAttempt, StreamRun } from './StreamRun';
+export type {
+  HeldCopy,
+  MigrationOutcome,
+  ScheduledRun,
+  StreamAttempt,
+  StreamRun,
+} from './StreamRun';
 export type { RequestStep, StepTracker } from './StepTracker';
 export type { ServerDirectory } from './ServerDirectory';
 export type { SuspicionCause } from './SuspicionCause';
--- a/src/application/ports/ForwardClient.ts
+++ b/src/application/ports/ForwardClient.ts
@@ -79,6 +79,8 @@
 /** Failure to copy a run. */
 export interface CopyError {
   readonly reason: string;
+  /** True if the server says that it has no such run: it has ended. */
+  readonly isUnknownRun: boolean;
   /** The KV cache that the server kept of a run that had already stopped, or null. */
   readonly kept: KvCopy | null;
 }
--- a/standins/crashes/createFailingClient/index.ts
+++ b/standins/crashes/createFailingClient/index.ts
@@ -156,7 +156,7 @@
     readReport: ({ id }) => query(id, buildServerReport({ waiting: 0 })),
     probeIdentity: async ({ id }) => ((await query(id, id)) === null ? 'gone' : 'alive'),
     readIdentity: ({ id }) => query(id, buildIdentity(id)),
-    copyRun: async () => err({ reason: 'none', kept: null }),
+    copyRun: async () => err({ reason: 'none', isUnknownRun: false, kept: null }),
     dropCopy: () => undefined,
     readCachedPromptParts: async () => new Map(),
     removeServer: () => undefined,
--- a/standins/model/createSimulatedClient/index.ts
+++ b/standins/model/createSimulatedClient/index.ts
@@ -85,7 +85,7 @@
   return {
     countAttempts: () => attempts,
     sendAttempt,
-    copyRun: async () => err({ reason: 'none', kept: null }),
+    copyRun: async () => err({ reason: 'none', isUnknownRun: false, kept: null }),
     dropCopy: () => undefined,
     readReport: async (server) => {
       const report = findEngine(server.id).readReport();
