Give up a slow call only if another server may be asked

Callers saw 502 for calls whose servers would still have answered in time: an attempt of a call that may be repeated ends after one and a half latency goals, and only then it was found out that no retry was left.

The attempt ended first, and what a further one needs was looked for afterwards.

Change: the time-out of an attempt reserves the retry of the next one before it ends it; without one the attempt goes on, and asks again each 0.25 s, as long as the call may. A retry that is held when the call ends is given back.

--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -12,6 +12,7 @@
 import { buildFleetReader } from '../buildFleetReader';
 import { buildPaceReader } from '../buildPaceReader';
 import { createRequestCrashTracker } from '../../../crashes';
+import { createRepeatReservation } from '../createRepeatReservation';
 import { createRequestArrivals } from '../../createRequestArrivals';
 import { logAttemptEnd } from '../logAttemptEnd';
 import { skipRateLimited } from '../skipRateLimited';
@@ -67,7 +68,7 @@
   context: ForwardContext,
   call: CallRun,
 ): Promise<string> => {
-  const { clock, directory, fleetLoad, lender, permits, serverPaces } = dependencies;
+  const { clock, directory, fleetLoad, permits, serverPaces } = dependencies;
   const { deadlineAtMs, reply, route, servers, service, steps } = context;
   const isRepeatable = route.kind === RouteKind.Repeatable;
   const excludedIds = new Set<string>();
@@ -87,6 +88,7 @@
   let startedAttempts = 0;
   let refusals = 0;
   const arrivals = createRequestArrivals(dependencies);
+  const reservation = createRepeatReservation(dependencies.lender, service, call.ended);
   /** Time spent on asking for permits. */
   let waitedMs = 0;
   let lastReason = 'no server takes work';
@@ -119,7 +121,7 @@
       continue;
     }
     if (isRepeat) steps.enterStep('retry');
-    const retry = isRepeat ? await lender.acquireRetry(service) : null;
+    const retry = isRepeat ? await reservation.takeRetry() : null;
     if (isRepeat && !retry) {
       permit.release();
       lastReason = `no retry left after: ${lastReason}`;
@@ -168,6 +170,7 @@
     const result = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
+      reserveNext: reservation.reserveRetry,
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
     if (result.kind === 'not-run') {
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -84,22 +84,58 @@
   return error === null ? 'dropped' : readEnd(error);
 };
 
+/** Options of one attempt. */
+export interface CallAttemptOptions {
+  /** Remaining time that the server is told. */
+  readonly leftMs: number;
+  /** Time after which the attempt is given up if another one may follow. */
+  readonly attemptMs: number;
+  /** Reserves what another attempt needs; without it the attempt goes on as long as the call. */
+  readonly reserveNext: () => Promise<boolean>;
+}
+
+/** Time until it is asked again whether another attempt may follow. */
+const RESERVE_INTERVAL_MS = 250;
+
 /**
- * Sends a call to one server and reads the whole response.
+ * Starts the timeout of an attempt.
  *
- * @param options.leftMs - remaining time that the server is told
- * @param options.attemptMs - timeout of the attempt
+ * @returns a function that ends it
  */
+const startAttemptTimeout = (
+  clock: ForwardingDependencies['clock'],
+  { attemptMs, leftMs, reserveNext }: CallAttemptOptions,
+  handleTimeout: () => void,
+): (() => void) => {
+  const startedAtMs = clock.readMonotonicMs();
+  let isEnded = false;
+  let cancelTimer = (): void => undefined;
+  const endAttempt = async (): Promise<void> => {
+    const readLeftMs = (): number => startedAtMs + leftMs - clock.readMonotonicMs();
+    // The server may still answer: without another attempt nobody else would.
+    const isOver = readLeftMs() <= 0 || (await reserveNext().catch(() => false));
+    if (isEnded) return;
+    if (isOver) handleTimeout();
+    else cancelTimer = clock.startTimer(Math.min(RESERVE_INTERVAL_MS, readLeftMs()), endAttempt);
+  };
+  cancelTimer = clock.startTimer(attemptMs, endAttempt);
+  return () => {
+    isEnded = true;
+    cancelTimer();
+  };
+};
+
+/** Sends a call to one server and reads the whole response. */
 export const sendCallAttempt = async (
   dependencies: ForwardingDependencies,
   context: ForwardContext,
   server: ServerEntry,
-  options: { readonly leftMs: number; readonly attemptMs: number },
+  options: CallAttemptOptions,
 ): Promise<CallAttemptResult> => {
   const { client, clock, directory, paths, serverPaces } = dependencies;
   const { holder, reply, request } = context;
   const timeoutController = new AbortController();
-  const cancelTimer = clock.startTimer(options.attemptMs, () => timeoutController.abort());
+  const cancelTimeout = startAttemptTimeout(clock, options, () => timeoutController.abort());
   const sentAtMs = clock.readMonotonicMs();
   const buildEnd: EndBuilder = (seen, connection) => ({
     ...seen,
@@ -196,7 +232,7 @@
     }
     return { kind: 'answered', response, end };
   } finally {
-    cancelTimer();
+    cancelTimeout();
     work.release();
   }
 };
--- a/src/application/forwarding/_lib/sendCallAttempt/test.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/test.ts
@@ -57,7 +57,11 @@
   const reply = { callerLeft: new AbortController().signal };
   const route = { kind: RouteKind.Once };
   const context = { request: {}, reply, route, holder: null } as unknown as ForwardContext;
-  await sendCallAttempt(dependencies, context, SERVER, { leftMs: 1000, attemptMs: 500 });
+  await sendCallAttempt(dependencies, context, SERVER, {
+    leftMs: 1000,
+    attemptMs: 500,
+    reserveNext: async () => true,
+  });
   return serverPaces;
 };
 
