Move no stream whose prompt may not be sent again

Callers of routes with few attempts saw streams held until their time-out and cut: their run was stopped at a sound server to be moved, the servers with the copy refused it, and the route allowed no further server.

Cause: a move was taken for one that always succeeds.

Change: a run is moved only while its prompt may be sent once more.

tests/gateway/movedStreams failed before and passes.

--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -3,6 +3,7 @@
 import type { StreamAttempt, StreamRun } from '../../types';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { migrateRun } from '../migrateRun';
+import { hasPromptLeft } from '../reserveReplacement';
 
 /** Interval between checks of a run's copy. */
 const CHECK_INTERVAL_MS = 300;
@@ -12,7 +13,8 @@
 
 /**
  * Watches whether a healthy server holds the run's copy, and migrates the run if none does. A stream
- * that may not be resumed stays where it is: it could not go on elsewhere.
+ * that may not be resumed, or whose prompt may not be sent again, stays where it is: it could not go
+ * on if it were stopped and the copy refused.
  *
  * @returns a function that ends the watch
  */
@@ -31,8 +33,8 @@
     // share KV caches.
     if (run.context.servers.isTrial(attempt.server)) return CHECK_INTERVAL_MS;
     const engine = tables.readCurrent()?.services.get(service)?.engine;
-    if (!engine?.supportsKvCopy || !attempt.hasDeliveredEvent || hasHealthyCopy(run))
-      return CHECK_INTERVAL_MS;
+    const isMovable = engine?.supportsKvCopy && attempt.hasDeliveredEvent && hasPromptLeft(run);
+    if (!isMovable || hasHealthyCopy(run)) return CHECK_INTERVAL_MS;
     const hasStopped = await migrateRun(run, attempt);
     // The server closes the stream as well; its last events may arrive before that.
     if (hasStopped) run.dispatch({ kind: 'broken', reader });
