Count the silence of a server whose attempt goes on as evidence

Servers went on to be crashed by one request: since a silent server is kept where nothing may replace it, its silence was evidence of nothing until the deadline.

Cause: the evidence was recorded with the end of the attempt, which does not end any more.

Change: the first time that a server is kept its silence is recorded as the end of its attempt would have been: the crash probe, the outcome for roll-outs, and the suspicion of the server.

--- a/src/application/forwarding/_lib/recordStreamEnd/index.ts
+++ b/src/application/forwarding/_lib/recordStreamEnd/index.ts
@@ -1,4 +1,4 @@
-import type { AttemptProgress, ConnectionEnd } from '../../../../domain/crashes';
+import type { AttemptEnd, AttemptProgress, ConnectionEnd } from '../../../../domain/crashes';
 import type { StreamAttempt, StreamRun } from '../../types';
 import { logAttemptEnd } from '../logAttemptEnd';
 
@@ -7,22 +7,36 @@
   return headAtMs === null ? 'none' : 'head';
 };
 
+const buildEnd = (
+  { dependencies }: StreamRun,
+  attempt: StreamAttempt,
+  connection: ConnectionEnd,
+): AttemptEnd => ({
+  connection,
+  relay: attempt.relay,
+  progress: readProgress(attempt),
+  beganAtMs: attempt.headAtMs ?? attempt.sentAtMs,
+  heardSinceMs: attempt.heardSinceMs,
+  endedAtMs: dependencies.clock.readMonotonicMs(),
+});
+
 /** Records how an attempt of a stream ended, as evidence and in the log. */
 export const recordStreamEnd = (
-  { context, crashes, dependencies }: StreamRun,
+  run: StreamRun,
   attempt: StreamAttempt,
   connection: ConnectionEnd,
   { isWhole }: { readonly isWhole: boolean } = { isWhole: false },
 ): void => {
-  const { headAtMs, heardSinceMs, relay, sentAtMs, server } = attempt;
-  const end = {
-    connection,
-    relay,
-    progress: isWhole ? 'whole' : readProgress(attempt),
-    beganAtMs: headAtMs ?? sentAtMs,
-    heardSinceMs,
-    endedAtMs: dependencies.clock.readMonotonicMs(),
-  } as const;
-  const evidence = crashes.recordEnd(server, end);
-  logAttemptEnd(dependencies, context, server, end, evidence);
+  const { context, crashes, dependencies } = run;
+  const seen = buildEnd(run, attempt, connection);
+  const end: AttemptEnd = isWhole ? { ...seen, progress: 'whole' } : seen;
+  const evidence = crashes.recordEnd(attempt.server, end);
+  logAttemptEnd(dependencies, context, attempt.server, end, evidence);
+};
+
+/** Records the silence of a server whose attempt goes on, as the same evidence as its end. */
+export const recordStreamSilence = (run: StreamRun, attempt: StreamAttempt): void => {
+  run.crashes.recordEnd(attempt.server, buildEnd(run, attempt, 'silent'));
+  run.context.servers.recordOutcome(attempt.server, { isFailure: true, duration: null });
+  run.dependencies.directory.recordSuspicion(attempt.server.id, 'silent');
 };
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -12,7 +12,7 @@
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { logDecision } from '../logDecision';
-import { recordStreamEnd } from '../recordStreamEnd';
+import { recordStreamEnd, recordStreamSilence } from '../recordStreamEnd';
 import { recordWorkFactor } from '../recordWorkFactor';
 import { reserveReplacement } from '../reserveReplacement';
 
@@ -83,7 +83,7 @@
   let isStopped = false;
   let wasLost = false;
   let missedProbes = 0;
-  let isKeptLogged = false;
+  let isKept = false;
   /** When the server first reported an empty queue. */
   let firstUnqueuedAtMs = Infinity;
 
@@ -112,11 +112,12 @@
 
   /** Keeps an attempt that nothing may replace: its server may still go on. */
   const keepAttempt = (cause: string, reason: string): number => {
-    if (!isKeptLogged) {
+    if (!isKept) {
+      recordStreamSilence(run, attempt);
       const fields = { cause, reason, silentMs: Math.round(readSilentMs()) };
       logDecision(run.dependencies, run.context, 'silent server kept', fields, attempt.server);
     }
-    isKeptLogged = true;
+    isKept = true;
     return UNREPLACED_RETRY_MS;
   };
 
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -68,7 +68,7 @@
     dependencies: {
       clock,
       lender: { acquireRetry },
-      directory: { recordStartTime: () => undefined },
+      directory: { recordStartTime: () => undefined, recordSuspicion: () => undefined },
       meter: { recordAttemptEnd: () => undefined },
       log: QUIET_LOG,
       serverPaces: createServerPaces({ clock }),
