--- a/tests/gateway/_lib/startGatewayProcess/index.ts
+++ b/tests/gateway/_lib/startGatewayProcess/index.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -31,6 +31,8 @@
   readonly metricsUrl: string;
   /** Reads the highest memory that the process has taken so far, in MB. */
   readPeakMb(): Promise<number>;
+  countDescriptors(): Promise<number>;
+  isRunning(): boolean;
   /** Sends SIGTERM. */
   terminate(): void;
   /** Stops the process without ending it; its connections stay open. */
@@ -100,9 +102,11 @@
     createInterface({ input }).on('line', (text) => addLine(parseLine(text))),
   );
 
+  const isRunning = (): boolean => child.exitCode === null && child.signalCode === null;
+
   const stop = async (): Promise<void> => {
     process.off('exit', killChild);
-    if (child.exitCode === null && child.signalCode === null) {
+    if (isRunning()) {
       killChild();
       await once(child, 'exit');
     }
@@ -127,6 +131,8 @@
       const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
       return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / KB_PER_MB;
     },
+    countDescriptors: async () => (await readdir(`/proc/${child.pid}/fd`)).length,
+    isRunning,
     terminate: () => {
       child.kill('SIGTERM');
     },
