Close the answers that wait behind another one with their connection

Node.js tells the end of a connection only to the answer that is being written. Answers to requests sent ahead that waited behind it never closed: the bytes counted for them stayed counted, the request was taken for one whose caller waits, and the VM kept its objects.

Found while the memory of requests sent ahead was traced.

--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -12,6 +12,7 @@
 import { readBody } from '../_lib/readBody';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
+import { watchOpenRequests } from '../_lib/watchOpenRequests';
 import { watchStall } from '../_lib/watchStall';
 
 /** Head of a request as parsed by Node's HTTP server. */
@@ -206,6 +207,7 @@
     },
   );
   server.requestTimeout = 0;
+  watchOpenRequests(server);
   closeUnread(server, gate);
   rejectMalformedRequests(server, (reason) =>
     log.warn('request rejected', { status: 400, reason }),
