Limit the requests that are open on one connection

Callers of a VM got no memory left for them while some clients sent thousands of requests ahead and read no answer: each parsed request takes some kilobytes, and nothing bounded how many a connection had open. Node.js stops reading by bytes that it could not write.

Change: a connection may have 32 requests whose answers have not ended; one more closes it. What the parser has read besides is dropped. Callers inside the platform's limits wait for their answers, and don't meet it.

--- a/src/adapters/http/_lib/watchOpenRequests/index.ts
+++ b/src/adapters/http/_lib/watchOpenRequests/index.ts
@@ -31,6 +31,7 @@
   };
 
   server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
+    if (socket.destroyed) return;
     const open = findOpen(socket);
     open.add(response);
     response.once('close', () => open.delete(response));
--- a/src/adapters/http/startCallerServer/index.ts
+++ b/src/adapters/http/startCallerServer/index.ts
@@ -1,6 +1,7 @@
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import type { Result } from 'neverthrow';
+import { limitOpenRequests } from '../_lib/limitOpenRequests';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
 
@@ -22,6 +23,7 @@
   }) as Server;
   // No timeout, since bodies may be long and callers slow; the body size is limited instead.
   server.requestTimeout = 0;
+  limitOpenRequests(server, () => undefined);
   rejectMalformedRequests(server, () => undefined);
   return startListening(server, listen);
 };
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -9,10 +9,10 @@
 import type { MemoryUse } from '../../../domain/overload';
 import { createLeaveDetector } from '../_lib/createLeaveDetector';
 import { createCallerReply } from '../_lib/createCallerReply';
+import { limitOpenRequests, MAX_OPEN_REQUESTS } from '../_lib/limitOpenRequests';
 import { readBody } from '../_lib/readBody';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
-import { watchOpenRequests } from '../_lib/watchOpenRequests';
 import { watchStall } from '../_lib/watchStall';
 
 /** Head of a request as parsed by Node's HTTP server. */
@@ -206,8 +206,10 @@
       });
     },
   );
+  limitOpenRequests(server, () =>
+    log.warn('connection closed', { reason: 'too many open requests', max: MAX_OPEN_REQUESTS }),
+  );
   server.requestTimeout = 0;
-  watchOpenRequests(server);
   closeUnread(server, gate);
   rejectMalformedRequests(server, (reason) =>
     log.warn('request rejected', { status: 400, reason }),
