Bound the parts that a body may come in, and what is read of a refused one

Callers of a VM waited while it parsed bodies in chunks of a byte, millions of parts for a few megabytes, also of bodies that it had refused: the bytes of a body were bounded, not the work of its parts, and a refused body was read on without a bound.

Change: a body may come in 65,536 parts and one more for each 512 bytes of max_body_bytes; one in more gets 413. Whatever comes after a refusal is discarded within the same bounds, and closes the connection beyond them. A caller inside the platform's limits sends a body of up to 64 KiB byte by byte at the worst, and longer ones in packets.

The tests of readBody and discardBody hold the bounds. Processor time of a crowd was not measured.

--- a/src/adapters/http/_lib/readBody/index.ts
+++ b/src/adapters/http/_lib/readBody/index.ts
@@ -9,6 +9,20 @@
   readonly acquireBytes?: (bytes: number) => boolean;
 }
 
+/** Pieces that every body may arrive in: a short one may come byte by byte. */
+const BASE_BODY_PIECES = 65_536;
+
+/** Bytes of the largest body for which one more piece is allowed; packets are larger. */
+const BYTES_PER_FURTHER_PIECE = 512;
+
+/**
+ * Computes the pieces that a body may arrive in: each takes time, however small it is.
+ *
+ * @param maxBytes - size of the largest body
+ */
+export const computeMaxPieces = (maxBytes: number): number =>
+  BASE_BODY_PIECES + Math.ceil(maxBytes / BYTES_PER_FURTHER_PIECE);
+
 /**
  * Reads the complete body of a request, up to a limit.
  *
@@ -28,11 +42,15 @@
   if (announcedBytes > 0 && !acquireBytes(announcedBytes)) return err({ kind: 'no-memory' });
   const body = createBodyBuffer({ expectedBytes: announcedBytes, maxBytes, acquireBytes });
   let bytes = 0;
+  let pieces = 0;
+  const maxPieces = computeMaxPieces(maxBytes);
   try {
     // With `destroyOnReturn` the connection would close before the answer is sent.
     for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
       bytes += (chunk as Buffer).length;
       if (bytes > maxBytes) return err(tooLarge);
+      pieces += 1;
+      if (pieces > maxPieces) return err({ kind: 'body-too-fragmented', maxPieces });
       if (!body.add(chunk as Buffer)) return err({ kind: 'no-memory' });
     }
   } catch {
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -1,5 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Result } from 'neverthrow';
 import type { Forwarder, Refusal } from '../../../application/forwarding';
 import type { ConnectionGate, HeldBytes, MemoryBudget } from '../../../application/overload';
@@ -7,8 +6,10 @@
 import { createArrivalDating } from '../../../application/time';
 import type { ForwardingLimits, RequestHead } from '../../../domain/forwarding';
 import type { MemoryUse } from '../../../domain/overload';
+import { closeUnread } from '../_lib/closeUnread';
 import { createLeaveDetector } from '../_lib/createLeaveDetector';
 import { createCallerReply } from '../_lib/createCallerReply';
+import { discardBody } from '../_lib/discardBody';
 import { limitOpenRequests, MAX_OPEN_REQUESTS } from '../_lib/limitOpenRequests';
 import { readBody } from '../_lib/readBody';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
@@ -83,6 +84,12 @@
   retryAfterMs: 50,
 };
 
+/** By kind of error: why a body was not read to its end. */
+const BODY_REJECTIONS: Readonly<Record<string, string>> = {
+  'body-too-large': 'the body is too long',
+  'body-too-fragmented': 'the body has too many parts',
+};
+
 /** Rejects a request without forwarding it, and closes the connection with the rest unread. */
 const rejectRequest = (response: ServerResponse, status: number, reason: string): void => {
   response.shouldKeepAlive = false;
@@ -90,16 +97,6 @@
   response.end(JSON.stringify({ error: reason }));
 };
 
-/** Lets the gate decide on each new connection before the HTTP parser reads from it. */
-const closeUnread = (server: Server, gate: Pick<ConnectionGate, 'acceptConnection'>): void => {
-  const listeners = server.listeners('connection');
-  server.removeAllListeners('connection');
-  server.on('connection', (socket: Socket) => {
-    if (gate.acceptConnection()) listeners.forEach((listener) => listener.call(server, socket));
-    else socket.destroy();
-  });
-};
-
 /**
  * Starts the server for callers whose requests are forwarded.
  *
@@ -159,8 +156,7 @@
     const refuse = (): void => {
       log.info('request refused', { requestId: head.value.requestId, ...NO_MEMORY });
       reply.sendRefusal(NO_MEMORY);
-      // The rest of the body is discarded: a reset could reach the caller before the answer.
-      incoming.resume();
+      discardBody(incoming, limits.maxBodyBytes);
     };
     if (!held.acquire(use, REQUEST_OVERHEAD_BYTES)) return refuse();
     const body = await readBody(incoming, limits.maxBodyBytes, {
@@ -168,8 +164,8 @@
     });
     if (body.isErr()) {
       if (body.error.kind === 'no-memory') return refuse();
-      if (body.error.kind !== 'body-too-large') return undefined;
-      return reject(incoming, response, 413, 'the body is too long');
+      const reason = BODY_REJECTIONS[body.error.kind];
+      return reason === undefined ? undefined : reject(incoming, response, 413, reason);
     }
     await waitForLeaves();
     const { buffer, byteOffset, byteLength } = body.value;
