Give back the retry of a server that begins while it is acquired

A silence watch ends at the first event and starts anew. If the event arrived while the watch acquired a retry for another server, the retry stayed with the stream until its end: no other request could use it, and one borrowed from another VM counts there as used up after a minute, but could still be sent later.

Evidence: the new unit test failed before (0 of 1 retries left) and passes. The retry is now given back where it is acquired, and one that was reserved otherwise is no longer released with it.

--- a/src/application/forwarding/_lib/reserveReplacement/index.ts
+++ b/src/application/forwarding/_lib/reserveReplacement/index.ts
@@ -12,6 +12,8 @@
 export interface ReplacementOptions {
   /** Whether the server of the present attempt answers questions about its state. */
   readonly isServerAnswering: boolean;
+  /** False once the present attempt goes on, or has ended: a retry acquired then is given back. */
+  readonly isStillNeeded: () => boolean;
 }
 
 /**
@@ -23,7 +25,7 @@
  */
 export const reserveReplacement = async (
   run: StreamRun,
-  { isServerAnswering }: ReplacementOptions,
+  { isServerAnswering, isStillNeeded }: ReplacementOptions,
 ): Promise<ReplacementObstacle | null> => {
   const { context, dependencies } = run;
   if (!context.route.resumable) return 'not resumable';
@@ -32,7 +34,7 @@
   if (run.reservedRetry) return null;
   const retry = await dependencies.lender.acquireRetry(context.service);
   if (!retry) return 'no retry left';
-  if (run.isEnded() || run.reservedRetry) retry.release();
+  if (run.isEnded() || run.reservedRetry || !isStillNeeded()) retry.release();
   else Object.assign(run, { reservedRetry: retry });
   return null;
 };
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -125,14 +125,14 @@
   const replaceSilent = async (report: ServerReport | null): Promise<number | null> => {
     const cause = report ? 'no event' : 'no answer';
     const activityBeforeMs = attempt.lastActivityMs;
-    const obstacle = await reserveReplacement(run, { isServerAnswering: report !== null });
+    const isSilent = (): boolean => !isStopped && attempt.lastActivityMs === activityBeforeMs;
+    const obstacle = await reserveReplacement(run, {
+      isServerAnswering: report !== null,
+      isStillNeeded: isSilent,
+    });
     if (isStopped) return null;
     if (obstacle) return keepAttempt(cause, obstacle);
-    if (attempt.lastActivityMs !== activityBeforeMs) {
-      run.reservedRetry?.release();
-      Object.assign(run, { reservedRetry: null });
-      return PROBE_INTERVAL_MS;
-    }
+    if (!isSilent()) return PROBE_INTERVAL_MS;
     giveUp(cause, report);
     return null;
   };
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -17,18 +17,27 @@
   readonly retries?: number;
   /** Whether an event arrives while a retry is acquired. */
   readonly goesOn?: boolean;
+  /** Whether the watch ends meanwhile, as it does at the first event. */
+  readonly isStoppedMeanwhile?: boolean;
 }
 
 /** A watch on an attempt without events, whose server answers no probe. */
 const setUp = (
   probeMs: number,
-  { goesOn = false, maxAttempts = 2, resumable = true, retries = 1 }: ReplacementOptions = {},
+  {
+    goesOn = false,
+    isStoppedMeanwhile = false,
+    maxAttempts = 2,
+    resumable = true,
+    retries = 1,
+  }: ReplacementOptions = {},
 ) => {
   const clock = createFakeClock();
   const inputs: GenerationInput[] = [];
   let probes = 0;
   let leftRetries = retries;
   let asked = 0;
+  let stopWatch = (): void => undefined;
   const attempt = {
     server: { id: 'i-1', availabilityZone: 'z1' },
     lastActivityMs: 0,
@@ -43,6 +52,7 @@
     leftRetries -= 1;
     asked += 1;
     if (goesOn) Object.assign(attempt, { lastActivityMs: clock.readMonotonicMs() });
+    if (isStoppedMeanwhile) stopWatch();
     return {
       release: () => {
         leftRetries += 1;
@@ -83,6 +93,7 @@
     },
   } as unknown as StreamRun;
   const stop = startSilenceWatch(run, attempt, { attempt: 1, connection: 0 });
+  stopWatch = stop;
   return {
     clock,
     inputs,
@@ -151,3 +162,15 @@
   t.is(inputs.length, 0);
   stop();
 });
+
+// Guards against retries that nobody uses: a stream whose first event arrives while a retry is acquired
+// would hold it until it ends.
+test('the retry for a server that begins meanwhile is given back', async (t) => {
+  const { clock, countAskedRetries, countLeftRetries } = setUp(UNANSWERED_PROBE_MS, {
+    goesOn: true,
+    isStoppedMeanwhile: true,
+  });
+  await clock.advanceAsync(2000);
+  t.is(countAskedRetries(), 1);
+  t.is(countLeftRetries(), 1);
+});
