Give up a slow call only if there is another server

Callers of a service with one server got 502 after 307 ms, with 4 s left, though the server answered 1.5 s after it was asked: a retry was left, but no server that it could be used for. It is the same if all others failed the call before, or are full, since repeats go to no full server.

Evidence: the new test in tests/gateway/slowCalls failed before (502 instead of 200) and passes.

--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -89,6 +89,12 @@
   let refusals = 0;
   const arrivals = createRequestArrivals(dependencies);
   const reservation = createRepeatReservation(dependencies.lender, service, call.ended);
+  /** Acquires what an attempt at another server needs; resolves with false if there can be none. */
+  const reserveNext = async (presentId: string): Promise<boolean> => {
+    const isOther = ({ entry: { id }, isFull }: ServerStatus): boolean =>
+      !isFull && id !== presentId && !excludedIds.has(id);
+    return servers.list().some(isOther) && !isRefused() && reservation.reserveRetry();
+  };
   /** Time spent on asking for permits. */
   let waitedMs = 0;
   let lastReason = 'no server takes work';
@@ -170,7 +176,7 @@
     const result = await sendCallAttempt(dependencies, context, status.entry, {
       leftMs: remainingMs,
       attemptMs,
-      reserveNext: reservation.reserveRetry,
+      reserveNext: () => reserveNext(status.entry.id),
     });
     permit.finish({ isRejected: result.kind === 'not-run' && result.isRejected });
     if (result.kind === 'not-run') {
--- a/tests/gateway/slowCalls.test.ts
+++ b/tests/gateway/slowCalls.test.ts
@@ -24,3 +24,17 @@
   t.is(body, 'done');
   t.is(countRequests(harness), 1);
 });
+
+// Guards against calls that fail because their servers are slow, though there is no other server to ask.
+test('a call whose server is slow gets its answer if no other server is left', async (t) => {
+  const harness = await startTestGateway({ serverIds: ['i-1'] });
+  t.teardown(harness.stop);
+  const answered = harness.send({ target: '/safe/x' });
+  const { request, server } = await takeNextRequest(harness.servers);
+  await Promise.race([answered, wait(ANSWER_AFTER_MS)]);
+  server.answer(request, 200, 'done');
+  const { body, status } = await answered;
+  t.is(status, 200);
+  t.is(body, 'done');
+  t.is(countRequests(harness), 1);
+});
