--- /dev/null
+++ b/src/application/forwarding/_lib/createRepeatReservation/test.ts
@@ -0,0 +1,55 @@
+import test from 'ava';
+import { createRepeatReservation } from '.';
+
+/** A reservation of a call that may still be asked for a retry, of two that are left. */
+const setUp = () => {
+  let left = 2;
+  const ended = new AbortController();
+  const acquireRetry = async () => {
+    left -= 1;
+    return {
+      release: () => {
+        left += 1;
+      },
+      finish: () => undefined,
+    };
+  };
+  const reservation = createRepeatReservation({ acquireRetry }, 's', ended.signal);
+  return { ended, reservation, countLeft: () => left };
+};
+
+test('a retry is reserved once, and used once', async (t) => {
+  const { countLeft, reservation } = setUp();
+  t.true(await reservation.reserveRetry());
+  t.true(await reservation.reserveRetry());
+  t.is(countLeft(), 1);
+  const first = await reservation.takeRetry();
+  t.is(countLeft(), 1);
+  t.not(await reservation.takeRetry(), first);
+  t.is(countLeft(), 0);
+});
+
+// Guards against retries that no call can use any more, as the one that reserved them has ended.
+test('a retry is given back at the end of its call', async (t) => {
+  const { countLeft, ended, reservation } = setUp();
+  await reservation.reserveRetry();
+  ended.abort();
+  t.is(countLeft(), 2);
+});
+
+// Guards against retries that no call can use any more, as the one that reserved them has ended.
+test('a retry that is acquired after the end of its call is given back', async (t) => {
+  const { countLeft, ended, reservation } = setUp();
+  const reserved = reservation.reserveRetry();
+  ended.abort();
+  await reserved;
+  t.is(countLeft(), 2);
+});
+
+test('a retry that was taken is not given back at the end of its call', async (t) => {
+  const { countLeft, ended, reservation } = setUp();
+  await reservation.reserveRetry();
+  await reservation.takeRetry();
+  ended.abort();
+  t.is(countLeft(), 1);
+});
