--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -35,6 +35,7 @@
   const clock = createFakeClock();
   const inputs: GenerationInput[] = [];
   let probes = 0;
+  let failures = 0;
   let leftRetries = retries;
   let asked = 0;
   let stopWatch = (): void => undefined;
@@ -65,7 +66,12 @@
       request: { requestId: 'r-1', arrivedAtMs: 0, tokens: null },
       route: { name: 'r', latencyGoalMs: 4000, gapGoalMs: 700, maxAttempts, resumable },
       service: 's',
-      servers: buildOpenServers(() => []),
+      servers: {
+        ...buildOpenServers(() => []),
+        recordOutcome: () => {
+          failures += 1;
+        },
+      },
       version: 1,
     },
     paces: { listFirstTokens: () => [] },
@@ -98,6 +104,7 @@
     clock,
     inputs,
     stop,
+    countFailures: () => failures,
     countProbes: () => probes,
     countLeftRetries: () => leftRetries,
     countAskedRetries: () => asked,
@@ -174,3 +181,13 @@
   t.is(countAskedRetries(), 1);
   t.is(countLeftRetries(), 1);
 });
+
+// Guards against versions that are rolled out though their servers fall silent: what is kept as nothing
+// may replace it is told to nobody.
+test('a silent server that is kept counts as a failure of its version', async (t) => {
+  const { clock, countFailures, inputs, stop } = setUp(UNANSWERED_PROBE_MS, { resumable: false });
+  await clock.advanceAsync(10_000);
+  t.is(inputs.length, 0);
+  t.is(countFailures(), 1);
+  stop();
+});
