Count the open answers of a connection in place of listing them

Processor time and memory went to a list of all open answers that was copied and filtered with each request of a connection: quadratic in the requests of one read, several hundreds when they are sent ahead, also after the connection was closed.

Change: a count, changed when an answer closes; nothing once the connection is closed.

--- a/src/adapters/http/_lib/rejectMalformedRequests/index.ts
+++ b/src/adapters/http/_lib/rejectMalformedRequests/index.ts
@@ -17,17 +17,18 @@
   server: Server,
   handleRejected: (reason: string) => void,
 ): void => {
-  const answersBySocket = new WeakMap<Duplex, readonly ServerResponse[]>();
-  /** Lists the answers of a connection that have not ended, and those that close it. */
-  const listOpenAnswers = (socket: Duplex): readonly ServerResponse[] =>
-    (answersBySocket.get(socket) ?? []).filter(
-      ({ closed, shouldKeepAlive }) => !closed || !shouldKeepAlive,
-    );
+  /** By connection: the answers that have not ended, and those that close it. */
+  const answersBySocket = new WeakMap<Duplex, number>();
+  const countAnswers = (socket: Duplex): number => answersBySocket.get(socket) ?? 0;
   server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
-    answersBySocket.set(socket, [...listOpenAnswers(socket), response]);
+    if (socket.destroyed) return;
+    answersBySocket.set(socket, countAnswers(socket) + 1);
+    response.once('close', () => {
+      if (response.shouldKeepAlive) answersBySocket.set(socket, countAnswers(socket) - 1);
+    });
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-    const isAnswering = listOpenAnswers(socket).length > 0;
+    const isAnswering = countAnswers(socket) > 0;
     if (!socket.writable || error.code === 'ECONNRESET' || isAnswering) {
       socket.destroy();
       return;
