--- a/ava.config.js
+++ b/ava.config.js
@@ -5,6 +5,8 @@
     'tools/**/test.ts',
     'client/**/test.ts',
     'tests/**/*.test.ts',
+    // Run by themselves: ava.alone.config.js.
+    '!tests/gateway/hostileClients.test.ts',
   ],
   extensions: { ts: 'module' },
   nodeArguments: ['--import=tsx'],
