Lose no retry that is reserved while another one is taken

A VM could lose retries for good: an attempt of a call that broke off while its time-out reserved the next retry, or two time-outs that reserved at once, dropped one that nobody gave back. Found by reading; two tests of createRepeatReservation fail before and pass.

Change: what is reserved stays held until it is taken or the call ends, and a second one is given back at once."

--- a/src/application/forwarding/_lib/createRepeatReservation/index.ts
+++ b/src/application/forwarding/_lib/createRepeatReservation/index.ts
@@ -28,15 +28,16 @@
   return {
     reserveRetry: async () => {
       if (held) return true;
-      held = await lender.acquireRetry(service);
-      const isHeld = held !== null;
-      if (ended.aborted) releaseHeld();
-      return isHeld;
+      const acquired = await lender.acquireRetry(service);
+      // Another attempt may have reserved one meanwhile, or the call may have ended.
+      if (held || ended.aborted) acquired?.release();
+      else held = acquired;
+      return held !== null;
     },
-    takeRetry: async () => {
-      const taken = held ?? (await lender.acquireRetry(service));
+    takeRetry: () => {
+      const taken = held;
       held = null;
-      return taken;
+      return taken ? Promise.resolve(taken) : lender.acquireRetry(service);
     },
   };
 };
--- a/src/application/forwarding/_lib/createRepeatReservation/test.ts
+++ b/src/application/forwarding/_lib/createRepeatReservation/test.ts
@@ -53,3 +53,22 @@
   ended.abort();
   t.is(countLeft(), 1);
 });
+
+// Guards against retries that are lost: an attempt breaks off while its time-out reserves the next one.
+test('retries that are reserved and taken at once are all given back', async (t) => {
+  const { countLeft, ended, reservation } = setUp();
+  const reserved = reservation.reserveRetry();
+  const taken = await reservation.takeRetry();
+  await reserved;
+  taken?.release();
+  ended.abort();
+  t.is(countLeft(), 2);
+});
+
+// Guards against retries that are lost: the time-outs of two attempts reserve one at once.
+test('retries that are reserved twice at once are all given back', async (t) => {
+  const { countLeft, ended, reservation } = setUp();
+  await Promise.all([reservation.reserveRetry(), reservation.reserveRetry()]);
+  ended.abort();
+  t.is(countLeft(), 2);
+});
