--- a/src/adapters/http/_lib/discardBody/index.ts
+++ b/src/adapters/http/_lib/discardBody/index.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { computeMaxPieces } from '../readBody';
+import { computeMaxPieces } from '../computeMaxPieces';
 
 /**
  * Discards the rest of a body, so that its caller gets the answer: a reset could reach it before.
--- a/src/adapters/http/_lib/readBody/index.ts
+++ b/src/adapters/http/_lib/readBody/index.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerError } from '../../types';
+import { computeMaxPieces } from '../computeMaxPieces';
 import { createBodyBuffer } from '../createBodyBuffer';
 
 /** Options of reading a body. */
@@ -9,20 +10,6 @@
   readonly acquireBytes?: (bytes: number) => boolean;
 }
 
-/** Pieces that every body may arrive in: a short one may come byte by byte. */
-const BASE_BODY_PIECES = 65_536;
-
-/** Bytes of the largest body for which one more piece is allowed; packets are larger. */
-const BYTES_PER_FURTHER_PIECE = 512;
-
-/**
- * Computes the pieces that a body may arrive in: each takes time, however small it is.
- *
- * @param maxBytes - size of the largest body
- */
-export const computeMaxPieces = (maxBytes: number): number =>
-  BASE_BODY_PIECES + Math.ceil(maxBytes / BYTES_PER_FURTHER_PIECE);
-
 /**
  * Reads the complete body of a request, up to a limit.
  *
--- a/src/adapters/http/_lib/readBody/test.ts
+++ b/src/adapters/http/_lib/readBody/test.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
 import test from 'ava';
-import { computeMaxPieces, readBody } from '.';
+import { computeMaxPieces } from '../computeMaxPieces';
+import { readBody } from '.';
 
 const MAX_BYTES = 100_000;
 
--- a/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/prepareStreamAttempt/index.ts
@@ -8,7 +8,7 @@
 import { findCopyHolder } from '../findCopyHolder';
 import { isRunScheduled } from '../isRunScheduled';
 import { askForPlacement } from '../askForPlacement';
-import { hasPromptLeft } from '../reserveReplacement';
+import { hasPromptLeft } from '../hasPromptLeft';
 import { skipRateLimited } from '../skipRateLimited';
 import { logDecision } from '../logDecision';
 import { refuseUnlessTrial } from '../refuseUnlessTrial';
--- a/src/application/forwarding/_lib/recallWaitingAttempts/index.ts
+++ b/src/application/forwarding/_lib/recallWaitingAttempts/index.ts
@@ -1,5 +1,5 @@
 import type { StreamRun } from '../../types';
-import { hasPromptLeft } from '../reserveReplacement';
+import { hasPromptLeft } from '../hasPromptLeft';
 
 /**
  * Calls back the attempts of a stream that have not begun at their servers, while it is not known
--- a/src/application/forwarding/_lib/reserveReplacement/index.ts
+++ b/src/application/forwarding/_lib/reserveReplacement/index.ts
@@ -1,13 +1,10 @@
 import type { StreamRun } from '../../types';
 import { findCopyHolder } from '../findCopyHolder';
+import { hasPromptLeft } from '../hasPromptLeft';
 
 /** Why no other server may continue a stream. */
 export type ReplacementObstacle = 'not resumable' | 'no server left' | 'no retry left';
 
-/** True if the route allows to send the prompt to another server. */
-export const hasPromptLeft = ({ context, prefillAttempts }: StreamRun): boolean =>
-  prefillAttempts < context.route.maxAttempts;
-
 /** Options of a reservation. */
 export interface ReplacementOptions {
   /** Whether the server of the present attempt answers questions about its state. */
--- a/src/application/forwarding/_lib/startCopyWatch/index.ts
+++ b/src/application/forwarding/_lib/startCopyWatch/index.ts
@@ -3,7 +3,7 @@
 import type { StreamAttempt, StreamRun } from '../../types';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { migrateRun } from '../migrateRun';
-import { hasPromptLeft } from '../reserveReplacement';
+import { hasPromptLeft } from '../hasPromptLeft';
 
 /** Interval between checks of a run's copy. */
 const CHECK_INTERVAL_MS = 300;
--- a/src/application/forwarding/_lib/startSilenceWatch/index.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/index.ts
@@ -12,7 +12,8 @@
 import { estimateRunPrefill } from '../estimateRunPrefill';
 import { hasHealthyCopy } from '../hasHealthyCopy';
 import { logDecision } from '../logDecision';
-import { recordStreamEnd, recordStreamSilence } from '../recordStreamEnd';
+import { recordStreamEnd } from '../recordStreamEnd';
+import { recordStreamSilence } from '../recordStreamSilence';
 import { recordWorkFactor } from '../recordWorkFactor';
 import { reserveReplacement } from '../reserveReplacement';
 
