Watch the open answers of a connection once

The limit of open requests and the rejection of malformed ones each kept a count of a connection's open answers, with a listener of their own on every request and answer. One watch serves both now; the number of listeners on an answer is as before the change, so that Node.js should no longer warn of eleven. Behaviour is the same.

--- a/src/adapters/http/_lib/limitOpenRequests/test.ts
+++ b/src/adapters/http/_lib/limitOpenRequests/test.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import test from 'ava';
+import { watchOpenRequests } from '../watchOpenRequests';
 import { limitOpenRequests, MAX_OPEN_REQUESTS } from '.';
 
 /** Sends requests ahead; resolves with how many were handed on, and whether the connection closed. */
@@ -12,7 +13,7 @@
     handled += 1;
     setImmediate(() => response.end('answer'));
   });
-  limitOpenRequests(server, () => {
+  limitOpenRequests(server, watchOpenRequests(server), () => {
     exceeded += 1;
   });
   server.listen(0, '127.0.0.1');
--- a/src/adapters/http/_lib/rejectMalformedRequests/index.ts
+++ b/src/adapters/http/_lib/rejectMalformedRequests/index.ts
@@ -1,5 +1,6 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import type { Duplex } from 'node:stream';
+import type { OpenRequestsWatch } from '../watchOpenRequests';
 
 /** Status line by error code of Node's HTTP parser; every other code is a 400. */
 const STATUS_BY_PARSE_ERROR: Readonly<Record<string, string>> = {
@@ -15,20 +16,11 @@
  */
 export const rejectMalformedRequests = (
   server: Server,
+  { countOpen }: OpenRequestsWatch,
   handleRejected: (reason: string) => void,
 ): void => {
-  /** By connection: the answers that have not ended, and those that close it. */
-  const answersBySocket = new WeakMap<Duplex, number>();
-  const countAnswers = (socket: Duplex): number => answersBySocket.get(socket) ?? 0;
-  server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
-    if (socket.destroyed) return;
-    answersBySocket.set(socket, countAnswers(socket) + 1);
-    response.once('close', () => {
-      if (response.shouldKeepAlive) answersBySocket.set(socket, countAnswers(socket) - 1);
-    });
-  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-    const isAnswering = countAnswers(socket) > 0;
+    const isAnswering = countOpen(socket) > 0;
     if (!socket.writable || error.code === 'ECONNRESET' || isAnswering) {
       socket.destroy();
       return;
--- a/src/adapters/http/_lib/watchOpenRequests/index.ts
+++ b/src/adapters/http/_lib/watchOpenRequests/index.ts
@@ -3,6 +3,7 @@
 
 /** Watch on the requests of each connection whose answers have not ended. */
 export interface OpenRequestsWatch {
+  /** Counts these requests, and those whose answers close the connection. */
   countOpen(connection: Duplex): number;
 }
 
@@ -22,7 +23,7 @@
     openByConnection.set(connection, open);
     connection.once('close', () =>
       open.forEach((response) => {
-        if (response.socket) return;
+        if (response.socket || response.closed) return;
         response.destroy();
         response.emit('close');
       }),
@@ -31,10 +32,11 @@
   };
 
   server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
-    if (socket.destroyed) return;
     const open = findOpen(socket);
     open.add(response);
-    response.once('close', () => open.delete(response));
+    response.once('close', () => {
+      if (response.shouldKeepAlive) open.delete(response);
+    });
   });
   return { countOpen: (connection) => openByConnection.get(connection)?.size ?? 0 };
 };
--- a/src/adapters/http/startCallerServer/index.ts
+++ b/src/adapters/http/startCallerServer/index.ts
@@ -4,6 +4,7 @@
 import { limitOpenRequests } from '../_lib/limitOpenRequests';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
+import { watchOpenRequests } from '../_lib/watchOpenRequests';
 
 export type { ListeningServer, ListenError } from '../_lib/startListening';
 
@@ -23,7 +24,8 @@
   }) as Server;
   // No timeout, since bodies may be long and callers slow; the body size is limited instead.
   server.requestTimeout = 0;
-  limitOpenRequests(server, () => undefined);
-  rejectMalformedRequests(server, () => undefined);
+  const openRequests = watchOpenRequests(server);
+  limitOpenRequests(server, openRequests, () => undefined);
+  rejectMalformedRequests(server, openRequests, () => undefined);
   return startListening(server, listen);
 };
--- a/src/adapters/http/startForwardingServer/index.ts
+++ b/src/adapters/http/startForwardingServer/index.ts
@@ -14,6 +14,7 @@
 import { readBody } from '../_lib/readBody';
 import { rejectMalformedRequests } from '../_lib/rejectMalformedRequests';
 import { startListening, type ListeningServer, type ListenError } from '../_lib/startListening';
+import { watchOpenRequests } from '../_lib/watchOpenRequests';
 import { watchStall } from '../_lib/watchStall';
 
 /** Head of a request as parsed by Node's HTTP server. */
@@ -202,12 +203,13 @@
       });
     },
   );
-  limitOpenRequests(server, () =>
+  const openRequests = watchOpenRequests(server);
+  limitOpenRequests(server, openRequests, () =>
     log.warn('connection closed', { reason: 'too many open requests', max: MAX_OPEN_REQUESTS }),
   );
   server.requestTimeout = 0;
   closeUnread(server, gate);
-  rejectMalformedRequests(server, (reason) =>
+  rejectMalformedRequests(server, openRequests, (reason) =>
     log.warn('request rejected', { status: 400, reason }),
   );
   const applyLimits = (limits: ForwardingLimits): void => {
