Measure a body in one place, and derive what its buffer has acquired

Reading a body and discarding one each counted its bytes and parts against the same two bounds: one meter does so. The buffer kept what it had acquired beside the size that tells it. The words are those of the bodies of servers (parts).

--- a/src/adapters/http/_lib/convertErrorToAnswer/index.ts
+++ b/src/adapters/http/_lib/convertErrorToAnswer/index.ts
@@ -42,8 +42,8 @@
     buildRefusal(401, 'invalid_api_key', 'The bearer key is missing or belongs to no workspace.'),
   'body-too-large': ({ maxBytes }) =>
     buildRefusal(413, 'body_too_large', `The body is longer than ${maxBytes} bytes.`),
-  'body-too-fragmented': ({ maxPieces }) =>
-    buildRefusal(413, 'body_too_fragmented', `The body came in more than ${maxPieces} parts.`),
+  'body-too-fragmented': ({ maxParts }) =>
+    buildRefusal(413, 'body_too_fragmented', `The body came in more than ${maxParts} parts.`),
   'no-memory': () =>
     buildRefusal(503, 'no_memory', 'This process holds too many bytes of requests.'),
   'bad-cursor': ({ message }) => ({
--- a/src/adapters/http/_lib/createBodyBuffer/index.ts
+++ b/src/adapters/http/_lib/createBodyBuffer/index.ts
@@ -10,8 +10,8 @@
 
 /** Holds the body of a request while it arrives. */
 export interface BodyBuffer {
-  /** Adds a piece; false if there is no room for it. */
-  add(piece: Buffer): boolean;
+  /** Adds a part; false if there is no room for it. */
+  addPart(part: Buffer): boolean;
   /** Returns the body as far as it has arrived. */
   read(): Buffer;
 }
@@ -22,8 +22,8 @@
 /**
  * Creates an empty body buffer.
  *
- * Pieces are copied into one buffer, since each takes hundreds of bytes besides its own, and what is
- * counted is the size of that buffer. A body of one piece is not copied.
+ * Parts are copied into one buffer, since each takes hundreds of bytes besides its own, and what is
+ * counted is the size of that buffer. A body of one part is not copied.
  */
 export const createBodyBuffer = ({
   acquireBytes,
@@ -32,31 +32,33 @@
 }: BodyBufferOptions): BodyBuffer => {
   let held: Buffer = Buffer.alloc(0);
   let bytes = 0;
-  // Expected bytes are counted by whoever expects them.
-  let acquired = expectedBytes;
 
   const acquireCapacity = (capacity: number): boolean => {
-    if (capacity > acquired && !acquireBytes(capacity - acquired)) return false;
-    acquired = Math.max(acquired, capacity);
+    // Expected bytes are counted by whoever expects them.
+    const furtherBytes = capacity - Math.max(expectedBytes, held.length);
+    return furtherBytes <= 0 || acquireBytes(furtherBytes);
+  };
+
+  /** Holds what has arrived in a buffer with room for this many bytes; false without memory. */
+  const growTo = (total: number): boolean => {
+    const grown = Math.max(MIN_CAPACITY_BYTES, expectedBytes, held.length * 2, total);
+    const capacity = Math.max(total, Math.min(grown, maxBytes));
+    if (!acquireCapacity(capacity)) return false;
+    const next = Buffer.allocUnsafeSlow(capacity);
+    held.copy(next, 0, 0, bytes);
+    held = next;
     return true;
   };
 
   return {
-    add: (piece) => {
-      const total = bytes + piece.length;
+    addPart: (part) => {
+      const total = bytes + part.length;
       if (bytes === 0) {
         if (!acquireCapacity(total)) return false;
-        held = piece;
+        held = part;
       } else {
-        if (total > held.length) {
-          const grown = Math.max(MIN_CAPACITY_BYTES, expectedBytes, held.length * 2, total);
-          const capacity = Math.max(total, Math.min(grown, maxBytes));
-          if (!acquireCapacity(capacity)) return false;
-          const next = Buffer.allocUnsafeSlow(capacity);
-          held.copy(next, 0, 0, bytes);
-          held = next;
-        }
-        piece.copy(held, bytes);
+        if (total > held.length && !growTo(total)) return false;
+        part.copy(held, bytes);
       }
       bytes = total;
       return true;
--- a/src/adapters/http/_lib/discardBody/index.ts
+++ b/src/adapters/http/_lib/discardBody/index.ts
@@ -1,19 +1,14 @@
 import type { IncomingMessage } from 'node:http';
-import { computeMaxPieces } from '../computeMaxPieces';
+import { createBodyMeter } from '../createBodyMeter';
 
 /**
  * Discards the rest of a body, so that its caller gets the answer: a reset could reach it before.
  *
- * @param maxBytes - the connection is closed once more than this has come, or more parts than a body
- *   may have
+ * @param maxBytes - size of the largest body; the connection is closed once more has come
  */
 export const discardBody = (incoming: IncomingMessage, maxBytes: number): void => {
-  let bytes = 0;
-  let pieces = 0;
-  const maxPieces = computeMaxPieces(maxBytes);
-  incoming.on('data', (piece: Buffer) => {
-    bytes += piece.length;
-    pieces += 1;
-    if (bytes > maxBytes || pieces > maxPieces) incoming.socket.destroy();
+  const meter = createBodyMeter(maxBytes);
+  incoming.on('data', (part: Buffer) => {
+    if (meter.addPart(part)) incoming.socket.destroy();
   });
 };
--- a/src/adapters/http/_lib/readBody/index.ts
+++ b/src/adapters/http/_lib/readBody/index.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import type { CallerError } from '../../types';
-import { computeMaxPieces } from '../computeMaxPieces';
 import { createBodyBuffer } from '../createBodyBuffer';
+import { createBodyMeter } from '../createBodyMeter';
 
 /** Options of reading a body. */
 export interface ReadBodyOptions {
@@ -23,22 +23,17 @@
   maxBytes: number,
   { acquireBytes = () => true }: ReadBodyOptions = {},
 ): Promise<Result<Uint8Array, CallerError>> => {
-  const tooLarge: CallerError = { kind: 'body-too-large', maxBytes };
   const announcedBytes = Number(incoming.headers['content-length'] ?? 0);
-  if (announcedBytes > maxBytes) return err(tooLarge);
+  if (announcedBytes > maxBytes) return err({ kind: 'body-too-large', maxBytes });
   if (announcedBytes > 0 && !acquireBytes(announcedBytes)) return err({ kind: 'no-memory' });
+  const meter = createBodyMeter(maxBytes);
   const body = createBodyBuffer({ expectedBytes: announcedBytes, maxBytes, acquireBytes });
-  let bytes = 0;
-  let pieces = 0;
-  const maxPieces = computeMaxPieces(maxBytes);
   try {
     // With `destroyOnReturn` the connection would close before the answer is sent.
-    for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) return err(tooLarge);
-      pieces += 1;
-      if (pieces > maxPieces) return err({ kind: 'body-too-fragmented', maxPieces });
-      if (!body.add(chunk as Buffer)) return err({ kind: 'no-memory' });
+    for await (const part of incoming.iterator({ destroyOnReturn: false })) {
+      const excess = meter.addPart(part as Buffer);
+      if (excess) return err(excess);
+      if (!body.addPart(part as Buffer)) return err({ kind: 'no-memory' });
     }
   } catch {
     return err({ kind: 'caller-gone' });
--- a/src/adapters/http/types/CallerError.ts
+++ b/src/adapters/http/types/CallerError.ts
@@ -10,7 +10,7 @@
   | CallerRefusal
   | { readonly kind: 'no-memory' }
   | { readonly kind: 'body-too-large'; readonly maxBytes: number }
-  | { readonly kind: 'body-too-fragmented'; readonly maxPieces: number }
+  | { readonly kind: 'body-too-fragmented'; readonly maxParts: number }
   | { readonly kind: 'bad-cursor'; readonly message: string }
   | { readonly kind: 'foreign-cursor' }
   | { readonly kind: 'unknown-generation' }
