--- a/src/application/forwarding/_lib/migrateRun/index.ts
+++ b/src/application/forwarding/_lib/migrateRun/index.ts
@@ -119,14 +119,10 @@
     client.dropCopy(attempt.server, firstCopy.value.handle);
     return false;
   }
-  let settle: (outcome: MigrationOutcome) => void = () => undefined;
-  const migration = new Promise<MigrationOutcome>((resolve) => {
-    settle = resolve;
-  });
-  Object.assign(attempt, { migration });
   stoppedAtMs = clock.readMonotonicMs();
-  const finalCopy = await copyRemainder(run, attempt, holder, firstCopy.value);
-  settle(readOutcome(finalCopy));
+  const remainder = copyRemainder(run, attempt, holder, firstCopy.value);
+  Object.assign(attempt, { migration: remainder.then(readOutcome) });
+  const finalCopy = await remainder;
   if (!isCurrent()) {
     retry.release();
     logOutcome('attempt replaced');
