End a slow attempt of a call with the loop that other watches use

Its time-out was a loop of timers of its own; startLoop does the same. takeRetry is called acquireRetry, as at the lender.

--- a/src/application/forwarding/_lib/createRepeatReservation/index.ts
+++ b/src/application/forwarding/_lib/createRepeatReservation/index.ts
@@ -6,7 +6,7 @@
   /** Acquires a retry unless one is held; resolves with false if none is left. */
   reserveRetry(): Promise<boolean>;
   /** Resolves with the retry that is held, or with another one; null if none is left. */
-  takeRetry(): Promise<Retry | null>;
+  acquireRetry(): Promise<Retry | null>;
 }
 
 /**
@@ -34,7 +34,7 @@
       else held = acquired;
       return held !== null;
     },
-    takeRetry: () => {
+    acquireRetry: () => {
       const taken = held;
       held = null;
       return taken ? Promise.resolve(taken) : lender.acquireRetry(service);
--- a/src/application/forwarding/_lib/createRepeatReservation/test.ts
+++ b/src/application/forwarding/_lib/createRepeatReservation/test.ts
@@ -23,9 +23,9 @@
   t.true(await reservation.reserveRetry());
   t.true(await reservation.reserveRetry());
   t.is(countLeft(), 1);
-  const first = await reservation.takeRetry();
+  const first = await reservation.acquireRetry();
   t.is(countLeft(), 1);
-  t.not(await reservation.takeRetry(), first);
+  t.not(await reservation.acquireRetry(), first);
   t.is(countLeft(), 0);
 });
 
@@ -49,7 +49,7 @@
 test('a retry that was taken is not given back at the end of its call', async (t) => {
   const { countLeft, ended, reservation } = setUp();
   await reservation.reserveRetry();
-  await reservation.takeRetry();
+  await reservation.acquireRetry();
   ended.abort();
   t.is(countLeft(), 1);
 });
@@ -58,7 +58,7 @@
 test('retries that are reserved and taken at once are all given back', async (t) => {
   const { countLeft, ended, reservation } = setUp();
   const reserved = reservation.reserveRetry();
-  const taken = await reservation.takeRetry();
+  const taken = await reservation.acquireRetry();
   await reserved;
   taken?.release();
   ended.abort();
--- a/src/application/forwarding/_lib/sendCall/index.ts
+++ b/src/application/forwarding/_lib/sendCall/index.ts
@@ -127,7 +127,7 @@
       continue;
     }
     if (isRepeat) steps.enterStep('retry');
-    const retry = isRepeat ? await reservation.takeRetry() : null;
+    const retry = isRepeat ? await reservation.acquireRetry() : null;
     if (isRepeat && !retry) {
       permit.release();
       lastReason = `no retry left after: ${lastReason}`;
--- a/src/application/forwarding/_lib/sendCallAttempt/index.ts
+++ b/src/application/forwarding/_lib/sendCallAttempt/index.ts
@@ -7,6 +7,7 @@
 } from '../../../../domain/forwarding';
 import type { AttemptEnd, ConnectionEnd } from '../../../../domain/crashes';
 import type { AttemptAnswer, AttemptError, EventFields } from '../../../ports';
+import { startLoop } from '../../../time';
 import type { ForwardContext, ForwardingDependencies } from '../../types';
 import { buildFailureFields, REFUSAL_FIELDS } from '../buildFailureFields';
 import { logDecision } from '../logDecision';
@@ -97,34 +98,6 @@
 /** Time until it is asked again whether another attempt may follow. */
 const RESERVE_INTERVAL_MS = 250;
 
-/**
- * Starts the timeout of an attempt.
- *
- * @returns a function that ends it
- */
-const startAttemptTimeout = (
-  clock: ForwardingDependencies['clock'],
-  { attemptMs, leftMs, reserveNext }: CallAttemptOptions,
-  handleTimeout: () => void,
-): (() => void) => {
-  const startedAtMs = clock.readMonotonicMs();
-  let isEnded = false;
-  let cancelTimer = (): void => undefined;
-  const endAttempt = async (): Promise<void> => {
-    const readLeftMs = (): number => startedAtMs + leftMs - clock.readMonotonicMs();
-    // The server may still answer: without another attempt nobody else would.
-    const isOver = readLeftMs() <= 0 || (await reserveNext().catch(() => false));
-    if (isEnded) return;
-    if (isOver) handleTimeout();
-    else cancelTimer = clock.startTimer(Math.min(RESERVE_INTERVAL_MS, readLeftMs()), endAttempt);
-  };
-  cancelTimer = clock.startTimer(attemptMs, endAttempt);
-  return () => {
-    isEnded = true;
-    cancelTimer();
-  };
-};
-
 /** Sends a call to one server and reads the whole response. */
 export const sendCallAttempt = async (
   dependencies: ForwardingDependencies,
@@ -135,8 +108,20 @@
   const { client, clock, directory, paths, serverPaces } = dependencies;
   const { holder, reply, request } = context;
   const timeoutController = new AbortController();
-  const cancelTimeout = startAttemptTimeout(clock, options, () => timeoutController.abort());
   const sentAtMs = clock.readMonotonicMs();
+  const stopTimeout = startLoop({
+    clock,
+    firstDelayMs: options.attemptMs,
+    runStep: async () => {
+      const readLeftMs = (): number => sentAtMs + options.leftMs - clock.readMonotonicMs();
+      // The server may still answer: without another attempt nobody else would.
+      if (readLeftMs() > 0 && !(await options.reserveNext()))
+        return Math.min(RESERVE_INTERVAL_MS, readLeftMs());
+      timeoutController.abort();
+      return null;
+    },
+    handleFailure: () => RESERVE_INTERVAL_MS,
+  });
   const buildEnd: EndBuilder = (seen, connection) => ({
     ...seen,
     connection,
@@ -232,7 +217,7 @@
     }
     return { kind: 'answered', response, end };
   } finally {
-    cancelTimeout();
+    stopTimeout();
     work.release();
   }
 };
