Share what the new tests wrote again

Four tests changed routes, engines and versions of the test configuration by code of their own, two beside them (drain, streams) did as well: buildChangedConfiguration serves all. Two calls and the ends of two streams that differed in one value are one test body each; a parameter that always had one value is gone. The configuration of the tests that run alone is derived from the other one. Names and assertions of all tests are as they were.

--- a/ava.alone.config.js
+++ b/ava.alone.config.js
@@ -1,13 +1,9 @@
-// Tests that load the machine and measure a process, and unsteady ones: one after the other, beside no others.
+// Tests that load the machine and measure a process, and unsteady ones: one after the other, beside no
+// others. They are those that the configuration of the other tests leaves out.
+import others from './ava.config.js';
+
 export default {
-  files: [
-    'tests/gateway/endlessSums.test.ts',
-    'tests/gateway/hostileClients.test.ts',
-    'tests/gateway/unreadAnswers.test.ts',
-  ],
+  ...others,
+  files: others.files.filter((file) => file.startsWith('!')).map((file) => file.slice(1)),
   concurrency: 1,
-  extensions: { ts: 'module' },
-  nodeArguments: ['--import=tsx'],
-  workerThreads: false,
-  timeout: '120s',
 };
--- a/src/application/forwarding/_lib/createRepeatReservation/test.ts
+++ b/src/application/forwarding/_lib/createRepeatReservation/test.ts
@@ -1,21 +1,13 @@
 import test from 'ava';
+import { createCountedRetries } from '../../../../../standins/fakes';
 import { createRepeatReservation } from '.';
 
 /** A reservation of a call that may still be asked for a retry, of two that are left. */
 const setUp = () => {
-  let left = 2;
+  const { acquireRetry, countLeft } = createCountedRetries({ count: 2 });
   const ended = new AbortController();
-  const acquireRetry = async () => {
-    left -= 1;
-    return {
-      release: () => {
-        left += 1;
-      },
-      finish: () => undefined,
-    };
-  };
   const reservation = createRepeatReservation({ acquireRetry }, 's', ended.signal);
-  return { ended, reservation, countLeft: () => left };
+  return { ended, reservation, countLeft };
 };
 
 test('a retry is reserved once, and used once', async (t) => {
--- a/src/application/forwarding/_lib/reserveReplacement/test.ts
+++ b/src/application/forwarding/_lib/reserveReplacement/test.ts
@@ -1,21 +1,13 @@
 import test from 'ava';
+import { createCountedRetries } from '../../../../../standins/fakes';
 import type { StreamRun } from '../../types';
 import { reserveReplacement } from '.';
 
 /** Reserves the only retry, which takes time; `interrupt` runs meanwhile. */
 const reserve = async (interrupt: (run: StreamRun, end: () => void) => void) => {
-  let left = 1;
+  const { acquireRetry, countLeft } = createCountedRetries({ count: 1 });
   let isEnded = false;
   let isNeeded = true;
-  const acquireRetry = async () => {
-    left -= 1;
-    return {
-      release: () => {
-        left += 1;
-      },
-      finish: () => undefined,
-    };
-  };
   const run = {
     context: { route: { resumable: true, maxAttempts: 2 }, service: 's' },
     copy: null,
@@ -33,7 +25,7 @@
     isNeeded = false;
   });
   await reserved;
-  return { left, run };
+  return { left: countLeft(), run };
 };
 
 test('the retry of a further attempt is reserved', async (t) => {
--- a/src/application/forwarding/_lib/startSilenceWatch/test.ts
+++ b/src/application/forwarding/_lib/startSilenceWatch/test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 import { NO_GAPS } from '../../../../domain/detection';
-import { buildOpenServers, createFakeClock, QUIET_LOG } from '../../../../../standins/fakes';
+import {
+  buildOpenServers,
+  createCountedRetries,
+  createFakeClock,
+  QUIET_LOG,
+} from '../../../../../standins/fakes';
 import type { GenerationInput } from '../../../../domain/generation';
 import { createSendDating } from '../../../time';
 import { createServerPaces } from '../../../paces';
@@ -36,8 +41,6 @@
   const inputs: GenerationInput[] = [];
   let probes = 0;
   let failures = 0;
-  let leftRetries = retries;
-  let asked = 0;
   let stopWatch = (): void => undefined;
   const attempt = {
     server: { id: 'i-1', availabilityZone: 'z1' },
@@ -48,19 +51,13 @@
     hasDeliveredEvent: false,
     expectedFirstEventMs: 0,
   } as unknown as StreamAttempt;
-  const acquireRetry = async () => {
-    if (leftRetries === 0) return null;
-    leftRetries -= 1;
-    asked += 1;
-    if (goesOn) Object.assign(attempt, { lastActivityMs: clock.readMonotonicMs() });
-    if (isStoppedMeanwhile) stopWatch();
-    return {
-      release: () => {
-        leftRetries += 1;
-      },
-      finish: () => undefined,
-    };
-  };
+  const { acquireRetry, countAsked, countLeft } = createCountedRetries({
+    count: retries,
+    handleAsked: () => {
+      if (goesOn) Object.assign(attempt, { lastActivityMs: clock.readMonotonicMs() });
+      if (isStoppedMeanwhile) stopWatch();
+    },
+  });
   const run = {
     context: {
       request: { requestId: 'r-1', arrivedAtMs: 0, tokens: null },
@@ -106,8 +103,8 @@
     stop,
     countFailures: () => failures,
     countProbes: () => probes,
-    countLeftRetries: () => leftRetries,
-    countAskedRetries: () => asked,
+    countLeftRetries: countLeft,
+    countAskedRetries: countAsked,
   };
 };
 
--- a/standins/fakes/index.ts
+++ b/standins/fakes/index.ts
@@ -1,3 +1,5 @@
+export { createCountedRetries } from './createCountedRetries';
+export type { CountedRetries, CountedRetriesOptions } from './createCountedRetries';
 export { buildLoadPart } from './buildLoadPart';
 export { buildDirectoryRow } from './buildDirectoryRow';
 export { createDirectoryFixture, STORE } from './createDirectoryFixture';
--- a/tests/gateway/_lib/startEndingServer/index.ts
+++ b/tests/gateway/_lib/startEndingServer/index.ts
@@ -1,17 +1,12 @@
-import { once } from 'node:events';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { HEADERS, PATHS } from '../../../../platform';
-import { drawLoopbackHost } from '../../../../standins/_lib/drawLoopbackHost';
 import { readBody } from '../../../../standins/_lib/readBody';
 import { formatEvents } from '../formatEvents';
+import { listenOnLoopback, type LoopbackListener } from '../listenOnLoopback';
 
 /** A server whose runs end by themselves just before they are stopped. */
-export interface EndingServer {
+export interface EndingServer extends LoopbackListener {
   readonly id: string;
-  /** IP:PORT. */
-  readonly address: string;
-  stop(): Promise<void>;
 }
 
 const NOT_FOUND_STATUS = 404;
@@ -59,16 +54,5 @@
     } else if (request.method === 'POST') startRun(request, response);
     else response.setHeader(HEADERS.serverId, id).end();
   });
-  server.listen(0, drawLoopbackHost());
-  await once(server, 'listening');
-  const { address, port } = server.address() as AddressInfo;
-  return {
-    id,
-    address: `${address}:${port}`,
-    stop: async () => {
-      server.close();
-      server.closeAllConnections();
-      await once(server, 'close');
-    },
-  };
+  return { id, ...(await listenOnLoopback(server)) };
 };
--- a/tests/gateway/_lib/startRawServer/index.ts
+++ b/tests/gateway/_lib/startRawServer/index.ts
@@ -1,9 +1,8 @@
-import { once } from 'node:events';
 import { createServer, type IncomingMessage } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import { drawLoopbackHost } from '../../../../standins/_lib/drawLoopbackHost';
+import type { Socket } from 'node:net';
 import { readBody } from '../../../../standins/_lib/readBody';
 import type { StandInServer } from '../../../../standins/gateway';
+import { listenOnLoopback } from '../listenOnLoopback';
 
 /** A request that a raw server received. */
 export interface RawRequest {
@@ -41,17 +40,5 @@
     socket.on('error', () => socket.destroy());
     socket.on('close', () => earlierBySocket.delete(socket));
   });
-  server.listen(0, drawLoopbackHost());
-  await once(server, 'listening');
-  const { address, port } = server.address() as AddressInfo;
-  return {
-    id,
-    address: `${address}:${port}`,
-    requests,
-    stop: async () => {
-      server.close();
-      server.closeAllConnections();
-      await once(server, 'close');
-    },
-  };
+  return { id, requests, ...(await listenOnLoopback(server)) };
 };
--- a/tests/gateway/calls.test.ts
+++ b/tests/gateway/calls.test.ts
@@ -3,8 +3,9 @@
 import { createGatewayHandlers, startGatewayServer } from '../../src/adapters/connect';
 import type { Member } from '../../src/application/gossip';
 import { createFakeClock, QUIET_LOG } from '../../standins/fakes';
-import { buildGatewaySettings, buildWireEntry, type StandInServer } from '../../standins/gateway';
+import { buildWireEntry, type StandInServer } from '../../standins/gateway';
 import { readOk } from '../_lib/readOk';
+import { buildBoundsWithoutRetries } from './_lib/buildBoundsWithoutRetries';
 import { buildStubServices } from './_lib/buildStubServices';
 import { countRequests } from './_lib/countRequests';
 import { startTestGateway } from './_lib/startTestGateway';
@@ -82,12 +83,8 @@
     ),
   );
   address = new URL(peer.url).host;
-  const { bounds } = buildGatewaySettings('');
   const harness = await startTestGateway({
-    settings: {
-      seedAddresses: [address],
-      bounds: { ...bounds, retryRatio: 0, retryExtra: 0 },
-    },
+    settings: { seedAddresses: [address], bounds: buildBoundsWithoutRetries() },
   });
   await harness.waitForLine('peers known');
   // The first server that receives a request answers 500, the next one 200.
--- a/tests/gateway/copiedStreams.test.ts
+++ b/tests/gateway/copiedStreams.test.ts
@@ -1,15 +1,17 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import test from 'ava';
 import { HEADERS } from '../../platform';
-import {
-  buildGatewaySettings,
-  buildWireConfiguration,
-  formatStandInEvent,
-} from '../../standins/gateway';
+import { formatStandInEvent } from '../../standins/gateway';
+import { buildBoundsWithoutRetries } from './_lib/buildBoundsWithoutRetries';
+import { buildChangedConfiguration } from './_lib/buildChangedConfiguration';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { findBackup } from './_lib/findBackup';
 import { formatEvents } from './_lib/formatEvents';
-import { startTestGateway, type TestGatewayOptions } from './_lib/startTestGateway';
+import {
+  startTestGateway,
+  type TestAnswer,
+  type TestGatewayOptions,
+} from './_lib/startTestGateway';
 import { takeNextRequest } from './_lib/takeNextRequest';
 
 /** Longer than a server whose run has a copy may be silent, and far shorter than another one. */
@@ -19,19 +21,6 @@
 
 const SERVER_IDS = ['i-1', 'i-2', 'i-3'];
 
-/** Builds a configuration in which all routes are changed. */
-const changeRoutes = (change: object): object => {
-  const { routes } = buildWireConfiguration() as { routes: object[] };
-  return {
-    routes: routes.map((route) => ({ ...route, timeout_ms: DEADLINE_MS, ...change })),
-  };
-};
-
-const NO_RETRIES: TestGatewayOptions = {
-  configuration: changeRoutes({}),
-  settings: { bounds: { ...buildGatewaySettings('').bounds, retryRatio: 0, retryExtra: 0 } },
-};
-
 /** Starts a stream whose run has a copy, and sends its first two events. */
 const startCopiedStream = async (options: TestGatewayOptions) => {
   const harness = await startTestGateway({ serverIds: SERVER_IDS, ...options });
@@ -41,19 +30,27 @@
   first.server.startStream(first.request);
   first.server.sendEvents(first.request, 1, 2);
   await followed.waitForText(formatStandInEvent(2));
-  return { backup, first, followed, harness };
+  /** Pauses the server, lets it end the stream, and resolves with the answer. */
+  const endAfterPause = async (): Promise<TestAnswer> => {
+    await Promise.race([followed.done, wait(PAUSE_MS)]);
+    first.server.sendEvents(first.request, 3, 4);
+    first.request.response.end();
+    const answer = await followed.done;
+    await harness.stop();
+    return answer;
+  };
+  return { backup, endAfterPause };
 };
 
 // Guards against streams that are cut because another prompt delays their next event for longer than
 // a run with a copy may be silent, though no retry is left to continue them from the copy.
 test.serial('a stream with a copy goes on with a slow server if no retry is left', async (t) => {
   t.timeout(40_000);
-  const { first, followed, harness } = await startCopiedStream(NO_RETRIES);
-  await Promise.race([followed.done, wait(PAUSE_MS)]);
-  first.server.sendEvents(first.request, 3, 4);
-  first.request.response.end();
-  const answer = await followed.done;
-  await harness.stop();
+  const { endAfterPause } = await startCopiedStream({
+    configuration: buildChangedConfiguration({ route: { timeout_ms: DEADLINE_MS } }),
+    settings: { bounds: buildBoundsWithoutRetries() },
+  });
+  const answer = await endAfterPause();
   t.is(answer.body, formatEvents(1, 4));
   t.true(answer.isWhole);
 });
@@ -62,19 +59,17 @@
 // was only slow and their route allows no other one.
 test.serial('a stream goes on with a slow server if only its copy could replace it', async (t) => {
   t.timeout(40_000);
-  const { backup, first, followed, harness } = await startCopiedStream({
-    configuration: changeRoutes({ max_attempts: 1 }),
+  const { backup, endAfterPause } = await startCopiedStream({
+    configuration: buildChangedConfiguration({
+      route: { timeout_ms: DEADLINE_MS, max_attempts: 1 },
+    }),
   });
   const refuseNext = async (): Promise<void> => {
     const request = await backup.nextRequest();
     backup.answer(request, 503, '', { [HEADERS.notRun]: '1' });
   };
   refuseNext();
-  await Promise.race([followed.done, wait(PAUSE_MS)]);
-  first.server.sendEvents(first.request, 3, 4);
-  first.request.response.end();
-  const answer = await followed.done;
-  await harness.stop();
+  const answer = await endAfterPause();
   t.is(answer.body, formatEvents(1, 4));
   t.true(answer.isWhole);
 });
--- a/tests/gateway/drain.test.ts
+++ b/tests/gateway/drain.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import { HEADERS } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
+import { buildChangedConfiguration } from './_lib/buildChangedConfiguration';
 import { countRequests } from './_lib/countRequests';
-import { buildWireConfiguration } from '../../standins/gateway';
 import { startTestGateway } from './_lib/startTestGateway';
 import { takeNextRequest } from './_lib/takeNextRequest';
 
@@ -64,10 +64,8 @@
 });
 
 /** A configuration whose routes let requests run for longer than a process takes to exit. */
-const buildLongRoutes = (change: object = {}): object => {
-  const { routes, ...rest } = buildWireConfiguration() as { readonly routes: readonly object[] };
-  return { ...rest, routes: routes.map((route) => ({ ...route, timeout_ms: 25_000, ...change })) };
-};
+const buildLongRoutes = (change: object = {}): object =>
+  buildChangedConfiguration({ route: { timeout_ms: 25_000, ...change } });
 
 // Guards against a call that runs and gets no answer: it is taken late after SIGTERM, may last for
 // its whole deadline, and the process exits before.
--- a/tests/gateway/hostileClients.test.ts
+++ b/tests/gateway/hostileClients.test.ts
@@ -1,19 +1,12 @@
 // Guards against clients outside the limits that end or hang a gateway: one that counts what they send
 // and not what it holds for them runs out of memory, and its ordinary callers get no answer.
-import { randomInt } from 'node:crypto';
 import { setTimeout } from 'node:timers/promises';
 import test from 'ava';
 import { request } from 'undici';
-import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
-import {
-  buildWireConfiguration,
-  buildWireEntry,
-  createStandInServer,
-  createStandInStore,
-  TEST_KEY,
-} from '../../standins/gateway';
-import { startGatewayProcess } from './_lib/startGatewayProcess';
+import { HEADERS } from '../../platform';
+import { TEST_KEY } from '../../standins/gateway';
 import { startHostileClients, type HostileForm } from './_lib/startHostileClients';
+import { startLoneGateway } from './_lib/startLoneGateway';
 
 /** Memory and descriptors of the machine: beyond these the platform ends the process. */
 const MEMORY_MB = 350;
@@ -64,18 +57,11 @@
 
 /** Lists what is wrong with a gateway while such clients send, and after they left. */
 const play = async (groups: readonly Group[]): Promise<readonly string[]> => {
-  const store = await createStandInStore();
-  const server = await createStandInServer('i-1');
+  const { gateway, server, stop } = await startLoneGateway({ limits: LIMITS, memoryMb: MEMORY_MB });
   server.addListener(() => {
     const received = server.takeRequest();
     if (received) server.answer(received, 200, 'answer');
   });
-  store.writeRow(TABLES.servers, server.id, buildWireEntry(server));
-  store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildWireConfiguration({ limits: LIMITS }));
-  const gateway = await startGatewayProcess({
-    ...{ vm: 'vm-1', zone: 'z1', ip: `127.${randomInt(1, 255)}.${randomInt(0, 255)}.1` },
-    ...{ seeds: [], storeUrl: store.url, memoryMb: MEMORY_MB },
-  });
   const problems: string[] = [];
   if (!(await isServed(gateway.callerUrl))) problems.push('not served before');
   const clients = startHostileClients(
@@ -92,8 +78,7 @@
     if (peakMb > MEMORY_MB) problems.push(`took ${Math.round(peakMb)} MB`);
   }
   if (descriptors > MAX_DESCRIPTORS) problems.push(`had ${descriptors} descriptors`);
-  await gateway.stop();
-  await Promise.all([server.stop(), store.stop()]);
+  await stop();
   return problems;
 };
 
--- a/tests/gateway/movedStreams.test.ts
+++ b/tests/gateway/movedStreams.test.ts
@@ -1,10 +1,7 @@
 import test from 'ava';
 import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
-import {
-  buildWireConfiguration,
-  formatStandInEvent,
-  type StandInServer,
-} from '../../standins/gateway';
+import { formatStandInEvent, type StandInServer } from '../../standins/gateway';
+import { buildChangedConfiguration } from './_lib/buildChangedConfiguration';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { formatEvents } from './_lib/formatEvents';
 import { startTestGateway } from './_lib/startTestGateway';
@@ -12,42 +9,19 @@
 const LAST_EVENT = 12;
 const EVENT_INTERVAL_MS = 100;
 
-/** Configuration whose only route is a stream; the service may move runs or not. */
-const buildStreamConfiguration = (
-  version: number,
-  { moves, resumable }: { readonly moves: boolean; readonly resumable: boolean },
-): object =>
-  buildWireConfiguration({
+/** Builds a configuration whose routes allow one server, and whose service may move runs or not. */
+const buildConfiguration = (version: number, moves: boolean): object =>
+  buildChangedConfiguration({
     version,
-    routes: [
-      {
-        name: 'stream',
-        host: 'a.example',
-        prefix: '/stream/',
-        route_type: 'streaming',
-        service: 's',
-        timeout_ms: 5000,
-        max_attempts: 1,
-        latency_goal_ms: 2000,
-        gap_goal_ms: 700,
-        resumable,
-      },
-    ],
-    services: [
-      {
-        name: 's',
-        health_path: '/healthz',
-        max_conns: 50,
-        engine: { slots: 8, kv_capacity: 88_000, backups: false, moves },
-      },
-    ],
+    route: { max_attempts: 1 },
+    engine: { backups: false, moves },
   });
 
 // Guards against streams that are cut by the gateway itself: it stops a run at its sound server
 // though no attempt is left, and no server takes the copy.
 test('a stream without an attempt left survives a move that no server goes on with', async (t) => {
   const harness = await startTestGateway({
-    configuration: buildStreamConfiguration(2, { moves: false, resumable: true }),
+    configuration: buildConfiguration(2, false),
   });
   t.teardown(harness.stop);
   const serveNext = (server: StandInServer): void => {
@@ -71,11 +45,7 @@
   harness.servers.forEach((server) => server.addListener(() => serveNext(server)));
   const followed = harness.follow(buildStreamRequest());
   await followed.waitForText(formatStandInEvent(1));
-  harness.store.writeRow(
-    TABLES.operator,
-    CONFIGURATION_KEY,
-    buildStreamConfiguration(3, { moves: true, resumable: true }),
-  );
+  harness.store.writeRow(TABLES.operator, CONFIGURATION_KEY, buildConfiguration(3, true));
   const answer = await followed.done;
   t.true(answer.isWhole);
   t.is(answer.body, formatEvents(1, LAST_EVENT));
--- a/tests/gateway/pausedStreams.test.ts
+++ b/tests/gateway/pausedStreams.test.ts
@@ -1,12 +1,10 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import test from 'ava';
 import { HEADERS } from '../../platform';
-import {
-  buildGatewaySettings,
-  buildWireConfiguration,
-  formatStandInEvent,
-} from '../../standins/gateway';
+import { formatStandInEvent } from '../../standins/gateway';
 import { createFakeClock } from '../../standins/fakes';
+import { buildBoundsWithoutRetries } from './_lib/buildBoundsWithoutRetries';
+import { buildChangedConfiguration } from './_lib/buildChangedConfiguration';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { countRequests } from './_lib/countRequests';
 import { formatEvents } from './_lib/formatEvents';
@@ -23,23 +21,15 @@
 const DEADLINE_MS = 20_000;
 
 /** Builds a configuration in which all routes are changed, and servers hold no copies. */
-const changeRoutes = (change: object): object => {
-  const { routes, services } = buildWireConfiguration() as {
-    routes: object[];
-    services: { engine: object }[];
-  };
-  return {
-    routes: routes.map((route) => ({ ...route, timeout_ms: DEADLINE_MS, ...change })),
-    services: services.map((service) => ({
-      ...service,
-      engine: { ...service.engine, backups: false, moves: false },
-    })),
-  };
-};
+const buildConfiguration = (change: object): object =>
+  buildChangedConfiguration({
+    route: { timeout_ms: DEADLINE_MS, ...change },
+    engine: { backups: false, moves: false },
+  });
 
 const WITHOUT_RETRIES: TestGatewayOptions = {
-  configuration: changeRoutes({}),
-  settings: { bounds: { ...buildGatewaySettings('').bounds, retryRatio: 0, retryExtra: 0 } },
+  configuration: buildConfiguration({}),
+  settings: { bounds: buildBoundsWithoutRetries() },
 };
 
 /** Pauses a stream after its second event; resolves with what its caller gets. */
@@ -65,8 +55,11 @@
 
 // Guards against streams that are cut because their servers paused, though nothing could replace these.
 for (const [cause, options] of [
-  ['its route allows no further server', { configuration: changeRoutes({ max_attempts: 1 }) }],
-  ['it may not be resumed', { configuration: changeRoutes({ resumable: false }) }],
+  [
+    'its route allows no further server',
+    { configuration: buildConfiguration({ max_attempts: 1 }) },
+  ],
+  ['it may not be resumed', { configuration: buildConfiguration({ resumable: false }) }],
   ['no retry is left', WITHOUT_RETRIES],
 ] as const) {
   for (const [pause, isServerFrozen] of [
@@ -90,7 +83,7 @@
   test.serial(name, async (t) => {
     t.timeout(30_000);
     const clock = createFakeClock();
-    const configuration = changeRoutes({ max_attempts: 1 });
+    const configuration = buildConfiguration({ max_attempts: 1 });
     const harness = await startTestGateway({ clock, configuration });
     const followed = harness.follow(buildStreamRequest());
     const { request, server } = await takeNextRequest(harness.servers);
--- a/tests/gateway/stoppedStreams.test.ts
+++ b/tests/gateway/stoppedStreams.test.ts
@@ -1,7 +1,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import test from 'ava';
 import { CONFIGURATION_KEY, HEADERS, TABLES } from '../../platform';
-import { buildWireConfiguration, formatStandInEvent } from '../../standins/gateway';
+import { formatStandInEvent } from '../../standins/gateway';
+import {
+  buildChangedConfiguration,
+  type ConfigurationChange,
+} from './_lib/buildChangedConfiguration';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { formatEvents } from './_lib/formatEvents';
 import { removeBackup } from './_lib/removeBackup';
@@ -17,35 +21,8 @@
 
 const LAST_EVENT = 30;
 
-interface ConfigurationChange {
-  readonly route?: object;
-  readonly engine?: object;
-  readonly version?: number;
-}
-
-const buildConfiguration = ({ engine, route, version = 2 }: ConfigurationChange): object => {
-  const name = 's';
-  const slots = { slots: 8, kv_capacity: 88_000, backups: true, moves: true };
-  return buildWireConfiguration({
-    version,
-    routes: [
-      {
-        name: 'stream',
-        host: 'a.example',
-        prefix: '/stream/',
-        service: name,
-        route_type: 'streaming',
-        timeout_ms: TIMEOUT_MS,
-        latency_goal_ms: 2000,
-        gap_goal_ms: 700,
-        max_attempts: 3,
-        resumable: true,
-        ...route,
-      },
-    ],
-    services: [{ name, health_path: '/healthz', engine: { ...slots, ...engine } }],
-  });
-};
+const buildConfiguration = ({ route, ...change }: ConfigurationChange): object =>
+  buildChangedConfiguration({ ...change, route: { timeout_ms: TIMEOUT_MS, ...route } });
 
 /** Sends the rest of a stream, for longer than runs without a copy are left where they are. */
 const sendRest = async ({ request, server }: TakenRequest, first: number): Promise<void> => {
--- a/tests/gateway/streams.test.ts
+++ b/tests/gateway/streams.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import { HEADERS, TABLES } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
-import { formatStandInEvent, buildWireConfiguration, buildWireEntry } from '../../standins/gateway';
+import { formatStandInEvent, buildWireEntry } from '../../standins/gateway';
+import { buildChangedConfiguration } from './_lib/buildChangedConfiguration';
 import { buildStreamRequest } from './_lib/buildStreamRequest';
 import { countRequests } from './_lib/countRequests';
 import { findBackup } from './_lib/findBackup';
@@ -160,9 +161,8 @@
 });
 
 test('a stream that is not resumable is aborted when its server dies and never looks complete', async (t) => {
-  const [base] = [buildWireConfiguration() as { routes: object[] }];
-  const routes = base.routes.map((route) => ({ ...route, resumable: false }));
-  const harness = await startTestGateway({ configuration: { routes } });
+  const configuration = buildChangedConfiguration({ route: { resumable: false } });
+  const harness = await startTestGateway({ configuration });
   const followed = harness.follow(buildStreamRequest());
   const first = await takeNextRequest(harness.servers);
   first.server.startStream(first.request);
--- a/tests/gateway/unreadAnswers.test.ts
+++ b/tests/gateway/unreadAnswers.test.ts
@@ -10,7 +10,6 @@
 const LARGE_ANSWER = 'a'.repeat(7_000_000);
 
 /** Together their answers are larger than what the buffers of both hosts hold. */
-
 const PIPELINED_IDS = ['request-1', 'request-2', 'request-3'];
 
 // Guards against answers that are cut off while their callers still read them.
