Test parts that crash servers in other ways than before the first event

What callers saw: tries with one prompt part begin at servers long after its fifth crash.

The simulated servers can send events before they crash, tell under which parts they crashed, and a stream's last part can be shared.

--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -16,6 +16,13 @@
   readonly parts: readonly string[];
 }
 
+/** A crash of a server under a request. */
+export interface RequestCrash {
+  readonly atMs: number;
+  /** Ids of the parts of the request's prompt, in order. */
+  readonly parts: readonly string[];
+}
+
 /** Servers, and what they saw. */
 export interface CrashingServers {
   /** Creates the client of a VM. */
@@ -26,6 +33,8 @@
   readonly arrivals: readonly Arrival[];
   /** When servers crashed, in order. */
   readonly crashedAtMs: readonly number[];
+  /** Crashes under requests, in order. */
+  readonly requestCrashes: readonly RequestCrash[];
 }
 
 /** Options of the servers. */
@@ -34,6 +43,8 @@
   readonly count: number;
   /** True if a server crashes that begins to answer a request with these parts. */
   readonly crashes: (parts: readonly string[], server: string) => boolean;
+  /** Events that it sends before it crashes; none by default. */
+  readonly eventsBeforeCrash?: number;
   /** Called when a server is found to be gone, and when one has started. */
   readonly handleGone: (id: string) => void;
   readonly handleStarted: (id: string) => void;
@@ -54,11 +65,12 @@
 
 /** Creates servers in virtual time that crash under some requests and start again. */
 export const createCrashingServers = (options: CrashingServersOptions): CrashingServers => {
-  const { clock, count } = options;
+  const { clock, count, eventsBeforeCrash = 0 } = options;
   /** By id: breaks off the runs of a server. */
   const runsById = new Map<string, Set<() => void>>();
   const arrivals: Arrival[] = [];
   const crashedAtMs: number[] = [];
+  const requestCrashes: RequestCrash[] = [];
   let started = 0;
 
   const start = (): string => {
@@ -110,6 +122,7 @@
       }
       const parts = request.promptParts.map((part) => part.id);
       arrivals.push({ atMs: clock.readMonotonicMs(), vm, parts });
+      const isCrashing = options.crashes(parts, id);
       const body = createPushedBody();
       let cancelTimer = (): void => undefined;
       const breakOff = (): void => {
@@ -125,7 +138,8 @@
       runs.add(breakOff);
       signal.addEventListener('abort', breakOff, { once: true });
       const sendEvent = (event: number): void => {
-        if (event === 1 && options.crashes(parts, id)) {
+        if (isCrashing && event > eventsBeforeCrash) {
+          requestCrashes.push({ atMs: clock.readMonotonicMs(), parts });
           crash(id);
           return;
         }
@@ -150,6 +164,7 @@
   return {
     arrivals,
     crashedAtMs,
+    requestCrashes,
     crash,
     listIds: () => [...runsById.keys()],
     createClient: (vm) => ({
--- a/standins/crashes/simulateCrashes/index.ts
+++ b/standins/crashes/simulateCrashes/index.ts
@@ -10,7 +10,7 @@
   DEADLINE_MS,
   type CallerOutcome,
 } from '../../model';
-import { createCrashingServers, type Arrival } from '../createCrashingServers';
+import { createCrashingServers, type Arrival, type RequestCrash } from '../createCrashingServers';
 
 /** Streams of one kind that arrive at random VMs. */
 export interface SimulatedTraffic {
@@ -19,6 +19,8 @@
   readonly untilMs: number;
   /** Parts of the prompt of the stream with this number, without its own last part. */
   readonly buildParts: (index: number) => readonly string[];
+  /** True if the last of these parts is the last one of the prompt, as in a session. */
+  readonly isLastShared?: boolean;
 }
 
 /** Streams, some of which crash the servers that begin to answer them. */
@@ -29,6 +31,8 @@
   readonly traffic: readonly SimulatedTraffic[];
   readonly durationMs: number;
   readonly crashes: (parts: readonly string[], server: string) => boolean;
+  /** Events that a server sends before it crashes; none by default. */
+  readonly eventsBeforeCrash?: number;
   /** Servers that all crash at one moment, by its time. */
   readonly losses?: readonly { readonly atMs: number; readonly count: number }[];
 }
@@ -44,6 +48,7 @@
 export interface CrashSimulationResult {
   readonly arrivals: readonly Arrival[];
   readonly crashedAtMs: readonly number[];
+  readonly requestCrashes: readonly RequestCrash[];
   readonly streams: readonly SimulatedStream[];
   /** Most prompt parts that any VM held responsible at the end of any second. */
   readonly mostResponsibleParts: number;
@@ -79,6 +84,7 @@
     clock,
     count: simulation.servers,
     crashes: simulation.crashes,
+    eventsBeforeCrash: simulation.eventsBeforeCrash ?? 0,
     handleGone: (id) => applyRow(id, null),
     handleStarted: (id) => applyRow(id, Buffer.from('x')),
   });
@@ -119,7 +125,11 @@
   const pickForwarder = (): Forwarder =>
     forwarders[Math.floor(randomness.readFraction() * vms)] as Forwarder;
   const streams: SimulatedStream[] = [];
-  const startStream = async (id: string, parts: readonly string[]): Promise<void> => {
+  const startStream = async (
+    id: string,
+    parts: readonly string[],
+    isLastShared: boolean,
+  ): Promise<void> => {
     const stream = { atMs: clock.readMonotonicMs() - startedAtMs, parts, outcome: null };
     streams.push(stream);
     const outcome = await createSimulatedCaller({
@@ -127,18 +137,21 @@
       clock,
       deadlineMs: DEADLINE_MS,
       promptTokens: PROMPT_TOKENS,
-      promptParts: [...parts, id].map((part) => ({ id: part, tokens: 400 })),
+      promptParts: [...parts, ...(isLastShared ? [] : [id])].map((part) => ({
+        id: part,
+        tokens: 400,
+      })),
       pickForwarder,
     });
     Object.assign(stream, { outcome });
   };
-  traffic.forEach(({ buildParts, fromMs, perS, untilMs }, kind) => {
+  traffic.forEach(({ buildParts, fromMs, isLastShared = false, perS, untilMs }, kind) => {
     const count = Math.round((perS * (untilMs - fromMs)) / 1000);
     for (let index = 0; index < count; index += 1) {
       const atMs = fromMs + ((index + randomness.readFraction()) * 1000) / perS;
       const parts = buildParts(index);
       clock.startTimer(startedAtMs + atMs, () => {
-        startStream(`${kind}-${index}`, parts);
+        startStream(`${kind}-${index}`, parts, isLastShared);
       });
     }
   });
@@ -158,6 +171,7 @@
   return {
     arrivals: servers.arrivals.map((one) => ({ ...one, atMs: one.atMs - startedAtMs })),
     crashedAtMs: servers.crashedAtMs.map((atMs) => atMs - startedAtMs),
+    requestCrashes: servers.requestCrashes.map((one) => ({ ...one, atMs: one.atMs - startedAtMs })),
     streams,
     mostResponsibleParts,
   };
