Log the answers beside the crashes of a fingerprint

The lines of an outcome gave the crashes that count, not what they were weighed against: a part that is cleared after each crash looked like one that had never been suspected.

--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -118,6 +118,7 @@
       ranMs: Math.round(ranMs),
       lost: new Set(crashes.map((one) => one.server)).size,
       crashes: countCrashedServers(crashes.filter(({ isConfirmed }) => isConfirmed)),
+      answers: outcomes.list(fingerprint).filter(({ hasCrashed }) => !hasCrashed).length,
       neededCrashes: judge.countNeeded(fingerprint),
       isHeldBack: isHeldBack(fingerprint),
       isQuarantined: isQuarantined(fingerprint),
