Clear a prompt part only by runs that outlast those that crashed

What callers saw: streams with a part that crashes its server after an event were sent on and on; every server crashed again and again, and sound streams lost theirs.

Cause: the first event of any stream cleared each suspected part, and a crash after an event accused no part. A run that was about to crash its server cleared the part first.

Change: an answer says how long its run has gone on, and refutes only the crashes of runs that it has outlasted; a complete answer refutes all. If the run crashes its server after all, its answer is taken back. A crash soon after the run began accuses the parts whether or not an event came. A run that goes on after events of another one, or from a copy, proves nothing of the prompt. Rows of quarantines say how long the crashed runs had lasted; those of earlier versions read as 0.

Replaced checks: 'a server that crashed after it had begun to answer accuses no part' stated the fault; in its place such servers accuse the parts, and four tests say what clears a part. 'cleared by a server that began to answer' now runs longer than the crashed ones did.

--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -6,6 +6,7 @@
   isPartFingerprint,
   judgeCrashes,
   judgeRequestCrashes,
+  listUnansweredCrashes,
   type RunOutcome,
 } from '../../../../domain/crashes';
 import type { Clock } from '../../../ports';
@@ -42,14 +43,10 @@
   outcomes,
   retentionMs,
 }: CrashJudgeDependencies): CrashJudge => {
-  const listCrashes = (fingerprint: string): readonly RunOutcome[] => {
-    const known = outcomes.list(fingerprint);
-    const lastAnswerMs = findNewestMs(known.filter(({ hasCrashed }) => !hasCrashed));
-    return known.filter(
-      ({ atMs, hasCrashed, server }) =>
-        hasCrashed && atMs > lastAnswerMs && !hasAnsweredSince(server, atMs),
+  const listCrashes = (fingerprint: string): readonly RunOutcome[] =>
+    listUnansweredCrashes(outcomes.list(fingerprint)).filter(
+      ({ atMs, server }) => !hasAnsweredSince(server, atMs),
     );
-  };
 
   const readOptions = (fingerprint: string): Parameters<typeof judgeCrashes>[1] => ({
     isPart: isPartFingerprint(fingerprint),
--- a/src/application/crashes/_lib/createOutcomeStore/index.ts
+++ b/src/application/crashes/_lib/createOutcomeStore/index.ts
@@ -35,11 +35,24 @@
 /** Fingerprints removed at a time, as choosing them takes a look at all. */
 const REMOVED_AT_ONCE = 100;
 
-/** Crashes of a server under copies of one request are kept apart: their runs began at other times. */
+/**
+ * Outcomes of which a server can have only one: its crash under a part, and its answer to a request.
+ * Crashes under copies of one request are kept apart, as their runs began at other times, and so are
+ * the answers to requests with one part.
+ */
 const isSameOutcome = (left: RunOutcome, right: RunOutcome): boolean =>
   left.server === right.server &&
   left.hasCrashed === right.hasCrashed &&
-  (!left.hasCrashed || isPartFingerprint(left.fingerprint) || left.requestId === right.requestId);
+  (left.hasCrashed === isPartFingerprint(left.fingerprint) || left.requestId === right.requestId);
+
+/** True if a run with a part crashed its server after all, so that its answer proves nothing. */
+const isTakenBack = (answer: RunOutcome, crash: RunOutcome): boolean =>
+  !answer.hasCrashed &&
+  crash.hasCrashed &&
+  isPartFingerprint(crash.fingerprint) &&
+  answer.server === crash.server &&
+  answer.requestId === crash.requestId &&
+  answer.ranMs <= crash.ranMs;
 
 /**
  * Creates an empty store of outcomes.
@@ -81,7 +94,9 @@
   return {
     add: (outcome) => {
       const { fingerprint } = outcome;
-      const known = list(fingerprint);
+      const all = list(fingerprint);
+      const known = all.filter((one) => !isTakenBack(one, outcome));
+      if (known.length < all.length) outcomesByFingerprint.set(fingerprint, known);
       const previous = known.find((one) => isSameOutcome(one, outcome));
       const isKnown = previous?.hasCrashed
         ? previous.isConfirmed || !outcome.isConfirmed
--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -2,6 +2,7 @@
   countCrashedServers,
   findNewestMs,
   isPartFingerprint,
+  listUnansweredCrashes,
   type Quarantine,
   type RunOutcome,
   type SharedOutcome,
@@ -34,8 +35,10 @@
   mergeOutcome(outcome: SharedOutcome): boolean;
   /** True if no outcome is known, so that no fingerprint needs to be computed. */
   isEmpty(): boolean;
-  /** True if a server crashed under the fingerprint and none has answered it since. */
+  /** True if a server crashed under the fingerprint and no answer has refuted it since. */
   isSuspected(fingerprint: string): boolean;
+  /** True if an answer would refute a crash under its fingerprint. */
+  isRefuting(answer: RunOutcome): boolean;
   /** Remaining time of the quarantine of a whole request; 0 if it is not in quarantine. */
   readQuarantineMs(fingerprint: string): number;
   /** Finds what a request must not be sent for; null if it may be sent. */
@@ -159,6 +162,10 @@
     },
     isEmpty: outcomes.isEmpty,
     isSuspected: (fingerprint) => listCrashes(fingerprint).length > 0,
+    isRefuting: (answer) => {
+      const crashes = listCrashes(answer.fingerprint);
+      return listUnansweredCrashes([...crashes, answer]).length < crashes.length;
+    },
     readQuarantineMs: (fingerprint) => {
       const cause = findRequestCause(fingerprint);
       return cause?.isCertain ? cause.remainingMs : 0;
@@ -184,7 +191,8 @@
       const crashes = listCrashes(fingerprint);
       const servers = [...new Set(crashes.map(({ server }) => server))];
       const lastCrashAtMs = findNewestMs(crashes);
-      return { fingerprint, servers, lastCrashAtMs, isCertain: isQuarantined(fingerprint) };
+      const ranMs = Math.max(0, ...crashes.map((crash) => crash.ranMs));
+      return { fingerprint, servers, lastCrashAtMs, ranMs, isCertain: isQuarantined(fingerprint) };
     },
     countResponsibleParts: () => judge.listResponsibleParts().length,
   };
--- a/src/application/crashes/createCrashTrials/test.ts
+++ b/src/application/crashes/createCrashTrials/test.ts
@@ -27,6 +27,7 @@
           fingerprint,
           servers: ['i-1'],
           lastCrashAtMs: 0,
+          ranMs: 60,
           isCertain: true,
         }),
       },
--- a/src/application/crashes/createQuarantineRows/index.ts
+++ b/src/application/crashes/createQuarantineRows/index.ts
@@ -88,7 +88,7 @@
       log.warn('quarantine row refused', { fingerprint: key, reason: read.error });
       return true;
     }
-    const { isCertain, lastCrashAtMs, servers } = read.value;
+    const { isCertain, lastCrashAtMs, ranMs, servers } = read.value;
     const ageMs = Math.max(0, clock.readWallMs() - lastCrashAtMs);
     // A hold that is not certain has no meaning after a restart.
     if (ageMs >= retentionMs || !isCertain) return false;
@@ -101,7 +101,7 @@
         server,
         hasCrashed: true,
         isConfirmed: true,
-        ranMs: 0,
+        ranMs,
         ageMs: ageMs + (isPart ? index * STORED_CRASH_GAP_MS : 0),
       }),
     );
--- a/src/application/crashes/createQuarantineRows/test.ts
+++ b/src/application/crashes/createQuarantineRows/test.ts
@@ -21,6 +21,7 @@
               fingerprint,
               servers: ['i-1', 'i-2'],
               lastCrashAtMs: clock.readMonotonicMs() - 100,
+              ranMs: 60,
               isCertain: true,
             }
           : null,
--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -6,6 +6,8 @@
   listSharedParts,
   type AttemptEnd,
   type EndVerdict,
+  type RunOutcome,
+  WHOLE_RUN_MS,
 } from '../../../domain/crashes';
 import {
   formatIncarnation,
@@ -23,20 +25,31 @@
   readonly crashProbe: CrashProbe;
 }
 
+/** How far a run has come; monotonic milliseconds of this process. */
+export type RunProgress = Pick<AttemptEnd, 'beganAtMs' | 'heardSinceMs'>;
+
 /** Tracks crashes of servers under one request, and what they are held against. */
 export interface RequestCrashTracker {
   /** Lists the fingerprint and the shared prompt parts, for the log. */
   readLogFields(): EventFields;
   /** Finds what the request must not be sent for; null if it may be sent. */
   findCause(): CrashCause | null;
-  /** Records how an attempt ended at a server; returns what that says of the request. */
-  recordEnd(server: ServerEntry, end: AttemptEnd): EndVerdict;
   /**
-   * Records that a server began to answer, which no server does with a bad prompt part.
+   * Records how an attempt ended at a server; returns what that says of the request.
    *
-   * @param sentSinceMs - earliest time at which it can have done so, in monotonic ms
+   * @param options.isFromStart - false if the run went on after events of another one; its answer
+   *   proves nothing of the prompt
    */
-  recordBegun(server: ServerEntry, sentSinceMs: number): void;
+  recordEnd(
+    server: ServerEntry,
+    end: AttemptEnd,
+    options?: { readonly isFromStart: boolean },
+  ): EndVerdict;
+  /**
+   * Records that a run goes on, which is an answer for the prompt parts under which other runs have
+   * ended sooner.
+   */
+  recordProgress(server: ServerEntry, progress: RunProgress): void;
 }
 
 /** Creates the crash tracker of one request. It computes the fingerprint only when needed. */
@@ -56,37 +69,41 @@
   const readRunId = (one: string): string =>
     isPartFingerprint(one) ? readFingerprint() : requestId;
 
-  /** Lists the run by each fingerprint that it accuses: no part, if an event of it has arrived. */
-  const listRuns = ({ beganAtMs, endedAtMs, progress }: AttemptEnd): readonly ProbedRun[] => {
-    const hasBegun = progress === 'events' || progress === 'whole';
-    return [readFingerprint(), ...(hasBegun ? [] : parts)].map((one) => ({
+  /** Lists the run by each fingerprint that it accuses. */
+  const listRuns = ({ beganAtMs, endedAtMs }: AttemptEnd): readonly ProbedRun[] =>
+    [readFingerprint(), ...parts].map((one) => ({
       fingerprint: one,
       requestId: readRunId(one),
       ranMs: Math.max(0, endedAtMs - beganAtMs),
       atMs: endedAtMs,
     }));
-  };
 
   const recordAnswers = (
     fingerprints: readonly string[],
     server: ServerEntry,
-    sentSinceMs: number,
+    { atMs, ranMs }: Pick<RunOutcome, 'atMs' | 'ranMs'>,
   ): void =>
-    fingerprints.filter(crashes.isSuspected).forEach((one) =>
-      crashes.recordOutcome({
+    fingerprints
+      .filter(crashes.isSuspected)
+      .map((one) => ({
         fingerprint: one,
         requestId: readRunId(one),
         server: formatIncarnation(server),
         hasCrashed: false,
         isConfirmed: true,
-        ranMs: 0,
-        atMs: sentSinceMs,
-      }),
-    );
+        ranMs,
+        atMs,
+      }))
+      .filter(crashes.isRefuting)
+      .forEach(crashes.recordOutcome);
 
-  const RECORDERS: Readonly<Record<EndVerdict, (server: ServerEntry, end: AttemptEnd) => void>> = {
-    answer: (server, { heardSinceMs }) => {
-      if (!crashes.isEmpty()) recordAnswers([readFingerprint(), ...parts], server, heardSinceMs);
+  const RECORDERS: Readonly<
+    Record<EndVerdict, (server: ServerEntry, end: AttemptEnd, isFromStart: boolean) => void>
+  > = {
+    answer: (server, { heardSinceMs }, isFromStart) => {
+      if (crashes.isEmpty()) return;
+      const answered = [readFingerprint(), ...(isFromStart ? parts : [])];
+      recordAnswers(answered, server, { ranMs: WHOLE_RUN_MS, atMs: heardSinceMs });
     },
     suspect: (server, end) => {
       const runs = listRuns(end);
@@ -107,13 +124,14 @@
       if (cause && !cause.isCertain) crashProbe.startRecheck(cause.unconfirmed);
       return cause;
     },
-    recordEnd: (server, end) => {
+    recordEnd: (server, end, { isFromStart } = { isFromStart: true }) => {
       const verdict = judgeAttemptEnd(end);
-      RECORDERS[verdict](server, end);
+      RECORDERS[verdict](server, end, isFromStart);
       return verdict;
     },
-    recordBegun: (server, sentSinceMs) => {
-      if (!crashes.isEmpty()) recordAnswers(parts, server, sentSinceMs);
+    recordProgress: (server, { beganAtMs, heardSinceMs }) => {
+      if (crashes.isEmpty()) return;
+      recordAnswers(parts, server, { ranMs: heardSinceMs - beganAtMs, atMs: heardSinceMs });
     },
   };
 };
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -62,8 +62,12 @@
   const crash = (parts: readonly string[], id: string, hasBegun = false): void => {
     end(track(...parts), id, { progress: hasBegun ? 'events' : 'head' });
   };
-  const begin = (parts: readonly string[], id: string): void =>
-    track(...parts).recordBegun(buildServerStatus(id, 'z1').entry, clock.readMonotonicMs());
+  /** Runs a request for longer than those that crash. */
+  const begin = (parts: readonly string[], id: string, ranMs = 200): void => {
+    const heardSinceMs = clock.readMonotonicMs();
+    const progress = { beganAtMs: heardSinceMs - ranMs, heardSinceMs };
+    track(...parts).recordProgress(buildServerStatus(id, 'z1').entry, progress);
+  };
   const crashThree = (...parts: readonly string[]): void =>
     ['i-1', 'i-2', 'i-3'].forEach((id) => crash(parts, id));
   return { begin, clock, crash, crashThree, crashes, end, probed, track };
@@ -97,12 +101,52 @@
   t.not(track('a').findCause(), null);
 });
 
-test('a server that crashed after it had begun to answer accuses no part', (t) => {
-  const { crash, track } = setUp();
-  ['i-1', 'i-2', 'i-3'].forEach((id) => crash(['a'], id, true));
+// Guards against a part that crashes each server after the first event, and was cleared by that.
+test('servers that crashed soon after they had begun to answer accuse the parts', (t) => {
+  const { begin, crash, track } = setUp();
+  ['i-1', 'i-2', 'i-3'].forEach((id) => {
+    begin(['a'], id, 10);
+    crash(['a'], id, true);
+  });
+  t.deepEqual(track('a').findCause()?.fingerprints, ['part-a']);
+});
+
+test('a run clears a part only once it has gone on for longer than those that crashed', (t) => {
+  const { begin, crashThree, track } = setUp();
+  crashThree('a');
+  begin(['a'], 'i-4', 59);
+  t.not(track('a').findCause(), null);
+  begin(['a'], 'i-4', 61);
   t.is(track('a').findCause(), null);
 });
 
+test('an answer that is taken back by the crash of its run clears no part', (t) => {
+  const { clock, crash, end, track } = setUp();
+  crash(['a'], 'i-1');
+  crash(['a'], 'i-2');
+  const tracker = track('a');
+  const nowMs = clock.readMonotonicMs();
+  tracker.recordProgress(buildServerStatus('i-3', 'z1').entry, {
+    beganAtMs: nowMs - 300,
+    heardSinceMs: nowMs,
+  });
+  end(tracker, 'i-3', { progress: 'events', beganAtMs: nowMs - 310 });
+  t.not(track('a').findCause(), null);
+});
+
+test('a run that goes on after events of another one clears no part', (t) => {
+  const { crashThree, crashes, end, track } = setUp();
+  crashThree('a');
+  const tracker = track('a');
+  const server = buildServerStatus('i-4', 'z1').entry;
+  const whole = { connection: 'complete', progress: 'whole', relay: null } as const;
+  const times = { beganAtMs: 9000, heardSinceMs: 9900, endedAtMs: 9900 };
+  tracker.recordEnd(server, { ...whole, ...times }, { isFromStart: false });
+  t.true(crashes.isSuspected('part-a'));
+  end(tracker, 'i-5', { ...whole, ...times });
+  t.false(crashes.isSuspected('part-a'));
+});
+
 test('servers that are lost at one moment count as one crash of a part', (t) => {
   const { crashes, track } = setUp();
   ['i-1', 'i-2', 'i-3', 'i-4'].forEach((server) =>
--- a/src/application/forwarding/_lib/buildStreamAttempt/index.ts
+++ b/src/application/forwarding/_lib/buildStreamAttempt/index.ts
@@ -3,6 +3,7 @@
 import { createSendDating } from '../../../time';
 import type { StreamAttempt, StreamRun, StreamPlacement } from '../../types';
 import { buildScheduledRun } from '../buildScheduledRun';
+import { isNewStream } from '../isNewStream';
 import { recordStreamEnd } from '../recordStreamEnd';
 
 /** Counts the prompt tokens that the server has to process. */
@@ -33,6 +34,7 @@
       // The server has lost this run, even if its connection is still open.
       handleLoss,
     }),
+    isFromStart: isNewStream(run) && placement.copy === null,
     sentAtMs: nowMs,
     headAtMs: null,
     isFramed: true,
--- a/src/application/forwarding/_lib/readStreamEvents/index.ts
+++ b/src/application/forwarding/_lib/readStreamEvents/index.ts
@@ -8,6 +8,7 @@
 import type { ReaderId } from '../../../../domain/generation';
 import type { AttemptAnswer } from '../../../ports';
 import type { StreamAttempt, StreamRun } from '../../types';
+import { isNewStream } from '../isNewStream';
 import { logDecision } from '../logDecision';
 import { recordHeard } from '../recordHeard';
 import { recordPaceSample } from '../recordPaceSample';
@@ -35,9 +36,14 @@
   servers.recordOutcome(attempt.server, { isFailure: false, duration: took });
 };
 
-/** A resumed stream had begun before, and may have no event left. */
-const isNewStream = ({ context, readState }: StreamRun): boolean =>
-  context.request.lastEventId === null && readState().offset === 0;
+/** A resumed run may have had only the harmless rest of a stream to generate. */
+const recordRunProgress = (
+  { crashes }: StreamRun,
+  { headAtMs, heardSinceMs, isFromStart, server }: StreamAttempt,
+): void => {
+  if (isFromStart && headAtMs !== null)
+    crashes.recordProgress(server, { beganAtMs: headAtMs, heardSinceMs });
+};
 
 const recordActivity = (
   run: StreamRun,
@@ -49,6 +55,7 @@
   const { request, service } = run.context;
   const nowMs = clock.readMonotonicMs();
   run.dependencies.directory.recordAlive(attempt.server.id, attempt.heardSinceMs);
+  recordRunProgress(run, attempt);
   const gapMs = nowMs - attempt.lastActivityMs;
   Object.assign(attempt, { lastActivityMs: nowMs });
   if (attempt.hasDeliveredEvent) {
@@ -64,7 +71,6 @@
   // From the first event on a far shorter silence limit applies.
   Object.assign(attempt, { stopSilenceWatch: startSilenceWatch(run, attempt, reader) });
   attempt.work.recordFirstEvent();
-  if (isNewStream(run)) run.crashes.recordBegun(attempt.server, attempt.heardSinceMs);
   if (attempt.scheduled) Object.assign(attempt.scheduled, { eventGapsMs: [] });
   recordFirstEvent(run, attempt, nowMs);
   // Only a whole prompt is a sample of prefill time: the prompt of a resumed stream may be cached.
--- a/src/application/forwarding/_lib/recordStreamEnd/index.ts
+++ b/src/application/forwarding/_lib/recordStreamEnd/index.ts
@@ -13,6 +13,6 @@
   const { context, crashes, dependencies } = run;
   const seen = buildStreamEnd(run, attempt, connection);
   const end: AttemptEnd = isWhole ? { ...seen, progress: 'whole' } : seen;
-  const evidence = crashes.recordEnd(attempt.server, end);
+  const evidence = crashes.recordEnd(attempt.server, end, attempt);
   logAttemptEnd(dependencies, context, attempt.server, end, evidence);
 };
--- a/src/application/forwarding/types/StreamRun.ts
+++ b/src/application/forwarding/types/StreamRun.ts
@@ -48,6 +48,8 @@
   readonly abort: AbortController;
   readonly server: ServerEntry;
   readonly work: ServerWork;
+  /** False if the run goes on after events of another one, or from a copy of its memory. */
+  readonly isFromStart: boolean;
   readonly sentAtMs: number;
   /**
    * When the response head arrived, that is, when the server began to run the request; null before.
--- a/src/domain/crashes/decodeQuarantine/test.ts
+++ b/src/domain/crashes/decodeQuarantine/test.ts
@@ -7,6 +7,7 @@
     fingerprint: 'f',
     servers: ['i-1', 'i-2@7'],
     lastCrashAtMs: 1_700_000,
+    ranMs: 320,
     isCertain: true,
   };
   const tried = { ...quarantine, isCertain: false, trialStoreMs: 70_000 };
@@ -21,6 +22,11 @@
   });
 });
 
+test('a row of an earlier version does not say how long its runs had lasted', (t) => {
+  const row = Buffer.from('{"servers":["i-1"],"last_crash_unix_ms":1}');
+  t.is(decodeQuarantine('f', row)._unsafeUnwrap().ranMs, 0);
+});
+
 // Guards against a VM that stands still for seconds at its start, as it counts each server of such
 // a row as a crash of its own.
 test('a row with more servers than VMs remember is refused, and so is a very long name', (t) => {
--- a/src/domain/crashes/encodeQuarantine/index.ts
+++ b/src/domain/crashes/encodeQuarantine/index.ts
@@ -8,6 +8,7 @@
 export const encodeQuarantine = ({
   isCertain,
   lastCrashAtMs,
+  ranMs,
   servers,
   trialStoreMs,
 }: Quarantine): Buffer =>
@@ -15,6 +16,7 @@
     JSON.stringify({
       servers,
       certain: isCertain,
+      ran_ms: Math.round(ranMs),
       last_crash_unix_ms: Math.round(lastCrashAtMs),
       trial_store_ms: trialStoreMs,
     }),
--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -12,4 +12,5 @@
 export { judgeRequestCrashes, type RequestVerdict } from './judgeRequestCrashes';
 export { isPartFingerprint } from './isPartFingerprint';
 export { listSharedParts } from './listSharedParts';
+export { listUnansweredCrashes } from './listUnansweredCrashes';
 export * from './types';
--- a/src/domain/crashes/types/Quarantine.ts
+++ b/src/domain/crashes/types/Quarantine.ts
@@ -4,6 +4,8 @@
   readonly isCertain: boolean;
   /** Fingerprint of the request, or of all requests with a prompt part. */
   readonly fingerprint: string;
+  /** Longest time for which one of these servers had run such a request, in milliseconds. */
+  readonly ranMs: number;
   /** Incarnations of the servers that crashed. */
   readonly servers: readonly string[];
   /** Time of the last crash, in milliseconds; the user of the type chooses the clock. */
--- a/src/domain/crashes/types/RunOutcome.ts
+++ b/src/domain/crashes/types/RunOutcome.ts
@@ -1,3 +1,6 @@
+/** Time that stands for a complete run in `RunOutcome.ranMs`: longer than any crashed one. */
+export const WHOLE_RUN_MS = 86_400_000;
+
 /** Outcome of a run on a server that started it, or may have started it. */
 export interface RunOutcome {
   /**
@@ -16,7 +19,10 @@
   readonly hasCrashed: boolean;
   /** False if the server may only have lost its connection; true for an answer. */
   readonly isConfirmed: boolean;
-  /** How long the server had run the request, in milliseconds; 0 for an answer. */
+  /**
+   * How long the server had run the request, in milliseconds. For an answer: for how long the run is
+   * known to have gone on, `WHOLE_RUN_MS` if it is complete.
+   */
   readonly ranMs: number;
   /** When the outcome was detected, in monotonic milliseconds of this process. */
   readonly atMs: number;
--- a/src/domain/crashes/types/index.ts
+++ b/src/domain/crashes/types/index.ts
@@ -1,3 +1,3 @@
 export type { AttemptEnd, AttemptProgress, ConnectionEnd } from './AttemptEnd';
 export type { Quarantine } from './Quarantine';
-export type { RunOutcome, SharedOutcome } from './RunOutcome';
+export { WHOLE_RUN_MS, type RunOutcome, type SharedOutcome } from './RunOutcome';
