Judge the last part of a prompt like the others

What callers saw: a part that is the last one of its prompts, or the only one, crashed servers without an end.

Cause: the last part was taken for the request's own and kept out of the evidence. It may belong to a session, whose turns all have it, and a prompt of one part has only that.

Change: all parts are judged (listPartIds in place of listSharedParts). A part that one request alone has is never responsible, as crashes under two requests are needed.

Replaced check: 'the last part of a prompt is never held responsible' stated the fault; the new one requires that it is held responsible after three crashes, and that others are not.

--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -3,7 +3,7 @@
   formatPartFingerprint,
   isPartFingerprint,
   judgeAttemptEnd,
-  listSharedParts,
+  listPartIds,
   type AttemptEnd,
   type EndVerdict,
   type RunOutcome,
@@ -30,7 +30,7 @@
 
 /** Tracks crashes of servers under one request, and what they are held against. */
 export interface RequestCrashTracker {
-  /** Lists the fingerprint and the shared prompt parts, for the log. */
+  /** Lists the fingerprint and the prompt parts, for the log. */
   readLogFields(): EventFields;
   /** Finds what the request must not be sent for; null if it may be sent. */
   findCause(): CrashCause | null;
@@ -59,8 +59,8 @@
   workspace: string | null,
 ): RequestCrashTracker => {
   const { requestId } = request;
-  const sharedParts = listSharedParts(request.promptParts);
-  const parts = sharedParts.map(formatPartFingerprint);
+  const partIds = listPartIds(request.promptParts);
+  const parts = partIds.map(formatPartFingerprint);
   let fingerprint: string | null = null;
   const readFingerprint = (): string => {
     fingerprint ??= computeFingerprint(request, workspace);
@@ -117,7 +117,7 @@
   };
 
   return {
-    readLogFields: () => ({ fingerprint: readFingerprint(), parts: sharedParts.join(' ') }),
+    readLogFields: () => ({ fingerprint: readFingerprint(), parts: partIds.join(' ') }),
     findCause: () => {
       if (crashes.isEmpty()) return null;
       const cause = crashes.findCause({ request: readFingerprint(), parts });
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -31,22 +31,24 @@
     startRecheck: () => undefined,
   };
   let requests = 0;
-  /** Creates the tracker of a request like no other, with these shared parts. */
-  const track = (...parts: readonly string[]) => {
+  /** Creates the tracker of a request like no other, with a prompt of these parts. */
+  const trackPrompt = (...parts: readonly string[]) => {
     requests += 1;
     clock.advance(500);
-    const own = `own-${requests}`;
+    const requestId = `r-${requests}`;
     return createRequestCrashTracker(
       { crashes, crashProbe },
       {
-        requestId: own,
-        target: `/${own}`,
-        body: Buffer.from(own),
-        promptParts: [...parts, own].map((id) => ({ id, tokens: 1 })),
+        requestId,
+        target: `/${requestId}`,
+        body: Buffer.from(requestId),
+        promptParts: parts.map((id) => ({ id, tokens: 1 })),
       },
       'w',
     );
   };
+  /** The same with a last part that no other request has. */
+  const track = (...parts: readonly string[]) => trackPrompt(...parts, `own-${requests + 1}`);
   const end = (tracker: RequestCrashTracker, id: string, change: Partial<AttemptEnd> = {}) => {
     const nowMs = clock.readMonotonicMs();
     return tracker.recordEnd(buildServerStatus(id, 'z1').entry, {
@@ -70,7 +72,7 @@
   };
   const crashThree = (...parts: readonly string[]): void =>
     ['i-1', 'i-2', 'i-3'].forEach((id) => crash(parts, id));
-  return { begin, clock, crash, crashThree, crashes, end, probed, track };
+  return { begin, clock, crash, crashThree, crashes, end, probed, track, trackPrompt };
 };
 
 test('a part that crashed three servers is held responsible in requests that are like no other', (t) => {
@@ -83,10 +85,12 @@
   t.is(track('a', 'b').findCause(), null);
 });
 
-test('the last part of a prompt is never held responsible', (t) => {
-  const { crashThree, track } = setUp();
-  crashThree();
-  t.is(track('own-1').findCause(), null);
+// Guards against a bad part of a session, or the only one of a prompt, that is never judged.
+test('the last part of prompts is held responsible like any other', (t) => {
+  const { end, trackPrompt } = setUp();
+  ['i-1', 'i-2', 'i-3'].forEach((id) => end(trackPrompt('session'), id));
+  t.deepEqual(trackPrompt('session').findCause()?.fingerprints, ['part-session']);
+  t.is(trackPrompt('another').findCause(), null);
 });
 
 test('a part is cleared by a server that began to answer, and needs more crashes from then on', (t) => {
@@ -184,7 +188,7 @@
   t.true(crashes.isEmpty());
   t.is(end(track('a'), 'i-2'), 'suspect');
   t.true(crashes.isSuspected('part-a'));
-  t.deepEqual(probed, ['i-1 2 silent', 'i-2 2 ended']);
+  t.deepEqual(probed, ['i-1 3 silent', 'i-2 3 ended']);
 });
 
 // Guards against a suspicion that is cleared by an answer which a crash may have cut off.
--- a/src/application/crashes/types/RequestPrints.ts
+++ b/src/application/crashes/types/RequestPrints.ts
@@ -2,6 +2,6 @@
 export interface RequestPrints {
   /** That of the whole request (`computeFingerprint`). */
   readonly request: string;
-  /** Those of the prompt parts that it may share with others (`formatPartFingerprint`). */
+  /** Those of its prompt parts (`formatPartFingerprint`). */
   readonly parts: readonly string[];
 }
--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -11,6 +11,6 @@
 export { judgeCrashes } from './judgeCrashes';
 export { judgeRequestCrashes, type RequestVerdict } from './judgeRequestCrashes';
 export { isPartFingerprint } from './isPartFingerprint';
-export { listSharedParts } from './listSharedParts';
+export { listPartIds } from './listPartIds';
 export { listUnansweredCrashes } from './listUnansweredCrashes';
 export * from './types';
