Weigh the crashes under a part against its answers and against chance

What callers saw: a part that crashes servers in some of its runs was sent on and on. Each of its other runs cleared it, everywhere, and what is needed for a verdict began anew; one answered trial ended a quarantine that had held for 17 s, and some fifteen servers crashed.

Cause: one answer outweighed any number of crashes.

Change: a generalized likelihood ratio test of the crashes under a part and the runs that outlasted them, against the share of crashes among runs without it in the same time (judgeCrashRate, createCrashControls). The verdict of three, or five, crashes without an answer stays. Crashes that are over a minute apart are not weighed together, and eight answers in a row end the weighing until the next crash. Without other runs to compare, servers are assumed to be unreliable, as before.

Why it works: a sound part is judged by what servers do without it.

The fixture of the tracker's tests moved to standins/crashes, and a test that asked isSuspected asks findCause: answers are recorded beyond the first now.

--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -1,21 +1,25 @@
 import {
   computeTrialPauseMs,
+  countCrashedServers,
   countNeededCrashes,
   findNewestMs,
   findResponsibleParts,
   isPartFingerprint,
   judgeCrashes,
+  judgeCrashRate,
   judgeRequestCrashes,
   listUnansweredCrashes,
   type RunOutcome,
 } from '../../../../domain/crashes';
 import type { Clock } from '../../../ports';
 import type { CrashCause, RequestPrints } from '../../types';
+import type { CrashControls } from '../createCrashControls';
 import type { OutcomeStore } from '../createOutcomeStore';
 
 /** Dependencies of the judge. */
 export interface CrashJudgeDependencies {
   readonly clock: Pick<Clock, 'readMonotonicMs'>;
+  readonly controls: Pick<CrashControls, 'readControl'>;
   readonly outcomes: Pick<OutcomeStore, 'isEmpty' | 'list' | 'listFingerprints'>;
   /** True if this server incarnation answered this VM after that time, and so did not crash. */
   readonly hasAnsweredSince: (server: string, atMs: number) => boolean;
@@ -24,6 +28,8 @@
 
 /** Judges by recent outcomes which requests may be sent. */
 export interface CrashJudge {
+  /** True if answers with a part are weighed against its crashes. */
+  isWeighed(part: string): boolean;
   /** Lists the crashes that count against a fingerprint. */
   listCrashes(fingerprint: string): readonly RunOutcome[];
   /** Lists those for which it is in quarantine; empty if it is not. */
@@ -36,9 +42,16 @@
   listResponsibleParts(): readonly string[];
 }
 
+/** Answers after the last crash of a part from which on further ones are not weighed. */
+const ENOUGH_ANSWERS = 8;
+
+/** Crashes of a part whose trials follow as soon as those of a part that was never answered. */
+const CRASHES_OF_UNANSWERED_PART = countNeededCrashes({ isPart: true, hasAnswer: false });
+
 /** Creates the judge over the given outcomes. */
 export const createCrashJudge = ({
   clock,
+  controls,
   hasAnsweredSince,
   outcomes,
   retentionMs,
@@ -52,19 +65,61 @@
     isPart: isPartFingerprint(fingerprint),
     hasAnswer: outcomes.list(fingerprint).some(({ hasCrashed }) => !hasCrashed),
   });
-  const countNeeded = (fingerprint: string): number => countNeededCrashes(readOptions(fingerprint));
+
+  /** Counts the servers that crashed without a part. */
+  const countOtherCrashes = (part: string, sinceMs: number): number => {
+    const listServers = (fingerprint: string): readonly string[] =>
+      outcomes
+        .list(fingerprint)
+        .filter(({ atMs, hasCrashed }) => hasCrashed && atMs >= sinceMs)
+        .map(({ server }) => server);
+    const own = new Set(listServers(part));
+    const all = new Set(outcomes.listFingerprints().flatMap(listServers));
+    return [...all].filter((server) => !own.has(server)).length;
+  };
+
+  /**
+   * Lists the crashes of a part that crashes servers in some of its runs; empty if chance explains
+   * them.
+   */
+  const listRateCrashes = (part: string): readonly RunOutcome[] => {
+    const control = controls.readControl(part);
+    if (!control) return [];
+    const known = outcomes.list(part).filter(({ atMs }) => atMs >= control.sinceMs);
+    const confirmed = known.filter(
+      ({ atMs, hasCrashed, isConfirmed, server }) =>
+        hasCrashed && isConfirmed && !hasAnsweredSince(server, atMs),
+    );
+    if (!judgeCrashes(confirmed, { isPart: true, hasAnswer: false })) return [];
+    const evidence = {
+      crashes: countCrashedServers(confirmed),
+      answers: known.filter(({ hasCrashed }) => !hasCrashed).length,
+      otherCrashes: countOtherCrashes(part, control.sinceMs),
+      otherAnswers: control.otherAnswers,
+    };
+    return judgeCrashRate(evidence) ? confirmed : [];
+  };
+
+  const listPartCrashes = (part: string): readonly RunOutcome[] => {
+    const unanswered = listCrashes(part);
+    const crashes = judgeCrashes(unanswered, readOptions(part))
+      ? unanswered
+      : listRateCrashes(part);
+    const isRecent = clock.readMonotonicMs() < findNewestMs(crashes) + retentionMs;
+    return isRecent ? crashes : [];
+  };
 
   const listQuarantineCrashes = (fingerprint: string): readonly RunOutcome[] => {
+    if (isPartFingerprint(fingerprint)) return listPartCrashes(fingerprint);
     const crashes = listCrashes(fingerprint);
-    if (crashes.length === 0) return [];
-    const nowMs = clock.readMonotonicMs();
-    const isQuarantined = isPartFingerprint(fingerprint)
-      ? judgeCrashes(crashes, readOptions(fingerprint)) &&
-        nowMs < findNewestMs(crashes) + retentionMs
-      : judgeRequestCrashes(crashes, nowMs)?.isCertain;
-    return isQuarantined ? crashes : [];
+    return judgeRequestCrashes(crashes, clock.readMonotonicMs())?.isCertain ? crashes : [];
   };
 
+  const countNeeded = (fingerprint: string): number =>
+    isPartFingerprint(fingerprint) && listRateCrashes(fingerprint).length > 0
+      ? CRASHES_OF_UNANSWERED_PART
+      : countNeededCrashes(readOptions(fingerprint));
+
   const isQuarantined = (fingerprint: string): boolean =>
     listQuarantineCrashes(fingerprint).length > 0;
 
@@ -103,6 +158,13 @@
   };
 
   return {
+    isWeighed: (part) => {
+      const known = outcomes.list(part);
+      const crashes = known.filter(({ hasCrashed }) => hasCrashed);
+      const lastMs = findNewestMs(crashes);
+      const later = known.filter(({ atMs, hasCrashed }) => !hasCrashed && atMs >= lastMs);
+      return crashes.length > 0 && later.length < ENOUGH_ANSWERS;
+    },
     listCrashes,
     listQuarantineCrashes,
     isQuarantined,
--- /dev/null
+++ b/src/application/crashes/_lib/createCrashJudge/test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import { createTrackerFixture } from '../../../../../standins/crashes';
+
+const WHOLE = { connection: 'complete', progress: 'whole' } as const;
+
+// Guards against a part that is cleared by each of its runs that does not crash a server.
+test('a part that crashes servers in every other run is held responsible if other runs crash none', (t) => {
+  const { begin, crash, end, track } = createTrackerFixture();
+  crash(['a'], 'i-0');
+  for (let run = 0; run < 60; run += 1) end(track('b'), 'i-9', WHOLE);
+  for (let run = 1; run <= 5; run += 1) {
+    crash(['a'], `i-${run}`);
+    begin(['a'], 'i-9');
+  }
+  t.deepEqual(track('a').findCause()?.fingerprints, ['part-a']);
+  begin(['a'], 'i-9');
+  t.not(track('a').findCause(), null, 'one answer ends no quarantine');
+  t.is(track('b').findCause(), null);
+});
+
+test('a part is not held responsible if as many servers crash without it', (t) => {
+  const { begin, crash, end, track } = createTrackerFixture();
+  crash(['a'], 'i-0');
+  for (let run = 0; run < 60; run += 1) end(track('b'), 'i-9', WHOLE);
+  for (let run = 1; run <= 5; run += 1) {
+    crash(['a'], `i-${run}`);
+    begin(['a'], 'i-9');
+    for (let other = 0; other < 8; other += 1) crash([], `other-${run}-${other}`);
+  }
+  t.is(track('a').findCause(), null);
+});
+
+test('answers are weighed until enough have come after the last crash', (t) => {
+  const { begin, crash, crashes } = createTrackerFixture();
+  crash(['a'], 'i-0');
+  for (let run = 0; run < 8; run += 1) {
+    t.true(crashes.isSuspected('part-a'));
+    begin(['a'], 'i-9');
+  }
+  t.false(crashes.isSuspected('part-a'));
+});
--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -9,6 +9,7 @@
 } from '../../../domain/crashes';
 import { createBoundedMap } from '../../_lib/createBoundedMap';
 import type { Clock, EventLog } from '../../ports';
+import { createCrashControls } from '../_lib/createCrashControls';
 import { createCrashJudge, type CrashJudge } from '../_lib/createCrashJudge';
 import { createOutcomeStore } from '../_lib/createOutcomeStore';
 import type { CrashCause, RequestPrints } from '../types';
@@ -35,10 +36,12 @@
   mergeOutcome(outcome: SharedOutcome): boolean;
   /** True if no outcome is known, so that no fingerprint needs to be computed. */
   isEmpty(): boolean;
-  /** True if a server crashed under the fingerprint and no answer has refuted it since. */
+  /** True if a server crashed under the fingerprint and too few answers have come since. */
   isSuspected(fingerprint: string): boolean;
-  /** True if an answer would refute a crash under its fingerprint. */
-  isRefuting(answer: RunOutcome): boolean;
+  /** True if an answer would be weighed against crashes under its fingerprint. */
+  isAnswerNeeded(answer: RunOutcome): boolean;
+  /** Takes note of a complete run of this VM with these prompt parts, by their fingerprints. */
+  recordWholeRun(parts: readonly string[]): void;
   /** Remaining time of the quarantine of a whole request; 0 if it is not in quarantine. */
   readQuarantineMs(fingerprint: string): number;
   /** Finds what a request must not be sent for; null if it may be sent. */
@@ -64,7 +67,7 @@
 /** Maximum number of outcomes in one message, of 80 bytes each. */
 const MAX_OUTCOMES_PER_MESSAGE = 40;
 
-/** Maximum number of fingerprints of whose crashes this VM remembers to have observed any. */
+/** Maximum number of fingerprints of which this VM remembers what it has observed and reported. */
 const MAX_OBSERVED = 1000;
 
 const formatOutcome = ({ fingerprint, hasCrashed, isConfirmed }: RunOutcome): string => {
@@ -90,6 +93,8 @@
   const listeners = new Set<() => void>();
   /** Fingerprints of whose crashes this VM observed any. */
   const observed = createBoundedMap<true>(MAX_OBSERVED);
+  /** Fingerprints whose quarantine has been reported, and its end not yet. */
+  const quarantined = createBoundedMap<true>(MAX_OBSERVED);
   // Assigned below: which outcomes are kept depends on the judge.
   let isKept: CrashJudge['isHeldBack'] = () => false;
   const outcomes = createOutcomeStore({
@@ -97,8 +102,10 @@
     retentionMs: CRASH_RETENTION_MS,
     isKept: (fingerprint) => isKept(fingerprint),
   });
+  const controls = createCrashControls();
   const judge = createCrashJudge({
     clock,
+    controls,
     hasAnsweredSince,
     outcomes,
     retentionMs: CRASH_RETENTION_MS,
@@ -131,11 +138,13 @@
   /** Adds an outcome and reports a change of its quarantine; returns true if it was new. */
   const recordNewOutcome = (outcome: RunOutcome, source: 'own' | 'told'): boolean => {
     const { fingerprint } = outcome;
-    const wasQuarantined = isQuarantined(fingerprint);
     if (!outcomes.add(outcome)) return false;
+    if (outcome.hasCrashed) controls.recordCrash(outcome);
     logOutcome(outcome, source);
     const isNowQuarantined = isQuarantined(fingerprint);
-    if (isNowQuarantined !== wasQuarantined) {
+    if (isNowQuarantined !== (quarantined.get(fingerprint) ?? false)) {
+      if (isNowQuarantined) quarantined.set(fingerprint, true);
+      else quarantined.delete(fingerprint);
       const servers = listQuarantineCrashes(fingerprint).map(({ server }) => server);
       log.info(isNowQuarantined ? 'quarantine begun' : 'quarantine ended', {
         fingerprint,
@@ -161,11 +170,23 @@
       return recordNewOutcome({ ...outcome, atMs: clock.readMonotonicMs() - ageMs }, 'told');
     },
     isEmpty: outcomes.isEmpty,
-    isSuspected: (fingerprint) => listCrashes(fingerprint).length > 0,
-    isRefuting: (answer) => {
-      const crashes = listCrashes(answer.fingerprint);
-      return listUnansweredCrashes([...crashes, answer]).length < crashes.length;
+    isSuspected: (fingerprint) =>
+      listCrashes(fingerprint).length > 0 ||
+      (isPartFingerprint(fingerprint) && judge.isWeighed(fingerprint)),
+    isAnswerNeeded: (answer) => {
+      const { fingerprint, ranMs, requestId, server } = answer;
+      const crashes = listCrashes(fingerprint);
+      if (listUnansweredCrashes([...crashes, answer]).length < crashes.length) return true;
+      if (!isPartFingerprint(fingerprint) || !judge.isWeighed(fingerprint)) return false;
+      return outcomes
+        .list(fingerprint)
+        .every((known) =>
+          known.hasCrashed
+            ? ranMs > known.ranMs
+            : known.server !== server || known.requestId !== requestId,
+        );
     },
+    recordWholeRun: controls.recordWholeRun,
     readQuarantineMs: (fingerprint) => {
       const cause = findRequestCause(fingerprint);
       return cause?.isCertain ? cause.remainingMs : 0;
@@ -188,11 +209,12 @@
     },
     findQuarantine: (fingerprint) => {
       if (!isHeldBack(fingerprint)) return null;
-      const crashes = listCrashes(fingerprint);
+      const certain = listQuarantineCrashes(fingerprint);
+      const crashes = certain.length > 0 ? certain : listCrashes(fingerprint);
       const servers = [...new Set(crashes.map(({ server }) => server))];
       const lastCrashAtMs = findNewestMs(crashes);
       const ranMs = Math.max(0, ...crashes.map((crash) => crash.ranMs));
-      return { fingerprint, servers, lastCrashAtMs, ranMs, isCertain: isQuarantined(fingerprint) };
+      return { fingerprint, servers, lastCrashAtMs, ranMs, isCertain: certain.length > 0 };
     },
     countResponsibleParts: () => judge.listResponsibleParts().length,
   };
--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -94,7 +94,7 @@
         ranMs,
         atMs,
       }))
-      .filter(crashes.isRefuting)
+      .filter(crashes.isAnswerNeeded)
       .forEach(crashes.recordOutcome);
 
   const RECORDERS: Readonly<
@@ -102,6 +102,7 @@
   > = {
     answer: (server, { heardSinceMs }, isFromStart) => {
       if (crashes.isEmpty()) return;
+      if (isFromStart && parts.length > 0) crashes.recordWholeRun(parts);
       const answered = [readFingerprint(), ...(isFromStart ? parts : [])];
       recordAnswers(answered, server, { ranMs: WHOLE_RUN_MS, atMs: heardSinceMs });
     },
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -1,82 +1,9 @@
 import test from 'ava';
-import {
-  buildRunOutcome,
-  buildServerStatus,
-  createFakeClock,
-  QUIET_LOG,
-} from '../../../../standins/fakes';
-import { createCrashHistory } from '../createCrashHistory';
-import type { AttemptEnd } from '../../../domain/crashes';
-import type { CrashProbe } from '../createCrashProbe';
-import { createRequestCrashTracker, type RequestCrashTracker } from '.';
-
-const setUp = () => {
-  const clock = createFakeClock();
-  const crashes = createCrashHistory({
-    clock,
-    log: QUIET_LOG,
-    hasAnsweredSince: () => false,
-    publishOutcome: () => undefined,
-    handleQuarantine: () => undefined,
-  });
-  const probed: string[] = [];
-  const crashProbe: CrashProbe = {
-    // Each server whose connection ended has crashed.
-    startProbe: ({ id }, runs, { isSilent }) => {
-      probed.push(`${id} ${runs.length} ${isSilent ? 'silent' : 'ended'}`);
-      if (isSilent) return;
-      const outcome = { server: id, hasCrashed: true, isConfirmed: true };
-      runs.forEach((run) => crashes.recordOutcome({ ...run, ...outcome }));
-    },
-    startRecheck: () => undefined,
-  };
-  let requests = 0;
-  /** Creates the tracker of a request like no other, with a prompt of these parts. */
-  const trackPrompt = (...parts: readonly string[]) => {
-    requests += 1;
-    clock.advance(500);
-    const requestId = `r-${requests}`;
-    return createRequestCrashTracker(
-      { crashes, crashProbe },
-      {
-        requestId,
-        target: `/${requestId}`,
-        body: Buffer.from(requestId),
-        promptParts: parts.map((id) => ({ id, tokens: 1 })),
-      },
-      'w',
-    );
-  };
-  /** The same with a last part that no other request has. */
-  const track = (...parts: readonly string[]) => trackPrompt(...parts, `own-${requests + 1}`);
-  const end = (tracker: RequestCrashTracker, id: string, change: Partial<AttemptEnd> = {}) => {
-    const nowMs = clock.readMonotonicMs();
-    return tracker.recordEnd(buildServerStatus(id, 'z1').entry, {
-      connection: 'reset',
-      relay: null,
-      progress: 'head',
-      beganAtMs: nowMs - 60,
-      heardSinceMs: nowMs - 60,
-      endedAtMs: nowMs,
-      ...change,
-    });
-  };
-  const crash = (parts: readonly string[], id: string, hasBegun = false): void => {
-    end(track(...parts), id, { progress: hasBegun ? 'events' : 'head' });
-  };
-  /** Runs a request for longer than those that crash. */
-  const begin = (parts: readonly string[], id: string, ranMs = 200): void => {
-    const heardSinceMs = clock.readMonotonicMs();
-    const progress = { beganAtMs: heardSinceMs - ranMs, heardSinceMs };
-    track(...parts).recordProgress(buildServerStatus(id, 'z1').entry, progress);
-  };
-  const crashThree = (...parts: readonly string[]): void =>
-    ['i-1', 'i-2', 'i-3'].forEach((id) => crash(parts, id));
-  return { begin, clock, crash, crashThree, crashes, end, probed, track, trackPrompt };
-};
+import { createTrackerFixture } from '../../../../standins/crashes';
+import { buildRunOutcome, buildServerStatus } from '../../../../standins/fakes';
 
 test('a part that crashed three servers is held responsible in requests that are like no other', (t) => {
-  const { begin, crashThree, track } = setUp();
+  const { begin, crashThree, track } = createTrackerFixture();
   crashThree('a', 'bad');
   begin(['a', 'b'], 'i-4');
   const cause = track('a', 'bad').findCause();
@@ -87,14 +14,14 @@
 
 // Guards against a bad part of a session, or the only one of a prompt, that is never judged.
 test('the last part of prompts is held responsible like any other', (t) => {
-  const { end, trackPrompt } = setUp();
+  const { end, trackPrompt } = createTrackerFixture();
   ['i-1', 'i-2', 'i-3'].forEach((id) => end(trackPrompt('session'), id));
   t.deepEqual(trackPrompt('session').findCause()?.fingerprints, ['part-session']);
   t.is(trackPrompt('another').findCause(), null);
 });
 
 test('a part is cleared by a server that began to answer, and needs more crashes from then on', (t) => {
-  const { begin, crash, crashThree, track } = setUp();
+  const { begin, crash, crashThree, track } = createTrackerFixture();
   crashThree('a');
   t.not(track('a').findCause(), null);
   begin(['a'], 'i-4');
@@ -107,7 +34,7 @@
 
 // Guards against a part that crashes each server after the first event, and was cleared by that.
 test('servers that crashed soon after they had begun to answer accuse the parts', (t) => {
-  const { begin, crash, track } = setUp();
+  const { begin, crash, track } = createTrackerFixture();
   ['i-1', 'i-2', 'i-3'].forEach((id) => {
     begin(['a'], id, 10);
     crash(['a'], id, true);
@@ -116,7 +43,7 @@
 });
 
 test('a run clears a part only once it has gone on for longer than those that crashed', (t) => {
-  const { begin, crashThree, track } = setUp();
+  const { begin, crashThree, track } = createTrackerFixture();
   crashThree('a');
   begin(['a'], 'i-4', 59);
   t.not(track('a').findCause(), null);
@@ -125,7 +52,7 @@
 });
 
 test('an answer that is taken back by the crash of its run clears no part', (t) => {
-  const { clock, crash, end, track } = setUp();
+  const { clock, crash, end, track } = createTrackerFixture();
   crash(['a'], 'i-1');
   crash(['a'], 'i-2');
   const tracker = track('a');
@@ -138,21 +65,19 @@
   t.not(track('a').findCause(), null);
 });
 
+const WHOLE = { connection: 'complete', progress: 'whole' } as const;
+
 test('a run that goes on after events of another one clears no part', (t) => {
-  const { crashThree, crashes, end, track } = setUp();
+  const { crashThree, end, track } = createTrackerFixture();
   crashThree('a');
-  const tracker = track('a');
-  const server = buildServerStatus('i-4', 'z1').entry;
-  const whole = { connection: 'complete', progress: 'whole', relay: null } as const;
-  const times = { beganAtMs: 9000, heardSinceMs: 9900, endedAtMs: 9900 };
-  tracker.recordEnd(server, { ...whole, ...times }, { isFromStart: false });
-  t.true(crashes.isSuspected('part-a'));
-  end(tracker, 'i-5', { ...whole, ...times });
-  t.false(crashes.isSuspected('part-a'));
+  end(track('a'), 'i-4', { ...WHOLE, heardSinceMs: 9000 }, { isFromStart: false });
+  t.not(track('a').findCause(), null);
+  end(track('a'), 'i-5', { ...WHOLE, heardSinceMs: 9000 });
+  t.is(track('a').findCause(), null);
 });
 
 test('servers that are lost at one moment count as one crash of a part', (t) => {
-  const { crashes, track } = setUp();
+  const { crashes, track } = createTrackerFixture();
   ['i-1', 'i-2', 'i-3', 'i-4'].forEach((server) =>
     crashes.recordOutcome(buildRunOutcome({ fingerprint: 'part-a', requestId: server, server })),
   );
@@ -160,7 +85,7 @@
 });
 
 test('a trial is due after a pause, and never again after many crashes', (t) => {
-  const { clock, crash, crashThree, track } = setUp();
+  const { clock, crash, crashThree, track } = createTrackerFixture();
   crashThree('a');
   t.true((track('a').findCause()?.remainingMs ?? 0) > 0);
   clock.advance(1000);
@@ -172,7 +97,7 @@
 
 // Guards against common parts that are refused because of one request that crashes servers.
 test('a single request that crashes servers makes none of its parts responsible', (t) => {
-  const { clock, end, track } = setUp();
+  const { clock, end, track } = createTrackerFixture();
   const tracker = track('a', 'b');
   ['i-1', 'i-2', 'i-3', 'i-4'].forEach((id) => {
     clock.advance(500);
@@ -183,7 +108,7 @@
 });
 
 test('an end that may have other causes counts only after a probe, a connection that broke at once', (t) => {
-  const { crashes, end, probed, track } = setUp();
+  const { crashes, end, probed, track } = createTrackerFixture();
   t.is(end(track('a'), 'i-1', { connection: 'silent' }), 'check');
   t.true(crashes.isEmpty());
   t.is(end(track('a'), 'i-2'), 'suspect');
@@ -193,7 +118,7 @@
 
 // Guards against a suspicion that is cleared by an answer which a crash may have cut off.
 test('only a response that is complete by its framing clears a request', (t) => {
-  const { clock, crashes, end, track } = setUp();
+  const { clock, crashes, end, track } = createTrackerFixture();
   const tracker = track();
   end(tracker, 'i-1');
   const heardSinceMs = clock.readMonotonicMs();
@@ -206,7 +131,7 @@
 
 // Guards against a crash that is cleared by an answer which a VM that was stopped read late.
 test('a response that may have been sent before a crash does not clear it', (t) => {
-  const { clock, crashes, end, track } = setUp();
+  const { clock, crashes, end, track } = createTrackerFixture();
   const tracker = track();
   end(tracker, 'i-1');
   const heardSinceMs = clock.readMonotonicMs() - 1;
--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -9,6 +9,7 @@
 export { formatPartFingerprint } from './formatPartFingerprint';
 export { judgeAttemptEnd, type EndVerdict } from './judgeAttemptEnd';
 export { judgeCrashes } from './judgeCrashes';
+export { judgeCrashRate, type CrashRateEvidence } from './judgeCrashRate';
 export { judgeRequestCrashes, type RequestVerdict } from './judgeRequestCrashes';
 export { isPartFingerprint } from './isPartFingerprint';
 export { listPartIds } from './listPartIds';
--- a/standins/crashes/index.ts
+++ b/standins/crashes/index.ts
@@ -1,4 +1,5 @@
 export { createCrashingServers, type Arrival, type CrashingServers } from './createCrashingServers';
+export { createTrackerFixture } from './createTrackerFixture';
 export type { ServerFault } from './createFailingServers';
 export {
   simulateCrashes,
