Send nothing after a restart before the quarantines have been read

What callers saw: all gateways were killed while the store was silent; within half a second of its return requests with a part that had been in quarantine for long crashed servers again.

Cause: routes and servers are followed and came with the store's first answer, the rows of quarantines by a call that was tried again a second later. Meanwhile the gateways served. After thirty failed tries the rows were never read.

Change: from a restart until the rows are read a VM is not ready and answers 503 with a time to retry; the read is tried again after 0.2 s, without an end. The wait ends two seconds after the configuration is known, as then it came from other VMs, which have told their quarantines.

--- a/src/application/crashes/createQuarantineRows/index.ts
+++ b/src/application/crashes/createQuarantineRows/index.ts
@@ -18,6 +18,15 @@
 export interface QuarantineRows {
   /** Reads the quarantines that were written before this process started. */
   startRead(): void;
+  /**
+   * False while they are being read: a request that this VM sends meanwhile may be in quarantine.
+   */
+  isRead(): boolean;
+  /**
+   * Waits for the read only a while longer: what this VM serves by is known, and other VMs that told
+   * it have also told their quarantines.
+   */
+  limitReadWait(): void;
   /** Writes a quarantine that this VM began, unless it is lifted shortly after. */
   startWrite(fingerprint: string): void;
   /** Removes a quarantine that an answer to this VM has ended. */
@@ -37,6 +46,12 @@
 const RETRY_MS = 1000;
 const MAX_ATTEMPTS = 30;
 
+/** The same for the read at the start, for which requests wait; it goes on until it succeeds. */
+const READ_RETRY_MS = 200;
+
+/** Longest time without the quarantines once the configuration is known. */
+const MAX_READ_WAIT_MS = 2000;
+
 /** Time between the crashes of a part's row, so that they count as separate ones. */
 const STORED_CRASH_GAP_MS = 1000;
 
@@ -54,18 +69,27 @@
 }: QuarantineRowsDependencies): QuarantineRows => {
   const stops = new Set<() => void>();
   const written = new Set<string>();
+  let isReadPending = false;
+  let isWaitLimited = false;
+
+  const endReadWait = (reason: string): void => {
+    if (!isReadPending) return;
+    isReadPending = false;
+    log.info('quarantines awaited', { reason });
+  };
 
   /** Retries a call until it succeeds; `runOnce` resolves with the reason of a failure, or null. */
   const startWithRetries = (
     call: string,
     firstDelayMs: number,
     runOnce: () => Promise<string | null>,
+    { maxAttempts, retryMs } = { maxAttempts: MAX_ATTEMPTS, retryMs: RETRY_MS },
   ): void => {
     let tries = 0;
     const handleFailure = (reason: string): number | null => {
       tries += 1;
       log.warn('quarantine rows failed', { call, reason, tries });
-      return tries < MAX_ATTEMPTS ? RETRY_MS : null;
+      return tries < maxAttempts ? retryMs : null;
     };
     const stop = startLoop({
       clock,
@@ -116,6 +140,7 @@
       .map(({ key }) => key)
       .slice(0, MAX_REMOVED_ROWS);
     log.info('quarantine rows read', { rows: read.value.rows.length, removed: old.length });
+    endReadWait('read');
     if (old.length === 0) return null;
     const removed = await store.changeRows({ table, writes: [], removed: old });
     return removed.isErr() ? removed.error.kind : null;
@@ -149,7 +174,17 @@
   };
 
   return {
-    startRead: () => startWithRetries('read', 0, readQuarantines),
+    startRead: () => {
+      isReadPending = true;
+      const retries = { maxAttempts: Infinity, retryMs: READ_RETRY_MS };
+      startWithRetries('read', 0, readQuarantines, retries);
+    },
+    isRead: () => !isReadPending,
+    limitReadWait: () => {
+      if (!isReadPending || isWaitLimited) return;
+      isWaitLimited = true;
+      stops.add(clock.startTimer(MAX_READ_WAIT_MS, () => endReadWait('not read in time')));
+    },
     startWrite: (fingerprint) =>
       startWithRetries('write', CONFIRM_DELAY_MS, () => writeQuarantine(fingerprint)),
     startRemove: (fingerprint) =>
--- a/src/application/crashes/createQuarantineRows/test.ts
+++ b/src/application/crashes/createQuarantineRows/test.ts
@@ -139,3 +139,34 @@
   await clock.advanceAsync(1000);
   t.deepEqual(await readKeys(), []);
 });
+
+// Guards against quarantines that are never read after a long outage at the start.
+test('reads until the store answers, and is not read before', async (t) => {
+  const { clock, merged, rows, store, write } = setUp();
+  write('f', 1000);
+  t.true(rows.isRead());
+  store.setSilent(true);
+  rows.startRead();
+  await clock.advanceAsync(120_000);
+  t.false(rows.isRead());
+  store.setSilent(false);
+  await clock.advanceAsync(2000);
+  t.true(rows.isRead());
+  t.is(merged.length, 3);
+});
+
+test('waits two seconds at most once the configuration is known, and reads on', async (t) => {
+  const { clock, merged, rows, store, write } = setUp();
+  write('f', 1000);
+  store.setSilent(true);
+  rows.startRead();
+  rows.limitReadWait();
+  await clock.advanceAsync(1900);
+  rows.limitReadWait();
+  t.false(rows.isRead());
+  await clock.advanceAsync(200);
+  t.true(rows.isRead());
+  store.setSilent(false);
+  await clock.advanceAsync(2000);
+  t.is(merged.length, 3);
+});
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -45,6 +45,9 @@
 
 const OUTDATED_REASON = 'the configuration of this VM may be outdated';
 
+/** Time after which to retry while this VM does not know yet which requests crash servers. */
+const UNKNOWN_QUARANTINES_RETRY_MS = 200;
+
 /** Time after which to retry at another VM when the configuration of this one may be outdated. */
 const OUTDATED_RETRY_MS = 200;
 
@@ -67,6 +70,7 @@
     log,
     loopDelay,
     meter,
+    quarantineRows,
     randomness,
     retries,
     rollouts,
@@ -118,6 +122,10 @@
     }
     const access = checkRequestKey(table, route, request.key);
     if (access.isErr()) return refuseUnknown('unknown-key', access.error);
+    if (!quarantineRows.isRead()) {
+      const reason = 'the requests that crash servers are not known yet';
+      return { kind: 'not-run', reason, retryAfterMs: UNKNOWN_QUARANTINES_RETRY_MS };
+    }
     const service = chooseTarget(route, randomness.readFraction());
     if (service === null) {
       return { kind: 'not-run', reason: 'the route has no service', retryAfterMs: 0 };
--- a/src/application/forwarding/types/ForwardingDependencies.ts
+++ b/src/application/forwarding/types/ForwardingDependencies.ts
@@ -6,7 +6,7 @@
 import type { ServerLimits, ServerPermits } from '../../limits';
 import type { LoopDelayMonitor } from '../../overload';
 import type { RolloutRegistry } from '../../rollouts';
-import type { CrashHistory, CrashProbe, CrashTrials } from '../../crashes';
+import type { CrashHistory, CrashProbe, CrashTrials, QuarantineRows } from '../../crashes';
 import type { RetryBudget } from '../createRetryBudget';
 import type { RetryLender } from '../createRetryLender';
 import type { UnreadAttempts } from '../createUnreadAttempts';
@@ -23,6 +23,7 @@
   readonly crashes: CrashHistory;
   readonly crashProbe: CrashProbe;
   readonly crashTrials: CrashTrials;
+  readonly quarantineRows: Pick<QuarantineRows, 'isRead'>;
   readonly directory: ServerDirectory;
   readonly fleetLoad: Pick<FleetLoad, 'readLoad' | 'recordArrival'>;
   readonly limits: ServerLimits;
--- a/src/programs/gateway/_lib/wireGateway/index.ts
+++ b/src/programs/gateway/_lib/wireGateway/index.ts
@@ -200,6 +200,7 @@
     crashes,
     crashProbe,
     crashTrials,
+    quarantineRows,
     directory,
     limits,
     loopDelay,
--- a/src/programs/gateway/startGateway/index.ts
+++ b/src/programs/gateway/startGateway/index.ts
@@ -75,7 +75,10 @@
   const { clock, followers, forwarder, log, scheduling, tables } = parts;
   let isDraining = false;
   const isReady = (): boolean =>
-    !isDraining && tables.readCurrent() !== null && followers.servers.readVersion() > 0;
+    !isDraining &&
+    tables.readCurrent() !== null &&
+    followers.servers.readVersion() > 0 &&
+    parts.quarantineRows.isRead();
 
   const callers = await startForwardingServer(
     {
@@ -140,12 +143,13 @@
     listRetryUse: parts.retries.listUse,
     countScheduledServices: () => scheduling.registry.listServices().length,
   });
+  if (!settings.isFirstStart) parts.quarantineRows.startRead();
+  tables.addListener(parts.quarantineRows.limitReadWait);
   followers.configuration.start();
   followers.servers.start();
   parts.sharing.start();
   parts.gossip.start();
   parts.share.start();
-  if (!settings.isFirstStart) parts.quarantineRows.startRead();
   const stopReadyLog = logReady({ ...parts, isReady });
   log.info('gateway started', { vm: settings.vm, zone: settings.availabilityZone });
 
--- a/standins/model/createSimulatedForwarder/index.ts
+++ b/standins/model/createSimulatedForwarder/index.ts
@@ -107,6 +107,7 @@
     crashes,
     crashProbe,
     crashTrials,
+    quarantineRows: { isRead: () => true },
     directory,
     loopDelay: {
       startRequest: () => () => undefined,
--- a/tests/gateway/crashingParts.test.ts
+++ b/tests/gateway/crashingParts.test.ts
@@ -195,3 +195,35 @@
   await later.gateway.stop();
   return restarted.gateway.stop();
 });
+
+// Guards against VMs that serve by routes and servers which they read before the quarantines.
+test('a bad prompt part stays in quarantine when all VMs restart while the store is silent', async (t) => {
+  let arrived = 0;
+  const servers = await startServers(8, (parts) => {
+    if (parts.includes(BAD)) arrived += 1;
+    return parts.includes(BAD);
+  });
+  const [first] = await startFleet(t, 1, servers);
+  if (!first) return t.fail('no gateway started');
+  await sendStreams([first], [buildStream(FIRST, BAD), buildStream(FIRST, BAD)], 400);
+  await first.waitForLine('quarantine written', ({ fingerprint }) => fingerprint === `part-${BAD}`);
+  const before = arrived;
+  await first.gateway.stop();
+  first.store.setMode('silent');
+  const settings = { isFirstStart: false, peerAddress: drawPeerAddress() };
+  const restarted = await startTestGateway({
+    clock,
+    settings,
+    sharedWith: { store: first.store, servers: [] },
+    isConfigured: false,
+  });
+  const bad = Array.from({ length: 80 }, () => buildStream(FIRST, BAD));
+  const sending = sendStreams([restarted], bad, 25);
+  await wait(700);
+  first.store.setMode('up');
+  await sending;
+  t.is(arrived, before);
+  const sound = await restarted.send(buildStream(FIRST, '0e00'));
+  t.is(sound.status, OK_STATUS);
+  return restarted.gateway.stop();
+});
