Fail a response whose status HTTP does not define

What callers saw: a server that answered by status 600 or 999 had its answer passed on with that status, on routes of calls and of streams.

Cause: the HTTP client takes any three digits for a status, and nothing behind it looked.

Change: the client of all outgoing HTTP (createOrderlyClient) fails a response whose status is not from 100 to 599, and closes its connection. The caller gets another server's answer where the request may be repeated, else 502. It is no evidence that a server crashed.

The same client serves the calls of the own interface's programs; the store's client and calls between VMs, which use another one, take any status but theirs for a failure (read, not run).

--- a/src/http-connections/createOrderlyClient/index.ts
+++ b/src/http-connections/createOrderlyClient/index.ts
@@ -5,6 +5,13 @@
 /** Code of the error of a response whose connection did not end in order. */
 export const RESET_CODE = 'ERR_CONNECTION_RESET';
 
+/** Code of the error of a response whose status is not one of HTTP. */
+export const INVALID_STATUS_CODE = 'ERR_INVALID_STATUS';
+
+/** Statuses that HTTP defines (RFC 9110, section 15). */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
 /** What an orderly client tells of a request's connection with `onRequestStart`. */
 export interface RequestContext {
   /** Requests that the connection had carried before. */
@@ -28,9 +35,13 @@
     code: RESET_CODE,
   });
 
+const buildStatusError = (status: number): Error =>
+  Object.assign(new Error(`the response has status ${status}`), { code: INVALID_STATUS_CODE });
+
 /**
  * Creates a client of one origin that takes the end of a connection for the end of a response only
- * if the connection ended in order. Otherwise the response fails with `RESET_CODE`.
+ * if the connection ended in order. Otherwise the response fails with `RESET_CODE`, and one with a
+ * status that HTTP does not define with `INVALID_STATUS_CODE`.
  *
  * @param options - options of undici's client, with one request at a time on a connection
  */
@@ -72,6 +83,11 @@
             startedRequests += 1;
             handler.onRequestStart?.(controller, { ...context, ...own });
           },
+          onResponseStart: (controller, status, ...head) => {
+            if (status < MIN_STATUS || status > MAX_STATUS)
+              controller.abort(buildStatusError(status));
+            else handler.onResponseStart?.(controller, status, ...head);
+          },
           onResponseEnd: (controller, trailers) => {
             if (state === 'broken') handler.onResponseError?.(controller, buildResetError());
             else handler.onResponseEnd?.(controller, trailers);
--- a/src/http-connections/createOrderlyClient/test.ts
+++ b/src/http-connections/createOrderlyClient/test.ts
@@ -111,3 +111,20 @@
   await t.throwsAsync(readOnce());
   t.is(await readOnce(), 'all of it');
 });
+
+// Guards against a server in trouble whose status is passed on to callers as an answer.
+test('a response fails if its status is outside of what HTTP defines', async (t) => {
+  for (const status of ['000', '099', '600', '999']) {
+    const answer = (socket: Socket): void => {
+      socket.end(`HTTP/1.1 ${status} Odd\r\ncontent-length: 3\r\n\r\nodd`);
+    };
+    await t.throwsAsync(read(t, answer), undefined, status);
+    await t.throwsAsync(
+      read(t, answer, () => createOrderlyAgent({})),
+      undefined,
+      status,
+    );
+  }
+  const edge = 'HTTP/1.1 599 Edge\r\ncontent-length: 4\r\n\r\nedge';
+  t.is(await read(t, (socket) => socket.end(edge)), 'edge');
+});
