--- a/standins/model/createStreamFixture/index.ts
+++ b/standins/model/createStreamFixture/index.ts
@@ -123,6 +123,7 @@
       dropCopy: noop,
     },
     crashes: { isEmpty: () => true, addListener: () => noop },
+    quarantineRows: { isRead: () => true },
     limits: { recordAdvertisedLimit: noop },
     paths: { recordFailure: noop },
     permits: { acquirePermit: async () => ({ release: noop, finish: noop }) },
