Answer a stream that breaks off before its first event

What callers saw: servers that answered a stream by 200, without a length, and reset the connection before any event left the caller with a closed connection: neither an answer nor a reason.

Cause: the head of the first server's response counted as sent once it was given to Node.js, which holds it back until the first bytes of the body. When no server was left, the connection was closed in place of an answer.

Change: the reply keeps the head until the first bytes. Until then it may be another server's, or a refusal.

Evidence: tests/gateway/oddAnswers, 'a stream is answered by 502 if servers answer at once and reset the connection': no status before the change, 502 now, at 0, 5 and 100 ms.

--- a/src/adapters/http/_lib/createCallerReply/index.ts
+++ b/src/adapters/http/_lib/createCallerReply/index.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import type { AnswerHead } from '../../../../domain/forwarding';
 import { MemoryUse } from '../../../../domain/overload';
 import type { CallerReply, Refusal, RefusalKind } from '../../../../application/forwarding';
 import type { HeldBytes } from '../../../../application/overload';
@@ -50,6 +51,15 @@
     response.writeHead(status, [...headers]);
   };
 
+  /** Head of a streamed answer of which nothing has been written yet. */
+  let waitingHead: AnswerHead | null = null;
+
+  const writeWaitingHead = (): void => {
+    if (!waitingHead) return;
+    writeHead(waitingHead.status, waitingHead.forwardedHeaders);
+    waitingHead = null;
+  };
+
   const sendRefusal = ({ kind, reason, retryAfterMs }: Refusal): void => {
     if (!isOpen()) return;
     const body = Buffer.from(JSON.stringify({ error: reason }));
@@ -77,10 +87,12 @@
     sendHead: (head) => {
       // In chunks, also if the server's answer has none: a caller must be able to tell an answer that
       // breaks off from a whole one.
-      if (isOpen()) writeHead(head.status, head.forwardedHeaders);
+      if (isOpen() && !response.headersSent) waitingHead = head;
     },
     write: (bytes) => {
-      if (!isOpen() || response.write(bytes)) return true;
+      if (!isOpen()) return true;
+      writeWaitingHead();
+      if (response.write(bytes)) return true;
       held.recordUnsent(response.writableLength);
       return false;
     },
@@ -101,7 +113,9 @@
         response.on('close', finish);
       }),
     end: () => {
-      if (isOpen()) response.end();
+      if (!isOpen()) return;
+      writeWaitingHead();
+      response.end();
     },
     destroy: () => {
       response.destroy();
--- a/src/application/forwarding/types/CallerReply.ts
+++ b/src/application/forwarding/types/CallerReply.ts
@@ -22,14 +22,14 @@
 export interface CallerReply {
   /** False once the response has ended or the caller has disconnected. */
   isOpen(): boolean;
-  /** True once the response head was sent. */
+  /** True once bytes of the response were sent, so that it cannot be another one any more. */
   hasSentHead(): boolean;
   sendRefusal(refusal: Refusal): void;
   /** Counts bytes of an answer that is held for this caller; false if this VM has no room. */
   acquireBytes(bytes: number): boolean;
   /** Sends a fully buffered response of a server. */
   sendResponse(head: AnswerHead, body: Buffer): void;
-  /** Sends the response head; the body follows in chunks. */
+  /** Begins a response with this head, which is sent with the first bytes of its body. */
   sendHead(head: AnswerHead): void;
   /** Writes a chunk of the body; returns false if the caller should wait for `waitForDrain`. */
   write(bytes: Buffer): boolean;
--- a/tests/gateway/oddAnswers.test.ts
+++ b/tests/gateway/oddAnswers.test.ts
@@ -1,5 +1,5 @@
-// Guards against callers that get as an answer what a server in trouble sent, by a status that HTTP
-// does not define.
+// Guards against callers that get as an answer what a server in trouble sent: a status that HTTP does
+// not define, or the part of a body that came before a reset.
 import test from 'ava';
 import { createServerClient, HEADERS } from '../../platform';
 import { createFakeClock } from '../../standins/fakes';
@@ -36,6 +36,20 @@
       await gateway.stop();
     }
   });
+
+  test(`${name} is answered by 502 if servers answer at once and reset the connection`, async (t) => {
+    for (const delayMs of [0, 5, 100]) {
+      const answer = (raw: RawRequest): void => {
+        raw.socket.write(`${buildHead(raw, '200')}\r\npart`);
+        setTimeout(() => raw.socket.resetAndDestroy(), delayMs);
+      };
+      const servers = await Promise.all(['i-1', 'i-2'].map((id) => startRawServer(id, answer)));
+      const gateway = await startTestGateway({ servers });
+      const { body, status: seen } = await gateway.send(request);
+      t.is(seen, FAILED_STATUS, `${delayMs} ms: ${body}`);
+      await gateway.stop();
+    }
+  });
 });
 
 test('an answer with such a status fails behind a relay, too', async (t) => {
