--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -30,6 +30,8 @@
 export interface CrashJudge {
   /** True if answers with a part are weighed against its crashes. */
   isWeighed(part: string): boolean;
+  /** True if an answer refutes crashes, or is weighed against them. */
+  isAnswerNeeded(answer: RunOutcome): boolean;
   /** Lists the crashes that count against a fingerprint. */
   listCrashes(fingerprint: string): readonly RunOutcome[];
   /** Lists those for which it is in quarantine; empty if it is not. */
@@ -45,8 +47,8 @@
 /** Answers after the last crash of a part from which on further ones are not weighed. */
 const ENOUGH_ANSWERS = 8;
 
-/** Crashes of a part whose trials follow as soon as those of a part that was never answered. */
-const CRASHES_OF_UNANSWERED_PART = countNeededCrashes({ isPart: true, hasAnswer: false });
+/** Crashes after which the first trial of a part that is often answered follows soonest. */
+const CRASHES_OF_ANSWERED_PART = countNeededCrashes({ isPart: true, hasAnswer: false });
 
 /** Creates the judge over the given outcomes. */
 export const createCrashJudge = ({
@@ -117,7 +119,7 @@
 
   const countNeeded = (fingerprint: string): number =>
     isPartFingerprint(fingerprint) && listRateCrashes(fingerprint).length > 0
-      ? CRASHES_OF_UNANSWERED_PART
+      ? CRASHES_OF_ANSWERED_PART
       : countNeededCrashes(readOptions(fingerprint));
 
   const isQuarantined = (fingerprint: string): boolean =>
@@ -158,14 +160,36 @@
     return { kind: 'request', fingerprints: [fingerprint], ...verdict, unconfirmed };
   };
 
+  const isWeighed = (part: string): boolean => {
+    const known = outcomes.list(part);
+    const crashes = known.filter(({ hasCrashed }) => hasCrashed);
+    const lastMs = findNewestMs(crashes);
+    const later = known.filter(({ atMs, hasCrashed }) => !hasCrashed && atMs >= lastMs);
+    return crashes.length > 0 && later.length < ENOUGH_ANSWERS;
+  };
+
+  const isRefuting = (answer: RunOutcome): boolean => {
+    const crashes = listCrashes(answer.fingerprint);
+    return listUnansweredCrashes([...crashes, answer]).length < crashes.length;
+  };
+
+  /** True if a run has outlasted all that crashed under the part, and is not counted yet. */
+  const isNewAnswer = ({ fingerprint, ranMs, requestId, server }: RunOutcome): boolean =>
+    outcomes
+      .list(fingerprint)
+      .every((known) =>
+        known.hasCrashed
+          ? ranMs > known.ranMs
+          : known.server !== server || known.requestId !== requestId,
+      );
+
   return {
-    isWeighed: (part) => {
-      const known = outcomes.list(part);
-      const crashes = known.filter(({ hasCrashed }) => hasCrashed);
-      const lastMs = findNewestMs(crashes);
-      const later = known.filter(({ atMs, hasCrashed }) => !hasCrashed && atMs >= lastMs);
-      return crashes.length > 0 && later.length < ENOUGH_ANSWERS;
-    },
+    isWeighed,
+    isAnswerNeeded: (answer) =>
+      isRefuting(answer) ||
+      (isPartFingerprint(answer.fingerprint) &&
+        isWeighed(answer.fingerprint) &&
+        isNewAnswer(answer)),
     listCrashes,
     listQuarantineCrashes,
     isQuarantined,
--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -2,7 +2,6 @@
   countCrashedServers,
   findNewestMs,
   isPartFingerprint,
-  listUnansweredCrashes,
   type Quarantine,
   type RunOutcome,
   type SharedOutcome,
@@ -38,7 +37,7 @@
   isEmpty(): boolean;
   /** True if a server crashed under the fingerprint and too few answers have come since. */
   isSuspected(fingerprint: string): boolean;
-  /** True if an answer would be weighed against crashes under its fingerprint. */
+  /** True if an answer refutes crashes under its fingerprint, or is weighed against them. */
   isAnswerNeeded(answer: RunOutcome): boolean;
   /** Takes note of a complete run of this VM with these prompt parts, by their fingerprints. */
   recordWholeRun(parts: readonly string[]): void;
@@ -173,19 +172,7 @@
     isSuspected: (fingerprint) =>
       listCrashes(fingerprint).length > 0 ||
       (isPartFingerprint(fingerprint) && judge.isWeighed(fingerprint)),
-    isAnswerNeeded: (answer) => {
-      const { fingerprint, ranMs, requestId, server } = answer;
-      const crashes = listCrashes(fingerprint);
-      if (listUnansweredCrashes([...crashes, answer]).length < crashes.length) return true;
-      if (!isPartFingerprint(fingerprint) || !judge.isWeighed(fingerprint)) return false;
-      return outcomes
-        .list(fingerprint)
-        .every((known) =>
-          known.hasCrashed
-            ? ranMs > known.ranMs
-            : known.server !== server || known.requestId !== requestId,
-        );
-    },
+    isAnswerNeeded: judge.isAnswerNeeded,
     recordWholeRun: controls.recordWholeRun,
     readQuarantineMs: (fingerprint) => {
       const cause = findRequestCause(fingerprint);
--- a/src/application/forwarding/createForwarder/index.ts
+++ b/src/application/forwarding/createForwarder/index.ts
@@ -70,7 +70,6 @@
     log,
     loopDelay,
     meter,
-    quarantineRows,
     randomness,
     retries,
     rollouts,
@@ -122,7 +121,7 @@
     }
     const access = checkRequestKey(table, route, request.key);
     if (access.isErr()) return refuseUnknown('unknown-key', access.error);
-    if (!quarantineRows.isRead()) {
+    if (!dependencies.quarantineRows.isRead()) {
       const reason = 'the requests that crash servers are not known yet';
       return { kind: 'not-run', reason, retryAfterMs: UNKNOWN_QUARANTINES_RETRY_MS };
     }
--- a/src/domain/crashes/findResponsibleParts/index.ts
+++ b/src/domain/crashes/findResponsibleParts/index.ts
@@ -13,9 +13,10 @@
   readonly lastCrashAtMs: number;
 }
 
-/** Crashes of a part that no server ever answered which are enough, whatever else was on the servers. */
-const CRASHES_OF_UNANSWERED_PART = countNeededCrashes({ isPart: true, hasAnswer: true });
+/** Crashes of a part that was never answered which are enough, whatever ran beside it. */
+const CRASHES_BESIDE_OTHERS = countNeededCrashes({ isPart: true, hasAnswer: true });
 
+/** Crashes after which the first trial of a part follows soonest. */
 const MIN_CRASHES = countNeededCrashes({ isPart: true, hasAnswer: false });
 
 /** Suspected parts, of all requests. */
@@ -50,7 +51,7 @@
   [...own]
     .filter((part) => unanswered.has(part))
     .map((part) => crashesByPart.get(part) ?? [])
-    .find((crashes) => countCrashedServers(crashes) >= CRASHES_OF_UNANSWERED_PART) ?? [];
+    .find((crashes) => countCrashedServers(crashes) >= CRASHES_BESIDE_OTHERS) ?? [];
 
 /**
  * Finds the parts of a request for which the request must not be sent.
