Look at all outcomes only for parts that could be responsible

Judging a part went through the outcomes of all fingerprints whenever three servers had crashed under it. That ran for each request, outcome and exchange between VMs. Other crashes only exonerate, so they are counted last; parts with fewer than three outcomes are left out at once. No verdict changes (the test of judgeCrashRate requires that another crash elsewhere never makes a part responsible).

--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -47,8 +47,8 @@
 /** Answers after the last crash of a part from which on further ones are not weighed. */
 const ENOUGH_ANSWERS = 8;
 
-/** Crashes after which the first trial of a part that is often answered follows soonest. */
-const CRASHES_OF_ANSWERED_PART = countNeededCrashes({ isPart: true, hasAnswer: false });
+/** Least number of crashes of a responsible part; the first trial after as many follows soonest. */
+const MIN_CRASHES = countNeededCrashes({ isPart: true, hasAnswer: false });
 
 /** Creates the judge over the given outcomes. */
 export const createCrashJudge = ({
@@ -96,13 +96,17 @@
     const evidence = {
       crashes: countCrashedServers(confirmed),
       answers: known.filter(({ hasCrashed }) => !hasCrashed).length,
-      otherCrashes: countOtherCrashes(part, control.sinceMs),
+      otherCrashes: 0,
       otherAnswers: control.otherAnswers,
     };
-    return judgeCrashRate(evidence) ? confirmed : [];
+    // Other crashes only exonerate, and counting them takes a look at all outcomes.
+    if (!judgeCrashRate(evidence)) return [];
+    const otherCrashes = countOtherCrashes(part, control.sinceMs);
+    return judgeCrashRate({ ...evidence, otherCrashes }) ? confirmed : [];
   };
 
   const listPartCrashes = (part: string): readonly RunOutcome[] => {
+    if (outcomes.list(part).length < MIN_CRASHES) return [];
     const unanswered = listCrashes(part);
     const crashes = judgeCrashes(unanswered, readOptions(part))
       ? unanswered
@@ -119,7 +123,7 @@
 
   const countNeeded = (fingerprint: string): number =>
     isPartFingerprint(fingerprint) && listRateCrashes(fingerprint).length > 0
-      ? CRASHES_OF_ANSWERED_PART
+      ? MIN_CRASHES
       : countNeededCrashes(readOptions(fingerprint));
 
   const isQuarantined = (fingerprint: string): boolean =>
