--- a/src/application/crashes/_lib/createCrashJudge/test.ts
+++ b/src/application/crashes/_lib/createCrashJudge/test.ts
@@ -3,15 +3,25 @@
 
 const WHOLE = { connection: 'complete', progress: 'whole' } as const;
 
-// Guards against a part that is cleared by each of its runs that does not crash a server.
-test('a part that crashes servers in every other run is held responsible if other runs crash none', (t) => {
-  const { begin, crash, end, track } = createTrackerFixture();
+/** Crashes a server in every other run of a part, beside many runs without it. */
+const crashEveryOtherRun = (
+  { begin, crash, end, track }: ReturnType<typeof createTrackerFixture>,
+  handleRun: (run: number) => void = () => undefined,
+): void => {
   crash(['a'], 'i-0');
   for (let run = 0; run < 60; run += 1) end(track('b'), 'i-9', WHOLE);
   for (let run = 1; run <= 5; run += 1) {
     crash(['a'], `i-${run}`);
     begin(['a'], 'i-9');
+    handleRun(run);
   }
+};
+
+// Guards against a part that is cleared by each of its runs that does not crash a server.
+test('a part that crashes servers in every other run is held responsible if other runs crash none', (t) => {
+  const fixture = createTrackerFixture();
+  const { begin, track } = fixture;
+  crashEveryOtherRun(fixture);
   t.deepEqual(track('a').findCause()?.fingerprints, ['part-a']);
   begin(['a'], 'i-9');
   t.not(track('a').findCause(), null, 'one answer ends no quarantine');
@@ -19,14 +29,11 @@
 });
 
 test('a part is not held responsible if as many servers crash without it', (t) => {
-  const { begin, crash, end, track } = createTrackerFixture();
-  crash(['a'], 'i-0');
-  for (let run = 0; run < 60; run += 1) end(track('b'), 'i-9', WHOLE);
-  for (let run = 1; run <= 5; run += 1) {
-    crash(['a'], `i-${run}`);
-    begin(['a'], 'i-9');
+  const fixture = createTrackerFixture();
+  const { crash, track } = fixture;
+  crashEveryOtherRun(fixture, (run) => {
     for (let other = 0; other < 8; other += 1) crash([], `other-${run}-${other}`);
-  }
+  });
   t.is(track('a').findCause(), null);
 });
 
