--- a/standins/crashes/createCrashingServers/index.ts
+++ b/standins/crashes/createCrashingServers/index.ts
@@ -45,14 +45,17 @@
   readonly crashes: (parts: readonly string[], server: string) => boolean;
   /** Events that it sends before it crashes; none by default. */
   readonly eventsBeforeCrash?: number;
-  /** Counts the events of a whole stream, a quarter of a second apart; four by default. */
+  /** Counts the events of a whole stream, four by default. */
   readonly countEvents?: ((parts: readonly string[]) => number) | undefined;
+  /** Time from the request to the head of the response. */
+  readonly prefillMs?: number | undefined;
+  /** Time between two events. */
+  readonly eventGapMs?: number | undefined;
   /** Called when a server is found to be gone, and when one has started. */
   readonly handleGone: (id: string) => void;
   readonly handleStarted: (id: string) => void;
 }
 
-/** Time from the request to the head of the response. */
 const PREFILL_MS = 1000;
 
 /** Time from the head to the first event, or to the crash. */
@@ -68,6 +71,7 @@
 /** Creates servers in virtual time that crash under some requests and start again. */
 export const createCrashingServers = (options: CrashingServersOptions): CrashingServers => {
   const { clock, count, countEvents = () => EVENTS, eventsBeforeCrash = 0 } = options;
+  const { eventGapMs = EVENT_GAP_MS, prefillMs = PREFILL_MS } = options;
   /** By id: breaks off the runs of a server. */
   const runsById = new Map<string, Set<() => void>>();
   const arrivals: Arrival[] = [];
@@ -148,9 +152,9 @@
         }
         body.push(Buffer.from(`id: ${(lastEventId ?? 0) + event}\ndata: x\n\n`));
         if (event === events) complete();
-        else cancelTimer = clock.startTimer(EVENT_GAP_MS, () => sendEvent(event + 1));
+        else cancelTimer = clock.startTimer(eventGapMs, () => sendEvent(event + 1));
       };
-      cancelTimer = clock.startTimer(PREFILL_MS, () => {
+      cancelTimer = clock.startTimer(prefillMs, () => {
         resolve(
           ok({
             head: SIMULATED_HEAD,
--- a/standins/crashes/simulateBadParts/index.ts
+++ b/standins/crashes/simulateBadParts/index.ts
@@ -5,7 +5,14 @@
 /** Bad streams, each of whose runs crashes its server with a given chance, beside sound ones. */
 export interface BadPartSimulation extends Pick<
   CrashSimulation,
-  'durationMs' | 'countEvents' | 'eventsBeforeCrash' | 'seed' | 'transitMs' | 'vms'
+  | 'countEvents'
+  | 'durationMs'
+  | 'eventGapMs'
+  | 'eventsBeforeCrash'
+  | 'prefillMs'
+  | 'seed'
+  | 'transitMs'
+  | 'vms'
 > {
   readonly soundPerS: number;
   /** Parts are bad if their names begin with `bad-`. */
--- a/standins/crashes/simulateCrashes/index.ts
+++ b/standins/crashes/simulateCrashes/index.ts
@@ -33,8 +33,12 @@
   readonly crashes: (parts: readonly string[], server: string) => boolean;
   /** Events that a server sends before it crashes; none by default. */
   readonly eventsBeforeCrash?: number;
-  /** Counts the events of a whole stream, a quarter of a second apart; four by default. */
+  /** Counts the events of a whole stream; four by default. */
   readonly countEvents?: ((parts: readonly string[]) => number) | undefined;
+  /** Time from a request to the head of its response; a second by default. */
+  readonly prefillMs?: number | undefined;
+  /** Time between two events; a quarter of a second by default. */
+  readonly eventGapMs?: number | undefined;
   /** Servers that all crash at one moment, by its time. */
   readonly losses?: readonly { readonly atMs: number; readonly count: number }[];
   /** Time that a message between VMs takes one way; none by default. */
@@ -93,6 +97,8 @@
     count: simulation.servers,
     crashes: simulation.crashes,
     countEvents: simulation.countEvents,
+    prefillMs: simulation.prefillMs,
+    eventGapMs: simulation.eventGapMs,
     eventsBeforeCrash: simulation.eventsBeforeCrash ?? 0,
     handleGone: (id) => applyRow(id, null),
     handleStarted: (id) => applyRow(id, Buffer.from('x')),
--- a/tools/vm-cost/main.ts
+++ b/tools/vm-cost/main.ts
@@ -1,5 +1,5 @@
-// Measures the processor time of the gateway process of one VM in three phases: start, idle and
-// load. Needs a build of the gateway:
+// Measures the processor time of the gateway process of one VM in four phases: start, idle, load, and
+// load while most servers of a zone crash every few seconds. Needs a build of the gateway:
 // `npx tsx tools/vm-cost/main.ts [vms] [lookups per second and VM] [streams per second and VM]`.
 // The CPU profile of one process stays in the folder that the last line names.
 import { mkdtempSync } from 'node:fs';
@@ -9,6 +9,7 @@
 import { readProcessorMs } from './readProcessorMs';
 import { sendCostLoad } from './sendCostLoad';
 import { startCostFleet } from './startCostFleet';
+import { startZoneLosses } from './startZoneLosses';
 
 const START_MS = 4000;
 const IDLE_MS = 20_000;
@@ -31,17 +32,24 @@
   before = used;
 };
 
+const playLoad = async (phase: string): Promise<void> => {
+  const connections = fleet.countConnections();
+  const { answered, sent } = await sendCostLoad(fleet.callerPorts, {
+    lookupsPerS,
+    streamsPerS,
+    seconds: LOAD_S,
+  });
+  report(`${phase}, ${LOAD_S} s and until all requests have ended`);
+  write(`${answered} of ${sent} answered, ${fleet.countConnections() - connections} connections`);
+};
+
 await wait(START_MS);
 report(`start, ${START_MS / 1000} s`);
 await wait(IDLE_MS);
 report(`idle, ${IDLE_MS / 1000} s`);
-const connections = fleet.countConnections();
-const { answered, sent } = await sendCostLoad(fleet.callerPorts, {
-  lookupsPerS,
-  streamsPerS,
-  seconds: LOAD_S,
-});
-report(`load, ${LOAD_S} s and until all requests have ended`);
-write(`${answered} of ${sent} answered, ${fleet.countConnections() - connections} connections`);
+await playLoad('load');
+const stopLosses = startZoneLosses(fleet);
+await playLoad('load with crashes');
+stopLosses();
 await fleet.stop();
 write(`profile: ${folder}`);
