--- a/src/application/crashes/_lib/createCrashJudge/index.ts
+++ b/src/application/crashes/_lib/createCrashJudge/index.ts
@@ -7,6 +7,7 @@
   judgeCrashes,
   judgeRequestCrashes,
   listUnansweredCrashes,
+  type CrashShareVerdict,
   type RunOutcome,
 } from '../../../../domain/crashes';
 import type { CrashCause, RequestPrints } from '../../types';
@@ -27,6 +28,8 @@
   isHeldResponsible(part: string): boolean;
   /** Holds a part responsible, as another VM does; returns false if it is held already. */
   mergeVerdict(part: string): boolean;
+  /** Reads what was last found of a part in comparison with all others; null if it was not compared. */
+  readFinding(part: string): CrashShareVerdict | null;
   /** Lists the crashes that count against a fingerprint. */
   listCrashes(fingerprint: string): readonly RunOutcome[];
   /** Lists those for which it is in quarantine; empty if it is not. */
@@ -124,6 +127,7 @@
     },
     isHeldResponsible: shareJudge.isHeld,
     mergeVerdict: shareJudge.mergeVerdict,
+    readFinding: shareJudge.readFinding,
     listCrashes,
     listQuarantineCrashes,
     isQuarantined,
--- a/src/application/crashes/_lib/createShareJudge/index.ts
+++ b/src/application/crashes/_lib/createShareJudge/index.ts
@@ -5,6 +5,7 @@
   judgeCrashShare,
   listCrashedServers,
   type CrashedServer,
+  type CrashShareVerdict,
   type CrashSuspect,
   type RunOutcome,
 } from '../../../../domain/crashes';
@@ -34,6 +35,8 @@
   isHeld(part: string): boolean;
   /** Holds a part responsible, as another VM does; returns false if it is held already. */
   mergeVerdict(part: string): boolean;
+  /** Reads what was last found of the part in comparison with all others; null if it was not compared. */
+  readFinding(part: string): CrashShareVerdict | null;
 }
 
 /** Time for which a verdict stands: each request asks for it, and runs count all the time. */
@@ -57,6 +60,7 @@
 }: ShareJudgeDependencies): ShareJudge => {
   const verdicts = createBoundedMap<Verdict>(MAX_VERDICTS);
   const held = new Set<string>();
+  const findings = createBoundedMap<CrashShareVerdict>(MAX_VERDICTS);
 
   const isCrash = ({ atMs, hasCrashed, isConfirmed, server }: RunOutcome): boolean =>
     hasCrashed && isConfirmed && !hasAnsweredSince(server, atMs);
@@ -97,10 +101,10 @@
     const suspects = listSuspects(servers);
     const suspect = suspects.find(({ fingerprint }) => fingerprint === part);
     const others = suspects.filter((one) => one !== suspect);
-    return (
-      suspect !== undefined &&
-      judgeCrashShare({ ...control, suspect, crashes, others, servers, held })
-    );
+    if (!suspect) return false;
+    const finding = judgeCrashShare({ ...control, suspect, crashes, others, servers, held });
+    findings.set(part, finding);
+    return finding.isResponsible;
   };
 
   const isResponsible = (
@@ -151,6 +155,7 @@
       return crashes;
     },
     isHeld: (part) => held.has(part),
+    readFinding: (part) => findings.get(part) ?? null,
     mergeVerdict: (part) => {
       if (held.has(part)) return false;
       held.add(part);
--- a/src/domain/crashes/judgeCrashShare/index.ts
+++ b/src/domain/crashes/judgeCrashShare/index.ts
@@ -33,6 +33,29 @@
   readonly held: ReadonlySet<string>;
 }
 
+/** What decided whether a part is responsible for its share of crashes. */
+export type CrashShareReason =
+  /** Too few servers accuse it. */
+  | 'accusations'
+  /** Its share of crashes is near that of runs without it. */
+  | 'share'
+  /** Chance explains on which of the crashed servers it ran. */
+  | 'chance'
+  /** It is responsible, and was so before. */
+  | 'held'
+  /** It is responsible, and was not before. */
+  | 'found';
+
+/** Whether a part is responsible, and on what evidence. */
+export interface CrashShareVerdict {
+  readonly isResponsible: boolean;
+  readonly reason: CrashShareReason;
+  /** Crashed servers that accuse it. */
+  readonly accusing: number;
+  /** Runs without it whose servers crashed, and no other part accounts for that. */
+  readonly otherCrashes: number;
+}
+
 /** Share of crashes, and crashed servers, from which on a part may account for those of others. */
 const MIN_SHARE = 0.25;
 const MIN_SERVERS = 3;
@@ -198,9 +221,9 @@
  * runs had just begun (`judgeCrashPresence`). Servers that ran a more suspicious part do not accuse it.
  * Once it is held responsible, its share alone decides.
  *
- * @returns true if it is responsible
+ * @returns whether it is responsible, and why
  */
-export const judgeCrashShare = (evidence: CrashShareEvidence): boolean => {
+export const judgeCrashShare = (evidence: CrashShareEvidence): CrashShareVerdict => {
   const split = splitEvidence(evidence);
   const { crashes, held, otherAnswers, suspect } = split;
   const { answers, fingerprint } = suspect;
@@ -208,9 +231,20 @@
   const accusing = listAccusingServers(split);
   const accusingIds = new Set(accusing.map(({ server }) => server));
   const accusations = crashes.filter(({ server }) => accusingIds.has(server));
-  if (!isHeld && !judgeCrashes(accusations, { isPart: true, hasAnswer: answers > 0 })) return false;
   const otherCrashes = sumOf(listUnexplainedServers(split), readRuns);
   const rate = { crashes: countCrashedServers(accusations), answers, otherCrashes, otherAnswers };
-  if (!judgeCrashRate(rate, { isHeld })) return false;
-  return isHeld || judgePresence(split);
+  const findReason = (): CrashShareReason => {
+    const isAccused = judgeCrashes(accusations, { isPart: true, hasAnswer: answers > 0 });
+    if (!isHeld && !isAccused) return 'accusations';
+    if (!judgeCrashRate(rate, { isHeld })) return 'share';
+    if (isHeld) return 'held';
+    return judgePresence(split) ? 'found' : 'chance';
+  };
+  const reason = findReason();
+  return {
+    isResponsible: reason === 'held' || reason === 'found',
+    reason,
+    accusing: accusing.length,
+    otherCrashes,
+  };
 };
--- a/src/domain/crashes/judgeCrashShare/test.ts
+++ b/src/domain/crashes/judgeCrashShare/test.ts
@@ -36,7 +36,7 @@
     otherRunMs: 100 * (change.otherAnswers ?? 200),
     held: NONE,
     ...change,
-  });
+  }).isResponsible;
 };
 
 test('a part that crashes servers in some of its runs is responsible if other runs crash hardly any', (t) => {
