Test parts that crash servers late or in some runs among many sound streams

The model's streams were served by servers that take a second to the head and send four events; there are as many runs of sound parts on a crashed server as in the plays by real processes if the head comes after 150 ms and 50 events follow.

--- a/tests/model/lateCrashes.test.ts
+++ b/tests/model/lateCrashes.test.ts
@@ -34,6 +34,31 @@
   });
 });
 
+/** Seeds at which parts were sent on, or sound ones held responsible, by the events before a crash. */
+const SEEDS = { 40: 8, 60: 5 } as const;
+
+// Guards against parts that run on every server that crashes, so that their presence shows nothing.
+([40, 60] as const).forEach((eventsBeforeCrash) => {
+  test(`a part that crashes servers after event ${eventsBeforeCrash}, among streams of 50, is hardly sent after contact time`, async (t) => {
+    const result = await simulateBadParts({
+      seed: SEEDS[eventsBeforeCrash],
+      vms: 6,
+      durationMs: 30_000,
+      soundPerS: 20,
+      prefillMs: 150,
+      eventGapMs: 42,
+      countEvents: (parts) => (parts.includes('bad-0') ? 80 : 50),
+      transitMs: 2,
+      eventsBeforeCrash,
+      bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+      chance: 1,
+    });
+    t.log(result);
+    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+    t.true(result.served >= MIN_SERVED, `${result.served} served`);
+  });
+});
+
 // Guards against long sound streams that are held responsible as most servers run one when they crash.
 test('no part of long streams is held responsible for long for servers that crash by themselves', async (t) => {
   const buildTraffic = (kind: string, perS: number) => ({
--- a/tests/model/partsWithSoundRuns.test.ts
+++ b/tests/model/partsWithSoundRuns.test.ts
@@ -41,6 +41,25 @@
   });
 });
 
+// Guards against sound parts that are held responsible as their runs began last on servers of bad ones.
+test('sound streams are served beside two parts that soon crash servers in half of their runs', async (t) => {
+  const result = await simulateBadParts({
+    seed: 4,
+    vms: 6,
+    durationMs: 30_000,
+    soundPerS: 20,
+    prefillMs: 150,
+    eventGapMs: 42,
+    countEvents: () => 50,
+    transitMs: 2,
+    bad: { perS: 6, buildParts: (index) => ['first', `bad-${index % 2}`] },
+    chance: 0.5,
+  });
+  t.log(result);
+  t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+  t.true(result.served >= MIN_SERVED, `${result.served} served`);
+});
+
 // Guards against sound parts that are held responsible as they happen to run wherever a server crashes.
 test('no part is held responsible for long for servers that crash by themselves, one after the other', async (t) => {
   const result = await simulateCrashes({
