Let parts that are held responsible explain crashes under runs that began last

Cause: a server accused a part whose run had begun last there, whatever else it ran. With 20 streams a second a sound run, or one that still waits, is the newest on many servers of a bad part; the servers whose newest run has a part that is held responsible were left out of the comparison, which made chance look small.

Change: a server on which another part ran that is held responsible, and has crashed as large a share of its runs, accuses no part for having begun last. A part held wrongly, with a smaller share, still hides no bad one.

--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -155,7 +155,6 @@
     else quarantined.delete(fingerprint);
     const servers = listQuarantineCrashes(fingerprint).map(({ server }) => server);
     const control = controls.readControl(fingerprint);
-    const finding = judge.readFinding(fingerprint);
     log.info(isNowQuarantined ? 'quarantine begun' : 'quarantine ended', {
       fingerprint,
       source,
@@ -163,13 +162,7 @@
       isByShare: judge.isHeldResponsible(fingerprint),
       answers: control?.answers ?? 0,
       otherAnswers: control?.otherAnswers ?? 0,
-      ...(finding
-        ? {
-            reason: finding.reason,
-            accusing: finding.accusing,
-            otherCrashes: finding.otherCrashes,
-          }
-        : {}),
+      ...judge.readFinding(fingerprint),
     });
     if (isNowQuarantined && observed.get(fingerprint)) handleQuarantine(fingerprint);
     if (!isNowQuarantined && source === 'own') handleCleared?.(fingerprint);
--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -11,15 +11,10 @@
 export { judgeCrashes } from './judgeCrashes';
 export { judgeCrashPresence, type CrashPresence } from './judgeCrashPresence';
 export { judgeCrashRate, type CrashRateEvidence } from './judgeCrashRate';
-export {
-  judgeCrashShare,
-  type CrashShareEvidence,
-  type CrashShareVerdict,
-  type CrashSuspect,
-} from './judgeCrashShare';
+export { judgeCrashShare } from './judgeCrashShare';
 export { judgeRequestCrashes, type RequestVerdict } from './judgeRequestCrashes';
 export { isPartFingerprint } from './isPartFingerprint';
-export { listCrashedServers, type CrashedServer } from './listCrashedServers';
+export { listCrashedServers } from './listCrashedServers';
 export { listPartIds } from './listPartIds';
 export { listPartOutcomes } from './listPartOutcomes';
 export { listTriedServers } from './listTriedServers';
--- a/src/domain/crashes/judgeCrashShare/index.ts
+++ b/src/domain/crashes/judgeCrashShare/index.ts
@@ -2,59 +2,13 @@
 import { judgeCrashes } from '../judgeCrashes';
 import { judgeCrashPresence } from '../judgeCrashPresence';
 import { judgeCrashRate } from '../judgeCrashRate';
-import type { CrashedServer } from '../listCrashedServers';
-import type { RunOutcome } from '../types';
-
-/** A prompt part under which servers crashed. */
-export interface CrashSuspect {
-  readonly fingerprint: string;
-  /** Crashed servers that ran it. */
-  readonly servers: number;
-  /** Complete runs with it. */
-  readonly answers: number;
-}
-
-/** What is known of a prompt part, and of what else may account for its crashes. */
-export interface CrashShareEvidence {
-  readonly suspect: CrashSuspect;
-  /** Confirmed crashes under the part. */
-  readonly crashes: readonly RunOutcome[];
-  /** Other parts that ran on crashed servers. */
-  readonly others: readonly CrashSuspect[];
-  /** All servers that crashed since the first crash under the part. */
-  readonly servers: readonly CrashedServer[];
-  /** Complete runs without the part. */
-  readonly otherAnswers: number;
-  /** Time that runs with the part which no crash ended spent at servers, in milliseconds. */
-  readonly runMs: number;
-  /** The same without the part. */
-  readonly otherRunMs: number;
-  /** Fingerprints of the parts that are held responsible for their share of crashes already. */
-  readonly held: ReadonlySet<string>;
-}
-
-/** What decided whether a part is responsible for its share of crashes. */
-export type CrashShareReason =
-  /** Too few servers accuse it. */
-  | 'accusations'
-  /** Its share of crashes is near that of runs without it. */
-  | 'share'
-  /** Chance explains on which of the crashed servers it ran. */
-  | 'chance'
-  /** It is responsible, and was so before. */
-  | 'held'
-  /** It is responsible, and was not before. */
-  | 'found';
-
-/** Whether a part is responsible, and on what evidence. */
-export interface CrashShareVerdict {
-  readonly isResponsible: boolean;
-  readonly reason: CrashShareReason;
-  /** Crashed servers that accuse it. */
-  readonly accusing: number;
-  /** Runs without it whose servers crashed, and no other part accounts for that. */
-  readonly otherCrashes: number;
-}
+import type {
+  CrashedServer,
+  CrashShareEvidence,
+  CrashShareReason,
+  CrashShareVerdict,
+  CrashSuspect,
+} from '../types';
 
 /** Share of crashes, and crashed servers, from which on a part may account for those of others. */
 const MIN_SHARE = 0.25;
@@ -75,6 +29,9 @@
 const isStronger = (one: CrashSuspect, other: CrashSuspect): boolean =>
   one.servers > other.servers || (one.servers === other.servers && one.answers < other.answers);
 
+/** Computes the share of the runs with a part that crashed, from 0 to 1. */
+const computeShare = ({ answers, servers }: CrashSuspect): number => servers / (servers + answers);
+
 const listFingerprints = (suspects: readonly CrashSuspect[]): ReadonlySet<string> =>
   new Set(suspects.map(({ fingerprint }) => fingerprint));
 
@@ -180,14 +137,23 @@
   return filterServersWithout(own, listFingerprints(stronger));
 };
 
+/** Lists the other parts that are held responsible and have crashed as large a share of their runs. */
+const listWorseHeldParts = ({ held, others, suspect }: SplitEvidence): ReadonlySet<string> =>
+  listFingerprints(
+    others.filter((one) => held.has(one.fingerprint) && computeShare(one) >= computeShare(suspect)),
+  );
+
 /**
  * Lists the servers that accuse a part: it began last there, or nothing more suspicious ran there.
- * Sound parts lose many runs beside a bad one: they explain no crash of a run that began last.
+ * Sound parts lose many runs beside a bad one: they explain no crash of a run that began last. A part
+ * that is held responsible does, if it has crashed as large a share of its runs.
  */
 const listAccusingServers = (split: SplitEvidence): readonly CrashedServer[] => {
   const { own, suspect } = split;
   const alone = new Set(listServersWithoutStronger(split));
-  return own.filter((one) => one.newestParts.has(suspect.fingerprint) || alone.has(one));
+  const newest = own.filter(({ newestParts }) => newestParts.has(suspect.fingerprint));
+  const unexplained = new Set(filterServersWithout(newest, listWorseHeldParts(split)));
+  return own.filter((one) => alone.has(one) || unexplained.has(one));
 };
 
 /** Judges whether chance explains that a part was on the servers that crashed. */
--- a/src/domain/crashes/judgeCrashShare/test.ts
+++ b/src/domain/crashes/judgeCrashShare/test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { buildRunOutcome } from '../../../../standins/fakes';
-import { judgeCrashShare, type CrashShareEvidence } from '.';
+import type { CrashShareEvidence } from '../types';
+import { judgeCrashShare } from '.';
 
 const NONE: ReadonlySet<string> = new Set();
 
@@ -101,6 +102,15 @@
   t.false(judge('a', 7, isLast, { others, held: new Set(['bad']), otherAnswers: 40 }));
 });
 
+// Guards against sound parts that are held responsible as they began last on many servers of a bad one.
+test('a part that began last is not accused where one ran that is held responsible for a larger share', (t) => {
+  const servers = [...buildServers(7, ['a', 'bad']), ...buildServers(3, ['bad', 'c'], 7)];
+  const isHeld = { held: new Set(['bad']) };
+  const buildOthers = (answers: number) => [{ fingerprint: 'bad', servers: 10, answers }];
+  t.false(judge('a', 4, servers, { others: buildOthers(0), ...isHeld }));
+  t.true(judge('a', 4, servers, { others: buildOthers(20), ...isHeld }));
+});
+
 test('a part with which servers have answered needs more crashes than one that was never answered', (t) => {
   t.true(judge('bad', 0, buildServers(4, ['bad'])));
   t.false(judge('bad', 1, buildServers(4, ['bad'])));
