Judge prompt parts by the age that their runs had when servers crashed

Cause: a part with many or long runs is on nearly every server at any time, so that its presence on all that crashed shows nothing; and what began last is not what crashes a server after long. Only runs that had just begun were judged by their age.

Change: the servers on which a run with the part had one and the same age when they crashed accuse it, if runs without it on these servers seldom have that age. The age is looked for, and the evidence that is needed grows with the number of ages tried. The rule for runs that had just begun is a case of this one and goes.

--- a/src/domain/crashes/index.ts
+++ b/src/domain/crashes/index.ts
@@ -17,6 +17,7 @@
 export { listCrashedServers } from './listCrashedServers';
 export { listPartIds } from './listPartIds';
 export { listPartOutcomes } from './listPartOutcomes';
+export { listServersOfCommonAge } from './listServersOfCommonAge';
 export { listTriedServers } from './listTriedServers';
 export { listUnansweredCrashes } from './listUnansweredCrashes';
 export { mergeQuarantine } from './mergeQuarantine';
--- a/src/domain/crashes/judgeCrashPresence/index.ts
+++ b/src/domain/crashes/judgeCrashPresence/index.ts
@@ -6,9 +6,11 @@
   readonly runsWithout: readonly number[];
   /** Share of the part in all runs, from 0 to 1. */
   readonly share: number;
+  /** Number of such comparisons of which this one was chosen as the strongest; 1 by default. */
+  readonly comparisons?: number;
 }
 
-/** Evidence that is needed, as the logarithm of a likelihood ratio. */
+/** Evidence that one comparison needs, as the logarithm of a likelihood ratio. */
 const NEEDED_EVIDENCE = Math.log(200);
 
 /** Logarithm of the likelihood of a number of hits and misses. */
@@ -25,7 +27,12 @@
  * @example
  * judgeCrashPresence({ runsWith: [2, 2, 2, 2], runsWithout: [], share: 0.1 }); // => true
  */
-export const judgeCrashPresence = ({ runsWith, runsWithout, share }: CrashPresence): boolean => {
+export const judgeCrashPresence = ({
+  comparisons = 1,
+  runsWith,
+  runsWithout,
+  share,
+}: CrashPresence): boolean => {
   const servers = [...runsWith, ...runsWithout];
   if (runsWith.length === 0) return false;
   const chances = servers.map((runs) => 1 - (1 - share) ** Math.max(1, runs));
@@ -35,5 +42,5 @@
   const [hits, misses] = [runsWith.length, runsWithout.length];
   const evidence =
     computeLogLikelihood(hits, misses, presence) - computeLogLikelihood(hits, misses, chance);
-  return evidence >= NEEDED_EVIDENCE;
+  return evidence >= NEEDED_EVIDENCE + Math.log(comparisons);
 };
--- a/src/domain/crashes/listCrashedServers/index.ts
+++ b/src/domain/crashes/listCrashedServers/index.ts
@@ -1,26 +1,28 @@
 import { isPartFingerprint } from '../isPartFingerprint';
-import type { CrashedServer, LostRuns, RunOutcome } from '../types';
+import type { CrashedServer, RunOutcome } from '../types';
 
-/** A run that crashes its server at once has gone on for less than this. */
-const YOUNG_MS = 150;
+const readAgeMs = ({ ranMs }: RunOutcome): number => ranMs;
 
-const sumByPart = (
-  runs: readonly RunOutcome[],
-  read: (run: RunOutcome) => number,
-): ReadonlyMap<string, number> => {
-  const sums = new Map<string, number>();
-  runs.forEach((run) =>
-    run.parts?.forEach((part) => sums.set(part, (sums.get(part) ?? 0) + read(run))),
+/** Groups the ages of runs by the fingerprints of their prompt parts. */
+const groupAgesByPart = (runs: readonly RunOutcome[]): ReadonlyMap<string, readonly number[]> => {
+  const agesMsByPart = new Map<string, number[]>();
+  runs.forEach(({ parts = [], ranMs }) =>
+    parts.forEach((part) => {
+      const known = agesMsByPart.get(part);
+      if (known) known.push(ranMs);
+      else agesMsByPart.set(part, [ranMs]);
+    }),
   );
-  return sums;
+  return agesMsByPart;
 };
 
-const countRuns = (runs: readonly RunOutcome[]): LostRuns => ({
-  runs: runs.length,
-  parts: sumByPart(runs, () => 1),
-});
+const mapAges = (
+  agesMsByPart: CrashedServer['agesMsByPart'],
+  compute: (agesMs: readonly number[]) => number,
+): ReadonlyMap<string, number> =>
+  new Map([...agesMsByPart].map(([part, agesMs]) => [part, compute(agesMs)]));
 
-const readRanMs = ({ ranMs }: RunOutcome): number => ranMs;
+const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, one) => sum + one, 0);
 
 /**
  * Lists the servers that crashed, with what is known of their runs.
@@ -38,16 +40,19 @@
       else crashesByServer.set(crash.server, [crash]);
     });
   return [...crashesByServer].map(([server, runs]) => {
-    const newestMs = Math.min(...runs.map(({ ranMs }) => ranMs));
+    const agesMs = runs.map(readAgeMs);
+    const agesMsByPart = groupAgesByPart(runs);
+    const newestMs = Math.min(...agesMs);
     const newest = runs.filter(({ ranMs }) => ranMs === newestMs);
     return {
       server,
-      ...countRuns(runs),
-      lostMs: runs.reduce((sum, { ranMs }) => sum + ranMs, 0),
-      lostMsByPart: sumByPart(runs, readRanMs),
+      runs: runs.length,
+      parts: mapAges(agesMsByPart, ({ length }) => length),
+      lostMs: sumOf(agesMs),
+      lostMsByPart: mapAges(agesMsByPart, sumOf),
+      agesMs,
+      agesMsByPart,
       newestParts: new Set(newest.flatMap(({ parts = [] }) => parts)),
-      early: countRuns(runs.filter(({ isLate }) => isLate !== true)),
-      young: countRuns(runs.filter(({ ranMs }) => ranMs <= YOUNG_MS)),
     };
   });
 };
--- a/src/domain/crashes/listCrashedServers/test.ts
+++ b/src/domain/crashes/listCrashedServers/test.ts
@@ -26,20 +26,11 @@
         ['part-b', 60],
       ]),
       newestParts: new Set(['part-b', 'part-a']),
-      early: {
-        runs: 2,
-        parts: new Map([
-          ['part-a', 2],
-          ['part-b', 1],
-        ]),
-      },
-      young: {
-        runs: 1,
-        parts: new Map([
-          ['part-b', 1],
-          ['part-a', 1],
-        ]),
-      },
+      agesMs: [900, 60],
+      agesMsByPart: new Map([
+        ['part-a', [900, 60]],
+        ['part-b', [60]],
+      ]),
     },
     {
       server: 'i-2',
@@ -48,21 +39,12 @@
       lostMs: 10,
       lostMsByPart: new Map([['part-a', 10]]),
       newestParts: new Set(['part-a']),
-      early: { runs: 1, parts: new Map([['part-a', 1]]) },
-      young: { runs: 1, parts: new Map([['part-a', 1]]) },
+      agesMs: [10],
+      agesMsByPart: new Map([['part-a', [10]]]),
     },
   ]);
 });
 
-test('a run that had gone on for long is not among the early ones', (t) => {
-  const late = { ...crash('i-1', 4000, 'part-a'), isLate: true };
-  t.like(listCrashedServers([late, crash('i-1', 200, 'part-b')])[0], {
-    runs: 2,
-    lostMs: 4200,
-    early: { runs: 1, parts: new Map([['part-b', 1]]) },
-  });
-});
-
 test('a run whose parts are not known counts', (t) => {
   const { parts, ...old } = crash('i-1', 60);
   t.deepEqual(listCrashedServers([old]), [
@@ -73,8 +55,8 @@
       lostMs: 60,
       lostMsByPart: new Map(),
       newestParts: new Set(),
-      early: { runs: 1, parts: new Map() },
-      young: { runs: 1, parts: new Map() },
+      agesMs: [60],
+      agesMsByPart: new Map(),
     },
   ]);
 });
--- a/src/domain/crashes/types/index.ts
+++ b/src/domain/crashes/types/index.ts
@@ -1,5 +1,5 @@
 export type { AttemptEnd, AttemptProgress, ConnectionEnd } from './AttemptEnd';
-export type { CrashedServer, LostRuns } from './CrashedServer';
+export type { CrashedServer } from './CrashedServer';
 export type {
   CrashShareEvidence,
   CrashShareReason,
