--- a/tools/_lib/startProcessFleet/index.ts
+++ b/tools/_lib/startProcessFleet/index.ts
@@ -32,13 +32,16 @@
 export interface ProcessFleet {
   /** Port for callers of each gateway. */
   readonly callerPorts: readonly number[];
-  readonly pids: readonly number[];
+  /** Lists the process ids of the gateways. */
+  listPids(): readonly number[];
   /** Returns the number of connections that the servers have accepted so far. */
   countConnections(): number;
   /** Lists the servers of a service that run; of one availability zone if it is given. */
   listServers(service: string, zone?: string): readonly StandInServer[];
   /** Ends a server; another one takes its place under a new id. */
   crashServer(server: StandInServer): Promise<void>;
+  /** Kills all gateways at once and starts them again. */
+  restartGateways(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -110,7 +113,11 @@
     ports.push({ callers: await findFreePort(), peers: await findFreePort() });
   }
   const seeds = ports.slice(0, SEED_COUNT).map(({ peers }) => `"127.0.0.1:${peers}"`);
-  const children: ChildProcess[] = ports.map(({ callers, peers }, index) => {
+  const startGateway = (
+    { callers, peers }: (typeof ports)[number],
+    index: number,
+    isFirstStart: boolean,
+  ): ChildProcess => {
     const file = join(folder, `vm-${index}.toml`);
     writeFileSync(
       file,
@@ -119,7 +126,7 @@
 zone = "z${index % ZONES}"
 internal_ports = [0, 0]
 seeds = [${seeds.join(',')}]
-bootstrap = true
+bootstrap = ${isFirstStart}
 [listen]
 frontend = "127.0.0.1:${callers}"
 readiness = "127.0.0.1:0"
@@ -134,14 +141,24 @@
     );
     const profile = index === vms - 1 ? ['--cpu-prof', `--cpu-prof-dir=${folder}`] : [];
     const args = [...profile, 'target/jackdaw-gateway.cjs', '--settings', file];
-    const output = writesLogs ? openSync(join(folder, `vm-${index}.log`), 'w') : 'ignore';
+    const output = writesLogs ? openSync(join(folder, `vm-${index}.log`), 'a') : 'ignore';
     return spawn(process.execPath, args, { stdio: ['ignore', output, 'inherit'] });
-  });
+  };
+  const startGateways = (isFirstStart: boolean): readonly ChildProcess[] =>
+    ports.map((one, index) => startGateway(one, index, isFirstStart));
+  let children = startGateways(true);
+
+  const endGateways = async (signal: 'SIGKILL' | 'SIGTERM'): Promise<void> => {
+    const exits = children.map((child) => once(child, 'exit'));
+    children.forEach((child) => child.kill(signal));
+    await Promise.all(exits);
+  };
+
   // Kills the gateways also when the tool fails.
   process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
   return {
     callerPorts: ports.map(({ callers }) => callers),
-    pids: children.map(({ pid }) => pid ?? 0),
+    listPids: () => children.map(({ pid }) => pid ?? 0),
     countConnections: () =>
       [...running.keys()].reduce(
         (sum, server) => sum + server.countConnections(),
@@ -152,11 +169,13 @@
         .filter((one) => one.service === service && (zone === undefined || one.zone === zone))
         .map(({ server }) => server),
     crashServer,
+    restartGateways: async () => {
+      await endGateways('SIGKILL');
+      children = startGateways(false);
+    },
     stop: async () => {
       isStopping = true;
-      const exits = children.map((child) => once(child, 'exit'));
-      children.forEach((child) => child.kill('SIGTERM'));
-      await Promise.all(exits);
+      await endGateways('SIGTERM');
       await Promise.all([store.stop(), ...[...running.keys()].map((server) => server.stop())]);
     },
   };
--- a/tools/bad-parts/main.ts
+++ b/tools/bad-parts/main.ts
@@ -27,6 +27,8 @@
 
   private readonly events = Option.String('--events-before-crash', '0');
 
+  private readonly restartS = Option.String('--restart-every-s', '0');
+
   private readonly soundPerS = Option.String('--sound-per-s', '20');
 
   async execute(): Promise<void> {
@@ -40,6 +42,7 @@
       crashShare: readNumber(this.share),
       badPerS: readNumber(this.perS),
       soundPerS: readNumber(this.soundPerS),
+      restartEveryS: readNumber(this.restartS),
       eventsBeforeCrash: readNumber(this.events),
     });
     this.context.stdout.write(`${JSON.stringify(result)}\nlogs: ${folder}\n`);
--- a/tools/bad-parts/playBadParts/index.ts
+++ b/tools/bad-parts/playBadParts/index.ts
@@ -28,6 +28,8 @@
   readonly soundPerS: number;
   /** Events that a run sends before it crashes its server. */
   readonly eventsBeforeCrash: number;
+  /** Time between two restarts of all gateways, which are killed; 0 for none. */
+  readonly restartEveryS: number;
 }
 
 /** What became of a bad part. */
@@ -159,9 +161,17 @@
     await wait(SOUND_LEAD_MS);
     await sendAtRate(play.badPerS, () => part);
   };
+  const restartGateways = async (): Promise<void> => {
+    while (play.restartEveryS > 0) {
+      await wait(play.restartEveryS * 1000);
+      if (performance.now() >= endMs) return;
+      await fleet.restartGateways();
+    }
+  };
   const [sound] = await Promise.all([
     sendAtRate(play.soundPerS, (index) => `50d${index % SOUND_PARTS}`),
     ...badParts.map(sendBad),
+    restartGateways(),
   ]);
   await fleet.stop();
   return {
--- a/tools/vm-cost/main.ts
+++ b/tools/vm-cost/main.ts
@@ -27,7 +27,11 @@
 
 /** Writes the average processor time of a process since the previous phase. */
 const report = (phase: string): void => {
-  const used = fleet.pids.map(readProcessorMs).reduce((sum, one) => sum + one, 0) / vms;
+  const used =
+    fleet
+      .listPids()
+      .map(readProcessorMs)
+      .reduce((sum, one) => sum + one, 0) / vms;
   write(`${phase}: ${Math.round(used - before)} ms of processor time per VM`);
   before = used;
 };
