Give the fleet of tools the retries of a deployment, and go on after the events that a caller has

Without retries a stream that lost its server asks 12 servers for their load each time it tries again, and a server that sends events from the first one on looks as if it had lost the run: both made up half of the cost that the first play of load with crashes showed.

--- a/tools/_lib/startProcessFleet/index.ts
+++ b/tools/_lib/startProcessFleet/index.ts
@@ -135,6 +135,9 @@
 contact_ms = 4000
 config_apply_ms = 3000
 drain_ms = 3000
+retry_budget_ratio = 0.8
+retry_budget_extra = 150
+retry_window_s = 10
 [platform]
 address = "${new URL(store.url).host}"
 `,
--- a/tools/vm-cost/startCostFleet/index.ts
+++ b/tools/vm-cost/startCostFleet/index.ts
@@ -19,7 +19,8 @@
   await wait(PREFILL_MS);
   if (request.socket.destroyed) return;
   server.startStream(request);
-  for (let id = 1; id <= EVENTS && !request.response.destroyed; id += 1) {
+  const resumedAfter = Number(request.headers['last-event-id'] ?? 0);
+  for (let id = resumedAfter + 1; id <= EVENTS && !request.response.destroyed; id += 1) {
     server.sendEvents(request, id, id);
     await wait(EVENT_MS);
   }
