Compute the digest of known outcomes only for the exchanges that compare it

Cause: each message between VMs carried a digest of all known outcomes, and each answer, too: all fingerprints were judged and all outcomes sorted for it. News goes to each partner in a message of its own, and only the regular exchange compares the digest.

Change: the digest is computed for regular exchanges, and once for an answer to one of these.

--- a/src/application/gossip/createGossip/index.ts
+++ b/src/application/gossip/createGossip/index.ts
@@ -95,7 +95,7 @@
     heard: new Map(),
     versions: listVersions(),
     changes: listTableChanges(followers, versions),
-    outcomesDigest: computeOutcomesDigest(outcomes.listOutcomes()),
+    outcomesDigest: 0,
     tallies: [],
     ...news,
     verdicts: verdicts.listVerdicts(),
@@ -140,6 +140,7 @@
     ...knowledge,
     isMembersAsked: true,
     heard: members.listHeard(),
+    outcomesDigest: computeOutcomesDigest(outcomes.listOutcomes()),
     tallies: outcomes.listTallies(ownId),
   });
 
@@ -218,14 +219,15 @@
       const missing = members
         .listMissing(received.heard)
         .filter(({ vm }) => vm !== received.sender.vm);
-      const listed = drawSample(missing, MAX_MEMBERS_PER_MESSAGE, randomness);
-      const answer = buildKnowledge(received.versions, { ...NO_NEWS, members: listed });
-      const isSame = answer.outcomesDigest === received.outcomesDigest;
+      const told = drawSample(missing, MAX_MEMBERS_PER_MESSAGE, randomness);
+      const answer = buildKnowledge(received.versions, { ...NO_NEWS, members: told });
+      const listed = outcomes.listOutcomes();
+      const isSame = computeOutcomesDigest(listed) === received.outcomesDigest;
       return {
         ...answer,
         heard: members.listHeard(),
         tallies: outcomes.listTallies(ownId),
-        outcomes: isSame ? [] : outcomes.listOutcomes(),
+        outcomes: isSame ? [] : listed,
       };
     },
     sendSuspicion: (server, cause) => {
