Remove old outcomes once a second, not with each new one

The interval of a second held only for the question whether any is known. What is full is still emptied at once; old outcomes are left out of each list as before.

--- a/src/application/crashes/_lib/createOutcomeStore/index.ts
+++ b/src/application/crashes/_lib/createOutcomeStore/index.ts
@@ -108,6 +108,8 @@
       .forEach((one) => outcomesByFingerprint.delete(one));
   };
 
+  const isRemovalDue = (): boolean => clock.readMonotonicMs() - removedAtMs >= REMOVAL_INTERVAL_MS;
+
   return {
     add: (outcome) => {
       const { fingerprint } = outcome;
@@ -124,14 +126,14 @@
           .sort((left, right) => left.atMs - right.atMs)
           .slice(-MAX_OUTCOMES_PER_FINGERPRINT),
       );
-      removeOldOutcomes();
+      if (isRemovalDue() || outcomesByFingerprint.size > MAX_FINGERPRINTS) removeOldOutcomes();
       return true;
     },
     list,
     listFingerprints: () => [...outcomesByFingerprint.keys()],
     isEmpty: () => {
       if (outcomesByFingerprint.size === 0) return true;
-      if (clock.readMonotonicMs() - removedAtMs >= REMOVAL_INTERVAL_MS) removeOldOutcomes();
+      if (isRemovalDue()) removeOldOutcomes();
       return outcomesByFingerprint.size === 0;
     },
   };
