--- a/src/application/crashes/createCrashHistory/index.ts
+++ b/src/application/crashes/createCrashHistory/index.ts
@@ -30,8 +30,6 @@
   readonly handleQuarantine: (fingerprint: string) => void;
   /** Called if this VM observed the answer that ends the quarantine of a fingerprint. */
   readonly handleCleared?: (fingerprint: string) => void;
-  /** Called with the incarnation of a server of which a crash was confirmed. */
-  readonly handleCrash?: (incarnation: string) => void;
 }
 
 /** Tracks which requests, and which prompt parts, crash the servers that run them. */
@@ -89,7 +87,6 @@
 export const createCrashHistory = ({
   clock,
   handleCleared,
-  handleCrash,
   handleQuarantine,
   hasAnsweredSince,
   log,
@@ -125,6 +122,9 @@
   const { isHeldBack, isQuarantined, listCrashes, listQuarantineCrashes } = judge;
   isKept = isHeldBack;
 
+  const findRequestCause = (request: string): CrashCause | null =>
+    judge.findCause({ request, parts: [] });
+
   const notifyListeners = (): void => [...listeners].forEach((listener) => listener());
 
   const logOutcome = (outcome: RunOutcome, source: 'own' | 'told'): void => {
@@ -175,7 +175,6 @@
     if (source === 'own' && hasCrashed) observed.set(fingerprint, true);
     if (!outcomes.add(outcome)) return false;
     listPartOutcomes(outcome).forEach((one) => recordNewOutcome(one, source));
-    if (hasCrashed && isConfirmed) handleCrash?.(outcome.server);
     if (hasCrashed) controls.recordCrash(outcome, { isHeld: judge.isHeldResponsible(fingerprint) });
     logOutcome(outcome, source);
     const hasChanged = handleChange(fingerprint, source);
@@ -212,7 +211,7 @@
     listTallies: controls.listTallies,
     mergeTallies: controls.mergeTallies,
     readQuarantineMs: (fingerprint) => {
-      const cause = judge.findCause({ request: fingerprint, parts: [] });
+      const cause = findRequestCause(fingerprint);
       return cause?.isCertain ? cause.remainingMs : 0;
     },
     findCause: judge.findCause,
--- a/src/application/paths/createServerPaths/index.ts
+++ b/src/application/paths/createServerPaths/index.ts
@@ -37,8 +37,6 @@
   findFailureCause(serverId: string): Promise<FailureCause>;
   /** Forgets a server that is gone. */
   forgetServer(serverId: string): void;
-  /** Takes note that an incarnation of a server crashed (`formatIncarnation`): no path leads to it. */
-  recordCrash(incarnation: string): void;
   countUnreached(): number;
   countRelays(): number;
   stop(): void;
@@ -170,7 +168,7 @@
 
   /** Starts a check, or joins the running one if that includes the server. */
   const checkServer = async (id: string): Promise<void> => {
-    if (isStopped || !reach.isReached(id) || reach.hasCrashed(id)) return;
+    if (isStopped || !reach.isReached(id)) return;
     await startCheck(id);
     if (pendingIds.has(id)) await startCheck(id);
   };
@@ -219,7 +217,6 @@
       return reach.hasReachedAny() ? 'server' : 'unknown';
     },
     forgetServer: reach.forgetServer,
-    recordCrash: reach.recordCrash,
     countUnreached: reach.countUnreached,
     countRelays: relays.countRelays,
     stop: () => {
--- a/src/application/paths/createServerReach/index.ts
+++ b/src/application/paths/createServerReach/index.ts
@@ -1,4 +1,4 @@
-import { formatIncarnation, type ServerEntry } from '../../../domain/forwarding';
+import type { ServerEntry } from '../../../domain/forwarding';
 import { drawSample } from '../../_lib/drawSample';
 import type { Clock, EventLog, Randomness } from '../../ports';
 import type { ReachAnswer, ReachQuestion } from '../types';
@@ -17,9 +17,8 @@
 /** Knows which servers this VM reaches on its own links. */
 export interface ServerReach {
   isReached(id: string): boolean;
-  /** Draws some of the servers that this VM does not reach, and that are not known to have crashed. */
+  /** Draws some of the servers that this VM does not reach. */
   drawUnreached(): readonly string[];
-  /** Counts them all. */
   countUnreached(): number;
   /** True if this VM reaches no server. */
   isCutOff(): boolean;
@@ -36,10 +35,6 @@
   checkServers(ids: readonly string[]): Promise<void>;
   /** Forgets a server that is gone. */
   forgetServer(id: string): void;
-  /** Takes note that an incarnation of a server crashed (`formatIncarnation`): no path leads to it. */
-  recordCrash(incarnation: string): void;
-  /** True if the present incarnation of the server is known to have crashed. */
-  hasCrashed(id: string): boolean;
   /** Probes some of the servers that were not reached; records those that answer. */
   probeUnreached(): Promise<void>;
   /** Finds out for another VM which of these servers this VM reaches. */
@@ -68,7 +63,6 @@
 }: ServerReachDependencies): ServerReach => {
   /** By id of a server that was not reached: since when. */
   const unreachedSinceMs = new Map<string, number>();
-  const crashedIncarnations = new Set<string>();
   const lastAnswerAtMs = new Map<string, number>();
   const lastConnectedAtMs = new Map<string, number>();
   const lastMissedAtMs = new Map<string, number>();
@@ -78,14 +72,6 @@
   const findServer = (id: string): ServerEntry | undefined =>
     listServers().find((server) => server.id === id);
 
-  const hasCrashed = (id: string): boolean => {
-    const server = findServer(id);
-    return server !== undefined && crashedIncarnations.has(formatIncarnation(server));
-  };
-
-  const listUnreached = (): readonly string[] =>
-    [...unreachedSinceMs.keys()].filter((id) => !hasCrashed(id));
-
   const isRecent = (times: ReadonlyMap<string, number>, id: string): boolean =>
     clock.readMonotonicMs() - (times.get(id) ?? -Infinity) < RECENT_ANSWER_MS;
 
@@ -107,8 +93,6 @@
     const nowMs = clock.readMonotonicMs();
     lastAnswerAtMs.set(id, nowMs);
     if (!isNewConnection) return;
-    const server = findServer(id);
-    if (server) crashedIncarnations.delete(formatIncarnation(server));
     lastConnectedAtMs.set(id, nowMs);
     markReached(id);
   };
@@ -170,20 +154,11 @@
 
   return {
     isReached: (id) => !unreachedSinceMs.has(id),
-    drawUnreached: () => drawSample(listUnreached(), MAX_PROBED, randomness),
-    countUnreached: () => listUnreached().length,
+    drawUnreached: () => drawSample([...unreachedSinceMs.keys()], MAX_PROBED, randomness),
+    countUnreached: () => unreachedSinceMs.size,
     isCutOff: () => listServers().every(({ id }) => unreachedSinceMs.has(id)),
     hasReachedAny,
     forgetServer,
-    recordCrash: (incarnation) => {
-      if (crashedIncarnations.has(incarnation)) return;
-      const present = new Set(listServers().map(formatIncarnation));
-      crashedIncarnations.forEach((one) => {
-        if (!present.has(one)) crashedIncarnations.delete(one);
-      });
-      if (present.has(incarnation)) crashedIncarnations.add(incarnation);
-    },
-    hasCrashed,
     recordAnswer,
     hasRecentAnswer: (id) => {
       const service = findServer(id)?.service;
@@ -218,8 +193,7 @@
     },
     probeUnreached: async () => {
       removeUnknown();
-      const unreached = new Set(listUnreached());
-      const known = listServers().filter(({ id }) => unreached.has(id));
+      const known = listServers().filter(({ id }) => unreachedSinceMs.has(id));
       const first = drawSample(known, PROBED_PER_ROUND, randomness);
       const answers = await Promise.all(first.map(probe));
       if (!answers.includes(true)) return;
@@ -233,8 +207,7 @@
         .slice(0, MAX_PROBED)
         .map(findServer)
         .filter((server) => server !== undefined)
-        .filter(({ id }) => !unreachedSinceMs.has(id) && !hasCrashed(id))
-        .filter(({ id }) => !isRecent(lastMissedAtMs, id));
+        .filter(({ id }) => !unreachedSinceMs.has(id) && !isRecent(lastMissedAtMs, id));
       const suspects = asked.filter(({ id }) => id === suspectId);
       const [answers, missedOthers, reachesAny] = await Promise.all([
         Promise.all(suspects.map(probe)),
--- a/src/programs/gateway/_lib/wireCrashes/index.ts
+++ b/src/programs/gateway/_lib/wireCrashes/index.ts
@@ -22,7 +22,7 @@
   readonly clock: Clock;
   readonly directory: ServerDirectory;
   readonly log: EventLog;
-  readonly paths: Pick<ServerPaths, 'findFailureCause' | 'isCutFrom' | 'recordCrash'>;
+  readonly paths: Pick<ServerPaths, 'findFailureCause' | 'isCutFrom'>;
   readonly store: StoreClient;
   readonly tables: RouteTableHolder;
   readonly publishOutcome: Gossip['sendOutcome'];
@@ -55,7 +55,6 @@
     publishOutcome,
     handleQuarantine: (fingerprint) => rows?.startWrite(fingerprint),
     handleCleared: (fingerprint) => rows?.startRemove(fingerprint),
-    handleCrash: paths.recordCrash,
   });
   const quarantineRows = createQuarantineRows({
     table: TABLES.quarantines,
