--- a/src/domain/crashes/judgeCrashShare/index.ts
+++ b/src/domain/crashes/judgeCrashShare/index.ts
@@ -53,6 +53,8 @@
   readonly own: readonly CrashedServer[];
   /** Servers that did not. */
   readonly rest: readonly CrashedServer[];
+  /** Servers on which a run with the part had one and the same age. */
+  readonly ofCommonAge: readonly CrashedServer[];
   /** Other parts that may account for crashes. */
   readonly suspicious: readonly CrashSuspect[];
 }
@@ -60,9 +62,11 @@
 const splitEvidence = (evidence: CrashShareEvidence): SplitEvidence => {
   const { held, others, servers, suspect } = evidence;
   const ranPart = ({ parts }: CrashedServer): boolean => parts.has(suspect.fingerprint);
+  const own = servers.filter(ranPart);
   return {
     ...evidence,
-    own: servers.filter(ranPart),
+    own,
+    ofCommonAge: listServersOfCommonAge(own, suspect.fingerprint),
     rest: servers.filter((one) => !ranPart(one)),
     suspicious: others.filter((one) => held.has(one.fingerprint) || isSuspicious(one)),
   };
@@ -135,6 +139,7 @@
 /**
  * Lists the servers that accuse a part: its run had the same age as on others when they crashed, it began
  * last there, or nothing more suspicious ran there.
+ *
  * Sound parts lose many runs beside a bad one: they explain no crash of a run that began last. A part
  * that is held responsible does, if it has crashed as large a share of its runs.
  */
@@ -143,13 +148,13 @@
   const alone = new Set(listServersWithoutStronger(split));
   const newest = own.filter(({ newestParts }) => newestParts.has(suspect.fingerprint));
   const unexplained = new Set(filterServersWithout(newest, listWorseHeldParts(split)));
-  const ofCommonAge = new Set(listServersOfCommonAge(own, suspect.fingerprint));
+  const ofCommonAge = new Set(split.ofCommonAge);
   return own.filter((one) => alone.has(one) || unexplained.has(one) || ofCommonAge.has(one));
 };
 
 /** Judges whether chance explains that a part was on the servers that crashed. */
 const judgePresence = (split: SplitEvidence): boolean => {
-  const { held, own, servers, suspect } = split;
+  const { held, servers, suspect } = split;
   const { fingerprint } = suspect;
   const isNewest = ({ newestParts }: CrashedServer): boolean => newestParts.has(fingerprint);
   const wasHeldNewest = ({ newestParts }: CrashedServer): boolean =>
@@ -166,7 +171,7 @@
       runsWithout: servers.filter((one) => !isNewest(one) && !wasHeldNewest(one)).map(() => 1),
       share: computeRunShare(split),
     }) ||
-    listServersOfCommonAge(own, fingerprint).length > 0
+    split.ofCommonAge.length > 0
   );
 };
 
--- a/src/domain/crashes/listCrashedServers/test.ts
+++ b/src/domain/crashes/listCrashedServers/test.ts
@@ -45,6 +45,20 @@
   ]);
 });
 
+test('a run that had gone on for long counts with its age', (t) => {
+  const late = { ...crash('i-1', 4000, 'part-a'), isLate: true };
+  t.like(listCrashedServers([late, crash('i-1', 200, 'part-b')])[0], {
+    runs: 2,
+    lostMs: 4200,
+    agesMs: [4000, 200],
+    agesMsByPart: new Map([
+      ['part-a', [4000]],
+      ['part-b', [200]],
+    ]),
+    newestParts: new Set(['part-b']),
+  });
+});
+
 test('a run whose parts are not known counts', (t) => {
   const { parts, ...old } = crash('i-1', 60);
   t.deepEqual(listCrashedServers([old]), [
--- a/tools/bad-parts/main.ts
+++ b/tools/bad-parts/main.ts
@@ -5,10 +5,14 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { Cli, Command, Option } from 'clipanion';
+import { Cli, Command, Option, UsageError } from 'clipanion';
 import { playBadParts } from './playBadParts';
 
-const readNumber = (text: string): number => Number(text);
+const readNumber = (option: string, text: string): number => {
+  const number = text.trim() === '' ? NaN : Number(text);
+  if (Number.isFinite(number) && number >= 0) return number;
+  throw new UsageError(`--${option}: not a number of 0 or more: '${text}'`);
+};
 
 class PlayCommand extends Command {
   static override paths = [Command.Default];
@@ -32,19 +36,19 @@
   private readonly soundPerS = Option.String('--sound-per-s', '20');
 
   async execute(): Promise<void> {
+    const play = {
+      vms: readNumber('vms', this.vms),
+      servers: readNumber('servers', this.servers),
+      seconds: readNumber('seconds', this.seconds),
+      parts: readNumber('parts', this.parts),
+      crashShare: readNumber('share', this.share),
+      badPerS: readNumber('per-s', this.perS),
+      soundPerS: readNumber('sound-per-s', this.soundPerS),
+      restartEveryS: readNumber('restart-every-s', this.restartS),
+      eventsBeforeCrash: readNumber('events-before-crash', this.events),
+    };
     const folder = mkdtempSync(join(tmpdir(), 'bad-parts-'));
-    const result = await playBadParts({
-      folder,
-      vms: readNumber(this.vms),
-      servers: readNumber(this.servers),
-      seconds: readNumber(this.seconds),
-      parts: readNumber(this.parts),
-      crashShare: readNumber(this.share),
-      badPerS: readNumber(this.perS),
-      soundPerS: readNumber(this.soundPerS),
-      restartEveryS: readNumber(this.restartS),
-      eventsBeforeCrash: readNumber(this.events),
-    });
+    const result = await playBadParts({ ...play, folder });
     this.context.stdout.write(`${JSON.stringify(result)}\nlogs: ${folder}\n`);
   }
 }
