--- a/src/application/crashes/createRequestCrashTracker/index.ts
+++ b/src/application/crashes/createRequestCrashTracker/index.ts
@@ -52,6 +52,9 @@
   recordProgress(server: ServerEntry, progress: RunProgress): void;
 }
 
+/** A run that goes on is looked at again once it has lasted for this much longer. */
+const PROGRESS_FACTOR = 1.25;
+
 /** Creates the crash tracker of one request. It computes the fingerprint only when needed. */
 export const createRequestCrashTracker = (
   { crashProbe, crashes }: RequestCrashTrackerDependencies,
@@ -62,6 +65,8 @@
   const partIds = listPartIds(request.promptParts);
   const parts = partIds.map(formatPartFingerprint);
   let fingerprint: string | null = null;
+  /** When the newest run that goes on began, and for how long it has run when it is looked at next. */
+  let nextProgress = { beganAtMs: NaN, ranMs: 0 };
   const readFingerprint = (): string => {
     fingerprint ??= computeFingerprint(request, workspace);
     return fingerprint;
@@ -149,7 +154,10 @@
     },
     recordProgress: (server, { beganAtMs, heardSinceMs }) => {
       if (crashes.isEmpty()) return;
-      recordAnswers(parts, server, { ranMs: heardSinceMs - beganAtMs, atMs: heardSinceMs });
+      const ranMs = heardSinceMs - beganAtMs;
+      if (beganAtMs === nextProgress.beganAtMs && ranMs < nextProgress.ranMs) return;
+      nextProgress = { beganAtMs, ranMs: PROGRESS_FACTOR * ranMs };
+      recordAnswers(parts, server, { ranMs, atMs: heardSinceMs });
     },
   };
 };
--- a/src/application/crashes/createRequestCrashTracker/test.ts
+++ b/src/application/crashes/createRequestCrashTracker/test.ts
@@ -168,3 +168,24 @@
   end(tracker, 'i-2', { connection: 'complete', progress: 'whole', heardSinceMs });
   t.true(crashes.isSuspected(String(tracker.readLogFields().fingerprint)));
 });
+
+// Guards against a look at all suspected parts with each event of each stream.
+test('a run that goes on is looked at less often the longer it has run', (t) => {
+  const { clock, crash, crashes, track } = createTrackerFixture();
+  crash(['a'], 'i-1');
+  const tracker = track('a');
+  const beganAtMs = clock.readMonotonicMs();
+  const { entry } = buildServerStatus('i-2', 'z1');
+  const told = (): readonly number[] =>
+    crashes.listOutcomes().flatMap(({ hasCrashed, ranMs }) => (hasCrashed ? [] : [ranMs]));
+  const record = (ranMs: number): void => {
+    clock.advance(beganAtMs + ranMs - clock.readMonotonicMs());
+    tracker.recordProgress(entry, { beganAtMs, heardSinceMs: beganAtMs + ranMs });
+  };
+  record(55);
+  t.deepEqual(told(), []);
+  record(65);
+  t.deepEqual(told(), []);
+  record(70);
+  t.deepEqual(told(), [70]);
+});
