--- a/src/application/gossip/types/index.ts
+++ b/src/application/gossip/types/index.ts
@@ -63,7 +63,10 @@
   readonly inferred: readonly ServerEntry[];
   /** Whether servers crashed or answered while they ran requests suspected of crashing servers. */
   readonly outcomes: readonly SharedOutcome[];
-  /** Digest of the outcomes known to the sender; a receiver with other outcomes returns its own. */
+  /**
+   * Digest of the outcomes known to the sender; a receiver with other outcomes returns its own. Only in
+   * requests with `isMembersAsked`; 0 in other messages.
+   */
   readonly outcomesDigest: number;
   /**
    * Complete runs with and without suspected prompt parts. Only in requests with `isMembersAsked` and
--- a/src/domain/crashes/listCrashedServers/index.ts
+++ b/src/domain/crashes/listCrashedServers/index.ts
@@ -1,3 +1,4 @@
+import { sum } from 'simple-statistics';
 import { isPartFingerprint } from '../isPartFingerprint';
 import type { CrashedServer, RunOutcome } from '../types';
 
@@ -18,11 +19,9 @@
 
 const mapAges = (
   agesMsByPart: CrashedServer['agesMsByPart'],
-  compute: (agesMs: readonly number[]) => number,
+  compute: (agesMs: number[]) => number,
 ): ReadonlyMap<string, number> =>
-  new Map([...agesMsByPart].map(([part, agesMs]) => [part, compute(agesMs)]));
-
-const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, one) => sum + one, 0);
+  new Map([...agesMsByPart].map(([part, agesMs]) => [part, compute([...agesMs])]));
 
 /**
  * Lists the servers that crashed, with what is known of their runs.
@@ -48,8 +47,8 @@
       server,
       runs: runs.length,
       parts: mapAges(agesMsByPart, ({ length }) => length),
-      lostMs: sumOf(agesMs),
-      lostMsByPart: mapAges(agesMsByPart, sumOf),
+      lostMs: sum(agesMs),
+      lostMsByPart: mapAges(agesMsByPart, sum),
       agesMs,
       agesMsByPart,
       newestParts: new Set(newest.flatMap(({ parts = [] }) => parts)),
--- a/src/domain/crashes/listServersOfCommonAge/index.ts
+++ b/src/domain/crashes/listServersOfCommonAge/index.ts
@@ -1,3 +1,4 @@
+import { sum } from 'simple-statistics';
 import { judgeCrashPresence } from '../judgeCrashPresence';
 import type { CrashedServer } from '../types';
 
@@ -10,11 +11,6 @@
   return agesMs.filter((one) => Math.abs(one - ageMs) <= toleranceMs).length;
 };
 
-const sumOf = (
-  servers: readonly CrashedServer[],
-  read: (server: CrashedServer) => number,
-): number => servers.reduce((sum, one) => sum + read(one), 0);
-
 /**
  * Lists the servers that crashed when a run with a prompt part had the same age as on the other ones.
  *
@@ -43,11 +39,11 @@
   const countOwn = (one: CrashedServer): number => readAges(one).length;
   const countOthersNear = (one: CrashedServer): number =>
     countNear(one.agesMs, ageMs) - countNear(readAges(one), ageMs);
-  const others = sumOf(servers, ({ runs }) => runs) - sumOf(servers, countOwn);
+  const others = sum(servers.map(({ runs }) => runs)) - sum(servers.map(countOwn));
   const isCommon = judgeCrashPresence({
     runsWith: near.map(countOwn),
     runsWithout: servers.filter((one) => !near.includes(one)).map(countOwn),
-    share: (sumOf(servers, countOthersNear) + 1) / (others + 2),
+    share: (sum(servers.map(countOthersNear)) + 1) / (others + 2),
     comparisons: candidates.length,
   });
   return isCommon ? near : [];
--- a/tests/model/lateCrashes.test.ts
+++ b/tests/model/lateCrashes.test.ts
@@ -1,6 +1,6 @@
 // Simulates prompt parts that crash servers long after their runs began, beside longer sound streams.
-import test from 'ava';
-import { simulateBadParts, simulateCrashes } from '../../standins/crashes';
+import test, { type ExecutionContext } from 'ava';
+import { simulateBadParts, simulateCrashes, type BadPartResult } from '../../standins/crashes';
 
 const DURATION_MS = 20_000;
 
@@ -10,6 +10,12 @@
 /** Share of the sound streams to be served once the bad parts are known. */
 const MIN_SERVED = 0.9;
 
+const checkBadParts = (t: ExecutionContext, result: BadPartResult): void => {
+  t.log(result);
+  t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+  t.true(result.served >= MIN_SERVED, `${result.served} served`);
+};
+
 /** Events of streams that last for two and a half seconds. */
 const LONG_EVENTS = 10;
 
@@ -28,9 +34,7 @@
       bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
       chance: 1,
     });
-    t.log(result);
-    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
-    t.true(result.served >= MIN_SERVED, `${result.served} served`);
+    checkBadParts(t, result);
   });
 });
 
@@ -53,9 +57,7 @@
       bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
       chance: 1,
     });
-    t.log(result);
-    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
-    t.true(result.served >= MIN_SERVED, `${result.served} served`);
+    checkBadParts(t, result);
   });
 });
 
--- a/tools/bad-parts/main.ts
+++ b/tools/bad-parts/main.ts
@@ -5,15 +5,10 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { Cli, Command, Option, UsageError } from 'clipanion';
+import { Cli, Command, Option } from 'clipanion';
+import { parseNumberFlag } from '../../standins/_lib/parseNumberFlag';
 import { playBadParts } from './playBadParts';
 
-const readNumber = (option: string, text: string): number => {
-  const number = text.trim() === '' ? NaN : Number(text);
-  if (Number.isFinite(number) && number >= 0) return number;
-  throw new UsageError(`--${option}: not a number of 0 or more: '${text}'`);
-};
-
 class PlayCommand extends Command {
   static override paths = [Command.Default];
 
@@ -37,15 +32,15 @@
 
   async execute(): Promise<void> {
     const play = {
-      vms: readNumber('vms', this.vms),
-      servers: readNumber('servers', this.servers),
-      seconds: readNumber('seconds', this.seconds),
-      parts: readNumber('parts', this.parts),
-      crashShare: readNumber('share', this.share),
-      badPerS: readNumber('per-s', this.perS),
-      soundPerS: readNumber('sound-per-s', this.soundPerS),
-      restartEveryS: readNumber('restart-every-s', this.restartS),
-      eventsBeforeCrash: readNumber('events-before-crash', this.events),
+      vms: parseNumberFlag('--vms', this.vms),
+      servers: parseNumberFlag('--servers', this.servers),
+      seconds: parseNumberFlag('--seconds', this.seconds),
+      parts: parseNumberFlag('--parts', this.parts),
+      crashShare: parseNumberFlag('--share', this.share),
+      badPerS: parseNumberFlag('--per-s', this.perS),
+      soundPerS: parseNumberFlag('--sound-per-s', this.soundPerS),
+      restartEveryS: parseNumberFlag('--restart-every-s', this.restartS),
+      eventsBeforeCrash: parseNumberFlag('--events-before-crash', this.events),
     };
     const folder = mkdtempSync(join(tmpdir(), 'bad-parts-'));
     const result = await playBadParts({ ...play, folder });
--- a/tools/bad-parts/playBadParts/index.ts
+++ b/tools/bad-parts/playBadParts/index.ts
@@ -1,14 +1,12 @@
-import { once } from 'node:events';
-import { request as sendRequest, type IncomingMessage } from 'node:http';
 import { setTimeout as wait } from 'node:timers/promises';
 import { HEADERS } from '../../../platform';
 import { countLateArrivals } from '../../../standins/crashes';
 import {
   buildWireConfiguration,
-  TEST_KEY,
   type ReceivedRequest,
   type StandInServer,
 } from '../../../standins/gateway';
+import { sendPrompt } from '../../_lib/sendPrompt';
 import { startProcessFleet } from '../../_lib/startProcessFleet';
 
 /** Prompt parts that crash servers, and the streams beside them. */
@@ -60,7 +58,6 @@
 const DEADLINE_MS = 25_000;
 const MAX_ATTEMPTS = 5;
 const BODY_BYTES = 5000;
-const OK_STATUS = 200;
 
 const buildConfiguration = (): object => {
   const { routes } = buildWireConfiguration() as { routes: readonly object[] };
@@ -74,32 +71,16 @@
 };
 
 /** Sends a stream like no other; resolves with true if its answer is complete. */
-const sendStream = async (port: number, id: string, part: string): Promise<boolean> => {
-  const sent = sendRequest({
-    host: '127.0.0.1',
+const sendStream = (port: number, id: string, part: string): Promise<boolean> =>
+  sendPrompt({
     port,
     path: '/stream/x',
     method: 'POST',
-    agent: false,
-    headers: {
-      host: 'a.example',
-      [HEADERS.requestId]: `stream-${id}`,
-      [HEADERS.deadlineMs]: String(DEADLINE_MS),
-      [HEADERS.authorization]: `Bearer ${TEST_KEY}`,
-      [HEADERS.tokenSizes]: '5000,700',
-      [HEADERS.promptPrefix]: `${FIRST_PART}:200,${part}:400,${id}:4400`,
-    },
+    id: `stream-${id}`,
+    deadlineMs: DEADLINE_MS,
+    promptPrefix: `${FIRST_PART}:200,${part}:400,${id}:4400`,
+    body: id.padEnd(BODY_BYTES, 'x'),
   });
-  sent.end(id.padEnd(BODY_BYTES, 'x'));
-  try {
-    const [answer] = (await once(sent, 'response')) as [IncomingMessage];
-    answer.resume();
-    await once(answer, 'close');
-    return answer.statusCode === OK_STATUS && answer.complete;
-  } catch {
-    return false;
-  }
-};
 
 /** Plays bad parts against gateway processes. */
 export const playBadParts = async (play: BadPartPlay): Promise<BadPartPlayResult> => {
