--- a/standins/crashes/simulateBadParts/index.ts
+++ b/standins/crashes/simulateBadParts/index.ts
@@ -9,6 +9,7 @@
   | 'durationMs'
   | 'eventGapMs'
   | 'eventsBeforeCrash'
+  | 'losses'
   | 'prefillMs'
   | 'seed'
   | 'transitMs'
--- a/tools/_lib/startProcessFleet/index.ts
+++ b/tools/_lib/startProcessFleet/index.ts
@@ -40,8 +40,8 @@
   listServers(service: string, zone?: string): readonly StandInServer[];
   /** Ends a server; another one takes its place under a new id. */
   crashServer(server: StandInServer): Promise<void>;
-  /** Kills all gateways at once and starts them again. */
-  restartGateways(): Promise<void>;
+  /** Kills gateways at once and starts them again: all of them, or those whose index is picked. */
+  restartGateways(isPicked?: (index: number) => boolean): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -147,13 +147,14 @@
     const output = writesLogs ? openSync(join(folder, `vm-${index}.log`), 'a') : 'ignore';
     return spawn(process.execPath, args, { stdio: ['ignore', output, 'inherit'] });
   };
-  const startGateways = (isFirstStart: boolean): readonly ChildProcess[] =>
-    ports.map((one, index) => startGateway(one, index, isFirstStart));
-  let children = startGateways(true);
+  let children: readonly ChildProcess[] = ports.map((one, index) => startGateway(one, index, true));
 
-  const endGateways = async (signal: 'SIGKILL' | 'SIGTERM'): Promise<void> => {
-    const exits = children.map((child) => once(child, 'exit'));
-    children.forEach((child) => child.kill(signal));
+  const endGateways = async (
+    ended: readonly ChildProcess[],
+    signal: 'SIGKILL' | 'SIGTERM',
+  ): Promise<void> => {
+    const exits = ended.map((child) => once(child, 'exit'));
+    ended.forEach((child) => child.kill(signal));
     await Promise.all(exits);
   };
 
@@ -172,13 +173,20 @@
         .filter((one) => one.service === service && (zone === undefined || one.zone === zone))
         .map(({ server }) => server),
     crashServer,
-    restartGateways: async () => {
-      await endGateways('SIGKILL');
-      children = startGateways(false);
+    restartGateways: async (isPicked = () => true) => {
+      await endGateways(
+        children.filter((_, index) => isPicked(index)),
+        'SIGKILL',
+      );
+      children = children.map((child, index) =>
+        isPicked(index)
+          ? startGateway(ports[index] as (typeof ports)[number], index, false)
+          : child,
+      );
     },
     stop: async () => {
       isStopping = true;
-      await endGateways('SIGTERM');
+      await endGateways(children, 'SIGTERM');
       await Promise.all([store.stop(), ...[...running.keys()].map((server) => server.stop())]);
     },
   };
--- a/tools/bad-parts/main.ts
+++ b/tools/bad-parts/main.ts
@@ -28,6 +28,10 @@
 
   private readonly restartS = Option.String('--restart-every-s', '0');
 
+  private readonly restartShare = Option.String('--restart-share', '1');
+
+  private readonly zoneLossS = Option.String('--zone-loss-every-s', '0');
+
   private readonly soundPerS = Option.String('--sound-per-s', '20');
 
   async execute(): Promise<void> {
@@ -40,6 +44,8 @@
       badPerS: parseNumberFlag('--per-s', this.perS),
       soundPerS: parseNumberFlag('--sound-per-s', this.soundPerS),
       restartEveryS: parseNumberFlag('--restart-every-s', this.restartS),
+      restartShare: parseNumberFlag('--restart-share', this.restartShare),
+      zoneLossEveryS: parseNumberFlag('--zone-loss-every-s', this.zoneLossS),
       eventsBeforeCrash: parseNumberFlag('--events-before-crash', this.events),
     };
     const folder = mkdtempSync(join(tmpdir(), 'bad-parts-'));
--- a/tools/bad-parts/playBadParts/index.ts
+++ b/tools/bad-parts/playBadParts/index.ts
@@ -8,6 +8,7 @@
 } from '../../../standins/gateway';
 import { sendPrompt } from '../../_lib/sendPrompt';
 import { startProcessFleet } from '../../_lib/startProcessFleet';
+import { startZoneLosses } from '../../_lib/startZoneLosses';
 
 /** Prompt parts that crash servers, and the streams beside them. */
 export interface BadPartPlay {
@@ -26,8 +27,12 @@
   readonly soundPerS: number;
   /** Events that a run sends before it crashes its server. */
   readonly eventsBeforeCrash: number;
-  /** Time between two restarts of all gateways, which are killed; 0 for none. */
+  /** Time between two restarts of gateways, which are killed; 0 for none. */
   readonly restartEveryS: number;
+  /** Share of the gateways that are killed at a time, by turns; from 0 to 1. */
+  readonly restartShare: number;
+  /** Time between two losses of most servers of one availability zone; 0 for none. */
+  readonly zoneLossEveryS: number;
 }
 
 /** What became of a bad part. */
@@ -143,17 +148,21 @@
     await sendAtRate(play.badPerS, () => part);
   };
   const restartGateways = async (): Promise<void> => {
-    while (play.restartEveryS > 0) {
+    const groups = Math.max(1, Math.round(1 / play.restartShare));
+    for (let turn = 0; play.restartEveryS > 0; turn += 1) {
       await wait(play.restartEveryS * 1000);
       if (performance.now() >= endMs) return;
-      await fleet.restartGateways();
+      await fleet.restartGateways((index) => index % groups === turn % groups);
     }
   };
+  const stopZoneLosses =
+    play.zoneLossEveryS > 0 ? startZoneLosses(fleet, play.zoneLossEveryS * 1000) : null;
   const [sound] = await Promise.all([
     sendAtRate(play.soundPerS, (index) => `50d${index % SOUND_PARTS}`),
     ...badParts.map(sendBad),
     restartGateways(),
   ]);
+  stopZoneLosses?.();
   await fleet.stop();
   return {
     parts: badParts.map((part) => {
--- a/tools/vm-cost/main.ts
+++ b/tools/vm-cost/main.ts
@@ -6,14 +6,15 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
+import { startZoneLosses } from '../_lib/startZoneLosses';
 import { readProcessorMs } from './readProcessorMs';
 import { sendCostLoad } from './sendCostLoad';
 import { startCostFleet } from './startCostFleet';
-import { startZoneLosses } from './startZoneLosses';
 
 const START_MS = 4000;
 const IDLE_MS = 20_000;
 const LOAD_S = 30;
+const ZONE_LOSS_INTERVAL_MS = 6000;
 
 const [vms = 14, lookupsPerS = 2, streamsPerS = 0.5] = process.argv.slice(2).map(Number);
 
@@ -52,7 +53,7 @@
 await wait(IDLE_MS);
 report(`idle, ${IDLE_MS / 1000} s`);
 await playLoad('load');
-const stopLosses = startZoneLosses(fleet);
+const stopLosses = startZoneLosses(fleet, ZONE_LOSS_INTERVAL_MS);
 await playLoad('load with crashes');
 stopLosses();
 await fleet.stop();
