--- /dev/null
+++ b/tests/model/zoneLosses.test.ts
@@ -0,0 +1,68 @@
+// Simulates prompt parts that crash servers in some of their runs, while zones lose most of their servers.
+import test from 'ava';
+import { simulateBadParts, simulateCrashes } from '../../standins/crashes';
+
+/** Streams with the part that may still reach servers long after its fifth crash. */
+const MAX_LATER_ARRIVALS = 3;
+
+/** Share of the sound streams to be served once the bad parts are known. */
+const MIN_SERVED = 0.95;
+
+const DURATION_MS = 40_000;
+
+const STREAMS = {
+  vms: 6,
+  durationMs: DURATION_MS,
+  prefillMs: 150,
+  eventGapMs: 42,
+  countEvents: () => 50,
+  transitMs: 2,
+  losses: Array.from({ length: 6 }, (_, index) => ({ atMs: 1000 + 6000 * index, count: 4 })),
+};
+
+const PLAYS = [
+  { chance: 0.2, seed: 1 },
+  { chance: 0.2, seed: 2 },
+  { chance: 0.3, seed: 1 },
+];
+
+// Guards against verdicts that the crashes of servers which ran other parts end.
+PLAYS.forEach(({ chance, seed }) => {
+  test(`a part that crashes servers in ${chance} of its runs is hardly sent while zones are lost, seed ${seed}`, async (t) => {
+    const result = await simulateBadParts({
+      ...STREAMS,
+      seed,
+      soundPerS: 20,
+      bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+      chance,
+    });
+    t.log(result);
+    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+    t.true(result.served >= MIN_SERVED, `${result.served} served`);
+  });
+});
+
+// Guards against sound parts that are held responsible as one loss takes many of their runs.
+test('no part is held responsible for long for zones that are lost', async (t) => {
+  const result = await simulateCrashes({
+    ...STREAMS,
+    seed: 1,
+    servers: 16,
+    crashes: () => false,
+    traffic: [
+      {
+        perS: 23,
+        fromMs: 0,
+        untilMs: DURATION_MS,
+        buildParts: (index) => ['first', `other-${index % 7}`, `rare-${index % 40}`],
+      },
+    ],
+  });
+  t.log(result.responsibleParts.join(' '));
+  const lastingS = result.responsibleParts.filter(
+    (count, second, all) => count > 0 && (all[second + 1] ?? 0) > 0,
+  );
+  t.deepEqual(lastingS, []);
+  const served = result.streams.filter(({ outcome }) => outcome?.isComplete).length;
+  t.true(served >= MIN_SERVED * result.streams.length, `${served} served`);
+});
