--- a/src/domain/crashes/countCrashedServers/index.ts
+++ b/src/domain/crashes/countCrashedServers/index.ts
@@ -1,8 +1,5 @@
 import { isPartFingerprint } from '../isPartFingerprint';
-import type { RunOutcome } from '../types';
-
-/** Crashes under different requests within this time are taken to have one common cause. */
-const SAME_CAUSE_MS = 250;
+import { SAME_CAUSE_MS, type RunOutcome } from '../types';
 
 /**
  * The same under copies of one request. It seldom runs on several servers at a time, and VMs see the
--- a/src/domain/crashes/judgeCrashShare/index.ts
+++ b/src/domain/crashes/judgeCrashShare/index.ts
@@ -1,4 +1,5 @@
 import { countCrashedServers } from '../countCrashedServers';
+import { countLostRuns } from '../countLostRuns';
 import { judgeCrashes } from '../judgeCrashes';
 import { judgeCrashPresence } from '../judgeCrashPresence';
 import { judgeCrashRate } from '../judgeCrashRate';
@@ -193,7 +194,7 @@
   const accusing = listAccusingServers(split);
   const accusingIds = new Set(accusing.map(({ server }) => server));
   const accusations = crashes.filter(({ server }) => accusingIds.has(server));
-  const otherCrashes = sumOf(listUnexplainedServers(split), readRuns);
+  const otherCrashes = countLostRuns(listUnexplainedServers(split));
   const rate = { crashes: countCrashedServers(accusations), answers, otherCrashes, otherAnswers };
   const findReason = (): CrashShareReason => {
     const isAccused = judgeCrashes(accusations, { isPart: true, hasAnswer: answers > 0 });
--- a/src/domain/crashes/judgeCrashShare/test.ts
+++ b/src/domain/crashes/judgeCrashShare/test.ts
@@ -9,6 +9,7 @@
 const buildServers = (count: number, parts: readonly string[], first = 0) =>
   Array.from({ length: count }, (_, index) => ({
     server: `i-${first + index}`,
+    crashedAtMs: 1000 * (first + index),
     parts: new Map(parts.map((part) => [part, 1])),
     runs: Math.max(2, parts.length),
     lostMs: 100 * Math.max(2, parts.length),
@@ -163,3 +164,13 @@
   t.true(judge('bad', 14, servers, isHeld));
   t.false(judge('bad', 100, servers, isHeld));
 });
+
+// Guards against verdicts that one loss of a zone ends.
+test('a part stays responsible if servers without it crash together, and not if one after the other', (t) => {
+  const zone = buildServers(8, ['a', 'c', 'd'], 6);
+  const isHeld = { held: new Set(['bad']), otherAnswers: 80 };
+  const bad = buildServers(6, ['bad']);
+  const together = zone.map((one) => ({ ...one, crashedAtMs: 9000 }));
+  t.true(judge('bad', 14, [...bad, ...together], isHeld));
+  t.false(judge('bad', 14, [...bad, ...zone], isHeld));
+});
--- a/src/domain/crashes/listCrashedServers/index.ts
+++ b/src/domain/crashes/listCrashedServers/index.ts
@@ -2,6 +2,8 @@
 import { isPartFingerprint } from '../isPartFingerprint';
 import type { CrashedServer, RunOutcome } from '../types';
 
+const readEndMs = ({ atMs }: RunOutcome): number => atMs;
+
 const readAgeMs = ({ ranMs }: RunOutcome): number => ranMs;
 
 /** Groups the ages of runs by the fingerprints of their prompt parts. */
@@ -45,6 +47,7 @@
     const newest = runs.filter(({ ranMs }) => ranMs === newestMs);
     return {
       server,
+      crashedAtMs: Math.min(...runs.map(readEndMs)),
       runs: runs.length,
       parts: mapAges(agesMsByPart, ({ length }) => length),
       lostMs: sum(agesMs),
--- a/src/domain/crashes/listCrashedServers/test.ts
+++ b/src/domain/crashes/listCrashedServers/test.ts
@@ -15,6 +15,7 @@
   t.deepEqual(listCrashedServers(crashes), [
     {
       server: 'i-1',
+      crashedAtMs: 0,
       runs: 2,
       parts: new Map([
         ['part-a', 2],
@@ -34,6 +35,7 @@
     },
     {
       server: 'i-2',
+      crashedAtMs: 0,
       runs: 1,
       parts: new Map([['part-a', 1]]),
       lostMs: 10,
@@ -64,6 +66,7 @@
   t.deepEqual(listCrashedServers([old]), [
     {
       server: 'i-1',
+      crashedAtMs: 0,
       runs: 1,
       parts: new Map(),
       lostMs: 60,
--- a/src/domain/crashes/types/CrashShare.ts
+++ b/src/domain/crashes/types/CrashShare.ts
@@ -48,6 +48,6 @@
   readonly reason: CrashShareReason;
   /** Crashed servers that accuse it. */
   readonly accusing: number;
-  /** Runs without it whose servers crashed, and no other part accounts for that. */
+  /** Runs without it whose servers crashed, and no other part accounts for that (`countLostRuns`). */
   readonly otherCrashes: number;
 }
--- a/src/domain/crashes/types/CrashedServer.ts
+++ b/src/domain/crashes/types/CrashedServer.ts
@@ -1,6 +1,8 @@
 /** A server that crashed, and what it ran. */
 export interface CrashedServer {
   readonly server: string;
+  /** When the first end of its runs was detected, in monotonic milliseconds. */
+  readonly crashedAtMs: number;
   /** Requests that it ran. */
   readonly runs: number;
   /** Those with each prompt part, by the part's fingerprint. */
--- a/src/domain/crashes/types/RunOutcome.ts
+++ b/src/domain/crashes/types/RunOutcome.ts
@@ -1,6 +1,9 @@
 /** Time that stands for a complete run in `RunOutcome.ranMs`: longer than any crashed one. */
 export const WHOLE_RUN_MS = 86_400_000;
 
+/** Crashes of servers within this time of each other are taken to have one common cause. */
+export const SAME_CAUSE_MS = 250;
+
 /** Outcome of a run on a server that started it, or may have started it. */
 export interface RunOutcome {
   /**
--- a/src/domain/crashes/types/index.ts
+++ b/src/domain/crashes/types/index.ts
@@ -8,4 +8,4 @@
 } from './CrashShare';
 export { MAX_QUARANTINE_SERVERS, type Quarantine } from './Quarantine';
 export type { PartTally, VmRuns } from './PartTally';
-export { WHOLE_RUN_MS, type RunOutcome, type SharedOutcome } from './RunOutcome';
+export { SAME_CAUSE_MS, WHOLE_RUN_MS, type RunOutcome, type SharedOutcome } from './RunOutcome';
