--- a/src/application/crashes/_lib/createCrashJudge/test.ts
+++ b/src/application/crashes/_lib/createCrashJudge/test.ts
@@ -62,6 +62,19 @@
   t.is(track('a').findCause(), null, 'answered in nearly all runs since');
 });
 
+// Guards against a verdict that ends while the part is refused, so that nothing is learnt of it.
+test('a part that is held responsible stays so whatever servers crash while it has no runs', (t) => {
+  const fixture = createTrackerFixture();
+  const { clock, crash, track } = fixture;
+  crashEveryOtherRun(fixture);
+  t.not(track('a').findCause(), null);
+  for (let other = 0; other < 60; other += 1) {
+    clock.advance(1000);
+    crash([], `other-${other}`);
+  }
+  t.not(track('a').findCause(), null);
+});
+
 // Guards against a verdict of one VM while others send the part on.
 test('a VM that knows of no other runs holds a part responsible once another VM does', (t) => {
   const other = createTrackerFixture();
--- a/src/application/crashes/_lib/createShareJudge/index.ts
+++ b/src/application/crashes/_lib/createShareJudge/index.ts
@@ -1,9 +1,11 @@
 import {
   countCrashedServers,
+  findNewestMs,
   judgeCrashes,
   judgeCrashRate,
   judgeCrashShare,
   listCrashedServers,
+  SAME_CAUSE_MS,
   type CrashedServer,
   type CrashShareVerdict,
   type CrashSuspect,
@@ -70,12 +72,20 @@
     return Math.max(answers, outcomes.list(part).filter(isTold).length);
   };
 
-  const listServersSince = (sinceMs: number): readonly CrashedServer[] =>
+  /**
+   * Finds the end of the time in which a part is compared with others. One that is refused has no runs:
+   * what others lose meanwhile says nothing of it.
+   */
+  const findComparisonEndMs = (part: string): number =>
+    held.has(part) ? findNewestMs(outcomes.list(part)) + SAME_CAUSE_MS : Infinity;
+
+  const listServersBetween = (fromMs: number, untilMs: number): readonly CrashedServer[] =>
     listCrashedServers(
       outcomes
         .listFingerprints()
         .flatMap(outcomes.list)
-        .filter((outcome) => outcome.atMs >= sinceMs && isCrash(outcome)),
+        .filter(({ atMs }) => atMs >= fromMs && atMs <= untilMs)
+        .filter(isCrash),
     );
 
   /** Lists the parts that ran on any of the servers. */
@@ -97,7 +107,7 @@
     crashes: readonly RunOutcome[],
     control: CrashControl,
   ): boolean => {
-    const servers = listServersSince(control.sinceMs);
+    const servers = listServersBetween(control.sinceMs, findComparisonEndMs(part));
     const suspects = listSuspects(servers);
     const suspect = suspects.find(({ fingerprint }) => fingerprint === part);
     const others = suspects.filter((one) => one !== suspect);
--- a/tests/model/zoneLosses.test.ts
+++ b/tests/model/zoneLosses.test.ts
@@ -42,6 +42,21 @@
   });
 });
 
+// Guards against verdicts that end while the part has no runs, as servers crash one after the other.
+test('a part that crashes servers in 0.2 of its runs is hardly sent while other servers crash by themselves', async (t) => {
+  const result = await simulateBadParts({
+    ...STREAMS,
+    seed: 1,
+    soundPerS: 20,
+    bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+    chance: 0.2,
+    losses: Array.from({ length: 26 }, (_, index) => ({ atMs: 1000 + 1500 * index, count: 1 })),
+  });
+  t.log(result);
+  t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+  t.true(result.served >= MIN_SERVED, `${result.served} served`);
+});
+
 // Guards against sound parts that are held responsible as one loss takes many of their runs.
 test('no part is held responsible for long for zones that are lost', async (t) => {
   const result = await simulateCrashes({
