--- a/src/domain/crashes/judgeCrashShare/index.ts
+++ b/src/domain/crashes/judgeCrashShare/index.ts
@@ -194,7 +194,8 @@
   const accusing = listAccusingServers(split);
   const accusingIds = new Set(accusing.map(({ server }) => server));
   const accusations = crashes.filter(({ server }) => accusingIds.has(server));
-  const otherCrashes = countLostRuns(listUnexplainedServers(split));
+  const unexplained = listUnexplainedServers(split);
+  const otherCrashes = countLostRuns(unexplained);
   const rate = { crashes: countCrashedServers(accusations), answers, otherCrashes, otherAnswers };
   const findReason = (): CrashShareReason => {
     const isAccused = judgeCrashes(accusations, { isPart: true, hasAnswer: answers > 0 });
@@ -209,5 +210,6 @@
     reason,
     accusing: accusing.length,
     otherCrashes,
+    otherServers: unexplained.length,
   };
 };
--- a/src/domain/crashes/types/CrashShare.ts
+++ b/src/domain/crashes/types/CrashShare.ts
@@ -50,4 +50,6 @@
   readonly accusing: number;
   /** Runs without it whose servers crashed, and no other part accounts for that (`countLostRuns`). */
   readonly otherCrashes: number;
+  /** Servers that lost these runs, together or one after the other. */
+  readonly otherServers: number;
 }
