--- a/tests/model/zoneLosses.test.ts
+++ b/tests/model/zoneLosses.test.ts
@@ -20,7 +20,10 @@
   losses: Array.from({ length: 6 }, (_, index) => ({ atMs: 1000 + 6000 * index, count: 4 })),
 };
 
+const LATE_EVENT = 26;
+
 const PLAYS = [
+  { chance: 0.1, seed: 1 },
   { chance: 0.2, seed: 1 },
   { chance: 0.2, seed: 2 },
   { chance: 0.3, seed: 1 },
@@ -42,6 +45,23 @@
   });
 });
 
+// Guards against sound streams that move with a bad one from server to server, and are taken for the cause.
+[1, 2].forEach((seed) => {
+  test(`a part that crashes servers after event ${LATE_EVENT} in 0.3 of its runs is hardly sent while zones are lost, seed ${seed}`, async (t) => {
+    const result = await simulateBadParts({
+      ...STREAMS,
+      seed,
+      soundPerS: 20,
+      eventsBeforeCrash: LATE_EVENT,
+      bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+      chance: 0.3,
+    });
+    t.log(result);
+    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+    t.true(result.served >= MIN_SERVED, `${result.served} served`);
+  });
+});
+
 // Guards against verdicts that end while the part has no runs, as servers crash one after the other.
 test('a part that crashes servers in 0.2 of its runs is hardly sent while other servers crash by themselves', async (t) => {
   const result = await simulateBadParts({
