--- a/src/domain/crashes/countCrashedServers/index.ts
+++ b/src/domain/crashes/countCrashedServers/index.ts
@@ -2,8 +2,8 @@
 import { SAME_CAUSE_MS, type RunOutcome } from '../types';
 
 /**
- * The same under copies of one request. It seldom runs on several servers at a time, and VMs see the
- * ends of one moment within a few milliseconds of each other.
+ * `SAME_CAUSE_MS` for crashes under copies of one request. It seldom runs on several servers at a time, and
+ * VMs see the ends of one moment within a few milliseconds of each other.
  */
 const SAME_MOMENT_MS = 30;
 
--- a/tests/model/zoneLosses.test.ts
+++ b/tests/model/zoneLosses.test.ts
@@ -1,6 +1,6 @@
 // Simulates prompt parts that crash servers in some of their runs, while zones lose most of their servers.
-import test from 'ava';
-import { simulateBadParts, simulateCrashes } from '../../standins/crashes';
+import test, { type ExecutionContext } from 'ava';
+import { simulateBadParts, simulateCrashes, type BadPartSimulation } from '../../standins/crashes';
 
 /** Streams with the part that may still reach servers long after its fifth crash. */
 const MAX_LATER_ARRIVALS = 3;
@@ -20,7 +20,21 @@
   losses: Array.from({ length: 6 }, (_, index) => ({ atMs: 1000 + 6000 * index, count: 4 })),
 };
 
-const LATE_EVENT = 26;
+/** Plays one bad part, three streams of it and 20 sound ones a second, and checks what became of them. */
+const checkBadPart = async (
+  t: ExecutionContext,
+  play: Pick<BadPartSimulation, 'chance' | 'seed'> & Partial<BadPartSimulation>,
+): Promise<void> => {
+  const result = await simulateBadParts({
+    ...STREAMS,
+    soundPerS: 20,
+    bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+    ...play,
+  });
+  t.log(result);
+  t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
+  t.true(result.served >= MIN_SERVED, `${result.served} served`);
+};
 
 const PLAYS = [
   { chance: 0.1, seed: 1 },
@@ -30,52 +44,26 @@
 ];
 
 // Guards against verdicts that the crashes of servers which ran other parts end.
-PLAYS.forEach(({ chance, seed }) => {
-  test(`a part that crashes servers in ${chance} of its runs is hardly sent while zones are lost, seed ${seed}`, async (t) => {
-    const result = await simulateBadParts({
-      ...STREAMS,
-      seed,
-      soundPerS: 20,
-      bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
-      chance,
-    });
-    t.log(result);
-    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
-    t.true(result.served >= MIN_SERVED, `${result.served} served`);
-  });
+PLAYS.forEach((play) => {
+  test(`a part that crashes servers in ${play.chance} of its runs is hardly sent while zones are lost, seed ${play.seed}`, (t) =>
+    checkBadPart(t, play));
 });
 
+const LATE_EVENT = 26;
+
 // Guards against sound streams that move with a bad one from server to server, and are taken for the cause.
 [1, 2].forEach((seed) => {
-  test(`a part that crashes servers after event ${LATE_EVENT} in 0.3 of its runs is hardly sent while zones are lost, seed ${seed}`, async (t) => {
-    const result = await simulateBadParts({
-      ...STREAMS,
-      seed,
-      soundPerS: 20,
-      eventsBeforeCrash: LATE_EVENT,
-      bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
-      chance: 0.3,
-    });
-    t.log(result);
-    t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
-    t.true(result.served >= MIN_SERVED, `${result.served} served`);
-  });
+  test(`a part that crashes servers after event ${LATE_EVENT} in 0.3 of its runs is hardly sent while zones are lost, seed ${seed}`, (t) =>
+    checkBadPart(t, { chance: 0.3, seed, eventsBeforeCrash: LATE_EVENT }));
 });
 
 // Guards against verdicts that end while the part has no runs, as servers crash one after the other.
-test('a part that crashes servers in 0.2 of its runs is hardly sent while other servers crash by themselves', async (t) => {
-  const result = await simulateBadParts({
-    ...STREAMS,
-    seed: 1,
-    soundPerS: 20,
-    bad: { perS: 3, buildParts: () => ['first', 'bad-0'] },
+test('a part that crashes servers in 0.2 of its runs is hardly sent while other servers crash by themselves', (t) =>
+  checkBadPart(t, {
     chance: 0.2,
+    seed: 1,
     losses: Array.from({ length: 26 }, (_, index) => ({ atMs: 1000 + 1500 * index, count: 1 })),
-  });
-  t.log(result);
-  t.true(result.later <= MAX_LATER_ARRIVALS, `${result.later} streams`);
-  t.true(result.served >= MIN_SERVED, `${result.served} served`);
-});
+  }));
 
 // Guards against sound parts that are held responsible as one loss takes many of their runs.
 test('no part is held responsible for long for zones that are lost', async (t) => {
